Exported API of routing, dedup and proxy

Cause: the daemon is written against these packages while they are filled in.

Change: routing and dedup with their logic, not yet tested; proxy with its configuration, interfaces, headers and draining.

No test was run.

--- /dev/null
+++ b/dedup/cell.go
@@ -0,0 +1,7 @@
+package dedup
+
+// Cell names a cell.
+type Cell struct {
+	DataCentre string
+	Number     int
+}
--- /dev/null
+++ b/dedup/export.go
@@ -0,0 +1,100 @@
+package dedup
+
+import (
+	"math"
+	"time"
+)
+
+// driftMargin is added to durations that are passed to another clock, because
+// two clocks can drift apart by 1% (design 3.1).
+const driftMargin = 1.01
+
+// Export returns a full copy for a peer in parts of about partBytes, at least
+// one. From now on the peer must acknowledge intents. It returns nil unless
+// this VM is the home.
+func (t *Table) Export(now time.Duration, vm string, partBytes int) []Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if !t.home.owner {
+		return nil
+	}
+	t.sync.copies++
+	t.sync.beginCopy(vm, t.sync.copies)
+	parts := []Copy{t.copyPart(now)}
+	size := 0
+	for _, e := range t.entries {
+		c := t.copyEntry(now, e)
+		if size > 0 && size+c.size() > partBytes {
+			parts = append(parts, t.copyPart(now))
+			size = 0
+		}
+		last := &parts[len(parts)-1]
+		last.Entries = append(last.Entries, c)
+		size += c.size()
+	}
+	for i := range parts {
+		parts[i].Part = i
+		parts[i].Parts = len(parts)
+	}
+	return parts
+}
+
+func (t *Table) copyPart(now time.Duration) Copy {
+	return Copy{
+		Cell:       t.cell,
+		Term:       t.home.term,
+		Serial:     t.sync.copies,
+		Unproven:   withMargin(max(0, t.unproven-now)),
+		ProvenFrom: t.provenFrom,
+	}
+}
+
+func (t *Table) copyEntry(now time.Duration, e *entry) CopyEntry {
+	remaining := e.expires - now
+	if e.done != nil {
+		remaining = t.memory.limits.MaxRequest + t.memory.limits.Retention
+	}
+	return CopyEntry{
+		ID:          e.id,
+		Fingerprint: e.fingerprint,
+		State:       e.state,
+		Answer:      e.answer,
+		Remaining:   withMargin(remaining),
+	}
+}
+
+func withMargin(d time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(d) * driftMargin))
+}
+
+// Imported records that a peer has imported all parts of the copy with this
+// serial. It is then named by the next renewal.
+func (t *Table) Imported(vm string, serial uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sync.imported(vm, serial)
+}
+
+// CopyFailed records that a copy could not be transferred.
+func (t *Table) CopyFailed(vm string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sync.missed(vm)
+}
+
+// OfferRenewal returns the synced set for the next renewal, with a serial for
+// RenewalRecorded. It must be called for every renewal that is appended, right
+// before the append.
+func (t *Table) OfferRenewal() (serial uint64, synced []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sync.offer()
+}
+
+// RenewalRecorded tells that the renewal with this serial was read back.
+func (t *Table) RenewalRecorded(serial uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sync.recorded(serial)
+}
--- /dev/null
+++ b/dedup/id.go
@@ -0,0 +1,68 @@
+package dedup
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// MaxIDBytes bounds a request id.
+const MaxIDBytes = 128
+
+// randomHexDigits is the length of the random part of an issued id.
+const randomHexDigits = 32
+
+// ID is a request id with the cell that it is bound to.
+type ID struct {
+	// Text is the id as callers send it.
+	Text string
+	// Cell is the cell whose owner is the id's home.
+	Cell Cell
+	// Term is the term in an issued id, 0 in a caller's own.
+	Term int64
+	// Fresh is set if this VM or the forwarding peer issued the id for this
+	// very request, which therefore can't have run before.
+	Fresh bool
+}
+
+// Issue returns the text of an id of a cell and term. The two random numbers
+// must come from a source that does not repeat over restarts.
+func Issue(cell Cell, term int64, high, low uint64) string {
+	return fmt.Sprintf("%s.%d.%d.%016x%016x", cell.DataCentre, cell.Number, term, high, low)
+}
+
+// parseIssued reads "<cell>.<term>.<random>", the rest of an issued id after
+// its data centre. Only the canonical form is accepted, so no two texts name
+// the same id.
+func parseIssued(rest string) (cell int, term int64, ok bool) {
+	parts := strings.Split(rest, ".")
+	if len(parts) != 3 || len(parts[2]) != randomHexDigits {
+		return 0, 0, false
+	}
+	if strings.Trim(parts[2], "0123456789abcdef") != "" {
+		return 0, 0, false
+	}
+	cell, err := strconv.Atoi(parts[0])
+	if err != nil || cell < 0 || strconv.Itoa(cell) != parts[0] {
+		return 0, 0, false
+	}
+	term, err = strconv.ParseInt(parts[1], 10, 64)
+	if err != nil || term <= 0 || strconv.FormatInt(term, 10) != parts[1] {
+		return 0, 0, false
+	}
+	return cell, term, true
+}
+
+// validText reports whether an id has 1 to MaxIDBytes printable ASCII bytes
+// without space.
+func validText(text string) bool {
+	if text == "" || len(text) > MaxIDBytes {
+		return false
+	}
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/dedup/replica.go
@@ -0,0 +1,88 @@
+package dedup
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// Acknowledge records the intent of the cell's home. A nil error is the
+// acknowledgement. The error has code result.NotOwner if a higher term is
+// known, result.OutcomeUnknown if the id ran here under an earlier term, and
+// result.NotRunRepeatProtection if the memory bound is reached.
+func (t *Table) Acknowledge(now time.Duration, in Intent) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if in.Term < t.home.highest || (t.home.owner && in.Term <= t.home.term) {
+		return result.Errorf(result.NotOwner, "term %d of cell %s/%d was replaced by term %d",
+			in.Term, t.cell.DataCentre, t.cell.Number, t.home.highest)
+	}
+	t.observe(in.Term)
+	e := t.entries[in.ID]
+	if e == nil {
+		e = t.add(in.ID, in.Fingerprint)
+	}
+	if e == nil {
+		return result.Errorf(result.NotRunRepeatProtection, "the request table is full")
+	}
+	if e.done != nil || e.state != Known {
+		return result.Errorf(result.OutcomeUnknown, "request id ran here under an earlier term")
+	}
+	t.keepUntil(e, now+t.memory.limits.MaxRequest+t.memory.limits.Retention)
+	return nil
+}
+
+// Import merges one part of a full copy. It returns whether the copy is now
+// complete. The error has code result.NotOwner if a higher term is known, and
+// result.NotRunRepeatProtection if the memory bound is reached.
+func (t *Table) Import(now time.Duration, c Copy) (full bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if c.Term < t.home.highest || (t.home.owner && c.Term <= t.home.term) {
+		return false, result.Errorf(result.NotOwner, "copy of term %d is older than term %d", c.Term, t.home.highest)
+	}
+	t.observe(c.Term)
+	t.beginImport(now, c)
+	for i := range c.Entries {
+		if !t.merge(now, &c.Entries[i]) {
+			return false, result.Errorf(result.NotRunRepeatProtection, "the request table is full")
+		}
+	}
+	t.copied.parts[c.Part] = true
+	t.copied.full = len(t.copied.parts) == c.Parts
+	return t.copied.full, nil
+}
+
+func (t *Table) beginImport(now time.Duration, c Copy) {
+	if t.copied.term != c.Term || t.copied.serial != c.Serial || t.copied.parts == nil {
+		t.copied = copyState{term: c.Term, serial: c.Serial, parts: map[int]bool{}}
+	}
+	t.provenFrom = c.ProvenFrom
+	t.unproven = 0
+	if c.Unproven > 0 {
+		t.unproven = now + c.Unproven
+	}
+}
+
+func (t *Table) merge(now time.Duration, c *CopyEntry) bool {
+	e := t.entries[c.ID]
+	if e == nil {
+		e = t.add(c.ID, c.Fingerprint)
+	}
+	if e == nil {
+		return false
+	}
+	if e.done != nil {
+		return true
+	}
+	if c.State > e.state {
+		e.state = c.State
+		if c.Answer != nil {
+			t.setAnswer(e, c.Answer)
+		}
+	}
+	t.keepUntil(e, now+c.Remaining)
+	return true
+}
--- /dev/null
+++ b/dedup/store.go
@@ -0,0 +1,76 @@
+package dedup
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Store holds the tables of all cells that this VM owns or keeps a copy of.
+type Store struct {
+	memory  memory
+	binding atomic.Pointer[Binding]
+
+	mu     sync.RWMutex
+	tables map[Cell]*Table
+}
+
+// NewStore returns a Store without tables and with an empty binding.
+func NewStore(limits Limits) *Store {
+	s := &Store{tables: map[Cell]*Table{}}
+	s.memory.limits = limits
+	s.binding.Store(NewBinding(nil))
+	return s
+}
+
+// Limits returns the limits that the store was made with.
+func (s *Store) Limits() Limits {
+	return s.memory.limits
+}
+
+// SetBinding replaces the binding of ids to cells.
+func (s *Store) SetBinding(b *Binding) {
+	s.binding.Store(b)
+}
+
+// Resolve returns the id that a text stands for; see Binding.Resolve.
+func (s *Store) Resolve(text string) (ID, error) {
+	return s.binding.Load().Resolve(text)
+}
+
+// Table returns the table of a cell, a new one if there is none.
+func (s *Store) Table(cell Cell) *Table {
+	if t, ok := s.Lookup(cell); ok {
+		return t
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.tables[cell]
+	if t == nil {
+		t = newTable(cell, &s.memory)
+		s.tables[cell] = t
+	}
+	return t
+}
+
+// Lookup returns the table of a cell if there is one.
+func (s *Store) Lookup(cell Cell) (*Table, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t, ok := s.tables[cell]
+	return t, ok
+}
+
+// Expire drops the ids whose retention has passed from all tables.
+func (s *Store) Expire(now time.Duration) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, t := range s.tables {
+		t.Expire(now)
+	}
+}
+
+// IDs returns the number of ids in all tables, and the bytes of kept answers.
+func (s *Store) IDs() (ids, answerBytes int64) {
+	return s.memory.ids.Load(), s.memory.answers.Load()
+}
--- /dev/null
+++ b/proxy/event.go
@@ -0,0 +1,45 @@
+package proxy
+
+import "time"
+
+// EventKind names an event.
+type EventKind string
+
+// Kinds of events.
+const (
+	// EventFinished is the end of a caller's or peer's request.
+	EventFinished EventKind = "finished"
+	// EventRetried is a second or later send of a request.
+	EventRetried EventKind = "retried"
+	// EventHedged is a second send of a request that is still in progress.
+	EventHedged EventKind = "hedged"
+	// EventSilent is a connection closed for lack of progress.
+	EventSilent EventKind = "silent"
+	// EventTruncated is a response that ended early; the connection to the
+	// caller was aborted.
+	EventTruncated EventKind = "truncated"
+	// EventNotConnected is a connection that could not be established.
+	EventNotConnected EventKind = "not-connected"
+	// EventNotRun is a backend server's or peer's own word that a request did
+	// not run.
+	EventNotRun EventKind = "not-run"
+	// EventLeaving is a backend server's own word that it is leaving.
+	EventLeaving EventKind = "leaving"
+	// EventMissedAcknowledgement is an intent that a peer did not acknowledge.
+	EventMissedAcknowledgement EventKind = "missed-acknowledgement"
+	// EventLoop is a request that was rejected because it came back.
+	EventLoop EventKind = "loop"
+)
+
+// Event is something that logs and metrics count.
+type Event struct {
+	Kind    EventKind
+	Service string
+	// Target is the address of the server or the VM id of the peer, or "".
+	Target string
+	// Code is the result code of a finished request.
+	Code int
+	// Took is the time that a finished request took.
+	Took time.Duration
+	Err  error
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cactusreel/cactusreel/dedup"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// Proxy serves the request path of one entry VM.
+type Proxy struct {
+	cfg      Config
+	inFlight *inFlight
+	// reusing keeps connections for idempotent requests.
+	reusing *http.Transport
+	// fresh opens a connection for every request, so that net/http never
+	// repeats a request by itself: it does so only on reused connections.
+	fresh *http.Transport
+}
+
+// New returns a Proxy, or an error if a required field of the configuration is
+// missing.
+func New(cfg Config) (*Proxy, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	cfg.setDefaults()
+	p := &Proxy{cfg: cfg, inFlight: newInFlight()}
+	p.reusing = p.newTransport(true)
+	p.fresh = p.newTransport(false)
+	return p, nil
+}
+
+// Handler serves callers at /s/<service>/<path>.
+func (p *Proxy) Handler() http.Handler {
+	return http.HandlerFunc(p.serveCaller)
+}
+
+// PeerHandler serves requests that other entry VMs forward, at the same paths.
+func (p *Proxy) PeerHandler() http.Handler {
+	return http.HandlerFunc(p.servePeer)
+}
+
+// IssueID returns a new request id, for POST /v1/request-ids. It returns an
+// error with code result.NotReady if no home is known.
+func (p *Proxy) IssueID() (string, error) {
+	id, ok := p.issue()
+	if !ok {
+		return "", result.Errorf(result.NotReady, "no owner of a cell is known")
+	}
+	return id.Text, nil
+}
+
+func (p *Proxy) issue() (dedup.ID, bool) {
+	cell, ok := p.cfg.Directory.FreshCell(p.cfg.Random())
+	if !ok {
+		return dedup.ID{}, false
+	}
+	home, ok := p.cfg.Directory.Home(cell)
+	if !ok {
+		return dedup.ID{}, false
+	}
+	text := dedup.Issue(cell, home.Term, p.cfg.Random(), p.cfg.Random())
+	return dedup.ID{Text: text, Cell: cell, Term: home.Term, Fresh: true}, true
+}
+
+// InProgress returns the number of requests of callers and peers in progress.
+func (p *Proxy) InProgress() int {
+	return int(p.inFlight.count.Load())
+}
+
+// Drain rejects new requests and waits until none is in progress or ctx ends.
+// It returns the number still in progress, which the stop will cut off.
+func (p *Proxy) Drain(ctx context.Context) int {
+	return p.inFlight.drain(ctx)
+}
+
+// Close closes idle connections. Requests in progress are not affected.
+func (p *Proxy) Close() {
+	p.reusing.CloseIdleConnections()
+	p.fresh.CloseIdleConnections()
+}
--- /dev/null
+++ b/routing/decision.go
@@ -0,0 +1,17 @@
+package routing
+
+import "github.com/cactusreel/cactusreel/result"
+
+// Decision is the outcome of Router.Choose.
+type Decision struct {
+	// Code is result.OK if the request may be sent, otherwise the NotRun code
+	// that says why not.
+	Code result.Code
+	// Service is the service, unless Code is result.NotRunNoService.
+	Service *Service
+	// Slot is taken if Peer is nil and Code is result.OK. Its holder must call
+	// Release or Abandon.
+	Slot Slot
+	// Peer is the cell owner to forward the request to, or nil.
+	Peer *Peer
+}
--- /dev/null
+++ b/routing/worker.go
@@ -0,0 +1,145 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// OwnerConnections is the number of connections that one owner opens to a
+// worker at most, so that four generations of owners fit in the worker's 64.
+const OwnerConnections = 16
+
+// Worker is the account of one worker: slots and connections in use. It
+// survives table changes.
+type Worker struct {
+	id string
+	// taken counts slots in use. It is raised before a place is marked and
+	// lowered after the place is free, so it is never below the marked places.
+	taken       atomic.Int32
+	abandoned   atomic.Int32
+	connections atomic.Int32
+	places      []place
+	cell        atomic.Pointer[Cell]
+	// absentSince is when the worker was last dropped from the table; only
+	// Update uses it, under the router's lock.
+	absentSince time.Duration
+	absent      bool
+}
+
+func newWorker(id string, slots int) *Worker {
+	return &Worker{id: id, places: make([]place, max(1, slots))}
+}
+
+// ID returns the VM id of the worker.
+func (w *Worker) ID() string {
+	return w.id
+}
+
+// Taken returns how many slots are in use, including those of abandoned
+// requests whose release time has passed but that were not yet reused.
+func (w *Worker) Taken() int {
+	return int(w.taken.Load())
+}
+
+// Free returns how many slots may be taken now.
+func (w *Worker) Free(now time.Duration) int {
+	w.sweep(now)
+	return max(0, w.limit(now)-w.Taken())
+}
+
+// Connections returns how many connections are open.
+func (w *Worker) Connections() int {
+	return int(w.connections.Load())
+}
+
+// AcquireConnection counts a new connection, or returns false at the limit.
+func (w *Worker) AcquireConnection() bool {
+	for {
+		n := w.connections.Load()
+		if n >= OwnerConnections {
+			return false
+		}
+		if w.connections.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// ReleaseConnection ends the count of a connection.
+func (w *Worker) ReleaseConnection() {
+	w.connections.Add(-1)
+}
+
+func (w *Worker) limit(now time.Duration) int {
+	cell := w.cell.Load()
+	if cell == nil {
+		return 0
+	}
+	return min(len(w.places), cell.slotsAt(now, len(w.places)))
+}
+
+// acquire takes a slot and returns its place, or -1 if none is free.
+func (w *Worker) acquire(now time.Duration, account *serviceAccount, share *callerShare) int {
+	w.sweep(now)
+	limit := int32(w.limit(now))
+	for {
+		n := w.taken.Load()
+		if n >= limit {
+			return -1
+		}
+		if w.taken.CompareAndSwap(n, n+1) {
+			break
+		}
+	}
+	return w.mark(account, share)
+}
+
+// mark finds a free place. One exists, because taken is at most len(places)
+// and counts at least every marked place; another goroutine can only delay
+// the search.
+func (w *Worker) mark(account *serviceAccount, share *callerShare) int {
+	for {
+		for i := range w.places {
+			if w.places[i].state.CompareAndSwap(placeFree, placeBusy) {
+				w.places[i].account = account
+				w.places[i].share = share
+				return i
+			}
+		}
+	}
+}
+
+// sweep frees the slots of abandoned requests whose release time has passed.
+func (w *Worker) sweep(now time.Duration) {
+	if w.abandoned.Load() == 0 {
+		return
+	}
+	for i := range w.places {
+		p := &w.places[i]
+		until := p.state.Load()
+		if until < placeFirstTime || now < releaseTime(until) {
+			continue
+		}
+		if p.state.CompareAndSwap(until, placeBusy) {
+			w.abandoned.Add(-1)
+			w.free(i)
+		}
+	}
+}
+
+// free releases a place that this goroutine holds.
+func (w *Worker) free(i int) {
+	p := &w.places[i]
+	p.account.inProgress.Add(-1)
+	p.share.inProgress.Add(-1)
+	p.account = nil
+	p.share = nil
+	p.state.Store(placeFree)
+	w.taken.Add(-1)
+}
+
+// abandon keeps a place taken until a time.
+func (w *Worker) abandon(i int, until time.Duration) {
+	w.abandoned.Add(1)
+	w.places[i].state.Store(placeUntil(until))
+}
