--- /dev/null
+++ b/dedup/table_test.go
@@ -0,0 +1,294 @@
+package dedup
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/result"
+)
+
+var testCell = Cell{DataCentre: "giza", Number: 1}
+
+const lease = 5 * time.Second
+
+func testStore() *Store {
+	s := NewStore(DefaultLimits())
+	s.SetBinding(NewBinding(map[string]int{"giza": 4, "maadi": 4}))
+	return s
+}
+
+// homeTable returns the table of a cell's first owner, under term 10.
+func homeTable() *Table {
+	t := testStore().Table(testCell)
+	t.TakeOver(0, Takeover{Term: 10, Until: lease})
+	return t
+}
+
+func own(text string) ID {
+	return ID{Text: text, Cell: testCell}
+}
+
+// syncTo copies the home's table to a peer and records the renewal that names it.
+func syncTo(t *testing.T, now time.Duration, home, peer *Table, vm string) {
+	t.Helper()
+	is := is.New(t)
+	var serial uint64
+	for _, part := range home.Export(now, vm, 256) {
+		serial = part.Serial
+		_, err := peer.Import(now, part)
+		is.NoErr(err)
+	}
+	home.Imported(vm, serial)
+	renewal, synced := home.OfferRenewal()
+	is.Equal(synced, []string{vm})
+	home.RenewalRecorded(renewal)
+}
+
+// acknowledge carries out what the home does before it sends.
+func acknowledge(now time.Duration, run *Run, peers map[string]*Table) {
+	for _, vm := range run.Missing() {
+		if p := peers[vm]; p != nil && p.Acknowledge(now, run.Intent()) == nil {
+			run.Acknowledged(vm)
+		} else {
+			run.Missed(vm)
+		}
+	}
+}
+
+// Guards against a second run of an id, whether it comes at the same time or
+// later, and against losing the first answer.
+func TestRepeatGetsFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	home := homeTable()
+	first := home.Begin(0, own("a"), 1)
+	is.Equal(first.Run.Start(0), result.OK)
+	second := home.Begin(0, own("a"), 1)
+	is.True(second.Run == nil && second.Wait != nil)
+	first.Run.Answer(time.Second, &Answer{Status: 201, Body: []byte("x")})
+	<-second.Wait
+	is.Equal(home.Begin(time.Second, own("a"), 1).Answer.Status, 201)
+	is.Equal(home.Begin(time.Second, own("a"), 2).Code, result.NotRunBadRequest) // another request
+	retention := DefaultLimits().Retention
+	home.Extend(10, time.Hour)
+	is.True(home.Begin(time.Second+retention-1, own("a"), 1).Answer != nil)
+	is.True(home.Begin(time.Second+retention, own("a"), 1).Run != nil)
+}
+
+// Guards against two goroutines that both get the first run.
+func TestConcurrentBeginsRunOnce(t *testing.T) {
+	is := is.New(t)
+	home := homeTable()
+	var runs, answers atomic.Int32
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() {
+			for {
+				b := home.Begin(0, own("a"), 1)
+				switch {
+				case b.Run != nil:
+					runs.Add(1)
+					b.Run.Answer(0, &Answer{Status: 200})
+				case b.Wait != nil:
+					<-b.Wait
+				default:
+					answers.Add(1)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(runs.Load(), int32(1))
+	is.Equal(answers.Load(), int32(16))
+}
+
+// Guards against "outcome unknown" and "answer not kept" turning into a new run.
+func TestFinalStatesStay(t *testing.T) {
+	is := is.New(t)
+	home := homeTable()
+	home.Begin(0, own("u"), 1).Run.Unknown(0)
+	home.Begin(0, own("n"), 1).Run.NotKept(0)
+	home.Begin(0, own("big"), 1).Run.Answer(0, &Answer{Body: make([]byte, MaxAnswerBytes+1)})
+	home.Begin(0, own("max"), 1).Run.Answer(0, &Answer{Body: make([]byte, MaxAnswerBytes)})
+	home.Begin(0, own("w"), 1).Run.Withdraw()
+	is.Equal(home.Begin(0, own("u"), 1).Code, result.OutcomeUnknown)
+	is.Equal(home.Begin(0, own("n"), 1).Code, result.AnswerNotKept)
+	is.Equal(home.Begin(0, own("big"), 1).Code, result.AnswerNotKept)
+	is.True(home.Begin(0, own("max"), 1).Answer != nil)
+	is.True(home.Begin(0, own("w"), 1).Run != nil) // did not run: may be used again
+}
+
+// Guards against a send without the acknowledgement of a VM that a recorded or
+// possibly recorded renewal names as synced.
+func TestMissingAcknowledgementStopsTheRun(t *testing.T) {
+	is := is.New(t)
+	home, peer := homeTable(), testStore().Table(testCell)
+	syncTo(t, 0, home, peer, "b")
+	run := home.Begin(0, own("a"), 1).Run
+	is.Equal(run.Missing(), []string{"b"})
+	acknowledge(0, run, nil)
+	is.Equal(run.Start(0), result.NotRunRepeatProtection)
+	run.Withdraw()
+	serial, synced := home.OfferRenewal() // without b, but not yet recorded
+	is.Equal(len(synced), 0)
+	run = home.Begin(0, own("a"), 1).Run
+	acknowledge(0, run, nil)
+	is.Equal(run.Start(0), result.NotRunRepeatProtection)
+	home.RenewalRecorded(serial)
+	is.Equal(run.Start(0), result.OK)
+}
+
+// Guards against a copy that lacks the ids that began while it was on its way,
+// and against rejecting requests because such a copy failed.
+func TestPeerIsRequiredWhileItsCopyIsOnTheWay(t *testing.T) {
+	is := is.New(t)
+	home := homeTable()
+	parts := home.Export(0, "b", 1<<20)
+	run := home.Begin(0, own("a"), 1).Run
+	is.Equal(run.Missing(), []string{"b"})
+	acknowledge(0, run, nil)
+	is.Equal(run.Start(0), result.OK) // b is in no renewal: its copy ends instead
+	home.Imported("b", parts[0].Serial)
+	_, synced := home.OfferRenewal()
+	is.Equal(len(synced), 0)
+}
+
+// Guards against a second run after the home died: at a successor with the
+// full copy known ids are unknown, answered ones answered, new ones run.
+func TestSyncedSuccessorHasEveryID(t *testing.T) {
+	is := is.New(t)
+	home, peer := homeTable(), testStore().Table(testCell)
+	home.Begin(0, own("answered"), 1).Run.Answer(0, &Answer{Status: 200, Body: make([]byte, 300)})
+	home.Begin(0, own("running"), 1)
+	syncTo(t, 0, home, peer, "b")
+	run := home.Begin(0, own("late"), 1).Run
+	acknowledge(0, run, map[string]*Table{"b": peer})
+	is.Equal(run.Start(0), result.OK)
+
+	is.True(peer.TakeOver(lease, Takeover{Term: 20, Previous: 10, Synced: true, Until: 2 * lease}))
+	is.Equal(peer.Begin(lease, own("answered"), 1).Answer.Status, 200)
+	is.Equal(peer.Begin(lease, own("running"), 1).Code, result.OutcomeUnknown)
+	is.Equal(peer.Begin(lease, own("late"), 1).Code, result.OutcomeUnknown)
+	is.True(peer.Begin(lease, own("new"), 1).Run != nil)
+	old := Intent{Cell: testCell, Term: 10, ID: "x"}
+	is.Equal(result.CodeOf(peer.Acknowledge(lease, old), result.OK), result.NotOwner)
+}
+
+// Guards against a successor without a full copy that runs an id which may
+// have run before, for the whole retention time.
+func TestUnsyncedSuccessorRunsOnlyProvablyNewIDs(t *testing.T) {
+	is := is.New(t)
+	for _, k := range []Takeover{
+		{Term: 20, Previous: 10, Synced: false, Until: time.Hour},
+		{Term: 20, Previous: 10, Synced: true, Until: time.Hour}, // named, but lost its copy in a restart
+	} {
+		peer := testStore().Table(testCell)
+		is.True(peer.TakeOver(lease, k))
+		issued := func(term int64) ID { return ID{Text: fmt.Sprint("i", term), Cell: testCell, Term: term} }
+		is.Equal(peer.Begin(lease, own("a"), 1).Code, result.OutcomeUnknown)
+		is.Equal(peer.Begin(lease, issued(10), 1).Code, result.OutcomeUnknown)
+		is.Equal(peer.Begin(lease, issued(21), 1).Code, result.OutcomeUnknown) // a later home's
+		is.True(peer.Begin(lease, issued(20), 1).Run != nil)
+		is.True(peer.Begin(lease, ID{Text: "f", Cell: testCell, Term: 10, Fresh: true}, 1).Run != nil)
+		end := lease + DefaultLimits().Retention + DefaultLimits().MaxRequest
+		is.Equal(peer.Begin(end-1, own("a"), 1).Code, result.OutcomeUnknown)
+		is.True(peer.Begin(end, own("a"), 1).Run != nil)
+	}
+}
+
+// Guards against the unproven period ending early because the cell moved on to
+// a synced successor of an unsynced one.
+func TestUnprovenPeriodIsInherited(t *testing.T) {
+	is := is.New(t)
+	second, third := testStore().Table(testCell), testStore().Table(testCell)
+	second.TakeOver(0, Takeover{Term: 20, Previous: 10, Until: lease})
+	syncTo(t, 0, second, third, "c")
+	is.True(third.TakeOver(lease, Takeover{Term: 30, Previous: 20, Synced: true, Until: time.Hour}))
+	is.Equal(third.Begin(lease, own("a"), 1).Code, result.OutcomeUnknown)
+	is.True(third.Begin(lease, ID{Text: "i", Term: 25}, 1).Run != nil)
+}
+
+// Guards against a run at an old home whose lease has ended or whose cell was
+// taken over, and against it saying "not run" of an id that may have run at
+// the new home.
+func TestOldHomeDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	home := homeTable()
+	run := home.Begin(0, own("a"), 1).Run
+	is.Equal(run.Start(lease), result.OutcomeUnknown)
+	is.Equal(home.Begin(lease, own("b"), 1).Code, result.OutcomeUnknown)
+	is.Equal(home.Begin(lease, ID{Text: "c", Fresh: true}, 1).Code, result.NotRunRepeatProtection)
+	home.Observe(20)
+	is.Equal(run.Start(0), result.OutcomeUnknown)
+	run.Withdraw()
+	is.Equal(home.Begin(0, own("a"), 1).Code, result.NotOwner)
+	home.Extend(10, time.Hour)
+	is.True(!home.TakeOver(0, Takeover{Term: 15}))
+}
+
+// Guards against an acknowledgement of an id that runs, or has run, here.
+func TestPeerRefusesAnIDThatRanHere(t *testing.T) {
+	is := is.New(t)
+	home := homeTable()
+	home.Begin(0, own("a"), 1)
+	home.Begin(0, own("b"), 1).Run.Unknown(0)
+	for _, id := range []string{"a", "b"} {
+		err := home.Acknowledge(0, Intent{Cell: testCell, Term: 20, ID: id, Fingerprint: 1})
+		is.Equal(result.CodeOf(err, result.OK), result.OutcomeUnknown)
+	}
+}
+
+// Guards against memory without bound, and against forgetting an id to stay
+// within it.
+func TestMemoryBound(t *testing.T) {
+	is := is.New(t)
+	limits := DefaultLimits()
+	limits.MaxIDs = 3
+	limits.MaxAnswers = 100
+	store := NewStore(limits)
+	home := store.Table(testCell)
+	home.TakeOver(0, Takeover{Term: 10, Until: time.Hour})
+	for _, id := range []string{"a", "b", "c"} {
+		home.Begin(0, own(id), 1).Run.Answer(0, &Answer{Body: make([]byte, 60)})
+	}
+	is.Equal(home.Begin(0, own("a"), 1).Code, result.AnswerNotKept)
+	is.Equal(home.Begin(0, own("b"), 1).Code, result.AnswerNotKept)
+	is.True(home.Begin(0, own("c"), 1).Answer != nil)
+	is.Equal(home.Begin(0, own("d"), 1).Code, result.NotRunRepeatProtection)
+	store.Expire(limits.Retention)
+	ids, answers := store.IDs()
+	is.Equal(ids+answers, int64(0))
+	is.True(home.Begin(limits.Retention, own("d"), 1).Run != nil)
+}
+
+// Guards against an id that resolves to different cells, and against ids that
+// break a header or grow without bound.
+func TestBinding(t *testing.T) {
+	is := is.New(t)
+	store := testStore()
+	text := Issue(Cell{"maadi", 3}, 77, 1, 2)
+	id, err := store.Resolve(text)
+	is.NoErr(err)
+	is.Equal(id, ID{Text: text, Cell: Cell{"maadi", 3}, Term: 77})
+	for _, text := range []string{"giza.order-1", "giza.9.77.00000000000000010000000000000002", "giza.01.77.00000000000000010000000000000002"} {
+		id, err = store.Resolve(text)
+		is.NoErr(err)
+		is.True(id.Cell.DataCentre == "giza" && id.Term == 0 && id.Cell.Number < 4)
+	}
+	seen := map[Cell]bool{}
+	for i := range 200 {
+		id, _ = store.Resolve(fmt.Sprint("order-", i))
+		seen[id.Cell] = true
+	}
+	is.Equal(len(seen), 8)
+	for _, bad := range []string{"", strings.Repeat("x", MaxIDBytes+1), "a b", "a\r\nb", "é"} {
+		_, err = store.Resolve(bad)
+		is.Equal(result.CodeOf(err, result.OK), result.NotRunBadRequest)
+	}
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -31,7 +31,11 @@
 	if len(s.servers) == 0 {
 		return Slot{}, false
 	}
-	share, ok := s.account.admit(now, q, s.capacity(now))
+	capacity := s.capacity(now)
+	share, ok := s.account.admit(now, q, capacity)
+	if !ok && s.sweep(now, q) {
+		share, ok = s.account.admit(now, q, capacity)
+	}
 	if !ok {
 		return Slot{}, false
 	}
@@ -45,6 +49,20 @@
 	return s.scan(now, q, share)
 }
 
+// sweep frees slots of abandoned requests whose release time has passed and
+// reports whether it found any. Without it, admission would count such slots
+// until a decision happens to look at their worker.
+func (s *Service) sweep(now time.Duration, q *Request) bool {
+	start, _ := twoOf(q.Random, len(s.servers))
+	found := false
+	for k := range min(scanLimit, len(s.servers)) {
+		if s.servers[(start+k)%len(s.servers)].worker.sweep(now) {
+			found = true
+		}
+	}
+	return found
+}
+
 // twoServers returns two different random servers, the cheaper one first.
 func (s *Service) twoServers(now time.Duration, q *Request) (first, second *Server) {
 	i, j := twoOf(q.Random, len(s.servers))
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -109,11 +109,13 @@
 	}
 }
 
-// sweep frees the slots of abandoned requests whose release time has passed.
-func (w *Worker) sweep(now time.Duration) {
+// sweep frees the slots of abandoned requests whose release time has passed
+// and reports whether there were any.
+func (w *Worker) sweep(now time.Duration) bool {
 	if w.abandoned.Load() == 0 {
-		return
+		return false
 	}
+	found := false
 	for i := range w.places {
 		p := &w.places[i]
 		until := p.state.Load()
@@ -123,8 +125,10 @@
 		if p.state.CompareAndSwap(until, placeBusy) {
 			w.abandoned.Add(-1)
 			w.free(i)
+			found = true
 		}
 	}
+	return found
 }
 
 // free releases a place that this goroutine holds.
