Serve callers and peers on the request path

Cause: the handlers of package proxy answered 503 until now.

Change: requests stream through at most two hops to a backend server. Idempotent ones are retried and hedged within budgets; non-idempotent ones run through the request table and are sent to another server only if no connection was established or the server said "not run". Responses whose end can't be verified are never passed on as complete.

Ruled out: retries by net/http. It repeats requests on reused connections only, so non-idempotent requests get a connection of their own.

--- /dev/null
+++ b/proxy/acknowledge.go
@@ -0,0 +1,47 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cactusreel/cactusreel/dedup"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// acknowledge asks all required peers at once to record the intent. It returns
+// an error only if a peer knows the id to have run; whether the missing
+// acknowledgements matter is for Run.Start to decide.
+func (c *call) acknowledge(run *dedup.Run) error {
+	missing := run.Missing()
+	if len(missing) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.p.cfg.Limits.Acknowledge)
+	defer cancel()
+	errs := make([]error, len(missing))
+	var wg sync.WaitGroup
+	for i, vm := range missing {
+		wg.Go(func() { errs[i] = c.p.cfg.Acknowledger.Acknowledge(ctx, vm, run.Intent()) })
+	}
+	wg.Wait()
+	return c.countAcknowledgements(run, missing, errs)
+}
+
+func (c *call) countAcknowledgements(run *dedup.Run, vms []string, errs []error) error {
+	var ran error
+	for i, vm := range vms {
+		if errs[i] == nil {
+			run.Acknowledged(vm)
+			continue
+		}
+		if result.CodeOf(errs[i], result.OK) == result.OutcomeUnknown {
+			ran = result.Errorf(result.OutcomeUnknown, "peer %s: %w", vm, errs[i])
+			continue
+		}
+		run.Missed(vm)
+		c.p.cfg.OnEvent(Event{
+			Kind: EventMissedAcknowledgement, Service: c.service.Name, Target: vm, Err: errs[i],
+		})
+	}
+	return ran
+}
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -19,6 +20,8 @@
 	maxResponseHeaderBytes = 64 << 10
 )
 
+var errConnectionLimit = errors.New("connection limit of the worker is reached")
+
 // newTransport returns a transport for HTTP/1.1 without proxies, compression
 // or redirects.
 func (p *Proxy) newTransport(reuse bool) *http.Transport {
@@ -33,6 +36,33 @@
 	}
 }
 
+// exchangeKey is the context key of the exchange that a dial is for.
+type exchangeKey struct{}
+
+// dial opens a connection. The transport may use it for another exchange with
+// the same server, or keep it; either way it belongs to that server.
 func (p *Proxy) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	return p.cfg.Dial(ctx, address)
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Limits.Connect)
+	defer cancel()
+	ex, _ := ctx.Value(exchangeKey{}).(*exchange)
+	if ex == nil || !ex.hasSlot {
+		return p.cfg.Dial(ctx, address)
+	}
+	worker := ex.slot.Server.Worker()
+	if !worker.AcquireConnection() {
+		return nil, errConnectionLimit
+	}
+	conn, err := p.cfg.Dial(ctx, address)
+	if err != nil {
+		worker.ReleaseConnection()
+		return nil, err
+	}
+	counted := &workerConn{Conn: conn, worker: worker}
+	// The dial can have outlasted the lease, so the right to send is checked
+	// again before the connection is used.
+	if err := ex.allowed(); err != nil {
+		_ = counted.Close()
+		return nil, err
+	}
+	return counted, nil
 }
