Test the request path under failure; tell stalled servers from callers who leave

Cause: with one of two servers stalled, admission still counted its 8 lost slots as used capacity, so the healthy server ran below its 8 slots.

Change: a slot that a server fails to free counts neither as capacity nor against the caller; one that the caller gave up still does. A slot taken under the lease is no longer valid for a dial that ends after it, even if the owner may still use two slots.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -35,6 +35,7 @@
 	errUnframed    = errors.New("response has neither a length nor chunks, so its end can't be verified")
 	errNoResult    = errors.New("peer's response has no result code")
 	errSlotExpired = errors.New("owner's authority ended before the request was sent")
+	errCallerLeft  = errors.New("the caller has left")
 	errSwitched    = errors.New("response switches protocols")
 )
 
@@ -301,7 +302,7 @@
 	if ex.resp != nil {
 		_ = ex.resp.Body.Close()
 	}
-	ex.cancel(nil)
+	defer ex.cancel(nil)
 	if !ex.hasSlot {
 		return
 	}
@@ -309,6 +310,10 @@
 		ex.slot.Release()
 		return
 	}
+	if errors.Is(context.Cause(ex.ctx), errCallerLeft) {
+		ex.slot.AbandonCharged(ex.releaseTime())
+		return
+	}
 	ex.slot.Abandon(ex.releaseTime())
 }
 
--- a/proxy/race.go
+++ b/proxy/race.go
@@ -60,7 +60,7 @@
 		case <-timerChannel(hedge):
 			y.hedge()
 		case <-y.c.r.Context().Done():
-			return nil, result.Errorf(result.BackendTimeout, "the caller has left")
+			return nil, result.Errorf(result.BackendTimeout, "%w", errCallerLeft)
 		}
 	}
 }
@@ -155,7 +155,7 @@
 	}
 	for ex := range y.running {
 		if cancel {
-			ex.cancel(nil)
+			ex.cancel(errCallerLeft)
 		}
 	}
 	go func() {
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -78,7 +78,7 @@
 		c.reject(err)
 		return
 	}
-	stop := context.AfterFunc(c.r.Context(), func() { ex.cancel(nil) })
+	stop := context.AfterFunc(c.r.Context(), func() { ex.cancel(errCallerLeft) })
 	defer stop()
 	r := relay{c: c, ex: ex}
 	ex.finish(r.run() == nil)
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -94,13 +94,13 @@
 		return Slot{}, false
 	}
 	term := cell.authority.Load().Term
-	place := server.worker.acquire(now, s.account, share)
+	place, limit := server.worker.acquire(now, s.account, share)
 	if place < 0 {
 		return Slot{}, false
 	}
 	s.account.inProgress.Add(1)
 	share.inProgress.Add(1)
-	return Slot{Server: server, Term: term, place: place}, true
+	return Slot{Server: server, Term: term, place: place, limit: limit}, true
 }
 
 func excluded(list []*Server, server *Server) bool {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -149,6 +149,7 @@
 	slots := fill(r, 5*time.Second, highRequest())
 	is.Equal(len(slots), 6)
 	is.True(slots[0].Valid(9 * time.Second))
+	is.True(!slots[0].Valid(10 * time.Second)) // taken under the lease, which is over
 	for _, s := range slots {
 		s.Release()
 	}
@@ -217,6 +218,28 @@
 	is.Equal(len(fill(r, 0, other)), 40)
 }
 
+// Guards against a caller that uses up all slots by leaving early, and against
+// a stalled server that uses up the callers' shares.
+func TestAbandonedSlotsInAdmission(t *testing.T) {
+	is := is.New(t)
+	for _, charged := range []bool{false, true} {
+		r := heldRouter(fleet(10))
+		greedy, other := highRequest(), highRequest()
+		greedy.Caller, other.Caller = 1, 2
+		r.Choose(0, &other).Slot.Release()
+		for range 30 {
+			d := r.Choose(0, &greedy)
+			if charged {
+				d.Slot.AbandonCharged(time.Minute)
+			} else {
+				d.Slot.Abandon(time.Minute)
+			}
+		}
+		want := map[bool]int{true: 10, false: 25} // of 80: to 40 with the 30, or half of the other 50
+		is.Equal(len(fill(r, 0, greedy)), want[charged])
+	}
+}
+
 // Guards against peers before own cells, other data centres before peers of
 // the own one, and early rejections that are not early.
 func TestOrderOfCells(t *testing.T) {
--- a/routing/serviceaccount.go
+++ b/routing/serviceaccount.go
@@ -20,11 +20,13 @@
 // serviceAccount is what a service keeps over table changes.
 type serviceAccount struct {
 	inProgress atomic.Int64
-	active     activeCallers
-	shares     [callerBuckets]callerShare
-	retry      *Budget
-	hedge      *Budget
-	delay      hedgeDelay
+	// abandoned counts slots of inProgress whose server is to blame.
+	abandoned atomic.Int64
+	active    activeCallers
+	shares    [callerBuckets]callerShare
+	retry     *Budget
+	hedge     *Budget
+	delay     hedgeDelay
 }
 
 func newServiceAccount() *serviceAccount {
@@ -36,11 +38,15 @@
 
 // admit decides whether a request may use one of capacity own slots, and
 // returns the share that it counts against. It rejects by criticality first
-// and then, from fairFromPercent on, callers that use their fair share.
+// and then, from fairFromPercent on, callers that use their fair share. Slots
+// that a server failed to free count neither as used nor as capacity, so that a
+// stalled server does not take away from what the others may admit.
 func (a *serviceAccount) admit(now time.Duration, q *Request, capacity int64) (*callerShare, bool) {
 	share := &a.shares[q.Caller%callerBuckets]
 	active := a.active.seen(now, share)
-	used := a.inProgress.Load()
+	abandoned := a.abandoned.Load()
+	used := a.inProgress.Load() - abandoned
+	capacity = max(0, capacity-abandoned)
 	usable := admissible(capacity, q.Criticality)
 	if used >= usable {
 		return nil, false
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -78,20 +78,20 @@
 	return min(len(w.places), cell.slotsAt(now, len(w.places)))
 }
 
-// acquire takes a slot and returns its place, or -1 if none is free.
-func (w *Worker) acquire(now time.Duration, account *serviceAccount, share *callerShare) int {
+// acquire takes a slot. It returns its place, or -1 if none is free, and the
+// number of slots that are allowed now.
+func (w *Worker) acquire(now time.Duration, account *serviceAccount, share *callerShare) (place, limit int) {
 	w.sweep(now)
-	limit := int32(w.limit(now))
+	limit = w.limit(now)
 	for {
 		n := w.taken.Load()
-		if n >= limit {
-			return -1
+		if int(n) >= limit {
+			return -1, limit
 		}
 		if w.taken.CompareAndSwap(n, n+1) {
-			break
+			return w.mark(account, share), limit
 		}
 	}
-	return w.mark(account, share)
 }
 
 // mark finds a free place. One exists, because taken is at most len(places)
@@ -124,6 +124,9 @@
 		}
 		if p.state.CompareAndSwap(until, placeBusy) {
 			w.abandoned.Add(-1)
+			if p.share == nil {
+				p.account.abandoned.Add(-1)
+			}
 			w.free(i)
 			found = true
 		}
@@ -135,15 +138,24 @@
 func (w *Worker) free(i int) {
 	p := &w.places[i]
 	p.account.inProgress.Add(-1)
-	p.share.inProgress.Add(-1)
+	if p.share != nil {
+		p.share.inProgress.Add(-1)
+	}
 	p.account = nil
 	p.share = nil
 	p.state.Store(placeFree)
 	w.taken.Add(-1)
 }
 
-// abandon keeps a place taken until a time.
-func (w *Worker) abandon(i int, until time.Duration) {
+// abandon keeps a place taken until a time. If it is not charged, the place
+// no longer counts against the caller's share and in admission.
+func (w *Worker) abandon(i int, until time.Duration, charged bool) {
+	p := &w.places[i]
 	w.abandoned.Add(1)
-	w.places[i].state.Store(placeUntil(until))
+	if !charged {
+		p.account.abandoned.Add(1)
+		p.share.inProgress.Add(-1)
+		p.share = nil
+	}
+	p.state.Store(placeUntil(until))
 }
