Replace the fixed threshold of fair shares by a dynamic one

Cause: from half use on, every caller was held to an equal part of the slots. With 64 active callers and 80 slots that is 2 requests each, so callers were rejected while up to half of the slots were free.

Change: a caller may use its equal part or twice the free slots, whichever is more (dynamic threshold). One greedy caller leaves a third of the slots free and is held to its equal part as the others fill them.

Ruled out: raising the threshold to 75%, which only moves the waste.

--- a/routing/serviceaccount.go
+++ b/routing/serviceaccount.go
@@ -6,10 +6,11 @@
 )
 
 const (
-	// fairFromPercent is the use of a service's own slots, in percent, from
-	// which a caller is held to its fair share. Below it, callers may use what
-	// others leave.
-	fairFromPercent = 50
+	// shareOfFree is how many slots a caller may use beyond its fair share, as
+	// a multiple of the slots that are free (dynamic threshold). One greedy
+	// caller then leaves a third of the slots free, and many callers with a
+	// few requests each are not rejected while slots are free.
+	shareOfFree = 2
 	// retryPercent and hedgePercent bound extra sends to a share of requests.
 	retryPercent = 10
 	hedgePercent = 5
@@ -38,7 +39,8 @@
 
 // admit decides whether a request may use one of capacity own slots, and
 // returns the share that it counts against. It rejects by criticality first
-// and then, from fairFromPercent on, callers that use their fair share. Slots
+// and then callers that use more than their share: an equal part of the slots,
+// or shareOfFree times the free ones, whichever is more. Slots
 // that a server failed to free count neither as used nor as capacity, so that a
 // stalled server does not take away from what the others may admit.
 func (a *serviceAccount) admit(now time.Duration, q *Request, capacity int64) (*callerShare, bool) {
@@ -51,11 +53,8 @@
 	if used >= usable {
 		return nil, false
 	}
-	if used*100 < capacity*fairFromPercent {
-		return share, true
-	}
-	fair := (usable + active - 1) / active
-	return share, int64(share.inProgress.Load()) < fair
+	allowed := max((usable+active-1)/active, shareOfFree*(usable-used))
+	return share, int64(share.inProgress.Load()) < allowed
 }
 
 // admissible returns how many of capacity slots a criticality may use, at
