Retry on a new connection after a kept one went silent

The retry excluded the server, so a service with one server answered BackendTimeout, and the wait counted as the server's latency, which kept it avoided for about 40 s.

Change: later sends of a request use new connections; a failure on a reused connection neither excludes the server nor counts as its latency. Peers get an idle pool of their own (64 connections each; 8 would be opened and closed all the time).

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -52,6 +52,9 @@
 	target  string
 	// headLimit bounds the wait for the response head.
 	headLimit time.Duration
+	// again is set for all sends of a request but the first; they use new
+	// connections.
+	again bool
 	// gate returns an error if the request may no longer be sent; optional.
 	gate func() error
 
@@ -59,6 +62,9 @@
 	cancel    context.CancelCauseFunc
 	watch     *watchdog
 	connected atomic.Bool
+	// reused is set if the connection was used before. Its failure says
+	// nothing about the server: a connection can go silent while new ones work.
+	reused atomic.Bool
 	// wrote is the time when the request was completely written, or 0.
 	wrote   atomic.Int64
 	settled atomic.Bool
@@ -121,24 +127,32 @@
 func (ex *exchange) send() {
 	p := ex.call.p
 	started := p.cfg.Now()
-	transport := p.fresh
-	if ex.call.idempotent {
-		transport = p.reusing
-	}
 	err := ex.allowed()
 	if err == nil {
-		ex.resp, err = transport.RoundTrip(ex.request()) //nolint:bodyclose // finish closes it
+		ex.resp, err = ex.transport().RoundTrip(ex.request()) //nolint:bodyclose // finish closes it
 	}
 	ex.watch.headArrived()
 	ex.classify(err)
 	ex.observe(p.cfg.Now(), started)
 }
 
+func (ex *exchange) transport() *http.Transport {
+	switch {
+	case !ex.call.idempotent || ex.again:
+		return ex.call.p.fresh
+	case ex.role == roleEntry:
+		return ex.call.p.toServers
+	default:
+		return ex.call.p.toPeers
+	}
+}
+
 func (ex *exchange) request() *http.Request {
 	c := ex.call
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			ex.connected.Store(true)
+			ex.reused.Store(info.Reused)
 			ex.watch.expectHead(ex.headLimit)
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -288,6 +302,9 @@
 		ex.call.service.ObserveHead(now - started)
 	case refused:
 	default:
+		if ex.reused.Load() {
+			return
+		}
 		ex.slot.Server.Observe(now, max(now-started, ex.headLimit))
 	}
 }
--- a/proxy/failure_test.go
+++ b/proxy/failure_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/result"
+	"github.com/cactusreel/cactusreel/routing"
 )
 
 // inWorld runs a test in virtual time.
@@ -91,6 +92,32 @@
 	})
 }
 
+// Guards against a kept connection that goes silent while new ones work: it
+// must cost one progress timeout, and the server must not lose its standing.
+func TestSilentKeptConnection(t *testing.T) {
+	inWorld(t, oneWorker, api.ServiceSpec{}, func(is *is.I, w *world) {
+		w.net.handle("w0", func(c net.Conn) {
+			defer c.Close()
+			buffer := make([]byte, 4096)
+			for i := 0; ; i++ {
+				if _, err := c.Read(buffer); err != nil {
+					return
+				}
+				if i == 0 {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}
+		})
+		is.Equal(w.call("a", "GET", "", "").code, result.OK)
+		is.Equal(w.call("a", "GET", "", "").code, result.OK)
+		is.Equal(w.now(), time.Second)
+		is.Equal(w.count(EventSilent), 1)
+		d := w.vms["a"].router.Choose(w.now(), &routing.Request{Service: testService})
+		is.True(d.Slot.Server.Latency(w.now()) < 10*time.Millisecond)
+		d.Slot.Release()
+	})
+}
+
 // Guards against a truncated response that looks complete: silent or closed
 // in the middle of the body, with a length or in chunks, at zero and one hop.
 func TestTruncatedResponseNeverLooksWhole(t *testing.T) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -12,8 +12,8 @@
 type Proxy struct {
 	cfg      Config
 	inFlight *inFlight
-	// reusing keeps connections for idempotent requests.
-	reusing *http.Transport
+	// toServers and toPeers keep connections for idempotent requests.
+	toServers, toPeers *http.Transport
 	// fresh opens a connection for every request, so that net/http never
 	// repeats a request by itself: it does so only on reused connections.
 	fresh *http.Transport
@@ -27,8 +27,9 @@
 	}
 	cfg.setDefaults()
 	p := &Proxy{cfg: cfg, inFlight: newInFlight()}
-	p.reusing = p.newTransport(true)
-	p.fresh = p.newTransport(false)
+	p.toServers = p.newTransport(maxIdlePerServer)
+	p.toPeers = p.newTransport(maxIdlePerPeer)
+	p.fresh = p.newTransport(0)
 	return p, nil
 }
 
@@ -78,6 +79,7 @@
 
 // Close closes idle connections. Requests in progress are not affected.
 func (p *Proxy) Close() {
-	p.reusing.CloseIdleConnections()
+	p.toServers.CloseIdleConnections()
+	p.toPeers.CloseIdleConnections()
 	p.fresh.CloseIdleConnections()
 }
--- a/proxy/race.go
+++ b/proxy/race.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cactusreel/cactusreel/result"
@@ -75,6 +76,7 @@
 		y.tried = append(y.tried, d.Slot.Server)
 	}
 	ex := y.c.newExchange(d)
+	ex.again = y.sends > 0
 	y.sends++
 	y.running[ex] = true
 	go func() {
@@ -89,6 +91,10 @@
 		y.mayHaveRun = true
 	}
 	y.lastErr = ex.err
+	if ex.reused.Load() {
+		// The same server may be tried again, on a new connection.
+		y.tried = slices.DeleteFunc(y.tried, func(s *routing.Server) bool { return s == ex.slot.Server })
+	}
 	ex.finishWithoutHead()
 }
 
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -41,6 +41,11 @@
 	if err == nil {
 		err = c.admit(inProgress)
 	}
+	if c.ctx != nil {
+		// From here on the context ends the request; a read that fails at the
+		// deadline would look as if the caller had left.
+		_ = control.SetReadDeadline(c.deadline.Add(replyGrace))
+	}
 	if err != nil {
 		c.cancel()
 		c.reject(err)
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -12,6 +12,8 @@
 	// maxIdlePerServer plus the 8 slots of a worker stays within
 	// routing.OwnerConnections.
 	maxIdlePerServer = 8
+	// maxIdlePerPeer is about what a peer forwards at a time.
+	maxIdlePerPeer = 64
 	// maxIdleTotal bounds idle connections to all servers and peers.
 	maxIdleTotal = 1024
 	// maxIdleTime is how long an idle connection is kept.
@@ -23,14 +25,14 @@
 var errConnectionLimit = errors.New("connection limit of the worker is reached")
 
 // newTransport returns a transport for HTTP/1.1 without proxies, compression
-// or redirects.
-func (p *Proxy) newTransport(reuse bool) *http.Transport {
+// or redirects. It keeps at most idle connections to a receiver, none if 0.
+func (p *Proxy) newTransport(idle int) *http.Transport {
 	return &http.Transport{
 		DialContext:            p.dial,
-		DisableKeepAlives:      !reuse,
+		DisableKeepAlives:      idle == 0,
 		DisableCompression:     true,
 		MaxIdleConns:           maxIdleTotal,
-		MaxIdleConnsPerHost:    maxIdlePerServer,
+		MaxIdleConnsPerHost:    idle,
 		IdleConnTimeout:        maxIdleTime,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
