Add records, freshness and the API of ownership and tasks

Records use the generated protobuf structs directly. The bodies are separate fields, not a oneof, so that encoding/json can write them into traces; the batch codec checks that exactly one is set. A oneof with hand-written Go types was ruled out because it needs a conversion for every record.

--- /dev/null
+++ b/ownership/config.go
@@ -0,0 +1,92 @@
+package ownership
+
+import "time"
+
+// Slot limits of design 3.8.
+const (
+	// SlotsPerWorker is how many requests a backend server runs at a time.
+	SlotsPerWorker = 8
+	// ReducedSlots is what an owner in state reduced may use of each worker,
+	// and what a successor leaves unused per former owner that is not known gone.
+	ReducedSlots = 2
+)
+
+// Config holds the settings of a Machine. Durations are on the node's
+// monotonic clock.
+type Config struct {
+	VM         string
+	DataCentre string
+	// Incarnation is a random number of the process.
+	Incarnation uint64
+	// Cells is the number of cells of the data centre.
+	Cells int
+	// Rescuer makes a machine for another data centre's claims stream: it
+	// neither joins nor renews, and its only claims are rescue claims.
+	Rescuer bool
+
+	Lease      time.Duration
+	RenewEvery time.Duration
+	// Drift is the highest rate difference of two monotonic clocks, 0.01 for 1%.
+	Drift float64
+	// MaxRequest is the maximum request time.
+	MaxRequest time.Duration
+	// GoneAfter is how long a VM must be missing from the VM list until it
+	// is known gone.
+	GoneAfter time.Duration
+	// PromiseLife is how long a peer's promise not to claim holds.
+	PromiseLife time.Duration
+	// AskEvery is the interval of asking peers for promises.
+	AskEvery time.Duration
+	// ClaimStep is the extra delay of a claim per place of the VM in the
+	// cell's rendezvous order; it keeps VMs from claiming at the same time.
+	ClaimStep time.Duration
+	// OfflineLimit and TaskLease determine when a rescuer may claim.
+	OfflineLimit time.Duration
+	TaskLease    time.Duration
+
+	// Unsafe switches single rules off. Only tests set it, to show that a
+	// schedule fails without the rule.
+	Unsafe Unsafe
+}
+
+// Unsafe switches safety rules off, one field per rule.
+type Unsafe struct {
+	// NoDriftWait claims by expiry after Lease without the drift allowance.
+	NoDriftWait bool
+	// NoExpects accepts a claim regardless of the offset that it expects.
+	NoExpects bool
+	// NoJoinRule claims by expiry although the VM joined after the last renewal.
+	NoJoinRule bool
+	// NoSlotWait uses slots at once after a claim by expiry.
+	NoSlotWait bool
+	// NoPredecessors leaves no slots unused for former owners.
+	NoPredecessors bool
+	// NoPromiseHold claims in spite of a promise.
+	NoPromiseHold bool
+}
+
+// DefaultConfig returns the settings of design section 3 for a VM.
+func DefaultConfig(vm, dataCentre string, incarnation uint64, cells int) Config {
+	return Config{
+		VM:           vm,
+		DataCentre:   dataCentre,
+		Incarnation:  incarnation,
+		Cells:        cells,
+		Lease:        5 * time.Second,
+		RenewEvery:   1500 * time.Millisecond,
+		Drift:        0.01,
+		MaxRequest:   5 * time.Second,
+		GoneAfter:    60 * time.Second,
+		PromiseLife:  3 * time.Second,
+		AskEvery:     time.Second,
+		ClaimStep:    300 * time.Millisecond,
+		OfflineLimit: 15 * time.Minute,
+		TaskLease:    10 * time.Second,
+	}
+}
+
+// stretched returns d lengthened by the drift bound: when it has passed on
+// this clock, d has passed on every clock.
+func (c *Config) stretched(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*c.Drift) + 1
+}
--- /dev/null
+++ b/ownership/event.go
@@ -0,0 +1,106 @@
+package ownership
+
+import "github.com/cactusreel/cactusreel/record/recordpb"
+
+// Event is an input of Machine.Step.
+type Event interface {
+	// Type returns the event's name in traces.
+	Type() string
+}
+
+// Events returns a zero value of each event type, for decoding traces.
+func Events() []Event {
+	return []Event{
+		Tick{}, Applied{}, Listed{}, PromiseAsked{}, PromiseAnswered{},
+		NewerTermReported{}, SyncedChanged{}, CellDrained{}, StopRequested{},
+	}
+}
+
+// Tick lets time pass. The daemon sends one at least every 100 ms.
+type Tick struct{}
+
+// Applied brings one record of the claims stream. Records come in offset
+// order without gaps, each once; the first one may have any offset.
+type Applied struct {
+	Offset int64            `json:"offset"`
+	Record *recordpb.Record `json:"record"`
+}
+
+// Listed brings an answer of the platform's VM list: the ids of all entry VMs
+// of the data centre that it names, live or leaving.
+type Listed struct {
+	VMs []string `json:"vms"`
+}
+
+// PromiseAsked is a peer's request not to claim its cells.
+type PromiseAsked struct {
+	From string `json:"from"`
+	// Number is returned with the answer.
+	Number uint64     `json:"number"`
+	Cells  []CellTerm `json:"cells"`
+}
+
+// PromiseAnswered is a peer's answer to AskPromises.
+type PromiseAnswered struct {
+	From   string `json:"from"`
+	Number uint64 `json:"number"`
+	// Granted are the cells that the peer promises not to claim.
+	Granted []int `json:"granted"`
+	// Newer are newer ownerships that the peer has read.
+	Newer []CellTerm `json:"newer,omitempty"`
+}
+
+// NewerTermReported says that a peer or a worker knows a newer term of a cell.
+type NewerTermReported struct {
+	Cell int   `json:"cell"`
+	Term int64 `json:"term"`
+}
+
+// SyncedChanged sets the VMs that hold a full copy of this VM's request table.
+// The next renewal records it.
+type SyncedChanged struct {
+	VMs []string `json:"vms"`
+}
+
+// CellDrained says that this VM's last request on the cell has ended. It
+// answers Drain.
+type CellDrained struct {
+	Cell int `json:"cell"`
+}
+
+// StopRequested starts the planned stop: cells are drained and released, then
+// the machine leaves.
+type StopRequested struct{}
+
+// CellTerm names one ownership of a cell.
+type CellTerm struct {
+	Cell int   `json:"cell"`
+	Term int64 `json:"term"`
+}
+
+// Type returns "Tick".
+func (Tick) Type() string { return "Tick" }
+
+// Type returns "Applied".
+func (Applied) Type() string { return "Applied" }
+
+// Type returns "Listed".
+func (Listed) Type() string { return "Listed" }
+
+// Type returns "PromiseAsked".
+func (PromiseAsked) Type() string { return "PromiseAsked" }
+
+// Type returns "PromiseAnswered".
+func (PromiseAnswered) Type() string { return "PromiseAnswered" }
+
+// Type returns "NewerTermReported".
+func (NewerTermReported) Type() string { return "NewerTermReported" }
+
+// Type returns "SyncedChanged".
+func (SyncedChanged) Type() string { return "SyncedChanged" }
+
+// Type returns "CellDrained".
+func (CellDrained) Type() string { return "CellDrained" }
+
+// Type returns "StopRequested".
+func (StopRequested) Type() string { return "StopRequested" }
--- /dev/null
+++ b/record/batch.go
@@ -0,0 +1,111 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// Bounds of a batch.
+const (
+	// MaxBatchBytes bounds the encoded batch.
+	MaxBatchBytes = 1 << 20
+	// MaxBatchRecords bounds the number of records of a batch.
+	MaxBatchRecords = 4096
+)
+
+// Errors of the batch codec.
+var (
+	// ErrBatchTooLarge means that a batch exceeds MaxBatchBytes or MaxBatchRecords.
+	ErrBatchTooLarge = errors.New("batch exceeds its size limit")
+	// ErrBadBatch means that the bytes are not a batch.
+	ErrBadBatch = errors.New("malformed batch")
+)
+
+// AppendRecord appends the length-delimited form of a record to a batch. It
+// returns ErrBadBatch if the record doesn't have exactly one body, and
+// ErrBatchTooLarge if the result would exceed MaxBatchBytes.
+func AppendRecord(batch []byte, r *recordpb.Record) ([]byte, error) {
+	if err := checkBody(r); err != nil {
+		return batch, err
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	if err != nil {
+		return batch, fmt.Errorf("%w: %w", ErrBadBatch, err)
+	}
+	if len(batch)+protowire.SizeBytes(len(data)) > MaxBatchBytes {
+		return batch, ErrBatchTooLarge
+	}
+	return protowire.AppendBytes(batch, data), nil
+}
+
+// EncodeBatch returns the batch of the given records, at least one.
+func EncodeBatch(records []*recordpb.Record) ([]byte, error) {
+	if len(records) == 0 {
+		return nil, fmt.Errorf("%w: no records", ErrBadBatch)
+	}
+	if len(records) > MaxBatchRecords {
+		return nil, ErrBatchTooLarge
+	}
+	var batch []byte
+	for _, r := range records {
+		var err error
+		if batch, err = AppendRecord(batch, r); err != nil {
+			return nil, err
+		}
+	}
+	return batch, nil
+}
+
+// DecodeBatch returns the records of a batch. It returns ErrBatchTooLarge or
+// ErrBadBatch. Readers skip a batch that can't be decoded, identically at
+// every reader.
+func DecodeBatch(data []byte) ([]*recordpb.Record, error) {
+	if len(data) > MaxBatchBytes {
+		return nil, ErrBatchTooLarge
+	}
+	var records []*recordpb.Record
+	for len(data) > 0 {
+		body, n := protowire.ConsumeBytes(data)
+		if n < 0 {
+			return nil, fmt.Errorf("%w: %w", ErrBadBatch, protowire.ParseError(n))
+		}
+		data = data[n:]
+		if len(records) == MaxBatchRecords {
+			return nil, ErrBatchTooLarge
+		}
+		r := new(recordpb.Record)
+		if err := proto.Unmarshal(body, r); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrBadBatch, err)
+		}
+		if err := checkBody(r); err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	if len(records) == 0 {
+		return nil, fmt.Errorf("%w: no records", ErrBadBatch)
+	}
+	return records, nil
+}
+
+// checkBody returns ErrBadBatch unless exactly one body is set.
+func checkBody(r *recordpb.Record) error {
+	bodies := 0
+	message := r.ProtoReflect()
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		if field.Message() != nil && message.Has(field) {
+			bodies++
+		}
+	}
+	if bodies != 1 {
+		return fmt.Errorf("%w: record has %d bodies", ErrBadBatch, bodies)
+	}
+	return nil
+}
--- /dev/null
+++ b/record/filter.go
@@ -0,0 +1,75 @@
+package record
+
+import (
+	"slices"
+
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// MaxWriters bounds the writers that a Filter remembers. When it is full the
+// writer whose last record is oldest is dropped; all readers of a stream drop
+// the same one.
+const MaxWriters = 4096
+
+// Filter drops repeated records of a stream. A writer has one append in
+// flight per stream and its sequence numbers ascend, so a record is new if and
+// only if its sequence is above the highest applied one of its writer.
+// The zero value is ready for use.
+type Filter struct {
+	marks map[uint64]mark
+}
+
+type mark struct {
+	sequence uint64
+	offset   int64
+}
+
+// New reports whether the record has not been applied, and marks it as applied.
+func (f *Filter) New(id ID, offset int64) bool {
+	if f.marks == nil {
+		f.marks = make(map[uint64]mark)
+	}
+	last, known := f.marks[id.Incarnation]
+	if known && id.Sequence <= last.sequence {
+		return false
+	}
+	if !known && len(f.marks) == MaxWriters {
+		f.dropOldest()
+	}
+	f.marks[id.Incarnation] = mark{sequence: id.Sequence, offset: offset}
+	return true
+}
+
+func (f *Filter) dropOldest() {
+	var oldest uint64
+	lowest := int64(-1)
+	for incarnation, m := range f.marks {
+		if lowest < 0 || m.offset < lowest {
+			oldest, lowest = incarnation, m.offset
+		}
+	}
+	delete(f.marks, oldest)
+}
+
+// Marks returns the state of the filter in ascending order of incarnation.
+func (f *Filter) Marks() []*recordpb.WriterMark {
+	marks := make([]*recordpb.WriterMark, 0, len(f.marks))
+	for incarnation, m := range f.marks {
+		marks = append(marks, &recordpb.WriterMark{Incarnation: incarnation, Sequence: m.sequence, Offset: m.offset})
+	}
+	slices.SortFunc(marks, func(a, b *recordpb.WriterMark) int {
+		if a.Incarnation < b.Incarnation {
+			return -1
+		}
+		return 1
+	})
+	return marks
+}
+
+// Restore replaces the state of the filter.
+func (f *Filter) Restore(marks []*recordpb.WriterMark) {
+	f.marks = make(map[uint64]mark, len(marks))
+	for _, m := range marks {
+		f.marks[m.Incarnation] = mark{sequence: m.Sequence, offset: m.Offset}
+	}
+}
--- /dev/null
+++ b/tasks/action.go
@@ -0,0 +1,91 @@
+package tasks
+
+import (
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// Action is an output of Machine.Step.
+type Action interface {
+	// Type returns the action's name in traces.
+	Type() string
+}
+
+// Actions returns a zero value of each action type, for decoding traces.
+func Actions() []Action {
+	return []Action{
+		Append{}, Fence{}, Observe{}, Start{}, Renew{}, Checkpoint{}, Stop{},
+		Forget{}, OfferMove{}, ConfirmMove{}, SnapshotDue{},
+	}
+}
+
+// Append asks for a record to be appended to the task stream. The writer
+// repeats it, with the same id, until it has been read back, and keeps the
+// order of the records of one machine.
+type Append struct {
+	Record *recordpb.Record `json:"record"`
+}
+
+// Fence asks for a worker's highest term to be raised. Observed answers it.
+type Fence struct {
+	Worker string `json:"worker"`
+	Term   int64  `json:"term"`
+}
+
+// Observe asks for a worker's state. Observed answers it.
+type Observe struct {
+	Worker string `json:"worker"`
+}
+
+// Start asks a worker to run an attempt. StartAnswered answers it.
+type Start struct {
+	Worker string         `json:"worker"`
+	Start  platform.Start `json:"start"`
+}
+
+// Renew extends leases on a worker. It needs no answer.
+type Renew struct {
+	Worker   string             `json:"worker"`
+	Command  platform.Command   `json:"command"`
+	Renewals []platform.Renewal `json:"renewals"`
+}
+
+// Checkpoint asks a worker for a checkpoint. CheckpointAnswered answers it.
+type Checkpoint struct {
+	Worker  string             `json:"worker"`
+	Command platform.Command   `json:"command"`
+	ID      platform.AttemptID `json:"id"`
+}
+
+// Stop asks a worker to end an attempt. StopAnswered answers it.
+type Stop struct {
+	Worker  string             `json:"worker"`
+	Command platform.Command   `json:"command"`
+	ID      platform.AttemptID `json:"id"`
+}
+
+// Forget asks a worker to drop the report of an ended attempt, after Ended
+// has been read back. It needs no answer.
+type Forget struct {
+	Worker  string             `json:"worker"`
+	Command platform.Command   `json:"command"`
+	ID      platform.AttemptID `json:"id"`
+}
+
+// OfferMove offers a task to the owner of the cell To. It is repeated until
+// MoveConfirmed.
+type OfferMove struct {
+	To *recordpb.Cell `json:"to"`
+	// Offer is the event to deliver there.
+	Offer MoveOffered `json:"offer"`
+}
+
+// ConfirmMove tells the owner of the cell To that an offered task was adopted.
+type ConfirmMove struct {
+	To *recordpb.Cell `json:"to"`
+	// Confirmed is the event to deliver there.
+	Confirmed MoveConfirmed `json:"confirmed"`
+}
+
+// SnapshotDue asks for a snapshot of the machine to be appended to the stream.
+type SnapshotDue struct{}
--- /dev/null
+++ b/tasks/config.go
@@ -0,0 +1,80 @@
+package tasks
+
+import "time"
+
+// Config holds the settings of a Machine. Durations are on the node's
+// monotonic clock.
+type Config struct {
+	VM         string
+	DataCentre string
+	Cell       int
+
+	// Lease is the task lease; RenewEvery the interval of its renewal.
+	Lease      time.Duration
+	RenewEvery time.Duration
+	// Drift is the highest rate difference of two monotonic clocks, 0.01 for 1%.
+	Drift float64
+	// OfflineLimit is how long an owner without the log keeps renewing leases.
+	OfflineLimit time.Duration
+	// ObserveEvery is the interval of observing each worker.
+	ObserveEvery time.Duration
+	// RetryEvery is the interval of repeating an unanswered command or offer.
+	RetryEvery time.Duration
+	// CheckpointLimit bounds the wait for the checkpoint of an eviction; the
+	// attempt is then stopped with the last recorded one.
+	CheckpointLimit time.Duration
+	// SnapshotRecords is how many records after a snapshot the next is due.
+	SnapshotRecords int
+
+	// Unsafe switches single rules off. Only tests set it, to show that a
+	// schedule fails without the rule.
+	Unsafe Unsafe
+}
+
+// Unsafe switches safety rules off, one field per rule.
+type Unsafe struct {
+	// NoStartDeadline sends starts without a deadline.
+	NoStartDeadline bool
+	// NoTermFence applies records of lower terms after a higher Open.
+	NoTermFence bool
+	// NoEndedFirst places the next attempt without Ended of the last one.
+	NoEndedFirst bool
+	// NoAdoptOnce adopts a move again each time it is offered.
+	NoAdoptOnce bool
+	// NoLeaseDrift ends a lease without the drift allowance.
+	NoLeaseDrift bool
+	// NoPredecessorWait ends the attempts of unreachable workers one lease
+	// after a takeover, whether or not the former owner is gone.
+	NoPredecessorWait bool
+	// NoTakeOut starts tasks while the data centre is taken out.
+	NoTakeOut bool
+}
+
+// DefaultConfig returns the settings of design section 3 for a cell.
+func DefaultConfig(vm, dataCentre string, cell int) Config {
+	return Config{
+		VM:              vm,
+		DataCentre:      dataCentre,
+		Cell:            cell,
+		Lease:           10 * time.Second,
+		RenewEvery:      3 * time.Second,
+		Drift:           0.01,
+		OfflineLimit:    15 * time.Minute,
+		ObserveEvery:    500 * time.Millisecond,
+		RetryEvery:      time.Second,
+		CheckpointLimit: 10 * time.Second,
+		SnapshotRecords: 2000,
+	}
+}
+
+// stretched returns d lengthened by the drift bound: when it has passed on
+// this clock, d has passed on every clock.
+func (c *Config) stretched(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*c.Drift) + 1
+}
+
+// shrunk returns d shortened by the drift bound: when it has passed on another
+// clock, at most d has passed on this one.
+func (c *Config) shrunk(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 + c.Drift))
+}
--- /dev/null
+++ b/tasks/home.go
@@ -0,0 +1,46 @@
+package tasks
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// RankDataCentres returns the data centres in the rendezvous order of a name.
+func RankDataCentres(name string, centres []DataCentre) []DataCentre {
+	ranked := slices.Clone(centres)
+	slices.SortFunc(ranked, func(a, b DataCentre) int {
+		scoreA := xxhash.Sum64String(name + "\x00" + a.Name)
+		scoreB := xxhash.Sum64String(name + "\x00" + b.Name)
+		return cmp.Or(cmp.Compare(scoreB, scoreA), cmp.Compare(a.Name, b.Name))
+	})
+	return ranked
+}
+
+// CellOf returns the cell of an id among a number of cells. It serves for
+// tasks and for workers.
+func CellOf(id string, cells int) int {
+	if cells < 1 {
+		return 0
+	}
+	return int(xxhash.Sum64String(id) % uint64(cells))
+}
+
+// Home returns the first cell of a task, or false if no data centre was in
+// service when the work was created.
+func Home(w *Work, index int) (*recordpb.Cell, bool) {
+	if len(w.DataCentres) == 0 {
+		return nil, false
+	}
+	ranked := RankDataCentres(w.Name, w.DataCentres)
+	return homeIn(ranked, w, index), true
+}
+
+func homeIn(ranked []DataCentre, w *Work, index int) *recordpb.Cell {
+	centre := ranked[index%len(ranked)]
+	cell := CellOf(w.TaskID(index), centre.Cells)
+	return &recordpb.Cell{DataCentre: centre.Name, Cell: int32(cell)}
+}
--- /dev/null
+++ b/tasks/work.go
@@ -0,0 +1,83 @@
+package tasks
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// Work is a declared job or service as far as its tasks need it.
+type Work struct {
+	// Kind is api.KindJob or api.KindService.
+	Kind api.Kind `json:"kind"`
+	Name string   `json:"name"`
+	// Created is the version of the record that created the resource.
+	Created api.Version `json:"created"`
+	// Count is the number of tasks or replicas.
+	Count     int  `json:"count"`
+	Cancelled bool `json:"cancelled,omitempty"`
+	// MaxRetries bounds the failed attempts of each task of a job; a task
+	// that failed more often is StatusFailed. It is ignored for services.
+	MaxRetries int                `json:"maxRetries,omitempty"`
+	TaskKind   string             `json:"taskKind"`
+	Requests   platform.Resources `json:"requests"`
+	// Run is the declared run time of a task; 0 runs until stopped.
+	Run time.Duration `json:"run,omitempty"`
+	// DataCentres are those in service at version Created, in any order.
+	DataCentres []DataCentre `json:"dataCentres"`
+}
+
+// DataCentre is a data centre that tasks can be at home in.
+type DataCentre struct {
+	Name  string `json:"name"`
+	Cells int    `json:"cells"`
+}
+
+// TaskID returns the id of the task with the given index, from 0.
+func (w *Work) TaskID(index int) string {
+	return fmt.Sprintf("%s/%d/%d", w.Name, w.Created, index)
+}
+
+// TaskName is the parsed form of a task id.
+type TaskName struct {
+	Name    string
+	Created api.Version
+	Index   int
+}
+
+// ParseTaskID reads a task id "<name>/<version of the creation>/<index>".
+func ParseTaskID(id string) (TaskName, error) {
+	rest, index, ok := cutLast(id)
+	if !ok {
+		return TaskName{}, fmt.Errorf("task id %q: want <name>/<version>/<index>", id)
+	}
+	name, created, ok := cutLast(rest)
+	if !ok || name == "" {
+		return TaskName{}, fmt.Errorf("task id %q: want <name>/<version>/<index>", id)
+	}
+	version, err := strconv.ParseInt(created, 10, 64)
+	if err != nil {
+		return TaskName{}, fmt.Errorf("task id %q: version: %w", id, err)
+	}
+	number, err := strconv.Atoi(index)
+	if err != nil {
+		return TaskName{}, fmt.Errorf("task id %q: index: %w", id, err)
+	}
+	if version < 0 || number < 0 {
+		return TaskName{}, fmt.Errorf("task id %q: negative number", id)
+	}
+	return TaskName{Name: name, Created: api.Version(version), Index: number}, nil
+}
+
+// cutLast cuts s at its last slash.
+func cutLast(s string) (before, after string, found bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return "", "", false
+	}
+	return s[:i], s[i+1:], true
+}
