Add the task machine of a cell

The stream part of each task changes by records alone; answers of workers and records in flight are local to a term.

--- /dev/null
+++ b/tasks/place.go
@@ -0,0 +1,113 @@
+package tasks
+
+import (
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// mayStart reports whether the authority to start tasks is in force.
+func (m *Machine) mayStart() bool {
+	if !m.owned || !m.open || m.rescue {
+		return false
+	}
+	if !m.allowed && !m.config.Unsafe.NoTakeOut {
+		return false
+	}
+	return m.now < m.placeUntil
+}
+
+// place records the placement of a pending task.
+func (m *Machine) place(e PlacementDecided) {
+	t, w := m.tasks[e.Task], m.workers[e.Worker]
+	if t == nil || w == nil || !m.mayStart() || !m.placeable(t) || !m.ready(w) {
+		return
+	}
+	needs := m.needs(t)
+	if !m.reserved()[w.id].Add(needs).Fits(w.capacity) {
+		return
+	}
+	m.record(t, &recordpb.Record{Placed: &recordpb.Placed{
+		Task:     t.id,
+		Attempt:  t.attempt + 1,
+		Worker:   w.id,
+		Boot:     w.boot,
+		Resumes:  t.checkpoint,
+		Requests: amountOf(needs),
+	}})
+}
+
+// placeable reports whether a task waits for a placement.
+func (m *Machine) placeable(t *task) bool {
+	if t.inFlight != nil || t.to != nil {
+		return false
+	}
+	if m.config.Unsafe.NoEndedFirst && t.live {
+		return true
+	}
+	return m.status(t) == StatusPending
+}
+
+// startOrWithdraw starts an attempt that was placed in this term, or records
+// that it is not started because the permission has ended meanwhile.
+func (m *Machine) startOrWithdraw(t *task) {
+	w := m.workers[t.worker]
+	if w == nil || w.boot != t.boot || !m.mayStart() || !m.wanted(t) || m.work(t) == nil {
+		m.finish(t, &recordpb.Ended{
+			Outcome: recordpb.Outcome_OUTCOME_NOT_STARTED,
+			Message: "permission to start ended before the placement was read back",
+		})
+		return
+	}
+	t.start = m.newStart(t, w)
+	t.leaseEnd = m.now + m.config.stretched(m.config.Lease)
+	m.sendStart(t)
+}
+
+func (m *Machine) newStart(t *task, w *worker) *platform.Start {
+	work := m.work(t)
+	start := &platform.Start{
+		Command: platform.Command{
+			Term:     m.ownTerm,
+			Boot:     t.boot,
+			Deadline: w.deadline(&m.config, m.placeUntil),
+		},
+		ID:          t.attemptID(),
+		Kind:        work.TaskKind,
+		Requests:    t.requests,
+		Checkpoint:  t.checkpoint,
+		LeaseExpiry: m.leaseExpiry(w),
+		Work:        work.Run,
+	}
+	if work.Kind == serviceKind {
+		start.Service = work.Name
+	}
+	return start
+}
+
+// sendStart sends the start; a repetition has the same deadline and lease, so
+// that it is the same start.
+func (m *Machine) sendStart(t *task) {
+	t.startAt = m.now
+	start := *t.start
+	if m.config.Unsafe.NoStartDeadline {
+		start.Deadline = noDeadline
+	}
+	m.emit(Start{Worker: t.worker, Start: start})
+}
+
+// repeatStart sends an unanswered start again.
+func (m *Machine) repeatStart(t *task) {
+	if t.startAnswered || t.started || !m.mayStart() || m.now-t.startAt < m.config.RetryEvery {
+		return
+	}
+	m.sendStart(t)
+}
+
+func (m *Machine) startAnswered(e StartAnswered) {
+	t := m.tasks[e.ID.Task]
+	if t == nil || t.start == nil || t.start.ID != e.ID || t.worker != e.Worker {
+		return
+	}
+	t.startAnswered = true
+	t.started = t.started || !e.Refused
+}
--- /dev/null
+++ b/tasks/snapshot.go
@@ -0,0 +1,94 @@
+package tasks
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// Snapshot returns the stream state. Equal states give equal bytes. Tasks
+// without history follow from the declared work and are left out, as are
+// ended tasks of deleted work.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := &recordpb.TasksSnapshot{Offset: m.offset, Term: m.term, Writers: m.filter.Marks()}
+	for _, id := range m.sorted() {
+		if t := m.tasks[id]; t.history && (t.live || !m.deleted(t)) {
+			s.Tasks = append(s.Tasks, t.state())
+		}
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot of tasks: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the stream state by a snapshot. The next batch to apply is
+// the one after Offset. It returns an error, and changes nothing, if the data
+// is malformed.
+func (m *Machine) Restore(data []byte) error {
+	s := new(recordpb.TasksSnapshot)
+	if err := proto.Unmarshal(data, s); err != nil {
+		return fmt.Errorf("decode snapshot of tasks: %w", err)
+	}
+	tasks := make(map[string]*task, len(s.Tasks))
+	for _, state := range s.Tasks {
+		name, err := ParseTaskID(state.Task)
+		if err != nil {
+			return fmt.Errorf("decode snapshot of tasks: %w", err)
+		}
+		tasks[state.Task] = &task{id: state.Task, name: name, stream: restored(state)}
+	}
+	m.tasks, m.order = tasks, nil
+	m.offset, m.term = s.Offset, s.Term
+	m.filter.Restore(s.Writers)
+	for _, work := range m.works {
+		m.derive(work)
+	}
+	m.prune()
+	return nil
+}
+
+func (t *task) state() *recordpb.TaskState {
+	return &recordpb.TaskState{
+		Task:       t.id,
+		Attempt:    t.attempt,
+		Live:       t.live,
+		Worker:     t.worker,
+		Boot:       t.boot,
+		Evicting:   t.evicting,
+		To:         t.to,
+		Checkpoint: t.checkpoint,
+		Failures:   t.failures,
+		Outcome:    t.outcome,
+		Message:    t.message,
+		Move:       t.move,
+		Moved:      t.moved,
+		Delivered:  t.delivered,
+		PlacedTerm: t.placedTerm,
+		Requests:   amountOf(t.requests),
+	}
+}
+
+func restored(s *recordpb.TaskState) stream {
+	return stream{
+		history:    true,
+		attempt:    s.Attempt,
+		live:       s.Live,
+		worker:     s.Worker,
+		boot:       s.Boot,
+		placedTerm: s.PlacedTerm,
+		requests:   amount(s.Requests),
+		evicting:   s.Evicting,
+		to:         s.To,
+		checkpoint: s.Checkpoint,
+		failures:   s.Failures,
+		outcome:    s.Outcome,
+		message:    s.Message,
+		move:       s.Move,
+		moved:      s.Moved,
+		delivered:  s.Delivered,
+	}
+}
--- /dev/null
+++ b/tasks/task.go
@@ -0,0 +1,90 @@
+package tasks
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// task is one task of the cell.
+type task struct {
+	id   string
+	name TaskName
+	// home is set if the task's first cell is this one.
+	home bool
+	stream
+	local
+}
+
+// stream is the part of a task that depends on the task stream alone.
+type stream struct {
+	// history is set once a record about the task was applied.
+	history bool
+	attempt int64
+	// live means that the attempt was placed and has not ended.
+	live       bool
+	worker     string
+	boot       string
+	placedTerm int64
+	requests   platform.Resources
+	evicting   bool
+	// to is the target of a wanted or recorded move, or nil.
+	to         *recordpb.Cell
+	checkpoint string
+	failures   int64
+	outcome    recordpb.Outcome
+	message    string
+	move       int64
+	moved      bool
+	delivered  bool
+}
+
+// local is the part of a task that only the present owner knows. It is
+// cleared when a term begins or ends, and when an attempt begins or ends.
+type local struct {
+	// inFlight is the record about the task that awaits its read-back.
+	inFlight *recordpb.Record
+	// ended is the end of the live attempt that is to be recorded.
+	ended *recordpb.Ended
+
+	start         *platform.Start
+	startAt       time.Duration
+	startAnswered bool
+	// started means that the worker has answered the start or listed the
+	// attempt; listed that it has listed it, as fenced with the owner's term.
+	started bool
+	listed  bool
+	// leaseEnd is the local time by which the lease has ended on the worker's
+	// clock; 0 if unknown.
+	leaseEnd time.Duration
+
+	evictAsked     bool
+	evictTo        *recordpb.Cell
+	checkpointFrom time.Duration
+	checkpointAt   time.Duration
+	checkpointDone bool
+	// newCheckpoint is a checkpoint that is to be recorded, or "".
+	newCheckpoint string
+	stopAt        time.Duration
+	stopAsked     bool
+
+	offered   bool
+	offeredAt time.Duration
+}
+
+// attemptID names the last placed attempt.
+func (t *task) attemptID() platform.AttemptID {
+	return platform.AttemptID{Task: t.id, Attempt: t.attempt}
+}
+
+// here reports whether the task belongs to this cell.
+func (t *task) here() bool {
+	return !t.moved && (t.home || t.history)
+}
+
+// runs reports whether the attempt named is the live one of this task on a
+// worker.
+func (t *task) runs(id platform.AttemptID, worker, boot string) bool {
+	return t.live && t.attempt == id.Attempt && t.worker == worker && t.boot == boot
+}
--- a/tasks/view.go
+++ b/tasks/view.go
@@ -60,3 +60,39 @@
 	// Reserved is the sum of all attempts that run or may run on it.
 	Reserved platform.Resources `json:"reserved"`
 }
+
+// Tasks returns all tasks of the cell in ascending order of id.
+func (m *Machine) Tasks() []View {
+	views := make([]View, 0, len(m.tasks))
+	for _, id := range m.sorted() {
+		views = append(views, m.view(m.tasks[id]))
+	}
+	return views
+}
+
+// Task returns one task.
+func (m *Machine) Task(id string) (View, bool) {
+	t, ok := m.tasks[id]
+	if !ok {
+		return View{}, false
+	}
+	return m.view(t), true
+}
+
+func (m *Machine) view(t *task) View {
+	v := View{
+		Task:       t.id,
+		Status:     m.status(t),
+		Attempt:    t.attempt,
+		Checkpoint: t.checkpoint,
+		Failures:   t.failures,
+		Outcome:    t.outcome,
+		Message:    t.message,
+		Requests:   m.needs(t),
+		InFlight:   t.inFlight != nil,
+	}
+	if t.live {
+		v.Worker, v.Running, v.Requests = t.worker, t.started, t.requests
+	}
+	return v
+}
