--- /dev/null
+++ b/api/kind.go
@@ -0,0 +1,47 @@
+package api
+
+// WeightsName is the only name that a resource of kind weights can have.
+const WeightsName = "default"
+
+// Kinds returns all kinds in the order in which a file of several resources is
+// applied: a resource comes after those that it can refer to.
+func Kinds() []Kind {
+	return []Kind{KindDataCentre, KindWeights, KindTeam, KindPool, KindService, KindJob}
+}
+
+// Known reports whether k is one of the kinds of this package.
+func (k Kind) Known() bool {
+	switch k {
+	case KindService, KindJob, KindPool, KindDataCentre, KindTeam, KindWeights:
+		return true
+	}
+	return false
+}
+
+// specField is a kind's spec field: its name in JSON and whether it is set.
+type specField struct {
+	kind Kind
+	name string
+	set  bool
+}
+
+func (r *Resource) specFields() []specField {
+	return []specField{
+		{KindService, "service", r.Service != nil},
+		{KindJob, "job", r.Job != nil},
+		{KindPool, "pool", r.Pool != nil},
+		{KindDataCentre, "dataCentre", r.DataCentre != nil},
+		{KindTeam, "team", r.Team != nil},
+		{KindWeights, "weights", r.Weights != nil},
+	}
+}
+
+// HasSpecOfKind reports whether r has the spec of its kind and no other.
+func (r *Resource) HasSpecOfKind() bool {
+	for _, f := range r.specFields() {
+		if f.set != (f.kind == r.Kind) {
+			return false
+		}
+	}
+	return r.Kind.Known()
+}
--- /dev/null
+++ b/command/doc.go
@@ -0,0 +1,3 @@
+// Package command holds the subcommands of the cactusreel program, one file
+// each.
+package command
--- /dev/null
+++ b/command/options.go
@@ -0,0 +1,23 @@
+package command
+
+import (
+	"context"
+	"io"
+
+	"github.com/cactusreel/cactusreel/settings"
+)
+
+// Options holds what the program's main function gives to the subcommands.
+type Options struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	// Version is the program's version.
+	Version string
+	// Entry runs the daemon until it has stopped. It handles signals itself.
+	// An error that wraps *ExitError sets the exit code; any other gives
+	// ExitFailed.
+	Entry func(ctx context.Context, s settings.Entry) error
+	// Replay replays trace files and writes the comparison.
+	Replay func(ctx context.Context, paths []string, w io.Writer) error
+}
--- /dev/null
+++ b/resources/apply.go
@@ -0,0 +1,151 @@
+package resources
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// refusal is the reason for which an operation has no effect.
+type refusal struct {
+	code    result.Code
+	message string
+}
+
+func refuse(code result.Code, format string, args ...any) *refusal {
+	return &refusal{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+// decide applies an operation to a view under construction. Every accepted
+// operation gives its resource the version v.offset.
+func decide(v *View, op Operation) Outcome {
+	current := v.kinds[op.Kind].get(op.Name)
+	outcome := Outcome{ID: op.ID, Offset: v.offset}
+	next, refused := evaluate(v, op, current)
+	if refused != nil {
+		outcome.Code, outcome.Message = refused.code, refused.message
+		outcome.Version = versionOf(current)
+		return outcome
+	}
+	event := Event{Type: EventDelete, Version: api.Version(v.offset), Resource: current}
+	if next != nil {
+		next.Version = api.Version(v.offset)
+		event.Type, event.Resource = EventPut, next
+	}
+	v.set(op.Kind, op.Name, next)
+	v.events = append(v.events, event)
+	outcome.Version = versionOf(next)
+	return outcome
+}
+
+func versionOf(r *api.Resource) api.Version {
+	if r == nil {
+		return 0
+	}
+	return r.Version
+}
+
+// evaluate returns the resource after the operation (nil: deleted) or a refusal.
+func evaluate(v *View, op Operation, current *api.Resource) (*api.Resource, *refusal) {
+	if !op.Kind.Known() || op.Name == "" {
+		return nil, refuse(result.BadResource, "no resource can be called %s/%s", op.Kind, op.Name)
+	}
+	if refused := checkPrecondition(v, op, current); refused != nil {
+		return nil, refused
+	}
+	if op.Verb == VerbPut {
+		return evaluatePut(v, op, current)
+	}
+	if current == nil {
+		return nil, refuse(result.NotFound, "%s/%s does not exist", op.Kind, op.Name)
+	}
+	return evaluateChange(op, current)
+}
+
+func checkPrecondition(v *View, op Operation, current *api.Resource) *refusal {
+	version := versionOf(current)
+	p := op.Precondition
+	switch {
+	case changedIn(v, op):
+		return refuse(result.Conflict, "another operation of the same record changed %s/%s first", op.Kind, op.Name)
+	case p.MustNotExist && current != nil:
+		return refuse(result.Conflict, "%s/%s exists with version %d", op.Kind, op.Name, version)
+	case p.Version != 0 && current == nil:
+		return refuse(result.Conflict, "%s/%s does not exist; the precondition names version %d", op.Kind, op.Name, p.Version)
+	case p.Version != 0 && p.Version != version:
+		return refuse(result.Conflict, "%s/%s has version %d; the precondition names version %d", op.Kind, op.Name, version, p.Version)
+	}
+	return nil
+}
+
+// changedIn reports whether the record that v is built from has changed the
+// resource before.
+func changedIn(v *View, op Operation) bool {
+	for i := len(v.events) - 1; i >= 0 && v.events[i].Version == api.Version(v.offset); i-- {
+		r := v.events[i].Resource
+		if r.Kind == op.Kind && r.Name == op.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func evaluatePut(v *View, op Operation, current *api.Resource) (*api.Resource, *refusal) {
+	next := &api.Resource{}
+	if err := json.Unmarshal(op.Body, next); err != nil {
+		return nil, refuse(result.BadResource, "%s/%s: the body can't be decoded: %v", op.Kind, op.Name, err)
+	}
+	next.Kind, next.Name = op.Kind, op.Name
+	next.Status = nil
+	next.Created = api.Version(v.offset)
+	if !next.HasSpecOfKind() {
+		return nil, refuse(result.BadResource, "%s/%s: the body must hold the spec of its kind and no other", op.Kind, op.Name)
+	}
+	if current == nil {
+		return next, nil
+	}
+	next.Created = current.Created
+	return keepWhatPutCannotChange(op, current, next)
+}
+
+// keepWhatPutCannotChange enforces the rules between a resource and its
+// successor: a cancelled job stays cancelled, the cells of a data centre are
+// fixed, and a put that does not name the version it replaces does not bring
+// back a data centre that was taken out. Without the last rule, applying an
+// old file would undo a take-out.
+func keepWhatPutCannotChange(op Operation, current, next *api.Resource) (*api.Resource, *refusal) {
+	switch op.Kind {
+	case api.KindJob:
+		next.Job.Cancelled = next.Job.Cancelled || current.Job.Cancelled
+	case api.KindDataCentre:
+		if next.DataCentre.Cells != current.DataCentre.Cells {
+			return nil, refuse(result.BadResource, "datacentres/%s: dataCentre.cells is %d and can't be changed to %d", op.Name, current.DataCentre.Cells, next.DataCentre.Cells)
+		}
+		if next.DataCentre.InService && !current.DataCentre.InService && op.Precondition.Version == 0 {
+			return nil, refuse(result.Conflict, "datacentres/%s is out of service; use bring-back, or name version %d as the precondition", op.Name, current.Version)
+		}
+	}
+	return next, nil
+}
+
+// evaluateChange applies the verbs that change an existing resource.
+func evaluateChange(op Operation, current *api.Resource) (*api.Resource, *refusal) {
+	next := *current
+	switch {
+	case op.Verb == VerbDelete:
+		return nil, nil
+	case op.Verb == VerbCancel && op.Kind == api.KindJob:
+		job := *current.Job
+		job.Cancelled = true
+		next.Job = &job
+	case (op.Verb == VerbTakeOut || op.Verb == VerbBringBack) && op.Kind == api.KindDataCentre:
+		dc := *current.DataCentre
+		dc.InService = op.Verb == VerbBringBack
+		next.DataCentre = &dc
+	default:
+		return nil, refuse(result.BadResource, "%s does not apply to %s", op.Verb, op.Kind)
+	}
+	return &next, nil
+}
