settings, logevent, metrics: loading, reference pages and commands that write them

Cause: operators need every mistake of a settings file at once, and pages that agree with the code.

Ruled out: gopkg.in/ini.v1 defaults. They hide repeated keys, end at the first line without a value and accept a colon as the delimiter, which occurs in VM ids. Rendering the sums of go-metrics histograms was ruled out too: they cover the sample only and do not belong to the count.

Result: go test -race passes on settings, logevent, metrics and command; the table test found one event field that collided with the JSON key message.

--- a/command/main.go
+++ b/command/main.go
@@ -14,7 +14,7 @@
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	if err != nil {
-		_, _ = fmt.Fprintln(o.Stderr, "cactusreel:", err)
+		_, _ = fmt.Fprintf(o.Stderr, "cactusreel: %v\n", err)
 	}
 	return ExitCode(err)
 }
@@ -26,9 +26,41 @@
 		Short:         "Scheduler and request router",
 		SilenceErrors: true,
 		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+		RunE:          requireSubcommand,
 	}
 	root.SetIn(o.Stdin)
 	root.SetOut(o.Stdout)
 	root.SetErr(o.Stderr)
+	root.AddCommand(newSettings(), newCodes(), newEvents())
+	markUsageErrors(root)
 	return root
 }
+
+// requireSubcommand is the action of a command that has only subcommands.
+func requireSubcommand(c *cobra.Command, _ []string) error {
+	return usageErrorf("%s needs a subcommand; see %s --help", c.CommandPath(), c.CommandPath())
+}
+
+// markUsageErrors gives wrong flags and arguments of a command and its
+// subcommands the exit code ExitUsage.
+func markUsageErrors(c *cobra.Command) {
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &ExitError{Code: ExitUsage, Err: err}
+	})
+	if check := c.Args; check != nil {
+		c.Args = func(c *cobra.Command, args []string) error {
+			if err := check(c, args); err != nil {
+				return &ExitError{Code: ExitUsage, Err: err}
+			}
+			return nil
+		}
+	}
+	for _, sub := range c.Commands() {
+		markUsageErrors(sub)
+	}
+}
+
+func usageErrorf(format string, args ...any) error {
+	return &ExitError{Code: ExitUsage, Err: fmt.Errorf(format, args...)}
+}
--- /dev/null
+++ b/command/settings.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cactusreel/cactusreel/settings"
+)
+
+func newSettings() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "settings",
+		Short: "Check settings files and show the reference page",
+		Args:  cobra.NoArgs,
+		RunE:  requireSubcommand,
+	}
+	c.AddCommand(newSettingsCheck(), newSettingsReference())
+	return c
+}
+
+func newSettingsCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file and name every mistake",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := loadSettings(args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(c.OutOrStdout(), "%s: no mistakes\n", args[0])
+			return err
+		},
+	}
+}
+
+func newSettingsReference() *cobra.Command {
+	return &cobra.Command{
+		Use:   "reference",
+		Short: "Write the page docs/settings.md",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := io.WriteString(c.OutOrStdout(), settings.Markdown())
+			return err
+		},
+	}
+}
+
+// loadSettings returns an error with ExitUsage if the file has mistakes or
+// can't be read.
+func loadSettings(path string) (settings.Entry, error) {
+	e, err := settings.Load(path)
+	if err != nil {
+		return e, &ExitError{Code: ExitUsage, Err: err}
+	}
+	return e, nil
+}
--- /dev/null
+++ b/logevent/logger_test.go
@@ -0,0 +1,103 @@
+package logevent_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+)
+
+// Guards against an event that is numbered twice or outside the ranges, or
+// that says nothing.
+func TestTableIsConsistent(t *testing.T) {
+	is := is.New(t)
+	names := make(map[string]bool)
+	last := logevent.Number(0)
+	for _, info := range logevent.Table() {
+		is.True(info.Number > last) // ascending and unique
+		last = info.Number
+		is.True(info.Number >= 101 && info.Number <= 799)
+		is.True(info.Name != "" && !names[info.Name])
+		names[info.Name] = true
+		is.True(info.Message != "" && info.Action != "")
+		for _, f := range info.Fields {
+			is.True(f != "time" && f != "level" && f != "message" && f != "event" && f != "name")
+		}
+	}
+}
+
+// Guards against a constant without a row in the table, or a row under another
+// name than its constant.
+func TestEveryConstantHasARow(t *testing.T) {
+	is := is.New(t)
+	names := make(map[string]bool)
+	for _, info := range logevent.Table() {
+		names[info.Name] = true
+	}
+	files, err := filepath.Glob("*.go")
+	is.NoErr(err)
+	constants := 0
+	for _, path := range files {
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		is.NoErr(err)
+		ast.Inspect(file, func(n ast.Node) bool {
+			spec, ok := n.(*ast.ValueSpec)
+			if !ok {
+				return true
+			}
+			if typ, ok := spec.Type.(*ast.Ident); ok && typ.Name == "Number" {
+				constants++
+				is.True(names[spec.Names[0].Name]) // the constant has a row
+			}
+			return true
+		})
+	}
+	is.Equal(constants, len(names))
+}
+
+// Guards against a page that differs from the table.
+func TestPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/log-events.md")
+	is.NoErr(err)
+	is.Equal(string(page), logevent.Markdown()) // regenerate with `cactusreel events --markdown`
+}
+
+// Guards against a line that lacks the number or name, a level that is not
+// applied, and an unknown number that is lost.
+func TestLog(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l, err := logevent.New(&out, "info")
+	is.NoErr(err)
+	l = l.With(zap.String("vm", "giza-entry-1"))
+	l.Log(logevent.CellClaimed, zap.Int("cell", 3))
+	l.Log(logevent.TaskPlaced) // level debug
+	l.Log(999)
+	is.NoErr(l.Sync())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	var line map[string]any
+	is.NoErr(json.Unmarshal([]byte(lines[0]), &line))
+	is.Equal(line["event"], 202.0)
+	is.Equal(line["name"], "CellClaimed")
+	is.Equal(line["message"], "cell claimed")
+	is.Equal(line["cell"], 3.0)
+	is.Equal(line["vm"], "giza-entry-1")
+	is.True(strings.Contains(lines[1], `"level":"error"`) && strings.Contains(lines[1], `"event":999`))
+
+	var none *logevent.Logger
+	none.With(zap.Int("cell", 1)).Log(logevent.CellClaimed)
+	_, err = logevent.New(&out, "loud")
+	is.True(err != nil)
+}
--- a/logevent/tasks.go
+++ b/logevent/tasks.go
@@ -34,7 +34,7 @@
 	{StartRejected, "StartRejected", zapcore.WarnLevel, "worker rejected a start", []string{"task", "attempt", "worker", "reason"}, "None; if it recurs on one worker, check that worker."},
 	{WorkerQuarantined, "WorkerQuarantined", zapcore.WarnLevel, "worker quarantined after failed tasks of several jobs", []string{"worker", "failures", "jobs"}, "Check the worker; it is probed and returns by itself."},
 	{WorkerReturned, "WorkerReturned", zapcore.InfoLevel, "worker left quarantine", []string{"worker"}, "None."},
-	{JobParked, "JobParked", zapcore.WarnLevel, "job parked after failures on several workers", []string{"job", "failures", "workers", "message"}, "Correct the job and put it again."},
+	{JobParked, "JobParked", zapcore.WarnLevel, "job parked after failures on several workers", []string{"job", "failures", "workers", "reason"}, "Correct the job and put it again."},
 	{StartsSuspended, "StartsSuspended", zapcore.WarnLevel, "no task is started because the configuration is too old", []string{"age", "bound"}, "Check the connection to the log."},
 	{StartsResumed, "StartsResumed", zapcore.InfoLevel, "tasks are started again", []string{"duration"}, "None."},
 	{DrainStarted, "DrainStarted", zapcore.InfoLevel, "drain of a data centre began", []string{"dataCentre", "tasks", "deadline"}, "None."},
--- a/metrics/write.go
+++ b/metrics/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -73,7 +74,7 @@
 }
 
 func compareSamples(a, b sample) int {
-	return bytes.Compare([]byte(a.suffix+a.labels), []byte(b.suffix+b.labels))
+	return cmp.Or(cmp.Compare(a.suffix, b.suffix), cmp.Compare(a.labels, b.labels))
 }
 
 // render returns the type, the suffix of the name and the samples of a metric;
