--- /dev/null
+++ b/peer/relay.go
@@ -0,0 +1,160 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// Times of the relay.
+const (
+	// directTimeout bounds a direct request to the log before peers are tried.
+	directTimeout = 700 * time.Millisecond
+	// relayTimeout bounds a relayed request.
+	relayTimeout = 1500 * time.Millisecond
+	// directRetry is how long only peers are used after a direct failure.
+	// Without it each read in an outage would first wait for directTimeout.
+	directRetry = 2 * time.Second
+)
+
+// RelayLog is a platform.Log that falls back to peers when the log can't be
+// reached directly. A relayed append may be a repeat of one that took effect;
+// readers drop it by its record id.
+type RelayLog struct {
+	direct platform.Log
+	peers  func() []*Client
+	now    func() time.Duration
+	// directFailed is the time of the last direct failure in nanoseconds, 0 if
+	// the last direct request succeeded.
+	directFailed atomic.Int64
+}
+
+// NewRelayLog returns a log that uses direct first, then the peers in the
+// order in which peers returns them. now is a monotonic clock.
+func NewRelayLog(direct platform.Log, peers func() []*Client, now func() time.Duration) *RelayLog {
+	return &RelayLog{direct: direct, peers: peers, now: now}
+}
+
+// Direct reports whether the last direct request succeeded.
+func (l *RelayLog) Direct() bool {
+	return l.directFailed.Load() == 0
+}
+
+// Append implements platform.Log.
+func (l *RelayLog) Append(ctx context.Context, stream, id string, data []byte) (int64, error) {
+	offset, err := l.appendDirect(ctx, stream, id, data)
+	if err == nil {
+		return offset, nil
+	}
+	sent := !errors.Is(err, platform.ErrNotSent)
+	for _, client := range l.peers() {
+		offset, relayErr := relayAppend(ctx, client, stream, id, data)
+		if relayErr == nil {
+			return offset, nil
+		}
+		sent = sent || !errors.Is(relayErr, platform.ErrNotSent)
+	}
+	if sent {
+		return 0, errAppendUnknown
+	}
+	return 0, err
+}
+
+// errAppendUnknown hides a wrapped ErrNotSent of one attempt when another
+// attempt may have reached the log.
+var errAppendUnknown = errors.New("append outcome unknown")
+
+func (l *RelayLog) appendDirect(ctx context.Context, stream, id string, data []byte) (int64, error) {
+	if !l.tryDirect() {
+		return 0, errDirectSkipped
+	}
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	offset, err := l.direct.Append(ctx, stream, id, data)
+	l.noteDirect(err)
+	return offset, err
+}
+
+// Read implements platform.Log.
+func (l *RelayLog) Read(ctx context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+	page, err := l.readDirect(ctx, stream, from, limit)
+	if err == nil || errors.Is(err, platform.ErrTruncated) {
+		return page, err
+	}
+	for _, client := range l.peers() {
+		page, relayErr := relayRead(ctx, client, stream, from, limit)
+		if relayErr == nil || errors.Is(relayErr, platform.ErrTruncated) {
+			return page, relayErr
+		}
+	}
+	return platform.LogPage{}, err
+}
+
+func (l *RelayLog) readDirect(ctx context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+	if !l.tryDirect() {
+		return platform.LogPage{}, errDirectSkipped
+	}
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	page, err := l.direct.Read(ctx, stream, from, limit)
+	l.noteDirect(err)
+	return page, err
+}
+
+// errDirectSkipped means that the log failed a moment ago and was not tried.
+var errDirectSkipped = notSentError("log failed recently and was not tried")
+
+type notSentError string
+
+func (e notSentError) Error() string { return string(e) }
+func (e notSentError) Unwrap() error { return platform.ErrNotSent }
+
+func (l *RelayLog) tryDirect() bool {
+	failed := l.directFailed.Load()
+	return failed == 0 || l.now() > time.Duration(failed)+directRetry
+}
+
+func (l *RelayLog) noteDirect(err error) {
+	if err == nil || errors.Is(err, platform.ErrTruncated) {
+		l.directFailed.Store(0)
+		return
+	}
+	l.directFailed.Store(max(1, int64(l.now())))
+}
+
+func relayAppend(ctx context.Context, client *Client, stream, id string, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	response, err := client.AppendLog(ctx, &peerpb.AppendLogRequest{Stream: stream, Id: id, Data: data})
+	if err != nil {
+		return 0, classify(err)
+	}
+	if response.NotSent {
+		return 0, platform.ErrNotSent
+	}
+	return response.Offset, nil
+}
+
+func relayRead(ctx context.Context, client *Client, stream string, from int64, limit int) (platform.LogPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	response, err := client.ReadLog(ctx, &peerpb.ReadLogRequest{Stream: stream, From: from, Limit: int32(min(limit, maxRelayRecords))})
+	if err != nil {
+		return platform.LogPage{}, err
+	}
+	page := platform.LogPage{First: response.First, Next: response.Next}
+	if response.Truncated {
+		return page, platform.ErrTruncated
+	}
+	for _, r := range response.Records {
+		page.Records = append(page.Records, platform.LogRecord{Offset: r.Offset, ID: r.Id, Data: r.Data})
+	}
+	return page, nil
+}
+
+// maxRelayRecords bounds the records of one relayed read.
+const maxRelayRecords = 1000
