--- /dev/null
+++ b/entry/follower.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// pageLimit bounds the records of one read of the log.
+const pageLimit = 1000
+
+// follower reads a stream of the log from an offset on, for ever.
+type follower struct {
+	log    platform.Log
+	stream string
+	clock  Clock
+	// poll is the time between reads that found nothing new.
+	poll time.Duration
+	// apply takes a page that was read by a request sent at sentAt.
+	apply func(page platform.LogPage, sentAt time.Duration)
+	// truncated is called when the next offset is no longer kept; it returns
+	// the offset to go on from.
+	truncated func(page platform.LogPage) int64
+	// failed is called when a read fails.
+	failed func(err error)
+	next   int64
+}
+
+// run follows the stream until the context ends.
+func (f *follower) run(ctx context.Context) {
+	if f.next == 0 {
+		f.next = 1
+	}
+	for ctx.Err() == nil {
+		if f.step(ctx) {
+			continue
+		}
+		if !sleep(ctx, f.poll) {
+			return
+		}
+	}
+}
+
+// step reads one page and reports whether there may be more to read at once.
+func (f *follower) step(ctx context.Context) bool {
+	sentAt := f.clock()
+	page, err := f.log.Read(ctx, f.stream, f.next, pageLimit)
+	if errors.Is(err, platform.ErrTruncated) {
+		f.next = f.truncated(page)
+		return true
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			f.failed(err)
+		}
+		return false
+	}
+	f.apply(page, sentAt)
+	if len(page.Records) == 0 {
+		return false
+	}
+	f.next = page.Records[len(page.Records)-1].Offset + 1
+	return f.next < page.Next
+}
+
+// sleep waits for d and reports whether the context is still in force.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
