--- /dev/null
+++ b/writer/frame.go
@@ -0,0 +1,39 @@
+package writer
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// FrameFunc encodes the items of a batch, in order, as the data of one log
+// record. It must not keep or change the items.
+type FrameFunc func(items [][]byte) []byte
+
+// maxVarintBytes bounds the length prefix that Frame adds to an item.
+const maxVarintBytes = 10
+
+// Frame concatenates items, each with its length as a varint before it. It is
+// the FrameFunc that New uses by default.
+func Frame(items [][]byte) []byte {
+	var out []byte
+	for _, item := range items {
+		out = protowire.AppendBytes(out, item)
+	}
+	return out
+}
+
+// Unframe returns the items of a batch made by Frame. The items share the
+// memory of data.
+func Unframe(data []byte) ([][]byte, error) {
+	var items [][]byte
+	for len(data) > 0 {
+		item, n := protowire.ConsumeBytes(data)
+		if n < 0 {
+			return nil, fmt.Errorf("batch item %d: %w", len(items), protowire.ParseError(n))
+		}
+		items = append(items, item)
+		data = data[n:]
+	}
+	return items, nil
+}
--- /dev/null
+++ b/writer/options.go
@@ -0,0 +1,100 @@
+package writer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	// DefaultMaxBatchItems keeps the batch of a peak second in one record.
+	DefaultMaxBatchItems = 4096
+	// DefaultMaxBatchBytes stays below the log's limit of 1 MiB per record.
+	DefaultMaxBatchBytes = 512 << 10
+	// DefaultMaxPending bounds the items that wait during an outage.
+	DefaultMaxPending = 65_536
+	// DefaultAppendTimeout ends an append that gets no answer; it is repeated.
+	DefaultAppendTimeout = 2 * time.Second
+	// DefaultReadBackTimeout is four default poll intervals of a log reader.
+	DefaultReadBackTimeout = time.Second
+	// DefaultMinBackoff is the first delay after a failed append.
+	DefaultMinBackoff = 50 * time.Millisecond
+	// DefaultMaxBackoff bounds the delay after repeated failures.
+	DefaultMaxBackoff = 2 * time.Second
+)
+
+// Options configures a Writer. Zero values stand for the defaults.
+type Options struct {
+	// Stream is the stream to append to.
+	Stream string
+	// Incarnation is the random number of this run of the process.
+	Incarnation uint64
+	// LastSequence is the highest sequence number that this incarnation has
+	// used on the stream before, as returned by Writer.LastSequence. A second
+	// writer of the same incarnation and stream that started from 1 again
+	// would have its records dropped as repeats.
+	LastSequence uint64
+	// Frame encodes a batch; nil stands for the function Frame.
+	Frame FrameFunc
+	// MaxBatchItems bounds the items of a batch.
+	MaxBatchItems int
+	// MaxBatchBytes bounds the sum of the sizes of a batch's items plus 10
+	// bytes each.
+	MaxBatchBytes int
+	// MaxPending bounds the items that wait for a batch.
+	MaxPending int
+	// Interval is the least time between the first appends of two batches.
+	Interval time.Duration
+	// AppendTimeout bounds one append.
+	AppendTimeout time.Duration
+	// ReadBackTimeout is how long to wait for Observed after a successful
+	// append before it is repeated.
+	ReadBackTimeout time.Duration
+	// MinBackoff and MaxBackoff bound the delay after a failed append, which
+	// doubles with each failure and is jittered.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+	// Rand jitters delays; nil stands for a source seeded with Incarnation.
+	Rand *rand.Rand
+	// Appended, if not nil, is called after each successful append, so that
+	// the caller can read the stream at once instead of at its next poll. It
+	// must not block.
+	Appended func(id string, offset int64)
+	// Failed, if not nil, is called after each failed append. It must not block.
+	Failed func(id string, err error)
+}
+
+func (o Options) withDefaults() Options {
+	if o.Frame == nil {
+		o.Frame = Frame
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(o.Incarnation, o.LastSequence))
+	}
+	setDefault(&o.MaxBatchItems, DefaultMaxBatchItems)
+	setDefault(&o.MaxBatchBytes, DefaultMaxBatchBytes)
+	setDefault(&o.MaxPending, DefaultMaxPending)
+	setDefault(&o.AppendTimeout, DefaultAppendTimeout)
+	setDefault(&o.ReadBackTimeout, DefaultReadBackTimeout)
+	setDefault(&o.MinBackoff, DefaultMinBackoff)
+	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// backoff returns the delay after the given number of failures, from 1: half
+// of it fixed, half of it random.
+func (o Options) backoff(failures int) time.Duration {
+	delay := o.MinBackoff
+	for i := 1; i < failures && delay < o.MaxBackoff; i++ {
+		delay *= 2
+	}
+	delay = min(delay, o.MaxBackoff)
+	return delay/2 + time.Duration(o.Rand.Int64N(int64(delay/2)+1))
+}
--- /dev/null
+++ b/writer/submission.go
@@ -0,0 +1,69 @@
+package writer
+
+import "context"
+
+// Submission is one item on its way into the log. It is safe for concurrent use.
+type Submission struct {
+	writer *Writer
+	item   []byte
+	done   chan struct{}
+
+	// The fields below are guarded by writer.mu.
+	batch  *batch
+	result Result
+	final  bool
+}
+
+// Done returns a channel that is closed when the result is final.
+func (s *Submission) Done() <-chan struct{} {
+	return s.done
+}
+
+// Result returns what is known now and whether it is final.
+func (s *Submission) Result() (Result, bool) {
+	s.writer.mu.Lock()
+	defer s.writer.mu.Unlock()
+	return s.result, s.final
+}
+
+// Wait waits for the final result. When ctx ends first, it calls Withdraw.
+func (s *Submission) Wait(ctx context.Context) Result {
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+		return s.Withdraw()
+	}
+	r, _ := s.Result()
+	return r
+}
+
+// Withdraw takes the item back if no append that contains it can have reached
+// the log; the result is then NotSent and final. Otherwise it returns the
+// present result: Unknown, which may still become Accepted, or a final one.
+func (s *Submission) Withdraw() Result {
+	s.writer.mu.Lock()
+	defer s.writer.mu.Unlock()
+	if s.final {
+		return s.result
+	}
+	if s.batch != nil && s.batch.mayBeSent() {
+		return s.result
+	}
+	s.finish(Result{Outcome: NotSent})
+	if s.batch != nil {
+		s.batch.remove(s)
+	} else {
+		s.writer.withdrawPending()
+	}
+	return s.result
+}
+
+// finish sets the final result. The caller holds writer.mu.
+func (s *Submission) finish(r Result) {
+	if s.final {
+		return
+	}
+	s.result = r
+	s.final = true
+	close(s.done)
+}
--- /dev/null
+++ b/writer/writer.go
@@ -0,0 +1,303 @@
+package writer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// compactSlack is how many withdrawn items pending may hold in any case.
+const compactSlack = 64
+
+// Writer appends to one stream. Run must be running for anything to be sent.
+// Its methods are safe for concurrent use.
+type Writer struct {
+	log     platform.Log
+	options Options
+	// wake holds a token when there may be something to send.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// pending holds the items without a batch, and withdrawn ones until compact.
+	pending []*Submission
+	// waiting counts the items in pending that were not withdrawn.
+	waiting  int
+	current  *batch
+	sequence uint64
+	stopped  bool
+	stats    Stats
+}
+
+// Stats counts what a writer has done.
+type Stats struct {
+	// Batches counts the batches that were read back.
+	Batches int64
+	// Items counts the items of these batches.
+	Items int64
+	// Appends counts all appends, with repeats.
+	Appends int64
+	// Failures counts the appends that returned an error.
+	Failures int64
+	// Pending is the number of items that wait for a batch now.
+	Pending int
+}
+
+// New returns a writer. Nothing is sent before Run is called.
+func New(log platform.Log, options Options) *Writer {
+	return &Writer{
+		log:      log,
+		options:  options.withDefaults(),
+		wake:     make(chan struct{}, 1),
+		sequence: options.LastSequence,
+	}
+}
+
+// Submit queues an encoded item, which the caller must not change afterwards.
+// An error means that the item was not sent and will not be: the item is too
+// large, too many items are waiting, or the writer has stopped.
+func (w *Writer) Submit(item []byte) (*Submission, error) {
+	if len(item)+maxVarintBytes > w.options.MaxBatchBytes {
+		return nil, result.Errorf(result.TooLarge, "record has %d bytes, more than a batch takes", len(item))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return nil, result.Errorf(result.NotRunLogUnavailable, "the writer of stream %s has stopped", w.options.Stream)
+	}
+	if w.waiting >= w.options.MaxPending {
+		return nil, result.Errorf(result.NotRunLogUnavailable, "%d records already wait for stream %s", w.waiting, w.options.Stream)
+	}
+	s := &Submission{writer: w, item: item, done: make(chan struct{})}
+	w.pending = append(w.pending, s)
+	w.waiting++
+	w.signal()
+	return s, nil
+}
+
+// Observed tells the writer that the record with this id was read back at
+// offset. The caller's reader calls it for every record of the stream, in
+// order; ids of other writers and repeats are ignored. A reader that starts
+// from a snapshot also calls it for the highest id of this incarnation that
+// the snapshot covers.
+func (w *Writer) Observed(id string, offset int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.current
+	if b == nil || b.id != id || b.observed {
+		return
+	}
+	b.observed = true
+	b.finish(Result{Outcome: Accepted, Offset: offset})
+	w.stats.Batches++
+	w.stats.Items += int64(len(b.items))
+	close(b.done)
+}
+
+// LastSequence returns the highest sequence number used so far.
+func (w *Writer) LastSequence() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sequence
+}
+
+// Stats returns the present counts.
+func (w *Writer) Stats() Stats {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stats := w.stats
+	stats.Pending = w.waiting
+	return stats
+}
+
+// Run sends batches until ctx ends, and returns its error. Submissions that
+// are not final then become NotSent or Unknown. It must be called once.
+func (w *Writer) Run(ctx context.Context) error {
+	defer w.stop()
+	var started time.Time
+	for ctx.Err() == nil {
+		if w.idle() {
+			waitFor(ctx, w.wake)
+			continue
+		}
+		if !started.IsZero() {
+			sleep(ctx, nil, w.options.Interval-time.Since(started))
+		}
+		started = time.Now()
+		b := w.nextBatch()
+		if b != nil {
+			w.deliver(ctx, b)
+		}
+	}
+	return ctx.Err()
+}
+
+// deliver repeats the append of b until it was read back, all its items were
+// withdrawn, or ctx has ended.
+func (w *Writer) deliver(ctx context.Context, b *batch) {
+	failures := 0
+	for ctx.Err() == nil && w.beginAppend(b) {
+		offset, err := w.append(ctx, b)
+		w.endAppend(b, err)
+		delay := w.options.ReadBackTimeout
+		if err != nil {
+			failures++
+			delay = w.options.backoff(failures)
+		} else {
+			failures = 0
+		}
+		w.report(b, offset, err)
+		sleep(ctx, b.done, delay)
+	}
+}
+
+func (w *Writer) append(ctx context.Context, b *batch) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.options.AppendTimeout)
+	defer cancel()
+	go func() {
+		// Ends the append as soon as the record was read back.
+		waitFor(ctx, b.done)
+		cancel()
+	}()
+	return w.log.Append(ctx, w.options.Stream, b.id, b.data)
+}
+
+func (w *Writer) report(b *batch, offset int64, err error) {
+	if err == nil && w.options.Appended != nil {
+		w.options.Appended(b.id, offset)
+	}
+	if err != nil && w.options.Failed != nil {
+		w.options.Failed(b.id, err)
+	}
+}
+
+// beginAppend prepares an append of b and reports whether one is needed.
+func (w *Writer) beginAppend(b *batch) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b.observed || len(b.items) == 0 {
+		w.current = nil
+		return false
+	}
+	if !b.sent {
+		b.encode(w.options.Frame)
+	}
+	b.sending = true
+	w.stats.Appends++
+	return true
+}
+
+func (w *Writer) endAppend(b *batch, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b.sending = false
+	if !errors.Is(err, platform.ErrNotSent) {
+		b.sent = true
+	}
+	if err != nil {
+		w.stats.Failures++
+	}
+}
+
+// idle reports whether there is nothing to send.
+func (w *Writer) idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.waiting == 0
+}
+
+// nextBatch takes the longest start of the pending items that fits in a batch.
+func (w *Writer) nextBatch() *batch {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.compact()
+	size := 0
+	count := 0
+	for _, s := range w.pending {
+		size += len(s.item) + maxVarintBytes
+		if count == w.options.MaxBatchItems || size > w.options.MaxBatchBytes {
+			break
+		}
+		count++
+	}
+	if count == 0 {
+		return nil
+	}
+	w.sequence++
+	id := RecordID{Incarnation: w.options.Incarnation, Sequence: w.sequence}
+	b := &batch{id: id.String(), done: make(chan struct{})}
+	b.items = slices.Clone(w.pending[:count])
+	for _, s := range b.items {
+		s.batch = b
+	}
+	w.pending = slices.Delete(w.pending, 0, count)
+	w.waiting -= count
+	w.current = b
+	return b
+}
+
+// stop makes all submissions final.
+func (w *Writer) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	for _, s := range w.pending {
+		s.finish(Result{Outcome: NotSent})
+	}
+	w.pending = nil
+	w.waiting = 0
+	b := w.current
+	if b == nil || b.observed {
+		return
+	}
+	outcome := NotSent
+	if b.mayBeSent() {
+		outcome = Unknown
+	}
+	b.finish(Result{Outcome: outcome})
+}
+
+// withdrawPending counts an item as withdrawn. Items are removed in bulk, so
+// that a burst of withdrawals takes linear time.
+func (w *Writer) withdrawPending() {
+	w.waiting--
+	if len(w.pending) > 2*w.waiting+compactSlack {
+		w.compact()
+	}
+}
+
+func (w *Writer) compact() {
+	w.pending = slices.DeleteFunc(w.pending, func(s *Submission) bool { return s.final })
+}
+
+func (w *Writer) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func waitFor(ctx context.Context, c <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-c:
+	}
+}
+
+// sleep waits for d, or until ctx ends or c is closed.
+func sleep(ctx context.Context, c <-chan struct{}, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c:
+	case <-timer.C:
+	}
+}
