--- /dev/null
+++ b/scheduler/attempt.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// Attempt is a running attempt as the cell's owner knows it. Times are on the
+// owner's monotonic clock.
+type Attempt struct {
+	ID platform.AttemptID
+	// Job is the id of the job or service: "<name>/<version of its creation>".
+	Job  string
+	Team string
+	Kind string
+	// Service tells a service replica from a batch task.
+	Service bool
+	Urgent  bool
+	// Requests is what the attempt was assigned when it was placed.
+	Requests platform.Resources
+	// Used is the newest measured use, or zero.
+	Used      platform.Resources
+	StartedAt time.Duration
+	// CheckpointAt is when the newest checkpoint was taken, or StartedAt.
+	CheckpointAt time.Duration
+	// CheckpointCost is the expected time to write a checkpoint and resume from it.
+	CheckpointCost time.Duration
+	// RunTime is the declared run time of the whole task.
+	RunTime time.Duration
+	// Progress is from 0 to 1, as last reported.
+	Progress float64
+	// Throttle is the share of its processors that the attempt may use; 0 means all.
+	Throttle float64
+	// TargetRatio is the recent p99 of a service replica over the service's
+	// target, or 0 when unknown.
+	TargetRatio float64
+	// Cancelled is set when the job was cancelled.
+	Cancelled bool
+	// Stopping is set while a stop or a move is under way.
+	Stopping bool
+}
+
+// Reserved returns what the attempt holds of its worker: the larger of what it
+// was assigned and what it was measured to use, in each dimension.
+func (a *Attempt) Reserved() platform.Resources {
+	return maxResources(a.Requests, a.Used)
+}
+
+// share returns the processor share, with 0 read as 1.
+func (a *Attempt) share() float64 {
+	if a.Throttle <= 0 {
+		return 1
+	}
+	return a.Throttle
+}
--- /dev/null
+++ b/scheduler/cancel.go
@@ -0,0 +1,17 @@
+package scheduler
+
+// stopCancelled returns a stop for each attempt of a cancelled job. They need
+// no checkpoint and no budget, so that one round frees all of their capacity.
+func stopCancelled(s *Snapshot) []Action {
+	var actions []Action
+	for i := range s.size {
+		w := s.At(i)
+		for j := range w.Attempts {
+			a := &w.Attempts[j]
+			if a.Cancelled && !a.Stopping {
+				actions = append(actions, Action{Kind: Stop, ID: a.ID, Worker: w.ID, Boot: w.Boot, Reason: "stopped: the job was cancelled"})
+			}
+		}
+	}
+	return actions
+}
--- /dev/null
+++ b/scheduler/index.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import "github.com/cactusreel/cactusreel/platform"
+
+// index is a persistent tree over the workers of a cell in order of id. Each
+// node holds the largest free amount below it in each dimension, so a search
+// skips subtrees without room. A change copies one path; older trees stay valid.
+type index struct {
+	left, right *index
+	free        platform.Resources
+	worker      *Worker
+}
+
+// newIndex builds the tree over workers, which must not be empty.
+func newIndex(workers []*Worker) *index {
+	if len(workers) == 1 {
+		return &index{worker: workers[0], free: workers[0].Free()}
+	}
+	half := len(workers) / 2
+	n := &index{left: newIndex(workers[:half]), right: newIndex(workers[half:])}
+	n.free = maxResources(n.left.free, n.right.free)
+	return n
+}
+
+// set returns the tree with the leaf at position i replaced. size is the
+// number of leaves below n.
+func (n *index) set(size, i int, w *Worker, free platform.Resources) *index {
+	if size == 1 {
+		return &index{worker: w, free: free}
+	}
+	half := size / 2
+	left, right := n.left, n.right
+	if i < half {
+		left = left.set(half, i, w, free)
+	} else {
+		right = right.set(size-half, i-half, w, free)
+	}
+	return &index{left: left, right: right, free: maxResources(left.free, right.free)}
+}
+
+// leaf returns the leaf at position i.
+func (n *index) leaf(size, i int) *index {
+	for size > 1 {
+		half := size / 2
+		if i < half {
+			n, size = n.left, half
+			continue
+		}
+		n, size, i = n.right, size-half, i-half
+	}
+	return n
+}
+
+// next returns the first position from from on whose free amount covers need,
+// or -1.
+func (n *index) next(size, from int, need platform.Resources) int {
+	if from >= size || !need.Fits(n.free) {
+		return -1
+	}
+	if size == 1 {
+		return 0
+	}
+	half := size / 2
+	if i := n.left.next(half, from, need); i >= 0 {
+		return i
+	}
+	if i := n.right.next(size-half, max(from-half, 0), need); i >= 0 {
+		return half + i
+	}
+	return -1
+}
--- /dev/null
+++ b/scheduler/outcome.go
@@ -0,0 +1,25 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// Outcome is the end of an attempt.
+type Outcome struct {
+	ID     platform.AttemptID
+	Job    string
+	Kind   string
+	Worker string
+	Boot   string
+	// State is completed, failed, stopped or lapsed.
+	State platform.AttemptState
+	// RanFor is the run time of the attempt.
+	RanFor time.Duration
+	// Work is the run time of the whole task over its attempts when State is
+	// completed, or 0 when unknown.
+	Work time.Duration
+	// Message says why an attempt failed.
+	Message string
+}
--- /dev/null
+++ b/scheduler/planner.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrStale is wrapped by the errors of plans that no longer hold.
+var ErrStale = errors.New("plan is stale")
+
+// Planner checks parts of a plan against the state of the moment, which can be
+// newer than the snapshot that the plan was made from.
+type Planner interface {
+	// CheckPlacement returns an error that wraps ErrStale if the placement no
+	// longer holds.
+	CheckPlacement(current *Snapshot, p Placement) error
+	// CheckAction returns an error that wraps ErrStale if the action no longer
+	// applies.
+	CheckAction(current *Snapshot, a Action) error
+}
+
+// StatePlanner is the Planner that compares a plan with the state alone.
+type StatePlanner struct{}
+
+// CheckPlacement rejects a placement in a data centre that takes no work, on a
+// worker that is gone, restarted or without room, and of a task that runs.
+func (StatePlanner) CheckPlacement(current *Snapshot, p Placement) error {
+	if phase := current.dataCentre.Phase; phase == Draining || phase == Out {
+		return fmt.Errorf("%w: data centre %s takes no new work", ErrStale, current.cell.DataCentre)
+	}
+	w := current.Worker(p.Worker)
+	if w == nil || w.Boot != p.Boot {
+		return fmt.Errorf("%w: worker %s is gone or has restarted", ErrStale, p.Worker)
+	}
+	if !p.Requests.Fits(w.Free()) || w.Unreachable || w.Leaving {
+		return fmt.Errorf("%w: worker %s has no room for task %s", ErrStale, p.Worker, p.Task)
+	}
+	for i := range current.size {
+		for j := range current.At(i).Attempts {
+			if id := current.At(i).Attempts[j].ID; id.Task == p.Task {
+				return fmt.Errorf("%w: attempt %d of task %s is present", ErrStale, id.Attempt, p.Task)
+			}
+		}
+	}
+	return nil
+}
+
+// CheckAction rejects an action on an attempt that is gone or being stopped.
+func (StatePlanner) CheckAction(current *Snapshot, a Action) error {
+	w := current.Worker(a.Worker)
+	if w == nil || w.Boot != a.Boot {
+		return fmt.Errorf("%w: worker %s is gone or has restarted", ErrStale, a.Worker)
+	}
+	attempt := w.find(a.ID)
+	if attempt == nil {
+		return fmt.Errorf("%w: worker %s doesn't run attempt %d of task %s", ErrStale, a.Worker, a.ID.Attempt, a.ID.Task)
+	}
+	if attempt.Stopping {
+		return fmt.Errorf("%w: attempt %d of task %s is being stopped", ErrStale, a.ID.Attempt, a.ID.Task)
+	}
+	return nil
+}
--- /dev/null
+++ b/scheduler/resources.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import "github.com/cactusreel/cactusreel/platform"
+
+// maxResources returns the larger value in each dimension.
+func maxResources(a, b platform.Resources) platform.Resources {
+	return platform.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// minResources returns the smaller value in each dimension.
+func minResources(a, b platform.Resources) platform.Resources {
+	return platform.Resources{
+		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    min(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// scaleResources returns r times f, rounded down.
+func scaleResources(r platform.Resources, f float64) platform.Resources {
+	return platform.Resources{
+		MilliCPU:     int64(float64(r.MilliCPU) * f),
+		MemoryMiB:    int64(float64(r.MemoryMiB) * f),
+		Accelerators: int64(float64(r.Accelerators) * f),
+	}
+}
+
+// dominantShare returns the largest share of r in total over the dimensions.
+// Any use of a dimension with a total of zero counts as a share of 1.
+func dominantShare(r, total platform.Resources) float64 {
+	share := ratio(r.MilliCPU, total.MilliCPU)
+	share = max(share, ratio(r.MemoryMiB, total.MemoryMiB))
+	return max(share, ratio(r.Accelerators, total.Accelerators))
+}
+
+func ratio(part, whole int64) float64 {
+	if part <= 0 {
+		return 0
+	}
+	if whole <= 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/scheduler/snapshot.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// Snapshot is the immutable state of one cell. The With methods return changed
+// copies that share the unchanged parts.
+type Snapshot struct {
+	cell       CellID
+	version    int64
+	size       int
+	root       *index
+	positions  map[string]int
+	capacity   platform.Resources
+	teams      map[string]Team
+	dataCentre DataCentre
+	weights    api.WeightsSpec
+	summaries  []CellSummary
+}
+
+// NewSnapshot returns a snapshot of a cell. It keeps the workers, which must
+// not change afterwards, and fails if two have the same id.
+func NewSnapshot(cell CellID, version int64, workers []Worker) (*Snapshot, error) {
+	sorted := make([]*Worker, len(workers))
+	for i := range workers {
+		sorted[i] = &workers[i]
+	}
+	slices.SortFunc(sorted, func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) })
+	s := &Snapshot{cell: cell, version: version, size: len(sorted), positions: make(map[string]int, len(sorted))}
+	for i, w := range sorted {
+		if _, twice := s.positions[w.ID]; twice {
+			return nil, fmt.Errorf("cell %s lists worker %s twice", cell, w.ID)
+		}
+		s.positions[w.ID] = i
+		s.capacity = s.capacity.Add(w.Capacity)
+	}
+	if s.size > 0 {
+		s.root = newIndex(sorted)
+	}
+	return s, nil
+}
+
+// WithWorker returns a snapshot in which w replaces the worker of the same id.
+// Its cost grows with the logarithm of the number of workers. A worker that the
+// cell doesn't have changes nothing.
+func (s *Snapshot) WithWorker(version int64, w Worker) *Snapshot {
+	i, known := s.positions[w.ID]
+	if !known {
+		return s
+	}
+	c := *s
+	c.version = version
+	old := s.root.leaf(s.size, i).worker
+	c.capacity = s.capacity.Sub(old.Capacity).Add(w.Capacity)
+	c.root = s.root.set(s.size, i, &w, w.Free())
+	return &c
+}
+
+// WithTeams returns a snapshot with other team quotas.
+func (s *Snapshot) WithTeams(teams []Team) *Snapshot {
+	c := *s
+	c.teams = make(map[string]Team, len(teams))
+	for _, t := range teams {
+		c.teams[t.Name] = t
+	}
+	return &c
+}
+
+// WithDataCentre returns a snapshot with another data centre state.
+func (s *Snapshot) WithDataCentre(d DataCentre) *Snapshot {
+	c := *s
+	c.dataCentre = d
+	return &c
+}
+
+// WithWeights returns a snapshot with other objective weights.
+func (s *Snapshot) WithWeights(w api.WeightsSpec) *Snapshot {
+	c := *s
+	c.weights = w
+	return &c
+}
+
+// WithSummaries returns a snapshot with the newest known summaries of other cells.
+func (s *Snapshot) WithSummaries(summaries []CellSummary) *Snapshot {
+	c := *s
+	c.summaries = summaries
+	return &c
+}
+
+// Cell returns the cell.
+func (s *Snapshot) Cell() CellID { return s.cell }
+
+// Version returns the version that the caller gave.
+func (s *Snapshot) Version() int64 { return s.version }
+
+// Capacity returns the capacity of all workers.
+func (s *Snapshot) Capacity() platform.Resources { return s.capacity }
+
+// DataCentre returns the state of the data centre.
+func (s *Snapshot) DataCentre() DataCentre { return s.dataCentre }
+
+// Weights returns the objective weights.
+func (s *Snapshot) Weights() api.WeightsSpec { return s.weights }
+
+// Len returns the number of workers.
+func (s *Snapshot) Len() int { return s.size }
+
+// At returns the worker at a position from 0 to Len()-1, in order of id.
+func (s *Snapshot) At(i int) *Worker { return s.root.leaf(s.size, i).worker }
+
+// Worker returns a worker by id, or nil.
+func (s *Snapshot) Worker(id string) *Worker {
+	i, known := s.positions[id]
+	if !known {
+		return nil
+	}
+	return s.At(i)
+}
--- /dev/null
+++ b/scheduler/wait.go
@@ -0,0 +1,30 @@
+package scheduler
+
+import "time"
+
+// Verdict tells why a task was not placed.
+type Verdict int
+
+// Verdicts.
+const (
+	// Waiting tasks are tried again in the next round.
+	Waiting Verdict = iota
+	// Backoff tasks wait for their next retry.
+	Backoff
+	// Parked tasks belong to a job that can't run anywhere as it is.
+	Parked
+	// Exhausted tasks have used all their retries.
+	Exhausted
+)
+
+// Wait is a task that was not placed in a round.
+type Wait struct {
+	Task    string
+	Verdict Verdict
+	// Until is when a Backoff task is tried again.
+	Until time.Duration
+	// MoveTo is a cell that suits the task better, or nil.
+	MoveTo *CellID
+	// Reason is fit for a condition.
+	Reason string
+}
--- /dev/null
+++ b/scheduler/worker.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import "github.com/cactusreel/cactusreel/platform"
+
+// Worker is one worker of a cell. It must not change once it is in a Snapshot.
+type Worker struct {
+	ID       string
+	Rack     string
+	Boot     string
+	Capacity platform.Resources
+	// Unreachable workers count as full.
+	Unreachable bool
+	// Leaving workers get no new attempts.
+	Leaving bool
+	// Load is the newest measured share of the processors in use, from 0 to 1.
+	Load     float64
+	Attempts []Attempt
+}
+
+// Free returns the capacity that no attempt holds. It is at least 0 in each
+// dimension, and 0 for a worker that takes no new attempts.
+func (w *Worker) Free() platform.Resources {
+	if w.Unreachable || w.Leaving {
+		return platform.Resources{}
+	}
+	free := w.Capacity
+	for i := range w.Attempts {
+		free = free.Sub(w.Attempts[i].Reserved())
+	}
+	return maxResources(free, platform.Resources{})
+}
+
+// find returns the attempt of a task, or nil.
+func (w *Worker) find(id platform.AttemptID) *Attempt {
+	for i := range w.Attempts {
+		if w.Attempts[i].ID == id {
+			return &w.Attempts[i]
+		}
+	}
+	return nil
+}
