--- a/record/batch.go
+++ b/record/batch.go
@@ -30,12 +30,9 @@
 // returns ErrBadBatch if the record doesn't have exactly one body, and
 // ErrBatchTooLarge if the result would exceed MaxBatchBytes.
 func AppendRecord(batch []byte, r *recordpb.Record) ([]byte, error) {
-	if err := checkBody(r); err != nil {
-		return batch, err
-	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	data, err := Encode(r)
 	if err != nil {
-		return batch, fmt.Errorf("%w: %w", ErrBadBatch, err)
+		return batch, err
 	}
 	if len(batch)+protowire.SizeBytes(len(data)) > MaxBatchBytes {
 		return batch, ErrBatchTooLarge
