Record the homes of services and jobs at their creation

Cause: the first cell of a task is computed from the data centres in service at the creation's version; a node that starts later no longer knows them.

Change: Meta.Homes is set by the store when a service or job is created. Without a data centre in service all of them count, so that no work is without an owner.

--- a/api/types.go
+++ b/api/types.go
@@ -27,6 +27,17 @@
 	Version Version `json:"version,omitempty"`
 	// Created is the version of the record that created the resource.
 	Created Version `json:"created,omitempty"`
+	// Homes are the data centres in service when a service or job was created,
+	// or all of them if none was, in ascending order of name. The first cells of
+	// its tasks follow from them. Set by the system.
+	Homes []Home `json:"homes,omitempty"`
+}
+
+// Home is a data centre that tasks can be at home in.
+type Home struct {
+	DataCentre string `json:"dataCentre"`
+	// Cells is the number of cells of the data centre.
+	Cells int `json:"cells"`
 }
 
 // Resource is one declared resource with exactly one spec, that of its kind.
--- a/resources/apply.go
+++ b/resources/apply.go
@@ -100,6 +100,7 @@
 	next.Kind, next.Name = op.Kind, op.Name
 	next.Status = nil
 	next.Created = api.Version(v.offset)
+	next.Homes = homesFor(v, op.Kind)
 	if !next.HasSpecOfKind() {
 		return nil, refuse(result.BadResource, "%s/%s: the body must hold the spec of its kind and no other", op.Kind, op.Name)
 	}
@@ -107,6 +108,7 @@
 		return next, nil
 	}
 	next.Created = current.Created
+	next.Homes = current.Homes
 	return keepWhatPutCannotChange(op, current, next)
 }
 
