Scheduler: plugins, queue and rules, none in force yet

Cause: each rule has to be measured alone before it is put in force.

Change: Filter, Score and Reserve plugins over one round, a queue by tier and team, learned sizes and run times, interference estimates, quarantine and parking, retry budgets, evictions for urgent work and quotas, drain, ramp, choice of another cell, throttling with hysteresis.

--- /dev/null
+++ b/scheduler/cellchoice.go
@@ -0,0 +1,129 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+const (
+	// summaryAge is the age from which a summary is not used.
+	summaryAge = 15 * time.Second
+	// moveAfter is how long an ordinary task waits in a cell before it moves.
+	// Urgent tasks move at once.
+	moveAfter = 3 * time.Second
+	// otherCentreCost is the factor on the chance of a cell in another data
+	// centre: links between data centres are expensive.
+	otherCentreCost = 0.5
+)
+
+// sentLoad is what was sent to a cell since its summary was made.
+type sentLoad struct {
+	at   time.Duration
+	sum  platform.Resources
+	jobs map[string]int
+}
+
+// ChooseCell returns the cell to move a task to, or false if no summary shows
+// room. The choice is random in proportion to the room, because many owners
+// choose from the same lagging summaries.
+func (p *Policy) ChooseCell(now time.Duration, s *Snapshot, t *Task) (CellID, bool) {
+	return p.chooseCell(now, s, t.Job, t.Service, p.need(s, t))
+}
+
+func (p *Policy) chooseCell(now time.Duration, s *Snapshot, job string, service bool, need platform.Resources) (CellID, bool) {
+	var cells []*CellSummary
+	var shares []float64
+	total := 0.0
+	for i := range s.summaries {
+		sum := &s.summaries[i]
+		share := p.cellShare(now, s, sum, job, service, need)
+		if share <= 0 {
+			continue
+		}
+		total += share
+		cells, shares = append(cells, sum), append(shares, share)
+	}
+	if len(cells) == 0 {
+		return CellID{}, false
+	}
+	pick := p.random.Float64() * total
+	at := len(cells) - 1
+	for i, share := range shares {
+		if pick < share {
+			at = i
+			break
+		}
+		pick -= share
+	}
+	p.noteSent(cells[at], job, need)
+	return cells[at].Cell, true
+}
+
+// cellShare returns the chance of a cell relative to others.
+func (p *Policy) cellShare(now time.Duration, s *Snapshot, sum *CellSummary, job string, service bool, need platform.Resources) float64 {
+	if sum.Cell == s.cell || sum.Phase == Draining || sum.Phase == Out || now-sum.At > summaryAge {
+		return 0
+	}
+	sent := p.sent[sum.Cell]
+	if sent.at != sum.At {
+		sent = sentLoad{}
+	}
+	free := sum.Free.Sub(sum.Pending).Sub(sent.sum)
+	if !need.Fits(sum.Largest) || !need.Fits(free) {
+		return 0
+	}
+	share := 1 - dominantShare(sum.Capacity.Sub(free), sum.Capacity)
+	if s.dataCentre.Phase == InService && sum.Cell.DataCentre != s.cell.DataCentre {
+		share *= otherCentreCost
+	}
+	if sum.Phase == Returning {
+		share *= min(1, max(0, float64(now-sum.At)/float64(p.config.RampTime)+0.2))
+	}
+	if service && p.config.Rules.Has(RuleSpread) {
+		share /= float64(1 + sum.Replicas[job] + sent.jobs[job])
+	}
+	return share
+}
+
+// noteSent records what was sent to a cell, until its next summary shows it.
+func (p *Policy) noteSent(sum *CellSummary, job string, need platform.Resources) {
+	sent := p.sent[sum.Cell]
+	if sent.at != sum.At || sent.jobs == nil {
+		sent = sentLoad{at: sum.At, jobs: map[string]int{}}
+	}
+	sent.sum = sent.sum.Add(need)
+	sent.jobs[job]++
+	p.sent[sum.Cell] = sent
+}
+
+// betterCell returns a cell for a task that has waited long enough in this one.
+func (p *Policy) betterCell(r *Round, t *Task, need platform.Resources) (CellID, bool) {
+	if !t.Urgent && r.Now-p.seen[t.ID] < moveAfter {
+		return CellID{}, false
+	}
+	return p.chooseCell(r.Now, r.Snapshot, t.Job, t.Service, need)
+}
+
+// sendAway moves the pending tasks of a data centre that takes no work.
+func (r *Round) sendAway(pending []Task) {
+	sorted := slices.Clone(pending)
+	slices.SortStableFunc(sorted, func(a, b Task) int {
+		if c := r.tier(&a) - r.tier(&b); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	for i := range sorted {
+		t := &sorted[i]
+		reason := "pending: data centre " + r.Snapshot.cell.DataCentre + " takes no new work"
+		w := Wait{Task: t.ID, Reason: reason}
+		if to, ok := r.policy.ChooseCell(r.Now, r.Snapshot, t); ok {
+			w.MoveTo = &to
+			w.Reason += "; moving to cell " + to.String()
+		}
+		r.Plan.Waits = append(r.Plan.Waits, w)
+	}
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -25,7 +25,7 @@
 // DefaultConfig returns the settings in use.
 func DefaultConfig() Config {
 	return Config{
-		Rules:           AllRules,
+		Rules:           0,
 		Sample:          16,
 		NearlyDone:      0.85,
 		EscalationDelay: 8 * time.Second,
--- a/scheduler/knowledge.go
+++ b/scheduler/knowledge.go
@@ -1,18 +1,117 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/scheduler/estimate"
+	"github.com/cactusreel/cactusreel/scheduler/interference"
+	"github.com/cactusreel/cactusreel/scheduler/quarantine"
+	"github.com/cactusreel/cactusreel/scheduler/retry"
 )
 
 // Knowledge is what was learned from usage reports and outcomes. It is lost
 // when its process ends and is learned again.
-type Knowledge struct{}
+type Knowledge struct {
+	pairs  *interference.Model
+	ledger *quarantine.Ledger
+	jobs   map[string]*jobKnowledge
+	boots  map[string]string
+}
+
+// jobKnowledge is what was learned of one job.
+type jobKnowledge struct {
+	size    estimate.Size
+	runTime estimate.RunTime
+	retries *retry.Budget
+}
 
 // NewKnowledge returns empty knowledge.
-func NewKnowledge() *Knowledge { return &Knowledge{} }
+func NewKnowledge() *Knowledge {
+	return &Knowledge{
+		pairs: interference.New(), ledger: quarantine.New(),
+		jobs: map[string]*jobKnowledge{}, boots: map[string]string{},
+	}
+}
+
+func (k *Knowledge) job(id string) *jobKnowledge {
+	j := k.jobs[id]
+	if j == nil {
+		j = &jobKnowledge{retries: retry.New()}
+		k.jobs[id] = j
+	}
+	return j
+}
+
+// observeUsage takes one report of an attempt.
+func (k *Knowledge) observeUsage(now time.Duration, a *Attempt, u *platform.Usage) {
+	k.pairs.Observe(now, a.Kind, u.Colocated, u.Load, u.Slowdown)
+	if a.share() == 1 {
+		k.job(a.Job).size.Observe(u.Used)
+	}
+}
+
+// observeOutcome takes the end of an attempt.
+func (k *Knowledge) observeOutcome(now time.Duration, config Config, random *rand.Rand, o Outcome) {
+	if boot, known := k.boots[o.Worker]; known && boot != o.Boot {
+		k.ledger.Restarted(o.Worker)
+	}
+	k.boots[o.Worker] = o.Boot
+	switch o.State {
+	case platform.AttemptCompleted:
+		k.ledger.Completed(o.Worker, o.Job)
+		k.job(o.Job).retries.Completed(o.ID.Task)
+		if o.Work > 0 {
+			k.job(o.Job).runTime.Observe(o.Work)
+		}
+	case platform.AttemptFailed:
+		if !k.tooSmall(config, o) {
+			k.ledger.Failed(now, o.Worker, o.Job, o.Message)
+		}
+		if config.Rules.Has(RuleRetryBudget) {
+			k.job(o.Job).retries.Failed(now, random, o.ID.Task, o.Message)
+		}
+	}
+}
+
+// tooSmall reports whether a failed attempt was assigned less memory than the
+// job has since been seen to need. Such a failure speaks neither against the
+// worker nor against the job, because the next attempt gets more.
+func (k *Knowledge) tooSmall(config Config, o Outcome) bool {
+	if !config.Rules.Has(RuleLearnedSizes) {
+		return false
+	}
+	return k.job(o.Job).size.Need(o.Requests).MemoryMiB > o.Requests.MemoryMiB+o.Requests.MemoryMiB/20
+}
+
+// forgetJob drops a job.
+func (k *Knowledge) forgetJob(job string) {
+	delete(k.jobs, job)
+	k.ledger.ForgetJob(job)
+}
 
-func (k *Knowledge) observeUsage(time.Duration, *Worker, []platform.Usage) {}
-func (k *Knowledge) observeOutcome(time.Duration, Outcome)                 {}
-func (k *Knowledge) forgetJob(string)                                      {}
+// retryState returns whether a task may be tried now, and if not, why.
+func (k *Knowledge) retryState(config Config, now time.Duration, t *Task) (Verdict, time.Duration, string) {
+	if config.Rules.Has(RuleParking) {
+		if reason := k.ledger.Parked(t.Job); reason != "" {
+			return Parked, 0, reason
+		}
+	}
+	j := k.jobs[t.Job]
+	if j == nil {
+		return Waiting, 0, ""
+	}
+	retries := t.MaxRetries
+	if retries == 0 {
+		retries = config.MaxRetries
+	}
+	until, exhausted, reason := j.retries.State(now, t.ID, retries)
+	if exhausted {
+		return Exhausted, 0, reason
+	}
+	if until > 0 {
+		return Backoff, until, reason
+	}
+	return Waiting, 0, ""
+}
--- /dev/null
+++ b/scheduler/makeroom.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// eviction is a set of attempts whose end makes room on a worker.
+type eviction struct {
+	candidate Candidate
+	victims   []*Attempt
+	cost      float64
+}
+
+// waitForRoom records that a task found no worker. It evicts others for the
+// task if the rules allow it, or names a better cell.
+func (r *Round) waitForRoom(t *Task, need platform.Resources, reason string) {
+	rules := r.policy.config.Rules
+	if rules.Has(RulePriority) && t.Urgent {
+		if r.evictFor(t, need, Evict, "urgent task", r.yieldsToUrgent) {
+			return
+		}
+	}
+	if rules.Has(RuleMove) {
+		if to, ok := r.policy.betterCell(r, t, need); ok {
+			r.Plan.Waits = append(r.Plan.Waits, Wait{
+				Task: t.ID, MoveTo: &to, Reason: fmt.Sprintf("pending: %s; moving to cell %s", reason, to),
+			})
+			return
+		}
+	}
+	if rules.Has(RuleQuota) && r.withinQuota(t, need) {
+		if r.evictFor(t, need, Move, "a team within its quota", r.yieldsToQuota) {
+			return
+		}
+	}
+	r.wait(t, Waiting, 0, "pending: "+reason)
+}
+
+// withinQuota reports whether a task keeps its team within its quota.
+func (r *Round) withinQuota(t *Task, need platform.Resources) bool {
+	return dominantShare(r.use[t.Team].Add(need), r.Snapshot.teams[t.Team].Quota) <= 1
+}
+
+// yieldsToUrgent reports whether an attempt may be evicted for an urgent task.
+func (r *Round) yieldsToUrgent(a *Attempt) bool { return !a.Urgent && !a.Service }
+
+// yieldsToQuota reports whether an attempt runs on borrowed capacity.
+func (r *Round) yieldsToQuota(a *Attempt) bool {
+	if a.Urgent || a.Service {
+		return false
+	}
+	left := r.use[a.Team].Sub(a.Reserved())
+	return dominantShare(left, r.Snapshot.teams[a.Team].Quota) >= 1
+}
+
+// evictFor looks for the cheapest set of victims on a sample of workers, adds
+// their evictions to the plan and holds the room. It reports whether it did.
+func (r *Round) evictFor(t *Task, need platform.Resources, kind ActionKind, who string, yields func(*Attempt) bool) bool {
+	size := r.Snapshot.size
+	if size == 0 {
+		return false
+	}
+	start := r.policy.random.IntN(size)
+	var best eviction
+	for n := range min(size, 4*r.policy.config.Sample) {
+		c := r.candidate((start + n) % size)
+		if c.Worker.Unreachable || c.Worker.Leaving || !need.Fits(c.Worker.Capacity) || r.reject(t, &c) != "" {
+			continue
+		}
+		e, ok := r.victims(c, need, yields)
+		if ok && (best.victims == nil || e.cost < best.cost) {
+			best = e
+		}
+	}
+	if best.victims == nil {
+		return false
+	}
+	c := best.candidate
+	for _, a := range best.victims {
+		r.Plan.Actions = append(r.Plan.Actions, Action{
+			Kind: kind, ID: a.ID, Worker: c.Worker.ID, Boot: c.Worker.Boot,
+			Reason: fmt.Sprintf("%sd for task %s of %s", kindStem(kind), t.ID, who),
+		})
+		r.use[a.Team] = r.use[a.Team].Sub(a.Reserved())
+	}
+	r.policy.holds[t.ID] = hold{worker: c.Worker.ID, need: need, until: r.Now + holdTime}
+	r.root = r.root.set(size, c.position, c.Worker, c.Free.Sub(minResources(need, c.Free)))
+	r.wait(t, Waiting, 0, fmt.Sprintf("pending: evicting %d attempts on worker %s", len(best.victims), c.Worker.ID))
+	return true
+}
+
+// kindStem returns the verb of a reason without its final d.
+func kindStem(kind ActionKind) string {
+	if kind == Evict {
+		return "evicte"
+	}
+	return "move"
+}
+
+// victims returns a cheap set of attempts whose end makes need fit. Attempts
+// with the least cost go first; those that turn out not to be needed are kept.
+func (r *Round) victims(c Candidate, need platform.Resources, yields func(*Attempt) bool) (eviction, bool) {
+	var choice []*Attempt
+	for i := range c.Worker.Attempts {
+		a := &c.Worker.Attempts[i]
+		if !a.Stopping && !a.Cancelled && yields(a) && !r.policy.spared(a) {
+			choice = append(choice, a)
+		}
+	}
+	costs := make(map[*Attempt]float64, len(choice))
+	for _, a := range choice {
+		costs[a] = r.policy.stopCost(r.Now, a)
+	}
+	slices.SortFunc(choice, func(a, b *Attempt) int { return cmp.Compare(costs[a], costs[b]) })
+	free, taken := c.Free, 0
+	for taken < len(choice) && !need.Fits(free) {
+		free = free.Add(choice[taken].Reserved())
+		taken++
+	}
+	if !need.Fits(free) {
+		return eviction{}, false
+	}
+	e := eviction{candidate: c}
+	for _, a := range slices.Backward(choice[:taken]) {
+		if without := free.Sub(a.Reserved()); need.Fits(without) {
+			free = without
+			continue
+		}
+		e.victims = append(e.victims, a)
+		e.cost += costs[a]
+	}
+	return e, len(e.victims) > 0
+}
--- /dev/null
+++ b/scheduler/need.go
@@ -0,0 +1,29 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// need returns the amount to assign to a task: the declared or learned one, but
+// never more processors or memory than the largest worker has. Accelerators are
+// as declared, because a task can't run with fewer.
+func (p *Policy) need(s *Snapshot, t *Task) platform.Resources {
+	need := t.Requests
+	if j := p.knowledge.jobs[t.Job]; j != nil && p.config.Rules.Has(RuleLearnedSizes) {
+		need = j.size.Need(need)
+	}
+	bounded := minResources(need, s.largest)
+	bounded.Accelerators = need.Accelerators
+	return bounded
+}
+
+// remaining returns an upper estimate of the time that a batch attempt still needs.
+func (p *Policy) remaining(a *Attempt) time.Duration {
+	total := a.RunTime
+	if j := p.knowledge.jobs[a.Job]; j != nil && p.config.Rules.Has(RuleLearnedTimes) {
+		total = j.runTime.Total(total)
+	}
+	return time.Duration((1 - a.Progress) * float64(total) / a.share())
+}
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -15,6 +15,8 @@
 	Boot   string
 	// State is completed, failed, stopped or lapsed.
 	State platform.AttemptState
+	// Requests is what the attempt was assigned.
+	Requests platform.Resources
 	// RanFor is the run time of the attempt.
 	RanFor time.Duration
 	// Work is the run time of the whole task over its attempts when State is
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -1,27 +1,111 @@
 package scheduler
 
-import "fmt"
-
-// placeAll places tasks in the given order on the first worker with room.
-func (p *Policy) placeAll(s *Snapshot, pending []Task) Plan {
-	plan := Plan{Base: s.version}
-	root := s.root
-	for i := range pending {
-		t := &pending[i]
-		at := -1
-		if root != nil {
-			at = root.next(s.size, 0, t.Requests)
+import (
+	"fmt"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// placeTask places one task or records why it waits.
+func (r *Round) placeTask(t *Task) {
+	if verdict, until, reason := r.policy.knowledge.retryState(r.policy.config, r.Now, t); verdict != Waiting {
+		r.wait(t, verdict, until, reason)
+		return
+	}
+	for _, plugin := range r.policy.plugins.reserves {
+		if reason := plugin.Admit(r, t); reason != "" {
+			r.wait(t, Waiting, 0, "pending: "+reason)
+			return
+		}
+	}
+	need := r.policy.need(r.Snapshot, t)
+	key := shape{job: t.Job, need: need}
+	reason, known := r.full[key]
+	if !known {
+		var best Candidate
+		best, reason = r.search(t, need)
+		if best.Worker != nil {
+			r.place(t, need, &best, r.policy.probes(r, &best), placedReason(t, &best))
+			return
+		}
+		r.full[key] = reason
+	}
+	r.waitForRoom(t, need, reason)
+}
+
+// placedReason returns the text for a placement.
+func placedReason(t *Task, c *Candidate) string {
+	if t.Checkpoint != "" {
+		return fmt.Sprintf("placed on worker %s to resume from checkpoint %s", c.Worker.ID, t.Checkpoint)
+	}
+	return "placed on worker " + c.Worker.ID
+}
+
+// search returns the worker with the lowest cost among a sample of the workers
+// with room, or the reason why there is none. The sample begins at a random
+// position, so that its cost doesn't grow with the number of workers.
+func (r *Round) search(t *Task, need platform.Resources) (Candidate, string) {
+	size := r.Snapshot.size
+	if size == 0 {
+		return Candidate{}, "the cell has no workers"
+	}
+	start := r.policy.random.IntN(size)
+	var best Candidate
+	bestCost, seen, rejected := 0.0, 0, ""
+	for at, wrapped := start, false; seen < r.policy.config.Sample; at++ {
+		at = r.root.next(size, at, need)
+		if at < 0 && !wrapped {
+			wrapped, at = true, -1
+			continue
 		}
-		if at < 0 {
-			plan.Waits = append(plan.Waits, Wait{Task: t.ID, Reason: "pending: no worker with room"})
+		if at < 0 || (wrapped && at >= start) {
+			break
+		}
+		c := r.candidate(at)
+		if reason := r.reject(t, &c); reason != "" {
+			rejected = reason
 			continue
 		}
-		leaf := root.leaf(s.size, at)
-		root = root.set(s.size, at, leaf.worker, leaf.free.Sub(t.Requests))
-		plan.Placements = append(plan.Placements, Placement{
-			Task: t.ID, Attempt: t.Attempt, Worker: leaf.worker.ID, Boot: leaf.worker.Boot, Requests: t.Requests,
-			Reason: fmt.Sprintf("placed on %s", leaf.worker.ID),
-		})
-	}
-	return plan
+		seen++
+		if cost := r.cost(t, &c); best.Worker == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	if best.Worker == nil && rejected != "" {
+		return best, fmt.Sprintf("no worker %s", rejected)
+	}
+	return best, r.roomReason(need)
+}
+
+// roomReason says which need no worker covers.
+func (r *Round) roomReason(need platform.Resources) string {
+	free := r.root.free
+	switch {
+	case need.Accelerators > free.Accelerators:
+		return fmt.Sprintf("no worker with %d accelerators free", need.Accelerators)
+	case need.MemoryMiB > free.MemoryMiB:
+		return fmt.Sprintf("no worker with %d MiB of memory free", need.MemoryMiB)
+	case need.MilliCPU > free.MilliCPU:
+		return fmt.Sprintf("no worker with %.1f cores free", float64(need.MilliCPU)/1000)
+	}
+	return fmt.Sprintf("no worker with %s free at once", needText(need))
+}
+
+// reject returns the first reason of a filter.
+func (r *Round) reject(t *Task, c *Candidate) string {
+	for _, filter := range r.policy.plugins.filters {
+		if reason := filter.Reject(r, t, c); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+// cost returns the sum of the scores.
+func (r *Round) cost(t *Task, c *Candidate) float64 {
+	cost := 0.0
+	for _, score := range r.policy.plugins.scores {
+		cost += score.Score(r, t, c)
+	}
+	return cost
 }
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -13,36 +13,83 @@
 	config    Config
 	knowledge *Knowledge
 	random    *rand.Rand
+	plugins   plugins
+	holds     map[string]hold
+	sent      map[CellID]sentLoad
+	seen      map[string]time.Duration
+	pressure  map[string]*pressure
+	draining  drainState
 }
 
 // New returns a policy. Cells of one process may share the knowledge if they
 // are used by one goroutine at a time.
 func New(config Config, knowledge *Knowledge, random *rand.Rand) *Policy {
-	return &Policy{config: config, knowledge: knowledge, random: random}
+	p := &Policy{
+		config: config, knowledge: knowledge, random: random,
+		holds: map[string]hold{}, sent: map[CellID]sentLoad{}, seen: map[string]time.Duration{},
+		pressure: map[string]*pressure{},
+	}
+	p.plugins = rulePlugins(config.Rules)
+	return p
 }
 
 // Place returns placements of pending tasks and the reasons of the rest.
 func (p *Policy) Place(now time.Duration, s *Snapshot, pending []Task) Plan {
-	_ = now
-	return p.placeAll(s, pending)
+	r := p.newRound(now, s)
+	if phase := s.dataCentre.Phase; phase == Draining || phase == Out {
+		r.sendAway(pending)
+		return r.Plan
+	}
+	p.note(now, pending)
+	placed := r.placeHeld(pending)
+	q := newQueue(r, pending)
+	for t := q.next(); t != nil; t = q.next() {
+		if !placed[t.ID] {
+			r.placeTask(t)
+		}
+	}
+	return r.Plan
+}
+
+// note keeps when each pending task was first seen by this cell.
+func (p *Policy) note(now time.Duration, pending []Task) {
+	seen := make(map[string]time.Duration, len(pending))
+	for i := range pending {
+		first, known := p.seen[pending[i].ID]
+		if !known {
+			first = now
+		}
+		seen[pending[i].ID] = first
+	}
+	p.seen = seen
 }
 
 // Act returns actions on running attempts.
 func (p *Policy) Act(now time.Duration, s *Snapshot) []Action {
-	_ = now
-	return stopCancelled(s)
+	actions := stopCancelled(s)
+	if s.dataCentre.Phase == Draining || s.dataCentre.Phase == Out {
+		return append(actions, p.drain(now, s)...)
+	}
+	if p.config.Rules.Has(RuleEscalation) {
+		actions = append(actions, p.relieve(now, s)...)
+	}
+	return actions
 }
 
 // ObserveUsage takes the usage reports of one worker. Each report belongs to
-// the colocation that it names.
+// the colocation that it names, and each is passed in once.
 func (p *Policy) ObserveUsage(now time.Duration, w *Worker, reports []platform.Usage) {
-	p.knowledge.observeUsage(now, w, reports)
+	for i := range reports {
+		if a := w.find(reports[i].ID); a != nil {
+			p.knowledge.observeUsage(now, a, &reports[i])
+		}
+	}
 }
 
 // ObserveOutcome takes the end of an attempt. The same outcome must not be
 // passed in twice.
 func (p *Policy) ObserveOutcome(now time.Duration, o Outcome) {
-	p.knowledge.observeOutcome(now, o)
+	p.knowledge.observeOutcome(now, p.config, p.random, o)
 }
 
 // ForgetJob drops what is kept for a job that was cancelled or is complete.
--- /dev/null
+++ b/scheduler/poolfilter.go
@@ -0,0 +1,12 @@
+package scheduler
+
+// poolFilter keeps tasks on the workers of their pool.
+type poolFilter struct{}
+
+// Reject rejects workers outside the pool.
+func (poolFilter) Reject(_ *Round, t *Task, c *Candidate) string {
+	if t.Workers == nil || t.Workers[c.Worker.ID] {
+		return ""
+	}
+	return "of the task's pool has room"
+}
--- /dev/null
+++ b/scheduler/queue.go
@@ -0,0 +1,105 @@
+package scheduler
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// queue yields pending tasks in order of rank. Within a tier the team with the
+// smallest share of its quota comes first; its tasks come in order of age.
+type queue struct {
+	round *Round
+	tiers [4]map[string][]*Task
+	heaps [4]teamHeap
+}
+
+// Tiers of the queue.
+const (
+	tierUrgent = iota
+	tierService
+	tierAged
+	tierOrdinary
+)
+
+// newQueue sorts tasks into tiers and teams.
+func newQueue(r *Round, pending []Task) *queue {
+	q := &queue{round: r}
+	for i := range pending {
+		t := &pending[i]
+		tier := r.tier(t)
+		if q.tiers[tier] == nil {
+			q.tiers[tier] = map[string][]*Task{}
+		}
+		q.tiers[tier][r.group(t)] = append(q.tiers[tier][r.group(t)], t)
+	}
+	for tier, teams := range q.tiers {
+		for team, tasks := range teams {
+			slices.SortStableFunc(tasks, func(a, b *Task) int { return cmp.Compare(a.Since, b.Since) })
+			q.heaps[tier] = append(q.heaps[tier], teamRank{team: team, share: r.share(team), since: tasks[0].Since})
+		}
+		heap.Init(&q.heaps[tier])
+	}
+	return q
+}
+
+// next returns the next task, or nil at the end.
+func (q *queue) next() *Task {
+	for tier := range q.heaps {
+		h := &q.heaps[tier]
+		for h.Len() > 0 {
+			first := (*h)[0]
+			tasks := q.tiers[tier][first.team]
+			if len(tasks) == 0 {
+				heap.Pop(h)
+				continue
+			}
+			if share := q.round.share(first.team); share != first.share {
+				(*h)[0].share = share
+				heap.Fix(h, 0)
+				continue
+			}
+			q.tiers[tier][first.team] = tasks[1:]
+			return tasks[0]
+		}
+	}
+	return nil
+}
+
+// tier returns the tier of a task.
+func (r *Round) tier(t *Task) int {
+	rules := r.policy.config.Rules
+	if !rules.Has(RulePriority) {
+		return tierOrdinary
+	}
+	switch {
+	case t.Urgent:
+		return tierUrgent
+	case t.Service:
+		return tierService
+	case rules.Has(RuleAgeing) && r.age(t) >= r.policy.config.AgeLimit:
+		return tierAged
+	}
+	return tierOrdinary
+}
+
+// age returns how long a task has waited since its record was read.
+func (r *Round) age(t *Task) time.Duration { return r.Now - t.Since }
+
+// group returns the name under which a task queues: its team, or one for all
+// when quotas are off.
+func (r *Round) group(t *Task) string {
+	if !r.policy.config.Rules.Has(RuleQuota) {
+		return ""
+	}
+	return t.Team
+}
+
+// share returns the share of its quota that a team holds.
+func (r *Round) share(team string) float64 {
+	if !r.policy.config.Rules.Has(RuleQuota) {
+		return 0
+	}
+	return dominantShare(r.use[team], r.Snapshot.teams[team].Quota)
+}
--- /dev/null
+++ b/scheduler/quotarule.go
@@ -0,0 +1,22 @@
+package scheduler
+
+import "fmt"
+
+// quotaRule keeps teams that may not borrow within their quota.
+type quotaRule struct{}
+
+// Admit refuses a task that takes its team over a quota it may not exceed.
+func (quotaRule) Admit(r *Round, t *Task) string {
+	team := r.Snapshot.teams[t.Team]
+	if team.Name == "" || team.MayBorrow {
+		return ""
+	}
+	need := r.policy.need(r.Snapshot, t)
+	if dominantShare(r.use[t.Team].Add(need), team.Quota) <= 1 {
+		return ""
+	}
+	return fmt.Sprintf("team %s has used its quota in this cell and may not borrow", t.Team)
+}
+
+// Reserve does nothing: the round keeps the use of each team.
+func (quotaRule) Reserve(*Round, *Task, *Candidate) {}
--- /dev/null
+++ b/scheduler/ramprule.go
@@ -0,0 +1,24 @@
+package scheduler
+
+import "fmt"
+
+// rampRule limits the load of a cell in a returning data centre to a share that
+// grows with time.
+type rampRule struct{}
+
+// Admit refuses batch tasks beyond the share. Urgent tasks and services pass.
+func (rampRule) Admit(r *Round, t *Task) string {
+	dc := r.Snapshot.dataCentre
+	if dc.Phase != Returning || t.Urgent || t.Service {
+		return ""
+	}
+	allowed := float64(r.Now-dc.Since) / float64(r.policy.config.RampTime)
+	used := dominantShare(r.Snapshot.totals.assigned.Add(r.placed), r.Snapshot.capacity)
+	if used < allowed {
+		return ""
+	}
+	return fmt.Sprintf("data centre %s is returning and takes %.0f%% of its load", r.Snapshot.cell.DataCentre, 100*allowed)
+}
+
+// Reserve does nothing: the round keeps what it has placed.
+func (rampRule) Reserve(*Round, *Task, *Candidate) {}
--- /dev/null
+++ b/scheduler/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry delays and bounds the retries of failed tasks.
+package retry
--- /dev/null
+++ b/scheduler/round.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// Round is the state of one round of placement. Plugins read it; only Reserve
+// changes it.
+type Round struct {
+	Now      time.Duration
+	Snapshot *Snapshot
+	Plan     Plan
+
+	policy *Policy
+	root   *index
+	added  map[int][]*Task
+	// use is what each team holds, with the placements of this round.
+	use map[string]platform.Resources
+	// racks counts service replicas by job and rack, with those of this round.
+	racks map[jobRack]int
+	// placed is the sum of the needs placed in this round.
+	placed platform.Resources
+	// full are the shapes that found no worker in this round.
+	full map[shape]string
+}
+
+// jobRack names the replicas of a service in one rack.
+type jobRack struct {
+	job  string
+	rack string
+}
+
+// shape is what decides whether a task fits: tasks of the same shape that come
+// after one without a worker need no search.
+type shape struct {
+	job  string
+	need platform.Resources
+}
+
+// newRound returns the state at the start of a round.
+func (p *Policy) newRound(now time.Duration, s *Snapshot) *Round {
+	return &Round{
+		Now: now, Snapshot: s, Plan: Plan{Base: s.version},
+		policy: p, root: s.root, added: map[int][]*Task{},
+		use: cloneMap(s.totals.use), racks: cloneMap(s.totals.racks), full: map[shape]string{},
+	}
+}
+
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	c := make(map[K]V, len(m)+8)
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+// candidate returns the worker at a position of the index.
+func (r *Round) candidate(position int) Candidate {
+	leaf := r.root.leaf(r.Snapshot.size, position)
+	return Candidate{Worker: leaf.worker, Free: leaf.free, Added: r.added[position], position: position}
+}
+
+// wait records that a task was not placed.
+func (r *Round) wait(t *Task, v Verdict, until time.Duration, reason string) {
+	r.Plan.Waits = append(r.Plan.Waits, Wait{Task: t.ID, Verdict: v, Until: until, Reason: reason})
+}
+
+// place records a placement and takes its room.
+func (r *Round) place(t *Task, need platform.Resources, c *Candidate, probe bool, reason string) {
+	r.root = r.root.set(r.Snapshot.size, c.position, c.Worker, c.Free.Sub(need))
+	r.added[c.position] = append(r.added[c.position], t)
+	r.use[t.Team] = r.use[t.Team].Add(need)
+	r.placed = r.placed.Add(need)
+	for _, plugin := range r.policy.plugins.reserves {
+		plugin.Reserve(r, t, c)
+	}
+	r.Plan.Placements = append(r.Plan.Placements, Placement{
+		Task: t.ID, Attempt: t.Attempt, Worker: c.Worker.ID, Boot: c.Worker.Boot,
+		Requests: need, Probe: probe, Reason: reason,
+	})
+}
+
+// needText describes a need for a reason.
+func needText(need platform.Resources) string {
+	text := fmt.Sprintf("%.1f cores and %d MiB", float64(need.MilliCPU)/1000, need.MemoryMiB)
+	if need.Accelerators > 0 {
+		text += fmt.Sprintf(" and %d accelerators", need.Accelerators)
+	}
+	return text
+}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -18,6 +18,8 @@
 	root       *index
 	positions  map[string]int
 	capacity   platform.Resources
+	largest    platform.Resources
+	totals     *totals
 	teams      map[string]Team
 	dataCentre DataCentre
 	weights    api.WeightsSpec
@@ -32,13 +34,15 @@
 		sorted[i] = &workers[i]
 	}
 	slices.SortFunc(sorted, func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) })
-	s := &Snapshot{cell: cell, version: version, size: len(sorted), positions: make(map[string]int, len(sorted))}
+	s := &Snapshot{cell: cell, version: version, size: len(sorted), positions: make(map[string]int, len(sorted)), totals: newTotals()}
 	for i, w := range sorted {
 		if _, twice := s.positions[w.ID]; twice {
 			return nil, fmt.Errorf("cell %s lists worker %s twice", cell, w.ID)
 		}
 		s.positions[w.ID] = i
 		s.capacity = s.capacity.Add(w.Capacity)
+		s.largest = maxResources(s.largest, w.Capacity)
+		s.totals.add(w, 1)
 	}
 	if s.size > 0 {
 		s.root = newIndex(sorted)
@@ -46,19 +50,26 @@
 	return s, nil
 }
 
-// WithWorker returns a snapshot in which w replaces the worker of the same id.
-// Its cost grows with the logarithm of the number of workers. A worker that the
-// cell doesn't have changes nothing.
-func (s *Snapshot) WithWorker(version int64, w Worker) *Snapshot {
-	i, known := s.positions[w.ID]
-	if !known {
-		return s
-	}
+// WithWorkers returns a snapshot in which each of the workers replaces the one
+// of the same id. Its cost grows with the logarithm of the number of workers in
+// the cell. A worker that the cell doesn't have changes nothing.
+func (s *Snapshot) WithWorkers(version int64, workers ...Worker) *Snapshot {
 	c := *s
 	c.version = version
-	old := s.root.leaf(s.size, i).worker
-	c.capacity = s.capacity.Sub(old.Capacity).Add(w.Capacity)
-	c.root = s.root.set(s.size, i, &w, w.Free())
+	c.totals = s.totals.clone()
+	for k := range workers {
+		w := &workers[k]
+		i, known := s.positions[w.ID]
+		if !known {
+			continue
+		}
+		old := c.root.leaf(s.size, i).worker
+		c.capacity = c.capacity.Sub(old.Capacity).Add(w.Capacity)
+		c.largest = maxResources(c.largest, w.Capacity)
+		c.totals.add(old, -1)
+		c.totals.add(w, 1)
+		c.root = c.root.set(s.size, i, w, w.Free())
+	}
 	return &c
 }
 
