--- a/api/types.go
+++ b/api/types.go
@@ -27,10 +27,6 @@
 	Version Version `json:"version,omitempty"`
 	// Created is the version of the record that created the resource.
 	Created Version `json:"created,omitempty"`
-	// Homes are the data centres in service when a service or job was created,
-	// or all of them if none was, in ascending order of name. The first cells of
-	// its tasks follow from them. Set by the system.
-	Homes []Home `json:"homes,omitempty"`
 }
 
 // Home is a data centre that tasks can be at home in.
@@ -49,6 +45,10 @@
 	DataCentre *DataCentreSpec `json:"dataCentre,omitempty"`
 	Team       *TeamSpec       `json:"team,omitempty"`
 	Weights    *WeightsSpec    `json:"weights,omitempty"`
+	// Homes are the data centres in service when a service or job was created,
+	// or all of them if none was, in ascending order of name. The first cells of
+	// its tasks follow from them. Set by the system.
+	Homes []Home `json:"homes,omitempty"`
 	// Status is computed by the system and ignored in writes.
 	Status *Status `json:"status,omitempty"`
 }
