standin: first version of the stand-in platform and its command

Cause: the daemon needs a platform to run against.

Change: package standin with the pure types Worker, LogStore, VMTable and SlotGuard, the running Platform with faults and history, and the cobra command; cmd/standin calls it.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,19 @@
-// Command standin is under construction.
+// Command standin runs a stand-in for the platform on loopback, for
+// development.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/cactusreel/cactusreel/standin"
+)
+
+func main() {
+	err := standin.NewCommand().ExecuteContext(context.Background())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/admin.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// maxFaultBytes bounds the body of POST /fault.
+const maxFaultBytes = 64 << 10
+
+// openAdmin opens the endpoint that no fault hits.
+func (p *Platform) openAdmin() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /fault", p.handleFault)
+	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { writeValue(w, p.History()) })
+	mux.HandleFunc("GET /addresses", func(w http.ResponseWriter, _ *http.Request) { writeValue(w, p.addresses) })
+	var err error
+	p.admin, err = newEndpoint(p.options.listenAddress(), 0, []string{"admin"}, &FaultSet{}, mux)
+	if err != nil {
+		return err
+	}
+	p.addresses.Admin = p.admin.address
+	return nil
+}
+
+func (p *Platform) handleFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&f)
+	if err != nil {
+		httpapi.WriteError(w, result.Errorf(result.BadResource, "fault: %w", err), result.BadResource)
+		return
+	}
+	err = p.SetFault(f)
+	if err != nil {
+		httpapi.WriteError(w, err, result.WorkerUnavailable)
+		return
+	}
+	writeValue(w, f)
+}
+
+func writeValue(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the reader is gone.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/command.go
@@ -0,0 +1,135 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// Defaults of the command's flags.
+const (
+	defaultRetentionRecords = 200_000
+	defaultRetentionAge     = time.Hour
+	defaultAppendLatency    = 5 * time.Millisecond
+	defaultReadLatency      = 2 * time.Millisecond
+	defaultAppendsPerSecond = 500
+	defaultListLag          = 2 * time.Second
+	defaultUsageInterval    = 500 * time.Millisecond
+	defaultUsageLag         = 2 * time.Second
+)
+
+// commandFlags are the values of the command's flags.
+type commandFlags struct {
+	options     Options
+	topology    string
+	dataCentres []string
+	workers     int
+	racks       int
+	entries     []string
+}
+
+// NewCommand returns the command "standin". It prints its Addresses as one
+// JSON line when it is ready, and ends without error on SIGTERM or SIGINT.
+func NewCommand() *cobra.Command {
+	var flags commandFlags
+	command := &cobra.Command{
+		Use:           "standin",
+		Short:         "Run a stand-in for the platform on loopback (development only)",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			topology, err := flags.readTopology(cmd.InOrStdin())
+			if err != nil {
+				return err
+			}
+			return run(ctx, topology, flags.options, cmd.OutOrStdout())
+		},
+	}
+	flags.register(command)
+	return command
+}
+
+func (f *commandFlags) register(command *cobra.Command) {
+	set := command.Flags()
+	set.StringVar(&f.topology, "topology", "", "JSON topology file, or - for standard input")
+	set.StringSliceVar(&f.dataCentres, "data-centres", []string{"dc-a"}, "names of the data centres, without --topology")
+	set.IntVar(&f.workers, "workers", 5, "workers per data centre, without --topology")
+	set.IntVar(&f.racks, "racks", 1, "racks per data centre, without --topology")
+	set.StringArrayVar(&f.entries, "entry", nil, "entry VM as DATACENTRE/ID=IP:PORT, repeatable, without --topology")
+	o := &f.options
+	set.StringVar(&o.IP, "ip", DefaultIP, "IPv4 loopback address to listen on")
+	set.IntVar(&o.Retention.Records, "retention-records", defaultRetentionRecords, "records kept per log stream, 0 for all")
+	set.DurationVar(&o.Retention.Age, "retention-age", defaultRetentionAge, "how long the log keeps a record, 0 for ever")
+	set.DurationVar(&o.AppendLatency, "append-latency", defaultAppendLatency, "latency of log appends")
+	set.DurationVar(&o.ReadLatency, "read-latency", defaultReadLatency, "latency of log reads")
+	set.IntVar(&o.AppendsPerSecond, "appends-per-second", defaultAppendsPerSecond, "bound on log appends, 0 for none")
+	set.DurationVar(&o.ListLag, "list-lag", defaultListLag, "lag of the VM list")
+	set.DurationVar(&o.UsageInterval, "usage-interval", defaultUsageInterval, "time between usage measurements")
+	set.DurationVar(&o.UsageLag, "usage-lag", defaultUsageLag, "lag of usage reports")
+}
+
+// readTopology reads the topology file, or makes a topology from the flags.
+func (f *commandFlags) readTopology(stdin io.Reader) (Topology, error) {
+	if f.topology == "" {
+		return f.flagTopology()
+	}
+	source := stdin
+	if f.topology != "-" {
+		file, err := os.Open(f.topology)
+		if err != nil {
+			return Topology{}, err
+		}
+		defer file.Close()
+		source = file
+	}
+	data, err := io.ReadAll(io.LimitReader(source, MaxTopologyBytes+1))
+	if err != nil {
+		return Topology{}, fmt.Errorf("topology: %w", err)
+	}
+	return DecodeTopology(data)
+}
+
+func (f *commandFlags) flagTopology() (Topology, error) {
+	var topology Topology
+	numbers := make(map[string]int)
+	for i, name := range f.dataCentres {
+		numbers[name] = i
+		topology.DataCentres = append(topology.DataCentres, DataCentre{Name: name, Racks: f.racks, Workers: f.workers})
+	}
+	for _, text := range f.entries {
+		name, address, found := strings.Cut(text, "=")
+		dataCentre, id, hasID := strings.Cut(name, "/")
+		number, known := numbers[dataCentre]
+		if !found || !hasID || !known {
+			return Topology{}, fmt.Errorf("flag --entry: %q is not DATACENTRE/ID=IP:PORT of a data centre", text)
+		}
+		dc := &topology.DataCentres[number]
+		dc.Entries = append(dc.Entries, EntryVM{ID: id, Address: address})
+	}
+	return topology, topology.check()
+}
+
+func run(ctx context.Context, topology Topology, options Options, out io.Writer) error {
+	p, err := Start(topology, options)
+	if err != nil {
+		return err
+	}
+	err = json.NewEncoder(out).Encode(p.Addresses())
+	if err != nil {
+		return errors.Join(fmt.Errorf("print addresses: %w", err), p.Close())
+	}
+	<-ctx.Done()
+	return p.Close()
+}
--- /dev/null
+++ b/standin/duration.go
@@ -0,0 +1,33 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that stands in JSON as text such as "250ms".
+type Duration time.Duration
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON implements json.Unmarshaler. A negative duration is an error.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	err := json.Unmarshal(data, &text)
+	if err != nil {
+		return err
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	if parsed < 0 {
+		return fmt.Errorf("duration %q is negative", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
--- /dev/null
+++ b/standin/faultset.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"slices"
+	"sync"
+)
+
+// FaultSet holds the request faults that are on. It is safe for concurrent use.
+type FaultSet struct {
+	mu     sync.Mutex
+	faults []Fault
+}
+
+// Set switches a fault on or off. A fault replaces that of the same kind and
+// target.
+func (s *FaultSet) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = slices.DeleteFunc(s.faults, func(other Fault) bool {
+		return other.Kind == f.Kind && other.Target == f.Target
+	})
+	if !f.Off {
+		s.faults = append(s.faults, f)
+	}
+}
+
+// Take returns the faults that hit one request to an endpoint with these
+// target names, and counts the request.
+func (s *FaultSet) Take(targets []string) []Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var hit []Fault
+	for i := range s.faults {
+		f := &s.faults[i]
+		if !slices.Contains(targets, f.Target) {
+			continue
+		}
+		hit = append(hit, *f)
+		if f.Count == 1 {
+			f.Count = -1
+		} else if f.Count > 1 {
+			f.Count--
+		}
+	}
+	s.faults = slices.DeleteFunc(s.faults, func(f Fault) bool { return f.Count < 0 })
+	return hit
+}
--- /dev/null
+++ b/standin/logservice.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// logService is the platform.Log with the real clock, latency and a bound on
+// the rate of appends.
+type logService struct {
+	platform *Platform
+	limiter  *rate.Limiter
+
+	mu    sync.Mutex
+	store *LogStore
+}
+
+var _ platform.Log = (*logService)(nil)
+
+func newLogService(p *Platform) *logService {
+	limit := rate.Limit(p.options.AppendsPerSecond)
+	if limit == 0 {
+		limit = rate.Inf
+	}
+	return &logService{
+		platform: p,
+		limiter:  rate.NewLimiter(limit, max(p.options.AppendsPerSecond, 1)),
+		store:    NewLogStore(p.options.Retention),
+	}
+}
+
+// Append implements platform.Log. The append takes effect after half of the
+// latency, even if ctx has ended by then: its request was received.
+func (l *logService) Append(_ context.Context, stream, id string, data []byte) (int64, error) {
+	err := l.limiter.Wait(context.Background())
+	if err != nil {
+		return 0, fmt.Errorf("append rate: %w", err)
+	}
+	latency := l.platform.options.AppendLatency
+	l.platform.wait(latency / 2)
+	l.mu.Lock()
+	offset := l.store.Append(l.platform.now(), stream, id, data)
+	l.mu.Unlock()
+	l.platform.wait(latency - latency/2)
+	return offset, nil
+}
+
+// Read implements platform.Log.
+func (l *logService) Read(_ context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+	latency := l.platform.options.ReadLatency
+	l.platform.wait(latency / 2)
+	l.mu.Lock()
+	page, err := l.store.Read(l.platform.now(), stream, from, limit)
+	l.mu.Unlock()
+	l.platform.wait(latency - latency/2)
+	return page, err
+}
+
+func (l *logService) truncate(stream string, first int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.store.Truncate(stream, first)
+}
+
+// vmService is the platform.VMList with the real clock.
+type vmService struct {
+	platform *Platform
+
+	mu    sync.Mutex
+	table *VMTable
+}
+
+var _ platform.VMList = (*vmService)(nil)
+
+// List implements platform.VMList.
+func (v *vmService) List(_ context.Context, dataCentre string) ([]platform.VM, error) {
+	var vms []platform.VM
+	v.update(func(now time.Duration, table *VMTable) { vms = table.List(now, dataCentre) })
+	return vms, nil
+}
+
+// update calls change with the present time and the table.
+func (v *vmService) update(change func(now time.Duration, table *VMTable)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	change(v.platform.now(), v.table)
+}
--- /dev/null
+++ b/standin/reserve.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+)
+
+// listenBacklog is the kernel's queue of connections not yet accepted.
+const listenBacklog = 128
+
+// reservedPort is a socket that is bound but does not listen: connections are
+// refused, and no other process gets the port meanwhile.
+type reservedPort struct {
+	fd int
+}
+
+// reservePort binds an IPv4 address and port.
+func reservePort(address string) (*reservedPort, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	if !parsed.Addr().Is4() {
+		return nil, fmt.Errorf("%s is not an IPv4 address", address)
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	reserved := &reservedPort{fd: fd}
+	// Connections of the closed listener may still be in TIME_WAIT.
+	err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err != nil {
+		reserved.close()
+		return nil, os.NewSyscallError("setsockopt", err)
+	}
+	err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(parsed.Port()), Addr: parsed.Addr().As4()})
+	if err != nil {
+		reserved.close()
+		return nil, os.NewSyscallError("bind", err)
+	}
+	return reserved, nil
+}
+
+// listen turns the socket into a listener. The reservation is used up.
+func (r *reservedPort) listen() (net.Listener, error) {
+	err := syscall.Listen(r.fd, listenBacklog)
+	if err != nil {
+		r.close()
+		return nil, os.NewSyscallError("listen", err)
+	}
+	file := os.NewFile(uintptr(r.fd), "listener")
+	// FileListener duplicates the descriptor.
+	defer file.Close()
+	return net.FileListener(file)
+}
+
+func (r *reservedPort) close() {
+	_ = syscall.Close(r.fd)
+}
--- /dev/null
+++ b/standin/slots.go
@@ -0,0 +1,41 @@
+package standin
+
+import (
+	"fmt"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// SlotGuard is the admission state of a backend server. It is not safe for
+// concurrent use.
+type SlotGuard struct {
+	slots  int
+	active int
+	term   int64
+}
+
+// NewSlotGuard returns a guard for a number of slots.
+func NewSlotGuard(slots int) *SlotGuard {
+	return &SlotGuard{slots: slots}
+}
+
+// Begin takes a slot for a request with a term, or 0 if it carries none, and
+// returns how many requests run now, this one included. An error means that
+// the request was not run.
+func (g *SlotGuard) Begin(term int64) (int, error) {
+	if term != 0 && term < g.term {
+		return g.active, fmt.Errorf("term %d is below %d: %w", term, g.term, platform.ErrLowerTerm)
+	}
+	if g.active >= g.slots {
+		return g.active, result.Errorf(result.NotRunOverloaded, "all %d slots are in use", g.slots)
+	}
+	g.term = max(g.term, term)
+	g.active++
+	return g.active, nil
+}
+
+// End frees a slot.
+func (g *SlotGuard) End() {
+	g.active--
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,336 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// failingWorkerDelay is the work after which attempts fail on a failing worker.
+const failingWorkerDelay = 100 * time.Millisecond
+
+// AttemptLost is the state, in the history only, of attempts that ended
+// because their worker went down.
+const AttemptLost platform.AttemptState = "lost"
+
+// WorkerConfig describes a simulated worker.
+type WorkerConfig struct {
+	ID       string
+	Boot     string
+	Capacity platform.Resources
+	// UsageInterval is the time between two usage measurements.
+	UsageInterval time.Duration
+	// UsageLag is how long a measurement takes to be reported.
+	UsageLag time.Duration
+	Kinds    *Kinds
+}
+
+// AttemptEvent is the start or the end of an attempt on a worker.
+type AttemptEvent struct {
+	// At is on the worker's clock.
+	At       time.Duration
+	ID       platform.AttemptID
+	Kind     string
+	Requests platform.Resources
+	Term     int64
+	// State is AttemptRunning for a start.
+	State platform.AttemptState
+	// Resumed is the checkpoint that the attempt started from, or "".
+	Resumed string
+	// Done is the work done so far, including that of earlier attempts.
+	Done time.Duration
+}
+
+// Worker is the simulated state of one worker. Each method first brings the
+// state up to now, the present time on the worker's clock, which never goes
+// back. A Worker is not safe for concurrent use.
+type Worker struct {
+	config   WorkerConfig
+	clock    time.Duration
+	term     int64
+	failing  bool
+	attempts []*attempt
+	// highest is the highest attempt number per task that was started or
+	// stopped here.
+	highest map[string]int64
+	events  []AttemptEvent
+}
+
+// NewWorker returns a worker that boots with its clock at now.
+func NewWorker(config WorkerConfig, now time.Duration) *Worker {
+	return &Worker{config: config, clock: now, highest: make(map[string]int64)}
+}
+
+// Observe returns the worker's state.
+func (w *Worker) Observe(now time.Duration) platform.WorkerState {
+	w.advance(now)
+	state := platform.WorkerState{
+		Worker:   w.config.ID,
+		Boot:     w.config.Boot,
+		Clock:    w.clock,
+		Term:     w.term,
+		Capacity: w.config.Capacity,
+		Attempts: []platform.Attempt{},
+		Usage:    []platform.Usage{},
+	}
+	for _, a := range w.attempts {
+		state.Attempts = append(state.Attempts, a.report)
+		usage, ok := a.usageAt(w.clock - w.config.UsageLag)
+		if ok {
+			state.Usage = append(state.Usage, usage)
+		}
+	}
+	return state
+}
+
+// Fence raises the highest term.
+func (w *Worker) Fence(now time.Duration, term int64) (platform.WorkerState, error) {
+	w.advance(now)
+	if term < w.term {
+		return platform.WorkerState{}, fmt.Errorf("fence with term %d below %d: %w", term, w.term, platform.ErrLowerTerm)
+	}
+	w.term = term
+	return w.Observe(now), nil
+}
+
+// Start starts an attempt. A start whose lease has already ended is refused
+// like one whose deadline has passed.
+func (w *Worker) Start(now time.Duration, s platform.Start) error {
+	return w.command(now, s.Command, func() error {
+		if w.find(s.ID) != nil {
+			return nil
+		}
+		err := w.admit(s)
+		if err != nil {
+			return err
+		}
+		return w.launch(s)
+	})
+}
+
+// Renew extends leases of running attempts. Attempts that do not run here are
+// ignored, because an error would mean that no lease was extended.
+func (w *Worker) Renew(now time.Duration, c platform.Command, renewals []platform.Renewal) error {
+	return w.command(now, c, func() error {
+		for _, r := range renewals {
+			a := w.find(r.ID)
+			if a != nil && a.running() {
+				a.report.LeaseExpiry = max(a.report.LeaseExpiry, r.LeaseExpiry)
+			}
+		}
+		return nil
+	})
+}
+
+// Checkpoint saves the work of a running attempt and returns the checkpoint's name.
+func (w *Worker) Checkpoint(now time.Duration, c platform.Command, id platform.AttemptID) (string, error) {
+	name := ""
+	err := w.command(now, c, func() error {
+		a, err := w.findRunning(id)
+		if err != nil {
+			return err
+		}
+		name = checkpointName(id, a.done)
+		a.report.Checkpoint = name
+		return nil
+	})
+	return name, err
+}
+
+// Throttle limits a running attempt to a share of its processors, from 0 to 1.
+func (w *Worker) Throttle(now time.Duration, c platform.Command, id platform.AttemptID, share float64) error {
+	if !(share >= 0 && share <= 1) {
+		return result.Errorf(result.BadResource, "share %v is not between 0 and 1", share)
+	}
+	return w.command(now, c, func() error {
+		a, err := w.findRunning(id)
+		if err != nil {
+			return err
+		}
+		a.report.Throttle = share
+		return nil
+	})
+}
+
+// Stop ends an attempt and returns its final report. An attempt that is not
+// known here is reported as stopped, and can't be started afterwards.
+func (w *Worker) Stop(now time.Duration, c platform.Command, id platform.AttemptID) (platform.Attempt, error) {
+	report := platform.Attempt{ID: id, State: platform.AttemptStopped}
+	err := w.command(now, c, func() error {
+		w.highest[id.Task] = max(w.highest[id.Task], id.Attempt)
+		a := w.find(id)
+		if a == nil {
+			return nil
+		}
+		if a.running() {
+			w.end(a, platform.AttemptStopped, "")
+		}
+		report = a.report
+		return nil
+	})
+	return report, err
+}
+
+// Forget removes the report of an ended attempt. An attempt that is not known
+// is no error, because the command may be a repeat.
+func (w *Worker) Forget(now time.Duration, c platform.Command, id platform.AttemptID) error {
+	return w.command(now, c, func() error {
+		a := w.find(id)
+		if a == nil {
+			return nil
+		}
+		if a.running() {
+			return result.Errorf(result.WorkerRefused, "attempt %d of task %s still runs", id.Attempt, id.Task)
+		}
+		w.attempts = slices.DeleteFunc(w.attempts, func(other *attempt) bool { return other == a })
+		return nil
+	})
+}
+
+// SetFailing makes attempts that start from now on fail after a short time, or
+// ends that.
+func (w *Worker) SetFailing(now time.Duration, failing bool) {
+	w.advance(now)
+	w.failing = failing
+}
+
+// Crash ends all running attempts without a report. Nothing else may be called
+// afterwards but Drain.
+func (w *Worker) Crash(now time.Duration) {
+	w.advance(now)
+	for _, a := range w.attempts {
+		if a.running() {
+			w.end(a, AttemptLost, "worker went down")
+		}
+	}
+}
+
+// Drain returns the events up to now that it has not returned before, in the
+// order of their times.
+func (w *Worker) Drain(now time.Duration) []AttemptEvent {
+	w.advance(now)
+	events := w.events
+	w.events = nil
+	return events
+}
+
+// command runs a command if its boot id, term and deadline allow it. A refused
+// command does not raise the worker's term.
+func (w *Worker) command(now time.Duration, c platform.Command, run func() error) error {
+	w.advance(now)
+	if c.Boot != w.config.Boot {
+		return fmt.Errorf("boot id %q is not %q: %w", c.Boot, w.config.Boot, platform.ErrOtherBoot)
+	}
+	if c.Term < w.term {
+		return fmt.Errorf("term %d is below %d: %w", c.Term, w.term, platform.ErrLowerTerm)
+	}
+	if w.clock > c.Deadline {
+		return fmt.Errorf("deadline %v, clock %v: %w", c.Deadline, w.clock, platform.ErrDeadlinePassed)
+	}
+	err := run()
+	if err != nil {
+		return err
+	}
+	w.term = c.Term
+	return nil
+}
+
+// admit checks what a start needs beyond the checks of every command.
+func (w *Worker) admit(s platform.Start) error {
+	if s.ID.Task == "" || s.ID.Attempt < 1 || s.Work < 0 || !(platform.Resources{}).Fits(s.Requests) {
+		return result.Errorf(result.BadResource, "start of attempt %d of task %q is malformed", s.ID.Attempt, s.ID.Task)
+	}
+	if s.ID.Attempt <= w.highest[s.ID.Task] {
+		return fmt.Errorf("attempt %d of task %s, highest %d: %w", s.ID.Attempt, s.ID.Task, w.highest[s.ID.Task], platform.ErrOldAttempt)
+	}
+	if s.LeaseExpiry <= w.clock {
+		return fmt.Errorf("lease ends at %v, clock %v: %w", s.LeaseExpiry, w.clock, platform.ErrDeadlinePassed)
+	}
+	if !w.requested().Add(s.Requests).Fits(w.config.Capacity) {
+		return fmt.Errorf("task %s: %w", s.ID.Task, platform.ErrNoRoom)
+	}
+	return nil
+}
+
+func (w *Worker) launch(s platform.Start) error {
+	a := &attempt{
+		report: platform.Attempt{
+			ID:          s.ID,
+			State:       platform.AttemptRunning,
+			Kind:        s.Kind,
+			Requests:    s.Requests,
+			LeaseExpiry: s.LeaseExpiry,
+			Throttle:    1,
+		},
+		work: w.config.Kinds.work(s.Kind, s.Work),
+	}
+	if s.Checkpoint != "" {
+		done, err := parseCheckpoint(s.Checkpoint, s.ID)
+		if err != nil {
+			return result.Errorf(result.BadResource, "start: %w", err)
+		}
+		a.done = done
+		a.run(0)
+	}
+	failAfter := w.config.Kinds.failAfter(s.Kind)
+	if w.failing {
+		failAfter = failingWorkerDelay
+	}
+	if failAfter > 0 {
+		a.failAt = a.done + failAfter
+	}
+	w.highest[s.ID.Task] = s.ID.Attempt
+	w.attempts = append(w.attempts, a)
+	w.record(a, s.Term, s.Checkpoint)
+	return nil
+}
+
+func (w *Worker) end(a *attempt, state platform.AttemptState, message string) {
+	a.report.State = state
+	a.report.Message = message
+	w.record(a, w.term, "")
+}
+
+func (w *Worker) record(a *attempt, term int64, resumed string) {
+	w.events = append(w.events, AttemptEvent{
+		At:       w.clock,
+		ID:       a.report.ID,
+		Kind:     a.report.Kind,
+		Requests: a.report.Requests,
+		Term:     term,
+		State:    a.report.State,
+		Resumed:  resumed,
+		Done:     a.done,
+	})
+}
+
+func (w *Worker) find(id platform.AttemptID) *attempt {
+	for _, a := range w.attempts {
+		if a.report.ID == id {
+			return a
+		}
+	}
+	return nil
+}
+
+func (w *Worker) findRunning(id platform.AttemptID) (*attempt, error) {
+	a := w.find(id)
+	if a == nil || !a.running() {
+		return nil, fmt.Errorf("attempt %d of task %s: %w", id.Attempt, id.Task, platform.ErrNoAttempt)
+	}
+	return a, nil
+}
+
+// requested returns what the running attempts have requested.
+func (w *Worker) requested() platform.Resources {
+	var sum platform.Resources
+	for _, a := range w.attempts {
+		if a.running() {
+			sum = sum.Add(a.report.Requests)
+		}
+	}
+	return sum
+}
