--- a/operator/handler.go
+++ b/operator/handler.go
@@ -1,8 +1,11 @@
 package operator
 
 import (
+	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/cactusreel/cactusreel/result"
 )
 
 // DefaultBookmarkInterval is the time after which a silent watch gets a
@@ -54,4 +57,29 @@
 }
 
 func (h *Handler) routes() {
+	h.mux.HandleFunc("GET /v1/{kind}", h.whenReady(h.listOrWatch))
+	h.mux.HandleFunc("GET /v1/{kind}/{name}", h.whenReady(h.get))
+	h.mux.HandleFunc("PUT /v1/{kind}/{name}", h.whenReady(h.put))
+	h.mux.HandleFunc("DELETE /v1/{kind}/{name}", h.whenReady(h.remove))
+	h.mux.HandleFunc("POST /v1/{kind}/{name}/{verb}", h.whenReady(h.change))
+	h.mux.HandleFunc("POST /v1/request-ids", h.whenReady(h.issueID))
+	h.mux.HandleFunc("/v1/", noSuchPath)
+}
+
+// whenReady answers with the error of Readiness, if any, before the handler
+// runs: a VM without the newest configuration must not show an older one.
+func (h *Handler) whenReady(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := h.config.Readiness.Ready(); err != nil {
+			fail(w, Failure{Code: result.CodeOf(err, result.NotReady), Message: messageOf(err)})
+			return
+		}
+		next(w, r)
+	}
+}
+
+// noSuchPath answers requests that no other pattern matches, also those with
+// a method that the path does not have.
+func noSuchPath(w http.ResponseWriter, r *http.Request) {
+	fail(w, Failure{Code: result.NotFound, Message: fmt.Sprintf("%s %s does not exist", r.Method, r.URL.Path)})
 }
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -56,10 +56,11 @@
 // WatchLine is one line of a watch.
 type WatchLine struct {
 	Type WatchType `json:"type"`
-	// Version is the version to resume the watch from once the line has been
-	// handled. Several lines can have the same version: all but the last of
-	// them are followed by another line at once.
-	Version  api.Version   `json:"version"`
+	// Version is the version of the change; 0 for an error.
+	Version api.Version `json:"version,omitempty"`
+	// Resume is the version to watch from after this line has been handled.
+	// It is below Version while other changes with the same version follow.
+	Resume   api.Version   `json:"resume,omitempty"`
 	Resource *api.Resource `json:"resource,omitempty"`
 	Failure  *Failure      `json:"failure,omitempty"`
 }
--- a/resources/operation.go
+++ b/resources/operation.go
@@ -46,8 +46,7 @@
 
 // NewPut returns the operation that writes r. The caller has validated r.
 func NewPut(id string, r api.Resource, p Precondition) (Operation, error) {
-	r.Status = nil
-	r.Version, r.Created = 0, 0
+	r.Version, r.Created, r.Homes, r.Status = 0, 0, nil, nil
 	body, err := json.Marshal(r)
 	if err != nil {
 		return Operation{}, fmt.Errorf("encode %s %s: %w", r.Kind, r.Name, err)
--- a/resources/store_test.go
+++ b/resources/store_test.go
@@ -133,6 +133,24 @@
 	is.True(ok)
 }
 
+// Guards against first cells of tasks that change after the creation: homes
+// that follow a take-out or a later put would move every task.
+func TestHomesAreThoseOfTheCreation(t *testing.T) {
+	is := is.New(t)
+	s := resources.New(resources.Limits{})
+	none := resources.Precondition{}
+	apply(t, s, put("", dataCentre("d", true, 4), none))
+	apply(t, s, put("", dataCentre("e", true, 8), none))
+	apply(t, s, put("", job("a", 1), none))
+	apply(t, s, verb("", resources.VerbTakeOut, api.KindDataCentre, "d"))
+	apply(t, s, put("", job("a", 2), none))
+	apply(t, s, put("", job("b", 2), none))
+	a, _ := s.View().Get(api.KindJob, "a")
+	b, _ := s.View().Get(api.KindJob, "b")
+	is.Equal(a.Homes, []api.Home{{DataCentre: "d", Cells: 4}, {DataCentre: "e", Cells: 8}})
+	is.Equal(b.Homes, []api.Home{{DataCentre: "e", Cells: 8}})
+}
+
 // Guards against two states of one resource with the same version.
 func TestOneRecordChangesAResourceOnce(t *testing.T) {
 	is := is.New(t)
