--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,192 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/client"
+	"github.com/cactusreel/cactusreel/operator"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// entryVM stands for an entry VM that reads its own log.
+type entryVM struct {
+	store *resources.Store
+	// breaks makes the next watches lose their connection at once.
+	breaks atomic.Int64
+}
+
+func (e *entryVM) View() *resources.View                        { return e.store.View() }
+func (e *entryVM) Ready() error                                 { return nil }
+func (e *entryVM) NewRequestID(context.Context) (string, error) { return "giza.1.7.x", nil }
+func (e *entryVM) Status(context.Context, api.Resource) (api.Status, error) {
+	return api.Status{Running: 1}, nil
+}
+func (e *entryVM) Submit(_ context.Context, op resources.Operation) (resources.Outcome, error) {
+	outcomes, err := e.store.Apply(e.store.View().Offset()+1, op)
+	return outcomes[0], err
+}
+
+func (e *entryVM) serve(t *testing.T) string {
+	h := operator.New(operator.Config{Store: e, Readiness: e, Submitter: e, Status: e, RequestIDs: e})
+	return serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") && e.breaks.Add(-1) >= 0 {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func serve(t *testing.T, f http.HandlerFunc) string {
+	server := httptest.NewServer(f)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+func failing(t *testing.T, code result.Code, calls *atomic.Int64) string {
+	return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(code.HTTPStatus())
+		_, _ = fmt.Fprintf(w, `{"code":%d,"message":"as told"}`, code)
+	})
+}
+
+// refusing returns the URL of a server that no longer listens.
+func refusing() string {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	return server.URL
+}
+
+func pool(name string) api.Resource {
+	return api.Resource{Meta: api.Meta{Kind: api.KindPool, Name: name}, Pool: &api.PoolSpec{}}
+}
+
+// Guards against a client and a server that understand each other wrongly.
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, err := client.New([]string{(&entryVM{store: resources.New(resources.Limits{})}).serve(t) + "/"})
+	is.NoErr(err)
+	written, err := c.Put(ctx, pool("a"), client.WriteOptions{OperationID: "op-1", Precondition: resources.Precondition{MustNotExist: true}})
+	is.NoErr(err)
+	is.Equal(written, operator.Written{Operation: "op-1", Kind: api.KindPool, Name: "a", Version: 1})
+	written, err = c.Put(ctx, pool("a"), client.WriteOptions{Precondition: resources.Precondition{Version: 9}})
+	is.Equal(result.CodeOf(err, result.OK), result.Conflict)
+	is.True(written.Operation != "") // to repeat it
+	got, err := c.Get(ctx, api.KindPool, "a")
+	is.NoErr(err)
+	is.Equal(got.Version, api.Version(1))
+	list, err := c.List(ctx, api.KindPool)
+	is.NoErr(err)
+	is.True(len(list.Items) == 1 && list.Version == 2)
+	_, err = c.Delete(ctx, api.KindPool, "a", client.WriteOptions{Precondition: resources.Precondition{Version: 1}})
+	is.NoErr(err)
+	for _, change := range []func(context.Context, string, client.WriteOptions) (operator.Written, error){c.Cancel, c.TakeOut, c.BringBack} {
+		_, err = change(ctx, "none", client.WriteOptions{})
+		is.Equal(result.CodeOf(err, result.OK), result.NotFound)
+		is.True(strings.Contains(err.Error(), "s/none does not exist")) // of the verb's own kind
+	}
+	id, err := c.NewRequestID(ctx)
+	is.NoErr(err)
+	is.Equal(id, "giza.1.7.x")
+}
+
+// Guards against a write that is sent to a second server, or reported as not
+// run, after its outcome became unknown at the first.
+func TestUnknownOutcomeIsNotRepeated(t *testing.T) {
+	for name, first := range map[string]func(*testing.T, *atomic.Int64) string{
+		"answer says unknown": func(t *testing.T, n *atomic.Int64) string { return failing(t, result.WriteOutcomeUnknown, n) },
+		"connection lost": func(t *testing.T, n *atomic.Int64) string {
+			return serve(t, func(http.ResponseWriter, *http.Request) { n.Add(1); panic(http.ErrAbortHandler) })
+		},
+		"answer without code": func(t *testing.T, n *atomic.Int64) string {
+			return serve(t, func(w http.ResponseWriter, _ *http.Request) { n.Add(1); w.WriteHeader(http.StatusBadGateway) })
+		},
+		"answer cut off": func(t *testing.T, n *atomic.Int64) string {
+			return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				n.Add(1)
+				w.Header().Set("Content-Length", "100")
+				_, _ = w.Write([]byte(`{"version":`))
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sent, second atomic.Int64
+			c, err := client.New([]string{first(t, &sent), failing(t, result.Conflict, &second)})
+			is.NoErr(err)
+			_, err = c.Put(context.Background(), pool("a"), client.WriteOptions{})
+			is.Equal(result.CodeOf(err, result.OK), result.WriteOutcomeUnknown)
+			is.True(sent.Load() == 1 && second.Load() == 0)
+		})
+	}
+}
+
+// Guards against giving up while another server can serve the request, and
+// against an outcome that is unknown although nothing was sent.
+func TestNextServerAfterNoEffect(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var calls atomic.Int64
+	live := (&entryVM{store: resources.New(resources.Limits{})}).serve(t)
+	c, err := client.New([]string{refusing(), failing(t, result.NotReady, &calls), failing(t, result.NotRunLogUnavailable, &calls), live})
+	is.NoErr(err)
+	_, err = c.Put(ctx, pool("a"), client.WriteOptions{})
+	is.NoErr(err)
+	is.Equal(calls.Load(), int64(2))
+	none, err := client.New([]string{refusing()})
+	is.NoErr(err)
+	_, err = none.Put(ctx, pool("a"), client.WriteOptions{})
+	is.Equal(result.CodeOf(err, result.OK), result.PeerUnavailable)
+	for _, bad := range []string{"127.0.0.1:1", "https://127.0.0.1", "http://127.0.0.1/?a=b"} {
+		_, err = client.New([]string{bad})
+		is.True(err != nil)
+	}
+}
+
+// Guards against a follower that loses changes when its connection breaks or
+// its version falls out of the window.
+func TestFollowSurvivesBrokenWatch(t *testing.T) {
+	is := is.New(t)
+	e := &entryVM{store: resources.New(resources.Limits{Events: 1})}
+	c, err := client.New([]string{e.serve(t)})
+	is.NoErr(err)
+	put := func(name string) {
+		op, err := resources.NewPut("", pool(name), resources.Precondition{})
+		is.NoErr(err)
+		_, err = e.Submit(context.Background(), op)
+		is.NoErr(err)
+	}
+	put("a")
+	e.breaks.Store(1)
+	done := errors.New("seen all")
+	seen := map[string]bool{}
+	err = c.Follow(context.Background(), api.KindPool, func(line operator.WatchLine) error {
+		switch {
+		case line.Type == operator.WatchPut:
+			seen[line.Resource.Name] = true
+		case len(seen) == 1: // the list has ended; its watch will break and then be too old
+			put("b")
+			put("c")
+		}
+		if len(seen) == 3 {
+			return done
+		}
+		return nil
+	})
+	is.Equal(err, done)
+}
