--- a/command/main.go
+++ b/command/main.go
@@ -32,7 +32,13 @@
 	root.SetIn(o.Stdin)
 	root.SetOut(o.Stdout)
 	root.SetErr(o.Stderr)
-	root.AddCommand(newSettings(), newCodes(), newEvents())
+	root.AddCommand(
+		newEntry(o),
+		newApply(), newGet(), newDescribe(), newWatch(), newDelete(),
+		newCancel(), newTakeOut(), newBringBack(),
+		newDump(), newReplay(o), newSettings(), newCodes(), newEvents(),
+		newVersion(o), newCompletion(),
+	)
 	markUsageErrors(root)
 	return root
 }
--- /dev/null
+++ b/command/table.go
@@ -0,0 +1,99 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// columns holds the headings of each kind after NAME and VERSION.
+var columns = map[api.Kind]string{
+	api.KindService:    "TEAM\tKIND\tREPLICAS\tRUNNING\tP99 TARGET\tCRITICALITY\tPER REPLICA",
+	api.KindJob:        "TEAM\tKIND\tTASKS\tRUNNING\tCOMPLETED\tPRIORITY\tCANCELLED\tPER TASK",
+	api.KindPool:       "DATA CENTRES\tWORKERS",
+	api.KindDataCentre: "IN SERVICE\tCELLS\tDRAIN",
+	api.KindTeam:       "QUOTA\tMAY BORROW",
+	api.KindWeights:    "TAIL LATENCY\tDATA CENTRE CHANGES\tEVICTIONS\tTHROUGHPUT",
+}
+
+// writeTable writes one line per resource. Counts of tasks are "-" in lists,
+// which do not collect the status.
+func writeTable(w io.Writer, kind api.Kind, list []api.Resource) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "NAME\tVERSION\t%s\n", columns[kind])
+	for _, r := range list {
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%s\n", r.Name, r.Version, strings.Join(cells(r), "\t"))
+	}
+	return t.Flush()
+}
+
+// cells returns the values of a resource under the headings of its kind.
+func cells(r api.Resource) []string {
+	switch {
+	case r.Service != nil:
+		s := r.Service
+		return texts(s.Team, s.TaskKind, s.Replicas, count(r.Status, runningOf), fmt.Sprintf("%dms", s.TargetP99Millis), s.Criticality, amount(s.Requests))
+	case r.Job != nil:
+		j := r.Job
+		return texts(j.Team, j.TaskKind, j.Tasks, count(r.Status, runningOf), count(r.Status, completedOf), j.Priority, yesNo(j.Cancelled), amount(j.Requests))
+	case r.Pool != nil:
+		return texts(orAll(r.Pool.DataCentres), orAll(r.Pool.Workers))
+	case r.DataCentre != nil:
+		return texts(yesNo(r.DataCentre.InService), r.DataCentre.Cells, fmt.Sprintf("%ds", r.DataCentre.DrainSeconds))
+	case r.Team != nil:
+		return texts(amount(r.Team.Quota), yesNo(r.Team.MayBorrow))
+	case r.Weights != nil:
+		return texts(r.Weights.TailLatency, r.Weights.DataCentreChanges, r.Weights.Evictions, r.Weights.Throughput)
+	}
+	return nil
+}
+
+func texts(values ...any) []string {
+	list := make([]string, len(values))
+	for i, v := range values {
+		list[i] = fmt.Sprint(v)
+	}
+	return list
+}
+
+func runningOf(s *api.Status) int   { return s.Running }
+func completedOf(s *api.Status) int { return s.Completed }
+
+func count(s *api.Status, of func(*api.Status) int) string {
+	if s == nil {
+		return "-"
+	}
+	return fmt.Sprint(of(s))
+}
+
+func amount(r platform.Resources) string {
+	s := fmt.Sprintf("%gc %dMiB", float64(r.MilliCPU)/1000, r.MemoryMiB)
+	if r.Accelerators > 0 {
+		s += fmt.Sprintf(" %da", r.Accelerators)
+	}
+	return s
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// maxNamesShown bounds the names in one cell of a table.
+const maxNamesShown = 4
+
+func orAll(names []string) string {
+	switch {
+	case len(names) == 0:
+		return "all"
+	case len(names) > maxNamesShown:
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:maxNamesShown], ","), len(names)-maxNamesShown)
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/command/write.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/client"
+	"github.com/cactusreel/cactusreel/operator"
+	"github.com/cactusreel/cactusreel/resources"
+)
+
+// writeFlags holds the flags of the commands that change one resource.
+type writeFlags struct {
+	*connection
+	operationID string
+	ifVersion   int64
+}
+
+func addWriteFlags(c *cobra.Command) *writeFlags {
+	f := &writeFlags{connection: addConnection(c)}
+	c.Flags().StringVar(&f.operationID, "operation-id", "", "id of the operation, to repeat one whose outcome is unknown")
+	c.Flags().Int64Var(&f.ifVersion, "if-version", 0, "refuse unless the resource has this version")
+	return f
+}
+
+// run performs a write and reports the new version, or the operation id with
+// which the write can be repeated.
+func (f *writeFlags) run(c *cobra.Command, what string, write func(context.Context, *client.Client, client.WriteOptions) (operator.Written, error)) error {
+	if f.ifVersion < 0 {
+		return usageErrorf("--if-version is %d; accepted: 1 or more", f.ifVersion)
+	}
+	server, err := f.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := f.limited(c.Context())
+	defer cancel()
+	options := client.WriteOptions{
+		OperationID:  f.operationID,
+		Precondition: resources.Precondition{Version: api.Version(f.ifVersion)},
+	}
+	written, err := write(ctx, server, options)
+	if err != nil {
+		return withOperationID(exitError(err), written.Operation)
+	}
+	_, err = fmt.Fprintf(c.OutOrStdout(), "%s/%s %s, version %d\n", written.Kind, written.Name, what, written.Version)
+	return err
+}
+
+// withOperationID tells how to repeat a write whose outcome is unknown.
+func withOperationID(err error, id string) error {
+	if ExitCode(err) != ExitUnknown {
+		return err
+	}
+	return fmt.Errorf("%w\nrepeat the command with --operation-id %s to learn the outcome", err, id)
+}
