ownership: admit a claimant by expiry only if the owner had read its join

Cause: an owner acts on renewals that landed without having read them back. A VM that joined between the owner's last reading and such a renewal passed the rule 'joined before the last renewal', while the owner, which asks only members that it has read for promises, counted itself as vouched.

Ruled out: asking all VMs of the settings for promises; a VM with another address can join.

Change: a renewal names the offset up to which its writer had read the stream; a claimant must have joined before that. Views name the ownership that was replaced and the end of full authority.

Before: TestRenewalThatLandedUnreadAdmitsNoUnknownClaimant fails (the late joiner claims). After: it passes, and so do the randomised schedules.

--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -70,6 +70,7 @@
 			continue
 		}
 		c.touch(m.offset, m.now)
+		c.ownerRead = max(c.ownerRead, r.Read)
 		if !own {
 			c.predecessors = held.Predecessors
 		}
@@ -88,7 +89,6 @@
 func (m *Machine) renewedBy(c *cell, r *recordpb.Renew, held *recordpb.CellTerm) bool {
 	if !c.known && m.first > 1 && held.Term < m.first {
 		c.setOwner(r.Vm, r.Incarnation, held.Term, m.now)
-		c.term = held.Term
 	}
 	return c.owner == r.Vm && c.incarnation == r.Incarnation && c.term == held.Term
 }
--- a/ownership/cell.go
+++ b/ownership/cell.go
@@ -16,7 +16,13 @@
 	incarnation uint64
 	term        int64
 	// last is the offset of the last accepted claim, release or renewal.
-	last         int64
+	last int64
+	// ownerRead is the offset up to which the owner had certainly read the
+	// stream when it was last confirmed: it knows every member that joined
+	// before. For a renewal that is what the renewal says, because an owner
+	// acts on renewals that landed without having read them back.
+	ownerRead    int64
+	previous     Previous
 	rescue       bool
 	predecessors []*recordpb.Predecessor
 
@@ -52,11 +58,13 @@
 
 // setOwner starts a term.
 func (c *cell) setOwner(vm string, incarnation uint64, offset int64, now time.Duration) {
+	c.previous = Previous{VM: c.owner, Incarnation: c.incarnation, Term: c.term}
 	c.known = true
 	c.owner = vm
 	c.incarnation = incarnation
 	c.term = offset
 	c.rescue = false
+	c.ownerRead = offset
 	c.touch(offset, now)
 }
 
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -35,7 +35,7 @@
 	if c.owner == "" || c.rescue {
 		return true
 	}
-	if m.joined < c.last || m.config.Unsafe.NoJoinRule {
+	if m.joined <= c.ownerRead || m.config.Unsafe.NoJoinRule {
 		return true
 	}
 	return m.gone(c.owner, c.incarnation)
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -7,11 +7,13 @@
 )
 
 // claimants returns the VMs that could claim a cell of this VM by expiry: all
-// that joined before its last renewal and are not known gone, in ascending order.
-func (m *Machine) claimants(c *cell) []string {
+// members that are not known gone, in ascending order. Members that joined
+// after its last renewal was read back count too, because a later renewal may
+// have landed unread and names what this VM has read until now.
+func (m *Machine) claimants() []string {
 	var names []string
 	for _, vm := range slices.Sorted(maps.Keys(m.members)) {
-		if vm == m.config.VM || m.memberGone(vm) || m.members[vm].joined > c.last {
+		if vm == m.config.VM || m.memberGone(vm) {
 			continue
 		}
 		names = append(names, vm)
@@ -22,7 +24,7 @@
 // vouched reports whether all claimants of a cell have promised not to claim
 // it, and their promises are in force.
 func (m *Machine) vouched(now time.Duration, c *cell) bool {
-	for _, vm := range m.claimants(c) {
+	for _, vm := range m.claimants() {
 		asked, ok := c.promises[vm]
 		if !ok || now >= asked+m.config.PromiseLife {
 			return false
@@ -63,7 +65,7 @@
 			continue
 		}
 		cells = append(cells, CellTerm{Cell: i, Term: c.term})
-		for _, vm := range m.claimants(c) {
+		for _, vm := range m.claimants() {
 			peers[vm] = true
 		}
 	}
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -30,6 +30,7 @@
 		Number:      m.renewals,
 		Cells:       m.renewedCells(),
 		Synced:      m.synced,
+		Read:        m.offset,
 	}}})
 }
 
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -27,6 +27,13 @@
 	StateRescue State = "rescue"
 )
 
+// Previous is the ownership that a newer term has replaced.
+type Previous struct {
+	VM          string `json:"vm,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Term        int64  `json:"term,omitempty"`
+}
+
 // View is what a machine knows of one cell.
 type View struct {
 	Cell int `json:"cell"`
@@ -40,6 +47,11 @@
 	// OwnTerm is the term of this VM's ownership in every state but
 	// StateNone. In StateLost it is below the newest term.
 	OwnTerm int64 `json:"ownTerm,omitempty"`
+	// Previous is the ownership before Term; zero if there was none.
+	Previous Previous `json:"previous"`
+	// FullUntil is the end of the lease, or of the promises in StateVouched, on
+	// the local clock. From then on at most ReducedSlots may be used.
+	FullUntil time.Duration `json:"fullUntil,omitempty"`
 	// WaitUntil is the end of StateWaiting on the local clock.
 	WaitUntil time.Duration `json:"waitUntil,omitempty"`
 	// Slots is how many slots of each worker this VM may use now.
@@ -63,6 +75,7 @@
 		return v
 	}
 	v.Owner, v.Incarnation, v.Term = c.owner, c.incarnation, c.term
+	v.Previous = c.previous
 	v.Predecessors = c.slotPredecessors()
 	v.Renewers = len(c.predecessors)
 	v.Own = m.state(now, c)
@@ -70,6 +83,7 @@
 		return v
 	}
 	v.OwnTerm = c.ownTerm
+	v.FullUntil = m.fullUntil(now, c, v.Own)
 	if v.Own == StateWaiting {
 		v.WaitUntil = c.waitUntil
 	}
@@ -80,6 +94,18 @@
 	return v
 }
 
+// fullUntil returns the end of what permits the full number of slots.
+func (m *Machine) fullUntil(now time.Duration, c *cell, s State) time.Duration {
+	if s != StateVouched {
+		return c.leaseEnd
+	}
+	end := now + m.config.PromiseLife
+	for _, vm := range m.claimants() {
+		end = min(end, c.promises[vm]+m.config.PromiseLife)
+	}
+	return end
+}
+
 func (m *Machine) state(now time.Duration, c *cell) State {
 	switch {
 	case c.ownTerm == 0 || m.left:
