--- a/cmd/cactusreel/main.go
+++ b/cmd/cactusreel/main.go
@@ -3,9 +3,12 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 
 	"github.com/cactusreel/cactusreel/command"
+	"github.com/cactusreel/cactusreel/entry"
+	"github.com/cactusreel/cactusreel/settings"
 )
 
 // version is set by the linker for releases.
@@ -17,5 +20,15 @@
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
 		Version: version,
+		Entry:   runEntry,
 	}))
 }
+
+// runEntry runs the daemon and gives a cut-off its exit code.
+func runEntry(ctx context.Context, s settings.Entry) error {
+	err := entry.Run(ctx, s)
+	if errors.Is(err, entry.ErrCutOff) {
+		return &command.ExitError{Code: command.ExitCutOff, Err: err}
+	}
+	return err
+}
--- /dev/null
+++ b/entry/agents.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/platform/httpapi"
+)
+
+// agent returns the client of a worker's agent at its listed address.
+func (n *Node) agent(worker string) (platform.WorkerAgent, bool) {
+	vm, ok := n.list.Load().workers[worker]
+	if !ok {
+		return n.lastAgent(worker)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	entry := n.agents[worker]
+	if entry.address != vm.AgentAddress {
+		entry = agentEntry{address: vm.AgentAddress, client: httpapi.NewWorkerAgentClient(vm.AgentAddress, n.httpClient)}
+		n.agents[worker] = entry
+	}
+	return entry.client, true
+}
+
+// lastAgent returns the client of a worker that the list no longer names: the
+// list lags and the worker may still run attempts.
+func (n *Node) lastAgent(worker string) (platform.WorkerAgent, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	entry, ok := n.agents[worker]
+	return entry.client, ok
+}
+
+// readVMList reads the VM list of this data centre once.
+func (n *Node) readVMList(ctx context.Context) {
+	sentAt := n.clock()
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Times.LogTimeout)
+	defer cancel()
+	vms, err := n.vmList.List(ctx, n.settings.DataCentre)
+	if err != nil {
+		n.noteListFailure(sentAt, err)
+		return
+	}
+	list := newWorkerList(vms, sentAt)
+	n.list.Store(list)
+	if claims := n.claims.Load(); claims != nil {
+		claims.send(ownership.Listed{VMs: list.entryVMs})
+	}
+}
+
+// staleAfter is how old the VM list gets before a warning is logged.
+const staleAfter = 10 * time.Second
+
+func (n *Node) noteListFailure(now time.Duration, err error) {
+	age := now - n.list.Load().readAt
+	if age < staleAfter {
+		return
+	}
+	n.events.Log(logevent.VMListStale, zap.Duration("age", age), zap.Error(err))
+}
+
+// workerTimeout bounds a call to a worker agent.
+func (n *Node) workerTimeout() time.Duration {
+	return n.settings.Times.WorkerTimeout
+}
+
+// declared returns the newest declared work, nil before the first record.
+func (n *Node) declared() *declaredWork {
+	return n.work.Load()
+}
+
+// listed returns the newest VM list of the data centre.
+func (n *Node) listed() *workerList {
+	return n.list.Load()
+}
+
+// cells returns the number of cells of the data centre; 0 while it is not
+// declared.
+func (n *Node) cells() int {
+	d := n.work.Load()
+	if d == nil || !d.known {
+		return 0
+	}
+	return d.dataCentre.Cells
+}
--- /dev/null
+++ b/entry/cellplan.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+	"github.com/cactusreel/cactusreel/scheduler"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// plan runs one round of placement over the pending tasks and hands its
+// decisions to the machine, which checks each against the state of the moment.
+func (r *cellRunner) plan(now time.Duration) {
+	d := r.host.declared()
+	if d == nil || r.own.Own == "" || r.term == 0 {
+		return
+	}
+	pending := r.pendingTasks(now, d)
+	if len(pending) == 0 {
+		return
+	}
+	snapshot, err := r.snapshot(now, d)
+	if err != nil {
+		return
+	}
+	plan := r.policy.Place(now, snapshot, pending)
+	for _, p := range plan.Placements {
+		r.step(tasks.PlacementDecided{Task: p.Task, Worker: p.Worker})
+	}
+	for _, w := range plan.Waits {
+		r.noteWait(w, d)
+	}
+	for _, a := range plan.Actions {
+		r.apply(now, a)
+	}
+}
+
+// noteWait keeps the reason of a pending task and moves the task if another
+// cell suits it better.
+func (r *cellRunner) noteWait(w scheduler.Wait, d *declaredWork) {
+	r.reasons[w.Task] = w.Reason
+	if w.MoveTo != nil && (d.placing() || d.known) {
+		r.step(tasks.MoveRequested{Task: w.Task, To: recordCell(*w.MoveTo)})
+	}
+}
+
+// act lets the policy look at the running attempts.
+func (r *cellRunner) act(now time.Duration) {
+	d := r.host.declared()
+	if d == nil || r.term == 0 {
+		return
+	}
+	snapshot, err := r.snapshot(now, d)
+	if err != nil {
+		return
+	}
+	for _, a := range r.policy.Act(now, snapshot) {
+		r.apply(now, a)
+	}
+	r.takeCheckpoints(now, d)
+}
+
+// apply carries out an action of the policy.
+func (r *cellRunner) apply(now time.Duration, a scheduler.Action) {
+	switch a.Kind {
+	case scheduler.Throttle:
+		r.throttle(now, a)
+	case scheduler.Move, scheduler.Evict:
+		r.log.Log(logevent.TaskEvicting, zap.String("task", a.ID.Task), zap.Int64("attempt", a.ID.Attempt), zap.String("worker", a.Worker), zap.String("reason", a.Reason))
+		r.step(tasks.EvictRequested{Task: a.ID.Task, Attempt: a.ID.Attempt, To: optionalCell(a.To)})
+	case scheduler.Stop:
+		// The machine itself stops what is cancelled or no longer declared.
+	}
+}
+
+// throttle sets the processor share of an attempt. A throttle that is lost is
+// decided again in a later round.
+func (r *cellRunner) throttle(now time.Duration, a scheduler.Action) {
+	seen := r.workers[a.Worker]
+	if seen == nil || now >= r.own.PlaceUntil {
+		return
+	}
+	command := platform.Command{Term: r.term, Boot: seen.state.Boot, Deadline: seen.deadline(r.own.PlaceUntil, r.config.Drift)}
+	r.throttled[a.ID] = a.Share
+	r.log.Log(logevent.TaskThrottled, zap.String("task", a.ID.Task), zap.Int64("attempt", a.ID.Attempt), zap.String("worker", a.Worker), zap.Float64("share", a.Share), zap.String("reason", a.Reason))
+	r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) {
+		r.report(a.Worker, agent.Throttle(ctx, command, a.ID, a.Share))
+	})
+}
+
+// takeCheckpoints asks for the periodic checkpoints that are due.
+func (r *cellRunner) takeCheckpoints(now time.Duration, d *declaredWork) {
+	for id, mark := range r.starts {
+		job := d.jobs[jobOf(id.Task)]
+		if job == nil || job.resource.Job == nil {
+			continue
+		}
+		last := max(mark.at, r.checkpoint[id])
+		if now-last < checkpointEvery {
+			continue
+		}
+		r.checkpoint[id] = now
+		r.step(tasks.CheckpointRequested{Task: id.Task, Attempt: id.Attempt})
+	}
+}
+
+// pendingTasks returns the tasks that wait for a placement.
+func (r *cellRunner) pendingTasks(now time.Duration, d *declaredWork) []scheduler.Task {
+	var list []scheduler.Task
+	still := make(map[string]time.Duration)
+	for _, t := range r.machine.Tasks() {
+		job := d.jobs[jobOf(t.Task)]
+		if t.Status != tasks.StatusPending || t.InFlight || job == nil {
+			continue
+		}
+		since, known := r.pending[t.Task]
+		if !known {
+			since = now
+		}
+		still[t.Task] = since
+		list = append(list, r.pendingTask(t, job, d, since))
+	}
+	r.pending = still
+	for id := range r.reasons {
+		if _, waits := still[id]; !waits {
+			delete(r.reasons, id)
+		}
+	}
+	return list
+}
+
+func (r *cellRunner) pendingTask(t tasks.View, job *declaredJob, d *declaredWork, since time.Duration) scheduler.Task {
+	return scheduler.Task{
+		ID:         t.Task,
+		Job:        jobOf(t.Task),
+		Team:       job.team,
+		Kind:       job.work.TaskKind,
+		Service:    job.resource.Service != nil,
+		Urgent:     job.urgent,
+		Requests:   job.work.Requests,
+		RunTime:    job.work.Run,
+		Since:      since,
+		Attempt:    t.Attempt + 1,
+		Checkpoint: t.Checkpoint,
+		MaxRetries: job.work.MaxRetries,
+		Workers:    r.poolWorkers(job.pool, d),
+	}
+}
+
+// poolWorkers returns the workers of a pool in this cell, or nil for all.
+func (r *cellRunner) poolWorkers(name string, d *declaredWork) map[string]bool {
+	if name == "" {
+		return nil
+	}
+	pool, ok := d.pools[name]
+	if !ok {
+		return map[string]bool{}
+	}
+	if !poolHas(pool.DataCentres, r.cell.DataCentre) {
+		return map[string]bool{}
+	}
+	if len(pool.Workers) == 0 {
+		return nil
+	}
+	allowed := make(map[string]bool, len(pool.Workers))
+	for _, id := range pool.Workers {
+		allowed[id] = true
+	}
+	return allowed
+}
+
+// poolHas reports whether a list of a pool names an id; an empty list names all.
+func poolHas(list []string, id string) bool {
+	if len(list) == 0 {
+		return true
+	}
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+func recordCell(c scheduler.CellID) *recordpb.Cell {
+	return &recordpb.Cell{DataCentre: c.DataCentre, Cell: int32(c.Index)}
+}
+
+func optionalCell(c *scheduler.CellID) *recordpb.Cell {
+	if c == nil {
+		return nil
+	}
+	return recordCell(*c)
+}
--- /dev/null
+++ b/entry/cellrunner.go
@@ -0,0 +1,296 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/scheduler"
+	"github.com/cactusreel/cactusreel/tasks"
+	"github.com/cactusreel/cactusreel/writer"
+)
+
+// Times of a cell's runner.
+const (
+	// cellTick is how often the task machine is told the time.
+	cellTick = 100 * time.Millisecond
+	// planEvery is the interval between two rounds of placement.
+	planEvery = 200 * time.Millisecond
+	// actEvery is the interval between two looks at running attempts.
+	actEvery = time.Second
+	// checkpointEvery is the interval of periodic checkpoints of a batch
+	// attempt. 180,000 running tasks make 600 checkpoint records per second at
+	// 5 minutes, spread over about 110 writers.
+	checkpointEvery = 5 * time.Minute
+)
+
+// Limits of a cell's runner.
+const (
+	// cellQueue bounds the messages that wait for the runner.
+	cellQueue = 4096
+	// commandsInFlight bounds the commands to workers of one cell.
+	commandsInFlight = 128
+)
+
+// cellHost is what a runner needs of its node.
+type cellHost interface {
+	agent(worker string) (platform.WorkerAgent, bool)
+	offerMove(ctx context.Context, a tasks.OfferMove)
+	confirmMove(ctx context.Context, a tasks.ConfirmMove)
+	// declared returns the newest declared work and what placement needs of it.
+	declared() *declaredWork
+	// listed returns the newest VM list of the data centre.
+	listed() *workerList
+	// cells returns the number of cells of the data centre.
+	cells() int
+	// startsUntil is the end of freshness, claimsReadAt the last successful
+	// read of the claims stream, both on the local clock.
+	startsUntil() time.Duration
+	claimsReadAt() time.Duration
+	// otherCells returns summaries of cells of other owners and of this VM.
+	otherCells(cell int) []scheduler.CellSummary
+	workerTimeout() time.Duration
+}
+
+// cellMessage is what other goroutines send to a runner.
+type cellMessage struct {
+	event tasks.Event
+	page  []platform.LogRecord
+	// truncatedAt is the first kept offset if the stream was truncated.
+	truncatedAt int64
+	view        *ownership.View
+	answer      *workerAnswer
+}
+
+// workerAnswer is a worker's answer to Observe or Fence.
+type workerAnswer struct {
+	sentAt   time.Duration
+	observed observed
+}
+
+// cellRunner runs the task machine and the policy of one cell. Its goroutine
+// is the only one that touches them.
+type cellRunner struct {
+	cell    scheduler.CellID
+	config  tasks.Config
+	machine *tasks.Machine
+	policy  *scheduler.Policy
+	host    cellHost
+	writer  *writer.Writer
+	log     *logevent.Logger
+	clock   Clock
+
+	messages chan cellMessage
+	follower *follower
+	gap      gapBuffer
+	commands chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	own        ownership.View
+	term       int64
+	freshUntil time.Duration
+	readClaims time.Duration
+	placing    bool
+	declaredAt int64
+	declared   map[string]declaredVersion
+	listed     *workerList
+
+	workers    map[string]*observed
+	usageSeen  map[platform.AttemptID]time.Duration
+	starts     map[platform.AttemptID]startMark
+	pending    map[string]time.Duration
+	reasons    map[string]string
+	plannedAt  time.Duration
+	actedAt    time.Duration
+	throttled  map[platform.AttemptID]float64
+	checkpoint map[platform.AttemptID]time.Duration
+
+	current atomic.Pointer[cellView]
+}
+
+// declaredVersion is work as it was last passed to the machine.
+type declaredVersion struct {
+	version api.Version
+	work    tasks.Work
+}
+
+// startMark is when an attempt was first seen running here.
+type startMark struct {
+	at     time.Duration
+	worker string
+}
+
+func newCellRunner(cell scheduler.CellID, config tasks.Config, policy *scheduler.Policy, host cellHost, log platform.Log, w *writer.Writer, events *logevent.Logger, clock Clock, poll time.Duration) *cellRunner {
+	r := &cellRunner{
+		cell:       cell,
+		config:     config,
+		machine:    tasks.New(config),
+		policy:     policy,
+		host:       host,
+		writer:     w,
+		log:        events,
+		clock:      clock,
+		messages:   make(chan cellMessage, cellQueue),
+		commands:   make(chan struct{}, commandsInFlight),
+		declared:   make(map[string]declaredVersion),
+		workers:    make(map[string]*observed),
+		usageSeen:  make(map[platform.AttemptID]time.Duration),
+		starts:     make(map[platform.AttemptID]startMark),
+		pending:    make(map[string]time.Duration),
+		reasons:    make(map[string]string),
+		throttled:  make(map[platform.AttemptID]float64),
+		checkpoint: make(map[platform.AttemptID]time.Duration),
+	}
+	r.follower = r.newFollower(log, poll)
+	r.current.Store(&cellView{cell: cell.Index})
+	return r
+}
+
+func (r *cellRunner) newFollower(log platform.Log, poll time.Duration) *follower {
+	return &follower{
+		log:    log,
+		stream: record.TasksStream(r.cell.DataCentre, r.cell.Index),
+		clock:  r.clock,
+		poll:   poll,
+		wake:   make(chan struct{}, 1),
+		apply: func(page platform.LogPage, _ time.Duration) {
+			if len(page.Records) > 0 {
+				r.send(cellMessage{page: page.Records})
+			}
+		},
+		truncated: func(page platform.LogPage) int64 {
+			r.send(cellMessage{truncatedAt: page.First})
+			return page.First
+		},
+		failed: func(error) {},
+	}
+}
+
+// send queues a message for the runner.
+func (r *cellRunner) send(m cellMessage) {
+	select {
+	case r.messages <- m:
+	case <-r.ctx.Done():
+	}
+}
+
+// event queues an event of the task machine.
+func (r *cellRunner) event(ev tasks.Event) {
+	r.send(cellMessage{event: ev})
+}
+
+// view returns the newest picture of the cell.
+func (r *cellRunner) view() *cellView {
+	return r.current.Load()
+}
+
+// run drives the cell until the context ends.
+func (r *cellRunner) run() {
+	go r.follower.run(r.ctx)
+	ticker := time.NewTicker(cellTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+			r.tick()
+		case m := <-r.messages:
+			r.handle(m)
+		}
+	}
+}
+
+// tick lets time pass in the machine and in the policy.
+func (r *cellRunner) tick() {
+	r.refreshAuthority()
+	r.refreshDeclared()
+	r.step(tasks.Tick{})
+	now := r.clock()
+	if now-r.plannedAt >= planEvery {
+		r.plannedAt = now
+		r.plan(now)
+	}
+	if now-r.actedAt >= actEvery {
+		r.actedAt = now
+		r.act(now)
+	}
+	r.publish(now)
+}
+
+func (r *cellRunner) handle(m cellMessage) {
+	switch {
+	case m.event != nil:
+		r.step(m.event)
+	case m.answer != nil:
+		r.handleAnswer(m.answer)
+	case m.page != nil:
+		r.applyPage(m.page)
+	case m.truncatedAt > 0:
+		r.gap.reset()
+	case m.view != nil:
+		r.handleOwnership(*m.view)
+	}
+}
+
+// handleOwnership passes on a change of the cell's ownership.
+func (r *cellRunner) handleOwnership(v ownership.View) {
+	before := r.own
+	r.own = v
+	switch v.Own {
+	case ownership.StateNone, ownership.StateLost:
+		if before.Own != v.Own {
+			r.step(tasks.Disowned{})
+		}
+	default:
+		r.takeOver(before, v)
+	}
+	r.sendAuthority()
+}
+
+func (r *cellRunner) takeOver(before, v ownership.View) {
+	if v.OwnTerm != r.term {
+		r.term = v.OwnTerm
+		r.step(tasks.Owned{Term: v.OwnTerm, Rescue: v.Own == ownership.StateRescue, Predecessors: v.Predecessors})
+		return
+	}
+	if before.Predecessors != v.Predecessors {
+		r.step(tasks.PredecessorsChanged{Count: v.Predecessors})
+	}
+}
+
+// refreshAuthority follows the ends of freshness and of the offline limit.
+func (r *cellRunner) refreshAuthority() {
+	fresh, read := r.host.startsUntil(), r.host.claimsReadAt()
+	if fresh == r.freshUntil && read == r.readClaims {
+		return
+	}
+	r.freshUntil, r.readClaims = fresh, read
+	r.sendAuthority()
+}
+
+func (r *cellRunner) sendAuthority() {
+	r.step(tasks.AuthorityChanged{
+		PlaceUntil: r.placeUntil(),
+		RenewUntil: r.readClaims + r.config.OfflineLimit,
+	})
+}
+
+// placeUntil returns the end of the authority to start tasks: the earlier of
+// the lease and of freshness.
+func (r *cellRunner) placeUntil() time.Duration {
+	return min(r.own.PlaceUntil, r.freshUntil)
+}
+
+// step passes an event to the machine and carries out its actions.
+func (r *cellRunner) step(ev tasks.Event) {
+	for _, action := range r.machine.Step(r.clock(), ev) {
+		r.execute(action)
+	}
+}
--- /dev/null
+++ b/entry/cellsnapshot.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+	"github.com/cactusreel/cactusreel/scheduler"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// snapshot builds the policy's picture of the cell.
+func (r *cellRunner) snapshot(now time.Duration, d *declaredWork) (*scheduler.Snapshot, error) {
+	byWorker := make(map[string][]scheduler.Attempt)
+	for _, t := range r.machine.Tasks() {
+		if t.Worker == "" {
+			continue
+		}
+		byWorker[t.Worker] = append(byWorker[t.Worker], r.attempt(now, t, d))
+	}
+	var workers []scheduler.Worker
+	for _, w := range r.machine.Workers() {
+		workers = append(workers, r.schedulerWorker(w, byWorker[w.ID]))
+	}
+	s, err := scheduler.NewSnapshot(r.cell, r.machine.Offset(), workers)
+	if err != nil {
+		return nil, err
+	}
+	s = s.WithTeams(r.teams(d)).WithWeights(d.weights).WithDataCentre(d.dataCentreAt(now))
+	return s.WithSummaries(r.host.otherCells(r.cell.Index)), nil
+}
+
+// schedulerWorker describes a worker. Reservations that belong to no known
+// attempt are taken off its capacity, so that they are never given away.
+func (r *cellRunner) schedulerWorker(w tasks.WorkerView, attempts []scheduler.Attempt) scheduler.Worker {
+	capacity := w.Capacity
+	known := platform.Resources{}
+	for i := range attempts {
+		known = known.Add(attempts[i].Requests)
+	}
+	rest := w.Reserved.Sub(known)
+	if rest.MilliCPU > 0 || rest.MemoryMiB > 0 || rest.Accelerators > 0 {
+		capacity = capacity.Sub(rest)
+	}
+	out := scheduler.Worker{
+		ID:          w.ID,
+		Boot:        w.Boot,
+		Capacity:    capacity,
+		Unreachable: !w.Ready,
+		Leaving:     w.Leaving,
+		Attempts:    attempts,
+	}
+	if vm, ok := r.listed.workers[w.ID]; ok {
+		out.Rack = vm.Rack
+	}
+	if seen := r.workers[w.ID]; seen != nil {
+		out.Load = load(seen.state)
+	}
+	return out
+}
+
+// load returns the newest measured load of a worker.
+func load(s platform.WorkerState) float64 {
+	newest := time.Duration(-1)
+	value := 0.0
+	for _, u := range s.Usage {
+		if u.MeasuredAt > newest {
+			newest, value = u.MeasuredAt, u.Load
+		}
+	}
+	return value
+}
+
+func (r *cellRunner) attempt(now time.Duration, t tasks.View, d *declaredWork) scheduler.Attempt {
+	id := platform.AttemptID{Task: t.Task, Attempt: t.Attempt}
+	mark, known := r.starts[id]
+	if !known {
+		mark = startMark{at: now, worker: t.Worker}
+	}
+	a := scheduler.Attempt{
+		ID:             id,
+		Job:            jobOf(t.Task),
+		Requests:       t.Requests,
+		StartedAt:      mark.at,
+		CheckpointAt:   max(mark.at, r.checkpoint[id]),
+		CheckpointCost: time.Second,
+		Throttle:       r.throttled[id],
+		Stopping:       t.Status == tasks.StatusEvicting,
+	}
+	if job := d.jobs[a.Job]; job != nil {
+		a.Team = job.team
+		a.Kind = job.work.TaskKind
+		a.Service = job.work.Kind == api.KindService
+		a.Urgent = job.urgent
+		a.RunTime = job.work.Run
+		a.Cancelled = job.work.Cancelled
+	}
+	r.addReport(&a, t.Worker)
+	return a
+}
+
+// addReport adds what the worker last said about an attempt.
+func (r *cellRunner) addReport(a *scheduler.Attempt, worker string) {
+	seen := r.workers[worker]
+	if seen == nil {
+		return
+	}
+	for i := range seen.state.Attempts {
+		if seen.state.Attempts[i].ID == a.ID {
+			a.Progress = seen.state.Attempts[i].Progress
+		}
+	}
+	for i := range seen.state.Usage {
+		if seen.state.Usage[i].ID == a.ID {
+			a.Used = seen.state.Usage[i].Used
+		}
+	}
+}
+
+// teams returns the quotas of the teams in this cell: an equal share of the
+// whole quota for each cell in service.
+func (r *cellRunner) teams(d *declaredWork) []scheduler.Team {
+	cells := int64(max(1, d.cellsInService))
+	list := make([]scheduler.Team, 0, len(d.teams))
+	for _, t := range d.teams {
+		quota := t.Team.Quota
+		list = append(list, scheduler.Team{
+			Name:      t.Name,
+			MayBorrow: t.Team.MayBorrow,
+			Quota: platform.Resources{
+				MilliCPU:     quota.MilliCPU / cells,
+				MemoryMiB:    quota.MemoryMiB / cells,
+				Accelerators: (quota.Accelerators + cells - 1) / cells,
+			},
+		})
+	}
+	return list
+}
+
+// publish makes the newest picture of the cell available to other goroutines.
+func (r *cellRunner) publish(now time.Duration) {
+	v := &cellView{
+		cell:      r.cell.Index,
+		term:      r.term,
+		own:       r.own.Own,
+		offset:    r.machine.Offset(),
+		at:        now,
+		tasks:     r.machine.Tasks(),
+		workers:   r.machine.Workers(),
+		reasons:   make(map[string]string, len(r.reasons)),
+		accepting: now < r.placeUntil() && r.placing,
+	}
+	for id, reason := range r.reasons {
+		v.reasons[id] = reason
+	}
+	r.noteRunning(now, v.tasks)
+	if d := r.host.declared(); d != nil && r.listed != nil {
+		v.summary = r.summary(now, d)
+	}
+	r.current.Store(v)
+}
+
+// summary describes the cell to other cells.
+func (r *cellRunner) summary(now time.Duration, d *declaredWork) scheduler.CellSummary {
+	s, err := r.snapshot(now, d)
+	if err != nil {
+		return scheduler.CellSummary{Cell: r.cell, At: now}
+	}
+	return scheduler.Summarize(now, s, r.pendingTasks(now, d))
+}
+
+// noteRunning keeps when each attempt was first seen running, and forgets
+// what has ended.
+func (r *cellRunner) noteRunning(now time.Duration, list []tasks.View) {
+	running := make(map[platform.AttemptID]startMark)
+	for _, t := range list {
+		if !t.Running {
+			continue
+		}
+		id := platform.AttemptID{Task: t.Task, Attempt: t.Attempt}
+		mark, known := r.starts[id]
+		if !known {
+			mark = startMark{at: now, worker: t.Worker}
+		}
+		running[id] = mark
+	}
+	for id := range r.starts {
+		if _, ok := running[id]; !ok {
+			delete(r.checkpoint, id)
+			delete(r.throttled, id)
+			delete(r.usageSeen, id)
+		}
+	}
+	r.starts = running
+}
+
+// noteUsage passes each usage report to the policy once.
+func (r *cellRunner) noteUsage(seen *observed) {
+	var fresh []platform.Usage
+	for _, u := range seen.state.Usage {
+		if u.MeasuredAt <= r.usageSeen[u.ID] {
+			continue
+		}
+		r.usageSeen[u.ID] = u.MeasuredAt
+		fresh = append(fresh, u)
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	w := scheduler.Worker{ID: seen.state.Worker, Boot: seen.state.Boot, Capacity: seen.state.Capacity}
+	r.policy.ObserveUsage(r.clock(), &w, fresh)
+}
+
+// outcomeStates maps recorded outcomes to the states that the policy learns from.
+var outcomeStates = map[recordpb.Outcome]platform.AttemptState{
+	recordpb.Outcome_OUTCOME_COMPLETED: platform.AttemptCompleted,
+	recordpb.Outcome_OUTCOME_FAILED:    platform.AttemptFailed,
+	recordpb.Outcome_OUTCOME_STOPPED:   platform.AttemptStopped,
+	recordpb.Outcome_OUTCOME_LAPSED:    platform.AttemptLapsed,
+}
+
+// noteOutcomes passes the ends of attempts to the policy as they are read back.
+func (r *cellRunner) noteOutcomes(batch []*recordpb.Record) {
+	now := r.clock()
+	for _, one := range batch {
+		ended := one.Ended
+		if ended == nil || r.host.declared() == nil {
+			continue
+		}
+		state, known := outcomeStates[ended.Outcome]
+		job := r.host.declared().jobs[jobOf(ended.Task)]
+		id := platform.AttemptID{Task: ended.Task, Attempt: ended.Attempt}
+		mark, ran := r.starts[id]
+		if !known || job == nil || !ran {
+			continue
+		}
+		r.policy.ObserveOutcome(now, scheduler.Outcome{
+			ID:      id,
+			Job:     jobOf(ended.Task),
+			Kind:    job.work.TaskKind,
+			Worker:  mark.worker,
+			State:   state,
+			RanFor:  now - mark.at,
+			Message: ended.Message,
+		})
+	}
+}
--- /dev/null
+++ b/entry/cellview.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/scheduler"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// cellView is an immutable picture of a cell that this VM owns.
+type cellView struct {
+	cell   int
+	term   int64
+	own    ownership.State
+	offset int64
+	// at is when the view was made, on the local clock.
+	at      time.Duration
+	tasks   []tasks.View
+	workers []tasks.WorkerView
+	// reasons says why tasks are pending, by task id.
+	reasons map[string]string
+	summary scheduler.CellSummary
+	// accepting is set if the cell may start tasks now.
+	accepting bool
+}
+
+// observed is the newest answer of a worker.
+type observed struct {
+	state platform.WorkerState
+	// receivedAt is when the answer arrived, on the local clock.
+	receivedAt time.Duration
+}
+
+// deadline converts the end of authority on the local clock to a deadline on
+// the worker's clock that is not later, by the drift bound.
+func (o *observed) deadline(end time.Duration, drift float64) time.Duration {
+	left := max(0, end-o.receivedAt)
+	return o.state.Clock + time.Duration(float64(left)/(1+drift))
+}
--- /dev/null
+++ b/entry/declared.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/scheduler"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// declaredJob is a service or job with what placement needs of it.
+type declaredJob struct {
+	work     tasks.Work
+	resource api.Resource
+	team     string
+	urgent   bool
+	// pool names the pool, or "" for all workers.
+	pool string
+}
+
+// declaredWork is an immutable picture of the resources as the cells of one
+// data centre need them. One is made for each new state of the store.
+type declaredWork struct {
+	offset int64
+	// jobs holds services and jobs by "<name>/<version of the creation>".
+	jobs  map[string]*declaredJob
+	pools map[string]api.PoolSpec
+	teams []api.Resource
+	// weights of the policy's objectives.
+	weights api.WeightsSpec
+	// dataCentre is this VM's data centre; known is set if it is declared.
+	dataCentre api.DataCentreSpec
+	known      bool
+	// changedAt is when the data centre was last seen to change its service
+	// state, on the local clock.
+	changedAt time.Duration
+	phase     scheduler.Phase
+	// capacityShare is this data centre's share of the cells in service.
+	cellsInService int
+}
+
+// defaultWeights are in force while no weights are declared.
+var defaultWeights = api.WeightsSpec{TailLatency: 50, DataCentreChanges: 50, Evictions: 50, Throughput: 50}
+
+// returnTime is how long a data centre counts as returning after it was
+// brought back.
+const returnTime = 2 * time.Minute
+
+// newDeclaredWork derives the picture from a view of the store.
+func newDeclaredWork(v *resources.View, dataCentre string, now time.Duration, before *declaredWork) *declaredWork {
+	d := &declaredWork{
+		offset:  v.Offset(),
+		jobs:    make(map[string]*declaredJob),
+		pools:   make(map[string]api.PoolSpec),
+		teams:   v.List(api.KindTeam),
+		weights: defaultWeights,
+	}
+	for _, r := range v.List(api.KindService) {
+		d.add(serviceWork(r), r, r.Service.Team, r.Service.Pool, true)
+	}
+	for _, r := range v.List(api.KindJob) {
+		d.add(jobWork(r), r, r.Job.Team, r.Job.Pool, r.Job.Priority == api.PriorityUrgent)
+	}
+	for _, r := range v.List(api.KindPool) {
+		d.pools[r.Name] = *r.Pool
+	}
+	if weights := v.List(api.KindWeights); len(weights) > 0 {
+		d.weights = *weights[0].Weights
+	}
+	d.setDataCentre(v, dataCentre, now, before)
+	return d
+}
+
+func (d *declaredWork) add(w tasks.Work, r api.Resource, team, pool string, urgent bool) {
+	d.jobs[jobKey(w)] = &declaredJob{work: w, resource: r, team: team, urgent: urgent, pool: pool}
+}
+
+// setDataCentre works out the phase of this VM's data centre.
+func (d *declaredWork) setDataCentre(v *resources.View, dataCentre string, now time.Duration, before *declaredWork) {
+	for _, r := range v.List(api.KindDataCentre) {
+		if r.DataCentre.InService {
+			d.cellsInService += r.DataCentre.Cells
+		}
+	}
+	r, ok := v.Get(api.KindDataCentre, dataCentre)
+	if !ok {
+		d.phase = scheduler.Out
+		return
+	}
+	d.known = true
+	d.dataCentre = *r.DataCentre
+	d.changedAt = now
+	d.phase = scheduler.InService
+	if !d.dataCentre.InService {
+		d.phase = scheduler.Draining
+	}
+	if before == nil || !before.known {
+		d.changedAt = 0
+		return
+	}
+	if before.dataCentre.InService == d.dataCentre.InService {
+		d.changedAt = before.changedAt
+	}
+	if d.dataCentre.InService && d.changedAt > 0 {
+		d.phase = scheduler.Returning
+	}
+}
+
+// placing reports whether tasks may start in this VM's data centre.
+func (d *declaredWork) placing() bool {
+	return d.known && d.dataCentre.InService
+}
+
+// dataCentreAt returns the state of the data centre for the policy.
+func (d *declaredWork) dataCentreAt(now time.Duration) scheduler.DataCentre {
+	phase := d.phase
+	if phase == scheduler.Returning && now-d.changedAt > returnTime {
+		phase = scheduler.InService
+	}
+	deadline := d.changedAt + time.Duration(d.dataCentre.DrainSeconds)*time.Second
+	return scheduler.DataCentre{Phase: phase, Since: d.changedAt, Deadline: deadline}
+}
+
+// jobKey returns "<name>/<version of the creation>".
+func jobKey(w tasks.Work) string {
+	return jobOf(w.TaskID(0))
+}
+
+func serviceWork(r api.Resource) tasks.Work {
+	return tasks.Work{
+		Kind:        api.KindService,
+		Name:        r.Name,
+		Created:     r.Created,
+		Count:       r.Service.Replicas,
+		TaskKind:    r.Service.TaskKind,
+		Requests:    r.Service.Requests,
+		DataCentres: homes(r),
+	}
+}
+
+func jobWork(r api.Resource) tasks.Work {
+	return tasks.Work{
+		Kind:        api.KindJob,
+		Name:        r.Name,
+		Created:     r.Created,
+		Count:       r.Job.Tasks,
+		Cancelled:   r.Job.Cancelled,
+		MaxRetries:  r.Job.MaxRetries,
+		TaskKind:    r.Job.TaskKind,
+		Requests:    r.Job.Requests,
+		Run:         time.Duration(r.Job.RunSeconds) * time.Second,
+		DataCentres: homes(r),
+	}
+}
+
+func homes(r api.Resource) []tasks.DataCentre {
+	list := make([]tasks.DataCentre, 0, len(r.Homes))
+	for _, h := range r.Homes {
+		list = append(list, tasks.DataCentre{Name: h.DataCentre, Cells: h.Cells})
+	}
+	return list
+}
--- /dev/null
+++ b/entry/directory.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/cactusreel/cactusreel/dedup"
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+	"github.com/cactusreel/cactusreel/proxy"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// directory tells the proxy which entry VM is the home of a cell.
+type directory struct {
+	node *Node
+}
+
+// Home implements proxy.Directory.
+func (d *directory) Home(cell dedup.Cell) (proxy.Home, bool) {
+	if cell.DataCentre == d.node.settings.DataCentre {
+		return d.nearHome(cell)
+	}
+	return d.farHome(cell)
+}
+
+// nearHome finds the home of a cell of this data centre by the claims stream.
+// An owner that this VM can't read about any more says so in its summary.
+func (d *directory) nearHome(cell dedup.Cell) (proxy.Home, bool) {
+	n := d.node
+	claims := n.claims.Load()
+	if claims == nil {
+		return proxy.Home{}, false
+	}
+	views := claims.Views()
+	if cell.Number < 0 || cell.Number >= len(views) {
+		return proxy.Home{}, false
+	}
+	v := views[cell.Number]
+	if v.Own != ownership.StateNone && v.Own != ownership.StateLost {
+		return proxy.Home{VM: n.settings.VM, Term: v.OwnTerm}, true
+	}
+	p := n.peer(v.Owner)
+	if p == nil {
+		return proxy.Home{}, false
+	}
+	return proxy.Home{VM: v.Owner, Address: p.client.Address.HostPort, Term: v.Term}, true
+}
+
+// farHome finds the home of a cell of another data centre by the summaries.
+func (d *directory) farHome(cell dedup.Cell) (proxy.Home, bool) {
+	n := d.node
+	var home proxy.Home
+	for _, p := range n.peers {
+		word, ok := p.word(n.clock())
+		if !ok {
+			continue
+		}
+		for _, c := range word.Cells {
+			if c.DataCentre == cell.DataCentre && int(c.Cell) == cell.Number && c.Term > home.Term {
+				home = proxy.Home{VM: word.Vm, Address: p.client.Address.HostPort, Term: c.Term}
+			}
+		}
+	}
+	return home, home.VM != ""
+}
+
+// FreshCell implements proxy.Directory.
+func (d *directory) FreshCell(random uint64) (dedup.Cell, bool) {
+	n := d.node
+	claims := n.claims.Load()
+	if claims == nil {
+		return dedup.Cell{}, false
+	}
+	var own, known []int
+	for _, v := range claims.Views() {
+		switch {
+		case v.Own == ownership.StateHeld || v.Own == ownership.StateVouched:
+			own = append(own, v.Cell)
+		case v.Owner != "":
+			known = append(known, v.Cell)
+		}
+	}
+	if len(own) == 0 {
+		own = known
+	}
+	if len(own) == 0 {
+		return dedup.Cell{}, false
+	}
+	return n.cellID(own[random%uint64(len(own))]), true
+}
+
+// acknowledger sends intents to members.
+type acknowledger struct {
+	node *Node
+}
+
+// Acknowledge implements proxy.Acknowledger. The vm is the text of a member.
+func (a *acknowledger) Acknowledge(ctx context.Context, vm string, in dedup.Intent) error {
+	m, err := parseMember(vm)
+	if err != nil {
+		return err
+	}
+	p := a.node.peer(m.vm)
+	if p == nil {
+		return result.Errorf(result.PeerUnavailable, "no address of %s is known", m.vm)
+	}
+	answer, err := p.client.AcknowledgeIntent(ctx, &peerpb.IntentRequest{
+		DataCentre:  in.Cell.DataCentre,
+		Cell:        int32(in.Cell.Number),
+		Term:        in.Term,
+		RequestId:   in.ID,
+		Fingerprint: in.Fingerprint,
+		Incarnation: m.incarnation,
+	})
+	if err != nil {
+		return result.Errorf(result.PeerUnavailable, "%s: %w", m.vm, err)
+	}
+	if !answer.Acknowledged {
+		return result.Errorf(result.Code(answer.Code), "%s: %s", m.vm, answer.Message)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/errors.go
@@ -0,0 +1,6 @@
+package entry
+
+import "errors"
+
+// errCopyRefused means that a peer did not take in a part of a table's copy.
+var errCopyRefused = errors.New("peer refused the copy of a request table")
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -25,7 +25,17 @@
 	truncated func(page platform.LogPage) int64
 	// failed is called when a read fails.
 	failed func(err error)
-	next   int64
+	// wake ends the wait between two reads. It may be nil.
+	wake chan struct{}
+	next int64
+}
+
+// nudge makes the follower read at once.
+func (f *follower) nudge() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
 }
 
 // run follows the stream until the context ends.
@@ -37,9 +47,18 @@
 		if f.step(ctx) {
 			continue
 		}
-		if !sleep(ctx, f.poll) {
-			return
-		}
+		f.pause(ctx)
+	}
+}
+
+// pause waits for the poll interval or a nudge.
+func (f *follower) pause(ctx context.Context) {
+	timer := time.NewTimer(f.poll)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.wake:
 	}
 }
 
--- /dev/null
+++ b/entry/fresh.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/freshness"
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// stepFresh passes an event to the freshness machine and carries out its
+// actions.
+func (n *Node) stepFresh(ctx context.Context, ev freshness.Event) {
+	n.freshMu.Lock()
+	actions := n.fresh.Step(n.clock(), ev)
+	n.freshMu.Unlock()
+	for _, action := range actions {
+		switch a := action.(type) {
+		case freshness.FreshUntil:
+			n.raiseFreshUntil(a.End)
+		case freshness.AskPeers:
+			n.goDo(func() { n.askFreshness(ctx) })
+		case freshness.FetchFrom:
+			n.feed.follower.nudge()
+			n.goDo(func() { n.fetchResources(ctx) })
+		}
+	}
+}
+
+// raiseFreshUntil moves the end of start authority up, never down: events can
+// be handled by several goroutines.
+func (n *Node) raiseFreshUntil(end time.Duration) {
+	for {
+		before := n.freshUntil.Load()
+		if int64(end) <= before || n.freshUntil.CompareAndSwap(before, int64(end)) {
+			return
+		}
+	}
+}
+
+// startsUntil returns the end of start authority on the local clock.
+func (n *Node) startsUntil() time.Duration {
+	return time.Duration(n.freshUntil.Load())
+}
+
+// claimsReadAt returns when the last successful read of the claims stream was
+// sent.
+func (n *Node) claimsReadAt() time.Duration {
+	claims := n.claims.Load()
+	if claims == nil {
+		return 0
+	}
+	return time.Duration(claims.readAt.Load())
+}
+
+// askFreshness asks all peers for the newest head that they know.
+func (n *Node) askFreshness(ctx context.Context) {
+	var asked sync.WaitGroup
+	for _, p := range n.peers {
+		asked.Go(func() { n.askOneFreshness(ctx, p) })
+	}
+	asked.Wait()
+}
+
+func (n *Node) askOneFreshness(ctx context.Context, p *peerState) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Times.PeerTimeout)
+	defer cancel()
+	askedAt := n.clock()
+	answer, err := p.client.Freshness(ctx, &peerpb.FreshnessRequest{})
+	if err != nil || answer.AgeNanos < 0 {
+		return
+	}
+	n.stepFresh(ctx, freshness.PeerWord{
+		Peer:    p.client.Address.VM,
+		AskedAt: askedAt,
+		Head:    answer.Head,
+		Age:     time.Duration(answer.AgeNanos),
+	})
+}
+
+// fetchResources takes the resource store over from a peer that has a newer
+// one, while the log can't be read directly.
+func (n *Node) fetchResources(ctx context.Context) {
+	if n.log.Direct() {
+		return
+	}
+	for _, p := range n.peers {
+		if n.fetchFrom(ctx, p) {
+			return
+		}
+	}
+}
+
+func (n *Node) fetchFrom(ctx context.Context, p *peerState) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Times.PeerTimeout)
+	defer cancel()
+	known := n.feed.store.View().Offset()
+	answer, err := p.client.FetchResources(ctx, &peerpb.FetchResourcesRequest{Known: known})
+	if err != nil || len(answer.Snapshot) == 0 {
+		return false
+	}
+	adopted, err := n.feed.adopt(answer.Snapshot)
+	if err != nil {
+		n.events.Log(logevent.SnapshotIgnored, zap.String("stream", "resources"), zap.Int64("offset", answer.Head), zap.Error(err))
+		return false
+	}
+	if adopted {
+		n.events.Log(logevent.RecordsPulled, zap.String("peer", p.client.Address.VM), zap.Int64("to", answer.Head))
+	}
+	return adopted
+}
+
+// resourcesApplied follows the store to a higher offset.
+func (n *Node) resourcesApplied(ctx context.Context, offset int64) {
+	view := n.feed.store.View()
+	n.work.Store(newDeclaredWork(view, n.settings.DataCentre, n.clock(), n.work.Load()))
+	n.setBinding(view)
+	n.stepFresh(ctx, freshness.Applied{Offset: offset})
+	n.startClaims(ctx)
+}
+
+// Ready returns nil once this VM holds the newest configuration and is not
+// stopping. It implements operator.Readiness.
+func (n *Node) Ready() error {
+	if n.stopping.Load() {
+		return result.Errorf(result.NotRunStopping, "this entry VM is stopping")
+	}
+	if n.startsUntil() == 0 {
+		return result.Errorf(result.NotReady, "the newest configuration has not been read yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/gapbuffer.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+)
+
+// gapBuffer keeps records that can't be applied yet because the ones before
+// them are no longer in the log, until a whole snapshot covers the gap.
+type gapBuffer struct {
+	assembler record.Assembler
+	waiting   []platform.LogRecord
+}
+
+// reset forgets all records and chunks.
+func (b *gapBuffer) reset() {
+	*b = gapBuffer{}
+}
+
+// addChunks takes the snapshot chunks of a batch and reports whether one of
+// them completed a snapshot.
+func (b *gapBuffer) addChunks(batch []*recordpb.Record) bool {
+	whole := false
+	for _, r := range batch {
+		if r.Chunk != nil && b.assembler.Add(r.Chunk) {
+			whole = true
+		}
+	}
+	return whole
+}
+
+// hold keeps a record behind the gap.
+func (b *gapBuffer) hold(r platform.LogRecord) {
+	b.waiting = append(b.waiting, r)
+}
+
+// cover returns the newest snapshot if it covers the gap after offset applied.
+func (b *gapBuffer) cover(applied int64) (record.Snapshot, bool) {
+	snapshot, ok := b.assembler.Newest()
+	if !ok || snapshot.Covered <= applied || len(b.waiting) == 0 {
+		return record.Snapshot{}, false
+	}
+	return snapshot, snapshot.Covered+1 >= b.waiting[0].Offset
+}
+
+// release returns the held records above an offset and forgets them all.
+func (b *gapBuffer) release(applied int64) []platform.LogRecord {
+	held := b.waiting
+	b.waiting = nil
+	for len(held) > 0 && held[0].Offset <= applied {
+		held = held[1:]
+	}
+	return held
+}
--- /dev/null
+++ b/entry/member.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// member names one process of an entry VM. Copies of request tables belong to
+// members, because a restarted process has lost them.
+type member struct {
+	vm          string
+	incarnation uint64
+}
+
+// String returns "<vm>#<incarnation, 16 hex digits>".
+func (m member) String() string {
+	return fmt.Sprintf("%s#%016x", m.vm, m.incarnation)
+}
+
+// parseMember reads the text form of a member.
+func parseMember(text string) (member, error) {
+	vm, hex, found := strings.Cut(text, "#")
+	if !found {
+		return member{}, fmt.Errorf("member %q: want <vm>#<incarnation>", text)
+	}
+	incarnation, err := strconv.ParseUint(hex, 16, 64)
+	if err != nil {
+		return member{}, fmt.Errorf("member %q: %w", text, err)
+	}
+	return member{vm: vm, incarnation: incarnation}, nil
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"runtime"
+	"strconv"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/metrics"
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/proxy"
+)
+
+// requestSample is how many request times a histogram keeps.
+const requestSample = 1028
+
+// recentBias weighs a sample towards the last five minutes.
+const recentBias = 0.015
+
+// proxyEvent counts an event of the request path and logs those that need a look.
+func (n *Node) proxyEvent(e proxy.Event) {
+	counter := gometrics.GetOrRegisterCounter(metrics.Name("request_events_total", "kind", string(e.Kind)), n.registry)
+	counter.Inc(1)
+	switch e.Kind {
+	case proxy.EventFinished:
+		n.requestFinished(e)
+	case proxy.EventSilent:
+		n.events.Log(logevent.ProgressTimeout, zap.String("service", e.Service), zap.String("server", e.Target))
+	case proxy.EventTruncated:
+		n.events.Log(logevent.ResponseTruncated, zap.String("service", e.Service), zap.String("server", e.Target))
+	case proxy.EventLeaving:
+		n.events.Log(logevent.ServerLeaving, zap.String("server", e.Target), zap.String("source", "server"))
+	}
+}
+
+func (n *Node) requestFinished(e proxy.Event) {
+	code := strconv.Itoa(e.Code)
+	gometrics.GetOrRegisterCounter(metrics.Name("requests_total", "service", e.Service, "result", code), n.registry).Inc(1)
+	name := metrics.Name("request_seconds", "service", e.Service)
+	sample := func() gometrics.Sample { return gometrics.NewExpDecaySample(requestSample, recentBias) }
+	histogram, ok := n.registry.GetOrRegister(name, func() gometrics.Timer {
+		return gometrics.NewCustomTimer(gometrics.NewHistogram(sample()), gometrics.NewMeter())
+	}).(gometrics.Timer)
+	if ok {
+		histogram.Update(e.Took)
+	}
+}
+
+// gauges sets the values that are read rather than counted.
+func (n *Node) gauges(context.Context) {
+	now := n.clock()
+	n.gauge("resource_version", n.feed.store.View().Offset())
+	n.gauge("start_authority_milliseconds", (n.startsUntil() - now).Milliseconds())
+	n.gauge("requests_in_progress", int64(n.proxy.InProgress()))
+	n.gauge("goroutines", int64(runtime.NumGoroutine()))
+	ids, bytes := n.tables.IDs()
+	n.gauge("request_ids", ids)
+	n.gauge("kept_answer_bytes", bytes)
+	reachable := 0
+	for _, p := range n.peers {
+		if _, ok := p.word(now); ok {
+			reachable++
+		}
+	}
+	n.gauge("peers_reachable", int64(reachable))
+	n.cellGauges()
+}
+
+func (n *Node) cellGauges() {
+	claims := n.claims.Load()
+	if claims == nil {
+		return
+	}
+	held := 0
+	for _, v := range claims.Views() {
+		if v.Own == ownership.StateHeld {
+			held++
+		}
+	}
+	n.gauge("cells_held", int64(held))
+	running, pending := 0, 0
+	for _, r := range n.runners() {
+		for _, w := range workSummaries(r.view()) {
+			running += int(w.Running)
+			pending += int(w.Pending)
+		}
+	}
+	n.gauge("tasks_running", int64(running))
+	n.gauge("tasks_pending", int64(pending))
+}
+
+func (n *Node) gauge(name string, value int64) {
+	gometrics.GetOrRegisterGauge(name, n.registry).Update(value)
+}
--- /dev/null
+++ b/entry/moves.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// offerMove offers a task to the owner of another cell. The machine repeats an
+// offer that is not confirmed.
+func (n *Node) offerMove(ctx context.Context, a tasks.OfferMove) {
+	n.deliverMove(ctx, a.To, &peerpb.MoveRequest{
+		DataCentre:     a.To.DataCentre,
+		Cell:           a.To.Cell,
+		FromDataCentre: a.Offer.From.GetDataCentre(),
+		FromCell:       a.Offer.From.GetCell(),
+		Task:           a.Offer.Task,
+		Move:           a.Offer.Move,
+		Attempt:        a.Offer.Attempt,
+		Checkpoint:     a.Offer.Checkpoint,
+		Failures:       a.Offer.Failures,
+	}, true)
+}
+
+// confirmMove tells the owner of the source cell that the task was adopted.
+func (n *Node) confirmMove(ctx context.Context, a tasks.ConfirmMove) {
+	n.deliverMove(ctx, a.To, &peerpb.MoveRequest{
+		DataCentre: a.To.DataCentre,
+		Cell:       a.To.Cell,
+		Task:       a.Confirmed.Task,
+		Move:       a.Confirmed.Move,
+	}, false)
+}
+
+// deliverMove hands a message to the owner of a cell, on this VM or a peer.
+func (n *Node) deliverMove(ctx context.Context, to *recordpb.Cell, m *peerpb.MoveRequest, offer bool) {
+	if to.DataCentre == n.settings.DataCentre && n.takeMove(m, offer) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Times.PeerTimeout)
+	defer cancel()
+	for _, p := range n.ownersOf(to) {
+		send := p.client.ConfirmMove
+		if offer {
+			send = p.client.OfferMove
+		}
+		if answer, err := send(ctx, m); err == nil && answer.Delivered {
+			return
+		}
+	}
+}
+
+// ownersOf returns the peers that say that they own a cell.
+func (n *Node) ownersOf(cell *recordpb.Cell) []*peerState {
+	now := n.clock()
+	var owners []*peerState
+	for _, p := range n.peers {
+		word, ok := p.word(now)
+		if !ok {
+			continue
+		}
+		for _, c := range word.Cells {
+			if c.DataCentre == cell.DataCentre && c.Cell == cell.Cell {
+				owners = append(owners, p)
+			}
+		}
+	}
+	return owners
+}
+
+// takeMove passes a message to the machine of an own cell and reports whether
+// this VM owns the cell.
+func (n *Node) takeMove(m *peerpb.MoveRequest, offer bool) bool {
+	if m.DataCentre != n.settings.DataCentre {
+		return false
+	}
+	r := n.runner(int(m.Cell))
+	if r == nil {
+		return false
+	}
+	if !offer {
+		r.event(tasks.MoveConfirmed{Task: m.Task, Move: m.Move})
+		return true
+	}
+	r.event(tasks.MoveOffered{
+		From:       &recordpb.Cell{DataCentre: m.FromDataCentre, Cell: m.FromCell},
+		Task:       m.Task,
+		Attempt:    m.Attempt,
+		Checkpoint: m.Checkpoint,
+		Move:       m.Move,
+		Failures:   m.Failures,
+	})
+	return true
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/cactusreel/cactusreel/dedup"
+	"github.com/cactusreel/cactusreel/freshness"
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/peer"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/proxy"
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/routing"
+	"github.com/cactusreel/cactusreel/settings"
+	"github.com/cactusreel/cactusreel/writer"
+)
+
+// Node is one entry VM's process.
+type Node struct {
+	settings    settings.Entry
+	incarnation uint64
+	clock       Clock
+	events      *logevent.Logger
+	registry    gometrics.Registry
+
+	direct     platform.Log
+	log        *peer.RelayLog
+	vmList     platform.VMList
+	httpClient *http.Client
+	// health asks backend servers for their state, on connections of its own.
+	health *http.Client
+	peers      []*peerState
+
+	feed   *resourceFeed
+	router *routing.Router
+	tables *dedup.Store
+	proxy  *proxy.Proxy
+	copies *tableCopies
+
+	freshMu    sync.Mutex
+	fresh      *freshness.Machine
+	freshUntil atomic.Int64
+
+	work   atomic.Pointer[declaredWork]
+	list   atomic.Pointer[workerList]
+	claims atomic.Pointer[claimsRunner]
+
+	// mu guards the maps below.
+	mu      sync.Mutex
+	cellsOf map[int]*cellRunner
+	writers map[string]*writer.Writer
+	agents  map[string]agentEntry
+
+	stopping   atomic.Bool
+	stopped    chan struct{}
+	leftOnce   sync.Once
+	summaryMu  sync.Mutex
+	summaries  summaryVersion
+	background sync.WaitGroup
+}
+
+// agentEntry is a worker agent's client and the address that it was made for.
+type agentEntry struct {
+	address string
+	client  platform.WorkerAgent
+}
+
+// NewNode builds a node from its settings. It opens no listener and starts no
+// goroutine.
+func NewNode(s settings.Entry, events *logevent.Logger) (*Node, error) {
+	n := &Node{
+		settings:    s,
+		incarnation: rand.Uint64(),
+		clock:       NewClock(),
+		events:      events,
+		registry:    gometrics.NewRegistry(),
+		httpClient:  httpapi.NewHTTPClient(),
+		health:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		router:      routing.New(),
+		cellsOf:     make(map[int]*cellRunner),
+		writers:     make(map[string]*writer.Writer),
+		agents:      make(map[string]agentEntry),
+		stopped:     make(chan struct{}),
+	}
+	n.direct = httpapi.NewLogClient(hostPort(s.LogURL), n.httpClient)
+	n.vmList = httpapi.NewVMListClient(hostPort(s.VMListURL), n.httpClient)
+	n.setPeers()
+	n.log = peer.NewRelayLog(n.direct, n.relays, n.clock)
+	n.fresh = freshness.New(freshness.Config{Bound: s.Times.Freshness, Drift: s.Times.ClockDrift, AskEvery: s.Times.LogPoll})
+	n.tables = dedup.NewStore(dedup.Limits{
+		Retention:  s.Times.RequestIDRetention,
+		MaxRequest: s.Times.MaxRequest,
+		MaxIDs:     int64(s.Limits.RequestTableEntries),
+		MaxAnswers: dedup.DefaultLimits().MaxAnswers,
+	})
+	n.copies = newTableCopies()
+	n.list.Store(&workerList{})
+	if err := n.setProxy(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) setPeers() {
+	transport := peer.NewTransport()
+	for _, p := range n.settings.Others() {
+		address := peer.Address{VM: p.VM, DataCentre: p.DataCentre, HostPort: p.Address}
+		n.peers = append(n.peers, &peerState{client: peer.NewClient(address, transport)})
+	}
+}
+
+func (n *Node) setProxy() error {
+	p, err := proxy.New(proxy.Config{
+		VM:           n.settings.VM,
+		Router:       n.router,
+		Store:        n.tables,
+		Directory:    &directory{node: n},
+		Acknowledger: &acknowledger{node: n},
+		Now:          n.clock,
+		Random:       rand.Uint64,
+		Limits: proxy.Limits{
+			MaxRequest:     n.settings.Times.MaxRequest,
+			Progress:       n.settings.Times.Progress,
+			MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
+			MaxBodyBytes:   n.settings.Limits.MaxBodyBytes,
+			MaxConcurrent:  int64(n.settings.Limits.RequestsInProgress),
+		},
+		OnEvent: n.proxyEvent,
+	})
+	n.proxy = p
+	return err
+}
+
+// relays returns the clients of the peers that answered lately, those of this
+// data centre last: a cut from the log mostly hits the whole data centre.
+func (n *Node) relays() []*peer.Client {
+	now := n.clock()
+	var near, far []*peer.Client
+	for _, p := range n.peers {
+		if _, ok := p.word(now); !ok {
+			continue
+		}
+		if p.client.Address.DataCentre == n.settings.DataCentre {
+			near = append(near, p.client)
+			continue
+		}
+		far = append(far, p.client)
+	}
+	return append(far, near...)
+}
+
+// writerFor returns the writer of a stream. There is one for the life of the
+// process, because its sequence numbers must not start again.
+func (n *Node) writerFor(ctx context.Context, stream string, wake func()) *writer.Writer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if w := n.writers[stream]; w != nil {
+		return w
+	}
+	options := writer.Options{
+		Stream:        stream,
+		Incarnation:   n.incarnation,
+		MaxBatchItems: n.settings.Limits.BatchRecords,
+		MaxBatchBytes: n.settings.Limits.BatchBytes,
+		AppendTimeout: n.settings.Times.LogTimeout,
+		Appended:      func(string, int64) { wake() },
+	}
+	if stream == record.ClaimsStream(n.settings.DataCentre) {
+		options.MaxBatchItems = 1
+	}
+	w := writer.New(n.log, options)
+	n.writers[stream] = w
+	n.goDo(func() { _ = w.Run(ctx) })
+	return w
+}
+
+// goDo runs a function in a goroutine that Run waits for.
+func (n *Node) goDo(f func()) {
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		f()
+	}()
+}
+
+// every calls a function at an interval until the context ends.
+func (n *Node) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	n.goDo(func() {
+		for sleep(ctx, interval) {
+			f(ctx)
+		}
+	})
+}
+
+// hostPort returns the host and port of a base URL.
+func hostPort(base string) string {
+	u, err := url.Parse(base)
+	if err != nil || u.Host == "" {
+		return base
+	}
+	return u.Host
+}
--- /dev/null
+++ b/entry/outcomeboard.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/cactusreel/cactusreel/resources"
+)
+
+// outcomeBoard hands outcomes of applied operations to the submitters of this
+// process that wait for them.
+type outcomeBoard struct {
+	mu      sync.Mutex
+	waiters map[string][]chan resources.Outcome
+}
+
+func newOutcomeBoard() *outcomeBoard {
+	return &outcomeBoard{waiters: make(map[string][]chan resources.Outcome)}
+}
+
+// await returns a channel that receives the outcome of an operation, and a
+// function that ends the wait.
+func (b *outcomeBoard) await(id string) (<-chan resources.Outcome, func()) {
+	c := make(chan resources.Outcome, 1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiters[id] = append(b.waiters[id], c)
+	return c, func() { b.cancel(id, c) }
+}
+
+func (b *outcomeBoard) cancel(id string, c chan resources.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rest := b.waiters[id][:0]
+	for _, other := range b.waiters[id] {
+		if other != c {
+			rest = append(rest, other)
+		}
+	}
+	if len(rest) == 0 {
+		delete(b.waiters, id)
+		return
+	}
+	b.waiters[id] = rest
+}
+
+// publish wakes the waiters of each outcome.
+func (b *outcomeBoard) publish(outcomes []resources.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, outcome := range outcomes {
+		for _, c := range b.waiters[outcome.ID] {
+			select {
+			case c <- outcome:
+			default:
+			}
+		}
+		delete(b.waiters, outcome.ID)
+	}
+}
--- /dev/null
+++ b/entry/peerstate.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cactusreel/cactusreel/peer"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+)
+
+// peerSilence is how long a peer's last summary counts.
+const peerSilence = 3 * time.Second
+
+// peerState is what this VM knows of one peer. Summaries are replaced whole.
+type peerState struct {
+	client  *peer.Client
+	current atomic.Pointer[peerWord]
+}
+
+// peerWord is a peer's newest summary.
+type peerWord struct {
+	summary *peerpb.SummaryResponse
+	// at is when the answer arrived, on the local clock.
+	at time.Duration
+}
+
+// word returns the peer's newest summary if it is recent.
+func (p *peerState) word(now time.Duration) (*peerpb.SummaryResponse, bool) {
+	w := p.current.Load()
+	if w == nil || now-w.at > peerSilence {
+		return nil, false
+	}
+	return w.summary, true
+}
+
+// note takes a summary in. One that says "unchanged" only proves that the last
+// one still holds.
+func (p *peerState) note(s *peerpb.SummaryResponse, at time.Duration) {
+	before := p.current.Load()
+	if s.Unchanged && before != nil {
+		s = before.summary
+	}
+	p.current.Store(&peerWord{summary: s, at: at})
+}
+
+// version returns the version of the last summary, 0 if there is none.
+func (p *peerState) version() uint64 {
+	if w := p.current.Load(); w != nil {
+		return w.summary.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/entry/resourcefeed.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/writer"
+)
+
+// resourceFeed keeps the resource store up to date with the resources stream.
+// One goroutine, that of the follower, applies records; Restore from a peer
+// takes the same lock.
+type resourceFeed struct {
+	store    *resources.Store
+	writer   *writer.Writer
+	events   *logevent.Logger
+	clock    Clock
+	follower *follower
+	// note is called after each read with the head that it saw.
+	note func(head int64, sentAt time.Duration)
+	// applied is called after the store's offset has grown.
+	applied func(offset int64)
+
+	mu  sync.Mutex
+	gap gapBuffer
+	// outcomes wakes the submitters of this process.
+	outcomes *outcomeBoard
+	// sinceSnapshot counts records since the newest whole snapshot.
+	sinceSnapshot atomic.Int64
+	// snapshotSeen is when the newest whole snapshot was read, in nanoseconds.
+	snapshotSeen atomic.Int64
+	// snapshotTried is when this VM last began to append a snapshot. Only the
+	// snapshot loop uses it.
+	snapshotTried time.Duration
+}
+
+func newResourceFeed(log platform.Log, w *writer.Writer, events *logevent.Logger, clock Clock, poll time.Duration) *resourceFeed {
+	f := &resourceFeed{
+		store:    resources.New(resources.Limits{}),
+		writer:   w,
+		events:   events,
+		clock:    clock,
+		outcomes: newOutcomeBoard(),
+	}
+	f.follower = &follower{
+		log:       log,
+		stream:    record.ResourcesStream,
+		clock:     clock,
+		poll:      poll,
+		apply:     f.applyPage,
+		truncated: f.onTruncated,
+		failed:    func(error) {},
+		wake:      make(chan struct{}, 1),
+	}
+	return f
+}
+
+func (f *resourceFeed) run(ctx context.Context) {
+	f.follower.run(ctx)
+}
+
+// onTruncated starts over from the first kept record. Records are collected
+// until they hold a whole snapshot.
+func (f *resourceFeed) onTruncated(page platform.LogPage) int64 {
+	f.events.Log(logevent.RecordsMissing, zap.String("stream", record.ResourcesStream), zap.Int64("have", f.store.View().Offset()), zap.Int64("first", page.First))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gap.reset()
+	return page.First
+}
+
+func (f *resourceFeed) applyPage(page platform.LogPage, sentAt time.Duration) {
+	f.mu.Lock()
+	before := f.store.View().Offset()
+	for _, r := range page.Records {
+		f.applyRecord(r)
+	}
+	after := f.store.View().Offset()
+	f.mu.Unlock()
+	if after > before {
+		f.applied(after)
+	}
+	f.note(page.Next-1, sentAt)
+}
+
+// applyRecord applies a record, or keeps it until a snapshot fills the gap
+// before it.
+func (f *resourceFeed) applyRecord(r platform.LogRecord) {
+	batch, err := record.DecodeBatch(r.Data)
+	if err != nil {
+		// Every reader skips the same malformed record.
+		batch = nil
+		f.events.Log(logevent.RecordUndecodable, zap.String("stream", record.ResourcesStream), zap.Int64("offset", r.Offset), zap.Error(err))
+	}
+	if f.gap.addChunks(batch) {
+		f.sinceSnapshot.Store(0)
+		f.snapshotSeen.Store(int64(f.clock()))
+	}
+	outcomes, err := f.store.Apply(r.Offset, operations(batch)...)
+	if errors.Is(err, resources.ErrGap) {
+		f.gap.hold(r)
+		f.restore()
+		return
+	}
+	f.sinceSnapshot.Add(1)
+	f.outcomes.publish(outcomes)
+	f.writer.Observed(r.ID, r.Offset)
+}
+
+// restore adopts the newest whole snapshot if it closes the gap, then applies
+// the records that were kept.
+func (f *resourceFeed) restore() {
+	snapshot, ok := f.gap.cover(f.store.View().Offset())
+	if !ok {
+		return
+	}
+	if _, err := f.store.Restore(snapshot.Data); err != nil {
+		f.events.Log(logevent.SnapshotIgnored, zap.String("stream", record.ResourcesStream), zap.Int64("offset", snapshot.Covered), zap.Error(err))
+		return
+	}
+	for _, r := range f.gap.release(f.store.View().Offset()) {
+		f.applyRecord(r)
+	}
+}
+
+// adopt takes over a peer's store if it is newer and reports whether it did.
+// It is used while the log can't be reached.
+func (f *resourceFeed) adopt(data []byte) (bool, error) {
+	f.mu.Lock()
+	adopted, err := f.store.Restore(data)
+	offset := f.store.View().Offset()
+	f.mu.Unlock()
+	if adopted {
+		f.applied(offset)
+	}
+	return adopted, err
+}
+
+// snapshot returns the encoded store and its offset.
+func (f *resourceFeed) snapshot() ([]byte, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.Snapshot()
+}
+
+// outcome returns what became of an operation that was applied earlier.
+func (f *resourceFeed) outcome(id string) (resources.Outcome, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.Outcome(id)
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/freshness"
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/metrics"
+	"github.com/cactusreel/cactusreel/operator"
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+	"github.com/cactusreel/cactusreel/record"
+)
+
+// Intervals of the node's loops.
+const (
+	freshTick      = 50 * time.Millisecond
+	peerPoll       = 300 * time.Millisecond
+	routePoll      = 100 * time.Millisecond
+	authorityPoll  = 100 * time.Millisecond
+	copyPoll       = 500 * time.Millisecond
+	expireInterval = 10 * time.Second
+	gaugeInterval  = time.Second
+)
+
+// headerTimeout bounds the time to read the headers of a request.
+const headerTimeout = 5 * time.Second
+
+// idleTimeout bounds the time that a caller's connection stays open unused.
+const idleTimeout = 2 * time.Minute
+
+// ErrCutOff means that a planned stop ended with requests still in progress.
+var ErrCutOff = errors.New("requests in progress were cut off")
+
+// Run serves until stop is closed or receives, then stops gracefully. A second
+// value on stop ends the process at once. It returns nil after a complete
+// planned stop and ErrCutOff if requests were cut off.
+func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer n.background.Wait()
+	defer cancel()
+	callers, peers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.events.Log(logevent.ProcessStarted, zap.String("vm", n.settings.VM), zap.String("dataCentre", n.settings.DataCentre))
+	n.startFeed(ctx)
+	n.startLoops(ctx)
+	failed := make(chan error, 2)
+	callerServer := n.serve(callers, n.callerHandler(), failed)
+	peerServer := n.serve(peers, n.peerHandler(), failed)
+	select {
+	case <-stop:
+	case err = <-failed:
+		return err
+	}
+	err = n.stop(stop)
+	closeServers(callerServer, peerServer)
+	return err
+}
+
+func (n *Node) listen() (callers, peers net.Listener, err error) {
+	callers, err = net.Listen("tcp", n.settings.ListenCallers)
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	peers, err = net.Listen("tcp", n.settings.ListenPeers)
+	if err != nil {
+		_ = callers.Close()
+		return nil, nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	return callers, peers, nil
+}
+
+// startFeed starts following the resources stream.
+func (n *Node) startFeed(ctx context.Context) {
+	w := n.writerFor(ctx, record.ResourcesStream, func() { n.feed.follower.nudge() })
+	n.feed = newResourceFeed(n.log, w, n.events, n.clock, n.settings.Times.LogPoll)
+	n.feed.note = func(head int64, sentAt time.Duration) {
+		n.stepFresh(ctx, freshness.DirectRead{SentAt: sentAt, Head: head})
+	}
+	n.feed.applied = func(offset int64) { n.resourcesApplied(ctx, offset) }
+	n.goDo(func() { n.feed.run(ctx) })
+}
+
+func (n *Node) startLoops(ctx context.Context) {
+	t := n.settings.Times
+	n.readVMList(ctx)
+	n.every(ctx, t.LeavingPoll, n.readVMList)
+	n.every(ctx, peerPoll, n.pollPeers)
+	n.every(ctx, routePoll, n.updateRoutes)
+	n.every(ctx, authorityPoll, n.refreshAuthority)
+	n.every(ctx, copyPoll, n.copyTables)
+	n.every(ctx, t.LeavingPoll, n.pollBackends)
+	n.every(ctx, gaugeInterval, n.gauges)
+	n.every(ctx, gaugeInterval, n.snapshotResources)
+	n.every(ctx, freshTick, func(ctx context.Context) { n.stepFresh(ctx, freshness.Tick{}) })
+	n.every(ctx, expireInterval, func(context.Context) { n.tables.Expire(n.clock()) })
+}
+
+// serve starts an HTTP server on a listener.
+func (n *Node) serve(l net.Listener, h http.Handler, failed chan<- error) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    n.settings.Limits.MaxHeaderBytes,
+	}
+	n.goDo(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	})
+	return s
+}
+
+// callerHandler serves callers and operators.
+func (n *Node) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/s/", n.proxy.Handler())
+	mux.Handle("/v1/", operator.New(operator.Config{
+		Store:      n.feed.store,
+		Readiness:  n,
+		Submitter:  &submitter{feed: n.feed, wait: n.settings.Times.WriteWait},
+		Status:     &statusSource{node: n},
+		RequestIDs: n,
+		MaxWatches: n.settings.Limits.Watches,
+		Stopping:   n.stopped,
+	}))
+	mux.Handle("GET /metrics", metrics.Handler(n.registry))
+	mux.HandleFunc("GET /debug/state", n.serveDump)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	return mux
+}
+
+// peerHandler serves other entry VMs.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/s/", n.proxy.PeerHandler())
+	mux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&peerServer{node: n}))
+	return mux
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := n.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// NewRequestID implements operator.RequestIDs.
+func (n *Node) NewRequestID(context.Context) (string, error) {
+	return n.proxy.IssueID()
+}
+
+// stop carries out the planned stop: not ready first, then the hand-over of
+// cells and the end of requests, then the leave record.
+func (n *Node) stop(again <-chan struct{}) error {
+	n.events.Log(logevent.StopRequested)
+	n.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Times.StopDeadline)
+	defer cancel()
+	go func() {
+		select {
+		case <-again:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	sleep(ctx, n.settings.Times.BalancerDelay)
+	claims := n.claims.Load()
+	if claims != nil {
+		claims.send(ownership.StopRequested{})
+	} else {
+		n.left()
+	}
+	left := n.proxy.Drain(ctx)
+	select {
+	case <-n.stopped:
+	case <-ctx.Done():
+	}
+	if left > 0 {
+		n.events.Log(logevent.StopCutOff, zap.Int("requests", left))
+		return fmt.Errorf("%w: %d", ErrCutOff, left)
+	}
+	n.events.Log(logevent.StopFinished)
+	return nil
+}
+
+// closeTimeout bounds the end of connections that carry no request any more.
+const closeTimeout = time.Second
+
+func closeServers(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			_ = s.Close()
+		}
+	}
+}
--- /dev/null
+++ b/entry/submitter.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/result"
+	"github.com/cactusreel/cactusreel/writer"
+)
+
+// submitter writes operators' operations to the log and waits for their
+// outcome. It implements operator.Submitter.
+type submitter struct {
+	feed *resourceFeed
+	// wait bounds the time until the record has been read back.
+	wait time.Duration
+}
+
+// Submit returns the outcome once the operation's record has been read back.
+// An operation whose id has an outcome already gets that one.
+func (s *submitter) Submit(ctx context.Context, op resources.Operation) (resources.Outcome, error) {
+	if outcome, ok := s.feed.outcome(op.ID); ok {
+		outcome.Duplicate = true
+		return outcome, nil
+	}
+	data, err := record.Encode(encodeOperation(op))
+	if err != nil {
+		return resources.Outcome{}, result.Errorf(result.TooLarge, "operation: %w", err)
+	}
+	applied, cancel := s.feed.outcomes.await(op.ID)
+	defer cancel()
+	submission, err := s.feed.writer.Submit(data)
+	if err != nil {
+		return resources.Outcome{}, result.Errorf(result.NotRunLogUnavailable, "log writer: %w", err)
+	}
+	ctx, stop := context.WithTimeout(ctx, s.wait)
+	defer stop()
+	select {
+	case outcome := <-applied:
+		return outcome, nil
+	case <-submission.Done():
+	case <-ctx.Done():
+	}
+	return s.conclude(op.ID, submission, applied)
+}
+
+// conclude tells what is known when the wait has ended without an outcome.
+func (s *submitter) conclude(id string, submission *writer.Submission, applied <-chan resources.Outcome) (resources.Outcome, error) {
+	last := submission.Withdraw()
+	if outcome, ok := s.feed.outcome(id); ok {
+		return outcome, nil
+	}
+	select {
+	case outcome := <-applied:
+		return outcome, nil
+	default:
+	}
+	if last.Outcome == writer.NotSent {
+		return resources.Outcome{}, result.Errorf(result.NotRunLogUnavailable, "the log can't be reached and nothing was sent to it")
+	}
+	return resources.Outcome{}, result.Errorf(result.WriteOutcomeUnknown, "the record was not read back in time; repeat with operation id %s", id)
+}
--- /dev/null
+++ b/entry/summary.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/scheduler"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// summaryVersion is this VM's published summary. The version grows when the
+// content changes, so that peers fetch only changes.
+type summaryVersion struct {
+	version uint64
+	current *peerpb.SummaryResponse
+}
+
+// summary returns this VM's summary, without cells if the caller knows it.
+func (n *Node) summary(known uint64) *peerpb.SummaryResponse {
+	fresh := n.makeSummary()
+	n.summaryMu.Lock()
+	defer n.summaryMu.Unlock()
+	if n.summaries.current == nil || !sameSummary(n.summaries.current, fresh) {
+		n.summaries.version++
+		fresh.Version = n.summaries.version
+		n.summaries.current = fresh
+	}
+	if n.summaries.version != known {
+		return n.summaries.current
+	}
+	return &peerpb.SummaryResponse{Vm: fresh.Vm, Incarnation: fresh.Incarnation, Version: known, Unchanged: true}
+}
+
+// sameSummary compares two summaries without their versions.
+func sameSummary(a, b *peerpb.SummaryResponse) bool {
+	b.Version = a.Version
+	return proto.Equal(a, b)
+}
+
+func (n *Node) makeSummary() *peerpb.SummaryResponse {
+	s := &peerpb.SummaryResponse{
+		Vm:          n.settings.VM,
+		Incarnation: n.incarnation,
+		DataCentre:  n.settings.DataCentre,
+		Ready:       n.Ready() == nil,
+	}
+	free := n.freeSlots()
+	for _, r := range n.runners() {
+		s.Cells = append(s.Cells, n.cellSummary(r.view(), free[r.cell.Index]))
+	}
+	slices.SortFunc(s.Cells, func(a, b *peerpb.CellSummary) int { return int(a.Cell - b.Cell) })
+	return s
+}
+
+// freeSlots returns the free slots per service of each own cell.
+func (n *Node) freeSlots() map[int]map[string]int {
+	free := make(map[int]map[string]int)
+	for _, c := range n.router.Summaries(n.clock()) {
+		free[c.Cell] = c.Free
+	}
+	return free
+}
+
+func (n *Node) cellSummary(v *cellView, free map[string]int) *peerpb.CellSummary {
+	s := &peerpb.CellSummary{
+		DataCentre:           n.settings.DataCentre,
+		Cell:                 int32(v.cell),
+		Term:                 v.term,
+		Workers:              int32(len(v.workers)),
+		FreeMilliCpu:         v.summary.Free.MilliCPU,
+		FreeMemoryMib:        v.summary.Free.MemoryMiB,
+		FreeAccelerators:     v.summary.Free.Accelerators,
+		LargestMilliCpu:      v.summary.Largest.MilliCPU,
+		LargestMemoryMib:     v.summary.Largest.MemoryMiB,
+		LargestAccelerators:  v.summary.Largest.Accelerators,
+		CapacityMilliCpu:     v.summary.Capacity.MilliCPU,
+		CapacityMemoryMib:    v.summary.Capacity.MemoryMiB,
+		CapacityAccelerators: v.summary.Capacity.Accelerators,
+		PendingMilliCpu:      v.summary.Pending.MilliCPU,
+		PendingMemoryMib:     v.summary.Pending.MemoryMiB,
+		PendingAccelerators:  v.summary.Pending.Accelerators,
+		Phase:                int32(v.summary.Phase),
+		Accepting:            v.accepting,
+		Work:                 workSummaries(v),
+	}
+	for name, slots := range free {
+		s.Services = append(s.Services, &peerpb.ServiceSummary{Service: name, FreeSlots: int32(slots)})
+	}
+	slices.SortFunc(s.Services, func(a, b *peerpb.ServiceSummary) int { return strings.Compare(a.Service, b.Service) })
+	return s
+}
+
+// workSummaries counts the tasks of a cell by job and service.
+func workSummaries(v *cellView) []*peerpb.WorkSummary {
+	byJob := make(map[string]*peerpb.WorkSummary)
+	for _, t := range v.tasks {
+		name, err := tasks.ParseTaskID(t.Task)
+		if err != nil {
+			continue
+		}
+		key := jobOf(t.Task)
+		w := byJob[key]
+		if w == nil {
+			w = &peerpb.WorkSummary{Name: name.Name, Created: int64(name.Created)}
+			byJob[key] = w
+		}
+		countTask(w, t, v.reasons[t.Task])
+	}
+	list := make([]*peerpb.WorkSummary, 0, len(byJob))
+	for _, w := range byJob {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *peerpb.WorkSummary) int {
+		return strings.Compare(a.Name, b.Name)*2 + int(a.Created-b.Created)
+	})
+	return list
+}
+
+func countTask(w *peerpb.WorkSummary, t tasks.View, reason string) {
+	switch t.Status {
+	case tasks.StatusPending:
+		w.Pending++
+		if reason != "" {
+			w.Reason = reason
+		}
+	case tasks.StatusPlaced, tasks.StatusEvicting:
+		w.Running++
+	case tasks.StatusCompleted:
+		w.Completed++
+	case tasks.StatusFailed:
+		w.Failed++
+		w.Reason = t.Message
+	}
+}
+
+// pollPeers asks every peer for its summary.
+func (n *Node) pollPeers(ctx context.Context) {
+	for _, p := range n.peers {
+		n.goDo(func() { n.pollPeer(ctx, p) })
+	}
+}
+
+func (n *Node) pollPeer(ctx context.Context, p *peerState) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Times.PeerTimeout)
+	defer cancel()
+	answer, err := p.client.Summary(ctx, &peerpb.SummaryRequest{Known: p.version()})
+	if err != nil {
+		return
+	}
+	p.note(answer, n.clock())
+}
+
+// otherCells returns the summaries of all cells but one, for the policy.
+func (n *Node) otherCells(cell int) []scheduler.CellSummary {
+	now := n.clock()
+	var list []scheduler.CellSummary
+	for _, r := range n.runners() {
+		if r.cell.Index != cell {
+			list = append(list, r.view().summary)
+		}
+	}
+	for _, p := range n.peers {
+		word, ok := p.word(now)
+		if !ok {
+			continue
+		}
+		for _, c := range word.Cells {
+			if c.Accepting {
+				list = append(list, policySummary(c, word))
+			}
+		}
+	}
+	return list
+}
+
+func policySummary(c *peerpb.CellSummary, word *peerpb.SummaryResponse) scheduler.CellSummary {
+	s := scheduler.CellSummary{
+		Cell:     scheduler.CellID{DataCentre: c.DataCentre, Index: int(c.Cell)},
+		Phase:    scheduler.Phase(c.Phase),
+		Free:     platform.Resources{MilliCPU: c.FreeMilliCpu, MemoryMiB: c.FreeMemoryMib, Accelerators: c.FreeAccelerators},
+		Largest:  platform.Resources{MilliCPU: c.LargestMilliCpu, MemoryMiB: c.LargestMemoryMib, Accelerators: c.LargestAccelerators},
+		Capacity: platform.Resources{MilliCPU: c.CapacityMilliCpu, MemoryMiB: c.CapacityMemoryMib, Accelerators: c.CapacityAccelerators},
+		Pending:  platform.Resources{MilliCPU: c.PendingMilliCpu, MemoryMiB: c.PendingMemoryMib, Accelerators: c.PendingAccelerators},
+		Replicas: make(map[string]int),
+	}
+	for _, w := range c.Work {
+		s.Replicas[jobKey(tasks.Work{Name: w.Name, Created: api.Version(w.Created)})] = int(w.Running)
+	}
+	return s
+}
--- /dev/null
+++ b/entry/workerlist.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// workerList is an immutable copy of the VM list of this VM's data centre.
+type workerList struct {
+	// readAt is when the read was sent, on the local clock; 0 if never.
+	readAt  time.Duration
+	workers map[string]platform.VM
+	// entryVMs are the ids of the entry VMs that the list names.
+	entryVMs []string
+}
+
+func newWorkerList(vms []platform.VM, readAt time.Duration) *workerList {
+	l := &workerList{readAt: readAt, workers: make(map[string]platform.VM)}
+	for _, vm := range vms {
+		switch vm.Role {
+		case platform.RoleWorker:
+			l.workers[vm.ID] = vm
+		case platform.RoleEntry:
+			l.entryVMs = append(l.entryVMs, vm.ID)
+		}
+	}
+	return l
+}
+
+// cell returns the workers of a cell.
+func (l *workerList) cell(index, cells int) []tasks.Worker {
+	var list []tasks.Worker
+	for id, vm := range l.workers {
+		if tasks.CellOf(id, cells) != index {
+			continue
+		}
+		list = append(list, tasks.Worker{ID: id, Leaving: vm.State == platform.VMLeaving, Capacity: vm.Capacity})
+	}
+	return list
+}
--- /dev/null
+++ b/routing/inspect.go
@@ -0,0 +1,34 @@
+package routing
+
+import "time"
+
+// Servers returns the backend servers of own cells that run a service.
+func (r *Router) Servers() []*Server {
+	seen := make(map[*Server]bool)
+	var list []*Server
+	for _, svc := range r.table.Load().services {
+		for _, server := range svc.servers {
+			if !seen[server] {
+				seen[server] = true
+				list = append(list, server)
+			}
+		}
+	}
+	return list
+}
+
+// InUse returns how many slots of a cell's workers are taken, including those
+// of abandoned requests whose release time has not passed.
+func (r *Router) InUse(cell int, now time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for _, w := range r.accounts.workers {
+		if c := w.cell.Load(); c == nil || c.number != cell {
+			continue
+		}
+		w.sweep(now)
+		total += w.Taken()
+	}
+	return total
+}
