standin: tests in virtual time and over loopback; writer: race in the tests

Cause: nothing checked the stand-in. With -count=15 the race detector found that tests of package writer read the fake log's fields while the writer appends; one of them failed.

The fake log's fields are now read under its lock; the assertions are the same.

--- /dev/null
+++ b/standin/command_test.go
@@ -0,0 +1,71 @@
+package standin_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/standin"
+)
+
+// Guards against a command that does not say where it listens, ignores its
+// topology, or does not end without error on SIGTERM (it once reported that a
+// listener was closed already).
+func TestCommandRunsUntilSIGTERM(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe()
+	command := standin.NewCommand()
+	command.SetArgs([]string{"--topology", "-", "--append-latency", "0s"})
+	command.SetIn(strings.NewReader(`{"dataCentres":[{"name":"sfax-a","workers":3,"worker":{"slots":2}}]}`))
+	command.SetOut(writer)
+	done := make(chan error, 1)
+	go func() {
+		done <- command.ExecuteContext(t.Context())
+		_ = writer.Close()
+	}()
+	line, err := bufio.NewReader(reader).ReadBytes('\n')
+	is.NoErr(err)
+	var at standin.Addresses
+	is.NoErr(json.Unmarshal(line, &at))
+	is.Equal(len(at.Workers), 3)
+	is.Equal(at.Workers[2].ID, "sfax-a-w2")
+	is.Equal(at.Workers[2].Slots, 2)
+
+	post := func(body string) int {
+		response, err := http.Post("http://"+at.Admin+"/fault", "application/json", strings.NewReader(body))
+		is.NoErr(err)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	is.Equal(post(`{"kind":"down","target":"worker/sfax-a-w0"}`), http.StatusOK)
+	is.Equal(post(`{"kind":"down","target":"worker/nowhere"}`), http.StatusNotFound)
+	is.Equal(post(`{"kind":"slow","target":"log","delay":"-1s"}`), http.StatusBadRequest)
+	is.Equal(post(`{"kind":"down","target":"log","cuont":1}`), http.StatusBadRequest)
+	response, err := http.Get("http://" + at.Admin + "/history")
+	is.NoErr(err)
+	defer response.Body.Close()
+	var view standin.HistoryView
+	is.NoErr(json.NewDecoder(response.Body).Decode(&view))
+	is.Equal(len(view.Workers), 3)
+	is.Equal(len(view.Faults), 1)
+
+	is.NoErr(syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	is.NoErr(<-done)
+}
+
+// Guards against entry VMs that the flags lose.
+func TestCommandRefusesBadEntry(t *testing.T) {
+	is := is.New(t)
+	for _, entry := range []string{"giza/e0", "e0=127.0.0.1:1", "nowhere/e0=127.0.0.1:1", "giza/e0=localhost:1"} {
+		command := standin.NewCommand()
+		command.SetArgs([]string{"--data-centres", "giza", "--entry", entry})
+		command.SetOut(io.Discard)
+		is.True(command.ExecuteContext(t.Context()) != nil)
+	}
+}
--- /dev/null
+++ b/standin/state_test.go
@@ -0,0 +1,144 @@
+package standin_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/result"
+	"github.com/cactusreel/cactusreel/standin"
+)
+
+// Guards against retention that drops too much or too little, or reuses offsets.
+func TestLogRetention(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLogStore(standin.Retention{Records: 10, Age: time.Minute})
+	for i := range 25 {
+		offset := log.Append(time.Duration(i)*time.Second, "s", fmt.Sprint(i), []byte{byte(i)})
+		is.Equal(offset, int64(i+1))
+	}
+	page, err := log.Read(25*time.Second, "s", 16, 3)
+	is.NoErr(err)
+	is.Equal(page.First, int64(16))
+	is.Equal(page.Next, int64(26))
+	is.Equal(len(page.Records), 3)
+	is.Equal(page.Records[0], platform.LogRecord{Offset: 16, ID: "15", Data: []byte{15}})
+	page, err = log.Read(25*time.Second, "s", 15, 3)
+	is.True(errors.Is(err, platform.ErrTruncated))
+	is.Equal(page.First, int64(16))
+
+	// Record 20 was appended at 19 s, so it is kept until 79 s.
+	page, _ = log.Read(79*time.Second, "s", 20, 100)
+	is.Equal(page.First, int64(20))
+	is.Equal(len(page.Records), 6)
+	page, _ = log.Read(time.Hour, "s", 26, 100)
+	is.Equal(page, platform.LogPage{First: 26, Next: 26})
+	is.Equal(log.Append(time.Hour, "s", "x", nil), int64(26))
+	is.Equal(log.Truncate("s", 0), int64(27))
+	is.Equal(log.Append(time.Hour, "s", "y", nil), int64(27))
+	page, err = log.Read(0, "other", 1, 5)
+	is.NoErr(err)
+	is.Equal(page, platform.LogPage{First: 1, Next: 1})
+}
+
+// Guards against a list that does not lag, loses changes, or moves while frozen.
+func TestVMTableLags(t *testing.T) {
+	is := is.New(t)
+	vms := []platform.VM{{ID: "b", DataCentre: "giza"}, {ID: "a", DataCentre: "maadi"}}
+	table := standin.NewVMTable(vms, 2*time.Second)
+	is.Equal(len(table.List(0, "")), 2)
+	is.Equal(table.List(0, "")[0].ID, "a")
+	table.Remove(time.Second, "b")
+	_, ok := table.Present("b")
+	is.True(!ok)
+	is.Equal(len(table.List(2*time.Second, "giza")), 1)
+	is.Equal(len(table.List(3*time.Second, "giza")), 0)
+	table.Put(4*time.Second, vms[0])
+	table.SetFrozen(5*time.Second, true)
+	is.Equal(len(table.List(time.Minute, "giza")), 0)
+	table.SetFrozen(time.Minute, false)
+	is.Equal(len(table.List(time.Minute, "giza")), 1)
+}
+
+// Guards against a ninth request in a slot, a slot that is lost, and requests
+// of a lower term.
+func TestSlotGuard(t *testing.T) {
+	is := is.New(t)
+	guard := standin.NewSlotGuard(2)
+	n, err := guard.Begin(5)
+	is.NoErr(err)
+	is.Equal(n, 1)
+	n, err = guard.Begin(0) // without a term
+	is.NoErr(err)
+	is.Equal(n, 2)
+	_, err = guard.Begin(5)
+	is.Equal(result.CodeOf(err, result.OK), result.NotRunOverloaded)
+	guard.End()
+	_, err = guard.Begin(4)
+	is.True(errors.Is(err, platform.ErrLowerTerm))
+	n, err = guard.Begin(6)
+	is.NoErr(err)
+	is.Equal(n, 2)
+}
+
+// Guards against a counted fault that hits too often, and one that hits
+// another target.
+func TestFaultSetCounts(t *testing.T) {
+	is := is.New(t)
+	var faults standin.FaultSet
+	faults.Set(standin.Fault{Kind: standin.FaultResponseLost, Target: "log", Count: 2})
+	faults.Set(standin.Fault{Kind: standin.FaultSlow, Target: "log/giza", Delay: 1})
+	is.Equal(len(faults.Take([]string{"vms/giza", "vms"})), 0)
+	is.Equal(len(faults.Take([]string{"log/giza", "log"})), 2)
+	is.Equal(len(faults.Take([]string{"log/maadi", "log"})), 1)
+	is.Equal(len(faults.Take([]string{"log/maadi", "log"})), 0)
+	faults.Set(standin.Fault{Kind: standin.FaultSlow, Target: "log/giza", Off: true})
+	is.Equal(len(faults.Take([]string{"log/giza", "log"})), 0)
+}
+
+// Guards against malformed topologies and faults that are accepted.
+func TestBadDocumentsAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{
+		`{}`,
+		`{"dataCentres":[{"name":"a"},{"name":"a"}]}`,
+		`{"dataCentres":[{"name":"a","workers":-1}]}`,
+		`{"dataCentres":[{"name":"a","wrokers":1}]}`,
+		`{"dataCentres":[{"name":"a","entries":[{"id":"e","address":"localhost:1"}]}]}`,
+		`{"dataCentres":[{"name":"a"}],"kinds":{"k":{"failAfter":"-3s"}}}`,
+		`{"dataCentres":[{"name":"a"}],"interference":[{"kind":"k","beside":"l","slowdown":-1}]}`,
+	} {
+		_, err := standin.DecodeTopology([]byte(text))
+		is.True(err != nil)
+	}
+	for _, f := range []standin.Fault{
+		{Kind: "odd"},
+		{Kind: standin.FaultSlow},
+		{Kind: standin.FaultLagging, Count: 1},
+		{Kind: standin.FaultCut, Bytes: -1},
+	} {
+		is.Equal(result.CodeOf(f.Check(), result.OK), result.BadResource)
+	}
+	_, err := standin.Start(standin.Topology{DataCentres: []standin.DataCentre{{Name: "a"}}}, standin.Options{IP: "0.0.0.0"})
+	is.True(err != nil) // only loopback
+}
+
+// Guards against panics, and against accepted topologies that can't start.
+func FuzzDecodeTopology(f *testing.F) {
+	f.Add([]byte(`{"dataCentres":[{"name":"a","racks":2,"workers":3,"worker":{"slots":8},"entries":[{"id":"e","address":"127.0.0.1:1"}]}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		topology, err := standin.DecodeTopology(data)
+		if err != nil {
+			return
+		}
+		for _, dc := range topology.DataCentres {
+			if dc.Name == "" || dc.Workers < 0 || dc.Racks < 0 {
+				t.Fatalf("accepted %+v", dc)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/standin/worker_test.go
@@ -0,0 +1,324 @@
+package standin_test
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/result"
+	"github.com/cactusreel/cactusreel/standin"
+)
+
+const (
+	farLease = 10 * time.Hour
+	testLag  = 2 * time.Second
+)
+
+var testCapacity = platform.Resources{MilliCPU: 4000, MemoryMiB: 1000, Accelerators: 1}
+
+func newTestWorker(t *testing.T, kinds map[string]standin.KindSpec, pairs ...standin.Interference) *standin.Worker {
+	t.Helper()
+	table, err := standin.NewKinds(kinds, pairs)
+	is.New(t).NoErr(err)
+	return standin.NewWorker(standin.WorkerConfig{
+		ID: "w", Boot: "b1", Capacity: testCapacity,
+		UsageInterval: 500 * time.Millisecond, UsageLag: testLag, Kinds: table,
+	}, 0)
+}
+
+func commandAt(term int64) platform.Command {
+	return platform.Command{Term: term, Boot: "b1", Deadline: math.MaxInt64}
+}
+
+func attemptOf(task string, number int64) platform.AttemptID {
+	return platform.AttemptID{Task: task, Attempt: number}
+}
+
+// startOf returns a start of one core with a far lease.
+func startOf(task string, number int64, work time.Duration) platform.Start {
+	return platform.Start{
+		Command: commandAt(1), ID: attemptOf(task, number), Kind: "batch",
+		Requests: platform.Resources{MilliCPU: 1000, MemoryMiB: 100}, LeaseExpiry: farLease, Work: work,
+	}
+}
+
+func reportOf(t *testing.T, w *standin.Worker, now time.Duration, id platform.AttemptID) platform.Attempt {
+	t.Helper()
+	for _, a := range w.Observe(now).Attempts {
+		if a.ID == id {
+			return a
+		}
+	}
+	t.Fatalf("attempt %v is not reported", id)
+	return platform.Attempt{}
+}
+
+// Guards against run times that depend on how often the worker is looked at.
+func TestTaskRunsForItsStatedTime(t *testing.T) {
+	for _, step := range []time.Duration{7 * time.Millisecond, 900 * time.Millisecond, time.Hour} {
+		is := is.New(t)
+		w := newTestWorker(t, map[string]standin.KindSpec{"slow": {RunFactor: 2}})
+		is.NoErr(w.Start(0, startOf("a", 1, 10*time.Second)))
+		slow := startOf("b", 1, 10*time.Second)
+		slow.Kind = "slow"
+		is.NoErr(w.Start(0, slow))
+		for now := time.Duration(0); now < 30*time.Second; now += step {
+			w.Observe(now)
+		}
+		events := w.Drain(time.Minute)
+		is.Equal(len(events), 4)
+		is.Equal(events[2].ID.Task, "a")
+		is.Equal(events[2].State, platform.AttemptCompleted)
+		is.Equal(events[3].State, platform.AttemptCompleted)
+		for i, want := range []time.Duration{10 * time.Second, 20 * time.Second} {
+			is.True((events[2+i].At - want).Abs() < 10*time.Microsecond) // rounding of the steps only
+		}
+	}
+}
+
+// Guards against a lease that outlives its end because nobody looked, or that
+// a late renewal revives.
+func TestLeaseEndsAtItsOwnTime(t *testing.T) {
+	is := is.New(t)
+	w := newTestWorker(t, nil)
+	s := startOf("a", 1, time.Hour)
+	s.LeaseExpiry = 10 * time.Second
+	is.NoErr(w.Start(0, s))
+	renew := func(now, expiry time.Duration) {
+		is.NoErr(w.Renew(now, commandAt(1), []platform.Renewal{{ID: attemptOf("other", 1), LeaseExpiry: farLease}, {ID: s.ID, LeaseExpiry: expiry}}))
+	}
+	renew(9*time.Second, 20*time.Second)
+	renew(10*time.Second, 15*time.Second) // lower than the present one: no change
+	renew(25*time.Second, farLease)       // late
+	is.Equal(reportOf(t, w, 26*time.Second, s.ID).State, platform.AttemptLapsed)
+	events := w.Drain(26 * time.Second)
+	is.Equal(events[1].At, 20*time.Second)
+
+	s.ID.Attempt = 2
+	s.LeaseExpiry = 26 * time.Second
+	is.True(errors.Is(w.Start(26*time.Second, s), platform.ErrDeadlinePassed))
+}
+
+// Guards against commands that take effect although their boot id, term or
+// deadline forbids it, and against refused commands that raise the term.
+func TestCommandsAreRefused(t *testing.T) {
+	is := is.New(t)
+	w := newTestWorker(t, nil)
+	_, err := w.Fence(0, 5)
+	is.NoErr(err)
+	_, err = w.Fence(0, 4)
+	is.True(errors.Is(err, platform.ErrLowerTerm))
+	id := attemptOf("a", 1)
+	for _, c := range []struct {
+		command platform.Command
+		want    error
+	}{
+		{platform.Command{Term: 4, Boot: "b1", Deadline: time.Hour}, platform.ErrLowerTerm},
+		{platform.Command{Term: 9, Boot: "b0", Deadline: time.Hour}, platform.ErrOtherBoot},
+		{platform.Command{Term: 9, Boot: "b1", Deadline: time.Second}, platform.ErrDeadlinePassed},
+	} {
+		s := startOf("a", 1, time.Second)
+		s.Command = c.command
+		now := 2 * time.Second
+		is.True(errors.Is(w.Start(now, s), c.want))
+		is.True(errors.Is(w.Renew(now, c.command, nil), c.want))
+		_, err := w.Checkpoint(now, c.command, id)
+		is.True(errors.Is(err, c.want))
+		is.True(errors.Is(w.Throttle(now, c.command, id, 0.5), c.want))
+		_, err = w.Stop(now, c.command, id)
+		is.True(errors.Is(err, c.want))
+		is.True(errors.Is(w.Forget(now, c.command, id), c.want))
+		is.Equal(w.Observe(now).Term, int64(5))
+		is.Equal(len(w.Observe(now).Attempts), 0)
+	}
+	s := startOf("a", 1, time.Second)
+	s.Command = commandAt(9)
+	s.Requests.MilliCPU = testCapacity.MilliCPU + 1
+	is.True(errors.Is(w.Start(2*time.Second, s), platform.ErrNoRoom))
+	is.Equal(w.Observe(2*time.Second).Term, int64(5))
+	_, err = w.Checkpoint(2*time.Second, commandAt(9), id)
+	is.True(errors.Is(err, platform.ErrNoAttempt))
+}
+
+// Guards against a worker that takes more than its capacity, or does not give
+// back what an ended attempt held.
+func TestCapacityIsKept(t *testing.T) {
+	is := is.New(t)
+	w := newTestWorker(t, nil)
+	for i := range 4 {
+		is.NoErr(w.Start(0, startOf(fmt.Sprint(i), 1, time.Duration(i+1)*time.Minute)))
+	}
+	is.True(errors.Is(w.Start(0, startOf("x", 1, time.Second)), platform.ErrNoRoom))
+	is.NoErr(w.Start(time.Minute, startOf("x", 1, time.Second))) // the first has completed
+	big := startOf("y", 1, time.Second)
+	big.Requests = platform.Resources{Accelerators: 2}
+	is.True(errors.Is(w.Start(time.Minute, big), platform.ErrNoRoom))
+}
+
+// Guards against an attempt that runs a second time on one worker, or starts
+// after its stop.
+func TestAttemptNumbers(t *testing.T) {
+	is := is.New(t)
+	w := newTestWorker(t, nil)
+	is.NoErr(w.Start(0, startOf("a", 2, time.Second)))
+	is.NoErr(w.Start(0, startOf("a", 2, time.Second))) // the same start
+	is.True(errors.Is(w.Start(0, startOf("a", 1, time.Second)), platform.ErrOldAttempt))
+	is.Equal(result.CodeOf(w.Forget(0, commandAt(1), attemptOf("a", 2)), result.OK), result.WorkerRefused)
+	is.NoErr(w.Start(time.Minute, startOf("a", 2, time.Second))) // has completed: still the same start
+	is.NoErr(w.Forget(time.Minute, commandAt(1), attemptOf("a", 2)))
+	is.NoErr(w.Forget(time.Minute, commandAt(1), attemptOf("a", 2)))
+	is.True(errors.Is(w.Start(time.Minute, startOf("a", 2, time.Second)), platform.ErrOldAttempt))
+
+	report, err := w.Stop(time.Minute, commandAt(1), attemptOf("b", 1))
+	is.NoErr(err)
+	is.Equal(report, platform.Attempt{ID: attemptOf("b", 1), State: platform.AttemptStopped})
+	is.True(errors.Is(w.Start(time.Minute, startOf("b", 1, time.Second)), platform.ErrOldAttempt))
+	is.NoErr(w.Start(time.Minute, startOf("b", 2, time.Hour)))
+	report, err = w.Stop(2*time.Minute, commandAt(1), attemptOf("b", 2))
+	is.NoErr(err)
+	is.Equal(report.State, platform.AttemptStopped)
+	is.Equal(len(w.Drain(2*time.Minute)), 4) // two starts, two ends
+}
+
+// Guards against a checkpoint that loses or adds work, or that another task takes.
+func TestCheckpointResumesOnAnotherWorker(t *testing.T) {
+	is := is.New(t)
+	first, second := newTestWorker(t, nil), newTestWorker(t, nil)
+	is.NoErr(first.Start(0, startOf("j/1/0", 1, 10*time.Second)))
+	name, err := first.Checkpoint(4*time.Second, commandAt(1), attemptOf("j/1/0", 1))
+	is.NoErr(err)
+	is.Equal(reportOf(t, first, 5*time.Second, attemptOf("j/1/0", 1)).Checkpoint, name)
+
+	resumed := startOf("j/1/0", 2, 10*time.Second)
+	resumed.Checkpoint = name
+	is.NoErr(second.Start(0, resumed))
+	is.Equal(reportOf(t, second, 0, resumed.ID).Progress, 0.4)
+	events := second.Drain(time.Minute)
+	is.Equal(events[0].Resumed, name)
+	is.Equal(events[0].Done, 4*time.Second)
+	is.Equal(events[1].State, platform.AttemptCompleted)
+	is.Equal(events[1].At, 6*time.Second)
+
+	for _, bad := range []string{"x", "cp:1:5:other", "cp:3:5:j/1/0", "cp:1:-5:j/1/0", "cp:a:5:j/1/0"} {
+		s := startOf("j/1/0", 3, time.Second)
+		s.Checkpoint = bad
+		is.Equal(result.CodeOf(second.Start(time.Minute, s), result.OK), result.BadResource)
+	}
+}
+
+// Guards against throttling and interference that change nothing, and against
+// usage reports that do not lag or forget the neighbours.
+func TestSlowdownIsReportedLate(t *testing.T) {
+	is := is.New(t)
+	w := newTestWorker(t, nil, standin.Interference{Kind: "batch", Beside: "noisy", Slowdown: 1})
+	is.NoErr(w.Start(0, startOf("a", 1, 10*time.Second)))
+	noisy := startOf("n", 1, 0)
+	noisy.Kind = "noisy"
+	noisy.Requests.MilliCPU = 3000 // full load: "batch" takes twice as long
+	is.NoErr(w.Start(4*time.Second, noisy))
+	is.Equal(w.ServiceSlowdown(4*time.Second), 1.0) // the pair is ordered
+	usageOf := func(now time.Duration) platform.Usage { return w.Observe(now).Usage[0] }
+	is.Equal(usageOf(5*time.Second).Slowdown, 1.0)
+	is.Equal(len(usageOf(5*time.Second).Colocated), 0)
+	late := usageOf(6*time.Second + 600*time.Millisecond)
+	is.Equal(late.Slowdown, 2.0)
+	is.Equal(late.Colocated, []string{"noisy"})
+	is.Equal(late.MeasuredAt, 4500*time.Millisecond)
+	is.Equal(late.Load, 1.0)
+	is.Equal(late.Used.MilliCPU, int64(1000))
+
+	// 4 s alone and 4 s at half speed are done at 8 s. A stopped neighbour
+	// costs nothing; the remaining 4 s run at a quarter of the speed.
+	is.NoErr(w.Throttle(8*time.Second, commandAt(1), noisy.ID, 0))
+	is.NoErr(w.Throttle(8*time.Second, commandAt(1), attemptOf("a", 1), 0.25))
+	is.Equal(reportOf(t, w, 8*time.Second, attemptOf("a", 1)).Progress, 0.6)
+	is.Equal(reportOf(t, w, 23*time.Second, attemptOf("a", 1)).State, platform.AttemptRunning)
+	is.Equal(reportOf(t, w, 24*time.Second, attemptOf("a", 1)).State, platform.AttemptCompleted)
+	is.Equal(result.CodeOf(w.Throttle(25*time.Second, commandAt(1), noisy.ID, math.NaN()), result.OK), result.BadResource)
+}
+
+// Guards against failing kinds and workers whose tasks complete, and against a
+// crash that leaves tasks running.
+func TestFailures(t *testing.T) {
+	is := is.New(t)
+	w := newTestWorker(t, map[string]standin.KindSpec{"broken": {FailAfter: standin.Duration(3 * time.Second)}})
+	s := startOf("a", 1, 10*time.Second)
+	s.Kind = "broken"
+	is.NoErr(w.Start(0, s))
+	is.NoErr(w.Start(0, startOf("b", 1, time.Minute)))
+	is.Equal(reportOf(t, w, 5*time.Second, s.ID).State, platform.AttemptFailed)
+	is.Equal(w.Drain(5 * time.Second)[2].At, 3*time.Second)
+	w.SetFailing(5*time.Second, true)
+	is.NoErr(w.Start(5*time.Second, startOf("c", 1, 10*time.Second)))
+	is.Equal(reportOf(t, w, 6*time.Second, attemptOf("c", 1)).State, platform.AttemptFailed)
+	is.Equal(reportOf(t, w, 6*time.Second, attemptOf("b", 1)).State, platform.AttemptRunning)
+	w.Drain(6 * time.Second)
+	w.Crash(7 * time.Second)
+	events := w.Drain(7 * time.Second)
+	is.Equal(len(events), 1)
+	is.Equal(events[0].State, standin.AttemptLost)
+}
+
+// Guards against any order of commands that exceeds the capacity, runs an
+// attempt twice, or lets one outlive its lease.
+func TestRandomCommands(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		w := newTestWorker(t, nil)
+		now := time.Duration(0)
+		for step := range 300 {
+			now += time.Duration(random.IntN(2000)) * time.Millisecond
+			s := startOf(fmt.Sprint(random.IntN(6)), int64(step/10+random.IntN(3)+1), time.Duration(random.IntN(20))*time.Second)
+			s.Requests.MilliCPU = int64(random.IntN(3000))
+			s.LeaseExpiry = now + time.Duration(random.IntN(10))*time.Second
+			switch random.IntN(4) {
+			case 0, 1:
+				_ = w.Start(now, s)
+			case 2:
+				_, _ = w.Stop(now, s.Command, s.ID)
+			case 3:
+				_ = w.Renew(now, s.Command, []platform.Renewal{{ID: s.ID, LeaseExpiry: s.LeaseExpiry}})
+			}
+			var used platform.Resources
+			for _, a := range w.Observe(now).Attempts {
+				if a.State != platform.AttemptRunning {
+					continue
+				}
+				used = used.Add(a.Requests)
+				if a.LeaseExpiry <= now {
+					t.Fatalf("seed %d: attempt %v runs at %v", seed, a, now)
+				}
+			}
+			if !used.Fits(testCapacity) {
+				t.Fatalf("seed %d: %+v is in use at %v", seed, used, now)
+			}
+		}
+		checkEvents(t, seed, w.Drain(now))
+	}
+}
+
+// checkEvents checks that each attempt starts once and ends at most once, in
+// the order of times.
+func checkEvents(t *testing.T, seed uint64, events []standin.AttemptEvent) {
+	t.Helper()
+	states := make(map[platform.AttemptID]platform.AttemptState)
+	last := time.Duration(0)
+	for _, e := range events {
+		before, known := states[e.ID]
+		starts := e.State == platform.AttemptRunning
+		if starts == known || !starts && before != platform.AttemptRunning || e.At < last {
+			t.Fatalf("seed %d: event %+v after state %q", seed, e, before)
+		}
+		states[e.ID] = e.State
+		last = e.At
+	}
+	if len(states) < 20 {
+		t.Fatalf("seed %d: only %d attempts started", seed, len(states))
+	}
+}
--- a/writer/fakelog_test.go
+++ b/writer/fakelog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,3 +105,17 @@
 	page.Records = append(page.Records, f.records[from-1:]...)
 	return page, nil
 }
+
+// ids returns the ids of all appends so far.
+func (f *fakeLog) ids() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.calls)
+}
+
+// counts returns the number of records, and of appends in flight at most.
+func (f *fakeLog) counts() (records, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.records), f.most
+}
--- a/writer/writer_test.go
+++ b/writer/writer_test.go
@@ -109,7 +109,7 @@
 			f.is.True(final)
 			f.is.Equal(r, writer.Result{Outcome: writer.Accepted, Offset: 2, Index: i})
 		}
-		f.is.Equal(len(f.log.calls), 2)
+		f.is.Equal(len(f.log.ids()), 2)
 		f.is.Equal(f.writer.Stats(), writer.Stats{Batches: 2, Items: 21, Appends: 2})
 	})
 }
@@ -123,9 +123,10 @@
 		f.run(3 * time.Second)
 		_, final := s.Result()
 		f.is.True(!final)
-		f.is.True(len(f.log.calls) > 1) // repeated
-		for _, id := range f.log.calls {
-			f.is.Equal(id, f.log.calls[0])
+		ids := f.log.ids()
+		f.is.True(len(ids) > 1) // repeated
+		for _, id := range ids {
+			f.is.Equal(id, ids[0])
 		}
 		f.mute = false
 		f.run(time.Second)
@@ -217,7 +218,8 @@
 		_, err = f.writer.Submit([]byte("x"))
 		f.is.Equal(result.CodeOf(err, result.OK), result.NotRunLogUnavailable)
 		f.run(5 * time.Second)
-		f.is.Equal(len(f.log.records), 4) // 1, then 2, 2 and 1 because of the bytes
+		records, _ := f.log.counts()
+		f.is.Equal(records, 4) // 1, then 2, 2 and 1 because of the bytes
 	})
 }
 
@@ -230,9 +232,9 @@
 		f.run(time.Second)
 		f.submit("b")
 		f.run(3 * time.Second)
-		f.is.Equal(f.log.calls, []string{"0000000000000abc-42"})
+		f.is.Equal(f.log.ids(), []string{"0000000000000abc-42"})
 		f.run(3 * time.Second)
-		f.is.Equal(f.log.calls, []string{"0000000000000abc-42", "0000000000000abc-43"})
+		f.is.Equal(f.log.ids(), []string{"0000000000000abc-42", "0000000000000abc-43"})
 		f.is.Equal(f.writer.LastSequence(), uint64(43))
 	})
 }
@@ -263,7 +265,8 @@
 					t.Fatalf("seed %d, item %s: result %+v (final %v), applied %d times", seed, name, r, final, f.items[name])
 				}
 			}
-			f.is.Equal(f.log.most, 1)
+			_, most := f.log.counts()
+			f.is.Equal(most, 1)
 		})
 	}
 }
