ownership: hand no cell to a VM that is stopping

While e1 stopped and had released its two cells to e2, e2 balanced one of its cells back to e1, whose leave record came first. The cell had a dead owner for a lease (5 s).

Ruled out: waiting with balancing for a lease after each release; it only makes the case rarer.

Change: a renewal says that its VM is stopping, which receives no cells from then on; a release to a VM whose leave record came first leaves the cell without an owner, so that it can be claimed at once.

--- a/entry/backends.go
+++ b/entry/backends.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return
 	}
-	defer answer.Body.Close() //nolint:errcheck // nothing was written
+	defer answer.Body.Close()
 	if answer.Header.Get(headerLeaving) == "true" {
 		server.MarkLeaving()
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -38,7 +38,7 @@
 	httpClient *http.Client
 	// health asks backend servers for their state, on connections of its own.
 	health *http.Client
-	peers      []*peerState
+	peers  []*peerState
 
 	feed   *resourceFeed
 	router *routing.Router
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -115,9 +115,12 @@
 func (s *peerServer) Synchronise(_ context.Context, r *peerpb.SynchroniseRequest) (*peerpb.SynchroniseResponse, error) {
 	n := s.node
 	var part dedup.Copy
-	if err := json.Unmarshal(r.Copy, &part); err != nil || r.Incarnation != n.incarnation {
+	if r.Incarnation != n.incarnation {
 		return &peerpb.SynchroniseResponse{}, nil
 	}
+	if err := json.Unmarshal(r.Copy, &part); err != nil {
+		return nil, err
+	}
 	cell := dedup.Cell{DataCentre: r.DataCentre, Number: int(r.Cell)}
 	full, err := n.tables.Table(cell).Import(n.clock(), part)
 	return &peerpb.SynchroniseResponse{Accepted: err == nil, Full: full}, nil
--- a/entry/summary.go
+++ b/entry/summary.go
@@ -172,14 +172,14 @@
 		}
 		for _, c := range word.Cells {
 			if c.Accepting {
-				list = append(list, policySummary(c, word))
+				list = append(list, policySummary(c))
 			}
 		}
 	}
 	return list
 }
 
-func policySummary(c *peerpb.CellSummary, word *peerpb.SummaryResponse) scheduler.CellSummary {
+func policySummary(c *peerpb.CellSummary) scheduler.CellSummary {
 	s := scheduler.CellSummary{
 		Cell:     scheduler.CellID{DataCentre: c.DataCentre, Index: int(c.Cell)},
 		Phase:    scheduler.Phase(c.Phase),
--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -62,6 +62,9 @@
 
 func (m *Machine) applyRenew(r *recordpb.Renew) {
 	m.see(r.Vm, r.Incarnation, r.Joined)
+	if known := m.members[r.Vm]; known.incarnation == r.Incarnation {
+		known.stopping = known.stopping || r.Stopping
+	}
 	own := r.Vm == m.config.VM && r.Incarnation == m.config.Incarnation
 	awaited := own && m.renewal != nil && m.renewal.number == r.Number
 	for _, held := range r.Cells {
@@ -155,6 +158,10 @@
 	own := m.owns(c)
 	c.addPredecessor(true)
 	c.setOwner(r.To, r.ToIncarnation, m.offset, m.now)
+	if to := m.members[r.To]; to != nil && to.incarnation == r.ToIncarnation && to.left {
+		// The receiver's leave record came first: the cell has no owner.
+		c.owner, c.incarnation = "", 0
+	}
 	c.dropPredecessors(func(p *recordpb.Predecessor) bool {
 		return p.Vm == r.To && p.Incarnation == r.ToIncarnation
 	})
--- a/ownership/balance.go
+++ b/ownership/balance.go
@@ -8,12 +8,12 @@
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
-// live returns the VMs that have renewed within a lease and are not known
-// gone, in ascending order. It includes this VM.
+// live returns the VMs that have renewed within a lease, are not stopping and
+// are not known gone, in ascending order. It includes this VM.
 func (m *Machine) live() []string {
 	var names []string
 	for _, vm := range slices.Sorted(maps.Keys(m.members)) {
-		if vm == m.config.VM || m.alive(vm) {
+		if vm == m.config.VM || (m.alive(vm) && !m.members[vm].stopping) {
 			names = append(names, vm)
 		}
 	}
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -40,6 +40,8 @@
 	askTimes map[uint64]time.Duration
 
 	stopping  bool
+	// stopTold is set once a renewal has said that this VM is stopping.
+	stopTold  bool
 	leaveSent bool
 	left      bool
 
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -21,6 +21,7 @@
 		return
 	}
 	m.renewals++
+	m.stopTold = m.stopping
 	m.renewedAt = m.now
 	m.renewal = &pending{number: m.renewals, sentAt: m.now}
 	m.emit(Append{Record: &recordpb.Record{Renew: &recordpb.Renew{
@@ -31,10 +32,14 @@
 		Cells:       m.renewedCells(),
 		Synced:      m.synced,
 		Read:        m.offset,
+		Stopping:    m.stopping,
 	}}})
 }
 
 func (m *Machine) renewDue() bool {
+	if m.stopping && !m.stopTold {
+		return true
+	}
 	if m.renewals == 0 || m.now-m.renewedAt >= m.config.RenewEvery {
 		return true
 	}
