--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -39,7 +39,7 @@
 	// askTimes holds the local times of the questions not older than PromiseLife.
 	askTimes map[uint64]time.Duration
 
-	stopping  bool
+	stopping bool
 	// stopTold is set once a renewal has said that this VM is stopping.
 	stopTold  bool
 	leaveSent bool
