standin: history in the form of package checker; writer: use record.ID

Cause: package checker needs connections, restarts and leaving servers, which the history did not hold, and its own event form. writer had its own copy of the record id, made before package record existed.

Change: the history records connections, worker changes and the newest checkpoint of a run; HistoryView.CheckerEvents and GET /events convert it. A request that reaches a worker which is going down is aborted instead of recorded after the crash. Files hold one type each. writer uses record.ID and record.MaxBatchRecords.

--- a/standin/admin.go
+++ b/standin/admin.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/platform/httpapi"
 	"github.com/cactusreel/cactusreel/result"
 )
@@ -17,11 +18,13 @@
 	mux.HandleFunc("POST /fault", p.handleFault)
 	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { writeValue(w, p.History()) })
 	mux.HandleFunc("GET /addresses", func(w http.ResponseWriter, _ *http.Request) { writeValue(w, p.addresses) })
-	var err error
-	p.admin, err = newEndpoint(p.options.listenAddress(), 0, []string{"admin"}, &FaultSet{}, mux)
+	mux.HandleFunc("GET /events", p.handleEvents)
+	admin := newEndpoint([]string{"admin"}, &FaultSet{}, mux)
+	err := admin.listen(p.options.listenAddress())
 	if err != nil {
 		return err
 	}
+	p.admin = admin
 	p.addresses.Admin = p.admin.address
 	return nil
 }
@@ -43,6 +46,14 @@
 	writeValue(w, f)
 }
 
+// handleEvents answers with the history in the form of package checker, one
+// JSON event a line.
+func (p *Platform) handleEvents(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	// A failed write means that the reader is gone.
+	_ = checker.WriteHistory(w, p.History().CheckerEvents())
+}
+
 func writeValue(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A failed write means that the reader is gone.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -44,21 +43,6 @@
 	leaving bool
 }
 
-// backendRun is the state between two restarts of a backend server.
-type backendRun struct {
-	// guard is guarded by backend.mu.
-	guard *SlotGuard
-	// crashed is closed when the worker goes down.
-	crashed chan struct{}
-}
-
-// work is what a request asks for.
-type work struct {
-	duration time.Duration
-	gap      time.Duration
-	body     []byte
-}
-
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	leaving := b.isLeaving()
@@ -105,9 +89,16 @@
 	_, _ = w.Write(todo.body[half:])
 }
 
+// begin takes a slot and records the request. It panics with
+// http.ErrAbortHandler if the worker is down.
 func (b *backend) begin(r *http.Request, term int64, leaving bool) (*backendRun, int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	select {
+	case <-b.run.crashed:
+		panic(http.ErrAbortHandler)
+	default:
+	}
 	concurrent, err := b.run.guard.Begin(term)
 	execution := Execution{
 		RequestID:  r.Header.Get(HeaderRequestID),
@@ -155,7 +146,15 @@
 func (b *backend) setLeaving(leaving bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.leaving == leaving {
+		return
+	}
 	b.leaving = leaving
+	change := WorkerStays
+	if leaving {
+		change = WorkerLeaving
+	}
+	b.node.platform.history.AddWorkerEvent(WorkerEvent{At: b.node.platform.now(), Worker: b.node.vm.ID, Change: change})
 }
 
 // boot starts the server with no request running and no term seen.
@@ -189,43 +188,3 @@
 	}
 	return term, nil
 }
-
-func readWork(w http.ResponseWriter, r *http.Request) (work, error) {
-	query := r.URL.Query()
-	var todo work
-	var err error
-	if text := query.Get("work"); text != "" {
-		todo.duration, err = time.ParseDuration(text)
-	}
-	if err != nil || todo.duration < 0 {
-		return work{}, result.Errorf(result.BadResource, "parameter work: %q", query.Get("work"))
-	}
-	if text := query.Get("gap"); text != "" {
-		todo.gap, err = time.ParseDuration(text)
-	}
-	if err != nil || todo.gap < 0 {
-		return work{}, result.Errorf(result.BadResource, "parameter gap: %q", query.Get("gap"))
-	}
-	todo.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxEchoBytes))
-	if err != nil {
-		return work{}, result.Errorf(result.BadResource, "request body: %w", err)
-	}
-	text := query.Get("size")
-	if text == "" {
-		return todo, nil
-	}
-	size, err := strconv.Atoi(text)
-	if err != nil || size < 0 || size > maxEchoBytes {
-		return work{}, result.Errorf(result.BadResource, "parameter size: %q", text)
-	}
-	todo.body = EchoBody(r.Header.Get(HeaderRequestID), size)
-	return todo, nil
-}
-
-// EchoBody returns the answer of size bytes to the request with this id: the
-// id and a newline, again and again. A caller can tell from it whether the
-// answer is complete and its own.
-func EchoBody(requestID string, size int) []byte {
-	line := []byte(requestID + "\n")
-	return bytes.Repeat(line, size/len(line)+1)[:size]
-}
--- a/standin/conn.go
+++ b/standin/conn.go
@@ -13,6 +13,8 @@
 type conn struct {
 	net.Conn
 	owner *endpoint
+	// number is that of the endpoint's record of connections.
+	number int
 
 	mu sync.Mutex
 	// armed tells that the connection freezes once allowance bytes are sent.
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -24,6 +24,10 @@
 	server  *http.Server
 	// limit bounds the open connections; 0 stands for no limit.
 	limit int
+	// opened and closed, if not nil, record connections; opened returns the
+	// number that closed gets.
+	opened func() int
+	closed func(number int)
 	// stopped is closed when the endpoint closes for good.
 	stopped chan struct{}
 	serving sync.WaitGroup
@@ -43,11 +47,10 @@
 	reserved *reservedPort
 }
 
-// newEndpoint returns an endpoint that listens at address, which may have port 0.
-func newEndpoint(address string, limit int, targets []string, faults *FaultSet, handler http.Handler) (*endpoint, error) {
+// newEndpoint returns an endpoint that is not open yet.
+func newEndpoint(targets []string, faults *FaultSet, handler http.Handler) *endpoint {
 	e := &endpoint{
 		targets: targets,
-		limit:   limit,
 		stopped: make(chan struct{}),
 		conns:   make(map[*conn]struct{}),
 	}
@@ -58,13 +61,18 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
+	return e
+}
+
+// listen opens the endpoint at address, which may have port 0.
+func (e *endpoint) listen(address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen for %s: %w", targets[0], err)
+		return fmt.Errorf("listen for %s: %w", e.targets[0], err)
 	}
 	e.address = listener.Addr().String()
 	e.serve(listener)
-	return e, nil
+	return nil
 }
 
 func (e *endpoint) serve(listener net.Listener) {
@@ -194,6 +202,9 @@
 		return false
 	}
 	e.conns[c] = struct{}{}
+	if e.opened != nil {
+		c.number = e.opened()
+	}
 	e.maxConns = max(e.maxConns, len(e.conns))
 	return true
 }
@@ -201,7 +212,11 @@
 func (e *endpoint) removeConn(c *conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	_, known := e.conns[c]
 	delete(e.conns, c)
+	if known && e.closed != nil {
+		e.closed(c.number)
+	}
 }
 
 // connCounts returns the number of open connections, their highest number so
@@ -224,25 +239,3 @@
 	case <-timer.C:
 	}
 }
-
-// faultListener wraps connections so that they can be frozen, and closes those
-// beyond the endpoint's limit.
-type faultListener struct {
-	net.Listener
-	owner *endpoint
-}
-
-// Accept returns the next connection within the limit.
-func (l *faultListener) Accept() (net.Conn, error) {
-	for {
-		inner, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{Conn: inner, owner: l.owner}
-		if l.owner.addConn(c) {
-			return c, nil
-		}
-		_ = inner.Close()
-	}
-}
--- a/standin/kinds.go
+++ b/standin/kinds.go
@@ -5,26 +5,6 @@
 	"time"
 )
 
-// KindSpec says how tasks of a kind differ from what their jobs declare.
-type KindSpec struct {
-	// UsageFactor is the real use of processors and memory over the declared
-	// one; 0 stands for 1.
-	UsageFactor float64 `json:"usageFactor,omitempty"`
-	// RunFactor is the real run time over the stated one; 0 stands for 1.
-	RunFactor float64 `json:"runFactor,omitempty"`
-	// FailAfter is the work after which each attempt fails; 0 stands for never.
-	FailAfter Duration `json:"failAfter,omitempty"`
-}
-
-// Interference says how much tasks of kind Beside slow down a task of kind Kind.
-type Interference struct {
-	Kind   string `json:"kind"`
-	Beside string `json:"beside"`
-	// Slowdown is what one unthrottled neighbour adds to the time of a unit of
-	// work at full load, as a share of its time when alone.
-	Slowdown float64 `json:"slowdown"`
-}
-
 type kindPair struct {
 	kind   string
 	beside string
--- a/standin/logservice.go
+++ b/standin/logservice.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"time"
 
 	"golang.org/x/time/rate"
 
@@ -67,27 +66,3 @@
 	defer l.mu.Unlock()
 	l.store.Truncate(stream, first)
 }
-
-// vmService is the platform.VMList with the real clock.
-type vmService struct {
-	platform *Platform
-
-	mu    sync.Mutex
-	table *VMTable
-}
-
-var _ platform.VMList = (*vmService)(nil)
-
-// List implements platform.VMList.
-func (v *vmService) List(_ context.Context, dataCentre string) ([]platform.VM, error) {
-	var vms []platform.VM
-	v.update(func(now time.Duration, table *VMTable) { vms = table.List(now, dataCentre) })
-	return vms, nil
-}
-
-// update calls change with the present time and the table.
-func (v *vmService) update(change func(now time.Duration, table *VMTable)) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	change(v.platform.now(), v.table)
-}
--- a/standin/node.go
+++ b/standin/node.go
@@ -39,15 +39,18 @@
 	n.bootWorker()
 	group := []string{"worker/" + vm.ID, "rack/" + vm.Rack, "workers/" + vm.DataCentre}
 	targets := append([]string{"agent/" + vm.ID, "agent"}, group...)
-	var err error
-	handler := httpapi.NewWorkerAgentHandler(&agent{node: n})
-	n.agentEndpoint, err = newEndpoint(p.options.listenAddress(), 0, targets, &p.faults, handler)
+	n.agentEndpoint = newEndpoint(targets, &p.faults, httpapi.NewWorkerAgentHandler(&agent{node: n}))
+	err := n.agentEndpoint.listen(p.options.listenAddress())
 	if err != nil {
 		return nil, err
 	}
 	n.vm.AgentAddress = n.agentEndpoint.address
 	targets = append([]string{"backend/" + vm.ID, "backend"}, group...)
-	n.backendEndpoint, err = newEndpoint(p.options.listenAddress(), vm.Connections, targets, &p.faults, n.backend)
+	n.backendEndpoint = newEndpoint(targets, &p.faults, n.backend)
+	n.backendEndpoint.limit = vm.Connections
+	n.backendEndpoint.opened = func() int { return p.history.BeginConnection(vm.ID, p.now()) }
+	n.backendEndpoint.closed = func(number int) { p.history.EndConnection(number, p.now()) }
+	err = n.backendEndpoint.listen(p.options.listenAddress())
 	if err != nil {
 		return nil, errors.Join(err, n.agentEndpoint.close())
 	}
@@ -72,6 +75,7 @@
 	}, n.clockAtBoot)
 	n.backend.boot()
 	n.down = false
+	n.platform.history.AddWorkerEvent(WorkerEvent{At: n.booted, Worker: n.vm.ID, Change: WorkerUp})
 }
 
 // lock returns the worker, the present time on its clock, and a function that
@@ -143,6 +147,8 @@
 	n.worker.Crash(now)
 	n.record(now)
 	n.backend.crash()
+	// The time is taken last: no request begins after it.
+	n.platform.history.AddWorkerEvent(WorkerEvent{At: n.platform.now(), Worker: n.vm.ID, Change: WorkerDown})
 	n.down = true
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,18 +11,6 @@
 	"github.com/cactusreel/cactusreel/platform/httpapi"
 )
 
-// Addresses tells where a Platform listens, as IP addresses and ports.
-type Addresses struct {
-	// Admin serves /fault, /history and /addresses.
-	Admin string `json:"admin"`
-	// Log and VMs hold one address per data centre, all of the same log and
-	// the same list, so that a fault can cut off one data centre.
-	Log map[string]string `json:"log"`
-	VMs map[string]string `json:"vms"`
-	// Workers are all workers, as in the VM list.
-	Workers []platform.VM `json:"workers"`
-}
-
 // Platform is a running stand-in.
 type Platform struct {
 	options Options
@@ -137,13 +125,15 @@
 
 // openDataCentre opens the log and the VM list for one data centre.
 func (p *Platform) openDataCentre(name string) error {
-	logEndpoint, err := newEndpoint(p.options.listenAddress(), 0, []string{"log/" + name, "log"}, &p.faults, httpapi.NewLogHandler(p.log))
+	logEndpoint := newEndpoint([]string{"log/" + name, "log"}, &p.faults, httpapi.NewLogHandler(p.log))
+	err := logEndpoint.listen(p.options.listenAddress())
 	if err != nil {
 		return err
 	}
 	p.endpoints = append(p.endpoints, logEndpoint)
 	p.addresses.Log[name] = logEndpoint.address
-	listEndpoint, err := newEndpoint(p.options.listenAddress(), 0, []string{"vms/" + name, "vms"}, &p.faults, httpapi.NewVMListHandler(p.vms))
+	listEndpoint := newEndpoint([]string{"vms/" + name, "vms"}, &p.faults, httpapi.NewVMListHandler(p.vms))
+	err = listEndpoint.listen(p.options.listenAddress())
 	if err != nil {
 		return err
 	}
--- a/standin/vmtable.go
+++ b/standin/vmtable.go
@@ -8,13 +8,6 @@
 	"github.com/cactusreel/cactusreel/platform"
 )
 
-// vmChange is a change of one VM. A nil vm means that it is gone.
-type vmChange struct {
-	at time.Duration
-	id string
-	vm *platform.VM
-}
-
 // VMTable is the list of VMs. What List returns lags behind Put and Remove. It
 // is not safe for concurrent use.
 type VMTable struct {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -12,38 +12,6 @@
 // failingWorkerDelay is the work after which attempts fail on a failing worker.
 const failingWorkerDelay = 100 * time.Millisecond
 
-// AttemptLost is the state, in the history only, of attempts that ended
-// because their worker went down.
-const AttemptLost platform.AttemptState = "lost"
-
-// WorkerConfig describes a simulated worker.
-type WorkerConfig struct {
-	ID       string
-	Boot     string
-	Capacity platform.Resources
-	// UsageInterval is the time between two usage measurements.
-	UsageInterval time.Duration
-	// UsageLag is how long a measurement takes to be reported.
-	UsageLag time.Duration
-	Kinds    *Kinds
-}
-
-// AttemptEvent is the start or the end of an attempt on a worker.
-type AttemptEvent struct {
-	// At is on the worker's clock.
-	At       time.Duration
-	ID       platform.AttemptID
-	Kind     string
-	Requests platform.Resources
-	Term     int64
-	// State is AttemptRunning for a start.
-	State platform.AttemptState
-	// Resumed is the checkpoint that the attempt started from, or "".
-	Resumed string
-	// Done is the work done so far, including that of earlier attempts.
-	Done time.Duration
-}
-
 // Worker is the simulated state of one worker. Each method first brings the
 // state up to now, the present time on the worker's clock, which never goes
 // back. A Worker is not safe for concurrent use.
@@ -296,14 +264,15 @@
 
 func (w *Worker) record(a *attempt, term int64, resumed string) {
 	w.events = append(w.events, AttemptEvent{
-		At:       w.clock,
-		ID:       a.report.ID,
-		Kind:     a.report.Kind,
-		Requests: a.report.Requests,
-		Term:     term,
-		State:    a.report.State,
-		Resumed:  resumed,
-		Done:     a.done,
+		At:         w.clock,
+		ID:         a.report.ID,
+		Kind:       a.report.Kind,
+		Requests:   a.report.Requests,
+		Term:       term,
+		State:      a.report.State,
+		Resumed:    resumed,
+		Checkpoint: a.report.Checkpoint,
+		Done:       a.done,
 	})
 }
 
--- /dev/null
+++ b/standin/workerconfig.go
@@ -0,0 +1,19 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// WorkerConfig describes a simulated worker.
+type WorkerConfig struct {
+	ID       string
+	Boot     string
+	Capacity platform.Resources
+	// UsageInterval is the time between two usage measurements.
+	UsageInterval time.Duration
+	// UsageLag is how long a measurement takes to be reported.
+	UsageLag time.Duration
+	Kinds    *Kinds
+}
--- a/writer/frame.go
+++ b/writer/frame.go
@@ -13,7 +13,8 @@
 // maxVarintBytes bounds the length prefix that Frame adds to an item.
 const maxVarintBytes = 10
 
-// Frame concatenates items, each with its length as a varint before it. It is
+// Frame concatenates items, each with its length as a varint before it: with
+// items made by record.Encode, the result is a batch of package record. It is
 // the FrameFunc that New uses by default.
 func Frame(items [][]byte) []byte {
 	var out []byte
--- a/writer/options.go
+++ b/writer/options.go
@@ -3,12 +3,14 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/cactusreel/cactusreel/record"
 )
 
 // Defaults of Options.
 const (
-	// DefaultMaxBatchItems keeps the batch of a peak second in one record.
-	DefaultMaxBatchItems = 4096
+	// DefaultMaxBatchItems is what a reader accepts in one batch.
+	DefaultMaxBatchItems = record.MaxBatchRecords
 	// DefaultMaxBatchBytes stays below the log's limit of 1 MiB per record.
 	DefaultMaxBatchBytes = 512 << 10
 	// DefaultMaxPending bounds the items that wait during an outage.
@@ -36,7 +38,8 @@
 	LastSequence uint64
 	// Frame encodes a batch; nil stands for the function Frame.
 	Frame FrameFunc
-	// MaxBatchItems bounds the items of a batch.
+	// MaxBatchItems bounds the items of a batch. It is 1 for streams whose
+	// record offsets are versions or terms (claims and resources).
 	MaxBatchItems int
 	// MaxBatchBytes bounds the sum of the sizes of a batch's items plus 10
 	// bytes each.
--- a/writer/writer.go
+++ b/writer/writer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/result"
 )
 
@@ -228,7 +229,7 @@
 		return nil
 	}
 	w.sequence++
-	id := RecordID{Incarnation: w.options.Incarnation, Sequence: w.sequence}
+	id := record.ID{Incarnation: w.options.Incarnation, Sequence: w.sequence}
 	b := &batch{id: id.String(), done: make(chan struct{})}
 	b.items = slices.Clone(w.pending[:count])
 	for _, s := range b.items {
--- a/writer/writer_test.go
+++ b/writer/writer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/result"
 	"github.com/cactusreel/cactusreel/writer"
 )
@@ -54,7 +55,7 @@
 	f.is.NoErr(err)
 	for _, r := range page.Records {
 		f.next = r.Offset + 1
-		id, err := writer.ParseRecordID(r.ID)
+		id, err := record.ParseID(r.ID)
 		f.is.NoErr(err)
 		if id.Sequence <= f.newest {
 			continue
