resources: Duplicate answers a repeated operation before it is appended

Cause: the daemon answered a known operation id with the kept outcome without comparing the operations, so another operation with the same id was reported as applied.

Change: Store.Duplicate compares the operations as Apply does. The pages name standard output, to which the daemon writes its events.

--- a/logevent/markdown.go
+++ b/logevent/markdown.go
@@ -10,7 +10,7 @@
 This page is generated from the table in package logevent:
 ` + "`cactusreel events --markdown > docs/log-events.md`" + `.
 
-The daemon writes one JSON object per line to standard error with the fields
+The daemon writes one JSON object per line to standard output with the fields
 ` + "`time`, `level`, `message`, `event` (the number) and `name`" + `, and the fields of the
 event. Numbers are stable; the number of a removed event is not used again.
 `
--- a/resources/store.go
+++ b/resources/store.go
@@ -35,7 +35,8 @@
 }
 
 // Outcome returns the outcome of the operation with this id if it is still
-// kept. Calls must not be concurrent with Apply or Restore.
+// kept. It does not tell whether another operation has the same id; Duplicate
+// does. Calls must not be concurrent with Apply or Restore.
 func (s *Store) Outcome(id string) (Outcome, bool) {
 	o, ok := s.outcomes.find(id)
 	return o.Outcome, ok
@@ -78,15 +79,26 @@
 	close(old.next)
 }
 
+// Duplicate returns the outcome that op would get as a duplicate, and whether
+// it is one: the outcome of the first operation with its id if the two are the
+// same, else a refusal. Unlike Outcome it can answer an operator before the
+// operation is appended. Calls must not be concurrent with Apply or Restore.
+func (s *Store) Duplicate(op Operation) (Outcome, bool) {
+	kept, ok := s.outcomes.find(op.ID)
+	if !ok {
+		return Outcome{}, false
+	}
+	return duplicateOutcome(kept, op.fingerprint()), true
+}
+
 // applyOnce applies an operation unless its id is known.
 func (s *Store) applyOnce(v *View, op Operation) Outcome {
-	fingerprint := op.fingerprint()
-	if kept, ok := s.outcomes.find(op.ID); ok && op.ID != "" {
-		return duplicateOutcome(kept, fingerprint)
+	if outcome, ok := s.Duplicate(op); ok {
+		return outcome
 	}
 	outcome := decide(v, op)
 	if op.ID != "" {
-		s.outcomes.add(keptOutcome{Outcome: outcome, Fingerprint: fingerprint})
+		s.outcomes.add(keptOutcome{Outcome: outcome, Fingerprint: op.fingerprint()})
 	}
 	return outcome
 }
--- a/resources/store_test.go
+++ b/resources/store_test.go
@@ -111,6 +111,10 @@
 	is.Equal(a.Job.Tasks, 2)
 	other := apply(t, s, put("op-1", job("b", 1), resources.Precondition{}))
 	is.Equal(other.Code, result.BadResource)
+	early, ok := s.Duplicate(put("op-1", job("b", 1), resources.Precondition{}))
+	is.True(ok && early.Code == result.BadResource) // the same answer without a record
+	early, ok = s.Duplicate(first)
+	is.True(ok && early.Code == result.OK && early.Duplicate)
 	kept, ok := s.Outcome("op-1")
 	is.True(ok && kept.Code == result.OK) // the refusal does not replace the outcome
 	apply(t, s, put("op-3", job("a", 3), resources.Precondition{}))
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -38,7 +38,7 @@
 		textKey("platform", "vm_list_url", "URL", func(e *Entry) *string { return &e.VMListURL }, validURL, "", urlAccepted,
 			"Base URL of the platform's VM list."),
 		textKey("logging", "level", "text", func(e *Entry) *string { return &e.LogLevel }, validLevel, "info", levelAccepted,
-			"Lowest level of log events written to standard error."),
+			"Lowest level of log events written to standard output."),
 	}
 }
 
