--- a/command/apply.go
+++ b/command/apply.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.OutOrStdout(), "%s/%s applied, version %d\n", r.Kind, r.Name, written.Version)
+	_, err = fmt.Fprintf(c.OutOrStdout(), "%s/%s applied, version %d%s\n", r.Kind, r.Name, written.Version, repeated(written))
 	return err
 }
 
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -76,11 +76,12 @@
 		{"get clusters", 2, "accepted: services, jobs"},
 		{"get services -o yaml", 2, "accepted: table or json"},
 		{"get pools none", 1, "NotFound (2002): pools/none does not exist"},
-		{"describe job menu-planning", 0, "Condition:  Placed is false: NoRoom no worker has room\n"},
+		{"describe job menu-planning", 0, "Condition:  Placed is false (NoRoom): no worker has room\n"},
 		{"describe job menu-planning", 0, "Unknown:    2 cells did not answer"},
 		{"take-out giza --if-version 9", 1, "Conflict (2003)"},
 		{"take-out giza --operation-id op-1", 0, "datacentres/giza taken out of service, version 34\n"},
-		{"take-out giza --operation-id op-1", 0, "version 34\n"},
+		{"take-out giza --operation-id op-1", 0, "version 34 (by an earlier operation with this id)\n"},
+		{"delete datacentre giza --operation-id op-1", 1, "was used for another operation"},
 		{"apply -f ../examples/consortium.json", 1, "datacentres/giza refused: Conflict (2003): datacentres/giza is out of service"},
 		{"bring-back giza", 0, "brought back into service"},
 		{"cancel daily-orders", 0, "jobs/daily-orders cancelled"},
@@ -138,7 +139,7 @@
 	e.fails = nil
 	code, stdout, _ = run(command.Options{Stdin: strings.NewReader(file)}, "apply", "-f", "-", "--operation-id", "op")
 	is.Equal(code, command.ExitDone)
-	is.True(strings.HasPrefix(stdout, "pools/a applied, version 1\n")) // not written twice
+	is.True(strings.HasPrefix(stdout, "pools/a applied, version 1 (by an earlier")) // not written twice
 
 	before := e.View().Offset()
 	bad := file + `{"kind":"pools","name":"d","pool":{"workers":[""]}}`
--- a/command/describe.go
+++ b/command/describe.go
@@ -54,7 +54,7 @@
 			line("Unknown", fmt.Sprintf("%d cells did not answer; the counts are too low", s.UnknownCells))
 		}
 		for _, condition := range s.Conditions {
-			line("Condition", fmt.Sprintf("%s is %s: %s %s", condition.Type, condition.Status, condition.Reason, condition.Message))
+			line("Condition", fmt.Sprintf("%s is %s (%s): %s", condition.Type, condition.Status, condition.Reason, condition.Message))
 		}
 	}
 	if err := t.Flush(); err != nil {
--- a/command/write.go
+++ b/command/write.go
@@ -46,10 +46,18 @@
 	if err != nil {
 		return withOperationID(exitError(err), written.Operation)
 	}
-	_, err = fmt.Fprintf(c.OutOrStdout(), "%s/%s %s, version %d\n", written.Kind, written.Name, what, written.Version)
+	_, err = fmt.Fprintf(c.OutOrStdout(), "%s/%s %s, version %d%s\n", written.Kind, written.Name, what, written.Version, repeated(written))
 	return err
 }
 
+// repeated marks an outcome that an earlier operation with the same id had.
+func repeated(written operator.Written) string {
+	if written.Duplicate {
+		return " (by an earlier operation with this id)"
+	}
+	return ""
+}
+
 // withOperationID tells how to repeat a write whose outcome is unknown.
 func withOperationID(err error, id string) error {
 	if ExitCode(err) != ExitUnknown {
