make run: the whole path with real processes

Cause: an operator at a fresh machine needs one command that shows services and tasks placed, run and finished, and requests answered.

Change: scripts/demo.sh starts the stand-in and three entry VMs of two data centres, applies examples/demo/resources.json, sends requests, takes a data centre out and brings it back, checks and prints what ran, and stops.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: all build run test lint fmt fuzz traces seeds bench generate clean
+.PHONY: all build run test lint fmt clean
 
 all: build
 
@@ -10,6 +10,10 @@
 	$(GO) build -o bin/cactusreel ./cmd/cactusreel
 	$(GO) build -o bin/standin ./cmd/standin
 
+# run shows the whole path with real processes on loopback.
+run: build
+	bash scripts/demo.sh
+
 # lint checks the format and runs the linter; it changes nothing.
 lint:
 	@test -z "$$(gofmt -l . | tee /dev/stderr)" || { echo "run gofmt -w on these files"; exit 1; }
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,159 @@
+#!/usr/bin/env bash
+# Runs a stand-in platform and three entry VMs of two data centres on loopback,
+# applies the example resources, sends requests, takes a data centre out and
+# brings it back, prints a summary and stops everything gracefully.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+work=$(mktemp -d)
+pids=()
+# cleanup ends what this script started, by process id.
+cleanup() {
+  for pid in "${pids[@]}"; do
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  wait || true
+}
+trap cleanup EXIT
+
+fail() {
+  echo "demo: $*; logs are in $work" >&2
+  exit 1
+}
+
+# address NAME DC prints the address of a data centre in the ready line of the
+# stand-in, for example: address log giza.
+address() {
+  sed -n "1s/.*\"$1\":{\([^}]*\)}.*/\1/p" "$work/standin.log" | tr ',' '\n' | sed -n "s/^\"$2\":\"\(.*\)\"$/\1/p"
+}
+
+# settings VM DC CALLERS PEERS writes the settings file of an entry VM.
+settings() {
+  cat >"$work/$1.ini" <<EOF
+[vm]
+id = $1
+data_centre = $2
+
+[listen]
+callers = 127.0.0.1:$3
+peers = 127.0.0.1:$4
+
+[platform]
+log_url = http://$(address log "$2")
+vm_list_url = http://$(address vms "$2")
+
+[logging]
+level = info
+
+[peers.giza]
+giza-1 = 127.0.0.1:17071
+giza-2 = 127.0.0.1:17072
+
+[peers.maadi]
+maadi-1 = 127.0.0.1:17073
+
+[times]
+balancer_delay = 300ms
+EOF
+}
+
+# retry SECONDS COMMAND repeats a command until it succeeds.
+retry() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $SECONDS -lt $end ] || return 1
+    sleep 0.2
+  done
+}
+
+running() {
+  bin/cactusreel get services register -o json | grep -q "\"running\": *$1,"
+}
+
+completed() {
+  bin/cactusreel get jobs meal-claims -o json | grep -q "\"completed\": *$1,"
+}
+
+# requests N sends N requests over all entry VMs and prints how many answered.
+requests() {
+  local ok=0 port code
+  for i in $(seq 1 "$1"); do
+    port=$((18081 + i % 3))
+    code=$(curl -s -m 8 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$port/s/register/child/$i?work=5ms&size=100") || true
+    [ "$code" = 200 ] && ok=$((ok + 1))
+  done
+  echo "$ok"
+}
+
+status() {
+  echo "--- $1"
+  bin/cactusreel get datacentres
+  bin/cactusreel get services
+  bin/cactusreel get jobs
+}
+
+bin/standin --data-centres giza,maadi --workers 6 --racks 2 \
+  --entry giza/giza-1=127.0.0.1:17071 --entry giza/giza-2=127.0.0.1:17072 \
+  --entry maadi/maadi-1=127.0.0.1:17073 >"$work/standin.log" 2>&1 &
+pids+=($!)
+retry 10 grep -q '"admin"' "$work/standin.log" || fail "the stand-in did not start"
+
+settings giza-1 giza 18081 17071
+settings giza-2 giza 18082 17072
+settings maadi-1 maadi 18083 17073
+entries=()
+for vm in giza-1 giza-2 maadi-1; do
+  bin/cactusreel entry --settings "$work/$vm.ini" >"$work/$vm.log" 2>&1 &
+  pids+=($!)
+  entries+=($!)
+done
+export CACTUSREEL_SERVERS=http://127.0.0.1:18081,http://127.0.0.1:18082,http://127.0.0.1:18083
+for port in 18081 18082 18083; do
+  retry 10 curl -sf "http://127.0.0.1:$port/readyz" || fail "the entry VM at port $port is not ready"
+done
+
+echo "--- apply examples/demo/resources.json"
+bin/cactusreel apply -f examples/demo/resources.json
+retry 15 running 6 || fail "the service did not start"
+status "started"
+
+before=$(requests 30)
+echo "--- sign-in (POST, at most once) and its repeat with the same request id at another entry VM"
+id=$(curl -s -m 5 -X POST http://127.0.0.1:18081/v1/request-ids | sed 's/.*"id": *"\([^"]*\)".*/\1/')
+first=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' http://127.0.0.1:18081/s/register/sign-in)
+again=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' http://127.0.0.1:18083/s/register/sign-in)
+echo "first answer: $first, repeat: $again"
+
+echo "--- take maadi out"
+bin/cactusreel take-out maadi
+retry 20 running 6 || fail "the service was not moved out of maadi"
+sleep 3
+status "maadi is out"
+during=$(requests 30)
+
+echo "--- bring maadi back"
+bin/cactusreel bring-back maadi
+retry 30 completed 24 || fail "the job did not complete"
+retry 20 running 6 || fail "the service is not complete"
+status "all work done"
+after=$(requests 30)
+
+jobs=$(bin/cactusreel describe jobs meal-claims; bin/cactusreel describe jobs needs-accelerators)
+echo "$jobs" | grep -q "accelerators" || fail "the pending job does not say why it waits"
+
+echo "--- planned stop"
+stopped=0
+for pid in "${entries[@]}"; do
+  kill -TERM "$pid"
+done
+for pid in "${entries[@]}"; do
+  wait "$pid" && stopped=$((stopped + 1))
+done
+
+echo "--- summary"
+echo "requests answered: $before of 30 before, $during of 30 with maadi out, $after of 30 after"
+echo "$jobs"
+echo "entry VMs stopped gracefully: $stopped of 3"
+[ "$before" = 30 ] && [ "$during" = 30 ] && [ "$after" = 30 ] && [ "$first" = "$again" ] && [ "$stopped" = 3 ] || fail "the summary is not as expected"
+rm -rf "$work"
