Bench: measure the policy against a fake of the workers

The fake knows the interference of pairs, true sizes and faults; the policy sees lagging, noisy reports. Baselines: first fit and least loaded. The scheduler gained what the first trials showed to be missing: urgent work moves to cells with ordinary work to evict, urgent work has room reserved, failures for lack of memory count against neither worker nor job, and sizes are learned by job name because jobs recur under new versions.

--- /dev/null
+++ b/bench/decider.go
@@ -0,0 +1,17 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/scheduler"
+)
+
+// Decider decides for one cell. The policy and the baselines implement it.
+type Decider interface {
+	Place(now time.Duration, s *scheduler.Snapshot, pending []scheduler.Task) scheduler.Plan
+	Act(now time.Duration, s *scheduler.Snapshot) []scheduler.Action
+	ObserveUsage(now time.Duration, w *scheduler.Worker, reports []platform.Usage)
+	ObserveOutcome(now time.Duration, o scheduler.Outcome)
+	ForgetJob(job string)
+}
--- /dev/null
+++ b/bench/fakejob.go
@@ -0,0 +1,22 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// fakeJob is a job or a service with its true properties.
+type fakeJob struct {
+	id         string
+	kind       int
+	team       string
+	class      Class
+	service    *Service
+	declared   platform.Resources
+	runTime    time.Duration
+	impossible bool
+	cancelled  bool
+	// running counts the replicas of a service.
+	running int
+}
--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,78 @@
+package bench
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Report is the result of a run of the benchmarks.
+type Report struct {
+	Columns []string
+	Rows    []Row
+	Seeds   []uint64
+}
+
+// Markdown returns the table.
+func (r *Report) Markdown() string {
+	var b strings.Builder
+	digits := columns()
+	fmt.Fprintf(&b, "| deployment | scenario | variant | %s |\n", strings.Join(r.Columns, " | "))
+	b.WriteString("|---|---|---" + strings.Repeat("|---", len(r.Columns)) + "|\n")
+	for _, row := range r.Rows {
+		fmt.Fprintf(&b, "| %s | %s | %s ", row.Deployment, row.Scenario, row.Variant)
+		for i, v := range row.Values {
+			fmt.Fprintf(&b, "| %s ", v.format(digits[i].digits))
+		}
+		b.WriteString("|\n")
+	}
+	return b.String()
+}
+
+// Missed returns a line for each stated target that the policy missed in any
+// run: urgent start delay, p99 of each service, no eviction of nearly finished
+// work, no overcommit.
+func (r *Report) Missed() []string {
+	bounds := []struct {
+		column string
+		most   float64
+	}{
+		{"urgent p99 s", TargetUrgent.Seconds()},
+		{"worst p99", TargetP99},
+		{"near done", 0},
+		{"overcommit", 0},
+		{"late", 0},
+	}
+	var lines []string
+	for _, row := range r.Rows {
+		if row.Variant != "policy" {
+			continue
+		}
+		for _, bound := range bounds {
+			if v := r.Value(row, bound.column); v.Max > bound.most {
+				lines = append(lines, fmt.Sprintf("%s, %s: %s is %.2f (worst seed %.2f), target %.2f",
+					row.Deployment, row.Scenario, bound.column, v.Mean, v.Max, bound.most))
+			}
+		}
+	}
+	return lines
+}
+
+// Value returns a figure of a row by the name of its column, or zero.
+func (r *Report) Value(row Row, name string) Spread {
+	for i, column := range r.Columns {
+		if column == name {
+			return row.Values[i]
+		}
+	}
+	return Spread{}
+}
+
+// Find returns the row of a variant, or false.
+func (r *Report) Find(deployment, scenario, variant string) (Row, bool) {
+	for _, row := range r.Rows {
+		if row.Deployment == deployment && row.Scenario == scenario && row.Variant == variant {
+			return row, true
+		}
+	}
+	return Row{}, false
+}
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,64 @@
+// Command bench runs the policy benchmarks and prints their table.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/cactusreel/cactusreel/bench"
+)
+
+// gcPercent trades memory for time: a run allocates much and keeps little.
+const gcPercent = 400
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+// run reads the flags, makes the runs and prints the table and the targets missed.
+func run() error {
+	seeds := flag.Int("seeds", 5, "number of seeds")
+	minutes := flag.Int("minutes", 15, "virtual minutes of a run")
+	deployments := flag.String("deployments", "", "deployments, comma-separated; all if empty")
+	scenarios := flag.String("scenarios", "", "scenarios, comma-separated; all if empty")
+	variants := flag.String("variants", "", "variants, comma-separated; all if empty")
+	ablations := flag.Bool("ablations", false, "add runs with one rule changed")
+	weights := flag.Bool("weights", false, "add runs with the weights of each deployment")
+	parallel := flag.Int("parallel", 4, "runs at a time")
+	plots := flag.String("plots", "", "directory for plots; none if empty")
+	flag.Parse()
+	opts := bench.Options{
+		Deployments: split(*deployments), Scenarios: split(*scenarios), Variants: split(*variants),
+		Ablations: *ablations, Weights: *weights, Parallel: *parallel, PlotDir: *plots,
+		Duration: time.Duration(*minutes) * time.Minute,
+	}
+	for i := range *seeds {
+		opts.Seeds = append(opts.Seeds, uint64(i+1))
+	}
+	report, err := bench.Run(opts)
+	if err != nil {
+		return err
+	}
+	fmt.Print(report.Markdown())
+	fmt.Println("\nTargets missed by the policy:")
+	for _, line := range report.Missed() {
+		fmt.Println("- " + line)
+	}
+	return nil
+}
+
+// split returns the parts of a comma-separated list.
+func split(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
--- /dev/null
+++ b/scheduler/accumulate.go
@@ -0,0 +1,55 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// accumulate keeps the free room of one worker for the oldest aged task that
+// finds none, so that small tasks don't take each amount that becomes free. It
+// reports whether the task got a worker.
+func (r *Round) accumulate(t *Task, need platform.Resources) bool {
+	if r.accumulating || r.Snapshot.size == 0 {
+		return false
+	}
+	at, known := r.Snapshot.positions[r.policy.ageing.worker]
+	if r.policy.ageing.task != t.ID || !known {
+		at = r.roomiest(t, need)
+	}
+	if at < 0 {
+		return false
+	}
+	c := r.candidate(at)
+	r.accumulating = true
+	r.policy.ageing = agedTask{task: t.ID, worker: c.Worker.ID}
+	r.root = r.root.set(r.Snapshot.size, at, c.Worker, platform.Resources{})
+	r.wait(t, Waiting, 0, fmt.Sprintf("pending: room is kept on worker %s as it becomes free", c.Worker.ID))
+	return true
+}
+
+// agedTask is the task for which a worker's room is kept.
+type agedTask struct {
+	task   string
+	worker string
+}
+
+// roomiest returns the position of the worker with the largest free share of
+// the need among a sample, or -1.
+func (r *Round) roomiest(t *Task, need platform.Resources) int {
+	size := r.Snapshot.size
+	start := r.policy.random.IntN(size)
+	best, bestShare := -1, 0.0
+	for n := range min(size, r.policy.config.Sample) {
+		at := (start + n) % size
+		c := r.candidate(at)
+		if c.Worker.Unreachable || c.Worker.Leaving || !need.Fits(c.Worker.Capacity) || r.reject(t, &c) != "" {
+			continue
+		}
+		share := min(ratio(c.Free.MilliCPU, need.MilliCPU), ratio(c.Free.MemoryMiB, need.MemoryMiB))
+		if best < 0 || share > bestShare {
+			best, bestShare = at, share
+		}
+	}
+	return best
+}
--- a/scheduler/cellchoice.go
+++ b/scheduler/cellchoice.go
@@ -26,20 +26,42 @@
 	jobs map[string]int
 }
 
+// load is what a cell is chosen for.
+type load struct {
+	job     string
+	service bool
+	urgent  bool
+	// takes is set when the task may take the room of ordinary work.
+	takes bool
+	need  platform.Resources
+}
+
 // ChooseCell returns the cell to move a task to, or false if no summary shows
 // room. The choice is random in proportion to the room, because many owners
 // choose from the same lagging summaries.
 func (p *Policy) ChooseCell(now time.Duration, s *Snapshot, t *Task) (CellID, bool) {
-	return p.chooseCell(now, s, t.Job, t.Service, p.need(s, t))
+	return p.chooseCell(now, s, load{job: t.Job, service: t.Service, urgent: t.Urgent, need: p.need(s, t)})
+}
+
+// chooseCell prefers free room to room that urgent work would have to take.
+func (p *Policy) chooseCell(now time.Duration, s *Snapshot, l load) (CellID, bool) {
+	if id, ok := p.pickCell(now, s, l); ok {
+		return id, true
+	}
+	if !l.urgent || !p.config.Rules.Has(RulePriority) {
+		return CellID{}, false
+	}
+	l.takes = true
+	return p.pickCell(now, s, l)
 }
 
-func (p *Policy) chooseCell(now time.Duration, s *Snapshot, job string, service bool, need platform.Resources) (CellID, bool) {
+func (p *Policy) pickCell(now time.Duration, s *Snapshot, l load) (CellID, bool) {
 	var cells []*CellSummary
 	var shares []float64
 	total := 0.0
 	for i := range s.summaries {
 		sum := &s.summaries[i]
-		share := p.cellShare(now, s, sum, job, service, need)
+		share := p.cellShare(now, s, sum, l)
 		if share <= 0 {
 			continue
 		}
@@ -58,12 +80,12 @@
 		}
 		pick -= share
 	}
-	p.noteSent(cells[at], job, need)
+	p.noteSent(cells[at], l.job, l.need)
 	return cells[at].Cell, true
 }
 
 // cellShare returns the chance of a cell relative to others.
-func (p *Policy) cellShare(now time.Duration, s *Snapshot, sum *CellSummary, job string, service bool, need platform.Resources) float64 {
+func (p *Policy) cellShare(now time.Duration, s *Snapshot, sum *CellSummary, l load) float64 {
 	if sum.Cell == s.cell || sum.Phase == Draining || sum.Phase == Out || now-sum.At > summaryAge {
 		return 0
 	}
@@ -72,7 +94,12 @@
 		sent = sentLoad{}
 	}
 	free := sum.Free.Sub(sum.Pending).Sub(sent.sum)
-	if !need.Fits(sum.Largest) || !need.Fits(free) {
+	largest := sum.Largest
+	if l.takes {
+		free = free.Add(sum.Yields)
+		largest = sum.LargestYield
+	}
+	if !l.need.Fits(largest) || !l.need.Fits(free) {
 		return 0
 	}
 	share := 1 - dominantShare(sum.Capacity.Sub(free), sum.Capacity)
@@ -82,8 +109,8 @@
 	if sum.Phase == Returning {
 		share *= min(1, max(0, float64(now-sum.At)/float64(p.config.RampTime)+0.2))
 	}
-	if service && p.config.Rules.Has(RuleSpread) {
-		share /= float64(1 + sum.Replicas[job] + sent.jobs[job])
+	if l.service && p.config.Rules.Has(RuleSpread) {
+		share /= float64(1 + sum.Replicas[l.job] + sent.jobs[l.job])
 	}
 	return share
 }
@@ -104,7 +131,7 @@
 	if !t.Urgent && r.Now-p.seen[t.ID] < moveAfter {
 		return CellID{}, false
 	}
-	return p.chooseCell(r.Now, r.Snapshot, t.Job, t.Service, need)
+	return p.chooseCell(r.Now, r.Snapshot, load{job: t.Job, service: t.Service, urgent: t.Urgent, need: need})
 }
 
 // sendAway moves the pending tasks of a data centre that takes no work.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// nearlyDone is the default of Config.NearlyDone. Reports lag, so it lies below
+// what counts as nearly done.
+const nearlyDone = 0.85
+
 // Config holds the settings of the policy.
 type Config struct {
 	// Rules in force.
@@ -27,8 +31,8 @@
 	return Config{
 		Rules:           0,
 		Sample:          16,
-		NearlyDone:      0.85,
-		EscalationDelay: 8 * time.Second,
+		NearlyDone:      nearlyDone,
+		EscalationDelay: 6 * time.Second,
 		RampTime:        60 * time.Second,
 		AgeLimit:        5 * time.Minute,
 		MaxRetries:      5,
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -72,9 +72,10 @@
 			a := &w.Attempts[j]
 			switch {
 			case a.Cancelled:
+				continue
 			case a.Stopping:
 				gone++
-			case !a.Service && p.remaining(a)+drainMargin < left:
+			case !a.Service && (p.spared(a) || p.remaining(a)+drainMargin < left):
 
 			default:
 				moves = append(moves, running{w, a})
@@ -105,7 +106,9 @@
 func (p *Policy) drainMove(now time.Duration, s *Snapshot, m running) Action {
 	action := Action{Kind: Move, ID: m.attempt.ID, Worker: m.worker.ID, Boot: m.worker.Boot}
 	action.Reason = fmt.Sprintf("moved: data centre %s is being drained", s.cell.DataCentre)
-	if to, ok := p.chooseCell(now, s, m.attempt.Job, m.attempt.Service, m.attempt.Requests); ok {
+	if to, ok := p.chooseCell(now, s, load{
+		job: m.attempt.Job, service: m.attempt.Service, urgent: m.attempt.Urgent, need: m.attempt.Requests,
+	}); ok {
 		action.To = &to
 	}
 	return action
--- a/scheduler/estimate/size.go
+++ b/scheduler/estimate/size.go
@@ -13,10 +13,15 @@
 	// declaredWeight is the evidence that the declared size counts for.
 	declaredWeight = 2
 	// firstMargin is the relative margin at one observation.
-	firstMargin = 0.4
+	firstMargin = 0.15
 	// deviations of the processor use that the estimate covers. Processors are
-	// shared without failures, so two suffice; memory covers the maximum.
-	deviations = 2
+	// shared without failures, so one suffices; memory covers the maximum.
+	deviations = 1
+	// full is the share of its assigned memory from which a failed attempt is
+	// taken to have run out of it. Reports lag, so the last one is lower.
+	full = 0.8
+	// growth is by how much the memory grows after that.
+	growth = 1.5
 )
 
 // Size is the learned size of a job's tasks. The zero value knows nothing.
@@ -57,3 +62,15 @@
 		Accelerators: declared.Accelerators,
 	}
 }
+
+// Outgrew takes the failure of an attempt that was assigned an amount. It
+// reports whether the job uses so much memory that the attempt probably ran out
+// of it; the need then grows. A job that fails with more than it was ever seen
+// to use fails for another reason.
+func (s *Size) Outgrew(assigned platform.Resources) bool {
+	if float64(s.maxMemory) < full*float64(assigned.MemoryMiB) {
+		return false
+	}
+	s.maxMemory = max(s.maxMemory, int64(growth*float64(assigned.MemoryMiB)))
+	return true
+}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -18,6 +18,16 @@
 	until  time.Duration
 }
 
+// clearing reports whether an attempt of the worker is being stopped.
+func (w *Worker) clearing() bool {
+	for i := range w.Attempts {
+		if w.Attempts[i].Stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // placeHeld places the tasks whose room has become free and keeps the rest of
 // the held room from other tasks. It returns the tasks it has dealt with.
 func (r *Round) placeHeld(pending []Task) map[string]bool {
@@ -35,7 +45,11 @@
 			continue
 		}
 		c := r.candidate(at)
-		if c.Worker.Unreachable || c.Worker.Leaving || r.reject(t, &c) != "" {
+		if !c.Worker.clearing() || r.reject(t, &c) != "" {
+			if h.need.Fits(c.Free) && r.reject(t, &c) == "" {
+				done[t.ID] = true
+				r.place(t, h.need, &c, false, placedReason(t, &c))
+			}
 			continue
 		}
 		done[t.ID] = true
--- a/scheduler/knowledge.go
+++ b/scheduler/knowledge.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/scheduler/estimate"
 	"github.com/cactusreel/cactusreel/scheduler/interference"
 	"github.com/cactusreel/cactusreel/scheduler/quarantine"
 	"github.com/cactusreel/cactusreel/scheduler/retry"
@@ -16,14 +15,16 @@
 type Knowledge struct {
 	pairs  *interference.Model
 	ledger *quarantine.Ledger
-	jobs   map[string]*jobKnowledge
-	boots  map[string]string
+	// jobs holds what belongs to one version of a job.
+	jobs map[string]*jobKnowledge
+	// names holds the sizes and run times by the job's name, because jobs recur
+	// under new versions.
+	names map[string]*nameKnowledge
+	boots map[string]string
 }
 
-// jobKnowledge is what was learned of one job.
+// jobKnowledge is what was learned of one version of a job.
 type jobKnowledge struct {
-	size    estimate.Size
-	runTime estimate.RunTime
 	retries *retry.Budget
 }
 
@@ -31,7 +32,7 @@
 func NewKnowledge() *Knowledge {
 	return &Knowledge{
 		pairs: interference.New(), ledger: quarantine.New(),
-		jobs: map[string]*jobKnowledge{}, boots: map[string]string{},
+		jobs: map[string]*jobKnowledge{}, names: map[string]*nameKnowledge{}, boots: map[string]string{},
 	}
 }
 
@@ -48,7 +49,7 @@
 func (k *Knowledge) observeUsage(now time.Duration, a *Attempt, u *platform.Usage) {
 	k.pairs.Observe(now, a.Kind, u.Colocated, u.Load, u.Slowdown)
 	if a.share() == 1 {
-		k.job(a.Job).size.Observe(u.Used)
+		k.name(now, a.Job).size.Observe(u.Used)
 	}
 }
 
@@ -63,26 +64,24 @@
 		k.ledger.Completed(o.Worker, o.Job)
 		k.job(o.Job).retries.Completed(o.ID.Task)
 		if o.Work > 0 {
-			k.job(o.Job).runTime.Observe(o.Work)
+			k.name(now, o.Job).runTime.Observe(o.Work)
 		}
 	case platform.AttemptFailed:
-		if !k.tooSmall(config, o) {
-			k.ledger.Failed(now, o.Worker, o.Job, o.Message)
-		}
-		if config.Rules.Has(RuleRetryBudget) {
-			k.job(o.Job).retries.Failed(now, random, o.ID.Task, o.Message)
-		}
+		k.failed(now, config, random, o)
 	}
 }
 
-// tooSmall reports whether a failed attempt was assigned less memory than the
-// job has since been seen to need. Such a failure speaks neither against the
-// worker nor against the job, because the next attempt gets more.
-func (k *Knowledge) tooSmall(config Config, o Outcome) bool {
-	if !config.Rules.Has(RuleLearnedSizes) {
-		return false
+// failed takes a failed attempt. One that ran out of memory speaks neither
+// against the worker nor against the job and uses no retry, because the next
+// attempt gets more; growth ends at the size of a VM.
+func (k *Knowledge) failed(now time.Duration, config Config, random *rand.Rand, o Outcome) {
+	if config.Rules.Has(RuleLearnedSizes) && k.name(now, o.Job).size.Outgrew(o.Requests) {
+		return
+	}
+	k.ledger.Failed(now, o.Worker, o.Job, o.Message)
+	if config.Rules.Has(RuleRetryBudget) {
+		k.job(o.Job).retries.Failed(now, random, o.ID.Task, o.Message)
 	}
-	return k.job(o.Job).size.Need(o.Requests).MemoryMiB > o.Requests.MemoryMiB+o.Requests.MemoryMiB/20
 }
 
 // forgetJob drops a job.
--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -4,10 +4,20 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cactusreel/cactusreel/platform"
 )
 
+const (
+	// reclaimAfter is how long a task within its team's quota waits before it
+	// reclaims capacity: most waits end sooner without an eviction.
+	reclaimAfter = 30 * time.Second
+	// reclaimShare is the share of its quota that a team keeps when others
+	// reclaim. Teams just over their quotas are left alone.
+	reclaimShare = 1.5
+)
+
 // eviction is a set of attempts whose end makes room on a worker.
 type eviction struct {
 	candidate Candidate
@@ -32,11 +42,14 @@
 			return
 		}
 	}
-	if rules.Has(RuleQuota) && r.withinQuota(t, need) {
+	if rules.Has(RuleQuota) && r.Now-r.policy.seen[t.ID] >= reclaimAfter && r.withinQuota(t, need) {
 		if r.evictFor(t, need, Move, "a team within its quota", r.yieldsToQuota) {
 			return
 		}
 	}
+	if rules.Has(RuleAgeing) && r.age(t) >= r.policy.config.AgeLimit && r.accumulate(t, need) {
+		return
+	}
 	r.wait(t, Waiting, 0, "pending: "+reason)
 }
 
@@ -54,7 +67,7 @@
 		return false
 	}
 	left := r.use[a.Team].Sub(a.Reserved())
-	return dominantShare(left, r.Snapshot.teams[a.Team].Quota) >= 1
+	return dominantShare(left, r.Snapshot.teams[a.Team].Quota) >= reclaimShare
 }
 
 // evictFor looks for the cheapest set of victims on a sample of workers, adds
--- a/scheduler/need.go
+++ b/scheduler/need.go
@@ -11,7 +11,7 @@
 // as declared, because a task can't run with fewer.
 func (p *Policy) need(s *Snapshot, t *Task) platform.Resources {
 	need := t.Requests
-	if j := p.knowledge.jobs[t.Job]; j != nil && p.config.Rules.Has(RuleLearnedSizes) {
+	if j := p.knowledge.names[nameOf(t.Job)]; j != nil && p.config.Rules.Has(RuleLearnedSizes) {
 		need = j.size.Need(need)
 	}
 	bounded := minResources(need, s.largest)
@@ -19,11 +19,15 @@
 	return bounded
 }
 
+// total returns an upper estimate of the run time of an attempt's task.
+func (p *Policy) total(a *Attempt) time.Duration {
+	if j := p.knowledge.names[nameOf(a.Job)]; j != nil && p.config.Rules.Has(RuleLearnedTimes) {
+		return j.runTime.Total(a.RunTime)
+	}
+	return a.RunTime
+}
+
 // remaining returns an upper estimate of the time that a batch attempt still needs.
 func (p *Policy) remaining(a *Attempt) time.Duration {
-	total := a.RunTime
-	if j := p.knowledge.jobs[a.Job]; j != nil && p.config.Rules.Has(RuleLearnedTimes) {
-		total = j.runTime.Total(total)
-	}
-	return time.Duration((1 - a.Progress) * float64(total) / a.share())
+	return time.Duration((1 - a.Progress) * float64(p.total(a)) / a.share())
 }
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -19,6 +19,8 @@
 	seen      map[string]time.Duration
 	pressure  map[string]*pressure
 	draining  drainState
+	urgent    urgentDemand
+	ageing    agedTask
 }
 
 // New returns a policy. Cells of one process may share the knowledge if they
@@ -40,10 +42,15 @@
 		r.sendAway(pending)
 		return r.Plan
 	}
-	p.note(now, pending)
+	p.note(now, s, pending)
 	placed := r.placeHeld(pending)
 	q := newQueue(r, pending)
+	reserved := !p.config.Rules.Has(RuleReserve)
 	for t := q.next(); t != nil; t = q.next() {
+		if !reserved && !t.Urgent && !t.Service {
+			reserved = true
+			r.reserveUrgent()
+		}
 		if !placed[t.ID] {
 			r.placeTask(t)
 		}
@@ -51,13 +58,17 @@
 	return r.Plan
 }
 
-// note keeps when each pending task was first seen by this cell.
-func (p *Policy) note(now time.Duration, pending []Task) {
+// note keeps when each pending task was first seen by this cell, and counts the
+// urgent ones.
+func (p *Policy) note(now time.Duration, s *Snapshot, pending []Task) {
 	seen := make(map[string]time.Duration, len(pending))
 	for i := range pending {
 		first, known := p.seen[pending[i].ID]
 		if !known {
 			first = now
+			if pending[i].Urgent {
+				p.urgent.arrived(now, p.need(s, &pending[i]))
+			}
 		}
 		seen[pending[i].ID] = first
 	}
--- a/scheduler/relieve.go
+++ b/scheduler/relieve.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -13,8 +15,14 @@
 	// calmFactor times the escalation delay is how long services must be
 	// clearly under their targets before a throttle is lifted.
 	calmFactor = 2
+	// enterRatio is the ratio of p99 to target above which a service is over it.
+	enterRatio = 1
+	// farOver is the ratio from which no second report is awaited.
+	farOver = 1.3
 	// leaveRatio is the ratio of p99 to target below which services are calm.
 	leaveRatio = 0.8
+	// goalRatio is what a round of throttling aims at.
+	goalRatio = 0.9
 	// firstShare and lastShare are the steps of throttling.
 	firstShare = 0.5
 	lastShare  = 0.25
@@ -26,11 +34,10 @@
 	helps = 0.03
 )
 
-// relieve escalates against work that slows services over their targets, one
-// step a worker and delay, and lifts throttles when the services are calm.
+// relieve escalates against work that slows services over their targets, with a
+// delay between steps on a worker, and lifts throttles when the services are calm.
 func (p *Policy) relieve(now time.Duration, s *Snapshot) []Action {
 	var actions []Action
-	enter := 1 + 0.2*(weight(s.weights.Evictions)-weight(s.weights.TailLatency))
 	for i := range s.size {
 		w := s.At(i)
 		hot, throttled := worstService(w)
@@ -38,9 +45,7 @@
 			delete(p.pressure, w.ID)
 			continue
 		}
-		if action, ok := p.relieveWorker(now, w, hot, enter); ok {
-			actions = append(actions, action)
-		}
+		actions = append(actions, p.relieveWorker(now, w, hot)...)
 	}
 	return actions
 }
@@ -58,8 +63,8 @@
 	return worst, throttled
 }
 
-// relieveWorker returns the step for one worker, if one is due.
-func (p *Policy) relieveWorker(now time.Duration, w *Worker, hot *Attempt, enter float64) (Action, bool) {
+// relieveWorker returns the steps for one worker, if they are due.
+func (p *Policy) relieveWorker(now time.Duration, w *Worker, hot *Attempt) []Action {
 	state := p.pressure[w.ID]
 	if state == nil {
 		state = &pressure{lastStep: -p.config.EscalationDelay}
@@ -69,52 +74,83 @@
 	if hot != nil {
 		worst = hot.TargetRatio
 	}
-	state.update(now, worst, enter, leaveRatio)
+	state.update(now, worst, enterRatio, leaveRatio)
 	if now-state.lastStep < p.config.EscalationDelay {
-		return Action{}, false
+		return nil
 	}
-	var action Action
-	ok := false
+	var actions []Action
 	switch {
-	case state.over && now-state.overSince >= overTime:
-		action, ok = p.escalate(now, w, hot)
+	case state.over && (worst > farOver || now-state.overSince >= overTime):
+		actions = p.escalate(now, w, hot)
 	case state.calm && now-state.calmSince >= calmFactor*p.config.EscalationDelay:
-		action, ok = lift(w)
+		actions = lift(w)
 	}
-	if ok {
+	if len(actions) > 0 {
 		state.lastStep = now
-		action.Worker, action.Boot = w.ID, w.Boot
 	}
-	return action, ok
+	for i := range actions {
+		actions[i].Worker, actions[i].Boot = w.ID, w.Boot
+	}
+	return actions
 }
 
-// escalate returns the next step against the attempt that is estimated to slow
-// the service most.
-func (p *Policy) escalate(now time.Duration, w *Worker, hot *Attempt) (Action, bool) {
-	var culprit *Attempt
-	most := helps
+// culprit is an attempt with the log slowdown that it is estimated to add.
+type culprit struct {
+	attempt *Attempt
+	harm    float64
+}
+
+// culprits returns the attempts that slow a service down, worst first.
+func (p *Policy) culprits(now time.Duration, w *Worker, hot *Attempt) []culprit {
+	var list []culprit
 	for i := range w.Attempts {
 		a := &w.Attempts[i]
-		if a.Service || a.Urgent || a.Stopping || a.Cancelled || (p.spared(a) && a.share() <= lastShare) {
+		if a.Service || a.Urgent || a.Stopping || a.Cancelled {
 			continue
 		}
-		if harm := p.harmOf(now, w, hot, a); harm > most {
-			culprit, most = a, harm
+		if harm := p.harmOf(now, w, hot, a); harm > helps {
+			list = append(list, culprit{a, harm})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b culprit) int { return cmp.Compare(b.harm, a.harm) })
+	return list
+}
+
+// escalate throttles as many of the worst attempts as are estimated to bring
+// the service under its target. When none can be throttled further, the worst
+// one that is not nearly done is moved or evicted.
+func (p *Policy) escalate(now time.Duration, w *Worker, hot *Attempt) []Action {
+	ratio := fmt.Sprintf("service %s is at %.2f of its p99 target", nameOf(hot.Job), hot.TargetRatio)
+	excess := math.Log(hot.TargetRatio / goalRatio)
+	list := p.culprits(now, w, hot)
+	var actions []Action
+	for _, c := range list {
+		if excess <= 0 {
+			break
+		}
+		share := firstShare
+		if c.attempt.share() <= firstShare {
+			share = lastShare
 		}
+		if c.attempt.share() <= lastShare {
+			continue
+		}
+		excess -= c.harm * (1 - share/c.attempt.share())
+		actions = append(actions, Action{Kind: Throttle, ID: c.attempt.ID, Share: share, Reason: "throttled: " + ratio})
 	}
-	if culprit == nil {
-		return Action{}, false
+	if len(actions) > 0 {
+		return actions
 	}
-	ratio := fmt.Sprintf("service %s is at %.2f of its p99 target", hot.Job, hot.TargetRatio)
-	switch {
-	case culprit.share() > firstShare:
-		return Action{Kind: Throttle, ID: culprit.ID, Share: firstShare, Reason: "throttled: " + ratio}, true
-	case culprit.share() > lastShare:
-		return Action{Kind: Throttle, ID: culprit.ID, Share: lastShare, Reason: "throttled: " + ratio}, true
-	case hot.TargetRatio > evictRatio:
-		return Action{Kind: Evict, ID: culprit.ID, Reason: "evicted: " + ratio}, true
+	for _, c := range list {
+		switch {
+		case p.spared(c.attempt):
+		case hot.TargetRatio > evictRatio:
+			return []Action{{Kind: Evict, ID: c.attempt.ID, Reason: "evicted: " + ratio}}
+		default:
+			return []Action{{Kind: Move, ID: c.attempt.ID, Reason: "moved: " + ratio}}
+		}
 	}
-	return Action{Kind: Move, ID: culprit.ID, Reason: "moved: " + ratio}, true
+	return nil
 }
 
 // harmOf returns the log slowdown that an attempt is estimated to add to a
@@ -125,12 +161,12 @@
 }
 
 // lift raises the share of one throttled attempt.
-func lift(w *Worker) (Action, bool) {
+func lift(w *Worker) []Action {
 	for i := range w.Attempts {
 		a := &w.Attempts[i]
 		if a.share() < 1 && !a.Stopping && !a.Cancelled {
-			return Action{Kind: Throttle, ID: a.ID, Share: min(1, 2*a.share()), Reason: "throttle eased: services are under their targets"}, true
+			return []Action{{Kind: Throttle, ID: a.ID, Share: min(1, 2*a.share()), Reason: "throttle eased: services are under their targets"}}
 		}
 	}
-	return Action{}, false
+	return nil
 }
--- a/scheduler/round.go
+++ b/scheduler/round.go
@@ -23,6 +23,8 @@
 	racks map[jobRack]int
 	// placed is the sum of the needs placed in this round.
 	placed platform.Resources
+	// accumulating is set when a worker's room is kept for an aged task.
+	accumulating bool
 	// full are the shapes that found no worker in this round.
 	full map[shape]string
 }
--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -40,6 +40,8 @@
 	RuleRamp
 	// RuleMove moves tasks that a cell can't place to other cells.
 	RuleMove
+	// RuleReserve keeps room for as much urgent work as arrived lately.
+	RuleReserve
 	ruleEnd
 )
 
@@ -49,7 +51,7 @@
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
 	"retry-budget", "priority", "quota", "ageing", "escalation", "nearly-done", "spread",
-	"drain", "ramp", "move",
+	"drain", "ramp", "move", "reserve",
 }
 
 // Has reports whether all rules of o are in r.
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -133,3 +133,7 @@
 	}
 	return s.At(i)
 }
+
+// Summaries returns the newest known summaries of other cells. The caller must
+// not change them.
+func (s *Snapshot) Summaries() []CellSummary { return s.summaries }
--- a/scheduler/stopcost.go
+++ b/scheduler/stopcost.go
@@ -4,9 +4,19 @@
 	"time"
 )
 
+// progressLag is the greatest usual age of a reported progress.
+const progressLag = 5 * time.Second
+
 // spared reports whether an attempt is too nearly done to be stopped.
 func (p *Policy) spared(a *Attempt) bool {
-	return p.config.Rules.Has(RuleNearlyDone) && !a.Service && a.Progress >= p.config.NearlyDone
+	if !p.config.Rules.Has(RuleNearlyDone) || a.Service {
+		return false
+	}
+	progress := a.Progress
+	if total := p.total(a); total > 0 {
+		progress += float64(progressLag) / float64(total)
+	}
+	return progress >= p.config.NearlyDone
 }
 
 // stopCost returns the processor seconds that stopping an attempt now loses:
--- a/scheduler/summary.go
+++ b/scheduler/summary.go
@@ -16,6 +16,11 @@
 	// Largest is the largest free amount of any one worker in each dimension.
 	Largest  platform.Resources
 	Capacity platform.Resources
+	// Yields is what ordinary batch work holds, which urgent work can take.
+	Yields platform.Resources
+	// LargestYield is the largest sum of free and yielded amounts of any one
+	// worker in each dimension.
+	LargestYield platform.Resources
 	// Pending is the need of the tasks that wait in the cell.
 	Pending platform.Resources
 	// Replicas counts running service replicas by job id.
@@ -31,14 +36,31 @@
 		leaf := s.root.leaf(s.size, i)
 		sum.Free = sum.Free.Add(leaf.free)
 		sum.Largest = maxResources(sum.Largest, leaf.free)
-		for j := range leaf.worker.Attempts {
-			if a := &leaf.worker.Attempts[j]; a.Service {
-				sum.Replicas[a.Job]++
-			}
-		}
+		yields := sum.addAttempts(leaf.worker)
+		sum.Yields = sum.Yields.Add(yields)
+		sum.LargestYield = maxResources(sum.LargestYield, leaf.free.Add(yields))
 	}
 	for i := range pending {
 		sum.Pending = sum.Pending.Add(pending[i].Requests)
 	}
 	return sum
 }
+
+// addAttempts counts a worker's replicas and returns what its ordinary batch
+// attempts hold, except for those that are nearly done.
+func (sum *CellSummary) addAttempts(w *Worker) platform.Resources {
+	var yields platform.Resources
+	for i := range w.Attempts {
+		a := &w.Attempts[i]
+		if a.Service {
+			sum.Replicas[a.Job]++
+		}
+		if !a.Service && !a.Urgent && !a.Stopping && a.Progress < nearlyDone {
+			yields = yields.Add(a.Requests)
+		}
+	}
+	if w.Unreachable || w.Leaving {
+		return platform.Resources{}
+	}
+	return yields
+}
