--- a/command/settings_test.go
+++ b/command/settings_test.go
@@ -82,3 +82,17 @@
 		is.Equal(stdout, string(want))
 	}
 }
+
+// Guards against a command that the guide for operators does not name.
+func TestGuideNamesEveryCommand(t *testing.T) {
+	is := is.New(t)
+	guide, err := os.ReadFile("../docs/operators.md")
+	is.NoErr(err)
+	commands := command.New(command.Options{}).Commands()
+	is.True(len(commands) >= 16)
+	for _, c := range commands {
+		if !strings.Contains(string(guide), "`"+c.Name()) {
+			t.Errorf("docs/operators.md does not name %s", c.Name())
+		}
+	}
+}
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -144,3 +144,19 @@
 	is.NoErr(err)
 	is.Equal(string(page), settings.Markdown()) // regenerate with `cactusreel settings reference`
 }
+
+// Guards against a panic on a damaged file, and against settings that are
+// accepted without their required keys.
+func FuzzParse(f *testing.F) {
+	f.Add(minimal)
+	f.Add("[times]\nowner_lease = 5s\nowner_lease\n[peers.]\n= x\n[peers.a.b]\nv=1")
+	f.Fuzz(func(t *testing.T, file string) {
+		e, err := settings.Parse("fuzz.ini", []byte(file))
+		if err == nil && (e.VM == "" || e.DataCentre == "" || e.ListenCallers == "" || e.LogURL == "" || e.Times.OwnerLease == 0) {
+			t.Fatalf("%q is accepted as %+v", file, e)
+		}
+		if err != nil && err.Error() == "" {
+			t.Fatalf("%q is refused without a reason", file)
+		}
+	})
+}
