settings: drop keys without an effect; mark those that all entry VMs share

Cause: six keys were read by no package: the reduced slots, the kept response size, the budgets and the connections are constants of routing, ownership and dedup. A setting that changes nothing misleads, and reduced slots that differ between VMs would break the count of 6 + 2 slots.

Change: reduced_slots, connections_per_worker, kept_response_bytes, retry_budget, hedge_budget and recent_progress are gone. The page marks the times on which one VM relies at another. A HEAD request is never a watch.

--- a/operator/read.go
+++ b/operator/read.go
@@ -23,7 +23,8 @@
 	if !ok {
 		return
 	}
-	if r.URL.Query().Has("watch") {
+	// A HEAD request, which the pattern matches too, would wait without an answer.
+	if r.Method == http.MethodGet && r.URL.Query().Has("watch") {
 		h.watch(w, r, kind)
 		return
 	}
--- a/settings/key.go
+++ b/settings/key.go
@@ -19,10 +19,19 @@
 	preset string
 	// meaning is one sentence for the reference page.
 	meaning string
+	// shared is true if the design relies on the same value at all entry VMs.
+	shared bool
 	// set parses a value into the settings and reports whether it is accepted.
 	set func(e *Entry, value string) bool
 }
 
+// sameOnAll marks a key whose value all entry VMs must share: one VM relies on
+// how long another one keeps a lease, a promise or a request.
+func (k key) sameOnAll() key {
+	k.shared = true
+	return k
+}
+
 // durationKey accepts a duration from low to high, both included.
 func durationKey(name string, field func(*Entry) *time.Duration, preset, low, high time.Duration, meaning string) key {
 	return key{
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -6,16 +6,10 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the body of a request to a service that states no limit.
 	MaxBodyBytes int64
-	// KeptResponseBytes is the largest response that is kept for repeats.
-	KeptResponseBytes int64
 	// RequestTableEntries bounds the request ids kept per cell.
 	RequestTableEntries int
 	// RequestsInProgress bounds the requests in progress in this process.
 	RequestsInProgress int
-	// ConnectionsPerWorker bounds the connections that an owner opens to a worker.
-	ConnectionsPerWorker int
-	// ReducedSlots is the number of slots per worker in the owner state reduced.
-	ReducedSlots int
 	// Watches bounds the operator watches open at a time.
 	Watches int
 	// SnapshotRecords is the number of records after which a stream gets a snapshot.
@@ -24,8 +18,4 @@
 	BatchRecords int
 	// BatchBytes bounds the size of one append.
 	BatchBytes int
-	// RetryBudget is the largest share of requests that are retries, from 0 to 1.
-	RetryBudget float64
-	// HedgeBudget is the largest share of requests that are hedges, from 0 to 1.
-	HedgeBudget float64
 }
--- a/settings/markdown.go
+++ b/settings/markdown.go
@@ -31,7 +31,11 @@
 			if preset == "" {
 				preset = "required"
 			}
-			fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", k.name, k.unit, k.accepted, preset, k.meaning)
+			meaning := k.meaning
+			if k.shared {
+				meaning += " **Must be the same on all entry VMs.**"
+			}
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", k.name, k.unit, k.accepted, preset, meaning)
 		}
 	}
 	fmt.Fprintf(&b, "\n## [%sDATA_CENTRE]\n\n", peersPrefix)
--- a/settings/times.go
+++ b/settings/times.go
@@ -34,9 +34,6 @@
 	MaxRequest time.Duration
 	// Progress bounds the time without a byte while bytes are due.
 	Progress time.Duration
-	// RecentProgress is the time since a connection's last progress within
-	// which it may carry a non-idempotent request.
-	RecentProgress time.Duration
 	// RequestIDRetention is the time for which request ids and kept responses are held.
 	RequestIDRetention time.Duration
 	// PeerTimeout bounds one request to a peer.
