--- a/cmd/cactusreel/main.go
+++ b/cmd/cactusreel/main.go
@@ -1,4 +1,34 @@
-// Command cactusreel is under construction.
+// Command cactusreel is the daemon of an entry VM and the operators' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/cactusreel/cactusreel/command"
+	"github.com/cactusreel/cactusreel/entry"
+	"github.com/cactusreel/cactusreel/settings"
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+func main() {
+	os.Exit(command.Main(context.Background(), os.Args[1:], command.Options{
+		Stdin:   os.Stdin,
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+		Version: version,
+		Entry:   runEntry,
+	}))
+}
+
+// runEntry runs the daemon and gives a cut-off its exit code.
+func runEntry(ctx context.Context, s settings.Entry) error {
+	err := entry.Run(ctx, s)
+	if errors.Is(err, entry.ErrCutOff) {
+		return &command.ExitError{Code: command.ExitCutOff, Err: err}
+	}
+	return err
+}
--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -62,6 +62,9 @@
 
 func (m *Machine) applyRenew(r *recordpb.Renew) {
 	m.see(r.Vm, r.Incarnation, r.Joined)
+	if known := m.members[r.Vm]; known.incarnation == r.Incarnation {
+		known.stopping = known.stopping || r.Stopping
+	}
 	own := r.Vm == m.config.VM && r.Incarnation == m.config.Incarnation
 	awaited := own && m.renewal != nil && m.renewal.number == r.Number
 	for _, held := range r.Cells {
@@ -70,6 +73,7 @@
 			continue
 		}
 		c.touch(m.offset, m.now)
+		c.ownerRead = max(c.ownerRead, r.Read)
 		if !own {
 			c.predecessors = held.Predecessors
 		}
@@ -88,7 +92,6 @@
 func (m *Machine) renewedBy(c *cell, r *recordpb.Renew, held *recordpb.CellTerm) bool {
 	if !c.known && m.first > 1 && held.Term < m.first {
 		c.setOwner(r.Vm, r.Incarnation, held.Term, m.now)
-		c.term = held.Term
 	}
 	return c.owner == r.Vm && c.incarnation == r.Incarnation && c.term == held.Term
 }
@@ -155,6 +158,10 @@
 	own := m.owns(c)
 	c.addPredecessor(true)
 	c.setOwner(r.To, r.ToIncarnation, m.offset, m.now)
+	if to := m.members[r.To]; to != nil && to.incarnation == r.ToIncarnation && to.left {
+		// The receiver's leave record came first: the cell has no owner.
+		c.owner, c.incarnation = "", 0
+	}
 	c.dropPredecessors(func(p *recordpb.Predecessor) bool {
 		return p.Vm == r.To && p.Incarnation == r.ToIncarnation
 	})
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+
+	"gopkg.in/ini.v1"
+)
+
+// maxFileBytes bounds a settings file. The peers of the planned scale take
+// about 6 KB.
+const maxFileBytes = 1 << 20
+
+// Load reads a settings file. An error of type Mistakes lists every unknown,
+// missing and repeated key and every bad value; any other means that the file
+// can't be read.
+func Load(path string) (Entry, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return Entry{}, fmt.Errorf("read settings: %w", err)
+	}
+	if info.Size() > maxFileBytes {
+		return Entry{}, fmt.Errorf("read settings: %s has %d bytes; accepted are at most %d", path, info.Size(), maxFileBytes)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Entry{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the content of a settings file; name stands in messages.
+func Parse(name string, data []byte) (Entry, error) {
+	options := ini.LoadOptions{
+		// Shadows keep repeated keys, which would otherwise hide each other.
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		// A line without a value becomes a bad value instead of ending the parse.
+		AllowBooleanKeys:    true,
+		IgnoreInlineComment: true,
+		IgnoreContinuation:  true,
+		KeyValueDelimiters:  "=",
+	}
+	file, err := ini.LoadSources(options, data)
+	if err != nil {
+		return Entry{}, Mistakes{{File: name, Section: "", Key: "", Problem: err.Error(), Accepted: "sections, and lines of the form key = value"}}
+	}
+	l := &loader{name: name, file: file}
+	l.readKeys()
+	l.readPeers()
+	l.findUnknown()
+	l.checkRelations()
+	if len(l.mistakes) > 0 {
+		return l.entry, l.mistakes
+	}
+	return l.entry, nil
+}
