ownership: settle the owner of a cell for readers of a truncated stream

Cause: a reader that starts in the middle of the claims stream, because the log has dropped its beginning, took the first claim or renewal that it read for valid. A claim that had lost a race, or a renewal of an owner that had not yet read the newer claim, then gave it another owner than all earlier readers had, and it never came back.

Change: such a reader holds each cell for unsettled until a renewal names a read offset that covers every claim that could have ended the ownership, or renews the last claim. It claims no cell whose owner is unsettled, and a cell without any record only after a lease.

--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -10,7 +10,7 @@
 // and renewals name the term or offset that they refer to.
 func (m *Machine) apply(e Applied) {
 	if m.first == 0 {
-		m.first = e.Offset
+		m.startReading(e.Offset)
 	}
 	m.offset = e.Offset
 	r := e.Record
@@ -69,7 +69,11 @@
 	awaited := own && m.renewal != nil && m.renewal.number == r.Number
 	for _, held := range r.Cells {
 		c := m.cell(int(held.Cell))
-		if c == nil || !m.renewedBy(c, r, held) {
+		if c == nil {
+			continue
+		}
+		m.settle(c, r, held)
+		if c.owner != r.Vm || c.incarnation != r.Incarnation || c.term != held.Term {
 			continue
 		}
 		c.touch(m.offset, m.now)
@@ -86,16 +90,6 @@
 	}
 }
 
-// renewedBy reports whether a renewal of a cell is valid. The first renewal
-// that a reader sees of a cell it knows nothing about tells it the owner: a
-// newer claim would have been read.
-func (m *Machine) renewedBy(c *cell, r *recordpb.Renew, held *recordpb.CellTerm) bool {
-	if !c.known && m.first > 1 && held.Term < m.first {
-		c.setOwner(r.Vm, r.Incarnation, held.Term, m.now)
-	}
-	return c.owner == r.Vm && c.incarnation == r.Incarnation && c.term == held.Term
-}
-
 func (m *Machine) applyClaim(r *recordpb.Claim) {
 	if !r.Rescue {
 		m.see(r.Vm, r.Incarnation, r.Joined)
@@ -106,7 +100,11 @@
 	}
 	own := r.Vm == m.config.VM && r.Incarnation == m.config.Incarnation
 	awaited := own && c.claim != nil && c.claim.number == r.Number
-	if m.expected(c, r.Expects) {
+	accepted := m.expected(c, r.Expects)
+	if c.unsettled {
+		c.candidate = m.offset
+	}
+	if accepted {
 		m.acceptClaim(c, r, awaited)
 	}
 	if awaited {
@@ -114,19 +112,6 @@
 	}
 }
 
-// expected is the precondition of a claim. A reader that knows nothing of the
-// cell because the stream is truncated knows only that the last record of the
-// cell is below its first offset.
-func (m *Machine) expected(c *cell, expects int64) bool {
-	if m.config.Unsafe.NoExpects {
-		return true
-	}
-	if !c.known && m.first > 1 {
-		return expects < m.first
-	}
-	return expects == c.last
-}
-
 func (m *Machine) acceptClaim(c *cell, r *recordpb.Claim, awaited bool) {
 	replaced := c.owner != "" && !c.rescue
 	if replaced && !m.streamGone(c.owner, c.incarnation) {
@@ -152,7 +137,13 @@
 
 func (m *Machine) applyRelease(r *recordpb.Release) {
 	c := m.cell(int(r.Cell))
-	if c == nil || c.owner != r.Vm || c.incarnation != r.Incarnation || c.term != r.Term {
+	if c == nil {
+		return
+	}
+	if c.unsettled {
+		c.candidate = m.offset
+	}
+	if c.owner != r.Vm || c.incarnation != r.Incarnation || c.term != r.Term {
 		return
 	}
 	own := m.owns(c)
--- a/ownership/cell.go
+++ b/ownership/cell.go
@@ -11,7 +11,12 @@
 // stream alone, except for predecessors known gone by the VM list.
 type cell struct {
 	// known is false until a record of the cell was read.
-	known       bool
+	known bool
+	// unsettled means that the reader started in the middle of the stream and
+	// can't yet tell which of several records is valid; candidate is the
+	// offset of the last claim or release that it has read meanwhile.
+	unsettled   bool
+	candidate   int64
 	owner       string
 	incarnation uint64
 	term        int64
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -32,6 +32,9 @@
 	if m.now < c.promisedUntil && !m.config.Unsafe.NoPromiseHold {
 		return false
 	}
+	if c.unsettled && c.known {
+		return false
+	}
 	if c.owner == "" || c.rescue {
 		return true
 	}
@@ -45,6 +48,10 @@
 // for even if its process is known gone: a join record of its VM can be
 // delayed in the log, so that the process it names is the older one.
 func (m *Machine) claimableAt(c *cell) time.Duration {
+	if c.unsettled {
+		// An owner that is alive renews within a lease.
+		return m.joinedAt + m.config.stretched(m.config.Lease)
+	}
 	if c.owner == "" || c.rescue {
 		return max(c.readAt, m.joinedAt)
 	}
@@ -75,7 +82,7 @@
 	m.dropGone()
 	for i := range m.cells {
 		c := &m.cells[i]
-		if m.stopping || !c.known || c.owner == "" || m.owns(c) || c.claim != nil {
+		if m.stopping || m.offset == 0 || (c.owner == "" && !c.unsettled) || m.owns(c) || c.claim != nil {
 			continue
 		}
 		if m.now >= m.rescuableAt(c)+m.rescueDelay(i) {
@@ -92,7 +99,7 @@
 	if c.rescue {
 		silence *= 2
 	}
-	return c.readAt + m.config.stretched(silence)
+	return max(c.readAt, m.firstAt) + m.config.stretched(silence)
 }
 
 // rescueDelay spreads the rescue claims of the VMs of other data centres, who
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -12,8 +12,10 @@
 	now    time.Duration
 	out    []Action
 
-	// first and offset are the offsets of the first and the last applied record.
+	// first and offset are the offsets of the first and the last applied
+	// record; firstAt is when the first was read.
 	first, offset int64
+	firstAt       time.Duration
 	members       map[string]*member
 	// names are the keys of members in ascending order.
 	names []string
--- a/ownership/schedule_test.go
+++ b/ownership/schedule_test.go
@@ -30,7 +30,14 @@
 func TestSchedulesKeepOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		plan := genPlan(allFaults...).Draw(t, "plan")
-		if _, err := runPlan(plan, Unsafe{}); err != nil {
+		s, err := runPlan(plan, Unsafe{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.held == 0 {
+			t.Fatal("no cell was ever held")
+		}
+		if err := s.lateReadersAgree(); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/ownership/sim_test.go
+++ b/ownership/sim_test.go
@@ -361,3 +361,34 @@
 	}
 	return nil
 }
+
+// lateReadersAgree verifies that readers that start in the middle of the
+// stream, as after a truncation, name the same owners as one that read it all.
+func (s *sim) lateReadersAgree() error {
+	all := s.reader(0)
+	for first := 1; first < len(s.log); first += 7 {
+		late := s.reader(first)
+		for number := range simCells {
+			got, want := late.View(0, number), all.View(0, number)
+			if late.cells[number].unsettled || (got.Owner == want.Owner && got.Term == want.Term) {
+				continue
+			}
+			return fmt.Errorf("reader from offset %d: cell %d is owned by %s term %d, want %s term %d",
+				first+1, number, got.Owner, got.Term, want.Owner, want.Term)
+		}
+	}
+	for number := range simCells {
+		if len(s.log) > 100 && s.reader(len(s.log) / 2).cells[number].unsettled {
+			return fmt.Errorf("cell %d is unsettled after half of the stream", number)
+		}
+	}
+	return nil
+}
+
+func (s *sim) reader(first int) *Machine {
+	m := New(DefaultConfig("reader", "giza", 1, simCells))
+	for i, r := range s.log[first:] {
+		m.Step(0, Applied{Offset: int64(first + i + 1), Record: r})
+	}
+	return m
+}
