--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -151,6 +151,11 @@
 	m.members[vm] = process
 }
 
+// Config returns the settings of the machine.
+func (m *Machine) Config() Config {
+	return m.config
+}
+
 // Offset returns the offset of the last applied record.
 func (m *Machine) Offset() int64 {
 	return m.offset
--- a/tasks/machine.go
+++ b/tasks/machine.go
@@ -214,6 +214,11 @@
 	return m.order
 }
 
+// Config returns the settings of the machine.
+func (m *Machine) Config() Config {
+	return m.config
+}
+
 // Offset returns the offset of the last applied batch.
 func (m *Machine) Offset() int64 {
 	return m.offset
--- a/tasks/sim_test.go
+++ b/tasks/sim_test.go
@@ -107,13 +107,22 @@
 	started         map[string]int64
 	starts          int
 	failed          error
+	// restored holds the snapshots that machines started from.
+	restored map[*tasks.Machine][]byte
+	// trace, if set, sees every step of every machine.
+	trace func(machine any, now time.Duration, ev typed, actions []string)
 }
 
 func runPlan(plan simPlan, unsafe tasks.Unsafe, unsafeOwnership ownership.Unsafe) (*sim, error) {
-	s := &sim{
-		rng: rand.New(rand.NewPCG(plan.Seed, 2)), plan: plan, unsafe: unsafe, unsafeOwnership: unsafeOwnership,
-		streams: make(map[string][]simRecord), started: make(map[string]int64),
-	}
+	s := new(sim)
+	return s, s.run(plan, unsafe, unsafeOwnership)
+}
+
+func (s *sim) run(plan simPlan, unsafe tasks.Unsafe, unsafeOwnership ownership.Unsafe) error {
+	s.rng, s.plan = rand.New(rand.NewPCG(plan.Seed, 2)), plan
+	s.unsafe, s.unsafeOwnership = unsafe, unsafeOwnership
+	s.streams, s.started = make(map[string][]simRecord), make(map[string]int64)
+	s.restored = make(map[*tasks.Machine][]byte)
 	s.setUp()
 	for s.now = 0; s.now < plan.end() && s.failed == nil; s.now += plan.step() {
 		s.faults()
@@ -129,12 +138,12 @@
 		s.check()
 	}
 	if s.failed != nil {
-		return s, fmt.Errorf("at %v: %w", s.now, s.failed)
+		return fmt.Errorf("at %v: %w", s.now, s.failed)
 	}
 	if plan.Fast {
-		return s, nil
+		return nil
 	}
-	return s, s.checkEnd()
+	return s.checkEnd()
 }
 
 func (s *sim) setUp() {
--- a/tasks/simvm_test.go
+++ b/tasks/simvm_test.go
@@ -177,7 +177,11 @@
 }
 
 func (s *sim) stepOwner(vm *simVM, ev ownership.Event) {
-	for _, action := range vm.owner.Step(vm.clock(s.now), ev) {
+	actions := vm.owner.Step(vm.clock(s.now), ev)
+	if s.trace != nil {
+		s.trace(vm.owner, vm.clock(s.now), ev, texts(actions))
+	}
+	for _, action := range actions {
 		switch a := action.(type) {
 		case ownership.Append:
 			vm.enqueue("claims", a.Record)
@@ -243,9 +247,6 @@
 	c := &simCell{machine: tasks.New(config), term: view.OwnTerm}
 	vm.cells[view.Cell] = c
 	name := fmt.Sprint("tasks", view.Cell)
-	for _, ev := range s.resources[:vm.resources] {
-		s.stepCell(vm, view.Cell, ev)
-	}
 	var assembler record.Assembler
 	for _, batch := range s.streams[name] {
 		for _, r := range batch.records {
@@ -259,6 +260,10 @@
 			panic(err)
 		}
 		c.read = int(c.machine.Offset())
+		s.restored[c.machine] = snapshot.Data
+	}
+	for _, ev := range s.resources[:vm.resources] {
+		s.stepCell(vm, view.Cell, ev)
 	}
 	s.stepCell(vm, view.Cell, tasks.WorkersListed{Workers: s.workersOf(view.Cell)})
 	s.stepCell(vm, view.Cell, tasks.Owned{Term: view.OwnTerm, Predecessors: view.Renewers})
@@ -299,7 +304,11 @@
 	if c == nil {
 		return
 	}
-	for _, action := range c.machine.Step(vm.clock(s.now), ev) {
+	actions := c.machine.Step(vm.clock(s.now), ev)
+	if s.trace != nil {
+		s.trace(c.machine, vm.clock(s.now), ev, texts(actions))
+	}
+	for _, action := range actions {
 		s.act(vm, number, c, action)
 	}
 }
