--- /dev/null
+++ b/e2e/state_test.go
@@ -0,0 +1,88 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cactusreel/cactusreel/entry"
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// dump returns the state of a process, or the zero value if it doesn't answer.
+func (c *cluster) dump(vm *entryVM) entry.Dump {
+	quick := http.Client{Timeout: 2 * time.Second}
+	answer, err := quick.Get("http://" + vm.callers + "/debug/state")
+	if err != nil {
+		return entry.Dump{}
+	}
+	defer answer.Body.Close()
+	var d entry.Dump
+	if json.NewDecoder(answer.Body).Decode(&d) != nil {
+		return entry.Dump{}
+	}
+	return d
+}
+
+// owns reports whether a VM says that it owns a cell under a term.
+func (c *cluster) owns(vm *entryVM, cell int, term int64) bool {
+	d := c.dump(vm)
+	if d.VM == "" {
+		return true // no answer proves nothing
+	}
+	for _, v := range d.Claims {
+		if v.Cell == cell {
+			return v.OwnTerm == term && v.Own != ownership.StateLost
+		}
+	}
+	return false
+}
+
+// ownedByAnother reports whether one of the VMs holds a cell of a former owner.
+func (c *cluster) ownedByAnother(former *entryVM, cell int, vms []*entryVM) bool {
+	for _, vm := range vms {
+		if vm.dataCentre != former.dataCentre {
+			continue
+		}
+		for _, v := range c.dump(vm).Claims {
+			if v.Cell == cell && v.Own == ownership.StateHeld {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// accepting reports whether some cell accepts starts.
+func (c *cluster) accepting() bool {
+	for _, vm := range c.entries {
+		for _, cell := range c.dump(vm).Cells {
+			if cell.Accepting {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// busyWorker returns a worker that runs a replica.
+func (c *cluster) busyWorker() string {
+	for _, a := range c.history().Attempts {
+		if a.State == platform.AttemptRunning && a.Kind == "web" {
+			return a.Worker
+		}
+	}
+	c.t.Fatal("no worker runs a replica")
+	return ""
+}
+
+// serves reports whether a worker runs a replica.
+func (c *cluster) serves(worker string) bool {
+	for _, a := range c.history().Attempts {
+		if a.Worker == worker && a.State == platform.AttemptRunning && a.Kind == "web" {
+			return true
+		}
+	}
+	return false
+}
--- a/standin/checkerevents.go
+++ b/standin/checkerevents.go
@@ -90,10 +90,10 @@
 	if e.Refused != "" {
 		return nil
 	}
-	events := []checker.Event{{At: e.Start, Type: checker.RunStarted, Worker: e.Worker, Request: e.RequestID, Run: number}}
+	events := []checker.Event{{At: e.Start, Type: checker.RunStarted, Worker: e.Worker, Request: e.Identity(), Run: number}}
 	end := life.endOf(e.Start, e.End)
 	if end > 0 {
-		events = append(events, checker.Event{At: end, Type: checker.RunEnded, Worker: e.Worker, Request: e.RequestID, Run: number})
+		events = append(events, checker.Event{At: end, Type: checker.RunEnded, Worker: e.Worker, Request: e.Identity(), Run: number})
 	}
 	return events
 }
--- a/standin/execution.go
+++ b/standin/execution.go
@@ -24,3 +24,12 @@
 	// Leaving tells whether the server had said before the start that it leaves.
 	Leaving bool `json:"leaving,omitempty"`
 }
+
+// Identity returns what tells the request from others: its id, or its path if
+// it carries none, as idempotent requests do.
+func (e Execution) Identity() string {
+	if e.RequestID != "" {
+		return e.RequestID
+	}
+	return e.Path
+}
