--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -12,7 +12,7 @@
 // have landed unread and names what this VM has read until now.
 func (m *Machine) claimants() []string {
 	var names []string
-	for _, vm := range slices.Sorted(maps.Keys(m.members)) {
+	for _, vm := range m.names {
 		if vm == m.config.VM || m.memberGone(vm) {
 			continue
 		}
