--- a/client/client_test.go
+++ b/client/client_test.go
@@ -24,6 +24,9 @@
 	store *resources.Store
 	// breaks makes the next watches lose their connection at once.
 	breaks atomic.Int64
+	// requests counts requests; the 100th calls giveUp, if set.
+	requests atomic.Int64
+	giveUp   func()
 }
 
 func (e *entryVM) View() *resources.View                        { return e.store.View() }
@@ -40,6 +43,9 @@
 func (e *entryVM) serve(t *testing.T) string {
 	h := operator.New(operator.Config{Store: e, Readiness: e, Submitter: e, Status: e, RequestIDs: e})
 	return serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if e.requests.Add(1) == 100 && e.giveUp != nil {
+			e.giveUp()
+		}
 		if r.URL.Query().Has("watch") && e.breaks.Add(-1) >= 0 {
 			panic(http.ErrAbortHandler)
 		}
@@ -159,7 +165,9 @@
 // its version falls out of the window.
 func TestFollowSurvivesBrokenWatch(t *testing.T) {
 	is := is.New(t)
-	e := &entryVM{store: resources.New(resources.Limits{Events: 1})}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := &entryVM{store: resources.New(resources.Limits{Events: 1}), giveUp: cancel}
 	c, err := client.New([]string{e.serve(t)})
 	is.NoErr(err)
 	put := func(name string) {
@@ -172,7 +180,7 @@
 	e.breaks.Store(1)
 	done := errors.New("seen all")
 	seen := map[string]bool{}
-	err = c.Follow(context.Background(), api.KindPool, func(line operator.WatchLine) error {
+	err = c.Follow(ctx, api.KindPool, func(line operator.WatchLine) error {
 		switch {
 		case line.Type == operator.WatchPut:
 			seen[line.Resource.Name] = true
@@ -184,6 +192,9 @@
 			_, err := e.Submit(context.Background(), resources.Operation{Verb: resources.VerbDelete, Kind: api.KindPool, Name: "a"})
 			is.NoErr(err)
 		}
+		if line.Type == operator.WatchBookmark && len(seen) > 2 {
+			return errors.New("the list has ended and a was not reported as deleted")
+		}
 		if seen["b"] && seen["c"] && !seen["a"] {
 			return done
 		}
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -214,9 +214,11 @@
 
 	for range 9 { // more changes of another kind than the window holds
 		send(d.handler(), "PUT", "/v1/datacentres/giza", dcBody)
-		for line := (operator.WatchLine{}); line.Resume < d.View().Version(); {
+		line := operator.WatchLine{}
+		for n := 0; line.Resume < d.View().Version() && n < 10_000; n++ {
 			is.NoErr(lines.Decode(&line))
 		}
+		is.Equal(line.Resume, d.View().Version()) // the watch has reached the change
 	}
 	send(d.handler(), "DELETE", "/v1/jobs/b", "")
 	gone := next()
