--- a/bench/fakeworker.go
+++ b/bench/fakeworker.go
@@ -76,7 +76,7 @@
 			}
 			harm += h
 		}
-		a.slowdown = math.Exp(harm) * contention
+		a.slowdown = math.Exp(saturate(harm)) * contention
 		if e, over := a.advance(now, dt, w.faulty); over {
 			ended = append(ended, e)
 		}
--- a/bench/truth.go
+++ b/bench/truth.go
@@ -49,6 +49,16 @@
 	return t.harm[victim][aggressor] * share * (0.3 + 0.7*load*load)
 }
 
+// maxHarm bounds the log slowdown of a task by all its neighbours: a slowdown of
+// 3.7. Shared caches and links saturate. Without the bound, twenty small tasks
+// of one kind slowed a service by a factor of 30 in trials.
+const maxHarm = 1.3
+
+// saturate returns the log slowdown for a sum over the neighbours.
+func saturate(sum float64) float64 {
+	return maxHarm * (1 - math.Exp(-sum/maxHarm))
+}
+
 // queueing returns the factor on a service's latency by the load of its worker.
 func queueing(load float64) float64 {
 	return 1 / (1 - 0.4*math.Pow(min(load, 1), 4))
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -33,7 +33,7 @@
 		Sample:          16,
 		NearlyDone:      nearlyDone,
 		EscalationDelay: 6 * time.Second,
-		RampTime:        60 * time.Second,
+		RampTime:        30 * time.Second,
 		AgeLimit:        5 * time.Minute,
 		MaxRetries:      5,
 	}
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -10,8 +10,14 @@
 const (
 	// drainMargin is the part of the drain time kept for stops and their reports.
 	drainMargin = 10 * time.Second
+	// lastMargin is the part of the drain time in which even work that is nearly
+	// done is evicted.
+	lastMargin = 3 * time.Second
 	// drainShare is the share of the drain time in which all moves are begun.
 	drainShare = 0.6
+	// lateMoves is the time before the end in which batch work moves even if no
+	// other cell shows room. Until then it does more work where it is.
+	lateMoves = 20 * time.Second
 )
 
 // drainState counts the moves of one drain.
@@ -28,23 +34,29 @@
 }
 
 // drain empties a data centre that was taken out. Work that ends in time stays;
-// the rest moves at an even rate, so that the other cells are not flooded.
+// the rest moves at an even rate to cells with room, so that they are not
+// flooded.
 func (p *Policy) drain(now time.Duration, s *Snapshot) []Action {
 	dc := s.dataCentre
 	left := dc.Deadline - drainMargin - now
 	if dc.Phase == Out || left <= 0 {
-		return p.evictAll(s, "the drain time of data centre "+s.cell.DataCentre+" is over")
+		spare := dc.Phase == Draining && left > lastMargin-drainMargin
+		return p.evictAll(s, spare, "the drain time of data centre "+s.cell.DataCentre+" is over")
 	}
 	if !p.config.Rules.Has(RuleDrain) {
 		return nil
 	}
 	moves, gone := p.splitDrain(s, left)
 	due := min(p.drainDue(now, dc, len(moves)+gone), len(moves))
+	late := left <= lateMoves
 	actions := make([]Action, 0, due)
 	for _, m := range moves[:due] {
-		actions = append(actions, p.drainMove(now, s, m))
+		action := p.drainMove(now, s, m)
+		if action.To != nil || late || m.attempt.Service {
+			actions = append(actions, action)
+		}
 	}
-	p.draining.begun += due
+	p.draining.begun += len(actions)
 	return actions
 }
 
@@ -114,13 +126,14 @@
 	return action
 }
 
-// evictAll evicts every attempt.
-func (p *Policy) evictAll(s *Snapshot, reason string) []Action {
+// evictAll evicts every attempt, except for those that are nearly done if these
+// are spared.
+func (p *Policy) evictAll(s *Snapshot, spare bool, reason string) []Action {
 	var actions []Action
 	for i := range s.size {
 		w := s.At(i)
 		for j := range w.Attempts {
-			if a := &w.Attempts[j]; !a.Stopping && !a.Cancelled {
+			if a := &w.Attempts[j]; !a.Stopping && !a.Cancelled && (!spare || !p.spared(a)) {
 				actions = append(actions, Action{Kind: Evict, ID: a.ID, Worker: w.ID, Boot: w.Boot, Reason: "evicted: " + reason})
 			}
 		}
--- a/scheduler/estimate/size.go
+++ b/scheduler/estimate/size.go
@@ -32,13 +32,19 @@
 	maxMemory int64
 }
 
-// Observe takes the measured use of a running attempt.
+// Grow takes the measured use of an attempt of any age. Its memory counts as a
+// lower bound.
+func (s *Size) Grow(used platform.Resources) {
+	s.maxMemory = max(s.maxMemory, used.MemoryMiB)
+}
+
+// Observe takes the measured use of an attempt that has reached its full size.
 func (s *Size) Observe(used platform.Resources) {
 	s.reports++
 	miss := float64(used.MilliCPU) - s.meanCPU
 	s.meanCPU += miss / s.reports
 	s.squareCPU += miss * (float64(used.MilliCPU) - s.meanCPU)
-	s.maxMemory = max(s.maxMemory, used.MemoryMiB)
+	s.Grow(used)
 }
 
 // Need returns the amount to assign to a task that declares an amount. It is
@@ -63,12 +69,11 @@
 	}
 }
 
-// Outgrew takes the failure of an attempt that was assigned an amount. It
-// reports whether the job uses so much memory that the attempt probably ran out
-// of it; the need then grows. A job that fails with more than it was ever seen
-// to use fails for another reason.
-func (s *Size) Outgrew(assigned platform.Resources) bool {
-	if float64(s.maxMemory) < full*float64(assigned.MemoryMiB) {
+// Outgrew takes the failure of an attempt that was assigned an amount and last
+// measured to use another. It reports whether the attempt probably ran out of
+// memory; the need then grows.
+func (s *Size) Outgrew(assigned, used platform.Resources) bool {
+	if used.MemoryMiB == 0 || float64(used.MemoryMiB) < full*float64(assigned.MemoryMiB) {
 		return false
 	}
 	s.maxMemory = max(s.maxMemory, int64(growth*float64(assigned.MemoryMiB)))
--- a/scheduler/interferencerule.go
+++ b/scheduler/interferencerule.go
@@ -24,19 +24,39 @@
 	cost := 0.0
 	for i := range c.Worker.Attempts {
 		a := &c.Worker.Attempts[i]
-		cost += r.pairCost(t, a.Kind, a.Service, a.TargetRatio, load)
+		target := a.TargetRatio
+		if a.Service {
+			target = r.expectedRatio(a, c, load)
+		}
+		cost += r.pairCost(t, a.Kind, a.Service, target, load)
 	}
 	for _, a := range c.Added {
-		cost += r.pairCost(t, a.Kind, a.Service, 0, load)
+		cost += r.pairCost(t, a.Kind, a.Service, unknownRatio, load)
 	}
 	return cost
 }
 
-// pairCost returns the cost of a task beside one neighbour.
-func (r *Round) pairCost(t *Task, kind string, service bool, target, load float64) float64 {
+// expectedRatio returns the ratio of a service's p99 to its target with the
+// work that was placed after the report was measured: several tasks can arrive
+// within the lag.
+func (r *Round) expectedRatio(a *Attempt, c *Candidate, load float64) float64 {
+	target, fresh := a.TargetRatio, 0.0
 	if target == 0 {
 		target = unknownRatio
 	}
+	for i := range c.Worker.Attempts {
+		if o := &c.Worker.Attempts[i]; o != a && r.Now-o.StartedAt < progressLag {
+			fresh += r.policy.knowledge.pairs.Estimate(r.Now, a.Kind, o.Kind, load).Mean
+		}
+	}
+	for _, o := range c.Added {
+		fresh += r.policy.knowledge.pairs.Estimate(r.Now, a.Kind, o.Kind, load).Mean
+	}
+	return target * math.Exp(fresh)
+}
+
+// pairCost returns the cost of a task beside one neighbour.
+func (r *Round) pairCost(t *Task, kind string, service bool, target, load float64) float64 {
 	tail, batch := weight(r.Snapshot.weights.TailLatency), weight(r.Snapshot.weights.Throughput)
 	cost := 0.0
 	onOther := r.policy.harm(r, kind, t.Kind, load, target)
--- a/scheduler/knowledge.go
+++ b/scheduler/knowledge.go
@@ -10,6 +10,10 @@
 	"github.com/cactusreel/cactusreel/scheduler/retry"
 )
 
+// matureAge is the age from which the use of an attempt counts as that of its
+// job. Younger attempts have not reached their full memory.
+const matureAge = 30 * time.Second
+
 // Knowledge is what was learned from usage reports and outcomes. It is lost
 // when its process ends and is learned again.
 type Knowledge struct {
@@ -48,8 +52,10 @@
 // observeUsage takes one report of an attempt.
 func (k *Knowledge) observeUsage(now time.Duration, a *Attempt, u *platform.Usage) {
 	k.pairs.Observe(now, a.Kind, u.Colocated, u.Load, u.Slowdown)
-	if a.share() == 1 {
-		k.name(now, a.Job).size.Observe(u.Used)
+	size := &k.name(now, a.Job).size
+	size.Grow(u.Used)
+	if a.share() == 1 && now-a.StartedAt >= matureAge {
+		size.Observe(u.Used)
 	}
 }
 
@@ -72,13 +78,12 @@
 }
 
 // failed takes a failed attempt. One that ran out of memory speaks neither
-// against the worker nor against the job and uses no retry, because the next
-// attempt gets more; growth ends at the size of a VM.
+// against the worker nor against the job, because the next attempt gets more.
 func (k *Knowledge) failed(now time.Duration, config Config, random *rand.Rand, o Outcome) {
-	if config.Rules.Has(RuleLearnedSizes) && k.name(now, o.Job).size.Outgrew(o.Requests) {
-		return
+	outgrew := config.Rules.Has(RuleLearnedSizes) && k.name(now, o.Job).size.Outgrew(o.Requests, o.Used)
+	if !outgrew {
+		k.ledger.Failed(now, o.Worker, o.Job, o.Message)
 	}
-	k.ledger.Failed(now, o.Worker, o.Job, o.Message)
 	if config.Rules.Has(RuleRetryBudget) {
 		k.job(o.Job).retries.Failed(now, random, o.ID.Task, o.Message)
 	}
@@ -90,6 +95,13 @@
 	k.ledger.ForgetJob(job)
 }
 
+// hasFailed reports whether an attempt of the task has failed. Such a task evicts
+// no others: impossible urgent jobs would cost much work in vain.
+func (k *Knowledge) hasFailed(t *Task) bool {
+	j := k.jobs[t.Job]
+	return j != nil && j.retries.Failures(t.ID) > 0
+}
+
 // retryState returns whether a task may be tried now, and if not, why.
 func (k *Knowledge) retryState(config Config, now time.Duration, t *Task) (Verdict, time.Duration, string) {
 	if config.Rules.Has(RuleParking) {
--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -29,7 +29,7 @@
 // task if the rules allow it, or names a better cell.
 func (r *Round) waitForRoom(t *Task, need platform.Resources, reason string) {
 	rules := r.policy.config.Rules
-	if rules.Has(RulePriority) && t.Urgent {
+	if rules.Has(RulePriority) && t.Urgent && !r.policy.knowledge.hasFailed(t) {
 		if r.evictFor(t, need, Evict, "urgent task", r.yieldsToUrgent) {
 			return
 		}
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -17,6 +17,8 @@
 	State platform.AttemptState
 	// Requests is what the attempt was assigned.
 	Requests platform.Resources
+	// Used is the newest measured use of the attempt, or zero.
+	Used platform.Resources
 	// RanFor is the run time of the attempt.
 	RanFor time.Duration
 	// Work is the run time of the whole task over its attempts when State is
--- a/scheduler/quarantine/ledger.go
+++ b/scheduler/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 	// badWorkers is on how many workers a job must fail, without ever
 	// succeeding, before it is parked.
 	badWorkers = 3
+	// badVersions is how many versions of a job must have been parked before
+	// the next one is tried with one task at a time.
+	badVersions = 2
 	// memory is how long a failure counts.
 	memory = 10 * time.Minute
 	// firstProbe is the delay before the first probe; it doubles up to lastProbe.
@@ -25,26 +29,12 @@
 type Ledger struct {
 	workers map[string]*workerRecord
 	jobs    map[string]*jobRecord
-}
-
-// workerRecord holds the jobs whose tasks failed on a worker since its last success.
-type workerRecord struct {
-	failed      map[string]time.Duration
-	quarantined bool
-	probeAt     time.Duration
-	delay       time.Duration
-}
-
-// jobRecord holds the workers that failed a job that has never succeeded.
-type jobRecord struct {
-	failed    map[string]time.Duration
-	succeeded bool
-	message   string
+	names   map[string]*nameRecord
 }
 
 // New returns a ledger without failures.
 func New() *Ledger {
-	return &Ledger{workers: map[string]*workerRecord{}, jobs: map[string]*jobRecord{}}
+	return &Ledger{workers: map[string]*workerRecord{}, jobs: map[string]*jobRecord{}, names: map[string]*nameRecord{}}
 }
 
 func (l *Ledger) worker(id string) *workerRecord {
@@ -65,12 +55,27 @@
 	return j
 }
 
+// name returns the record of a job's name.
+func (l *Ledger) name(job string) *nameRecord {
+	name := nameOf(job)
+	n := l.names[name]
+	if n == nil {
+		if len(l.names) >= maxNames {
+			l.dropNames()
+		}
+		n = &nameRecord{failed: map[string]time.Duration{}}
+		l.names[name] = n
+	}
+	return n
+}
+
 // Completed records that a worker completed a task of a job. It ends a
 // quarantine of the worker.
 func (l *Ledger) Completed(worker, job string) {
 	delete(l.workers, worker)
 	j := l.job(job)
 	j.succeeded = true
+	l.names[nameOf(job)] = &nameRecord{failed: map[string]time.Duration{}, succeeded: true}
 	clear(j.failed)
 }
 
@@ -80,13 +85,18 @@
 	j.message = message
 	if !w.quarantined && !j.succeeded {
 		j.failed[worker] = now
+		l.park(job, j)
+	}
+	j.trialAt = 0
+	if !w.quarantined {
+		l.name(job).failed[worker] = now
 	}
 	if w.quarantined {
 		w.delay = min(2*w.delay, lastProbe)
 		w.probeAt = now + w.delay
 		return
 	}
-	w.failed[job] = now
+	w.failed[nameOf(job)] = now
 	if l.suspects(now, w) >= badJobs {
 		w.quarantined = true
 		w.probeAt = now + w.delay
@@ -98,22 +108,30 @@
 // did not fail on several other workers too.
 func (l *Ledger) suspects(now time.Duration, w *workerRecord) int {
 	n := 0
-	for job, at := range w.failed {
+	for name, at := range w.failed {
 		if now-at > memory {
-			delete(w.failed, job)
+			delete(w.failed, name)
 			continue
 		}
-		if j := l.job(job); j.succeeded || len(j.failed) < badWorkers {
+		if r := l.name(name); r.succeeded || len(r.failed) < badWorkers {
 			n++
 		}
 	}
 	return n
 }
 
-// clear takes a quarantined worker's failures off the jobs' records.
+// clear takes a quarantined worker's failures off the jobs' records. A job that
+// was parked for these alone may run again.
 func (l *Ledger) clear(worker string) {
-	for _, j := range l.jobs {
+	for _, n := range l.names {
+		delete(n.failed, worker)
+	}
+	for job, j := range l.jobs {
 		delete(j.failed, worker)
+		if j.parked && len(j.failed) == 0 {
+			j.parked = false
+			l.name(job).parked--
+		}
 	}
 }
 
@@ -134,21 +152,51 @@
 	}
 }
 
+// park parks a job that has failed on enough workers: one if it is on trial.
+func (l *Ledger) park(job string, j *jobRecord) {
+	enough := badWorkers
+	if l.name(job).parked >= badVersions {
+		enough = 1
+	}
+	if !j.parked && len(j.failed) >= enough {
+		j.parked = true
+		l.name(job).parked++
+	}
+}
+
+// Trial reports whether a job may run only one task at a time, because earlier
+// versions of it never succeeded, and whether that one is running.
+func (l *Ledger) Trial(now time.Duration, job string) (trial, running bool) {
+	if l.name(job).parked < badVersions {
+		return false, false
+	}
+	j := l.job(job)
+	return !j.succeeded, j.trialAt > 0 && now-j.trialAt < probeTime
+}
+
+// Trying records that a task of a job on trial was placed.
+func (l *Ledger) Trying(now time.Duration, job string) {
+	l.job(job).trialAt = max(now, 1)
+}
+
 // Parked returns why a job is parked, or "".
 func (l *Ledger) Parked(job string) string {
 	j := l.jobs[job]
-	if j == nil || len(j.failed) < badWorkers {
+	if j == nil || !j.parked || j.succeeded {
 		return ""
 	}
 	return fmt.Sprintf("parked: tasks failed on %d workers and never succeeded; last failure: %s", len(j.failed), j.message)
 }
 
-// ForgetJob drops a job's record and its marks on workers.
+// nameOf returns the name in a job id "<name>/<version>".
+func nameOf(job string) string {
+	name, _, _ := strings.Cut(job, "/")
+	return name
+}
+
+// ForgetJob drops the record of one version of a job.
 func (l *Ledger) ForgetJob(job string) {
 	delete(l.jobs, job)
-	for _, w := range l.workers {
-		delete(w.failed, job)
-	}
 }
 
 // Restarted drops a worker's record: another boot is another worker.
--- a/scheduler/ramprule.go
+++ b/scheduler/ramprule.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// rampStart is the share of its load that a returning data centre takes at once.
+const rampStart = 0.25
+
 // rampRule limits the load of a cell in a returning data centre to a share that
 // grows with time.
 type rampRule struct{}
@@ -12,7 +15,7 @@
 	if dc.Phase != Returning || t.Urgent || t.Service {
 		return ""
 	}
-	allowed := float64(r.Now-dc.Since) / float64(r.policy.config.RampTime)
+	allowed := rampStart + (1-rampStart)*float64(r.Now-dc.Since)/float64(r.policy.config.RampTime)
 	used := dominantShare(r.Snapshot.totals.assigned.Add(r.placed), r.Snapshot.capacity)
 	if used < allowed {
 		return ""
--- a/scheduler/retry/budget.go
+++ b/scheduler/retry/budget.go
@@ -72,3 +72,8 @@
 	}
 	return 0, false, ""
 }
+
+// Failures returns how many attempts of a task have failed.
+func (b *Budget) Failures(task string) int {
+	return b.tasks[task].failures
+}
--- a/scheduler/ruleplugins.go
+++ b/scheduler/ruleplugins.go
@@ -16,6 +16,9 @@
 	if rules.Has(RuleQuota) {
 		set.reserves = append(set.reserves, quotaRule{})
 	}
+	if rules.Has(RuleParking) {
+		set.reserves = append(set.reserves, trialRule{})
+	}
 	if rules.Has(RuleRamp) {
 		set.reserves = append(set.reserves, rampRule{})
 	}
--- /dev/null
+++ b/scheduler/trialrule.go
@@ -0,0 +1,20 @@
+package scheduler
+
+// trialRule runs one task at a time of a job whose earlier versions never
+// succeeded.
+type trialRule struct{}
+
+// Admit refuses a second task of a job on trial.
+func (trialRule) Admit(r *Round, t *Task) string {
+	if _, running := r.policy.knowledge.ledger.Trial(r.Now, t.Job); running {
+		return "one task of the job runs on trial, because earlier versions always failed"
+	}
+	return ""
+}
+
+// Reserve records a task on trial.
+func (trialRule) Reserve(r *Round, t *Task, _ *Candidate) {
+	if trial, _ := r.policy.knowledge.ledger.Trial(r.Now, t.Job); trial {
+		r.policy.knowledge.ledger.Trying(r.Now, t.Job)
+	}
+}
