--- a/resources/operation.go
+++ b/resources/operation.go
@@ -9,27 +9,6 @@
 	"github.com/cactusreel/cactusreel/api"
 )
 
-// Verb tells what an operation does to a resource.
-type Verb string
-
-// Verbs. Cancel applies to jobs; take-out and bring-back apply to data centres.
-const (
-	VerbPut       Verb = "put"
-	VerbDelete    Verb = "delete"
-	VerbCancel    Verb = "cancel"
-	VerbTakeOut   Verb = "take-out"
-	VerbBringBack Verb = "bring-back"
-)
-
-// Precondition is evaluated at the operation's place in the log. The zero
-// value always holds.
-type Precondition struct {
-	// MustNotExist holds if the resource does not exist.
-	MustNotExist bool `json:"mustNotExist,omitempty"`
-	// Version, if not 0, holds if the resource exists with this version.
-	Version api.Version `json:"version,omitempty"`
-}
-
 // Operation is one change that an operator asked for, as recorded in the log's
 // resources stream.
 type Operation struct {
@@ -46,8 +25,7 @@
 
 // NewPut returns the operation that writes r. The caller has validated r.
 func NewPut(id string, r api.Resource, p Precondition) (Operation, error) {
-	r.Status = nil
-	r.Version, r.Created = 0, 0
+	r.Version, r.Created, r.Homes, r.Status = 0, 0, nil, nil
 	body, err := json.Marshal(r)
 	if err != nil {
 		return Operation{}, fmt.Errorf("encode %s %s: %w", r.Kind, r.Name, err)
--- a/scheduler/estimate/size.go
+++ b/scheduler/estimate/size.go
@@ -13,10 +13,15 @@
 	// declaredWeight is the evidence that the declared size counts for.
 	declaredWeight = 2
 	// firstMargin is the relative margin at one observation.
-	firstMargin = 0.4
+	firstMargin = 0.15
 	// deviations of the processor use that the estimate covers. Processors are
-	// shared without failures, so two suffice; memory covers the maximum.
-	deviations = 2
+	// shared without failures, so one suffices; memory covers the maximum.
+	deviations = 1
+	// full is the share of its assigned memory from which a failed attempt is
+	// taken to have run out of it. Reports lag, so the last one is lower.
+	full = 0.8
+	// growth is by how much the memory grows after that.
+	growth = 1.5
 )
 
 // Size is the learned size of a job's tasks. The zero value knows nothing.
@@ -27,13 +32,19 @@
 	maxMemory int64
 }
 
-// Observe takes the measured use of a running attempt.
+// Grow takes the measured use of an attempt of any age. Its memory counts as a
+// lower bound.
+func (s *Size) Grow(used platform.Resources) {
+	s.maxMemory = max(s.maxMemory, used.MemoryMiB)
+}
+
+// Observe takes the measured use of an attempt that has reached its full size.
 func (s *Size) Observe(used platform.Resources) {
 	s.reports++
 	miss := float64(used.MilliCPU) - s.meanCPU
 	s.meanCPU += miss / s.reports
 	s.squareCPU += miss * (float64(used.MilliCPU) - s.meanCPU)
-	s.maxMemory = max(s.maxMemory, used.MemoryMiB)
+	s.Grow(used)
 }
 
 // Need returns the amount to assign to a task that declares an amount. It is
@@ -57,3 +68,14 @@
 		Accelerators: declared.Accelerators,
 	}
 }
+
+// Outgrew takes the failure of an attempt that was assigned an amount and last
+// measured to use another. It reports whether the attempt probably ran out of
+// memory; the need then grows.
+func (s *Size) Outgrew(assigned, used platform.Resources) bool {
+	if used.MemoryMiB == 0 || float64(used.MemoryMiB) < full*float64(assigned.MemoryMiB) {
+		return false
+	}
+	s.maxMemory = max(s.maxMemory, int64(growth*float64(assigned.MemoryMiB)))
+	return true
+}
--- a/scheduler/knowledge.go
+++ b/scheduler/knowledge.go
@@ -5,25 +5,30 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/scheduler/estimate"
 	"github.com/cactusreel/cactusreel/scheduler/interference"
 	"github.com/cactusreel/cactusreel/scheduler/quarantine"
 	"github.com/cactusreel/cactusreel/scheduler/retry"
 )
 
+// matureAge is the age from which the use of an attempt counts as that of its
+// job. Younger attempts have not reached their full memory.
+const matureAge = 30 * time.Second
+
 // Knowledge is what was learned from usage reports and outcomes. It is lost
 // when its process ends and is learned again.
 type Knowledge struct {
 	pairs  *interference.Model
 	ledger *quarantine.Ledger
-	jobs   map[string]*jobKnowledge
-	boots  map[string]string
+	// jobs holds what belongs to one version of a job.
+	jobs map[string]*jobKnowledge
+	// names holds the sizes and run times by the job's name, because jobs recur
+	// under new versions.
+	names map[string]*nameKnowledge
+	boots map[string]string
 }
 
-// jobKnowledge is what was learned of one job.
+// jobKnowledge is what was learned of one version of a job.
 type jobKnowledge struct {
-	size    estimate.Size
-	runTime estimate.RunTime
 	retries *retry.Budget
 }
 
@@ -31,7 +36,7 @@
 func NewKnowledge() *Knowledge {
 	return &Knowledge{
 		pairs: interference.New(), ledger: quarantine.New(),
-		jobs: map[string]*jobKnowledge{}, boots: map[string]string{},
+		jobs: map[string]*jobKnowledge{}, names: map[string]*nameKnowledge{}, boots: map[string]string{},
 	}
 }
 
@@ -47,8 +52,10 @@
 // observeUsage takes one report of an attempt.
 func (k *Knowledge) observeUsage(now time.Duration, a *Attempt, u *platform.Usage) {
 	k.pairs.Observe(now, a.Kind, u.Colocated, u.Load, u.Slowdown)
-	if a.share() == 1 {
-		k.job(a.Job).size.Observe(u.Used)
+	size := &k.name(now, a.Job).size
+	size.Grow(u.Used)
+	if a.share() == 1 && now-a.StartedAt >= matureAge {
+		size.Observe(u.Used)
 	}
 }
 
@@ -63,26 +70,23 @@
 		k.ledger.Completed(o.Worker, o.Job)
 		k.job(o.Job).retries.Completed(o.ID.Task)
 		if o.Work > 0 {
-			k.job(o.Job).runTime.Observe(o.Work)
+			k.name(now, o.Job).runTime.Observe(o.Work)
 		}
 	case platform.AttemptFailed:
-		if !k.tooSmall(config, o) {
-			k.ledger.Failed(now, o.Worker, o.Job, o.Message)
-		}
-		if config.Rules.Has(RuleRetryBudget) {
-			k.job(o.Job).retries.Failed(now, random, o.ID.Task, o.Message)
-		}
+		k.failed(now, config, random, o)
 	}
 }
 
-// tooSmall reports whether a failed attempt was assigned less memory than the
-// job has since been seen to need. Such a failure speaks neither against the
-// worker nor against the job, because the next attempt gets more.
-func (k *Knowledge) tooSmall(config Config, o Outcome) bool {
-	if !config.Rules.Has(RuleLearnedSizes) {
-		return false
+// failed takes a failed attempt. One that ran out of memory speaks neither
+// against the worker nor against the job, because the next attempt gets more.
+func (k *Knowledge) failed(now time.Duration, config Config, random *rand.Rand, o Outcome) {
+	outgrew := config.Rules.Has(RuleLearnedSizes) && k.name(now, o.Job).size.Outgrew(o.Requests, o.Used)
+	if !outgrew {
+		k.ledger.Failed(now, o.Worker, o.Job, o.Message)
+	}
+	if config.Rules.Has(RuleRetryBudget) {
+		k.job(o.Job).retries.Failed(now, random, o.ID.Task, o.Message)
 	}
-	return k.job(o.Job).size.Need(o.Requests).MemoryMiB > o.Requests.MemoryMiB+o.Requests.MemoryMiB/20
 }
 
 // forgetJob drops a job.
@@ -91,6 +95,13 @@
 	k.ledger.ForgetJob(job)
 }
 
+// hasFailed reports whether an attempt of the task has failed. Such a task evicts
+// no others: impossible urgent jobs would cost much work in vain.
+func (k *Knowledge) hasFailed(t *Task) bool {
+	j := k.jobs[t.Job]
+	return j != nil && j.retries.Failures(t.ID) > 0
+}
+
 // retryState returns whether a task may be tried now, and if not, why.
 func (k *Knowledge) retryState(config Config, now time.Duration, t *Task) (Verdict, time.Duration, string) {
 	if config.Rules.Has(RuleParking) {
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -38,18 +38,18 @@
 		textKey("platform", "vm_list_url", "URL", func(e *Entry) *string { return &e.VMListURL }, validURL, "", urlAccepted,
 			"Base URL of the platform's VM list."),
 		textKey("logging", "level", "text", func(e *Entry) *string { return &e.LogLevel }, validLevel, "info", levelAccepted,
-			"Lowest level of log events written to standard error."),
+			"Lowest level of log events written to standard output."),
 	}
 }
 
 func ownershipTimes() []key {
 	return []key{
 		durationKey("owner_lease", func(e *Entry) *time.Duration { return &e.Times.OwnerLease }, 5*time.Second, time.Second, time.Minute,
-			"Time for which an owner holds its cells after a renewal."),
+			"Time for which an owner holds its cells after a renewal.").sameOnAll(),
 		durationKey("owner_renewal", func(e *Entry) *time.Duration { return &e.Times.OwnerRenewal }, 1500*time.Millisecond, 100*time.Millisecond, 20*time.Second,
 			"Interval between renewals of the cells owned."),
 		percentKey("times", "clock_drift", func(e *Entry) *float64 { return &e.Times.ClockDrift }, 1, 0, 10,
-			"Largest drift of any two monotonic clocks."),
+			"Largest drift of any two monotonic clocks.").sameOnAll(),
 		durationKey("freshness", func(e *Entry) *time.Duration { return &e.Times.Freshness }, 2*time.Second, 500*time.Millisecond, 30*time.Second,
 			"Greatest age of the newest known configuration at which tasks are started."),
 		durationKey("log_poll", func(e *Entry) *time.Duration { return &e.Times.LogPoll }, 250*time.Millisecond, 10*time.Millisecond, 5*time.Second,
@@ -61,9 +61,9 @@
 		durationKey("write_wait", func(e *Entry) *time.Duration { return &e.Times.WriteWait }, 5*time.Second, 500*time.Millisecond, time.Minute,
 			"Bound of the time between an operator's write and its read-back."),
 		durationKey("known_gone", func(e *Entry) *time.Duration { return &e.Times.KnownGone }, time.Minute, time.Second, time.Hour,
-			"Time after which a VM missing from the VM list no longer runs."),
+			"Time after which a VM missing from the VM list no longer runs.").sameOnAll(),
 		durationKey("promise", func(e *Entry) *time.Duration { return &e.Times.Promise }, 3*time.Second, 500*time.Millisecond, 30*time.Second,
-			"Time for which a peer's promise not to claim a cell counts."),
+			"Time for which a peer's promise not to claim a cell counts.").sameOnAll(),
 		durationKey("peer_timeout", func(e *Entry) *time.Duration { return &e.Times.PeerTimeout }, time.Second, 50*time.Millisecond, 30*time.Second,
 			"Bound of one request to a peer."),
 	}
@@ -72,11 +72,11 @@
 func taskTimes() []key {
 	return []key{
 		durationKey("task_lease", func(e *Entry) *time.Duration { return &e.Times.TaskLease }, 10*time.Second, time.Second, 10*time.Minute,
-			"Lease of a running task on its worker's clock."),
+			"Lease of a running task on its worker's clock.").sameOnAll(),
 		durationKey("task_renewal", func(e *Entry) *time.Duration { return &e.Times.TaskRenewal }, 3*time.Second, 100*time.Millisecond, 5*time.Minute,
 			"Interval between renewals of task leases."),
 		durationKey("offline_tasks", func(e *Entry) *time.Duration { return &e.Times.OfflineTasks }, 15*time.Minute, 10*time.Second, 24*time.Hour,
-			"Time for which task leases are renewed without the log."),
+			"Time for which task leases are renewed without the log.").sameOnAll(),
 		durationKey("worker_timeout", func(e *Entry) *time.Duration { return &e.Times.WorkerTimeout }, time.Second, 50*time.Millisecond, 30*time.Second,
 			"Bound of one request to a worker agent."),
 		durationKey("worker_poll", func(e *Entry) *time.Duration { return &e.Times.WorkerPoll }, time.Second, 50*time.Millisecond, time.Minute,
@@ -87,13 +87,11 @@
 func requestTimes() []key {
 	return []key{
 		durationKey("max_request", func(e *Entry) *time.Duration { return &e.Times.MaxRequest }, 5*time.Second, 100*time.Millisecond, time.Minute,
-			"Bound of a request from its arrival to its last byte; services can state a shorter one."),
+			"Bound of a request from its arrival to its last byte; services can state a shorter one.").sameOnAll(),
 		durationKey("progress", func(e *Entry) *time.Duration { return &e.Times.Progress }, time.Second, 10*time.Millisecond, time.Minute,
 			"Bound of the time without a byte while bytes are due, for services that state none."),
-		durationKey("recent_progress", func(e *Entry) *time.Duration { return &e.Times.RecentProgress }, time.Second, 10*time.Millisecond, time.Minute,
-			"Time since its last progress within which a connection can carry a non-idempotent request."),
 		durationKey("request_id_retention", func(e *Entry) *time.Duration { return &e.Times.RequestIDRetention }, 10*time.Minute, 10*time.Second, 24*time.Hour,
-			"Time for which request ids and kept responses are held."),
+			"Time for which request ids and kept responses are held.").sameOnAll(),
 		durationKey("leaving_poll", func(e *Entry) *time.Duration { return &e.Times.LeavingPoll }, 500*time.Millisecond, 50*time.Millisecond, 10*time.Second,
 			"Interval between reads of the VM list and of a backend server's health."),
 		durationKey("balancer_delay", func(e *Entry) *time.Duration { return &e.Times.BalancerDelay }, 3*time.Second, 0, 5*time.Minute,
@@ -109,16 +107,10 @@
 			"Bound of the headers of a request."),
 		sizeKey("max_body_bytes", func(e *Entry) *int64 { return &e.Limits.MaxBodyBytes }, 8*mebibyte, 0, api.MaxServiceBodyBytes,
 			"Bound of the body of a request to a service that states no limit."),
-		sizeKey("kept_response_bytes", func(e *Entry) *int64 { return &e.Limits.KeptResponseBytes }, 64*kibibyte, 0, mebibyte,
-			"Largest response that is kept for repeats of a request."),
 		countKey("request_table_entries", func(e *Entry) *int { return &e.Limits.RequestTableEntries }, 100_000, 100, 10_000_000,
 			"Bound of the request ids kept per cell."),
 		countKey("requests_in_progress", func(e *Entry) *int { return &e.Limits.RequestsInProgress }, 4096, 1, 1_000_000,
 			"Bound of the requests in progress in this process."),
-		countKey("connections_per_worker", func(e *Entry) *int { return &e.Limits.ConnectionsPerWorker }, 16, 1, 64,
-			"Bound of the connections that an owner opens to a worker; four generations of owners must fit in the worker's connections."),
-		countKey("reduced_slots", func(e *Entry) *int { return &e.Limits.ReducedSlots }, 2, 0, 8,
-			"Slots per worker in the owner state reduced."),
 		countKey("watches", func(e *Entry) *int { return &e.Limits.Watches }, 256, 1, 10_000,
 			"Bound of the operator watches open at a time."),
 		countKey("snapshot_records", func(e *Entry) *int { return &e.Limits.SnapshotRecords }, 5000, 10, 10_000_000,
@@ -127,9 +119,5 @@
 			"Bound of the records in one append."),
 		sizeKey("batch_bytes", func(e *Entry) *int { return &e.Limits.BatchBytes }, 512*kibibyte, api.MaxDocumentBytes+4*kibibyte, 16*mebibyte,
 			"Bound of the size of one append; it must hold the largest resource."),
-		percentKey("limits", "retry_budget", func(e *Entry) *float64 { return &e.Limits.RetryBudget }, 10, 0, 100,
-			"Largest share of requests that are retries."),
-		percentKey("limits", "hedge_budget", func(e *Entry) *float64 { return &e.Limits.HedgeBudget }, 5, 0, 100,
-			"Largest share of requests that are hedges."),
 	}
 }
