--- a/standin/admin.go
+++ b/standin/admin.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 
@@ -20,7 +21,7 @@
 	mux.HandleFunc("GET /addresses", func(w http.ResponseWriter, _ *http.Request) { writeValue(w, p.addresses) })
 	mux.HandleFunc("GET /events", p.handleEvents)
 	admin := newEndpoint([]string{"admin"}, &FaultSet{}, mux)
-	err := admin.listen(p.options.listenAddress())
+	err := admin.listen(cmp.Or(p.options.AdminAddress, p.options.listenAddress()))
 	if err != nil {
 		return err
 	}
--- a/standin/command.go
+++ b/standin/command.go
@@ -42,8 +42,21 @@
 func NewCommand() *cobra.Command {
 	var flags commandFlags
 	command := &cobra.Command{
-		Use:           "standin",
-		Short:         "Run a stand-in for the platform on loopback (development only)",
+		Use:   "standin",
+		Short: "Run a stand-in for the platform on loopback (development only)",
+		Long: `Run a stand-in for the platform on loopback: the log, the VM list, the worker
+agents with simulated tasks, and the backend server of each worker.
+
+When it is ready it prints one JSON line with its addresses. At the address
+"admin", POST /fault switches faults on and off, GET /history returns what the
+workers and servers saw, GET /events the same in the form that the checker
+reads, and GET /addresses the addresses. SIGTERM ends it.`,
+		Example: `  standin --topology standin/testdata/consortium.json
+  standin --data-centres giza,maadi --workers 5 --racks 2 --entry giza/e0=127.0.0.1:7110
+  curl -d '{"kind":"responseLost","target":"log/giza","count":3}' http://ADMIN/fault
+  curl -d '{"kind":"down","target":"log"}' http://ADMIN/fault
+  curl -d '{"kind":"down","target":"log","off":true}' http://ADMIN/fault
+  curl -d '{"kind":"workerDown","target":"rack/giza-r1"}' http://ADMIN/fault`,
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
@@ -70,6 +83,7 @@
 	set.StringArrayVar(&f.entries, "entry", nil, "entry VM as DATACENTRE/ID=IP:PORT, repeatable, without --topology")
 	o := &f.options
 	set.StringVar(&o.IP, "ip", DefaultIP, "IPv4 loopback address to listen on")
+	set.StringVar(&o.AdminAddress, "admin", "", "IP:PORT for /fault and /history, any port by default")
 	set.IntVar(&o.Retention.Records, "retention-records", defaultRetentionRecords, "records kept per log stream, 0 for all")
 	set.DurationVar(&o.Retention.Age, "retention-age", defaultRetentionAge, "how long the log keeps a record, 0 for ever")
 	set.DurationVar(&o.AppendLatency, "append-latency", defaultAppendLatency, "latency of log appends")
--- a/standin/command_test.go
+++ b/standin/command_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/standin"
 )
 
@@ -54,11 +56,39 @@
 	is.NoErr(json.NewDecoder(response.Body).Decode(&view))
 	is.Equal(len(view.Workers), 3)
 	is.Equal(len(view.Faults), 1)
+	lines, err := http.Get("http://" + at.Admin + "/events")
+	is.NoErr(err)
+	defer lines.Body.Close()
+	events, err := checker.ReadHistory(lines.Body)
+	is.NoErr(err)
+	is.Equal(len(events), 3) // the three workers that came up
 
 	is.NoErr(syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
 	is.NoErr(<-done)
 }
 
+// Guards against example topologies that don't start, or lose the sizes of
+// today's two deployments.
+func TestExampleTopologies(t *testing.T) {
+	is := is.New(t)
+	for name, workers := range map[string]int{"consortium": 65, "bensalama": 50} {
+		data, err := os.ReadFile("testdata/" + name + ".json")
+		is.NoErr(err)
+		topology, err := standin.DecodeTopology(data)
+		is.NoErr(err)
+		for i := range topology.DataCentres {
+			// Fixed ports could be in use by another run of this test.
+			topology.DataCentres[i].LogAddress = ""
+			topology.DataCentres[i].VMsAddress = ""
+		}
+		p, err := standin.Start(topology, standin.Options{})
+		is.NoErr(err)
+		is.Equal(len(p.Addresses().Workers), workers)
+		is.Equal(len(p.Addresses().Log), 3)
+		is.NoErr(p.Close())
+	}
+}
+
 // Guards against entry VMs that the flags lose.
 func TestCommandRefusesBadEntry(t *testing.T) {
 	is := is.New(t)
--- a/standin/datacentre.go
+++ b/standin/datacentre.go
@@ -16,6 +16,10 @@
 	Workers int    `json:"workers"`
 	// Worker is the shape of each worker; zero fields stand for the defaults.
 	Worker WorkerShape `json:"worker"`
+	// LogAddress and VMsAddress are where the log and the VM list listen for
+	// this data centre; "" stands for any port of Options.IP.
+	LogAddress string `json:"logAddress,omitempty"`
+	VMsAddress string `json:"vmsAddress,omitempty"`
 	// Entries are the entry VMs, which the stand-in only lists.
 	Entries []EntryVM `json:"entries,omitempty"`
 }
@@ -29,6 +33,15 @@
 	if !(platform.Resources{}).Fits(shape.Capacity) || shape.Slots < 0 || shape.Connections < 0 {
 		return fmt.Errorf("worker has a negative capacity")
 	}
+	for _, address := range []string{dc.LogAddress, dc.VMsAddress} {
+		if address == "" {
+			continue
+		}
+		err := checkLoopback(address)
+		if err != nil {
+			return err
+		}
+	}
 	for _, entry := range dc.Entries {
 		if entry.ID == "" || ids[entry.ID] {
 			return fmt.Errorf("entry VM id %q is empty or used twice", entry.ID)
--- a/standin/options.go
+++ b/standin/options.go
@@ -13,6 +13,9 @@
 type Options struct {
 	// IP is the IPv4 loopback address to listen on; "" stands for DefaultIP.
 	IP string
+	// AdminAddress is where /fault and /history are served; "" stands for any
+	// port of IP.
+	AdminAddress string
 	// Retention is that of the log.
 	Retention Retention
 	// AppendLatency and ReadLatency are those of the log.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -39,9 +40,11 @@
 	if err != nil {
 		return nil, err
 	}
-	err = checkLoopback(options.listenAddress())
-	if err != nil {
-		return nil, err
+	for _, address := range []string{options.listenAddress(), cmp.Or(options.AdminAddress, options.listenAddress())} {
+		err = checkLoopback(address)
+		if err != nil {
+			return nil, err
+		}
 	}
 	p := &Platform{
 		options: options,
@@ -115,7 +118,7 @@
 	p.log = newLogService(p)
 	p.vms = &vmService{platform: p, table: NewVMTable(vms, p.options.ListLag)}
 	for _, dc := range topology.DataCentres {
-		err := p.openDataCentre(dc.Name)
+		err := p.openDataCentre(dc)
 		if err != nil {
 			return err
 		}
@@ -124,16 +127,17 @@
 }
 
 // openDataCentre opens the log and the VM list for one data centre.
-func (p *Platform) openDataCentre(name string) error {
+func (p *Platform) openDataCentre(dc DataCentre) error {
+	name := dc.Name
 	logEndpoint := newEndpoint([]string{"log/" + name, "log"}, &p.faults, httpapi.NewLogHandler(p.log))
-	err := logEndpoint.listen(p.options.listenAddress())
+	err := logEndpoint.listen(cmp.Or(dc.LogAddress, p.options.listenAddress()))
 	if err != nil {
 		return err
 	}
 	p.endpoints = append(p.endpoints, logEndpoint)
 	p.addresses.Log[name] = logEndpoint.address
 	listEndpoint := newEndpoint([]string{"vms/" + name, "vms"}, &p.faults, httpapi.NewVMListHandler(p.vms))
-	err = listEndpoint.listen(p.options.listenAddress())
+	err = listEndpoint.listen(cmp.Or(dc.VMsAddress, p.options.listenAddress()))
 	if err != nil {
 		return err
 	}
--- a/standin/state_test.go
+++ b/standin/state_test.go
@@ -109,6 +109,7 @@
 		`{"dataCentres":[{"name":"a","workers":-1}]}`,
 		`{"dataCentres":[{"name":"a","wrokers":1}]}`,
 		`{"dataCentres":[{"name":"a","entries":[{"id":"e","address":"localhost:1"}]}]}`,
+		`{"dataCentres":[{"name":"a","logAddress":"192.0.2.1:9000"}]}`,
 		`{"dataCentres":[{"name":"a"}],"kinds":{"k":{"failAfter":"-3s"}}}`,
 		`{"dataCentres":[{"name":"a"}],"interference":[{"kind":"k","beside":"l","slowdown":-1}]}`,
 	} {
