standin: refuse requests that overflow the sum of a worker's load

Cause: a new fuzz target found that a start that requests 2^63-1 thousandths of a core is accepted while another task runs: the sum overflows to a negative amount, which fits.

Change: the request alone must fit first; work and checkpoints are bounded. Platform.Close may be called twice.

--- a/standin/checkpoint.go
+++ b/standin/checkpoint.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("checkpoint %q: %w", name, err)
 	}
-	if parts[3] != id.Task || attempt < 1 || attempt >= id.Attempt || done < 0 {
+	if parts[3] != id.Task || attempt < 1 || attempt >= id.Attempt || done < 0 || done > int64(maxWork) {
 		return 0, fmt.Errorf("checkpoint %q is not of an earlier attempt of task %s", name, id.Task)
 	}
 	return time.Duration(done), nil
--- a/standin/kinds.go
+++ b/standin/kinds.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
+// maxWork bounds the work of a task, so that sums of times do not overflow.
+const maxWork = time.Duration(math.MaxInt64 / 8)
+
 type kindPair struct {
 	kind   string
 	beside string
@@ -41,7 +45,8 @@
 
 // work returns the real work of a task with the given stated run time.
 func (k *Kinds) work(kind string, stated time.Duration) time.Duration {
-	return time.Duration(float64(stated) * orOne(k.specs[kind].RunFactor))
+	work := float64(stated) * orOne(k.specs[kind].RunFactor)
+	return time.Duration(min(work, float64(maxWork)))
 }
 
 func (k *Kinds) failAfter(kind string) time.Duration {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -32,6 +32,9 @@
 
 	// faultMu makes changes by faults exclusive.
 	faultMu sync.Mutex
+
+	closeOnce sync.Once
+	closeErr  error
 }
 
 // Start starts a stand-in on loopback. The caller must Close it.
@@ -82,8 +85,14 @@
 	return view
 }
 
-// Close ends all connections, requests and tasks.
+// Close ends all connections, requests and tasks. Further calls return the
+// same.
 func (p *Platform) Close() error {
+	p.closeOnce.Do(func() { p.closeErr = p.closeAll() })
+	return p.closeErr
+}
+
+func (p *Platform) closeAll() error {
 	close(p.stopped)
 	var errs []error
 	if p.admin != nil {
--- a/standin/state_test.go
+++ b/standin/state_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -143,3 +144,36 @@
 		}
 	})
 }
+
+// Guards against commands whose numbers overflow, end the process or exceed
+// the capacity.
+func FuzzStart(f *testing.F) {
+	f.Add([]byte(`{"term":1,"boot":"b1","deadline":9,"id":{"task":"t","attempt":2},"kind":"k","requests":{"milliCPU":9},"checkpoint":"cp:1:5:t","leaseExpiry":99999999999,"work":1000000}`))
+	f.Add([]byte(`{"boot":"b1","id":{"task":"t","attempt":1},"requests":{"milliCPU":9223372036854775807},"leaseExpiry":9223372036854775807,"work":9223372036854775807,"kind":"slow"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s platform.Start
+		if json.Unmarshal(data, &s) != nil {
+			return
+		}
+		w := newTestWorker(t, map[string]standin.KindSpec{"slow": {RunFactor: 3, FailAfter: standin.Duration(time.Hour)}})
+		first := startOf("first", 1, time.Hour)
+		first.Term = 0
+		is.New(t).NoErr(w.Start(0, first))
+		_ = w.Start(0, s)
+		var used platform.Resources
+		for _, a := range w.Observe(time.Minute).Attempts {
+			if a.Progress < 0 || a.Progress > 1 {
+				t.Fatalf("progress %v", a.Progress)
+			}
+			if a.State == platform.AttemptRunning {
+				used = used.Add(a.Requests)
+			}
+			if a.Requests.MilliCPU < 0 || !a.Requests.Fits(testCapacity) {
+				t.Fatalf("took %+v", a)
+			}
+		}
+		if !used.Fits(testCapacity) {
+			t.Fatalf("%+v is in use", used)
+		}
+	})
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -217,7 +217,9 @@
 	if s.LeaseExpiry <= w.clock {
 		return fmt.Errorf("lease ends at %v, clock %v: %w", s.LeaseExpiry, w.clock, platform.ErrDeadlinePassed)
 	}
-	if !w.requested().Add(s.Requests).Fits(w.config.Capacity) {
+	// The request alone is compared first: a huge one would overflow the sum.
+	capacity := w.config.Capacity
+	if !s.Requests.Fits(capacity) || !w.requested().Add(s.Requests).Fits(capacity) {
 		return fmt.Errorf("task %s: %w", s.ID.Task, platform.ErrNoRoom)
 	}
 	return nil
