--- /dev/null
+++ b/scheduler/fixture_test.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// core is one processor core.
+const core = 1000
+
+// res returns an amount of cores, GiB and accelerators.
+func res(cores, gib, accelerators int64) platform.Resources {
+	return platform.Resources{MilliCPU: cores * core, MemoryMiB: gib << 10, Accelerators: accelerators}
+}
+
+// newPolicy returns a policy with the given rules and a fixed seed.
+func newPolicy(rules Rules) *Policy {
+	config := DefaultConfig()
+	config.Rules = rules
+	return New(config, NewKnowledge(), rand.New(rand.NewPCG(1, 2)))
+}
+
+// workersOf returns workers of 64 cores and 250 GiB, four to a rack.
+func workersOf(n int) []Worker {
+	workers := make([]Worker, n)
+	for i := range workers {
+		workers[i] = Worker{ID: fmt.Sprintf("w%04d", i), Rack: fmt.Sprintf("r%d", i/4), Boot: "1", Capacity: res(64, 250, 0)}
+	}
+	return workers
+}
+
+// snapshotOf returns a snapshot in service with equal weights.
+func snapshotOf(t testing.TB, workers []Worker) *Snapshot {
+	t.Helper()
+	s, err := NewSnapshot(CellID{DataCentre: "giza"}, 1, workers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.WithWeights(api.WeightsSpec{TailLatency: 50, DataCentreChanges: 50, Evictions: 50, Throughput: 50})
+}
+
+// batch returns a pending batch task of its own job.
+func batch(name string, need platform.Resources) Task {
+	job := name + "/7"
+	return Task{ID: job + "/0", Job: job, Team: "a", Kind: "import", Requests: need, RunTime: time.Minute, Attempt: 1}
+}
+
+// running returns a running batch attempt of its own job.
+func runningBatch(name string, need platform.Resources) Attempt {
+	job := name + "/7"
+	return Attempt{
+		ID: platform.AttemptID{Task: job + "/0", Attempt: 1}, Job: job, Team: "a", Kind: "import",
+		Requests: need, RunTime: 10 * time.Minute, CheckpointCost: time.Second,
+	}
+}
+
+// failure returns the outcome of a failed attempt.
+func failure(job, worker string) Outcome {
+	return Outcome{
+		ID: platform.AttemptID{Task: job + "/0", Attempt: 1}, Job: job, Worker: worker, Boot: "1",
+		State: platform.AttemptFailed, Message: "exit 1", Requests: res(1, 1, 0),
+	}
+}
--- /dev/null
+++ b/scheduler/interference/model_test.go
@@ -0,0 +1,51 @@
+package interference
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPairsAreTold guards against blaming both neighbours of a victim when only
+// one slows it down, and against taking the pair as symmetric.
+func TestPairsAreTold(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	for range 60 {
+		m.Observe(0, "web", []string{"noisy", "quiet"}, 0.5, 1.5)
+		m.Observe(0, "web", []string{"quiet"}, 0.5, 1.0)
+		m.Observe(0, "noisy", []string{"web"}, 0.5, 1.0)
+	}
+	is.True(math.Abs(m.Estimate(0, "web", "noisy", 0.5).Mean-math.Log(1.5)) < 0.05)
+	is.True(m.Estimate(0, "web", "quiet", 0.5).Mean < 0.05)
+	is.True(m.Estimate(0, "noisy", "web", 0.5).Mean < 0.05)
+}
+
+// TestEstimatesDecay guards against trusting what was measured long ago.
+func TestEstimatesDecay(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	unknown := m.Estimate(0, "web", "noisy", 0.5).Variance
+	for range 60 {
+		m.Observe(0, "web", []string{"noisy"}, 0.5, 1.5)
+	}
+	known := m.Estimate(0, "web", "noisy", 0.5).Variance
+	is.True(known < unknown/10)
+	is.True(m.Estimate(30*time.Minute, "web", "noisy", 0.5).Variance > 2*known)
+	is.Equal(m.Estimate(24*time.Hour, "web", "noisy", 0.5).Variance, unknown)
+}
+
+// TestOtherBuckets guards against forgetting at one load what was learned at
+// another, and against trusting it as if it had been measured there.
+func TestOtherBuckets(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	for range 60 {
+		m.Observe(0, "web", []string{"noisy"}, 0.9, 1.5)
+	}
+	low := m.Estimate(0, "web", "noisy", 0.1)
+	is.True(low.Mean > 0.3)
+	is.Equal(low.Variance, priorVariance)
+}
--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -55,7 +55,7 @@
 
 // withinQuota reports whether a task keeps its team within its quota.
 func (r *Round) withinQuota(t *Task, need platform.Resources) bool {
-	return dominantShare(r.use[t.Team].Add(need), r.Snapshot.teams[t.Team].Quota) <= 1
+	return dominantShare(r.use(t.Team).Add(need), r.Snapshot.teams[t.Team].Quota) <= 1
 }
 
 // yieldsToUrgent reports whether an attempt may be evicted for an urgent task.
@@ -66,7 +66,7 @@
 	if a.Urgent || a.Service {
 		return false
 	}
-	left := r.use[a.Team].Sub(a.Reserved())
+	left := r.use(a.Team).Sub(a.Reserved())
 	return dominantShare(left, r.Snapshot.teams[a.Team].Quota) >= reclaimShare
 }
 
@@ -98,7 +98,7 @@
 			Kind: kind, ID: a.ID, Worker: c.Worker.ID, Boot: c.Worker.Boot,
 			Reason: fmt.Sprintf("%sd for task %s of %s", kindStem(kind), t.ID, who),
 		})
-		r.use[a.Team] = r.use[a.Team].Sub(a.Reserved())
+		r.used[a.Team] = r.used[a.Team].Sub(a.Reserved())
 	}
 	r.policy.holds[t.ID] = hold{worker: c.Worker.ID, need: need, until: r.Now + holdTime}
 	r.root = r.root.set(size, c.position, c.Worker, c.Free.Sub(minResources(need, c.Free)))
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -36,8 +36,9 @@
 		return fmt.Errorf("%w: worker %s has no room for task %s", ErrStale, p.Worker, p.Task)
 	}
 	for i := range current.size {
-		for j := range current.At(i).Attempts {
-			if id := current.At(i).Attempts[j].ID; id.Task == p.Task {
+		attempts := current.At(i).Attempts
+		for j := range attempts {
+			if id := attempts[j].ID; id.Task == p.Task {
 				return fmt.Errorf("%w: attempt %d of task %s is present", ErrStale, id.Attempt, p.Task)
 			}
 		}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -101,5 +101,5 @@
 	if !r.policy.config.Rules.Has(RuleQuota) {
 		return 0
 	}
-	return dominantShare(r.use[team], r.Snapshot.teams[team].Quota)
+	return dominantShare(r.use(team), r.Snapshot.teams[team].Quota)
 }
--- /dev/null
+++ b/scheduler/relieve_test.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// pressedCell returns a worker with a service at a ratio of its target, and a
+// policy that knows that the import beside it slows it down.
+func pressedCell(ratio float64) (*Policy, []Worker) {
+	p := newPolicy(RuleEscalation | RuleNearlyDone)
+	service := runningBatch("web", res(8, 8, 0))
+	service.Service, service.Kind, service.TargetRatio = true, "web", ratio
+	workers := workersOf(1)
+	workers[0].Load = 0.6
+	workers[0].Attempts = []Attempt{service, runningBatch("noisy", res(8, 8, 0)), runningBatch("quiet", res(8, 8, 0))}
+	workers[0].Attempts[2].Kind = "quiet"
+	for range 40 {
+		p.ObserveUsage(0, &workers[0], []platform.Usage{
+			{ID: service.ID, Colocated: []string{"import"}, Slowdown: 1.5, Load: 0.6},
+			{ID: service.ID, Colocated: []string{"quiet"}, Slowdown: 1, Load: 0.6},
+		})
+	}
+	return p, workers
+}
+
+// TestEscalation guards against steps against the wrong task, out of order, or
+// faster than the reports that would show their effect.
+func TestEscalation(t *testing.T) {
+	is := is.New(t)
+	p, workers := pressedCell(1.25)
+	noisy := &workers[0].Attempts[1]
+	is.Equal(len(p.Act(time.Second, snapshotOf(t, workers))), 0) // one report can be noise
+	now := time.Second + overTime
+	var kinds []ActionKind
+	for range 4 {
+		actions := p.Act(now, snapshotOf(t, workers))
+		is.Equal(len(actions), 1)
+		is.Equal(actions[0].ID, noisy.ID)
+		kinds = append(kinds, actions[0].Kind)
+		if actions[0].Kind == Throttle {
+			noisy.Throttle = actions[0].Share
+		}
+		is.Equal(len(p.Act(now+time.Second, snapshotOf(t, workers))), 0) // within the delay
+		now += p.config.EscalationDelay
+		if actions[0].Kind == Move {
+			break
+		}
+	}
+	is.Equal(kinds, []ActionKind{Throttle, Throttle, Move})
+	noisy.Progress = 0.9
+	is.Equal(len(p.Act(now+time.Minute, snapshotOf(t, workers))), 0) // nearly done
+}
+
+// TestThrottleIsLifted guards against a throttle that outlives its cause, and
+// against lifting it while the service is still near its target.
+func TestThrottleIsLifted(t *testing.T) {
+	is := is.New(t)
+	p, workers := pressedCell(0.9)
+	workers[0].Attempts[1].Throttle = 0.5
+	is.Equal(len(p.Act(0, snapshotOf(t, workers))), 0)
+	is.Equal(len(p.Act(time.Hour, snapshotOf(t, workers))), 0)
+	workers[0].Attempts[0].TargetRatio = 0.6
+	is.Equal(len(p.Act(time.Hour, snapshotOf(t, workers))), 0)
+	actions := p.Act(time.Hour+calmFactor*p.config.EscalationDelay, snapshotOf(t, workers))
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].Share, 1.0)
+}
+
+// TestInterferencePlacement guards against placing a task beside a service that
+// it is known to slow down, when another worker is as free.
+func TestInterferencePlacement(t *testing.T) {
+	is := is.New(t)
+	p, workers := pressedCell(0.75)
+	p.config.Rules = RuleInterference
+	p.plugins = rulePlugins(RuleInterference)
+	other := workersOf(2)[1]
+	service := workers[0].Attempts[0]
+	service.Kind, service.ID.Task = "mail", "mail/7/0"
+	other.Attempts = []Attempt{service}
+	for range 40 {
+		p.ObserveUsage(0, &other, []platform.Usage{{ID: service.ID, Colocated: []string{"import"}, Slowdown: 1, Load: 0.2}})
+	}
+	workers[0].Attempts = workers[0].Attempts[:1]
+	s := snapshotOf(t, []Worker{workers[0], other})
+	for range 20 {
+		plan := p.Place(time.Second, s, []Task{batch("new", res(4, 4, 0))})
+		is.Equal(plan.Placements[0].Worker, other.ID)
+	}
+}
+
+// TestSpread guards against replicas of one service in one rack.
+func TestSpread(t *testing.T) {
+	is := is.New(t)
+	var pending []Task
+	for _, id := range []string{"0", "1", "2"} {
+		task := batch("web", res(1, 1, 0))
+		task.ID, task.Service = "web/7/"+id, true
+		pending = append(pending, task)
+	}
+	s := snapshotOf(t, workersOf(12)) // three racks
+	plan := newPolicy(RuleSpread).Place(0, s, pending)
+	racks := map[string]bool{}
+	for _, p := range plan.Placements {
+		racks[s.Worker(p.Worker).Rack] = true
+	}
+	is.Equal(len(racks), 3)
+}
--- a/scheduler/round.go
+++ b/scheduler/round.go
@@ -17,10 +17,10 @@
 	policy *Policy
 	root   *index
 	added  map[int][]*Task
-	// use is what each team holds, with the placements of this round.
-	use map[string]platform.Resources
-	// racks counts service replicas by job and rack, with those of this round.
-	racks map[jobRack]int
+	// used is what this round adds to the use of each team.
+	used map[string]platform.Resources
+	// racked counts the service replicas that this round adds by job and rack.
+	racked map[jobRack]int
 	// placed is the sum of the needs placed in this round.
 	placed platform.Resources
 	// accumulating is set when a worker's room is kept for an aged task.
@@ -47,16 +47,18 @@
 	return &Round{
 		Now: now, Snapshot: s, Plan: Plan{Base: s.version},
 		policy: p, root: s.root, added: map[int][]*Task{},
-		use: cloneMap(s.totals.use), racks: cloneMap(s.totals.racks), full: map[shape]string{},
+		used: map[string]platform.Resources{}, racked: map[jobRack]int{}, full: map[shape]string{},
 	}
 }
 
-func cloneMap[K comparable, V any](m map[K]V) map[K]V {
-	c := make(map[K]V, len(m)+8)
-	for k, v := range m {
-		c[k] = v
-	}
-	return c
+// use returns what a team holds, with the placements of this round.
+func (r *Round) use(team string) platform.Resources {
+	return r.Snapshot.totals.use(team).Add(r.used[team])
+}
+
+// replicas returns the replicas of a service in a rack, with those of this round.
+func (r *Round) replicas(in jobRack) int {
+	return r.Snapshot.totals.replicas(in) + r.racked[in]
 }
 
 // candidate returns the worker at a position of the index.
@@ -74,7 +76,7 @@
 func (r *Round) place(t *Task, need platform.Resources, c *Candidate, probe bool, reason string) {
 	r.root = r.root.set(r.Snapshot.size, c.position, c.Worker, c.Free.Sub(need))
 	r.added[c.position] = append(r.added[c.position], t)
-	r.use[t.Team] = r.use[t.Team].Add(need)
+	r.used[t.Team] = r.used[t.Team].Add(need)
 	r.placed = r.placed.Add(need)
 	for _, plugin := range r.policy.plugins.reserves {
 		plugin.Reserve(r, t, c)
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -44,6 +44,7 @@
 		s.largest = maxResources(s.largest, w.Capacity)
 		s.totals.add(w, 1)
 	}
+	s.totals.merge()
 	if s.size > 0 {
 		s.root = newIndex(sorted)
 	}
--- a/scheduler/spreadrule.go
+++ b/scheduler/spreadrule.go
@@ -27,7 +27,7 @@
 			here++
 		}
 	}
-	rack := r.racks[jobRack{t.Job, c.Worker.Rack}]
+	rack := r.replicas(jobRack{t.Job, c.Worker.Rack})
 	return weight(r.Snapshot.weights.DataCentreChanges) * (sameRackCost*float64(rack) + sameWorkerCost*float64(here))
 }
 
@@ -37,7 +37,7 @@
 // Reserve counts a placed replica.
 func (spreadRule) Reserve(r *Round, t *Task, c *Candidate) {
 	if t.Service {
-		r.racks[jobRack{t.Job, c.Worker.Rack}]++
+		r.racked[jobRack{t.Job, c.Worker.Rack}]++
 	}
 }
 
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -1,23 +1,74 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import (
+	"maps"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// maxDelta is how many changed sums a snapshot carries before they are merged
+// into a new base. Without the division, each changed worker would copy the
+// sums of the whole cell.
+const maxDelta = 256
 
 // totals are sums over the attempts of a cell, kept with each snapshot so that
-// a round need not visit every attempt.
+// a round need not visit every attempt. Snapshots share the base.
 type totals struct {
-	use      map[string]platform.Resources
-	racks    map[jobRack]int
+	base     *sums
+	delta    sums
 	assigned platform.Resources
 }
 
-// newTotals returns sums over nothing.
+// sums are amounts by team and replicas by service and rack.
+type sums struct {
+	use   map[string]platform.Resources
+	racks map[jobRack]int
+}
+
+// newSums returns sums over nothing.
+func newSums() sums {
+	return sums{use: map[string]platform.Resources{}, racks: map[jobRack]int{}}
+}
+
+// newTotals returns totals over nothing.
 func newTotals() *totals {
-	return &totals{use: map[string]platform.Resources{}, racks: map[jobRack]int{}}
+	base := newSums()
+	return &totals{base: &base, delta: newSums()}
+}
+
+// use returns what a team holds.
+func (t *totals) use(team string) platform.Resources {
+	return t.base.use[team].Add(t.delta.use[team])
+}
+
+// replicas returns the replicas of a service in a rack.
+func (t *totals) replicas(in jobRack) int {
+	return t.base.racks[in] + t.delta.racks[in]
 }
 
 // clone returns a copy that can be changed.
 func (t *totals) clone() *totals {
-	return &totals{use: cloneMap(t.use), racks: cloneMap(t.racks), assigned: t.assigned}
+	c := &totals{base: t.base, assigned: t.assigned}
+	c.delta = sums{use: maps.Clone(t.delta.use), racks: maps.Clone(t.delta.racks)}
+	if len(t.delta.use)+len(t.delta.racks) > maxDelta {
+		c.merge()
+	}
+	return c
+}
+
+// merge makes a new base out of the old one and the delta.
+func (t *totals) merge() {
+	base := sums{use: maps.Clone(t.base.use), racks: maps.Clone(t.base.racks)}
+	for team, amount := range t.delta.use {
+		base.use[team] = base.use[team].Add(amount)
+	}
+	for in, n := range t.delta.racks {
+		base.racks[in] += n
+		if base.racks[in] == 0 {
+			delete(base.racks, in)
+		}
+	}
+	t.base, t.delta = &base, newSums()
 }
 
 // add adds (sign 1) or removes (sign -1) the attempts of a worker.
@@ -31,9 +82,9 @@
 			Accelerators: sign * held.Accelerators,
 		}
 		t.assigned = t.assigned.Add(held)
-		t.use[a.Team] = t.use[a.Team].Add(held)
+		t.delta.use[a.Team] = t.delta.use[a.Team].Add(held)
 		if a.Service {
-			t.racks[jobRack{a.Job, w.Rack}] += int(sign)
+			t.delta.racks[jobRack{a.Job, w.Rack}] += int(sign)
 		}
 	}
 }
--- /dev/null
+++ b/scheduler/totals_test.go
@@ -0,0 +1,38 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestTotalsFollowWorkers guards against sums that drift from the attempts over
+// many changes of the workers, and against a change that shows in an older snapshot.
+func TestTotalsFollowWorkers(t *testing.T) {
+	is := is.New(t)
+	s := snapshotOf(t, workersOf(40))
+	first := s
+	for n := range 2000 {
+		w := *s.At(n * 7 % 40)
+		w.Attempts = nil
+		for i := range n % 5 {
+			a := runningBatch(fmt.Sprintf("j-%d", i), res(int64(i), 1, 0))
+			a.Service, a.Team = true, fmt.Sprintf("team-%d", n%3)
+			w.Attempts = append(w.Attempts, a)
+		}
+		s = s.WithWorkers(int64(n), w)
+	}
+	want := newTotals()
+	for i := range s.Len() {
+		want.add(s.At(i), 1)
+	}
+	is.Equal(s.totals.assigned, want.assigned)
+	for team, amount := range want.delta.use {
+		is.Equal(s.totals.use(team), amount)
+	}
+	for in, n := range want.delta.racks {
+		is.Equal(s.totals.replicas(in), n)
+	}
+	is.Equal(first.totals.assigned, res(0, 0, 0))
+}
