--- /dev/null
+++ b/standin/admin.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cactusreel/cactusreel/checker"
+	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// maxFaultBytes bounds the body of POST /fault.
+const maxFaultBytes = 64 << 10
+
+// openAdmin opens the endpoint that no fault hits.
+func (p *Platform) openAdmin() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /fault", p.handleFault)
+	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { writeValue(w, p.History()) })
+	mux.HandleFunc("GET /addresses", func(w http.ResponseWriter, _ *http.Request) { writeValue(w, p.addresses) })
+	mux.HandleFunc("GET /events", p.handleEvents)
+	admin := newEndpoint([]string{"admin"}, &FaultSet{}, mux)
+	err := admin.listen(p.options.listenAddress())
+	if err != nil {
+		return err
+	}
+	p.admin = admin
+	p.addresses.Admin = p.admin.address
+	return nil
+}
+
+func (p *Platform) handleFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&f)
+	if err != nil {
+		httpapi.WriteError(w, result.Errorf(result.BadResource, "fault: %w", err), result.BadResource)
+		return
+	}
+	err = p.SetFault(f)
+	if err != nil {
+		httpapi.WriteError(w, err, result.WorkerUnavailable)
+		return
+	}
+	writeValue(w, f)
+}
+
+// handleEvents answers with the history in the form of package checker, one
+// JSON event a line.
+func (p *Platform) handleEvents(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	// A failed write means that the reader is gone.
+	_ = checker.WriteHistory(w, p.History().CheckerEvents())
+}
+
+func writeValue(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the reader is gone.
+	_ = json.NewEncoder(w).Encode(value)
+}
