Scheduler: let the weights act on running tasks

Cause: the weights shaped placement only; the evictions weight had no effect.

Change: the ratio at which steps against batch work begin, what throttling aims at, when throttled work is moved, and how long a team waits before it reclaims capacity follow the weights.

--- a/bench/variant.go
+++ b/bench/variant.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/scheduler"
@@ -32,10 +33,22 @@
 		{Name: "least-loaded", new: func(_ *scheduler.Knowledge, random *rand.Rand) Decider {
 			return newBaseline(random, leastLoaded)
 		}},
+		policyVariant("version 1", versionOne()),
 		policyVariant("policy", scheduler.DefaultConfig()),
 	}
 }
 
+// versionOne returns the settings of the first complete version of the policy:
+// every rule of the design, no room kept for urgent work, slower steps and a
+// longer ramp. It runs on the present code.
+func versionOne() scheduler.Config {
+	config := scheduler.DefaultConfig()
+	config.Rules = scheduler.AllRules &^ scheduler.RuleReserve
+	config.EscalationDelay = 8 * time.Second
+	config.RampTime = 60 * time.Second
+	return config
+}
+
 // Ablations returns the policy with each of its rules off.
 func Ablations() []Variant {
 	var all []Variant
--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// reclaimAfter is how long a task within its team's quota waits before it
-	// reclaims capacity: most waits end sooner without an eviction.
-	reclaimAfter = 30 * time.Second
+	// reclaimDelay is how long a task within its team's quota waits at most
+	// before it reclaims capacity: most waits end sooner without an eviction.
+	reclaimDelay = 32 * time.Second
 	// reclaimShare is the share of its quota that a team keeps when others
 	// reclaim. Teams just over their quotas are left alone.
 	reclaimShare = 1.5
@@ -42,7 +42,7 @@
 			return
 		}
 	}
-	if rules.Has(RuleQuota) && r.Now-r.policy.seen[t.ID] >= reclaimAfter && r.withinQuota(t, need) {
+	if rules.Has(RuleQuota) && r.Now-r.policy.seen[t.ID] >= r.reclaimAfter() && r.withinQuota(t, need) {
 		if r.evictFor(t, need, Move, "a team within its quota", r.yieldsToQuota) {
 			return
 		}
@@ -53,6 +53,12 @@
 	r.wait(t, Waiting, 0, "pending: "+reason)
 }
 
+// reclaimAfter returns how long a task waits before it reclaims capacity: the
+// more evictions weigh, the longer.
+func (r *Round) reclaimAfter() time.Duration {
+	return time.Duration(weight(r.Snapshot.weights.Evictions) * float64(reclaimDelay))
+}
+
 // withinQuota reports whether a task keeps its team within its quota.
 func (r *Round) withinQuota(t *Task, need platform.Resources) bool {
 	return dominantShare(r.use(t.Team).Add(need), r.Snapshot.teams[t.Team].Quota) <= 1
--- a/scheduler/relieve.go
+++ b/scheduler/relieve.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cactusreel/cactusreel/api"
 )
 
 const (
@@ -15,14 +17,10 @@
 	// calmFactor times the escalation delay is how long services must be
 	// clearly under their targets before a throttle is lifted.
 	calmFactor = 2
-	// enterRatio is the ratio of p99 to target above which a service is over it.
-	enterRatio = 1
 	// farOver is the ratio from which no second report is awaited.
 	farOver = 1.3
 	// leaveRatio is the ratio of p99 to target below which services are calm.
 	leaveRatio = 0.8
-	// goalRatio is what a round of throttling aims at.
-	goalRatio = 0.9
 	// firstShare and lastShare are the steps of throttling.
 	firstShare = 0.5
 	lastShare  = 0.25
@@ -34,6 +32,23 @@
 	helps = 0.03
 )
 
+// enterRatio returns the ratio of p99 to target from which a service counts as
+// over it: a bit under the target if tail latency weighs most.
+func enterRatio(w api.WeightsSpec) float64 {
+	return 1 + 0.05*(weight(w.Evictions)-weight(w.TailLatency))
+}
+
+// goalRatio returns the ratio that a round of throttling aims at.
+func goalRatio(w api.WeightsSpec) float64 {
+	return 0.95 + 0.05*(weight(w.Throughput)-weight(w.TailLatency))
+}
+
+// moveRatio returns the ratio from which work that can't be throttled further
+// is moved: the more evictions weigh, the higher.
+func moveRatio(w api.WeightsSpec) float64 {
+	return 1 + 0.4*weight(w.Evictions)
+}
+
 // relieve escalates against work that slows services over their targets, with a
 // delay between steps on a worker, and lifts throttles when the services are calm.
 func (p *Policy) relieve(now time.Duration, s *Snapshot) []Action {
@@ -45,7 +60,7 @@
 			delete(p.pressure, w.ID)
 			continue
 		}
-		actions = append(actions, p.relieveWorker(now, w, hot)...)
+		actions = append(actions, p.relieveWorker(now, s.weights, w, hot)...)
 	}
 	return actions
 }
@@ -64,7 +79,7 @@
 }
 
 // relieveWorker returns the steps for one worker, if they are due.
-func (p *Policy) relieveWorker(now time.Duration, w *Worker, hot *Attempt) []Action {
+func (p *Policy) relieveWorker(now time.Duration, weights api.WeightsSpec, w *Worker, hot *Attempt) []Action {
 	state := p.pressure[w.ID]
 	if state == nil {
 		state = &pressure{lastStep: -p.config.EscalationDelay}
@@ -74,14 +89,14 @@
 	if hot != nil {
 		worst = hot.TargetRatio
 	}
-	state.update(now, worst, enterRatio, leaveRatio)
+	state.update(now, worst, enterRatio(weights), leaveRatio)
 	if now-state.lastStep < p.config.EscalationDelay {
 		return nil
 	}
 	var actions []Action
 	switch {
 	case state.over && (worst > farOver || now-state.overSince >= overTime):
-		actions = p.escalate(now, w, hot)
+		actions = p.escalate(now, weights, w, hot)
 	case state.calm && now-state.calmSince >= calmFactor*p.config.EscalationDelay:
 		actions = lift(w)
 	}
@@ -119,9 +134,9 @@
 // escalate throttles as many of the worst attempts as are estimated to bring
 // the service under its target. When none can be throttled further, the worst
 // one that is not nearly done is moved or evicted.
-func (p *Policy) escalate(now time.Duration, w *Worker, hot *Attempt) []Action {
+func (p *Policy) escalate(now time.Duration, weights api.WeightsSpec, w *Worker, hot *Attempt) []Action {
 	ratio := fmt.Sprintf("service %s is at %.2f of its p99 target", nameOf(hot.Job), hot.TargetRatio)
-	excess := math.Log(hot.TargetRatio / goalRatio)
+	excess := math.Log(hot.TargetRatio / goalRatio(weights))
 	list := p.culprits(now, w, hot)
 	var actions []Action
 	for _, c := range list {
@@ -141,6 +156,9 @@
 	if len(actions) > 0 {
 		return actions
 	}
+	if hot.TargetRatio < moveRatio(weights) {
+		return nil
+	}
 	for _, c := range list {
 		switch {
 		case p.spared(c.attempt):
