--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -81,6 +81,7 @@
 	if s.dataCentre.Phase == Draining || s.dataCentre.Phase == Out {
 		return append(actions, p.drain(now, s)...)
 	}
+	actions = append(actions, p.leave(s)...)
 	if p.config.Rules.Has(RuleEscalation) {
 		actions = append(actions, p.relieve(now, s)...)
 	}
