--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// reclaimAfter is how long a task within its team's quota waits before it
-	// reclaims capacity: most waits end sooner without an eviction.
-	reclaimAfter = 30 * time.Second
+	// reclaimDelay is how long a task within its team's quota waits at most
+	// before it reclaims capacity: most waits end sooner without an eviction.
+	reclaimDelay = 32 * time.Second
 	// reclaimShare is the share of its quota that a team keeps when others
 	// reclaim. Teams just over their quotas are left alone.
 	reclaimShare = 1.5
@@ -42,7 +42,7 @@
 			return
 		}
 	}
-	if rules.Has(RuleQuota) && r.Now-r.policy.seen[t.ID] >= reclaimAfter && r.withinQuota(t, need) {
+	if rules.Has(RuleQuota) && r.Now-r.policy.seen[t.ID] >= r.reclaimAfter() && r.withinQuota(t, need) {
 		if r.evictFor(t, need, Move, "a team within its quota", r.yieldsToQuota) {
 			return
 		}
@@ -53,9 +53,15 @@
 	r.wait(t, Waiting, 0, "pending: "+reason)
 }
 
+// reclaimAfter returns how long a task waits before it reclaims capacity: the
+// more evictions weigh, the longer.
+func (r *Round) reclaimAfter() time.Duration {
+	return time.Duration(weight(r.Snapshot.weights.Evictions) * float64(reclaimDelay))
+}
+
 // withinQuota reports whether a task keeps its team within its quota.
 func (r *Round) withinQuota(t *Task, need platform.Resources) bool {
-	return dominantShare(r.use[t.Team].Add(need), r.Snapshot.teams[t.Team].Quota) <= 1
+	return dominantShare(r.use(t.Team).Add(need), r.Snapshot.teams[t.Team].Quota) <= 1
 }
 
 // yieldsToUrgent reports whether an attempt may be evicted for an urgent task.
@@ -66,7 +72,7 @@
 	if a.Urgent || a.Service {
 		return false
 	}
-	left := r.use[a.Team].Sub(a.Reserved())
+	left := r.use(a.Team).Sub(a.Reserved())
 	return dominantShare(left, r.Snapshot.teams[a.Team].Quota) >= reclaimShare
 }
 
@@ -98,7 +104,7 @@
 			Kind: kind, ID: a.ID, Worker: c.Worker.ID, Boot: c.Worker.Boot,
 			Reason: fmt.Sprintf("%sd for task %s of %s", kindStem(kind), t.ID, who),
 		})
-		r.use[a.Team] = r.use[a.Team].Sub(a.Reserved())
+		r.used[a.Team] = r.used[a.Team].Sub(a.Reserved())
 	}
 	r.policy.holds[t.ID] = hold{worker: c.Worker.ID, need: need, until: r.Now + holdTime}
 	r.root = r.root.set(size, c.position, c.Worker, c.Free.Sub(minResources(need, c.Free)))
