Feed the policy: latencies against targets, colocated usage, learned sizes

Cause: three inputs of the policy never reached it in the daemon. Usage reports were passed in without the worker's attempts and dropped, the ratio of a service's p99 to its target was not measured, and learned sizes were not reserved.

Change: a p99 of response heads per service and server; usage with the attempts of the worker; PlacementDecided carries what to reserve, which the placed record already held. Counters of the request path are registered once.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -52,8 +52,6 @@
 	callers, peers   string
 	process          *exec.Cmd
 	exited           chan int
-	log              *bytes.Buffer
-	logMu            *sync.Mutex
 }
 
 // cluster is a stand-in platform with entry VMs.
--- a/entry/cellplan.go
+++ b/entry/cellplan.go
@@ -30,7 +30,7 @@
 	}
 	plan := r.policy.Place(now, snapshot, pending)
 	for _, p := range plan.Placements {
-		r.step(tasks.PlacementDecided{Task: p.Task, Worker: p.Worker})
+		r.step(tasks.PlacementDecided{Task: p.Task, Worker: p.Worker, Requests: p.Requests})
 	}
 	for _, w := range plan.Waits {
 		r.noteWait(w, d)
--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -52,6 +52,9 @@
 	// read of the claims stream, both on the local clock.
 	startsUntil() time.Duration
 	claimsReadAt() time.Duration
+	// latencyP99 returns the recent p99 of the response heads of a service on a
+	// backend server, 0 when unknown.
+	latencyP99(service, address string) time.Duration
 	// otherCells returns summaries of cells of other owners and of this VM.
 	otherCells(cell int) []scheduler.CellSummary
 	workerTimeout() time.Duration
--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -95,11 +95,26 @@
 		a.Urgent = job.urgent
 		a.RunTime = job.work.Run
 		a.Cancelled = job.work.Cancelled
+		a.TargetRatio = r.targetRatio(job, t.Worker)
 	}
 	r.addReport(&a, t.Worker)
 	return a
 }
 
+// targetRatio returns the recent p99 of a service replica over the service's
+// target, 0 when unknown.
+func (r *cellRunner) targetRatio(job *declaredJob, worker string) float64 {
+	if job.resource.Service == nil || r.listed == nil {
+		return 0
+	}
+	target := time.Duration(job.resource.Service.TargetP99Millis) * time.Millisecond
+	p99 := r.host.latencyP99(job.work.Name, r.listed.workers[worker].BackendAddress)
+	if target <= 0 {
+		return 0
+	}
+	return float64(p99) / float64(target)
+}
+
 // addReport adds what the worker last said about an attempt.
 func (r *cellRunner) addReport(a *scheduler.Attempt, worker string) {
 	seen := r.workers[worker]
@@ -208,8 +223,18 @@
 	if len(fresh) == 0 {
 		return
 	}
+	d := r.host.declared()
+	if d == nil {
+		return
+	}
+	now := r.clock()
 	w := scheduler.Worker{ID: seen.state.Worker, Boot: seen.state.Boot, Capacity: seen.state.Capacity}
-	r.policy.ObserveUsage(r.clock(), &w, fresh)
+	for _, t := range r.machine.Tasks() {
+		if t.Worker == w.ID {
+			w.Attempts = append(w.Attempts, r.attempt(now, t, d))
+		}
+	}
+	r.policy.ObserveUsage(now, &w, fresh)
 }
 
 // outcomeStates maps recorded outcomes to the states that the policy learns from.
--- /dev/null
+++ b/entry/latencies.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// serverKey names a service on a backend server.
+type serverKey struct {
+	service, address string
+}
+
+// latencySample is how many response times are kept per server.
+const latencySample = 200
+
+// p99 is the quantile that targets of services are stated for.
+const p99 = 0.99
+
+// serverLatencies keeps recent response times per service and server.
+type serverLatencies struct {
+	mu      sync.RWMutex
+	samples map[serverKey]gometrics.Sample
+}
+
+func newServerLatencies() *serverLatencies {
+	return &serverLatencies{samples: make(map[serverKey]gometrics.Sample)}
+}
+
+// observe takes the time to a response head.
+func (l *serverLatencies) observe(service, address string, took time.Duration) {
+	key := serverKey{service, address}
+	l.mu.RLock()
+	sample := l.samples[key]
+	l.mu.RUnlock()
+	if sample == nil {
+		sample = l.add(key)
+	}
+	sample.Update(int64(took))
+}
+
+func (l *serverLatencies) add(key serverKey) gometrics.Sample {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sample := l.samples[key]; sample != nil {
+		return sample
+	}
+	sample := gometrics.NewExpDecaySample(latencySample, recentBias)
+	l.samples[key] = sample
+	return sample
+}
+
+// quantile returns the recent p99 of a service on a server, 0 when unknown.
+func (l *serverLatencies) quantile(service, address string) time.Duration {
+	l.mu.RLock()
+	sample := l.samples[serverKey{service, address}]
+	l.mu.RUnlock()
+	if sample == nil {
+		return 0
+	}
+	return time.Duration(sample.Percentile(p99))
+}
+
+// retain drops the servers that are no longer used.
+func (l *serverLatencies) retain(addresses map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key := range l.samples {
+		if !addresses[key.address] {
+			delete(l.samples, key)
+		}
+	}
+}
+
+// latencyP99 implements cellHost.
+func (n *Node) latencyP99(service, address string) time.Duration {
+	return n.latencies.quantile(service, address)
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -20,11 +20,22 @@
 // recentBias weighs a sample towards the last five minutes.
 const recentBias = 0.015
 
+// setEventCounters registers one counter for each kind of event of the request
+// path, so that the path itself only increments.
+func (n *Node) setEventCounters() {
+	n.eventCounters = make(map[proxy.EventKind]gometrics.Counter)
+	for _, kind := range proxy.EventKinds() {
+		name := metrics.Name("request_events_total", "kind", string(kind))
+		n.eventCounters[kind] = gometrics.GetOrRegisterCounter(name, n.registry)
+	}
+}
+
 // proxyEvent counts an event of the request path and logs those that need a look.
 func (n *Node) proxyEvent(e proxy.Event) {
-	counter := gometrics.GetOrRegisterCounter(metrics.Name("request_events_total", "kind", string(e.Kind)), n.registry)
-	counter.Inc(1)
+	n.eventCounters[e.Kind].Inc(1)
 	switch e.Kind {
+	case proxy.EventHead:
+		n.latencies.observe(e.Service, e.Target, e.Took)
 	case proxy.EventFinished:
 		n.requestFinished(e)
 	case proxy.EventSilent:
--- a/entry/node.go
+++ b/entry/node.go
@@ -46,6 +46,9 @@
 	proxy  *proxy.Proxy
 	copies *tableCopies
 
+	latencies     *serverLatencies
+	eventCounters map[proxy.EventKind]gometrics.Counter
+
 	freshMu    sync.Mutex
 	fresh      *freshness.Machine
 	freshUntil atomic.Int64
@@ -103,6 +106,8 @@
 		MaxAnswers: dedup.DefaultLimits().MaxAnswers,
 	})
 	n.copies = newTableCopies()
+	n.latencies = newServerLatencies()
+	n.setEventCounters()
 	n.list.Store(&workerList{})
 	if err := n.setProxy(); err != nil {
 		return nil, err
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -25,6 +25,11 @@
 	}
 	s.Peers = n.peerEntries()
 	n.router.Update(s)
+	addresses := make(map[string]bool, len(s.Workers))
+	for _, w := range s.Workers {
+		addresses[w.Address] = true
+	}
+	n.latencies.retain(addresses)
 }
 
 // workerEntries returns the workers of an own cell with the services that run
--- a/proxy/event.go
+++ b/proxy/event.go
@@ -9,6 +9,9 @@
 const (
 	// EventFinished is the end of a caller's or peer's request.
 	EventFinished EventKind = "finished"
+	// EventHead is a response head of an own backend server; Took is the time
+	// since the request was sent to it.
+	EventHead EventKind = "head"
 	// EventRetried is a second or later send of a request.
 	EventRetried EventKind = "retried"
 	// EventHedged is a second send of a request that is still in progress.
@@ -31,6 +34,23 @@
 	EventLoop EventKind = "loop"
 )
 
+// EventKinds lists all kinds of events.
+func EventKinds() []EventKind {
+	return []EventKind{
+		EventFinished,
+		EventHead,
+		EventRetried,
+		EventHedged,
+		EventSilent,
+		EventTruncated,
+		EventNotConnected,
+		EventNotRun,
+		EventLeaving,
+		EventMissedAcknowledgement,
+		EventLoop,
+	}
+}
+
 // Event is something that logs and metrics count.
 type Event struct {
 	Kind    EventKind
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -286,6 +286,7 @@
 	case headReceived:
 		ex.slot.Server.Observe(now, now-started)
 		ex.call.service.ObserveHead(now - started)
+		ex.call.p.cfg.OnEvent(Event{Kind: EventHead, Service: ex.call.service.Name, Target: ex.target, Took: now - started})
 	case refused:
 	default:
 		ex.slot.Server.Observe(now, max(now-started, ex.headLimit))
--- a/tasks/event.go
+++ b/tasks/event.go
@@ -99,6 +99,9 @@
 type PlacementDecided struct {
 	Task   string `json:"task"`
 	Worker string `json:"worker"`
+	// Requests is what to reserve, which can differ from the declared need; the
+	// zero value stands for the declared need.
+	Requests platform.Resources `json:"requests,omitzero"`
 }
 
 // EvictRequested asks to evict a running attempt.
--- a/tasks/place.go
+++ b/tasks/place.go
@@ -22,7 +22,10 @@
 	if t == nil || w == nil || !m.mayStart() || !m.placeable(t) || !m.ready(w) {
 		return
 	}
-	needs := m.needs(t)
+	needs := e.Requests
+	if needs == (platform.Resources{}) {
+		needs = m.needs(t)
+	}
 	if !m.reserved()[w.id].Add(needs).Fits(w.capacity) {
 		return
 	}
