--- a/client/client_test.go
+++ b/client/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -32,8 +33,8 @@
 func (e *entryVM) View() *resources.View                        { return e.store.View() }
 func (e *entryVM) Ready() error                                 { return nil }
 func (e *entryVM) NewRequestID(context.Context) (string, error) { return "giza.1.7.x", nil }
-func (e *entryVM) Status(context.Context, api.Resource) (api.Status, error) {
-	return api.Status{Running: 1}, nil
+func (e *entryVM) Statuses(_ context.Context, list []api.Resource) ([]api.Status, error) {
+	return slices.Repeat([]api.Status{{Running: 1}}, len(list)), nil
 }
 func (e *entryVM) Submit(_ context.Context, op resources.Operation) (resources.Outcome, error) {
 	outcomes, err := e.store.Apply(e.store.View().Offset()+1, op)
--- a/client/read.go
+++ b/client/read.go
@@ -33,6 +33,14 @@
 	return list, err
 }
 
+// ListWithStatus returns the resources of a kind with the status of services
+// and jobs.
+func (c *Client) ListWithStatus(ctx context.Context, kind api.Kind) (operator.List, error) {
+	var list operator.List
+	err := c.call(ctx, request{method: "GET", path: resourcePath(kind, "") + "?status=true", lost: result.PeerUnavailable}, &list)
+	return list, err
+}
+
 // NewRequestID returns an id for a non-idempotent request.
 func (c *Client) NewRequestID(ctx context.Context) (string, error) {
 	var issued operator.IssuedID
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -33,8 +34,8 @@
 func (e *entryVM) View() *resources.View                        { return e.store.View() }
 func (e *entryVM) Ready() error                                 { return nil }
 func (e *entryVM) NewRequestID(context.Context) (string, error) { return "", nil }
-func (e *entryVM) Status(context.Context, api.Resource) (api.Status, error) {
-	return api.Status{Running: 17, UnknownCells: 2, Conditions: []api.Condition{{Type: "Placed", Status: api.ConditionFalse, Reason: "NoRoom", Message: "no worker has room"}}}, nil
+func (e *entryVM) Statuses(_ context.Context, list []api.Resource) ([]api.Status, error) {
+	return slices.Repeat([]api.Status{{Running: 17, UnknownCells: 2, Conditions: []api.Condition{{Type: "Placed", Status: api.ConditionFalse, Reason: "NoRoom", Message: "no worker has room"}}}}, len(list)), nil
 }
 func (e *entryVM) Submit(_ context.Context, op resources.Operation) (resources.Outcome, error) {
 	if e.fails != nil && op.Name == e.failsFor {
--- a/command/get.go
+++ b/command/get.go
@@ -66,7 +66,7 @@
 	ctx, cancel := conn.limited(ctx)
 	defer cancel()
 	if len(names) == 0 {
-		list, err := server.List(ctx, kind)
+		list, err := server.ListWithStatus(ctx, kind)
 		return list.Items, exitError(err)
 	}
 	r, err := server.Get(ctx, kind, names[0])
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -16,8 +16,9 @@
 // pollBackends asks the backend servers of own cells whether they are leaving.
 func (n *Node) pollBackends(ctx context.Context) {
 	limit := make(chan struct{}, healthPolls)
+	boots := n.boots()
 	for _, server := range n.router.Servers() {
-		if server.Leaving() {
+		if server.Leaving() || boots[server.Worker().ID()] != server.Boot() {
 			continue
 		}
 		limit <- struct{}{}
@@ -28,6 +29,30 @@
 	}
 }
 
+// boots returns the boot id of each worker of the own cells.
+func (n *Node) boots() map[string]string {
+	boots := make(map[string]string)
+	for _, r := range n.runners() {
+		for _, w := range r.view().workers {
+			boots[w.ID] = w.Boot
+		}
+	}
+	return boots
+}
+
+// leavingServers returns the workers whose backend servers are leaving, with
+// the boot id that the word is about.
+func (n *Node) leavingServers() map[string]string {
+	leaving := make(map[string]string)
+	boots := n.boots()
+	for _, server := range n.router.Servers() {
+		if id := server.Worker().ID(); server.Leaving() && boots[id] == server.Boot() {
+			leaving[id] = server.Boot()
+		}
+	}
+	return leaving
+}
+
 // pollBackend asks one server on a connection of its own, which it counts.
 func (n *Node) pollBackend(ctx context.Context, server *routing.Server) {
 	if !server.Worker().AcquireConnection() {
--- a/entry/celldeclared.go
+++ b/entry/celldeclared.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"strings"
 
 	"github.com/cactusreel/cactusreel/api"
@@ -10,10 +11,7 @@
 // refreshDeclared passes changes of the declared work and of the VM list to
 // the machine.
 func (r *cellRunner) refreshDeclared() {
-	if list := r.host.listed(); list != r.listed {
-		r.listed = list
-		r.step(tasks.WorkersListed{Workers: list.cell(r.cell.Index, r.host.cells())})
-	}
+	r.refreshWorkers()
 	d := r.host.declared()
 	if d == nil || d.offset == r.declaredAt {
 		return
@@ -26,6 +24,23 @@
 	}
 }
 
+// refreshWorkers passes the workers of the cell to the machine. Either source
+// suffices to take a worker as leaving: the VM list or the server's own word.
+func (r *cellRunner) refreshWorkers() {
+	list, leaving := r.host.listed(), r.host.leavingServers()
+	if list == r.listed && maps.Equal(leaving, r.leaving) {
+		return
+	}
+	r.listed, r.leaving = list, leaving
+	workers := list.cell(r.cell.Index, r.host.cells())
+	for i := range workers {
+		if _, says := leaving[workers[i].ID]; says {
+			workers[i].Leaving = true
+		}
+	}
+	r.step(tasks.WorkersListed{Workers: workers})
+}
+
 // passWork declares new and changed work, drops deleted work, and then says
 // that the declaration is complete.
 func (r *cellRunner) passWork(d *declaredWork) {
--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -46,6 +46,9 @@
 	declared() *declaredWork
 	// listed returns the newest VM list of the data centre.
 	listed() *workerList
+	// leavingServers returns the workers whose backend servers say that they
+	// are leaving, with the boot id that the word is about.
+	leavingServers() map[string]string
 	// cells returns the number of cells of the data centre.
 	cells() int
 	// startsUntil is the end of freshness, claimsReadAt the last successful
@@ -58,6 +61,8 @@
 	// otherCells returns summaries of cells of other owners and of this VM.
 	otherCells(cell int) []scheduler.CellSummary
 	workerTimeout() time.Duration
+	// snapshotInterval is the longest time between two snapshots of a stream.
+	snapshotInterval() time.Duration
 }
 
 // cellMessage is what other goroutines send to a runner.
@@ -103,13 +108,17 @@
 	declaredAt int64
 	declared   map[string]declaredVersion
 	listed     *workerList
+	leaving    map[string]string
 
-	workers    map[string]*observed
-	usageSeen  map[platform.AttemptID]time.Duration
-	starts     map[platform.AttemptID]startMark
-	pending    map[string]time.Duration
-	reasons    map[string]string
-	plannedAt  time.Duration
+	workers   map[string]*observed
+	usageSeen map[platform.AttemptID]time.Duration
+	starts    map[platform.AttemptID]startMark
+	pending   map[string]time.Duration
+	reasons   map[string]string
+	plannedAt time.Duration
+	// snapshotAt is when the last whole snapshot of the stream was read, or a
+	// snapshot was last written.
+	snapshotAt time.Duration
 	actedAt    time.Duration
 	throttled  map[platform.AttemptID]float64
 	checkpoint map[platform.AttemptID]time.Duration
@@ -216,6 +225,7 @@
 	r.refreshDeclared()
 	r.step(tasks.Tick{})
 	now := r.clock()
+	r.renewSnapshot(now)
 	if now-r.plannedAt >= planEvery {
 		r.plannedAt = now
 		r.plan(now)
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -143,15 +145,22 @@
 	if v.OwnTerm == 0 {
 		return
 	}
+	usable := v.WaitUntil
+	if v.Releasing {
+		usable = never
+	}
 	n.router.SetAuthority(v.Cell, routing.Authority{
 		Term:         v.OwnTerm,
 		State:        routingStates[v.Own],
 		FullUntil:    v.FullUntil,
-		UsableFrom:   v.WaitUntil,
+		UsableFrom:   usable,
 		Predecessors: v.Predecessors,
 	})
 }
 
+// never is a time that no process reaches.
+const never = time.Duration(math.MaxInt64)
+
 // refreshAuthority repeats the authority of all own cells, because the ends of
 // leases and promises move without a change of state.
 func (n *Node) refreshAuthority(context.Context) {
@@ -208,7 +217,7 @@
 // drainCell waits in the background until the last request on a cell has ended.
 func (n *Node) drainCell(cell int) {
 	claims := n.claims.Load()
-	n.router.SetAuthority(cell, routing.Authority{Term: n.router.Authority(cell).Term, State: routing.Lost})
+	n.setAuthority(claims.Views()[cell])
 	n.goDo(func() {
 		for n.router.InUse(cell, n.clock()) > 0 {
 			if !sleep(claims.ctx, claimsTick) {
--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -169,6 +169,7 @@
 	for id, reason := range r.reasons {
 		v.reasons[id] = reason
 	}
+	v.counts = countTasks(v.tasks, v.reasons)
 	r.noteRunning(now, v.tasks)
 	if d := r.host.declared(); d != nil && r.listed != nil {
 		v.summary = r.summary(now, d)
--- a/entry/cellstream.go
+++ b/entry/cellstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -30,7 +31,9 @@
 		batch = nil
 		r.undecodable(logged.Offset, err)
 	}
-	r.gap.addChunks(batch)
+	if r.gap.addChunks(batch) {
+		r.snapshotAt = r.clock()
+	}
 	if logged.Offset > r.machine.Offset()+1 {
 		r.gap.hold(logged)
 		r.restore()
@@ -73,8 +76,21 @@
 	}
 }
 
+// renewSnapshot writes a snapshot before the last one expires from the log,
+// whether or not records have come since.
+func (r *cellRunner) renewSnapshot(now time.Duration) {
+	if r.snapshotAt == 0 {
+		r.snapshotAt = now
+	}
+	if now-r.snapshotAt < r.host.snapshotInterval() || now >= r.own.PlaceUntil || r.machine.Offset() == 0 {
+		return
+	}
+	r.appendSnapshot()
+}
+
 // appendSnapshot appends the machine's stream state in chunks.
 func (r *cellRunner) appendSnapshot() {
+	r.snapshotAt = r.clock()
 	data, err := r.machine.Snapshot()
 	if err != nil {
 		r.log.Log(logevent.SnapshotIgnored, zap.String("stream", r.follower.stream), zap.Int64("offset", r.machine.Offset()), zap.Error(err))
--- a/entry/cellview.go
+++ b/entry/cellview.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
 	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
@@ -21,6 +22,8 @@
 	workers []tasks.WorkerView
 	// reasons says why tasks are pending, by task id.
 	reasons map[string]string
+	// counts holds the numbers of tasks by job or service.
+	counts  map[string]*peerpb.TaskCount
 	summary scheduler.CellSummary
 	// accepting is set if the cell may start tasks now.
 	accepting bool
--- /dev/null
+++ b/entry/counts.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// countTasks counts the tasks of a cell by "<name>/<version of the creation>".
+func countTasks(list []tasks.View, reasons map[string]string) map[string]*peerpb.TaskCount {
+	counts := make(map[string]*peerpb.TaskCount)
+	for _, t := range list {
+		key := jobOf(t.Task)
+		c := counts[key]
+		if c == nil {
+			c = &peerpb.TaskCount{}
+			counts[key] = c
+		}
+		countTask(c, t, reasons[t.Task])
+	}
+	return counts
+}
+
+func countTask(c *peerpb.TaskCount, t tasks.View, reason string) {
+	switch t.Status {
+	case tasks.StatusPending:
+		c.Pending++
+		c.Reason = firstNonEmpty(reason, c.Reason)
+	case tasks.StatusPlaced, tasks.StatusEvicting:
+		c.Running++
+	case tasks.StatusCompleted:
+		c.Completed++
+	case tasks.StatusFailed:
+		c.Failed++
+		c.Reason = firstNonEmpty(t.Message, c.Reason)
+	}
+}
+
+// ownCounts counts tasks in the own cells, in the order of the request.
+func (n *Node) ownCounts(work []*peerpb.WorkID) []*peerpb.CellCount {
+	var list []*peerpb.CellCount
+	for _, r := range n.runners() {
+		v := r.view()
+		if v.term == 0 {
+			continue
+		}
+		c := &peerpb.CellCount{DataCentre: n.settings.DataCentre, Cell: int32(v.cell), Term: v.term}
+		for _, w := range work {
+			count := v.counts[jobKey(tasks.Work{Name: w.Name, Created: api.Version(w.Created)})]
+			if count == nil {
+				count = &peerpb.TaskCount{}
+			}
+			c.Counts = append(c.Counts, count)
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// allCounts asks all reachable owners and returns the counts of each cell. Of
+// two VMs that both count a cell the one with the higher term is taken.
+func (n *Node) allCounts(ctx context.Context, work []*peerpb.WorkID) []*peerpb.CellCount {
+	var mu sync.Mutex
+	newest := make(map[string]*peerpb.CellCount)
+	add := func(cells []*peerpb.CellCount) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range cells {
+			key := fmt.Sprintf("%s/%d", c.DataCentre, c.Cell)
+			if other := newest[key]; other == nil || other.Term < c.Term {
+				newest[key] = c
+			}
+		}
+	}
+	add(n.ownCounts(work))
+	var asked sync.WaitGroup
+	for _, p := range n.peers {
+		if _, reachable := p.word(n.clock()); reachable {
+			asked.Go(func() { add(n.countAt(ctx, p, work)) })
+		}
+	}
+	asked.Wait()
+	list := make([]*peerpb.CellCount, 0, len(newest))
+	for _, c := range newest {
+		list = append(list, c)
+	}
+	return list
+}
+
+// countAt asks one peer; a peer that does not answer counts nothing.
+func (n *Node) countAt(ctx context.Context, p *peerState, work []*peerpb.WorkID) []*peerpb.CellCount {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Times.PeerTimeout)
+	defer cancel()
+	answer, err := p.client.CountTasks(ctx, &peerpb.CountTasksRequest{Work: work})
+	if err != nil {
+		return nil
+	}
+	for _, c := range answer.Cells {
+		if len(c.Counts) != len(work) {
+			return nil
+		}
+	}
+	return answer.Cells
+}
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -18,13 +18,14 @@
 // Home implements proxy.Directory.
 func (d *directory) Home(cell dedup.Cell) (proxy.Home, bool) {
 	if cell.DataCentre == d.node.settings.DataCentre {
-		return d.nearHome(cell)
+		if home, ok := d.nearHome(cell); ok {
+			return home, true
+		}
 	}
-	return d.farHome(cell)
+	return d.summarisedHome(cell)
 }
 
 // nearHome finds the home of a cell of this data centre by the claims stream.
-// An owner that this VM can't read about any more says so in its summary.
 func (d *directory) nearHome(cell dedup.Cell) (proxy.Home, bool) {
 	n := d.node
 	claims := n.claims.Load()
@@ -46,8 +47,10 @@
 	return proxy.Home{VM: v.Owner, Address: p.client.Address.HostPort, Term: v.Term}, true
 }
 
-// farHome finds the home of a cell of another data centre by the summaries.
-func (d *directory) farHome(cell dedup.Cell) (proxy.Home, bool) {
+// summarisedHome finds the home of a cell by the peers' summaries: a cell of
+// another data centre, or one of this data centre while the claims were never
+// read.
+func (d *directory) summarisedHome(cell dedup.Cell) (proxy.Home, bool) {
 	n := d.node
 	var home proxy.Home
 	for _, p := range n.peers {
--- a/entry/fresh.go
+++ b/entry/fresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,12 +36,7 @@
 // raiseFreshUntil moves the end of start authority up, never down: events can
 // be handled by several goroutines.
 func (n *Node) raiseFreshUntil(end time.Duration) {
-	for {
-		before := n.freshUntil.Load()
-		if int64(end) <= before || n.freshUntil.CompareAndSwap(before, int64(end)) {
-			return
-		}
-	}
+	raise(&n.freshUntil, int64(end))
 }
 
 // startsUntil returns the end of start authority on the local clock.
@@ -61,19 +57,35 @@
 // askFreshness asks all peers for the newest head that they know.
 func (n *Node) askFreshness(ctx context.Context) {
 	var asked sync.WaitGroup
+	var highest atomic.Int64
+	highest.Store(-1)
 	for _, p := range n.peers {
-		asked.Go(func() { n.askOneFreshness(ctx, p) })
+		asked.Go(func() { raise(&highest, n.askOneFreshness(ctx, p)) })
 	}
 	asked.Wait()
+	if head := highest.Load(); head >= 0 && n.feed.store.View().Offset() >= head {
+		n.caughtUp.Store(true)
+	}
+}
+
+// raise sets a value to a higher one.
+func raise(value *atomic.Int64, to int64) {
+	for {
+		before := value.Load()
+		if to <= before || value.CompareAndSwap(before, to) {
+			return
+		}
+	}
 }
 
-func (n *Node) askOneFreshness(ctx context.Context, p *peerState) {
+// askOneFreshness asks one peer and returns the head that it knows, -1 if none.
+func (n *Node) askOneFreshness(ctx context.Context, p *peerState) int64 {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Times.PeerTimeout)
 	defer cancel()
 	askedAt := n.clock()
 	answer, err := p.client.Freshness(ctx, &peerpb.FreshnessRequest{})
 	if err != nil || answer.AgeNanos < 0 {
-		return
+		return -1
 	}
 	n.stepFresh(ctx, freshness.PeerWord{
 		Peer:    p.client.Address.VM,
@@ -81,6 +93,7 @@
 		Head:    answer.Head,
 		Age:     time.Duration(answer.AgeNanos),
 	})
+	return answer.Head
 }
 
 // fetchResources takes the resource store over from a peer that has a newer
@@ -125,12 +138,13 @@
 }
 
 // Ready returns nil once this VM holds the newest configuration and is not
-// stopping. It implements operator.Readiness.
+// stopping. While the log can't be reached, that is the newest configuration
+// known to all peers that answered. It implements operator.Readiness.
 func (n *Node) Ready() error {
 	if n.stopping.Load() {
 		return result.Errorf(result.NotRunStopping, "this entry VM is stopping")
 	}
-	if n.startsUntil() == 0 {
+	if n.startsUntil() == 0 && !n.caughtUp.Load() {
 		return result.Errorf(result.NotReady, "the newest configuration has not been read yet")
 	}
 	return nil
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -94,9 +94,9 @@
 	n.gauge("cells_held", int64(held))
 	running, pending := 0, 0
 	for _, r := range n.runners() {
-		for _, w := range workSummaries(r.view()) {
-			running += int(w.Running)
-			pending += int(w.Pending)
+		for _, c := range r.view().counts {
+			running += int(c.Running)
+			pending += int(c.Pending)
 		}
 	}
 	n.gauge("tasks_running", int64(running))
--- a/entry/node.go
+++ b/entry/node.go
@@ -52,6 +52,8 @@
 	freshMu    sync.Mutex
 	fresh      *freshness.Machine
 	freshUntil atomic.Int64
+	// caughtUp is set once the store holds what all answering peers know.
+	caughtUp atomic.Bool
 
 	work   atomic.Pointer[declaredWork]
 	list   atomic.Pointer[workerList]
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -131,6 +131,11 @@
 	return s.node.summary(r.Known), nil
 }
 
+// CountTasks implements peerpb.Peer.
+func (s *peerServer) CountTasks(_ context.Context, r *peerpb.CountTasksRequest) (*peerpb.CountTasksResponse, error) {
+	return &peerpb.CountTasksResponse{Cells: s.node.ownCounts(r.Work)}, nil
+}
+
 // OfferMove implements peerpb.Peer.
 func (s *peerServer) OfferMove(_ context.Context, r *peerpb.MoveRequest) (*peerpb.MoveResponse, error) {
 	return &peerpb.MoveResponse{Delivered: s.node.takeMove(r, true)}, nil
--- a/entry/snapshots.go
+++ b/entry/snapshots.go
@@ -23,9 +23,10 @@
 func (n *Node) snapshotResources(context.Context) {
 	now := n.clock()
 	age := now - time.Duration(n.feed.snapshotSeen.Load())
-	interval := n.settings.Times.LogRetention / snapshotShare
+	interval := n.snapshotInterval()
 	grown := n.feed.sinceSnapshot.Load() >= int64(n.settings.Limits.SnapshotRecords)
-	old := age >= interval && n.feed.sinceSnapshot.Load() > 0
+	// An unchanged store is written again too: the last snapshot expires.
+	old := age >= interval && n.feed.store.View().Offset() > 0
 	if !n.writesSnapshots(age >= interval+interval/2) || (!grown && !old) {
 		return
 	}
@@ -36,6 +37,11 @@
 	n.appendResourceSnapshot()
 }
 
+// snapshotInterval is the longest time between two snapshots of a stream.
+func (n *Node) snapshotInterval() time.Duration {
+	return n.settings.Times.LogRetention / snapshotShare
+}
+
 // writesSnapshots reports whether it is this VM's turn: that of the owner of
 // cell 0 in the first declared data centre, or of any cell 0 once a snapshot
 // is overdue. Two snapshots at a time do no harm.
--- a/entry/status.go
+++ b/entry/status.go
@@ -14,37 +14,40 @@
 	conditionComplete = "Complete"
 )
 
-// statusSource collects the state of services and jobs from the summaries of
-// the cell owners. It implements operator.StatusSource.
+// statusSource collects the state of services and jobs from the owners of cells. It implements operator.StatusSource.
 type statusSource struct {
 	node *Node
 }
 
-// Status implements operator.StatusSource.
-func (s *statusSource) Status(_ context.Context, r api.Resource) (api.Status, error) {
-	var status api.Status
-	reason := ""
-	known := 0
-	for _, c := range s.node.allCells() {
-		known++
-		for _, w := range c.Work {
-			if w.Name == r.Name && w.Created == int64(r.Created) {
-				addWork(&status, w)
-				reason = firstNonEmpty(reason, w.Reason)
-			}
-		}
+// Statuses implements operator.StatusSource with one question to each owner.
+func (s *statusSource) Statuses(ctx context.Context, list []api.Resource) ([]api.Status, error) {
+	work := make([]*peerpb.WorkID, len(list))
+	for i, r := range list {
+		work[i] = &peerpb.WorkID{Name: r.Name, Created: int64(r.Created)}
 	}
-	status.UnknownCells = max(0, s.node.declaredCells()-known)
-	status.Conditions = conditions(r, status, reason)
-	return status, nil
+	cells := s.node.allCounts(ctx, work)
+	unknown := max(0, s.node.declaredCells()-len(cells))
+	statuses := make([]api.Status, len(list))
+	for i, r := range list {
+		statuses[i] = sumStatus(r, cells, i, unknown)
+	}
+	return statuses, nil
 }
 
-func addWork(status *api.Status, w *peerpb.WorkSummary) {
-	status.Pending += int(w.Pending)
-	status.Running += int(w.Running)
-	status.Completed += int(w.Completed)
-	status.Failed += int(w.Failed)
-	status.Evictions += int(w.Evictions)
+// sumStatus adds up the counts at one place of the answers.
+func sumStatus(r api.Resource, cells []*peerpb.CellCount, place, unknown int) api.Status {
+	status := api.Status{UnknownCells: unknown}
+	reason := ""
+	for _, c := range cells {
+		count := c.Counts[place]
+		status.Pending += int(count.Pending)
+		status.Running += int(count.Running)
+		status.Completed += int(count.Completed)
+		status.Failed += int(count.Failed)
+		reason = firstNonEmpty(reason, count.Reason)
+	}
+	status.Conditions = conditions(r, status, reason)
+	return status
 }
 
 func firstNonEmpty(a, b string) string {
@@ -54,34 +57,6 @@
 	return b
 }
 
-// allCells returns the newest summary of each cell that is known here. Of two
-// VMs that both summarise a cell the one with the higher term counts.
-func (n *Node) allCells() []*peerpb.CellSummary {
-	newest := make(map[string]*peerpb.CellSummary)
-	add := func(c *peerpb.CellSummary) {
-		key := fmt.Sprintf("%s/%d", c.DataCentre, c.Cell)
-		if other := newest[key]; other == nil || other.Term < c.Term {
-			newest[key] = c
-		}
-	}
-	for _, c := range n.makeSummary().Cells {
-		add(c)
-	}
-	now := n.clock()
-	for _, p := range n.peers {
-		if word, ok := p.word(now); ok {
-			for _, c := range word.Cells {
-				add(c)
-			}
-		}
-	}
-	list := make([]*peerpb.CellSummary, 0, len(newest))
-	for _, c := range newest {
-		list = append(list, c)
-	}
-	return list
-}
-
 // declaredCells returns the number of cells of all data centres.
 func (n *Node) declaredCells() int {
 	total := 0
--- a/entry/summary.go
+++ b/entry/summary.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -87,56 +86,21 @@
 		PendingAccelerators:  v.summary.Pending.Accelerators,
 		Phase:                int32(v.summary.Phase),
 		Accepting:            v.accepting,
-		Work:                 workSummaries(v),
 	}
-	for name, slots := range free {
-		s.Services = append(s.Services, &peerpb.ServiceSummary{Service: name, FreeSlots: int32(slots)})
-	}
-	slices.SortFunc(s.Services, func(a, b *peerpb.ServiceSummary) int { return strings.Compare(a.Service, b.Service) })
-	return s
-}
-
-// workSummaries counts the tasks of a cell by job and service.
-func workSummaries(v *cellView) []*peerpb.WorkSummary {
-	byJob := make(map[string]*peerpb.WorkSummary)
-	for _, t := range v.tasks {
-		name, err := tasks.ParseTaskID(t.Task)
-		if err != nil {
+	for _, r := range n.feed.store.View().List(api.KindService) {
+		slots, routed := free[r.Name]
+		count := v.counts[jobKey(serviceWork(r))]
+		if !routed && count.GetRunning() == 0 {
 			continue
 		}
-		key := jobOf(t.Task)
-		w := byJob[key]
-		if w == nil {
-			w = &peerpb.WorkSummary{Name: name.Name, Created: int64(name.Created)}
-			byJob[key] = w
-		}
-		countTask(w, t, v.reasons[t.Task])
-	}
-	list := make([]*peerpb.WorkSummary, 0, len(byJob))
-	for _, w := range byJob {
-		list = append(list, w)
-	}
-	slices.SortFunc(list, func(a, b *peerpb.WorkSummary) int {
-		return strings.Compare(a.Name, b.Name)*2 + int(a.Created-b.Created)
-	})
-	return list
-}
-
-func countTask(w *peerpb.WorkSummary, t tasks.View, reason string) {
-	switch t.Status {
-	case tasks.StatusPending:
-		w.Pending++
-		if reason != "" {
-			w.Reason = reason
-		}
-	case tasks.StatusPlaced, tasks.StatusEvicting:
-		w.Running++
-	case tasks.StatusCompleted:
-		w.Completed++
-	case tasks.StatusFailed:
-		w.Failed++
-		w.Reason = t.Message
+		s.Services = append(s.Services, &peerpb.ServiceSummary{
+			Service:   r.Name,
+			Replicas:  count.GetRunning(),
+			FreeSlots: int32(slots),
+			Created:   int64(r.Created),
+		})
 	}
+	return s
 }
 
 // pollPeers asks every peer for its summary.
@@ -161,8 +125,8 @@
 	now := n.clock()
 	var list []scheduler.CellSummary
 	for _, r := range n.runners() {
-		if r.cell.Index != cell {
-			list = append(list, r.view().summary)
+		if s := r.view().summary; r.cell.Index != cell && s.Cell.DataCentre != "" {
+			list = append(list, s)
 		}
 	}
 	for _, p := range n.peers {
@@ -189,8 +153,8 @@
 		Pending:  platform.Resources{MilliCPU: c.PendingMilliCpu, MemoryMiB: c.PendingMemoryMib, Accelerators: c.PendingAccelerators},
 		Replicas: make(map[string]int),
 	}
-	for _, w := range c.Work {
-		s.Replicas[jobKey(tasks.Work{Name: w.Name, Created: api.Version(w.Created)})] = int(w.Running)
+	for _, service := range c.Services {
+		s.Replicas[jobKey(tasks.Work{Name: service.Service, Created: api.Version(service.Created)})] = int(service.Replicas)
 	}
 	return s
 }
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,11 +48,11 @@
 	return outcomes[0], nil
 }
 
-func (d *daemon) Status(_ context.Context, r api.Resource) (api.Status, error) {
-	if r.Kind == api.KindService {
-		return api.Status{}, errors.New("no owner answers")
+func (d *daemon) Statuses(_ context.Context, list []api.Resource) ([]api.Status, error) {
+	if list[0].Kind == api.KindService {
+		return nil, errors.New("no owner answers")
 	}
-	return api.Status{Running: 3}, nil
+	return slices.Repeat([]api.Status{{Running: 3}}, len(list)), nil
 }
 
 func (d *daemon) NewRequestID(context.Context) (string, error) { return "giza.1.7.x", nil }
--- a/operator/read.go
+++ b/operator/read.go
@@ -29,7 +29,11 @@
 		return
 	}
 	view := h.config.Store.View()
-	succeed(w, view.Version(), List{Kind: kind, Version: view.Version(), Items: view.List(kind)})
+	items := view.List(kind)
+	if r.URL.Query().Get("status") == "true" && hasStatus(kind) {
+		h.addStatuses(r, items[:min(len(items), maxListedStatuses)])
+	}
+	succeed(w, view.Version(), List{Kind: kind, Version: view.Version(), Items: items})
 }
 
 func (h *Handler) get(w http.ResponseWriter, r *http.Request) {
@@ -42,26 +46,40 @@
 		fail(w, Failure{Code: result.NotFound, Message: fmt.Sprintf("%s/%s does not exist", kind, r.PathValue("name"))})
 		return
 	}
-	if kind == api.KindService || kind == api.KindJob {
-		resource.Status = h.status(r, resource)
+	if hasStatus(kind) {
+		one := []api.Resource{resource}
+		h.addStatuses(r, one)
+		resource = one[0]
 	}
 	succeed(w, resource.Version, resource)
 }
 
-// status returns the status of a service or job. A status that can't be
+// maxListedStatuses bounds the statuses of one list. The rest of a longer list
+// has none: each is asked of all owners of cells.
+const maxListedStatuses = 1000
+
+// hasStatus reports whether resources of a kind have tasks.
+func hasStatus(kind api.Kind) bool {
+	return kind == api.KindService || kind == api.KindJob
+}
+
+// addStatuses sets the status of services or jobs. A status that can't be
 // collected becomes a condition, so that the spec can be read without the
 // owners of cells.
-func (h *Handler) status(r *http.Request, resource api.Resource) *api.Status {
-	status, err := h.config.Status.Status(r.Context(), resource)
-	if err != nil {
-		return &api.Status{Conditions: []api.Condition{{
+func (h *Handler) addStatuses(r *http.Request, list []api.Resource) {
+	statuses, err := h.config.Status.Statuses(r.Context(), list)
+	for i := range list {
+		if err == nil {
+			list[i].Status = &statuses[i]
+			continue
+		}
+		list[i].Status = &api.Status{Conditions: []api.Condition{{
 			Type:    "StatusKnown",
 			Status:  api.ConditionFalse,
 			Reason:  "StatusUnavailable",
 			Message: messageOf(err),
 		}}}
 	}
-	return &status
 }
 
 func (h *Handler) issueID(w http.ResponseWriter, r *http.Request) {
--- a/operator/status_source.go
+++ b/operator/status_source.go
@@ -9,7 +9,7 @@
 // StatusSource collects the observed state of services and jobs from the
 // owners of cells.
 type StatusSource interface {
-	// Status returns the status of a service or job. Cells whose owner did
-	// not answer are counted in UnknownCells.
-	Status(ctx context.Context, r api.Resource) (api.Status, error)
+	// Statuses returns the status of each service or job, in order. Cells
+	// whose owner did not answer are counted in UnknownCells.
+	Statuses(ctx context.Context, list []api.Resource) ([]api.Status, error)
 }
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -54,6 +54,9 @@
 	FullUntil time.Duration `json:"fullUntil,omitempty"`
 	// WaitUntil is the end of StateWaiting on the local clock.
 	WaitUntil time.Duration `json:"waitUntil,omitempty"`
+	// Releasing is set while the cell is drained for its hand-over: nothing new
+	// may be sent to its workers.
+	Releasing bool `json:"releasing,omitempty"`
 	// Slots is how many slots of each worker this VM may use now.
 	Slots int `json:"slots"`
 	// PlaceUntil is the end of the authority to place tasks on the local
@@ -83,6 +86,7 @@
 		return v
 	}
 	v.OwnTerm = c.ownTerm
+	v.Releasing = c.releasing
 	v.FullUntil = m.fullUntil(now, c, v.Own)
 	if v.Own == StateWaiting {
 		v.WaitUntil = c.waitUntil
--- a/routing/inspect.go
+++ b/routing/inspect.go
@@ -2,17 +2,14 @@
 
 import "time"
 
-// Servers returns the backend servers of own cells that run a service.
+// Servers returns the backend servers of own cells, including those that are
+// leaving.
 func (r *Router) Servers() []*Server {
-	seen := make(map[*Server]bool)
-	var list []*Server
-	for _, svc := range r.table.Load().services {
-		for _, server := range svc.servers {
-			if !seen[server] {
-				seen[server] = true
-				list = append(list, server)
-			}
-		}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*Server, 0, len(r.accounts.servers))
+	for _, server := range r.accounts.servers {
+		list = append(list, server)
 	}
 	return list
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,6 +7,11 @@
 
 work=$(mktemp -d)
 pids=()
+
+# Another run on the same machine must not share the ports.
+base=$((20000 + RANDOM % 20000))
+callers=("$base" "$((base + 1))" "$((base + 2))")
+peers=("$((base + 3))" "$((base + 4))" "$((base + 5))")
 # cleanup ends what this script started, by process id.
 cleanup() {
   for pid in "${pids[@]}"; do
@@ -46,11 +51,11 @@
 level = info
 
 [peers.giza]
-giza-1 = 127.0.0.1:17071
-giza-2 = 127.0.0.1:17072
+giza-1 = 127.0.0.1:${peers[0]}
+giza-2 = 127.0.0.1:${peers[1]}
 
 [peers.maadi]
-maadi-1 = 127.0.0.1:17073
+maadi-1 = 127.0.0.1:${peers[2]}
 
 [times]
 balancer_delay = 300ms
@@ -79,7 +84,7 @@
 requests() {
   local ok=0 port code
   for i in $(seq 1 "$1"); do
-    port=$((18081 + i % 3))
+    port=${callers[$((i % 3))]}
     code=$(curl -s -m 8 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$port/s/register/child/$i?work=5ms&size=100") || true
     [ "$code" = 200 ] && ok=$((ok + 1))
   done
@@ -94,24 +99,27 @@
 }
 
 bin/standin --data-centres giza,maadi --workers 6 --racks 2 \
-  --entry giza/giza-1=127.0.0.1:17071 --entry giza/giza-2=127.0.0.1:17072 \
-  --entry maadi/maadi-1=127.0.0.1:17073 >"$work/standin.log" 2>&1 &
+  --entry giza/giza-1=127.0.0.1:${peers[0]} --entry giza/giza-2=127.0.0.1:${peers[1]} \
+  --entry maadi/maadi-1=127.0.0.1:${peers[2]} >"$work/standin.log" 2>&1 &
 pids+=($!)
 retry 10 grep -q '"admin"' "$work/standin.log" || fail "the stand-in did not start"
 
-settings giza-1 giza 18081 17071
-settings giza-2 giza 18082 17072
-settings maadi-1 maadi 18083 17073
+settings giza-1 giza "${callers[0]}" "${peers[0]}"
+settings giza-2 giza "${callers[1]}" "${peers[1]}"
+settings maadi-1 maadi "${callers[2]}" "${peers[2]}"
 entries=()
 for vm in giza-1 giza-2 maadi-1; do
   bin/cactusreel entry --settings "$work/$vm.ini" >"$work/$vm.log" 2>&1 &
   pids+=($!)
   entries+=($!)
 done
-export CACTUSREEL_SERVERS=http://127.0.0.1:18081,http://127.0.0.1:18082,http://127.0.0.1:18083
-for port in 18081 18082 18083; do
+export CACTUSREEL_SERVERS="http://127.0.0.1:${callers[0]},http://127.0.0.1:${callers[1]},http://127.0.0.1:${callers[2]}"
+for port in "${callers[@]}"; do
   retry 10 curl -sf "http://127.0.0.1:$port/readyz" || fail "the entry VM at port $port is not ready"
 done
+for pid in "${pids[@]}"; do
+  kill -0 "$pid" || fail "a process has ended; is a port in use?"
+done
 
 echo "--- apply examples/demo/resources.json"
 bin/cactusreel apply -f examples/demo/resources.json
@@ -120,9 +128,9 @@
 
 before=$(requests 30)
 echo "--- sign-in (POST, at most once) and its repeat with the same request id at another entry VM"
-id=$(curl -s -m 5 -X POST http://127.0.0.1:18081/v1/request-ids | sed 's/.*"id": *"\([^"]*\)".*/\1/')
-first=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' http://127.0.0.1:18081/s/register/sign-in)
-again=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' http://127.0.0.1:18083/s/register/sign-in)
+id=$(curl -s -m 5 -X POST "http://127.0.0.1:${callers[0]}/v1/request-ids" | sed 's/.*"id": *"\([^"]*\)".*/\1/')
+first=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' "http://127.0.0.1:${callers[0]}/s/register/sign-in")
+again=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' "http://127.0.0.1:${callers[2]}/s/register/sign-in")
 echo "first answer: $first, repeat: $again"
 
 echo "--- take maadi out"
