--- a/standin/backend.go
+++ b/standin/backend.go
@@ -99,7 +99,11 @@
 		panic(http.ErrAbortHandler)
 	default:
 	}
-	concurrent, err := b.run.guard.Begin(term)
+	guarded := term
+	if b.node.platform.options.IgnoreTerms {
+		guarded = 0
+	}
+	concurrent, err := b.run.guard.Begin(guarded)
 	execution := Execution{
 		RequestID:  r.Header.Get(HeaderRequestID),
 		Worker:     b.node.vm.ID,
--- a/standin/options.go
+++ b/standin/options.go
@@ -26,6 +26,9 @@
 	// MaxRequestTime bounds the work of a request at a backend server; 0
 	// stands for DefaultMaxRequestTime.
 	MaxRequestTime time.Duration
+	// IgnoreTerms makes backend servers run requests of any term, as a server
+	// that does not know the header does.
+	IgnoreTerms bool
 	// ListLag is how long the VM list lags.
 	ListLag time.Duration
 	// UsageInterval is the time between two usage measurements; 0 stands for
