--- a/entry/node.go
+++ b/entry/node.go
@@ -46,6 +46,9 @@
 	proxy  *proxy.Proxy
 	copies *tableCopies
 
+	latencies     *serverLatencies
+	eventCounters map[proxy.EventKind]gometrics.Counter
+
 	freshMu    sync.Mutex
 	fresh      *freshness.Machine
 	freshUntil atomic.Int64
@@ -103,6 +106,8 @@
 		MaxAnswers: dedup.DefaultLimits().MaxAnswers,
 	})
 	n.copies = newTableCopies()
+	n.latencies = newServerLatencies()
+	n.setEventCounters()
 	n.list.Store(&workerList{})
 	if err := n.setProxy(); err != nil {
 		return nil, err
@@ -174,7 +179,9 @@
 		AppendTimeout: n.settings.Times.LogTimeout,
 		Appended:      func(string, int64) { wake() },
 	}
-	if stream == record.ClaimsStream(n.settings.DataCentre) {
+	if stream == record.ClaimsStream(n.settings.DataCentre) || stream == record.ResourcesStream {
+		// The ownership machine orders records by offset, and two changes of
+		// one resource in one log record would share a version.
 		options.MaxBatchItems = 1
 	}
 	w := writer.New(n.log, options)
