--- a/api/types.go
+++ b/api/types.go
@@ -29,6 +29,13 @@
 	Created Version `json:"created,omitempty"`
 }
 
+// Home is a data centre that tasks can be at home in.
+type Home struct {
+	DataCentre string `json:"dataCentre"`
+	// Cells is the number of cells of the data centre.
+	Cells int `json:"cells"`
+}
+
 // Resource is one declared resource with exactly one spec, that of its kind.
 type Resource struct {
 	Meta
@@ -38,6 +45,10 @@
 	DataCentre *DataCentreSpec `json:"dataCentre,omitempty"`
 	Team       *TeamSpec       `json:"team,omitempty"`
 	Weights    *WeightsSpec    `json:"weights,omitempty"`
+	// Homes are the data centres in service when a service or job was created,
+	// or all of them if none was, in ascending order of name. The first cells of
+	// its tasks follow from them. Set by the system.
+	Homes []Home `json:"homes,omitempty"`
 	// Status is computed by the system and ignored in writes.
 	Status *Status `json:"status,omitempty"`
 }
--- /dev/null
+++ b/ownership/view.go
@@ -0,0 +1,163 @@
+package ownership
+
+import "time"
+
+// State is this VM's own state with regard to a cell.
+type State string
+
+// States of design 3.8.
+const (
+	// StateNone means that this VM does not own the cell.
+	StateNone State = "none"
+	// StateWaiting means that the lease is in force after a claim by expiry,
+	// but requests of the former owner may still use slots. Tasks may be placed.
+	StateWaiting State = "waiting"
+	// StateHeld means that the lease is in force.
+	StateHeld State = "held"
+	// StateVouched means that the lease has ended and every VM that could
+	// claim the cell has promised not to.
+	StateVouched State = "vouched"
+	// StateReduced means that the lease has ended without all promises, or
+	// has not begun.
+	StateReduced State = "reduced"
+	// StateLost means that a newer term is known and requests are draining.
+	StateLost State = "lost"
+	// StateRescue means that this VM may move the cell's tasks away, and
+	// nothing else.
+	StateRescue State = "rescue"
+)
+
+// Previous is the ownership that a newer term has replaced.
+type Previous struct {
+	VM          string `json:"vm,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Term        int64  `json:"term,omitempty"`
+}
+
+// View is what a machine knows of one cell.
+type View struct {
+	Cell int `json:"cell"`
+	// Owner is the VM that owns the cell by the records read, or "".
+	Owner string `json:"owner,omitempty"`
+	// Incarnation is the owner's.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Term is the offset of the record that made it the owner.
+	Term int64 `json:"term"`
+	Own  State `json:"own"`
+	// OwnTerm is the term of this VM's ownership in every state but
+	// StateNone. In StateLost it is below the newest term.
+	OwnTerm int64 `json:"ownTerm,omitempty"`
+	// Previous is the ownership before Term; zero if there was none.
+	Previous Previous `json:"previous"`
+	// FullUntil is the end of the lease, or of the promises in StateVouched, on
+	// the local clock. From then on at most ReducedSlots may be used.
+	FullUntil time.Duration `json:"fullUntil,omitempty"`
+	// WaitUntil is the end of StateWaiting on the local clock.
+	WaitUntil time.Duration `json:"waitUntil,omitempty"`
+	// Releasing is set while the cell is drained for its hand-over: nothing new
+	// may be sent to its workers.
+	Releasing bool `json:"releasing,omitempty"`
+	// Slots is how many slots of each worker this VM may use now.
+	Slots int `json:"slots"`
+	// PlaceUntil is the end of the authority to place tasks on the local
+	// clock, without regard to freshness. Authority holds while now is before it.
+	PlaceUntil time.Duration `json:"placeUntil"`
+	// Predecessors counts former owners that may still use slots, because they
+	// are not known gone.
+	Predecessors int `json:"predecessors"`
+	// Renewers counts former owners that may still renew task leases: the
+	// predecessors and those that released the cell and haven't acknowledged it.
+	Renewers int `json:"renewers"`
+}
+
+// View returns the view of a cell at local time now.
+func (m *Machine) View(now time.Duration, number int) View {
+	v := View{Cell: number, Own: StateNone}
+	c := m.cell(number)
+	if c == nil {
+		return v
+	}
+	v.Owner, v.Incarnation, v.Term = c.owner, c.incarnation, c.term
+	v.Previous = c.previous
+	v.Predecessors = c.slotPredecessors()
+	v.Renewers = len(c.predecessors)
+	v.Own = m.state(now, c)
+	if v.Own == StateNone {
+		return v
+	}
+	v.OwnTerm = c.ownTerm
+	v.Releasing = c.releasing
+	v.FullUntil = m.fullUntil(now, c, v.Own)
+	if v.Own == StateWaiting {
+		v.WaitUntil = c.waitUntil
+	}
+	v.Slots = m.slots(now, c, v.Own)
+	if m.active(c) && !c.rescue && !c.releasing {
+		v.PlaceUntil = c.leaseEnd
+	}
+	return v
+}
+
+// fullUntil returns the end of what permits the full number of slots.
+func (m *Machine) fullUntil(now time.Duration, c *cell, s State) time.Duration {
+	if s != StateVouched {
+		return c.leaseEnd
+	}
+	end := now + m.config.PromiseLife
+	for _, vm := range m.claimants() {
+		end = min(end, c.promises[vm]+m.config.PromiseLife)
+	}
+	return end
+}
+
+func (m *Machine) state(now time.Duration, c *cell) State {
+	switch {
+	case c.ownTerm == 0 || m.left:
+		return StateNone
+	case !m.active(c):
+		return StateLost
+	case c.rescue:
+		return StateRescue
+	case now < c.leaseEnd && now < c.waitUntil:
+		return StateWaiting
+	case now < c.leaseEnd:
+		return StateHeld
+	case c.leaseEnd != 0 && m.vouched(now, c):
+		return StateVouched
+	}
+	return StateReduced
+}
+
+// slots returns how many slots of each worker this VM may use in a state.
+func (m *Machine) slots(now time.Duration, c *cell, s State) int {
+	if c.releaseSent || now < c.waitUntil {
+		return 0
+	}
+	full := SlotsPerWorker
+	if !m.config.Unsafe.NoPredecessors {
+		full = max(0, SlotsPerWorker-ReducedSlots*c.slotPredecessors())
+	}
+	switch s {
+	case StateHeld, StateVouched:
+		return full
+	case StateReduced:
+		return min(ReducedSlots, full)
+	}
+	return 0
+}
+
+// reportViews puts a CellChanged for each view that has changed before the
+// other actions of the step: an acknowledgement must not be written before the
+// authority that it gives up has ended.
+func (m *Machine) reportViews() {
+	var changed []Action
+	for i := range m.cells {
+		v := m.View(m.now, i)
+		if v == m.reported[i] {
+			continue
+		}
+		m.reported[i] = v
+		changed = append(changed, CellChanged{View: v})
+	}
+	m.out = append(changed, m.out...)
+}
--- /dev/null
+++ b/routing/inspect.go
@@ -0,0 +1,31 @@
+package routing
+
+import "time"
+
+// Servers returns the backend servers of own cells, including those that are
+// leaving.
+func (r *Router) Servers() []*Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*Server, 0, len(r.accounts.servers))
+	for _, server := range r.accounts.servers {
+		list = append(list, server)
+	}
+	return list
+}
+
+// InUse returns how many slots of a cell's workers are taken, including those
+// of abandoned requests whose release time has not passed.
+func (r *Router) InUse(cell int, now time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for _, w := range r.accounts.workers {
+		if c := w.cell.Load(); c == nil || c.number != cell {
+			continue
+		}
+		w.sweep(now)
+		total += w.Taken()
+	}
+	return total
+}
--- /dev/null
+++ b/scheduler/knowledge.go
@@ -0,0 +1,128 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/scheduler/interference"
+	"github.com/cactusreel/cactusreel/scheduler/quarantine"
+	"github.com/cactusreel/cactusreel/scheduler/retry"
+)
+
+// matureAge is the age from which the use of an attempt counts as that of its
+// job. Younger attempts have not reached their full memory.
+const matureAge = 30 * time.Second
+
+// Knowledge is what was learned from usage reports and outcomes. It is lost
+// when its process ends and is learned again.
+type Knowledge struct {
+	pairs  *interference.Model
+	ledger *quarantine.Ledger
+	// jobs holds what belongs to one version of a job.
+	jobs map[string]*jobKnowledge
+	// names holds the sizes and run times by the job's name, because jobs recur
+	// under new versions.
+	names map[string]*nameKnowledge
+	boots map[string]string
+}
+
+// jobKnowledge is what was learned of one version of a job.
+type jobKnowledge struct {
+	retries *retry.Budget
+}
+
+// NewKnowledge returns empty knowledge.
+func NewKnowledge() *Knowledge {
+	return &Knowledge{
+		pairs: interference.New(), ledger: quarantine.New(),
+		jobs: map[string]*jobKnowledge{}, names: map[string]*nameKnowledge{}, boots: map[string]string{},
+	}
+}
+
+func (k *Knowledge) job(id string) *jobKnowledge {
+	j := k.jobs[id]
+	if j == nil {
+		j = &jobKnowledge{retries: retry.New()}
+		k.jobs[id] = j
+	}
+	return j
+}
+
+// observeUsage takes one report of an attempt.
+func (k *Knowledge) observeUsage(now time.Duration, a *Attempt, u *platform.Usage) {
+	k.pairs.Observe(now, a.Kind, u.Colocated, u.Load, u.Slowdown)
+	size := &k.name(now, a.Job).size
+	size.Grow(u.Used)
+	if a.share() == 1 && now-a.StartedAt >= matureAge {
+		size.Observe(u.Used)
+	}
+}
+
+// observeOutcome takes the end of an attempt.
+func (k *Knowledge) observeOutcome(now time.Duration, config Config, random *rand.Rand, o Outcome) {
+	if boot, known := k.boots[o.Worker]; known && boot != o.Boot {
+		k.ledger.Restarted(o.Worker)
+	}
+	k.boots[o.Worker] = o.Boot
+	switch o.State {
+	case platform.AttemptCompleted:
+		k.ledger.Completed(o.Worker, o.Job)
+		k.job(o.Job).retries.Completed(o.ID.Task)
+		if o.Work > 0 {
+			k.name(now, o.Job).runTime.Observe(o.Work)
+		}
+	case platform.AttemptFailed:
+		k.failed(now, config, random, o)
+	}
+}
+
+// failed takes a failed attempt. One that ran out of memory speaks neither
+// against the worker nor against the job, because the next attempt gets more.
+func (k *Knowledge) failed(now time.Duration, config Config, random *rand.Rand, o Outcome) {
+	outgrew := config.Rules.Has(RuleLearnedSizes) && k.name(now, o.Job).size.Outgrew(o.Requests, o.Used)
+	if !outgrew {
+		k.ledger.Failed(now, o.Worker, o.Job, o.Message)
+	}
+	if config.Rules.Has(RuleRetryBudget) {
+		k.job(o.Job).retries.Failed(now, random, o.ID.Task, o.Message)
+	}
+}
+
+// forgetJob drops a job.
+func (k *Knowledge) forgetJob(job string) {
+	delete(k.jobs, job)
+	k.ledger.ForgetJob(job)
+}
+
+// hasFailed reports whether an attempt of the task has failed. Such a task evicts
+// no others: impossible urgent jobs would cost much work in vain.
+func (k *Knowledge) hasFailed(t *Task) bool {
+	j := k.jobs[t.Job]
+	return j != nil && j.retries.Failures(t.ID) > 0
+}
+
+// retryState returns whether a task may be tried now, and if not, why.
+func (k *Knowledge) retryState(config Config, now time.Duration, t *Task) (Verdict, time.Duration, string) {
+	if config.Rules.Has(RuleParking) {
+		if reason := k.ledger.Parked(t.Job); reason != "" {
+			return Parked, 0, reason
+		}
+	}
+	j := k.jobs[t.Job]
+	if j == nil {
+		return Waiting, 0, ""
+	}
+	retries := t.MaxRetries
+	if retries == 0 {
+		retries = config.MaxRetries
+	}
+	until, exhausted, reason := j.retries.State(now, t.ID, retries)
+	if exhausted {
+		return Exhausted, 0, reason
+	}
+	if until > 0 {
+		return Backoff, until, reason
+	}
+	return Waiting, 0, ""
+}
--- /dev/null
+++ b/standin/history.go
@@ -0,0 +1,120 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// attemptKey names a run: after a restart a worker can run an attempt again.
+type attemptKey struct {
+	worker string
+	boot   string
+	id     platform.AttemptID
+}
+
+// History records what the workers and the backend servers did. It is safe for
+// concurrent use.
+type History struct {
+	mu          sync.Mutex
+	attempts    []AttemptRun
+	running     map[attemptKey]int
+	executions  []Execution
+	connections []Connection
+	changes     []WorkerEvent
+	faults      []FaultEvent
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History {
+	return &History{running: make(map[attemptKey]int)}
+}
+
+// AddAttempt records the start or the end of an attempt at a time since the
+// stand-in started.
+func (h *History) AddAttempt(worker, dataCentre, boot string, at time.Duration, e AttemptEvent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := attemptKey{worker: worker, boot: boot, id: e.ID}
+	if e.State != platform.AttemptRunning {
+		run := &h.attempts[h.running[key]]
+		run.End = at
+		run.State = e.State
+		run.DoneAtEnd = e.Done
+		run.Checkpoint = e.Checkpoint
+		delete(h.running, key)
+		return
+	}
+	h.running[key] = len(h.attempts)
+	h.attempts = append(h.attempts, AttemptRun{
+		Worker:      worker,
+		DataCentre:  dataCentre,
+		Boot:        boot,
+		ID:          e.ID,
+		Kind:        e.Kind,
+		Requests:    e.Requests,
+		Term:        e.Term,
+		Start:       at,
+		State:       e.State,
+		Resumed:     e.Resumed,
+		DoneAtStart: e.Done,
+	})
+}
+
+// BeginExecution records an execution and returns its number for EndExecution.
+func (h *History) BeginExecution(e Execution) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.executions = append(h.executions, e)
+	return len(h.executions) - 1
+}
+
+// EndExecution records the end of an execution.
+func (h *History) EndExecution(number int, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.executions[number].End = at
+}
+
+// BeginConnection records a connection and returns its number for EndConnection.
+func (h *History) BeginConnection(worker string, at time.Duration) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.connections = append(h.connections, Connection{Worker: worker, Opened: at})
+	return len(h.connections) - 1
+}
+
+// EndConnection records the end of a connection.
+func (h *History) EndConnection(number int, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.connections[number].Closed = at
+}
+
+// AddWorkerEvent records a change of a worker.
+func (h *History) AddWorkerEvent(e WorkerEvent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes = append(h.changes, e)
+}
+
+// AddFault records a fault.
+func (h *History) AddFault(e FaultEvent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.faults = append(h.faults, e)
+}
+
+// View returns a copy without Now and Workers.
+func (h *History) View() HistoryView {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return HistoryView{
+		Attempts:    append([]AttemptRun{}, h.attempts...),
+		Executions:  append([]Execution{}, h.executions...),
+		Connections: append([]Connection{}, h.connections...),
+		Changes:     append([]WorkerEvent{}, h.changes...),
+		Faults:      append([]FaultEvent{}, h.faults...),
+	}
+}
