--- a/dedup/table_test.go
+++ b/dedup/table_test.go
@@ -157,6 +157,10 @@
 	home.Imported("b", parts[0].Serial)
 	_, synced := home.OfferRenewal()
 	is.Equal(len(synced), 0)
+	home.Export(0, "b", 1<<20)
+	home.Imported("b", parts[0].Serial) // late word on the copy that lacks the id
+	_, synced = home.OfferRenewal()
+	is.Equal(len(synced), 0)
 }
 
 // Guards against a second run after the home died: at a successor with the
--- a/routing/accounts.go
+++ b/routing/accounts.go
@@ -112,11 +112,7 @@
 // prune drops accounts that nothing uses any more.
 func (a *accounts) prune(s *Snapshot) {
 	a.pruneWorkers(s)
-	for key := range a.servers {
-		if a.workers[key.worker] == nil {
-			delete(a.servers, key)
-		}
-	}
+	a.pruneServers(s)
 	for key, p := range a.peers {
 		if !p.used {
 			delete(a.peers, key)
@@ -132,17 +128,28 @@
 		listed[s.Workers[i].ID] = true
 	}
 	for id, w := range a.workers {
-		switch {
-		case listed[id]:
-			w.absent = false
-		case !w.absent:
-			w.absent = true
-			w.absentSince = s.Now
-		case s.Now-w.absentSince >= accountRetention:
-			w.sweep(s.Now)
-			if w.Taken() == 0 && w.Connections() == 0 {
-				delete(a.workers, id)
-			}
+		if !w.absence.over(s.Now, listed[id]) {
+			continue
+		}
+		w.sweep(s.Now)
+		if w.Taken() == 0 && w.Connections() == 0 {
+			delete(a.workers, id)
+		}
+	}
+}
+
+// pruneServers drops earlier boots of workers. They are kept for a while
+// because a lagging VM list may name one again, and it must then still be
+// leaving.
+func (a *accounts) pruneServers(s *Snapshot) {
+	listed := make(map[serverKey]bool, len(s.Workers))
+	for i := range s.Workers {
+		e := &s.Workers[i]
+		listed[serverKey{e.ID, e.Boot, e.Address}] = true
+	}
+	for key, server := range a.servers {
+		if server.absence.over(s.Now, listed[key]) || a.workers[key.worker] == nil {
+			delete(a.servers, key)
 		}
 	}
 }
--- a/routing/inspect.go
+++ b/routing/inspect.go
@@ -2,14 +2,16 @@
 
 import "time"
 
-// Servers returns the backend servers of own cells, including those that are
-// leaving.
+// Servers returns the backend servers that the last Update listed, including
+// those that are leaving.
 func (r *Router) Servers() []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]*Server, 0, len(r.accounts.servers))
 	for _, server := range r.accounts.servers {
-		list = append(list, server)
+		if !server.absence.absent {
+			list = append(list, server)
+		}
 	}
 	return list
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -175,6 +175,32 @@
 	is.Equal(len(fill(r, 0, highRequest())), 8)
 }
 
+// Guards against accounts that pile up with every restart, and against losing
+// the account of a worker that still runs requests.
+func TestAccountsAreDropped(t *testing.T) {
+	is := is.New(t)
+	s := fleet(1)
+	r := heldRouter(s)
+	slots := fill(r, 0, highRequest())
+	s.Workers[0].Boot = "b2"
+	r.Update(s)
+	is.Equal(len(r.Servers()), 1)
+	for _, now := range []time.Duration{0, accountRetention, 2 * accountRetention} {
+		r.Update(Snapshot{Now: now, Services: s.Services})
+	}
+	is.Equal(len(r.accounts.servers), 0)
+	is.Equal(len(r.accounts.workers), 1) // with 8 slots in use
+	r.Update(s)
+	is.Equal(len(fill(r, 0, highRequest())), 0)
+	for _, slot := range slots {
+		slot.Release()
+	}
+	for _, now := range []time.Duration{0, accountRetention} {
+		r.Update(Snapshot{Now: now})
+	}
+	is.Equal(len(r.accounts.workers)+len(r.accounts.servers)+len(r.accounts.services), 0)
+}
+
 // Guards against a slow server taking an equal share, and against it being
 // avoided for ever.
 func TestSlowServerIsAvoidedAndTriedAgain(t *testing.T) {
--- a/routing/server.go
+++ b/routing/server.go
@@ -13,6 +13,7 @@
 	address string
 	leaving atomic.Bool
 	latency latency
+	absence absence
 }
 
 // Worker returns the account of the server's worker.
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -20,10 +20,7 @@
 	connections atomic.Int32
 	places      []place
 	cell        atomic.Pointer[Cell]
-	// absentSince is when the worker was last dropped from the table; only
-	// Update uses it, under the router's lock.
-	absentSince time.Duration
-	absent      bool
+	absence     absence
 }
 
 func newWorker(id string, slots int) *Worker {
