Test silence during an upload and the limit on concurrency

Cause: no test had a server that stops reading, and none reached the limit on requests in progress.

Change: TestSilentMidUpload, and one more case in TestLimitsAndLoops.

--- a/proxy/failure_test.go
+++ b/proxy/failure_test.go
@@ -93,6 +93,34 @@
 	})
 }
 
+// Guards against a request that hangs because the server stops reading its
+// body, and against blaming the server for a caller that sends slowly.
+func TestSilentMidUpload(t *testing.T) {
+	inWorld(t, oneWorker, api.ServiceSpec{}, func(is *is.I, w *world) {
+		w.net.handle("w0", func(c net.Conn) {
+			defer c.Close()
+			_, _ = c.Read(make([]byte, 4096))
+			never(c)
+		})
+		is.Equal(w.call("a", "POST", w.idFor(0), strings.Repeat("z", 1<<20)).code, result.OutcomeUnknown)
+		is.Equal(w.now(), time.Second)
+		w.net.handle("w0", never) // does not even read the head
+		is.Equal(w.call("a", "GET", "", "").code, result.BackendTimeout)
+		is.Equal(w.now(), 2*time.Second)
+		w.backend("w0", ok)
+		body, feed := io.Pipe()
+		go func() {
+			for range 3 {
+				time.Sleep(1500 * time.Millisecond)
+				_, _ = io.WriteString(feed, "z")
+			}
+			_ = feed.Close()
+		}()
+		r, _ := http.NewRequest("POST", "http://a/s/register/x", body)
+		is.Equal(w.do("a", r).body, "done /x zzz")
+	})
+}
+
 // Guards against a kept connection that goes silent while new ones work: it
 // must cost one progress timeout, and the server must not lose its standing.
 func TestSilentKeptConnection(t *testing.T) {
--- a/proxy/recovery_test.go
+++ b/proxy/recovery_test.go
@@ -244,6 +244,11 @@
 		is.Equal(hop("run", "0", "0", "b"), result.NotRunBadRequest)
 		is.Equal(hop("other", "1", "0", "b"), result.NotRunBadRequest)
 		is.Equal(w.callWith("a", "GET", "", http.Header{HeaderRole: {"home"}, HeaderHops: {"9"}}).code, result.OK)
+		w.vms["a"].proxy.cfg.Limits.MaxConcurrent = 1
+		b.handler = slow(time.Second)
+		go w.call("a", "GET", "", "")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(w.call("a", "GET", "", "").code, result.NotRunOverloaded)
 	})
 }
 
