Hold the slot of a request without response head for the full request time

Cause: the release time of an abandoned slot was counted from the moment that net/http reported the request as written. It does so before it flushes its buffer, so a server could receive the request later and run it beyond the release time: more than 8 requests at a worker.

Change: without a response head the time counts from when the request was given up.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -339,11 +339,13 @@
 }
 
 // releaseTime is when the server has certainly finished an abandoned request:
-// the maximum request time after it had received it.
+// the maximum request time after it had received it. Without a response head
+// it can have received the request as late as now, because net/http reports
+// requests as written when they are still in its buffer.
 func (ex *exchange) releaseTime() time.Duration {
-	from := time.Duration(ex.wrote.Load())
-	if from == 0 {
-		from = ex.call.p.cfg.Now()
+	from := ex.call.p.cfg.Now()
+	if wrote := time.Duration(ex.wrote.Load()); wrote > 0 && ex.outcome == headReceived {
+		from = wrote
 	}
 	return from + ex.call.p.cfg.Limits.MaxRequest
 }
--- a/proxy/failure_test.go
+++ b/proxy/failure_test.go
@@ -83,8 +83,12 @@
 			never(c)
 		})
 		id := w.idFor(1)
+		time.Sleep(time.Second)
 		is.Equal(w.call("b", "POST", id, "x").code, result.OutcomeUnknown)
-		is.True(w.now() < 2*time.Second) // virtual: the progress timeout is 1 s
+		is.Equal(w.now(), 2*time.Second) // virtual: the progress timeout
+		inUse := func(at time.Duration) int { return w.vms["a"].router.InUse(0, at) }
+		is.Equal(inUse(7*time.Second-1), 1) // the server may have received it as late as now
+		is.Equal(inUse(7*time.Second), 0)
 		is.Equal(n.Load(), int32(1))
 		is.Equal(w.call("c", "POST", id, "x").code, result.OutcomeUnknown)
 		is.Equal(n.Load(), int32(1))
@@ -104,8 +108,9 @@
 		})
 		is.Equal(w.call("a", "POST", w.idFor(0), strings.Repeat("z", 1<<20)).code, result.OutcomeUnknown)
 		is.Equal(w.now(), time.Second)
-		w.net.handle("w0", never) // does not even read the head
-		is.Equal(w.call("a", "GET", "", "").code, result.BackendTimeout)
+		w.net.handle("w0", never)                                // does not even read the head
+		header := http.Header{"X": {strings.Repeat("z", 8<<10)}} // more than net/http buffers
+		is.Equal(w.callWith("a", "GET", "", header).code, result.BackendTimeout)
 		is.Equal(w.now(), 2*time.Second)
 		w.backend("w0", ok)
 		body, feed := io.Pipe()
