Log what the catalogue lists, and list only what is logged

Cause: 56 of 77 events of the catalogue were never written, so an operator would have waited for them in vain.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/ownership"
 	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/platform/httpapi"
@@ -44,7 +41,6 @@
 	defer cancel()
 	vms, err := n.vmList.List(ctx, n.settings.DataCentre)
 	if err != nil {
-		n.noteListFailure(sentAt, err)
 		return
 	}
 	list := newWorkerList(vms, sentAt)
@@ -54,17 +50,9 @@
 	}
 }
 
-// staleAfter is how old the VM list gets before a warning is logged.
+// staleAfter is how old the VM list gets before it counts as stale.
 const staleAfter = 10 * time.Second
 
-func (n *Node) noteListFailure(now time.Duration, err error) {
-	age := now - n.list.Load().readAt
-	if age < staleAfter {
-		return
-	}
-	n.events.Log(logevent.VMListStale, zap.Duration("age", age), zap.Error(err))
-}
-
 // workerTimeout bounds a call to a worker agent.
 func (n *Node) workerTimeout() time.Duration {
 	return n.settings.Times.WorkerTimeout
--- a/entry/cellactions.go
+++ b/entry/cellactions.go
@@ -86,6 +86,7 @@
 	r.workers[a.observed.state.Worker] = &a.observed
 	r.step(tasks.Observed{SentAt: a.sentAt, State: a.observed.state})
 	r.noteUsage(&a.observed)
+	r.checkCapacity(a.observed.state)
 }
 
 func (r *cellRunner) start(ctx context.Context, agent platform.WorkerAgent, a tasks.Start) {
--- a/entry/cellplan.go
+++ b/entry/cellplan.go
@@ -44,6 +44,7 @@
 // cell suits it better.
 func (r *cellRunner) noteWait(w scheduler.Wait, d *declaredWork) {
 	r.reasons[w.Task] = w.Reason
+	r.logParked(w)
 	if w.MoveTo != nil && (d.placing() || d.known) {
 		r.step(tasks.MoveRequested{Task: w.Task, To: recordCell(*w.MoveTo)})
 	}
--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/ownership"
@@ -115,7 +117,10 @@
 	starts    map[platform.AttemptID]startMark
 	pending   map[string]time.Duration
 	reasons   map[string]string
+	// parked holds the jobs that were logged as parked.
+	parked    map[string]bool
 	plannedAt time.Duration
+	offline   bool
 	// snapshotAt is when the last whole snapshot of the stream was read, or a
 	// snapshot was last written.
 	snapshotAt time.Duration
@@ -156,6 +161,7 @@
 		starts:     make(map[platform.AttemptID]startMark),
 		pending:    make(map[string]time.Duration),
 		reasons:    make(map[string]string),
+		parked:     make(map[string]bool),
 		throttled:  make(map[platform.AttemptID]float64),
 		checkpoint: make(map[platform.AttemptID]time.Duration),
 	}
@@ -225,6 +231,7 @@
 	r.refreshDeclared()
 	r.step(tasks.Tick{})
 	now := r.clock()
+	r.noteOffline(now)
 	r.renewSnapshot(now)
 	if now-r.plannedAt >= planEvery {
 		r.plannedAt = now
@@ -295,6 +302,16 @@
 	})
 }
 
+// noteOffline logs once when task leases are no longer renewed because the
+// log was away for too long.
+func (r *cellRunner) noteOffline(now time.Duration) {
+	offline := r.readClaims > 0 && now >= r.readClaims+r.config.OfflineLimit
+	if offline && !r.offline {
+		r.log.Log(logevent.OfflineLimitReached, zap.Int("cell", r.cell.Index))
+	}
+	r.offline = offline
+}
+
 // placeUntil returns the end of the authority to start tasks: the earlier of
 // the lease and of freshness.
 func (r *cellRunner) placeUntil() time.Duration {
--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -250,6 +250,7 @@
 func (r *cellRunner) noteOutcomes(batch []*recordpb.Record) {
 	now := r.clock()
 	for _, one := range batch {
+		r.logRecord(one)
 		ended := one.Ended
 		if ended == nil || r.host.declared() == nil {
 			continue
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/cactusreel/cactusreel/metrics"
 	"github.com/cactusreel/cactusreel/ownership"
 	"github.com/cactusreel/cactusreel/proxy"
+	"github.com/cactusreel/cactusreel/result"
 )
 
 // requestSample is how many request times a histogram keeps.
@@ -48,6 +49,7 @@
 }
 
 func (n *Node) requestFinished(e proxy.Event) {
+	n.logResult(e)
 	code := strconv.Itoa(e.Code)
 	gometrics.GetOrRegisterCounter(metrics.Name("requests_total", "service", e.Service, "result", code), n.registry).Inc(1)
 	name := metrics.Name("request_seconds", "service", e.Service)
@@ -60,6 +62,18 @@
 	}
 }
 
+// logResult logs the results of requests that the system itself answered.
+func (n *Node) logResult(e proxy.Event) {
+	code := result.Code(e.Code)
+	switch code {
+	case result.OK:
+	case result.OutcomeUnknown:
+		n.events.Log(logevent.OutcomeUnknown, zap.String("service", e.Service), zap.Duration("took", e.Took))
+	default:
+		n.events.Log(logevent.RequestRejected, zap.String("service", e.Service), zap.Int("code", e.Code))
+	}
+}
+
 // gauges sets the values that are read rather than counted.
 func (n *Node) gauges(context.Context) {
 	now := n.clock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,8 +95,8 @@
 		agents:      make(map[string]agentEntry),
 		stopped:     make(chan struct{}),
 	}
-	n.direct = httpapi.NewLogClient(hostPort(s.LogURL), n.httpClient)
-	n.vmList = httpapi.NewVMListClient(hostPort(s.VMListURL), n.httpClient)
+	n.direct = httpapi.NewLogClient(s.LogURL, n.httpClient)
+	n.vmList = httpapi.NewVMListClient(s.VMListURL, n.httpClient)
 	n.setPeers()
 	n.log = peer.NewRelayLog(n.direct, n.relays, n.clock)
 	n.fresh = freshness.New(freshness.Config{Bound: s.Times.Freshness, Drift: s.Times.ClockDrift, AskEvery: s.Times.LogPoll})
@@ -209,12 +208,3 @@
 		}
 	})
 }
-
-// hostPort returns the host and port of a base URL.
-func hostPort(base string) string {
-	u, err := url.Parse(base)
-	if err != nil || u.Host == "" {
-		return base
-	}
-	return u.Host
-}
--- /dev/null
+++ b/entry/observe.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/ownership"
+)
+
+// observe returns the present state as far as its changes are logged.
+func (n *Node) observe() observedState {
+	now := n.clock()
+	list := n.list.Load()
+	s := observedState{
+		ready:     n.Ready() == nil,
+		logDirect: n.log.Direct(),
+		listFresh: list.readAt != 0 && now-list.readAt < staleAfter,
+		starts:    now < n.startsUntil(),
+		peers:     make(map[string]bool),
+		cells:     make(map[int]ownership.View),
+		workers:   make(map[string]workerReach),
+		vms:       list.workers,
+		inService: make(map[string]bool),
+	}
+	for _, p := range n.peers {
+		_, s.peers[p.client.Address.VM] = p.word(now)
+	}
+	if claims := n.claims.Load(); claims != nil {
+		for _, v := range claims.Views() {
+			s.cells[v.Cell] = v
+		}
+	}
+	for _, r := range n.runners() {
+		for _, w := range r.view().workers {
+			s.workers[w.ID] = workerReach{ready: w.Ready, boot: w.Boot}
+		}
+	}
+	for _, r := range n.feed.store.View().List(api.KindDataCentre) {
+		s.inService[r.Name] = r.DataCentre.InService
+	}
+	return s
+}
--- /dev/null
+++ b/entry/recordlog.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+	"github.com/cactusreel/cactusreel/scheduler"
+)
+
+// logRecord logs a record of the cell's stream as it is read back.
+func (r *cellRunner) logRecord(one *recordpb.Record) {
+	switch {
+	case one.Placed != nil:
+		p := one.Placed
+		r.log.Log(logevent.TaskPlaced, zap.String("task", p.Task), zap.Int64("attempt", p.Attempt), zap.String("worker", p.Worker))
+	case one.Ended != nil:
+		e := one.Ended
+		r.log.Log(logevent.TaskEnded, zap.String("task", e.Task), zap.Int64("attempt", e.Attempt), zap.String("state", e.Outcome.String()), zap.String("message", e.Message))
+	case one.Moved != nil:
+		m := one.Moved
+		r.log.Log(logevent.TaskMoved, zap.String("task", m.Task), zap.Int64("attempt", m.Attempt), zap.String("to", m.To.String()), zap.Int64("moveNumber", m.Move))
+	case one.Adopted != nil:
+		a := one.Adopted
+		r.log.Log(logevent.TaskAdopted, zap.String("task", a.Task), zap.Int64("attempt", a.Attempt), zap.String("from", a.From.String()), zap.Int64("moveNumber", a.Move))
+	}
+}
+
+// logParked logs a job once when the policy stops placing its tasks.
+func (r *cellRunner) logParked(w scheduler.Wait) {
+	job := jobOf(w.Task)
+	if w.Verdict != scheduler.Parked || r.parked[job] {
+		return
+	}
+	r.parked[job] = true
+	r.log.Log(logevent.JobParked, zap.String("job", job), zap.String("message", w.Reason))
+}
+
+// checkCapacity logs a worker that reports more work than it holds.
+func (r *cellRunner) checkCapacity(s platform.WorkerState) {
+	var used platform.Resources
+	for i := range s.Attempts {
+		if s.Attempts[i].State == platform.AttemptRunning {
+			used = used.Add(s.Attempts[i].Requests)
+		}
+	}
+	if !used.Fits(s.Capacity) {
+		r.log.Log(logevent.CapacityExceeded, zap.String("worker", s.Worker), zap.Any("reported", used), zap.Any("capacity", s.Capacity))
+	}
+}
--- a/entry/submitter.go
+++ b/entry/submitter.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/resources"
 	"github.com/cactusreel/cactusreel/result"
@@ -21,6 +24,27 @@
 // Submit returns the outcome once the operation's record has been read back.
 // An operation whose id has an outcome already gets that one.
 func (s *submitter) Submit(ctx context.Context, op resources.Operation) (resources.Outcome, error) {
+	outcome, err := s.submit(ctx, op)
+	s.logOutcome(op, outcome, err)
+	return outcome, err
+}
+
+// logOutcome logs what became of an operation.
+func (s *submitter) logOutcome(op resources.Operation, outcome resources.Outcome, err error) {
+	fields := []zap.Field{zap.String("operation", op.ID), zap.String("verb", string(op.Verb)), zap.String("kind", string(op.Kind)), zap.String("resource", op.Name)}
+	switch {
+	case result.CodeOf(err, result.WriteOutcomeUnknown) == result.WriteOutcomeUnknown:
+		s.feed.events.Log(logevent.OperationUnknown, fields...)
+	case err != nil:
+		s.feed.events.Log(logevent.OperationRefused, append(fields, zap.Error(err))...)
+	case outcome.Code != result.OK:
+		s.feed.events.Log(logevent.OperationRefused, append(fields, zap.Int("code", int(outcome.Code)), zap.String("reason", outcome.Message))...)
+	default:
+		s.feed.events.Log(logevent.OperationAccepted, append(fields, zap.Int64("version", int64(outcome.Version)))...)
+	}
+}
+
+func (s *submitter) submit(ctx context.Context, op resources.Operation) (resources.Outcome, error) {
 	if outcome, ok := s.feed.duplicate(op); ok {
 		return outcome, nil
 	}
--- a/logevent/resources.go
+++ b/logevent/resources.go
@@ -11,7 +11,6 @@
 	SnapshotIgnored       Number = 505
 	SnapshotAdopted       Number = 506
 	RecordUndecodable     Number = 507
-	WatchListAgain        Number = 508
 	DataCentreTakenOut    Number = 509
 	DataCentreBroughtBack Number = 510
 	RecordsMissing        Number = 511
@@ -25,7 +24,6 @@
 	{SnapshotIgnored, "SnapshotIgnored", zapcore.WarnLevel, "snapshot is incomplete or damaged and was ignored", []string{"stream", "offset", "reason"}, "None; an older snapshot is used."},
 	{SnapshotAdopted, "SnapshotAdopted", zapcore.InfoLevel, "snapshot adopted", []string{"stream", "offset", "source"}, "None."},
 	{RecordUndecodable, "RecordUndecodable", zapcore.ErrorLevel, "record cannot be decoded and was skipped", []string{"stream", "offset", "error"}, "Check that all entry VMs run the same version."},
-	{WatchListAgain, "WatchListAgain", zapcore.InfoLevel, "watch ended because its version is no longer kept", []string{"kind", "version", "oldest"}, "None: the client lists again."},
 	{DataCentreTakenOut, "DataCentreTakenOut", zapcore.WarnLevel, "data centre is out of service", []string{"dataCentre", "version"}, "None."},
 	{DataCentreBroughtBack, "DataCentreBroughtBack", zapcore.InfoLevel, "data centre is in service", []string{"dataCentre", "version"}, "None."},
 	{RecordsMissing, "RecordsMissing", zapcore.ErrorLevel, "log no longer holds records that were not read", []string{"stream", "have", "first"}, "None if a snapshot is adopted next; otherwise check the retention of the log."},
--- a/logevent/tasks.go
+++ b/logevent/tasks.go
@@ -5,42 +5,30 @@
 // Events of tasks and placement.
 const (
 	TaskPlaced          Number = 301
-	TaskStarted         Number = 302
 	TaskEnded           Number = 303
 	TaskEvicting        Number = 304
 	TaskMoved           Number = 305
 	TaskAdopted         Number = 306
 	StartRejected       Number = 307
-	WorkerQuarantined   Number = 308
-	WorkerReturned      Number = 309
 	JobParked           Number = 310
 	StartsSuspended     Number = 311
 	StartsResumed       Number = 312
-	DrainStarted        Number = 313
-	DrainFinished       Number = 314
 	OfflineLimitReached Number = 315
 	TaskThrottled       Number = 316
 	CapacityExceeded    Number = 317
-	TaskUnplaceable     Number = 318
 )
 
 var taskEvents = []Info{
 	{TaskPlaced, "TaskPlaced", zapcore.DebugLevel, "task placed", []string{"task", "attempt", "worker"}, "None."},
-	{TaskStarted, "TaskStarted", zapcore.DebugLevel, "task started on its worker", []string{"task", "attempt", "worker"}, "None."},
 	{TaskEnded, "TaskEnded", zapcore.DebugLevel, "attempt ended", []string{"task", "attempt", "worker", "state"}, "None."},
 	{TaskEvicting, "TaskEvicting", zapcore.InfoLevel, "eviction of a task began", []string{"task", "attempt", "worker", "reason"}, "None."},
 	{TaskMoved, "TaskMoved", zapcore.InfoLevel, "task moved to another cell", []string{"task", "attempt", "to", "moveNumber"}, "None."},
 	{TaskAdopted, "TaskAdopted", zapcore.InfoLevel, "task adopted from another cell", []string{"task", "attempt", "from", "moveNumber"}, "None."},
 	{StartRejected, "StartRejected", zapcore.WarnLevel, "worker rejected a start", []string{"task", "attempt", "worker", "reason"}, "None; if it recurs on one worker, check that worker."},
-	{WorkerQuarantined, "WorkerQuarantined", zapcore.WarnLevel, "worker quarantined after failed tasks of several jobs", []string{"worker", "failures", "jobs"}, "Check the worker; it is probed and returns by itself."},
-	{WorkerReturned, "WorkerReturned", zapcore.InfoLevel, "worker left quarantine", []string{"worker"}, "None."},
 	{JobParked, "JobParked", zapcore.WarnLevel, "job parked after failures on several workers", []string{"job", "failures", "workers", "reason"}, "Correct the job and put it again."},
 	{StartsSuspended, "StartsSuspended", zapcore.WarnLevel, "no task is started because the configuration is too old", []string{"age", "bound"}, "Check the connection to the log."},
 	{StartsResumed, "StartsResumed", zapcore.InfoLevel, "tasks are started again", []string{"duration"}, "None."},
-	{DrainStarted, "DrainStarted", zapcore.InfoLevel, "drain of a data centre began", []string{"dataCentre", "tasks", "deadline"}, "None."},
-	{DrainFinished, "DrainFinished", zapcore.InfoLevel, "drain of a data centre finished", []string{"dataCentre", "duration", "moved", "stopped"}, "None."},
 	{OfflineLimitReached, "OfflineLimitReached", zapcore.ErrorLevel, "task leases are no longer renewed because the log was unreachable too long", []string{"cell", "tasks"}, "Restore the connection to the log."},
 	{TaskThrottled, "TaskThrottled", zapcore.InfoLevel, "task throttled", []string{"task", "attempt", "worker", "share", "reason"}, "None."},
 	{CapacityExceeded, "CapacityExceeded", zapcore.ErrorLevel, "a worker reports more work than its capacity", []string{"worker", "reported", "capacity"}, "Report as a fault (invariant I1)."},
-	{TaskUnplaceable, "TaskUnplaceable", zapcore.InfoLevel, "task fits no worker of the cell", []string{"task", "reason"}, "Read the conditions of its job or service."},
 }
