Delete finished jobs; tell operators of an outage after one second

(2) In an outage of the log each entry VM kept an operator waiting for write_wait (5 s) although nothing could be sent; with four VMs 20 s.

Ruled out for (2): a shorter write_wait, which would turn slow writes into unknown outcomes.

--- a/entry/submitter.go
+++ b/entry/submitter.go
@@ -60,15 +60,28 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, s.wait)
 	defer stop()
-	select {
-	case outcome := <-applied:
-		return outcome, nil
-	case <-submission.Done():
-	case <-ctx.Done():
+	unsent := time.NewTimer(min(withdrawAfter, s.wait))
+	defer unsent.Stop()
+	for {
+		select {
+		case outcome := <-applied:
+			return outcome, nil
+		case <-unsent.C:
+			if submission.Withdraw().Outcome != writer.NotSent {
+				continue
+			}
+		case <-submission.Done():
+		case <-ctx.Done():
+		}
+		return s.conclude(op.ID, submission, applied)
 	}
-	return s.conclude(op.ID, submission, applied)
 }
 
+// withdrawAfter is how long an operation waits without having been sent to the
+// log. An operator learns of an outage after this time, not after the longer
+// one in which a record that was sent can be read back.
+const withdrawAfter = time.Second
+
 // conclude tells what is known when the wait has ended without an outcome.
 func (s *submitter) conclude(id string, submission *writer.Submission, applied <-chan resources.Outcome) (resources.Outcome, error) {
 	last := submission.Withdraw()
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -75,6 +75,8 @@
 			"Lease of a running task on its worker's clock.").sameOnAll(),
 		durationKey("task_renewal", func(e *Entry) *time.Duration { return &e.Times.TaskRenewal }, 3*time.Second, 100*time.Millisecond, 5*time.Minute,
 			"Interval between renewals of task leases."),
+		durationKey("finished_jobs", func(e *Entry) *time.Duration { return &e.Times.FinishedJobs }, time.Hour, time.Minute, 30*24*time.Hour,
+			"Time for which a finished job is kept before it is deleted."),
 		durationKey("offline_tasks", func(e *Entry) *time.Duration { return &e.Times.OfflineTasks }, 15*time.Minute, 10*time.Second, 24*time.Hour,
 			"Time for which task leases are renewed without the log.").sameOnAll(),
 		durationKey("worker_timeout", func(e *Entry) *time.Duration { return &e.Times.WorkerTimeout }, time.Second, 50*time.Millisecond, 30*time.Second,
--- a/settings/times.go
+++ b/settings/times.go
@@ -24,6 +24,8 @@
 	TaskLease time.Duration
 	// TaskRenewal is the interval between renewals of task leases.
 	TaskRenewal time.Duration
+	// FinishedJobs is the time for which a finished job is kept.
+	FinishedJobs time.Duration
 	// OfflineTasks bounds the renewal of task leases without the log.
 	OfflineTasks time.Duration
 	// KnownGone is the time after which a VM missing from the VM list no longer runs.
