--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -68,6 +68,18 @@
 			t.Errorf("%d workers: %v allocations per decision", n, allocs)
 		}
 	}
+	s := fleet(0)
+	for i := range 176 {
+		s.Peers = append(s.Peers, PeerEntry{DataCentre: "giza", Cell: i, Free: map[string]int{testService: 360}})
+	}
+	peers := heldRouter(s)
+	allocs := testing.AllocsPerRun(1000, func() {
+		q := highRequest()
+		peers.Choose(time.Second, &q).Peer.Done()
+	})
+	if allocs != 0 {
+		t.Errorf("peers: %v allocations per decision", allocs)
+	}
 	r := heldRouter(fleet(100))
 	fill(r, 0, highRequest())
 	q := highRequest()
