--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -13,6 +13,7 @@
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/client"
+	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/resources"
 	"github.com/cactusreel/cactusreel/result"
 	"github.com/cactusreel/cactusreel/standin"
@@ -199,3 +200,33 @@
 	is.True(posts() > 0)
 	c.judge()
 }
+
+// Guards against batch work that is lost with its data centre: its entry VMs
+// and workers end and do not return.
+func TestDataCentreLost(t *testing.T) {
+	is := is.New(t)
+	l := twoCentres
+	l.times = "offline_tasks = 10s\ntask_lease = 3s\ntask_renewal = 1s\n"
+	c := start(t, l)
+	c.declare(4, 16, 5)
+	c.await("tasks run in maadi", func() bool { return c.runningIn("maadi") > 0 })
+	for _, vm := range c.entries {
+		if vm.dataCentre == "maadi" {
+			c.signal(vm, syscall.SIGKILL)
+		}
+	}
+	c.fault(standin.Fault{Kind: standin.FaultWorkerDown, Target: "workers/maadi"})
+	is.Equal(c.runningIn("maadi"), 0)
+	c.finish(4, 16, c.entries[0], c.entries[1])
+}
+
+// runningIn counts the attempts that run in a data centre.
+func (c *cluster) runningIn(dataCentre string) int {
+	count := 0
+	for _, a := range c.history().Attempts {
+		if a.DataCentre == dataCentre && a.State == platform.AttemptRunning {
+			count++
+		}
+	}
+	return count
+}
--- a/entry/counts.go
+++ b/entry/counts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/cactusreel/cactusreel/api"
@@ -43,12 +44,12 @@
 // ownCounts counts tasks in the own cells, in the order of the request.
 func (n *Node) ownCounts(work []*peerpb.WorkID) []*peerpb.CellCount {
 	var list []*peerpb.CellCount
-	for _, r := range n.runners() {
+	for _, r := range slices.Concat(n.runners(), n.rescuedRunners()) {
 		v := r.view()
 		if v.term == 0 {
 			continue
 		}
-		c := &peerpb.CellCount{DataCentre: n.settings.DataCentre, Cell: int32(v.cell), Term: v.term}
+		c := &peerpb.CellCount{DataCentre: r.cell.DataCentre, Cell: int32(v.cell), Term: v.term}
 		for _, w := range work {
 			count := v.counts[jobKey(tasks.Work{Name: w.Name, Created: api.Version(w.Created)})]
 			if count == nil {
--- a/entry/node.go
+++ b/entry/node.go
@@ -62,7 +62,9 @@
 	mu      sync.Mutex
 	cellsOf map[int]*cellRunner
 	writers map[string]*writer.Writer
-	agents  map[string]agentEntry
+	// rescuers are changed by one loop only; mu guards them for readers.
+	rescuers map[string]*rescuer
+	agents   map[string]agentEntry
 
 	stopping   atomic.Bool
 	stopped    chan struct{}
@@ -92,6 +94,7 @@
 		router:      routing.New(),
 		cellsOf:     make(map[int]*cellRunner),
 		writers:     make(map[string]*writer.Writer),
+		rescuers:    make(map[string]*rescuer),
 		agents:      make(map[string]agentEntry),
 		stopped:     make(chan struct{}),
 	}
--- a/entry/peerstate.go
+++ b/entry/peerstate.go
@@ -43,6 +43,14 @@
 	p.current.Store(&peerWord{summary: s, at: at})
 }
 
+// heardAt returns when the peer last answered, 0 if it never did.
+func (p *peerState) heardAt() time.Duration {
+	if w := p.current.Load(); w != nil {
+		return w.at
+	}
+	return 0
+}
+
 // version returns the version of the last summary, 0 if there is none.
 func (p *peerState) version() uint64 {
 	if w := p.current.Load(); w != nil {
--- a/entry/run.go
+++ b/entry/run.go
@@ -101,6 +101,7 @@
 	n.every(ctx, t.LeavingPoll, n.pollBackends)
 	n.every(ctx, gaugeInterval, n.gauges)
 	n.every(ctx, changeInterval, newChangeLog(n).step)
+	n.every(ctx, rescueInterval, n.rescue)
 	n.every(ctx, cleanupInterval, newJobCleanup(n).step)
 	n.every(ctx, gaugeInterval, n.snapshotResources)
 	n.every(ctx, freshTick, func(ctx context.Context) { n.stepFresh(ctx, freshness.Tick{}) })
--- a/entry/summary.go
+++ b/entry/summary.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -53,7 +54,13 @@
 	for _, r := range n.runners() {
 		s.Cells = append(s.Cells, n.cellSummary(r.view(), free[r.cell.Index]))
 	}
-	slices.SortFunc(s.Cells, func(a, b *peerpb.CellSummary) int { return int(a.Cell - b.Cell) })
+	for _, r := range n.rescuedRunners() {
+		// Only the cell's name and term: moves out of it are confirmed here.
+		s.Cells = append(s.Cells, &peerpb.CellSummary{DataCentre: r.cell.DataCentre, Cell: int32(r.cell.Index), Term: r.view().term})
+	}
+	slices.SortFunc(s.Cells, func(a, b *peerpb.CellSummary) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Cell, b.Cell))
+	})
 	return s
 }
 
