Scheduler: urgent work goes first and evicts ordinary work

Cause: Urgent work queued behind ordinary work for minutes; the target is 2.2 s.

Ruled out: Waiting for running tasks to end: without the rule urgent work waits for tens of seconds in full cells.

Change: RulePriority is in force.

Conclusion: Kept.

--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -39,6 +39,7 @@
 		{Name: "log-outage", LogDown: 5 * minute, LogUp: 8 * minute},
 		{Name: "dc-out", OutAt: 4 * minute, BackAt: 8 * minute},
 		{Name: "waves+dc-out", Waves: true, OutAt: 4 * minute, BackAt: 8 * minute},
+		{Name: "wrong+dc-out", WrongDeclarations: true, OutAt: 4 * minute, BackAt: 8 * minute},
 		{Name: "wrong+faulty", WrongDeclarations: true, FaultyWorkers: 3, ImpossibleJobs: 0.06},
 	}
 }
--- a/bench/step.go
+++ b/bench/step.go
@@ -83,6 +83,11 @@
 	for _, e := range ended {
 		done += e.attempt.progress * e.attempt.task.work * e.attempt.task.cpu / 1000
 	}
+	w.addWork(done)
+}
+
+// addWork counts work done, or lost if it is negative.
+func (w *world) addWork(done float64) {
 	w.metrics.work += done
 	if w.scenario.OutAt > 0 && w.now >= w.scenario.OutAt && w.now < w.scenario.BackAt+2*time.Minute {
 		w.metrics.change += done
@@ -97,7 +102,7 @@
 	}
 	if e.state != platform.AttemptCompleted {
 		lost := (a.progress - a.checkpoint) * t.work * t.cpu / 1000
-		w.metrics.work -= lost
+		w.addWork(-lost)
 		if e.state == platform.AttemptStopped && a.kind != scheduler.Stop {
 			w.metrics.lost += lost
 		}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -29,7 +29,7 @@
 // DefaultConfig returns the settings in use.
 func DefaultConfig() Config {
 	return Config{
-		Rules:           0,
+		Rules:           InForce,
 		Sample:          16,
 		NearlyDone:      nearlyDone,
 		EscalationDelay: 6 * time.Second,
--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -48,6 +48,9 @@
 // AllRules is the set of all rules.
 const AllRules = ruleEnd - 1
 
+// InForce is the set of rules in use.
+const InForce = RulePriority
+
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
 	"retry-budget", "priority", "quota", "ageing", "escalation", "nearly-done", "spread",
