Scheduler: move tasks that a cell cannot place

Cause: Cells of four workers are full at different times, and a cell of one worker may hold only services.

Change: RuleMove is in force.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -49,7 +49,8 @@
 const AllRules = ruleEnd - 1
 
 // InForce is the set of rules in use.
-const InForce = RulePriority
+const InForce = RulePriority |
+	RuleMove
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
