Scheduler: assign learned sizes

Cause: Declared sizes are off by up to four times; tasks run out of memory or idle processors.

Ruled out: Learning from attempts of any age: young ones have not reached their memory, and their successors failed.

Change: RuleLearnedSizes is in force.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -51,7 +51,8 @@
 // InForce is the set of rules in use.
 const InForce = RulePriority |
 	RuleMove |
-	RuleReserve
+	RuleReserve |
+	RuleLearnedSizes
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
