--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -52,7 +52,8 @@
 const InForce = RulePriority |
 	RuleMove |
 	RuleReserve |
-	RuleLearnedSizes
+	RuleLearnedSizes |
+	RuleRetryBudget
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
