Scheduler: quarantine workers that fail tasks of many jobs

Cause: A faulty worker fails quickly, always has room and attracts all tasks.

Ruled out: Counting versions of a job as different jobs: it quarantined healthy workers.

Change: RuleQuarantine is in force.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -53,7 +53,8 @@
 	RuleMove |
 	RuleReserve |
 	RuleLearnedSizes |
-	RuleRetryBudget
+	RuleRetryBudget |
+	RuleQuarantine
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
