Scheduler: park jobs that fail on many workers

Cause: Jobs that can never run used their retries for each task.

Ruled out: A threshold for recurring jobs without trial tasks.

Change: RuleParking is in force.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -54,7 +54,8 @@
 	RuleReserve |
 	RuleLearnedSizes |
 	RuleRetryBudget |
-	RuleQuarantine
+	RuleQuarantine |
+	RuleParking
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
