Scheduler: score workers by the estimated slowdown of pairs

Cause: Which pairs slow each other down shows only in reports.

Change: RuleInterference is in force.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -55,7 +55,8 @@
 	RuleLearnedSizes |
 	RuleRetryBudget |
 	RuleQuarantine |
-	RuleParking
+	RuleParking |
+	RuleInterference
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
