--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -56,7 +56,8 @@
 	RuleRetryBudget |
 	RuleQuarantine |
 	RuleParking |
-	RuleInterference
+	RuleInterference |
+	RuleEscalation
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
