Scheduler: spare attempts that are nearly done

Cause: The target is no eviction of nearly finished work.

Ruled out: Using the reported progress without its lag: one attempt in a trial had passed 0.9 meanwhile.

Change: RuleNearlyDone is in force.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -57,7 +57,8 @@
 	RuleQuarantine |
 	RuleParking |
 	RuleInterference |
-	RuleEscalation
+	RuleEscalation |
+	RuleNearlyDone
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
