Scheduler: order by quota use, borrow and reclaim

Cause: A flooding team delays all others.

Change: RuleQuota is in force.

It costs evictions with a checkpoint.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -58,7 +58,8 @@
 	RuleParking |
 	RuleInterference |
 	RuleEscalation |
-	RuleNearlyDone
+	RuleNearlyDone |
+	RuleQuota
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
