Scheduler: let age raise the rank of work

Cause: A large task can wait for ever while small ones take each core that becomes free.

Ruled out: Evicting for aged tasks, because of the evictions.

Change: RuleAgeing is in force.

Conclusion: Kept for the bound alone: TestAgeing fails without it.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -59,7 +59,8 @@
 	RuleInterference |
 	RuleEscalation |
 	RuleNearlyDone |
-	RuleQuota
+	RuleQuota |
+	RuleAgeing
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
