--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -60,7 +60,8 @@
 	RuleEscalation |
 	RuleNearlyDone |
 	RuleQuota |
-	RuleAgeing
+	RuleAgeing |
+	RuleSpread
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
