Scheduler: empty a data centre by priority and checkpoint cost

Cause: Evicting everything at the deadline loses work since the last checkpoint and evicts nearly finished work.

Ruled out: Moving batch work only in the last 30 s: the work in change was the same within the spread and up to 6 nearly finished attempts were evicted.

Change: RuleDrain is in force.

Conclusion: Kept for the work lost and nearly finished work.

--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -61,7 +61,8 @@
 	RuleNearlyDone |
 	RuleQuota |
 	RuleAgeing |
-	RuleSpread
+	RuleSpread |
+	RuleDrain
 
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
