--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -48,6 +48,23 @@
 // AllRules is the set of all rules.
 const AllRules = ruleEnd - 1
 
+// InForce is the set of rules in use. RuleExploration, RuleLearnedTimes and
+// RuleRamp were tried and did not help; docs/measurements.md has their figures.
+const InForce = RulePriority |
+	RuleMove |
+	RuleReserve |
+	RuleLearnedSizes |
+	RuleRetryBudget |
+	RuleQuarantine |
+	RuleParking |
+	RuleInterference |
+	RuleEscalation |
+	RuleNearlyDone |
+	RuleQuota |
+	RuleAgeing |
+	RuleSpread |
+	RuleDrain
+
 var ruleNames = []string{
 	"interference", "exploration", "learned-sizes", "learned-times", "quarantine", "parking",
 	"retry-budget", "priority", "quota", "ageing", "escalation", "nearly-done", "spread",
