ownership: release no cell while waiting for a dead owner's requests

Cause: a successor by expiry uses no slots for one maximum request time, because requests of the dead owner may still run. A planned stop in that time drained and released the cell at once, and the receiver, who waits for nothing, used the slots: 10 requests on 8 slots.

Ruled out: passing the end of the wait on in the release record; the receiver can't relate it to its own clock better than by waiting the whole time again.

Change: a cell is released only after its wait.

--- a/ownership/balance.go
+++ b/ownership/balance.go
@@ -74,10 +74,12 @@
 	}
 }
 
-// startRelease asks for a cell to be drained.
+// startRelease asks for a cell to be drained. The receiver of a release doesn't
+// wait for the requests of a dead owner, so a cell is not released before
+// they have ended.
 func (m *Machine) startRelease(number int) {
 	c := &m.cells[number]
-	if !m.active(c) || c.releasing {
+	if !m.active(c) || c.releasing || m.now < c.waitUntil {
 		return
 	}
 	c.releasing = true
--- a/ownership/rescue_test.go
+++ b/ownership/rescue_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -83,3 +84,29 @@
 	is.Equal(m.Step(0, StopRequested{}), []Action{Left{}})
 	is.Equal(len(m.Step(time.Second, Tick{})), 0)
 }
+
+// Guards against a planned stop that hands a cell over while requests of the
+// dead owner can still run: the receiver would use their slots at once.
+func TestNoReleaseWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	m := New(DefaultConfig("vm", "giza", 2, 1))
+	old := &recordpb.Renew{Vm: "old", Incarnation: 1, Number: 1, Read: 2, Cells: []*recordpb.CellTerm{{Term: 1}}}
+	for i, r := range []*recordpb.Record{
+		{Claim: &recordpb.Claim{Vm: "old", Incarnation: 1, Number: 1}},
+		{Join: &recordpb.Join{Vm: "vm", Incarnation: 2}},
+		{Renew: old},
+	} {
+		m.Step(0, Applied{Offset: int64(i + 1), Record: r})
+	}
+	claims := m.Step(6*time.Second, Tick{})
+	is.Equal(claimsOf(claims), 1)
+	for _, action := range claims {
+		if a, ok := action.(Append); ok && a.Record.Claim != nil {
+			m.Step(6*time.Second, Applied{Offset: 4, Record: a.Record})
+		}
+	}
+	is.Equal(m.View(6*time.Second, 0).Own, StateWaiting)
+	is.True(!slices.Contains(m.Step(7*time.Second, StopRequested{}), Action(Drain{})))
+	is.True(!slices.Contains(m.Step(11*time.Second, Tick{}), Action(Drain{})))
+	is.True(slices.Contains(m.Step(11100*time.Millisecond, Tick{}), Action(Drain{})))
+}
