--- a/entry/summary.go
+++ b/entry/summary.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -143,14 +144,15 @@
 		}
 		for _, c := range word.Cells {
 			if c.Accepting {
-				list = append(list, policySummary(c))
+				list = append(list, policySummary(c, p.heardAt()))
 			}
 		}
 	}
 	return list
 }
 
-func policySummary(c *peerpb.CellSummary) scheduler.CellSummary {
+// policySummary converts a peer's summary, which held at a local time.
+func policySummary(c *peerpb.CellSummary, at time.Duration) scheduler.CellSummary {
 	s := scheduler.CellSummary{
 		Cell:     scheduler.CellID{DataCentre: c.DataCentre, Index: int(c.Cell)},
 		Phase:    scheduler.Phase(c.Phase),
@@ -159,6 +161,7 @@
 		Capacity: platform.Resources{MilliCPU: c.CapacityMilliCpu, MemoryMiB: c.CapacityMemoryMib, Accelerators: c.CapacityAccelerators},
 		Pending:  platform.Resources{MilliCPU: c.PendingMilliCpu, MemoryMiB: c.PendingMemoryMib, Accelerators: c.PendingAccelerators},
 		Replicas: make(map[string]int),
+		At:       at,
 	}
 	for _, service := range c.Services {
 		s.Replicas[jobKey(tasks.Work{Name: service.Service, Created: api.Version(service.Created)})] = int(service.Replicas)
