e2e: run the daemon under the race detector

Cause: the daemon's goroutines were only tested without it.

Change: the programs of the end-to-end tests are built with -race; a report in a log fails the test.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -36,7 +36,7 @@
 		panic(err)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/cactusreel", "../cmd/standin")
+	build := exec.Command("go", "build", "-race", "-o", dir+string(filepath.Separator), "../cmd/cactusreel", "../cmd/standin")
 	build.Stderr = os.Stderr
 	code := 1
 	if err := build.Run(); err == nil {
@@ -177,6 +177,7 @@
 	}()
 	c.t.Cleanup(func() {
 		_ = process.Process.Kill()
+		c.checkRaces(vm, log.Name())
 		if c.t.Failed() {
 			c.printTail(vm, log.Name())
 		}
@@ -184,6 +185,22 @@
 	})
 }
 
+// checkRaces fails the test if the race detector, with which the programs are
+// built, has reported something.
+func (c *cluster) checkRaces(vm *entryVM, path string) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	if i := bytes.Index(data, []byte("WARNING: DATA RACE")); i >= 0 {
+		c.t.Errorf("%s: %s", vm.name, data[i:min(len(data), i+raceReport)])
+	}
+}
+
+// raceReport bounds what is shown of a data race, in bytes.
+const raceReport = 4000
+
 // printTail shows the end of a failed run's log.
 func (c *cluster) printTail(vm *entryVM, path string) {
 	data, err := os.ReadFile(path)
