ownership: keep a predecessor's slots unused until its requests have ended

Cause: a predecessor that was killed and joined again is known gone at once, but requests that it had sent in state reduced run on for a maximum request time. The owner went from 6 to 8 slots as soon as it read the join record: 10 requests on 8 slots. The same holds for a VM that is missing from the VM list.

Ruled out: a join record that is written only after the maximum request time; it delays every start of a VM.

Change: a predecessor that is gone without a leave or an acknowledgement counts for one maximum request time more.

--- a/ownership/gone.go
+++ b/ownership/gone.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"time"
+
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -72,11 +74,39 @@
 	return m.members[vm].left || m.missing(vm)
 }
 
-// dropGone removes predecessors that are known gone.
+// process is one run of a VM.
+type process struct {
+	vm          string
+	incarnation uint64
+}
+
+// dropGone removes predecessors that are known gone and whose requests have ended.
 func (m *Machine) dropGone() {
+	since := make(map[process]time.Duration)
 	for i := range m.cells {
 		m.cells[i].dropPredecessors(func(p *recordpb.Predecessor) bool {
-			return m.gone(p.Vm, p.Incarnation)
+			return m.requestsEnded(process{vm: p.Vm, incarnation: p.Incarnation}, since)
 		})
 	}
+	m.goneSince = since
+}
+
+// requestsEnded reports whether no request of a process can run any more. A
+// process leaves after its last request. One that is gone for another reason
+// can have sent requests until then, which run for a maximum request time.
+// The time at which it was first known to be gone is kept in since.
+func (m *Machine) requestsEnded(p process, since map[process]time.Duration) bool {
+	known := m.members[p.vm]
+	if known != nil && known.incarnation == p.incarnation && known.left {
+		return true
+	}
+	if !m.gone(p.vm, p.incarnation) {
+		return false
+	}
+	first, already := m.goneSince[p]
+	if !already {
+		first = m.now
+	}
+	since[p] = first
+	return m.now >= first+m.config.stretched(m.config.MaxRequest)
 }
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -37,6 +37,9 @@
 	missingSince map[string]time.Duration
 	listedAt     time.Duration
 
+	// goneSince is when a predecessor was first known to be gone.
+	goneSince map[process]time.Duration
+
 	asks    uint64
 	askedAt time.Duration
 	// askTimes holds the local times of the questions not older than PromiseLife.
--- a/ownership/schedule_test.go
+++ b/ownership/schedule_test.go
@@ -80,3 +80,18 @@
 		})
 	}
 }
+
+// Guards against slots that are used again as soon as a former owner is known
+// gone: its process was killed and joined again while requests that it had
+// sent in state reduced were running.
+func TestRequestsOfAKilledPredecessorEnd(t *testing.T) {
+	plan := simPlan{Seed: 0x3c, Rates: []float64{1, 1}, Faults: []simFault{
+		{At: 28137988827, For: 11562023546, Kind: "isolate", VM: 1},
+		{At: 38716455794, For: 350251788, Kind: "kill", VM: 1},
+	}}
+	for plan.Seed = range 20 {
+		if _, err := runPlan(plan, Unsafe{}); err != nil {
+			t.Fatalf("seed %d: %v", plan.Seed, err)
+		}
+	}
+}
