Scheduler: throttle urgent work last, but do throttle it

Ruled out: moving or evicting urgent work, which would delay its end by more than a throttle.

Change: after all ordinary work, urgent attempts may be throttled to half their processors. The 2.2 s target is about their start.

--- a/scheduler/relieve.go
+++ b/scheduler/relieve.go
@@ -115,19 +115,33 @@
 	harm    float64
 }
 
-// culprits returns the attempts that slow a service down, worst first.
+// urgency returns 1 for urgent attempts and 0 for others.
+func urgency(a *Attempt) int {
+	if a.Urgent {
+		return 1
+	}
+	return 0
+}
+
+// culprits returns the attempts that slow a service down, worst first and
+// urgent ones last.
 func (p *Policy) culprits(now time.Duration, w *Worker, hot *Attempt) []culprit {
 	var list []culprit
 	for i := range w.Attempts {
 		a := &w.Attempts[i]
-		if a.Service || a.Urgent || a.Stopping || a.Cancelled {
+		if a.Service || a.Stopping || a.Cancelled {
 			continue
 		}
 		if harm := p.harmOf(now, w, hot, a); harm > helps {
 			list = append(list, culprit{a, harm})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b culprit) int { return cmp.Compare(b.harm, a.harm) })
+	slices.SortStableFunc(list, func(a, b culprit) int {
+		if a.attempt.Urgent != b.attempt.Urgent {
+			return cmp.Compare(urgency(a.attempt), urgency(b.attempt))
+		}
+		return cmp.Compare(b.harm, a.harm)
+	})
 	return list
 }
 
@@ -147,7 +161,7 @@
 		if c.attempt.share() <= firstShare {
 			share = lastShare
 		}
-		if c.attempt.share() <= lastShare {
+		if c.attempt.share() <= lastShare || (c.attempt.Urgent && c.attempt.share() <= firstShare) {
 			continue
 		}
 		excess -= c.harm * (1 - share/c.attempt.share())
@@ -161,7 +175,7 @@
 	}
 	for _, c := range list {
 		switch {
-		case p.spared(c.attempt):
+		case p.spared(c.attempt), c.attempt.Urgent:
 		case hot.TargetRatio > evictRatio:
 			return []Action{{Kind: Evict, ID: c.attempt.ID, Reason: "evicted: " + ratio}}
 		default:
--- a/scheduler/relieve_test.go
+++ b/scheduler/relieve_test.go
@@ -110,3 +110,25 @@
 	}
 	is.Equal(len(racks), 3)
 }
+
+// TestUrgentIsThrottledLast guards against a service that stays over its target
+// because only urgent work slows it down, and against more than a throttle of
+// that work.
+func TestUrgentIsThrottledLast(t *testing.T) {
+	is := is.New(t)
+	p, workers := pressedCell(1.3)
+	urgent := workers[0].Attempts[1]
+	urgent.Urgent, urgent.ID.Task = true, "urgent/7/0"
+	workers[0].Attempts = append(workers[0].Attempts, urgent)
+	noisy, last := &workers[0].Attempts[1], &workers[0].Attempts[3]
+	p.Act(time.Second, snapshotOf(t, workers))
+	actions := p.Act(time.Second+overTime, snapshotOf(t, workers))
+	is.Equal(actions[0].ID, noisy.ID)
+	noisy.Throttle, noisy.Progress, last.Throttle = lastShare, 0.9, firstShare
+	is.Equal(len(p.Act(time.Minute, snapshotOf(t, workers))), 0)
+	last.Throttle = 1
+	actions = p.Act(2*time.Minute, snapshotOf(t, workers))
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].Kind, Throttle)
+	is.Equal(actions[0].ID, last.ID)
+}
