--- a/cmd/cactusreel/main.go
+++ b/cmd/cactusreel/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/cactusreel/cactusreel/command"
 	"github.com/cactusreel/cactusreel/entry"
+	"github.com/cactusreel/cactusreel/replay"
 	"github.com/cactusreel/cactusreel/settings"
 )
 
@@ -21,6 +22,7 @@
 		Stderr:  os.Stderr,
 		Version: version,
 		Entry:   runEntry,
+		Replay:  replay.Files,
 	}))
 }
 
--- /dev/null
+++ b/replay/decode.go
@@ -0,0 +1,28 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+
+	"github.com/cactusreel/cactusreel/trace"
+)
+
+// decodeAs decodes data into a new value of the prototype's type.
+func decodeAs[E trace.Event](prototype E, data json.RawMessage) (E, error) {
+	v := reflect.New(reflect.TypeOf(prototype))
+	if err := trace.Strict(data, v.Interface()); err != nil {
+		var none E
+		return none, fmt.Errorf("event %s: %w", prototype.Type(), err)
+	}
+	return v.Elem().Interface().(E), nil
+}
+
+// actionsOf names the actions of a machine.
+func actionsOf[A trace.Event](list []A) []action {
+	actions := make([]action, 0, len(list))
+	for _, a := range list {
+		actions = append(actions, action{name: a.Type(), content: a})
+	}
+	return actions
+}
--- /dev/null
+++ b/replay/dedupcopy.go
@@ -0,0 +1,53 @@
+package replay
+
+import (
+	"math"
+	"time"
+
+	"github.com/cactusreel/cactusreel/dedup"
+	"github.com/cactusreel/cactusreel/trace"
+)
+
+// exported is the content of the action "Exported".
+type exported struct {
+	VM     string     `json:"vm"`
+	Serial uint64     `json:"serial"`
+	Copy   dedup.Copy `json:"copy"`
+}
+
+// syncedSet is the content of the action "Synced".
+type syncedSet struct {
+	Serial uint64   `json:"serial"`
+	VMs    []string `json:"vms"`
+}
+
+// copyStep handles the events of copies and renewals.
+func (m *dedupMachine) copyStep(now time.Duration, ev trace.Event) []action {
+	switch e := ev.(type) {
+	case trace.CopyExported:
+		return m.export(now, e.VM)
+	case trace.CopyImported:
+		full, err := m.table.Import(now, e.Copy)
+		if err != nil {
+			return verdictOf(verdict{Verdict: codeName(err, "")})
+		}
+		return []action{{name: "Imported", content: map[string]bool{"full": full}}}
+	case trace.CopyConfirmed:
+		m.table.Imported(e.VM, e.Serial)
+	case trace.RenewalOffered:
+		serial, vms := m.table.OfferRenewal()
+		return []action{{name: "Synced", content: syncedSet{Serial: serial, VMs: vms}}}
+	case trace.RenewalRecorded:
+		m.table.RenewalRecorded(e.Serial)
+	}
+	return nil
+}
+
+// export makes a copy of one part, so that a trace can state it as a whole.
+func (m *dedupMachine) export(now time.Duration, vm string) []action {
+	var actions []action
+	for _, part := range m.table.Export(now, vm, math.MaxInt) {
+		actions = append(actions, action{name: "Exported", content: exported{VM: vm, Serial: part.Serial, Copy: part}})
+	}
+	return actions
+}
--- /dev/null
+++ b/replay/resources.go
@@ -0,0 +1,123 @@
+package replay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/result"
+	"github.com/cactusreel/cactusreel/trace"
+)
+
+// resourcesMachine replays package resources. Each operation that is decided
+// gives the action "Outcome"; a record after a gap gives "Gap".
+type resourcesMachine struct {
+	store  *resources.Store
+	chunks record.Assembler
+}
+
+// outcomeAction is a resources.Outcome with the name of its code.
+type outcomeAction struct {
+	resources.Outcome
+	Name      string `json:"name"`
+	Duplicate bool   `json:"duplicate,omitempty"`
+}
+
+// resourceState is a resource with the fields that name it.
+type resourceState struct {
+	Kind    api.Kind      `json:"kind"`
+	Name    string        `json:"name"`
+	Exists  bool          `json:"exists"`
+	Version api.Version   `json:"version"`
+	Content *api.Resource `json:"resource,omitempty"`
+}
+
+// watchState is what a watch from a version gets.
+type watchState struct {
+	WatchFrom int64  `json:"watchFrom"`
+	Code      string `json:"code"`
+	Events    int    `json:"events"`
+}
+
+func newResources(config json.RawMessage) (machine, error) {
+	var limits resources.Limits
+	if err := trace.Strict(config, &limits); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return &resourcesMachine{store: resources.New(limits)}, nil
+}
+
+func (m *resourcesMachine) step(_ time.Duration, event string, data json.RawMessage) ([]action, error) {
+	if done, actions, err := snapshotStep(&m.chunks, event, data, m.restore); done {
+		return actions, err
+	}
+	ev, err := decodeEvent([]trace.OperationsApplied{{}}, event, data)
+	if err != nil {
+		return nil, err
+	}
+	outcomes, err := m.store.Apply(ev.Offset, ev.Decoded()...)
+	if errors.Is(err, resources.ErrGap) {
+		return []action{{name: "Gap", content: map[string]any{"offset": ev.Offset}}}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	actions := make([]action, 0, len(outcomes))
+	for _, o := range outcomes {
+		actions = append(actions, action{name: "Outcome", content: outcomeAction{Outcome: o, Name: o.Code.String(), Duplicate: o.Duplicate}})
+	}
+	return actions, nil
+}
+
+func (m *resourcesMachine) restore(data []byte, _ int64) (bool, error) {
+	return m.store.Restore(data)
+}
+
+// state returns the resource that the pattern names, the answer to a watch,
+// or the offset.
+func (m *resourcesMachine) state(_ time.Duration, pattern object) (any, error) {
+	view := m.store.View()
+	if pattern.has("watchFrom") {
+		return watchOf(view, pattern)
+	}
+	if pattern.has("offset") {
+		return map[string]any{"offset": view.Offset()}, nil
+	}
+	kind, ok := pattern.text("kind")
+	name, named := pattern.text("name")
+	if !ok || !named {
+		return nil, fmt.Errorf(`a state of resources has "kind" and "name", "watchFrom" or "offset"`)
+	}
+	state := resourceState{Kind: api.Kind(kind), Name: name}
+	if r, ok := view.Get(state.Kind, name); ok {
+		state.Exists, state.Version, state.Content = true, r.Version, &r
+	}
+	return state, nil
+}
+
+func watchOf(view *resources.View, pattern object) (any, error) {
+	from, err := pattern.number("watchFrom")
+	if err != nil {
+		return nil, err
+	}
+	events, err := view.Events("", api.Version(from))
+	code := result.OK
+	if err != nil {
+		code = result.CodeOf(err, result.ListAgain)
+	}
+	return watchState{WatchFrom: int64(from), Code: code.String(), Events: len(events)}, nil
+}
+
+// dump returns the resources of all kinds.
+func (m *resourcesMachine) dump(time.Duration) any {
+	view := m.store.View()
+	all := map[string]any{"offset": view.Offset()}
+	for _, kind := range api.Kinds() {
+		all[string(kind)] = view.List(kind)
+	}
+	return all
+}
--- /dev/null
+++ b/replay/routing.go
@@ -0,0 +1,189 @@
+package replay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/result"
+	"github.com/cactusreel/cactusreel/routing"
+	"github.com/cactusreel/cactusreel/trace"
+)
+
+// maxSlots bounds the slots of a worker; the platform's have 8.
+const maxSlots = 4096
+
+// Errors of routing events.
+var (
+	errSlots      = fmt.Errorf("a worker's slots are not from 1 to %d", maxSlots)
+	errOwnerState = errors.New(`state is not "lost", "held", "vouched" or "reduced"`)
+	errNoSlot     = errors.New("no request with this label holds a slot")
+	errHasSlot    = errors.New("a request with this label holds a slot already")
+)
+
+// routingMachine replays package routing.
+type routingMachine struct {
+	router *routing.Router
+	events []trace.Event
+	slots  map[string]routing.Slot
+	cells  map[int]bool
+}
+
+// decision is the content of the action "Decision".
+type decision struct {
+	Request string `json:"request"`
+	Code    string `json:"code"`
+	Worker  string `json:"worker,omitempty"`
+	Peer    string `json:"peer,omitempty"`
+	Term    int64  `json:"term,omitempty"`
+}
+
+// slotUse is the content of the action "Slot".
+type slotUse struct {
+	Request string `json:"request"`
+	Valid   bool   `json:"valid"`
+}
+
+// routingState is what a trace can state of a cell.
+type routingState struct {
+	Cell  int    `json:"cell"`
+	Term  int64  `json:"term"`
+	State string `json:"state"`
+	// Slots is how many slots of a worker with 8 may be used.
+	Slots int `json:"slots"`
+	InUse int `json:"inUse"`
+}
+
+func newRouting(config json.RawMessage) (machine, error) {
+	if err := trace.Strict(config, &struct{}{}); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return &routingMachine{router: routing.New(), events: trace.RoutingEvents(), slots: make(map[string]routing.Slot), cells: make(map[int]bool)}, nil
+}
+
+func (m *routingMachine) step(now time.Duration, event string, data json.RawMessage) ([]action, error) {
+	ev, err := decodeEvent(m.events, event, data)
+	if err != nil {
+		return nil, err
+	}
+	switch e := ev.(type) {
+	case trace.TableUpdated:
+		return nil, m.update(now, e.Snapshot)
+	case trace.AuthoritySet:
+		return nil, m.setAuthority(e)
+	case trace.Routed:
+		return m.route(now, e)
+	}
+	return m.slotStep(now, ev)
+}
+
+func (m *routingMachine) update(now time.Duration, s routing.Snapshot) error {
+	for _, w := range s.Workers {
+		if w.Slots < 1 || w.Slots > maxSlots {
+			return errSlots
+		}
+	}
+	s.Now = now
+	m.router.Update(s)
+	return nil
+}
+
+func (m *routingMachine) setAuthority(e trace.AuthoritySet) error {
+	for _, state := range []routing.OwnerState{routing.Lost, routing.Held, routing.Vouched, routing.Reduced} {
+		if state.String() != e.State {
+			continue
+		}
+		m.cells[e.Cell] = true
+		m.router.SetAuthority(e.Cell, routing.Authority{
+			Term: e.Term, State: state, FullUntil: e.FullUntil,
+			UsableFrom: e.UsableFrom, Predecessors: e.Predecessors,
+		})
+		return nil
+	}
+	return errOwnerState
+}
+
+func (m *routingMachine) route(now time.Duration, e trace.Routed) ([]action, error) {
+	if _, ok := m.slots[e.Request]; ok {
+		return nil, errHasSlot
+	}
+	q := routing.Request{Service: e.Service, Caller: e.Caller, Random: e.Random, Criticality: routing.Criticality(e.Criticality)}
+	if e.OwnCells {
+		q.Scope = routing.OwnCells
+	}
+	chosen := m.router.Choose(now, &q)
+	d := decision{Request: e.Request, Code: chosen.Code.String()}
+	switch {
+	case chosen.Code != result.OK:
+	case chosen.Peer != nil:
+		d.Peer = chosen.Peer.VM
+	default:
+		d.Worker, d.Term = chosen.Slot.Server.Worker().ID(), chosen.Slot.Term
+		m.slots[e.Request] = chosen.Slot
+	}
+	return []action{{name: "Decision", content: d}}, nil
+}
+
+// slotStep handles the events of a request that holds a slot.
+func (m *routingMachine) slotStep(now time.Duration, ev trace.Event) ([]action, error) {
+	label := ""
+	switch e := ev.(type) {
+	case trace.SlotUsed:
+		label = e.Request
+	case trace.SlotReleased:
+		label = e.Request
+	case trace.SlotAbandoned:
+		label = e.Request
+	case trace.ServerLeaving:
+		label = e.Request
+	}
+	slot, ok := m.slots[label]
+	if !ok {
+		return nil, errNoSlot
+	}
+	switch e := ev.(type) {
+	case trace.SlotUsed:
+		return []action{{name: "Slot", content: slotUse{Request: label, Valid: slot.Valid(now)}}}, nil
+	case trace.SlotReleased:
+		slot.Release()
+		delete(m.slots, label)
+	case trace.SlotAbandoned:
+		slot.Abandon(e.Until)
+		delete(m.slots, label)
+	case trace.ServerLeaving:
+		slot.Server.MarkLeaving()
+	}
+	return nil, nil
+}
+
+// state returns the authority over the cell that the pattern names.
+func (m *routingMachine) state(now time.Duration, pattern object) (any, error) {
+	cell, err := pattern.number("cell")
+	if err != nil {
+		return nil, fmt.Errorf(`a state of routing names a "cell": %w`, err)
+	}
+	return m.cell(now, cell), nil
+}
+
+// dump returns the state of all cells that had an authority.
+func (m *routingMachine) dump(now time.Duration) any {
+	var all []routingState
+	for _, cell := range slices.Sorted(maps.Keys(m.cells)) {
+		all = append(all, m.cell(now, cell))
+	}
+	return all
+}
+
+func (m *routingMachine) cell(now time.Duration, cell int) routingState {
+	a := m.router.Authority(cell)
+	return routingState{
+		Cell:  cell,
+		Term:  a.Term,
+		State: a.StateAt(now).String(),
+		Slots: a.SlotsAt(now, 8),
+		InUse: m.router.InUse(cell, now),
+	}
+}
--- /dev/null
+++ b/replay/tasks.go
@@ -0,0 +1,122 @@
+package replay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/tasks"
+	"github.com/cactusreel/cactusreel/trace"
+)
+
+// maxWorkCount bounds the tasks of one declared work; it covers all batch
+// tasks of the planned scale.
+const maxWorkCount = 200_000
+
+// Errors of task events.
+var (
+	errWorkCount  = fmt.Errorf("count is not from 0 to %d", maxWorkCount)
+	errNilRecord  = errors.New("a record is null")
+	errTasksState = errors.New(`a state of tasks names a "task" or a "worker", or has "offset"`)
+)
+
+// tasksMachine replays package tasks, and package record for the snapshots of
+// the stream.
+type tasksMachine struct {
+	machine *tasks.Machine
+	events  []tasks.Event
+	chunks  record.Assembler
+}
+
+func newTasks(config json.RawMessage) (machine, error) {
+	c := tasks.DefaultConfig("", "", 0)
+	if err := trace.Strict(config, &c); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	if c.VM == "" {
+		return nil, errors.New("config: needs VM")
+	}
+	return &tasksMachine{machine: tasks.New(c), events: tasks.Events()}, nil
+}
+
+func (m *tasksMachine) step(now time.Duration, event string, data json.RawMessage) ([]action, error) {
+	if done, actions, err := snapshotStep(&m.chunks, event, data, m.restore); done {
+		return actions, err
+	}
+	ev, err := decodeEvent(m.events, event, data)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkTaskEvent(ev); err != nil {
+		return nil, fmt.Errorf("event %s: %w", event, err)
+	}
+	return actionsOf(m.machine.Step(now, ev)), nil
+}
+
+// restore adopts a snapshot that is newer than what has been applied.
+func (m *tasksMachine) restore(data []byte, covered int64) (bool, error) {
+	if covered != 0 && covered <= m.machine.Offset() {
+		return false, nil
+	}
+	err := m.machine.Restore(data)
+	return err == nil, err
+}
+
+func checkTaskEvent(ev tasks.Event) error {
+	switch e := ev.(type) {
+	case tasks.WorkChanged:
+		if e.Work.Count < 0 || e.Work.Count > maxWorkCount {
+			return errWorkCount
+		}
+	case tasks.Applied:
+		for _, r := range e.Records {
+			if r == nil {
+				return errNilRecord
+			}
+		}
+	}
+	return nil
+}
+
+// state returns the task or worker that the pattern names. A task that the
+// machine does not have is only its name with the status "absent".
+func (m *tasksMachine) state(_ time.Duration, pattern object) (any, error) {
+	if id, ok := pattern.text("task"); ok {
+		if v, ok := m.machine.Task(id); ok {
+			return v, nil
+		}
+		return tasks.View{Task: id, Status: "absent"}, nil
+	}
+	if pattern.has("offset") {
+		return map[string]any{"offset": m.machine.Offset()}, nil
+	}
+	id, ok := pattern.text("worker")
+	if !ok {
+		return nil, errTasksState
+	}
+	for _, w := range m.machine.Workers() {
+		if w.ID == id {
+			return workerState{Worker: id, WorkerView: w}, nil
+		}
+	}
+	return map[string]any{}, nil
+}
+
+// workerState is the view of a worker with the field that names it.
+type workerState struct {
+	Worker string `json:"worker"`
+	tasks.WorkerView
+}
+
+// tasksDump is the whole state of a cell's tasks.
+type tasksDump struct {
+	Offset  int64              `json:"offset"`
+	Tasks   []tasks.View       `json:"tasks"`
+	Workers []tasks.WorkerView `json:"workers"`
+}
+
+func (m *tasksMachine) dump(time.Duration) any {
+	return tasksDump{Offset: m.machine.Offset(), Tasks: m.machine.Tasks(), Workers: m.machine.Workers()}
+}
--- /dev/null
+++ b/trace/dedup_event.go
@@ -0,0 +1,149 @@
+package trace
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/dedup"
+)
+
+// Events of a request table. Those of one run name it by a label that is
+// chosen where the trace is written.
+
+// TookOver makes the table's VM the home.
+type TookOver struct {
+	Term     int64         `json:"term"`
+	Previous int64         `json:"previous,omitempty"`
+	Synced   bool          `json:"synced,omitempty"`
+	Until    time.Duration `json:"until"`
+}
+
+// Extended moves the end of the home's authority.
+type Extended struct {
+	Term  int64         `json:"term"`
+	Until time.Duration `json:"until"`
+}
+
+// TermSeen is a term of the cell that was read or reported.
+type TermSeen struct {
+	Term int64 `json:"term"`
+}
+
+// Arrived is a request at the home. Its action is "Verdict".
+type Arrived struct {
+	Request     string `json:"request"`
+	ID          string `json:"id"`
+	Fingerprint uint64 `json:"fingerprint,omitempty"`
+	// Fresh means that the id was issued for this very request.
+	Fresh bool `json:"fresh,omitempty"`
+}
+
+// PeerAcknowledged is a peer's acknowledgement of the intent of a run.
+type PeerAcknowledged struct {
+	Request string `json:"request"`
+	VM      string `json:"vm"`
+}
+
+// PeerMissed means that a peer did not acknowledge.
+type PeerMissed struct {
+	Request string `json:"request"`
+	VM      string `json:"vm"`
+}
+
+// Sending is the moment before a run is sent. Its action is "Verdict".
+type Sending struct {
+	Request string `json:"request"`
+}
+
+// RunEnded ends a run.
+type RunEnded struct {
+	Request string `json:"request"`
+	// How is "answer", "not-kept", "unknown" or "withdrawn".
+	How    string `json:"how"`
+	Status int    `json:"status,omitempty"`
+	Body   string `json:"body,omitempty"`
+}
+
+// IntentReceived is the intent of a home at a peer. Its action is "Verdict".
+type IntentReceived struct {
+	Term        int64  `json:"term"`
+	ID          string `json:"id"`
+	Fingerprint uint64 `json:"fingerprint,omitempty"`
+}
+
+// CopyExported asks the home for a full copy for a peer. Its action is
+// "Exported".
+type CopyExported struct {
+	VM string `json:"vm"`
+}
+
+// CopyImported is one part of a full copy at a peer. Its action is
+// "Imported" or "Verdict".
+type CopyImported struct {
+	Copy dedup.Copy `json:"copy"`
+}
+
+// CopyConfirmed tells the home that a peer has imported a whole copy.
+type CopyConfirmed struct {
+	VM     string `json:"vm"`
+	Serial uint64 `json:"serial"`
+}
+
+// RenewalOffered asks for the synced set of the next renewal. Its action is
+// "Synced".
+type RenewalOffered struct{}
+
+// RenewalRecorded says that a renewal was read back.
+type RenewalRecorded struct {
+	Serial uint64 `json:"serial"`
+}
+
+// DedupEvents returns a zero value of each event of a request table.
+func DedupEvents() []Event {
+	return []Event{
+		TookOver{}, Extended{}, TermSeen{}, Arrived{}, PeerAcknowledged{}, PeerMissed{},
+		Sending{}, RunEnded{}, IntentReceived{}, CopyExported{}, CopyImported{},
+		CopyConfirmed{}, RenewalOffered{}, RenewalRecorded{},
+	}
+}
+
+// Type returns "TookOver".
+func (TookOver) Type() string { return "TookOver" }
+
+// Type returns "Extended".
+func (Extended) Type() string { return "Extended" }
+
+// Type returns "TermSeen".
+func (TermSeen) Type() string { return "TermSeen" }
+
+// Type returns "Arrived".
+func (Arrived) Type() string { return "Arrived" }
+
+// Type returns "PeerAcknowledged".
+func (PeerAcknowledged) Type() string { return "PeerAcknowledged" }
+
+// Type returns "PeerMissed".
+func (PeerMissed) Type() string { return "PeerMissed" }
+
+// Type returns "Sending".
+func (Sending) Type() string { return "Sending" }
+
+// Type returns "RunEnded".
+func (RunEnded) Type() string { return "RunEnded" }
+
+// Type returns "IntentReceived".
+func (IntentReceived) Type() string { return "IntentReceived" }
+
+// Type returns "CopyExported".
+func (CopyExported) Type() string { return "CopyExported" }
+
+// Type returns "CopyImported".
+func (CopyImported) Type() string { return "CopyImported" }
+
+// Type returns "CopyConfirmed".
+func (CopyConfirmed) Type() string { return "CopyConfirmed" }
+
+// Type returns "RenewalOffered".
+func (RenewalOffered) Type() string { return "RenewalOffered" }
+
+// Type returns "RenewalRecorded".
+func (RenewalRecorded) Type() string { return "RenewalRecorded" }
--- /dev/null
+++ b/trace/kind.go
@@ -0,0 +1,19 @@
+package trace
+
+// Kind is the kind of a machine.
+type Kind string
+
+// Kinds of machines.
+const (
+	Ownership Kind = "ownership"
+	Tasks     Kind = "tasks"
+	Freshness Kind = "freshness"
+	Resources Kind = "resources"
+	Routing   Kind = "routing"
+	Dedup     Kind = "dedup"
+)
+
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	return []Kind{Ownership, Tasks, Freshness, Resources, Routing, Dedup}
+}
--- /dev/null
+++ b/trace/resource_event.go
@@ -0,0 +1,49 @@
+package trace
+
+import (
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/resources"
+)
+
+// OperationsApplied is one record of the resources stream that was passed to
+// the store.
+type OperationsApplied struct {
+	Offset     int64       `json:"offset"`
+	Operations []Operation `json:"operations,omitempty"`
+}
+
+// Restored is a snapshot that was passed to the resource store or to the task
+// machine of a cell.
+type Restored struct {
+	Data []byte `json:"data"`
+}
+
+// Type returns "OperationsApplied".
+func (OperationsApplied) Type() string { return "OperationsApplied" }
+
+// Type returns "Restored".
+func (Restored) Type() string { return "Restored" }
+
+// NewOperationsApplied returns the event for a record that was applied.
+func NewOperationsApplied(offset int64, operations []resources.Operation) OperationsApplied {
+	e := OperationsApplied{Offset: offset}
+	for _, op := range operations {
+		e.Operations = append(e.Operations, Operation{
+			ID: op.ID, Verb: op.Verb, Kind: string(op.Kind), Name: op.Name,
+			Precondition: op.Precondition, Body: string(op.Body),
+		})
+	}
+	return e
+}
+
+// Decoded returns the operations in the store's form.
+func (e *OperationsApplied) Decoded() []resources.Operation {
+	operations := make([]resources.Operation, 0, len(e.Operations))
+	for _, op := range e.Operations {
+		operations = append(operations, resources.Operation{
+			ID: op.ID, Verb: op.Verb, Kind: api.Kind(op.Kind), Name: op.Name,
+			Precondition: op.Precondition, Body: []byte(op.Body),
+		})
+	}
+	return operations
+}
