entry: record the events of the machines in the trace format

An incident in the daemon could not be replayed. With the new key trace of the section logging the node records what ownership, tasks, freshness and the resource store are given, before each step. Lines beyond a bounded queue are dropped, counted in the trace and reported as event 110: recording never delays the node. Request tables and the router are not recorded: their calls are on the request path, which must not allocate.

--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -79,6 +79,7 @@
 	cell    scheduler.CellID
 	config  tasks.Config
 	machine *tasks.Machine
+	trace   tracedMachine
 	policy  *scheduler.Policy
 	host    cellHost
 	writer  *writer.Writer
@@ -290,7 +291,9 @@
 
 // step passes an event to the machine and carries out its actions.
 func (r *cellRunner) step(ev tasks.Event) {
-	for _, action := range r.machine.Step(r.clock(), ev) {
+	now := r.clock()
+	r.trace.event(now, ev)
+	for _, action := range r.machine.Step(now, ev) {
 		r.execute(action)
 	}
 }
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"github.com/cactusreel/cactusreel/routing"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
+	"github.com/cactusreel/cactusreel/trace"
 )
 
 // startClaims starts the ownership machine once the data centre is declared:
@@ -42,6 +44,7 @@
 	if !n.claims.CompareAndSwap(nil, runner) {
 		return
 	}
+	runner.trace = n.traced(trace.Ownership, n.settings.DataCentre, config)
 	n.goDo(runner.run)
 }
 
@@ -88,6 +91,7 @@
 	runner := newCellRunner(id, config, policy, n, n.log, w, n.events, n.clock, t.LogPoll)
 	ctx, runner.cancel = context.WithCancel(ctx)
 	runner.ctx = ctx
+	runner.trace = n.traced(trace.Tasks, fmt.Sprintf("%s/%d", id.DataCentre, cell), config)
 	n.mu.Lock()
 	n.cellsOf[cell] = runner
 	n.mu.Unlock()
--- a/entry/cellstream.go
+++ b/entry/cellstream.go
@@ -10,6 +10,7 @@
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/tasks"
+	"github.com/cactusreel/cactusreel/trace"
 )
 
 // applyPage applies records of the cell's task stream.
@@ -52,6 +53,7 @@
 	if !ok {
 		return
 	}
+	r.trace.event(r.clock(), trace.Restored{Data: snapshot.Data})
 	if err := r.machine.Restore(snapshot.Data); err != nil {
 		r.log.Log(logevent.SnapshotIgnored, zap.String("stream", r.follower.stream), zap.Int64("offset", snapshot.Covered), zap.Error(err))
 		return
--- a/entry/claimsrunner.go
+++ b/entry/claimsrunner.go
@@ -39,6 +39,7 @@
 type claimsRunner struct {
 	config   ownership.Config
 	machine  *ownership.Machine
+	trace    tracedMachine
 	writer   *writer.Writer
 	handler  claimsHandler
 	events   chan ownership.Event
@@ -137,8 +138,15 @@
 	}
 }
 
+// stepMachine steps the machine and records the event.
+func (r *claimsRunner) stepMachine(ev ownership.Event) []ownership.Action {
+	now := r.clock()
+	r.trace.event(now, ev)
+	return r.machine.Step(now, ev)
+}
+
 func (r *claimsRunner) step(ev ownership.Event) {
-	actions := r.machine.Step(r.clock(), ev)
+	actions := r.stepMachine(ev)
 	r.publish()
 	for _, action := range actions {
 		r.execute(action)
@@ -164,7 +172,7 @@
 // back. A machine that gives none grants nothing.
 func (r *claimsRunner) stepQuestion(q promiseQuestion) {
 	answer := ownership.AnswerPromise{To: q.event.From, Number: q.event.Number}
-	for _, action := range r.machine.Step(r.clock(), q.event) {
+	for _, action := range r.stepMachine(q.event) {
 		if a, ok := action.(ownership.AnswerPromise); ok {
 			answer = a
 			continue
--- a/entry/fresh.go
+++ b/entry/fresh.go
@@ -13,11 +13,19 @@
 	"github.com/cactusreel/cactusreel/result"
 )
 
+// freshConfig returns the configuration of the freshness machine.
+func (n *Node) freshConfig() freshness.Config {
+	t := n.settings.Times
+	return freshness.Config{Bound: t.Freshness, Drift: t.ClockDrift, AskEvery: t.LogPoll}
+}
+
 // stepFresh passes an event to the freshness machine and carries out its
 // actions.
 func (n *Node) stepFresh(ctx context.Context, ev freshness.Event) {
 	n.freshMu.Lock()
-	actions := n.fresh.Step(n.clock(), ev)
+	now := n.clock()
+	n.freshTrace.event(now, ev)
+	actions := n.fresh.Step(now, ev)
 	n.freshMu.Unlock()
 	for _, action := range actions {
 		switch a := action.(type) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -21,6 +21,7 @@
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/routing"
 	"github.com/cactusreel/cactusreel/settings"
+	"github.com/cactusreel/cactusreel/trace"
 	"github.com/cactusreel/cactusreel/writer"
 )
 
@@ -50,9 +51,14 @@
 	fresh      *freshness.Machine
 	freshUntil atomic.Int64
 
-	work   atomic.Pointer[declaredWork]
-	list   atomic.Pointer[workerList]
-	claims atomic.Pointer[claimsRunner]
+	work atomic.Pointer[declaredWork]
+	list atomic.Pointer[workerList]
+	// recorder is nil unless the settings ask for a trace; machines counts
+	// those that it has declared.
+	recorder   *trace.Recorder
+	machines   atomic.Uint64
+	freshTrace tracedMachine
+	claims     atomic.Pointer[claimsRunner]
 
 	// mu guards the maps below.
 	mu      sync.Mutex
@@ -95,7 +101,7 @@
 	n.vmList = httpapi.NewVMListClient(hostPort(s.VMListURL), n.httpClient)
 	n.setPeers()
 	n.log = peer.NewRelayLog(n.direct, n.relays, n.clock)
-	n.fresh = freshness.New(freshness.Config{Bound: s.Times.Freshness, Drift: s.Times.ClockDrift, AskEvery: s.Times.LogPoll})
+	n.fresh = freshness.New(n.freshConfig())
 	n.tables = dedup.NewStore(dedup.Limits{
 		Retention:  s.Times.RequestIDRetention,
 		MaxRequest: s.Times.MaxRequest,
--- a/entry/resourcefeed.go
+++ b/entry/resourcefeed.go
@@ -13,6 +13,7 @@
 	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/trace"
 	"github.com/cactusreel/cactusreel/writer"
 )
 
@@ -30,6 +31,9 @@
 	// applied is called after the store's offset has grown.
 	applied func(offset int64)
 
+	// trace records what the store is given.
+	trace tracedMachine
+
 	mu  sync.Mutex
 	gap gapBuffer
 	// outcomes wakes the submitters of this process.
@@ -105,7 +109,9 @@
 		f.sinceSnapshot.Store(0)
 		f.snapshotSeen.Store(int64(f.clock()))
 	}
-	outcomes, err := f.store.Apply(r.Offset, operations(batch)...)
+	ops := operations(batch)
+	f.trace.event(f.clock(), trace.NewOperationsApplied(r.Offset, ops))
+	outcomes, err := f.store.Apply(r.Offset, ops...)
 	if errors.Is(err, resources.ErrGap) {
 		f.gap.hold(r)
 		f.restore()
@@ -123,6 +129,7 @@
 	if !ok {
 		return
 	}
+	f.trace.event(f.clock(), trace.Restored{Data: snapshot.Data})
 	if _, err := f.store.Restore(snapshot.Data); err != nil {
 		f.events.Log(logevent.SnapshotIgnored, zap.String("stream", record.ResourcesStream), zap.Int64("offset", snapshot.Covered), zap.Error(err))
 		return
@@ -136,6 +143,7 @@
 // It is used while the log can't be reached.
 func (f *resourceFeed) adopt(data []byte) (bool, error) {
 	f.mu.Lock()
+	f.trace.event(f.clock(), trace.Restored{Data: data})
 	adopted, err := f.store.Restore(data)
 	offset := f.store.View().Offset()
 	f.mu.Unlock()
--- a/entry/run.go
+++ b/entry/run.go
@@ -17,6 +17,8 @@
 	"github.com/cactusreel/cactusreel/ownership"
 	"github.com/cactusreel/cactusreel/peer/peerpb"
 	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/trace"
 )
 
 // Intervals of the node's loops.
@@ -44,6 +46,7 @@
 // planned stop and ErrCutOff if requests were cut off.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer n.startTrace()()
 	defer n.background.Wait()
 	defer cancel()
 	callers, peers, err := n.listen()
@@ -83,6 +86,8 @@
 func (n *Node) startFeed(ctx context.Context) {
 	w := n.writerFor(ctx, record.ResourcesStream, func() { n.feed.follower.nudge() })
 	n.feed = newResourceFeed(n.log, w, n.events, n.clock, n.settings.Times.LogPoll)
+	n.feed.trace = n.traced(trace.Resources, n.settings.VM, resources.Limits{})
+	n.freshTrace = n.traced(trace.Freshness, n.settings.VM, n.freshConfig())
 	n.feed.note = func(head int64, sentAt time.Duration) {
 		n.stepFresh(ctx, freshness.DirectRead{SentAt: sentAt, Head: head})
 	}
--- /dev/null
+++ b/entry/tracing.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/trace"
+)
+
+// traceCloseTimeout bounds the wait for a reader of the trace that is behind
+// when the process ends.
+const traceCloseTimeout = time.Second
+
+// errNoReader means that the queued lines could not be written in time.
+var errNoReader = errors.New("the reader of the trace did not take the queued lines in time")
+
+// tracedMachine is one machine in the node's trace. The zero value records
+// nothing.
+type tracedMachine struct {
+	recorder *trace.Recorder
+	source   string
+}
+
+// event records an event before the machine takes it.
+func (m tracedMachine) event(now time.Duration, ev trace.Event) {
+	m.recorder.Event(now, m.source, ev)
+}
+
+// traced declares a machine in the node's trace. The incarnation and a count
+// keep the names apart: a trace can hold several runs of the process, and a
+// cell that is taken over again has a new machine.
+func (n *Node) traced(kind trace.Kind, name string, config any) tracedMachine {
+	if n.recorder == nil {
+		return tracedMachine{}
+	}
+	source := fmt.Sprintf("%s/%s/%016x/%d", kind, name, n.incarnation, n.machines.Add(1))
+	n.recorder.Header(source, kind, config)
+	return tracedMachine{recorder: n.recorder, source: source}
+}
+
+// startTrace begins to record if the settings ask for it. The function
+// returned ends it.
+func (n *Node) startTrace() (stop func()) {
+	target := n.settings.Trace
+	if target == "" {
+		return func() {}
+	}
+	n.recorder = trace.NewRecorder(func() (io.WriteCloser, error) { return openTrace(target) }, trace.DefaultQueue, n.traceDropped)
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), traceCloseTimeout)
+		defer cancel()
+		if n.recorder.Close(ctx) != nil {
+			n.traceDropped(0, errNoReader)
+		}
+	}
+}
+
+// traceDropped reports a gap in the trace.
+func (n *Node) traceDropped(lines uint64, cause error) {
+	n.events.Log(logevent.TraceIncomplete, zap.String("target", n.settings.Trace), zap.Uint64("lines", lines), zap.Error(cause))
+}
+
+// openTrace opens the target of a trace: standard error for "-", otherwise a
+// file, which is usually a named pipe.
+func openTrace(target string) (io.WriteCloser, error) {
+	if target == "-" {
+		return keptOpen{os.Stderr}, nil
+	}
+	return os.OpenFile(target, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+}
+
+// keptOpen is a writer that Close leaves open.
+type keptOpen struct{ io.Writer }
+
+// Close does nothing.
+func (keptOpen) Close() error { return nil }
--- a/logevent/process.go
+++ b/logevent/process.go
@@ -13,6 +13,7 @@
 	PanicRecovered   Number = 107
 	SettingsRejected Number = 108
 	ProcessFailed    Number = 109
+	TraceIncomplete  Number = 110
 )
 
 var processEvents = []Info{
@@ -25,4 +26,5 @@
 	{PanicRecovered, "PanicRecovered", zapcore.ErrorLevel, "a request handler panicked", []string{"path", "error", "stack"}, "Report the stack as a fault."},
 	{SettingsRejected, "SettingsRejected", zapcore.ErrorLevel, "settings have mistakes", []string{"mistakes"}, "Correct the keys that the event names; `cactusreel settings check` repeats the check."},
 	{ProcessFailed, "ProcessFailed", zapcore.ErrorLevel, "process ends after a failure that it cannot handle", []string{"error"}, "Read the error; the VM can be restarted."},
+	{TraceIncomplete, "TraceIncomplete", zapcore.WarnLevel, "lines of the trace were dropped", []string{"target", "lines", "error"}, "Attach a faster reader before the process starts; the trace can be replayed up to its first gap."},
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -16,6 +16,9 @@
 	VMListURL string
 	// LogLevel is the lowest level of log events written: debug, info, warn or error.
 	LogLevel string
+	// Trace is the target of the trace: a path, "-" for standard error, or ""
+	// for none.
+	Trace string
 	// Peers are the entry VMs of all data centres in ascending order of data
 	// centre and VM. They may include this VM.
 	Peers  []Peer
--- a/settings/format.go
+++ b/settings/format.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"net/url"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -67,6 +68,12 @@
 	return validAddress(u.Host)
 }
 
+// validTrace accepts the target of a trace. A relative path is rejected: a
+// daemon's working directory is nobody's choice.
+func validTrace(value string) bool {
+	return value == "-" || filepath.IsAbs(value)
+}
+
 func validLevel(value string) bool {
 	switch value {
 	case "debug", "info", "warn", "error":
--- a/settings/key.go
+++ b/settings/key.go
@@ -15,8 +15,11 @@
 	unit string
 	// accepted says which values are accepted.
 	accepted string
-	// preset is the value of an absent key; a key without one is required.
+	// preset is the value of an absent key; a key without one is required
+	// unless it is optional.
 	preset string
+	// optional is true if the key may be absent or empty.
+	optional bool
 	// meaning is one sentence for the reference page.
 	meaning string
 	// shared is true if the design relies on the same value at all entry VMs.
@@ -118,3 +121,13 @@
 		},
 	}
 }
+
+// mayBeEmpty makes a text key optional: absent and empty mean the same.
+func (k key) mayBeEmpty() key {
+	valid := k.set
+	k.optional = true
+	k.set = func(e *Entry, value string) bool {
+		return valid(e, value) || value == ""
+	}
+	return k
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -12,6 +12,7 @@
 	addressAccepted = "an IP address and port, for example 127.0.0.1:8080"
 	urlAccepted     = "http://, an IP address and port, and optionally a path"
 	levelAccepted   = "debug, info, warn or error"
+	traceAccepted   = "- for standard error, or an absolute path"
 )
 
 // keys lists every key of the file except those of the peers sections.
@@ -39,6 +40,8 @@
 			"Base URL of the platform's VM list."),
 		textKey("logging", "level", "text", func(e *Entry) *string { return &e.LogLevel }, validLevel, "info", levelAccepted,
 			"Lowest level of log events written to standard output."),
+		textKey("logging", "trace", "text", func(e *Entry) *string { return &e.Trace }, validTrace, "", traceAccepted,
+			"Stream that the events of the decision code are recorded to (docs/traces.md); a VM has no disk, so this is a pipe with a reader. Empty records nothing.").mayBeEmpty(),
 	}
 }
 
--- a/settings/loader.go
+++ b/settings/loader.go
@@ -27,7 +27,7 @@
 	for _, k := range keys() {
 		value, present := l.value(k.section, k.name)
 		switch {
-		case !present && k.preset == "":
+		case !present && k.preset == "" && !k.optional:
 			l.add(k.section, k.name, "missing", k.accepted+" ("+k.unit+")")
 		case !present:
 			k.set(&l.entry, k.preset)
--- a/settings/markdown.go
+++ b/settings/markdown.go
@@ -28,7 +28,10 @@
 				continue
 			}
 			preset := k.preset
-			if preset == "" {
+			switch {
+			case k.optional:
+				preset = "empty"
+			case preset == "":
 				preset = "required"
 			}
 			meaning := k.meaning
