trace, replay, entry: tests of the format, the recorder and the replay

The tests found that whole numbers above 2^63 compared as float64, so that two incarnations could pass as equal; they now compare by text.

--- /dev/null
+++ b/entry/tracing_test.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/replay"
+	"github.com/cactusreel/cactusreel/settings"
+)
+
+// Guards against a recording that the replay can't read.
+func TestRecordedTraceReplays(t *testing.T) {
+	is := is.New(t)
+	platform := httptest.NewServer(nil)
+	defer platform.Close()
+	target := filepath.Join(t.TempDir(), "trace.jsonl")
+	s, err := settings.Parse("test.ini", fmt.Appendf(nil, `[vm]
+id = giza-1
+data_centre = giza
+[listen]
+callers = %s
+peers = %s
+[platform]
+log_url = %s
+vm_list_url = %s
+[times]
+balancer_delay = 0s
+[logging]
+trace = %s
+`, freeAddress(t), freeAddress(t), platform.URL, platform.URL, target))
+	is.NoErr(err)
+	events, err := logevent.New(io.Discard, "info")
+	is.NoErr(err)
+	n, err := NewNode(s, events)
+	is.NoErr(err)
+	stop := make(chan struct{}, 1)
+	stop <- struct{}{}
+	is.NoErr(n.Run(context.Background(), stop))
+
+	data, err := os.ReadFile(target)
+	is.NoErr(err)
+	source := fmt.Sprintf("freshness/giza-1/%016x/2", n.incarnation)
+	stated := string(data) + fmt.Sprintf(`{"time":9000000000000,"source":%q,"outcome":{"state":[{"mayStart":false}]}}`, source)
+	_, err = replay.Run(context.Background(), target, strings.NewReader(stated))
+	is.NoErr(err)
+	is.True(strings.Contains(stated, `"machine":"resources"`))
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/replay/match.go
+++ b/replay/match.go
@@ -1,6 +1,9 @@
 package replay
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"strings"
+)
 
 // matches reports whether a value has everything that a pattern states. An
 // object may have more fields than the pattern; arrays must be equal in length.
@@ -56,18 +59,18 @@
 	return true
 }
 
-// sameNumber compares the text first: whole numbers above 2^53 have no exact
-// float64.
+// sameNumber compares whole numbers by their text: above 2^53 they have no
+// exact float64.
 func sameNumber(a, b json.Number) bool {
 	if a == b {
 		return true
 	}
+	if !strings.ContainsAny(string(a+b), ".eE") {
+		return false
+	}
 	x, errA := a.Float64()
 	y, errB := b.Float64()
-	_, wholeA := a.Int64()
-	_, wholeB := b.Int64()
-	bothWhole := wholeA == nil && wholeB == nil
-	return !bothWhole && errA == nil && errB == nil && x == y
+	return errA == nil && errB == nil && x == y
 }
 
 func isZero(v any) bool {
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -160,3 +160,19 @@
 		}
 	})
 }
+
+// Guards against a trace that is on without being asked for, and against a
+// target that depends on the working directory.
+func TestTraceTarget(t *testing.T) {
+	is := is.New(t)
+	for value, want := range map[string]bool{"": true, "-": true, "/run/trace": true, "trace.jsonl": false} {
+		e, err := settings.Parse("t.ini", []byte(minimal+"[logging]\ntrace = "+value+"\n"))
+		is.Equal(err == nil, want) // accepted or not
+		if want {
+			is.Equal(e.Trace, value)
+		}
+	}
+	e, err := settings.Parse("t.ini", []byte(minimal))
+	is.NoErr(err)
+	is.Equal(e.Trace, "")
+}
