--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: all build run test lint fmt clean
+.PHONY: all build run test lint fmt clean traces seeds
 
 all: build
 
@@ -27,5 +27,16 @@
 test: lint
 	$(GO) test -race -timeout 8m ./...
 
+# traces replays every trace of testdata/ through the command.
+traces: build
+	bin/cactusreel replay testdata/*.jsonl
+
+# seeds runs the randomised schedules with N cases each, and with another seed
+# than the tests' if SEED is set: make seeds N=10000 SEED=7.
+N ?= 1000
+seeds:
+	$(GO) test -count=1 -timeout 0 -run '^TestSchedules' ./ownership ./tasks ./dedup ./routing \
+		-rapid.checks=$(N) $(if $(SEED),-rapid.seed=$(SEED))
+
 clean:
 	rm -rf bin run
--- a/replay/dedup.go
+++ b/replay/dedup.go
@@ -18,15 +18,6 @@
 	errRunning = errors.New("a run has this label already")
 )
 
-// dedupConfig describes one request table of one VM.
-type dedupConfig struct {
-	DataCentre string `json:"dataCentre"`
-	Cell       int    `json:"cell"`
-	// DataCentres maps every declared data centre to its number of cells.
-	DataCentres map[string]int `json:"dataCentres"`
-	Limits      dedup.Limits   `json:"limits"`
-}
-
 // dedupMachine replays package dedup.
 type dedupMachine struct {
 	store  *dedup.Store
@@ -35,24 +26,6 @@
 	runs   map[string]*dedup.Run
 }
 
-// verdict is the content of the action "Verdict". Verdict is "run", "wait",
-// "answer", "send", "acknowledged" or the name of a result code.
-type verdict struct {
-	Request string   `json:"request,omitempty"`
-	ID      string   `json:"id,omitempty"`
-	Verdict string   `json:"verdict"`
-	Missing []string `json:"missing,omitempty"`
-	Status  int      `json:"status,omitempty"`
-	Body    string   `json:"body,omitempty"`
-}
-
-// dedupState is what a trace can state of a request table.
-type dedupState struct {
-	Home bool  `json:"home"`
-	Term int64 `json:"term"`
-	IDs  int   `json:"ids"`
-}
-
 func newDedup(config json.RawMessage) (machine, error) {
 	c := dedupConfig{Limits: dedup.DefaultLimits()}
 	if err := trace.Strict(config, &c); err != nil {
--- a/replay/dedupcopy.go
+++ b/replay/dedupcopy.go
@@ -4,23 +4,9 @@
 	"math"
 	"time"
 
-	"github.com/cactusreel/cactusreel/dedup"
 	"github.com/cactusreel/cactusreel/trace"
 )
 
-// exported is the content of the action "Exported".
-type exported struct {
-	VM     string     `json:"vm"`
-	Serial uint64     `json:"serial"`
-	Copy   dedup.Copy `json:"copy"`
-}
-
-// syncedSet is the content of the action "Synced".
-type syncedSet struct {
-	Serial uint64   `json:"serial"`
-	VMs    []string `json:"vms"`
-}
-
 // copyStep handles the events of copies and renewals.
 func (m *dedupMachine) copyStep(now time.Duration, ev trace.Event) []action {
 	switch e := ev.(type) {
--- /dev/null
+++ b/replay/outcomeaction.go
@@ -0,0 +1,10 @@
+package replay
+
+import "github.com/cactusreel/cactusreel/resources"
+
+// outcomeAction is a resources.Outcome with the name of its code.
+type outcomeAction struct {
+	resources.Outcome
+	Name      string `json:"name"`
+	Duplicate bool   `json:"duplicate,omitempty"`
+}
--- a/replay/resources.go
+++ b/replay/resources.go
@@ -20,29 +20,6 @@
 	chunks record.Assembler
 }
 
-// outcomeAction is a resources.Outcome with the name of its code.
-type outcomeAction struct {
-	resources.Outcome
-	Name      string `json:"name"`
-	Duplicate bool   `json:"duplicate,omitempty"`
-}
-
-// resourceState is a resource with the fields that name it.
-type resourceState struct {
-	Kind    api.Kind      `json:"kind"`
-	Name    string        `json:"name"`
-	Exists  bool          `json:"exists"`
-	Version api.Version   `json:"version"`
-	Content *api.Resource `json:"resource,omitempty"`
-}
-
-// watchState is what a watch from a version gets.
-type watchState struct {
-	WatchFrom int64  `json:"watchFrom"`
-	Code      string `json:"code"`
-	Events    int    `json:"events"`
-}
-
 func newResources(config json.RawMessage) (machine, error) {
 	var limits resources.Limits
 	if err := trace.Strict(config, &limits); err != nil {
--- a/replay/routing.go
+++ b/replay/routing.go
@@ -32,31 +32,6 @@
 	cells  map[int]bool
 }
 
-// decision is the content of the action "Decision".
-type decision struct {
-	Request string `json:"request"`
-	Code    string `json:"code"`
-	Worker  string `json:"worker,omitempty"`
-	Peer    string `json:"peer,omitempty"`
-	Term    int64  `json:"term,omitempty"`
-}
-
-// slotUse is the content of the action "Slot".
-type slotUse struct {
-	Request string `json:"request"`
-	Valid   bool   `json:"valid"`
-}
-
-// routingState is what a trace can state of a cell.
-type routingState struct {
-	Cell  int    `json:"cell"`
-	Term  int64  `json:"term"`
-	State string `json:"state"`
-	// Slots is how many slots of a worker with 8 may be used.
-	Slots int `json:"slots"`
-	InUse int `json:"inUse"`
-}
-
 func newRouting(config json.RawMessage) (machine, error) {
 	if err := trace.Strict(config, &struct{}{}); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
--- a/replay/run.go
+++ b/replay/run.go
@@ -19,12 +19,6 @@
 	maxStateBytes   = 16 << 10
 )
 
-// Summary counts what a replay has done.
-type Summary struct {
-	Events   int
-	Outcomes int
-}
-
 // run is one replay.
 type run struct {
 	file    string
--- a/replay/snapshots.go
+++ b/replay/snapshots.go
@@ -19,13 +19,6 @@
 	restoreAsked = "RestoreAsked"
 )
 
-// snapshotAction says what came of a snapshot.
-type snapshotAction struct {
-	Snapshot string `json:"snapshot,omitempty"`
-	Covered  int64  `json:"covered,omitempty"`
-	Reason   string `json:"reason,omitempty"`
-}
-
 // errNoChunk means that a chunk is missing.
 var errNoChunk = errors.New("the chunk is missing")
 
--- /dev/null
+++ b/replay/summary.go
@@ -0,0 +1,7 @@
+package replay
+
+// Summary counts what a replay has done.
+type Summary struct {
+	Events   int
+	Outcomes int
+}
--- a/replay/tasks.go
+++ b/replay/tasks.go
@@ -104,19 +104,6 @@
 	return map[string]any{}, nil
 }
 
-// workerState is the view of a worker with the field that names it.
-type workerState struct {
-	Worker string `json:"worker"`
-	tasks.WorkerView
-}
-
-// tasksDump is the whole state of a cell's tasks.
-type tasksDump struct {
-	Offset  int64              `json:"offset"`
-	Tasks   []tasks.View       `json:"tasks"`
-	Workers []tasks.WorkerView `json:"workers"`
-}
-
 func (m *tasksMachine) dump(time.Duration) any {
 	return tasksDump{Offset: m.machine.Offset(), Tasks: m.machine.Tasks(), Workers: m.machine.Workers()}
 }
--- a/replay/testdata_test.go
+++ b/replay/testdata_test.go
@@ -166,3 +166,22 @@
 		}
 	}
 }
+
+// Guards against a list in docs/traces.md that differs from testdata.
+func TestPageListsEveryTrace(t *testing.T) {
+	page, err := os.ReadFile("../docs/traces.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := traces(t)
+	for _, name := range names {
+		first, _, _ := strings.Cut(strings.TrimPrefix(string(load(t, name)), "# Guards against "), "\n")
+		if row := "| `" + name + "` | " + first + " |\n"; !strings.Contains(string(page), row) {
+			t.Errorf("docs/traces.md lacks the row %s", row)
+		}
+	}
+	_, list, _ := strings.Cut(string(page), "## List of traces")
+	if rows := strings.Count(list, "\n| `"); rows != len(names) {
+		t.Errorf("docs/traces.md lists %d traces; testdata has %d", rows, len(names))
+	}
+}
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -8,12 +8,6 @@
 	"time"
 )
 
-// Event is an event of any machine.
-type Event interface {
-	// Type returns the event's name in traces.
-	Type() string
-}
-
 // DefaultQueue is the number of lines that wait for a slow reader: about 30 s
 // of a node with ten cells.
 const DefaultQueue = 8192
@@ -34,12 +28,6 @@
 	closing bool
 }
 
-// queued is a line and the number of lines dropped before it.
-type queued struct {
-	text    []byte
-	missing uint64
-}
-
 // NewRecorder returns a recorder that writes to the writer that open returns.
 // It calls open from a goroutine of its own, because opening a pipe waits for
 // its reader. After a failure of open or of a write all lines are dropped: a
