--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -95,11 +95,26 @@
 		a.Urgent = job.urgent
 		a.RunTime = job.work.Run
 		a.Cancelled = job.work.Cancelled
+		a.TargetRatio = r.targetRatio(job, t.Worker)
 	}
 	r.addReport(&a, t.Worker)
 	return a
 }
 
+// targetRatio returns the recent p99 of a service replica over the service's
+// target, 0 when unknown.
+func (r *cellRunner) targetRatio(job *declaredJob, worker string) float64 {
+	if job.resource.Service == nil || r.listed == nil {
+		return 0
+	}
+	target := time.Duration(job.resource.Service.TargetP99Millis) * time.Millisecond
+	p99 := r.host.latencyP99(job.work.Name, r.listed.workers[worker].BackendAddress)
+	if target <= 0 {
+		return 0
+	}
+	return float64(p99) / float64(target)
+}
+
 // addReport adds what the worker last said about an attempt.
 func (r *cellRunner) addReport(a *scheduler.Attempt, worker string) {
 	seen := r.workers[worker]
@@ -154,6 +169,7 @@
 	for id, reason := range r.reasons {
 		v.reasons[id] = reason
 	}
+	v.counts = countTasks(v.tasks, v.reasons)
 	r.noteRunning(now, v.tasks)
 	if d := r.host.declared(); d != nil && r.listed != nil {
 		v.summary = r.summary(now, d)
@@ -208,8 +224,18 @@
 	if len(fresh) == 0 {
 		return
 	}
+	d := r.host.declared()
+	if d == nil {
+		return
+	}
+	now := r.clock()
 	w := scheduler.Worker{ID: seen.state.Worker, Boot: seen.state.Boot, Capacity: seen.state.Capacity}
-	r.policy.ObserveUsage(r.clock(), &w, fresh)
+	for _, t := range r.machine.Tasks() {
+		if t.Worker == w.ID {
+			w.Attempts = append(w.Attempts, r.attempt(now, t, d))
+		}
+	}
+	r.policy.ObserveUsage(now, &w, fresh)
 }
 
 // outcomeStates maps recorded outcomes to the states that the policy learns from.
@@ -224,6 +250,7 @@
 func (r *cellRunner) noteOutcomes(batch []*recordpb.Record) {
 	now := r.clock()
 	for _, one := range batch {
+		r.logRecord(one)
 		ended := one.Ended
 		if ended == nil || r.host.declared() == nil {
 			continue
--- a/entry/node.go
+++ b/entry/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,9 +46,14 @@
 	proxy  *proxy.Proxy
 	copies *tableCopies
 
+	latencies     *serverLatencies
+	eventCounters map[proxy.EventKind]gometrics.Counter
+
 	freshMu    sync.Mutex
 	fresh      *freshness.Machine
 	freshUntil atomic.Int64
+	// caughtUp is set once the store holds what all answering peers know.
+	caughtUp atomic.Bool
 
 	work atomic.Pointer[declaredWork]
 	list atomic.Pointer[workerList]
@@ -97,8 +101,8 @@
 		agents:      make(map[string]agentEntry),
 		stopped:     make(chan struct{}),
 	}
-	n.direct = httpapi.NewLogClient(hostPort(s.LogURL), n.httpClient)
-	n.vmList = httpapi.NewVMListClient(hostPort(s.VMListURL), n.httpClient)
+	n.direct = httpapi.NewLogClient(s.LogURL, n.httpClient)
+	n.vmList = httpapi.NewVMListClient(s.VMListURL, n.httpClient)
 	n.setPeers()
 	n.log = peer.NewRelayLog(n.direct, n.relays, n.clock)
 	n.fresh = freshness.New(n.freshConfig())
@@ -109,6 +113,8 @@
 		MaxAnswers: dedup.DefaultLimits().MaxAnswers,
 	})
 	n.copies = newTableCopies()
+	n.latencies = newServerLatencies()
+	n.setEventCounters()
 	n.list.Store(&workerList{})
 	if err := n.setProxy(); err != nil {
 		return nil, err
@@ -180,7 +186,9 @@
 		AppendTimeout: n.settings.Times.LogTimeout,
 		Appended:      func(string, int64) { wake() },
 	}
-	if stream == record.ClaimsStream(n.settings.DataCentre) {
+	if stream == record.ClaimsStream(n.settings.DataCentre) || stream == record.ResourcesStream {
+		// The ownership machine orders records by offset, and two changes of
+		// one resource in one log record would share a version.
 		options.MaxBatchItems = 1
 	}
 	w := writer.New(n.log, options)
@@ -206,12 +214,3 @@
 		}
 	})
 }
-
-// hostPort returns the host and port of a base URL.
-func hostPort(base string) string {
-	u, err := url.Parse(base)
-	if err != nil || u.Host == "" {
-		return base
-	}
-	return u.Host
-}
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -12,8 +12,10 @@
 	now    time.Duration
 	out    []Action
 
-	// first and offset are the offsets of the first and the last applied record.
+	// first and offset are the offsets of the first and the last applied
+	// record; firstAt is when the first was read.
 	first, offset int64
+	firstAt       time.Duration
 	members       map[string]*member
 	// names are the keys of members in ascending order.
 	names []string
@@ -149,6 +151,11 @@
 	m.members[vm] = process
 }
 
+// Config returns the settings of the machine.
+func (m *Machine) Config() Config {
+	return m.config
+}
+
 // Offset returns the offset of the last applied record.
 func (m *Machine) Offset() int64 {
 	return m.offset
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -286,6 +286,7 @@
 	case headReceived:
 		ex.slot.Server.Observe(now, now-started)
 		ex.call.service.ObserveHead(now - started)
+		ex.call.p.cfg.OnEvent(Event{Kind: EventHead, Service: ex.call.service.Name, Target: ex.target, Took: now - started})
 	case refused:
 	default:
 		ex.slot.Server.Observe(now, max(now-started, ex.headLimit))
@@ -303,6 +304,9 @@
 		_ = ex.resp.Body.Close()
 	}
 	defer ex.cancel(nil)
+	if ex.peer != nil && whole {
+		ex.peer.Done()
+	}
 	if !ex.hasSlot {
 		return
 	}
@@ -337,10 +341,10 @@
 	case errors.Is(ex.err, errSilent):
 		ex.event(EventSilent)
 	}
+	ex.finish(ex.outcome != sentFailed)
 	if ex.peer != nil && ex.outcome != sentFailed {
 		ex.peer.Exhausted()
 	}
-	ex.finish(ex.outcome != sentFailed)
 }
 
 // discard reads the response of a request that lost a race, so that its slot
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -31,6 +32,9 @@
 
 	// faultMu makes changes by faults exclusive.
 	faultMu sync.Mutex
+
+	closeOnce sync.Once
+	closeErr  error
 }
 
 // Start starts a stand-in on loopback. The caller must Close it.
@@ -39,9 +43,11 @@
 	if err != nil {
 		return nil, err
 	}
-	err = checkLoopback(options.listenAddress())
-	if err != nil {
-		return nil, err
+	for _, address := range []string{options.listenAddress(), cmp.Or(options.AdminAddress, options.listenAddress())} {
+		err = checkLoopback(address)
+		if err != nil {
+			return nil, err
+		}
 	}
 	p := &Platform{
 		options: options,
@@ -79,8 +85,14 @@
 	return view
 }
 
-// Close ends all connections, requests and tasks.
+// Close ends all connections, requests and tasks. Further calls return the
+// same.
 func (p *Platform) Close() error {
+	p.closeOnce.Do(func() { p.closeErr = p.closeAll() })
+	return p.closeErr
+}
+
+func (p *Platform) closeAll() error {
 	close(p.stopped)
 	var errs []error
 	if p.admin != nil {
@@ -115,7 +127,7 @@
 	p.log = newLogService(p)
 	p.vms = &vmService{platform: p, table: NewVMTable(vms, p.options.ListLag)}
 	for _, dc := range topology.DataCentres {
-		err := p.openDataCentre(dc.Name)
+		err := p.openDataCentre(dc)
 		if err != nil {
 			return err
 		}
@@ -124,16 +136,17 @@
 }
 
 // openDataCentre opens the log and the VM list for one data centre.
-func (p *Platform) openDataCentre(name string) error {
+func (p *Platform) openDataCentre(dc DataCentre) error {
+	name := dc.Name
 	logEndpoint := newEndpoint([]string{"log/" + name, "log"}, &p.faults, httpapi.NewLogHandler(p.log))
-	err := logEndpoint.listen(p.options.listenAddress())
+	err := logEndpoint.listen(cmp.Or(dc.LogAddress, p.options.listenAddress()))
 	if err != nil {
 		return err
 	}
 	p.endpoints = append(p.endpoints, logEndpoint)
 	p.addresses.Log[name] = logEndpoint.address
 	listEndpoint := newEndpoint([]string{"vms/" + name, "vms"}, &p.faults, httpapi.NewVMListHandler(p.vms))
-	err = listEndpoint.listen(p.options.listenAddress())
+	err = listEndpoint.listen(cmp.Or(dc.VMsAddress, p.options.listenAddress()))
 	if err != nil {
 		return err
 	}
--- a/tasks/sim_test.go
+++ b/tasks/sim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -104,16 +105,26 @@
 	works           []tasks.Work
 	takenOut        time.Duration
 	out             bool
+	cancelled       time.Duration
 	started         map[string]int64
 	starts          int
 	failed          error
+	// restored holds the snapshots that machines started from.
+	restored map[*tasks.Machine][]byte
+	// trace, if set, sees every step of every machine.
+	trace func(machine any, now time.Duration, ev typed, actions []string)
 }
 
 func runPlan(plan simPlan, unsafe tasks.Unsafe, unsafeOwnership ownership.Unsafe) (*sim, error) {
-	s := &sim{
-		rng: rand.New(rand.NewPCG(plan.Seed, 2)), plan: plan, unsafe: unsafe, unsafeOwnership: unsafeOwnership,
-		streams: make(map[string][]simRecord), started: make(map[string]int64),
-	}
+	s := new(sim)
+	return s, s.run(plan, unsafe, unsafeOwnership)
+}
+
+func (s *sim) run(plan simPlan, unsafe tasks.Unsafe, unsafeOwnership ownership.Unsafe) error {
+	s.rng, s.plan = rand.New(rand.NewPCG(plan.Seed, 2)), plan
+	s.unsafe, s.unsafeOwnership = unsafe, unsafeOwnership
+	s.streams, s.started = make(map[string][]simRecord), make(map[string]int64)
+	s.restored = make(map[*tasks.Machine][]byte)
 	s.setUp()
 	for s.now = 0; s.now < plan.end() && s.failed == nil; s.now += plan.step() {
 		s.faults()
@@ -129,12 +140,12 @@
 		s.check()
 	}
 	if s.failed != nil {
-		return s, fmt.Errorf("at %v: %w", s.now, s.failed)
+		return fmt.Errorf("at %v: %w", s.now, s.failed)
 	}
 	if plan.Fast {
-		return s, nil
+		return nil
 	}
-	return s, s.checkEnd()
+	return s.checkEnd()
 }
 
 func (s *sim) setUp() {
@@ -274,11 +285,15 @@
 }
 
 func (s *sim) cancel() {
-	s.works[1].Cancelled = true
+	if s.works[1].Cancelled {
+		return
+	}
+	s.works[1].Cancelled, s.cancelled = true, s.now
 	s.resources = append(s.resources, tasks.WorkChanged{Work: s.works[1]})
 }
 
-// startOn delivers a start and checks I3 and I4.
+// startOn delivers a start and checks I3, I4 and I10 (a cancel in the log is
+// in effect everywhere after the freshness bound, and stays).
 func (s *sim) startOn(w *simWorker, start platform.Start) bool {
 	accepted, fresh := w.start(s.now, start)
 	if !fresh {
@@ -288,6 +303,9 @@
 	if s.out && s.now > s.takenOut+simStopsStarts {
 		s.fail("I4: %v started %v after the take-out", start.ID, s.now-s.takenOut)
 	}
+	if s.works[1].Cancelled && strings.HasPrefix(start.ID.Task, s.works[1].Name) && s.now > s.cancelled+simStopsStarts {
+		s.fail("I10: %v started %v after the cancel", start.ID, s.now-s.cancelled)
+	}
 	if start.ID.Attempt <= s.started[start.ID.Task] {
 		s.fail("I3: attempt %v started after attempt %d", start.ID, s.started[start.ID.Task])
 	}
@@ -299,8 +317,7 @@
 	s.failed = errors.Join(s.failed, fmt.Errorf(format, args...))
 }
 
-// check verifies I1 and I2 on what really runs, and I10-like agreement on
-// the term: two VMs never hold authority for a cell.
+// check verifies I1 and I2 on what really runs.
 func (s *sim) check() {
 	runs := make(map[string]string)
 	for _, w := range s.workers {
--- a/writer/writer.go
+++ b/writer/writer.go
@@ -34,20 +34,6 @@
 	stats    Stats
 }
 
-// Stats counts what a writer has done.
-type Stats struct {
-	// Batches counts the batches that were read back.
-	Batches int64
-	// Items counts the items of these batches.
-	Items int64
-	// Appends counts all appends, with repeats.
-	Appends int64
-	// Failures counts the appends that returned an error.
-	Failures int64
-	// Pending is the number of items that wait for a batch now.
-	Pending int
-}
-
 // New returns a writer. Nothing is sent before Run is called.
 func New(log platform.Log, options Options) *Writer {
 	return &Writer{
@@ -143,7 +129,9 @@
 	failures := 0
 	for ctx.Err() == nil && w.beginAppend(b) {
 		offset, err := w.append(ctx, b)
-		w.endAppend(b, err)
+		if w.endAppend(b, err) {
+			return
+		}
 		delay := w.options.ReadBackTimeout
 		if err != nil {
 			failures++
@@ -192,16 +180,23 @@
 	return true
 }
 
-func (w *Writer) endAppend(b *batch, err error) {
+// endAppend notes the end of an append and reports whether b was read back
+// meanwhile. The append was then ended early, and its error is no failure.
+func (w *Writer) endAppend(b *batch, err error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	b.sending = false
+	if b.observed {
+		w.current = nil
+		return true
+	}
 	if !errors.Is(err, platform.ErrNotSent) {
 		b.sent = true
 	}
 	if err != nil {
 		w.stats.Failures++
 	}
+	return false
 }
 
 // idle reports whether there is nothing to send.
