entry: a lost reader of standard error does not end a recording daemon

With trace = - a write to standard error after its reader has gone raised SIGPIPE, which ends a Go process (the test's program ended with 'signal: broken pipe' without the change).

--- a/command/replay.go
+++ b/command/replay.go
@@ -8,7 +8,7 @@
 
 func newReplay(o Options) *cobra.Command {
 	return &cobra.Command{
-		Use:   "replay FILE...",
+		Use:   "replay TRACE...",
 		Short: "Replay traces through the decision code and compare the outcomes",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
--- a/entry/tracing.go
+++ b/entry/tracing.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,6 +73,8 @@
 // file, which is usually a named pipe.
 func openTrace(target string) (io.WriteCloser, error) {
 	if target == "-" {
+		// Otherwise a reader that goes away would end the process.
+		signal.Ignore(syscall.SIGPIPE)
 		return keptOpen{os.Stderr}, nil
 	}
 	return os.OpenFile(target, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
--- a/entry/tracing_test.go
+++ b/entry/tracing_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -56,6 +59,33 @@
 	is.True(strings.Contains(stated, `"machine":"resources"`))
 }
 
+// Guards against a daemon that ends with SIGPIPE when the reader of its
+// standard error goes away. The writing process is this test's own program.
+func TestLostReaderOfStandardError(t *testing.T) {
+	is := is.New(t)
+	const child = "CACTUSREEL_TEST_TRACE_CHILD"
+	if os.Getenv(child) != "" {
+		out, err := openTrace("-")
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, os.Stdin) // the parent has closed the reading end
+		_, err = out.Write([]byte("line\n"))
+		is.True(errors.Is(err, syscall.EPIPE))
+		return
+	}
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	c := exec.Command(os.Args[0], "-test.run=^TestLostReaderOfStandardError$")
+	c.Env = append(os.Environ(), child+"=1")
+	c.Stderr = writer
+	stdin, err := c.StdinPipe()
+	is.NoErr(err)
+	is.NoErr(c.Start())
+	is.NoErr(writer.Close())
+	is.NoErr(reader.Close())
+	is.NoErr(stdin.Close())
+	is.NoErr(c.Wait())
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
