--- a/replay/testdata_test.go
+++ b/replay/testdata_test.go
@@ -67,6 +67,18 @@
 		without("cell", "tasks", "NoPredecessorWait"),
 		{`"event":"PredecessorsChanged","data":{"count":0}`, `"event":"PredecessorsChanged","data":{"count":1}`},
 	},
+	"task-stream-truncated-before-takeover": {
+		{`"snapshot":"t-1","index":1`, `"snapshot":"t-1","index":0`},
+		{`"offset":81,"id":{"incarnation":11,"sequence":40}`, `"offset":81,"id":{"incarnation":11,"sequence":43}`},
+	},
+	"start-answer-lost-and-repeated": {
+		without("cell", "tasks", "NoStartDeadline"),
+		{`"placeUntil":8000000000`, `"placeUntil":2400000000`},
+	},
+	"worker-restarted": {
+		{`"sentAt":2900000000`, `"sentAt":3000000000`},
+		{`"boot":"boot2","clock":1600000000,"term":3`, `"boot":"boot2","clock":1600000000,"term":2`},
+	},
 	"move-offered-twice":                        {without("cell", "tasks", "NoAdoptOnce")},
 	"two-operators-race":                        {{`"id":"op-3","verb":"put","kind":"datacentres","name":"giza","precondition":{"version":1}`, `"id":"op-3","verb":"put","kind":"datacentres","name":"giza","precondition":{"version":2}`}},
 	"half-written-snapshot":                     {{`"snapshot":"s-1","index":1`, `"snapshot":"s-1","index":0`}},
