--- a/entry/node.go
+++ b/entry/node.go
@@ -20,6 +20,7 @@
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/routing"
 	"github.com/cactusreel/cactusreel/settings"
+	"github.com/cactusreel/cactusreel/trace"
 	"github.com/cactusreel/cactusreel/writer"
 )
 
@@ -54,9 +55,14 @@
 	// caughtUp is set once the store holds what all answering peers know.
 	caughtUp atomic.Bool
 
-	work   atomic.Pointer[declaredWork]
-	list   atomic.Pointer[workerList]
-	claims atomic.Pointer[claimsRunner]
+	work atomic.Pointer[declaredWork]
+	list atomic.Pointer[workerList]
+	// recorder is nil unless the settings ask for a trace; machines counts
+	// those that it has declared.
+	recorder   *trace.Recorder
+	machines   atomic.Uint64
+	freshTrace tracedMachine
+	claims     atomic.Pointer[claimsRunner]
 
 	// mu guards the maps below.
 	mu      sync.Mutex
@@ -102,7 +108,7 @@
 	n.vmList = httpapi.NewVMListClient(s.VMListURL, n.httpClient)
 	n.setPeers()
 	n.log = peer.NewRelayLog(n.direct, n.relays, n.clock)
-	n.fresh = freshness.New(freshness.Config{Bound: s.Times.Freshness, Drift: s.Times.ClockDrift, AskEvery: s.Times.LogPoll})
+	n.fresh = freshness.New(n.freshConfig())
 	n.tables = dedup.NewStore(dedup.Limits{
 		Retention:  s.Times.RequestIDRetention,
 		MaxRequest: s.Times.MaxRequest,
