Measure slopes of the real code for the capacity page

Cause: docs/CAPACITY.md needs costs per job, task, record and peer that can be extrapolated to the planned scale. A single size hides the fixed part.

Ruled out: wall time (other maintainers load the machine) and a simulator of a whole deployment (design section 8 has none).

--- /dev/null
+++ b/capacity/cell_test.go
@@ -0,0 +1,44 @@
+package capacity
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a measured cell that does not do what is measured: a cycle
+// that starts nothing would look cheap.
+func TestCellCycles(t *testing.T) {
+	is := is.New(t)
+	c := NewCell(60)
+	is.Equal(c.Running(), 60)
+	before, _ := c.Machine.Task(c.work.TaskID(7))
+	offset := c.offset
+	c.Cycle(7)
+	c.ObserveAll()
+	after, _ := c.Machine.Task(c.work.TaskID(7))
+	is.Equal(after.Attempt, before.Attempt+1)
+	is.Equal(c.offset, offset+3)
+	is.Equal(c.Running(), 60)
+}
+
+// Guards against measurements that stop to work with the code they measure;
+// they check their own preconditions.
+func TestSmallParts(t *testing.T) {
+	is := is.New(t)
+	r, err := Run([]string{"claims", "records"})
+	is.NoErr(err)
+	is.Equal(len(r.Slopes()), 2)
+	_, err = transferOf(100)
+	is.NoErr(err)
+	_, err = Run([]string{"nothing"})
+	is.True(err != nil)
+}
+
+func transferOf(ids int) (int, error) {
+	table, err := requestTable(ids)
+	if err != nil {
+		return 0, err
+	}
+	return transfer(table)
+}
--- /dev/null
+++ b/capacity/peers.go
@@ -0,0 +1,125 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cactusreel/cactusreel/peer"
+	"github.com/cactusreel/cactusreel/peer/peerpb"
+)
+
+// peerServer answers as an entry VM with a summary of a given size.
+type peerServer struct {
+	peerpb.Peer
+	summary *peerpb.SummaryResponse
+}
+
+// Summary implements peerpb.Peer.
+func (s *peerServer) Summary(_ context.Context, r *peerpb.SummaryRequest) (*peerpb.SummaryResponse, error) {
+	if r.Known == s.summary.Version {
+		return &peerpb.SummaryResponse{Vm: s.summary.Vm, Incarnation: s.summary.Incarnation, DataCentre: s.summary.DataCentre, Ready: true, Version: r.Known, Unchanged: true}, nil
+	}
+	return s.summary, nil
+}
+
+// Freshness implements peerpb.Peer.
+func (s *peerServer) Freshness(context.Context, *peerpb.FreshnessRequest) (*peerpb.FreshnessResponse, error) {
+	return &peerpb.FreshnessResponse{Head: 53_400, AgeNanos: int64(100 * time.Millisecond)}, nil
+}
+
+// servicesOf returns a summary of two cells with a number of services each.
+func servicesOf(services int) *peerpb.SummaryResponse {
+	s := &peerpb.SummaryResponse{Vm: vmName(1), Incarnation: 1 << 60, DataCentre: centreName(0), Ready: true, Version: 9_000_000}
+	for cell := range 2 {
+		c := &peerpb.CellSummary{
+			DataCentre: centreName(0), Cell: int32(cell), Term: 5_000_000, Workers: workersPerCell, Accepting: true,
+			FreeMilliCpu: 900_000, FreeMemoryMib: 4_000_000, FreeAccelerators: 20, LargestMilliCpu: 30_000, LargestMemoryMib: 120_000,
+			LargestAccelerators: 2, CapacityMilliCpu: 2_880_000, CapacityMemoryMib: 11_250_000, CapacityAccelerators: 80,
+			PendingMilliCpu: 40_000, PendingMemoryMib: 90_000, Phase: 1,
+		}
+		for i := range services {
+			c.Services = append(c.Services, &peerpb.ServiceSummary{Service: fmt.Sprintf("front-end-%04d", i), Replicas: 2, FreeSlots: 7, Created: 40_000})
+		}
+		s.Cells = append(s.Cells, c)
+	}
+	return s
+}
+
+// measurePeers measures the questions between entry VMs over loopback. Both
+// ends run in this process, so the processor time is the sum of both.
+func measurePeers(r *Report) error {
+	var full, fullBytes [][2]float64
+	var rows [][]string
+	for _, services := range []int{0, 50, 100, 200, 400} {
+		server := &peerServer{summary: servicesOf(services)}
+		spent, bytes, err := callPeer(server, func(c *peer.Client) error {
+			_, err := c.Summary(context.Background(), &peerpb.SummaryRequest{})
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		full = append(full, [2]float64{float64(services), spent})
+		fullBytes = append(fullBytes, [2]float64{float64(services), bytes})
+	}
+	server := &peerServer{summary: servicesOf(400)}
+	for name, call := range map[string]func(*peer.Client) error{
+		"summary unchanged": func(c *peer.Client) error {
+			_, err := c.Summary(context.Background(), &peerpb.SummaryRequest{Known: server.summary.Version})
+			return err
+		},
+		"freshness": func(c *peer.Client) error {
+			_, err := c.Freshness(context.Background(), &peerpb.FreshnessRequest{})
+			return err
+		},
+	} {
+		spent, bytes, err := callPeer(server, call)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, []string{name, fmt.Sprintf("%.0f", bytes), fmt.Sprintf("%.0f", spent/1000)})
+	}
+	r.fit("peer summary of 2 cells: processor time at both ends", "service per cell", "ns", pointsOf(full))
+	r.fit("peer summary of 2 cells: bytes on the wire, both ways", "service per cell", "bytes", pointsOf(fullBytes))
+	r.section("Questions between entry VMs", []string{"question", "bytes, both ways", "processor time at both ends, µs"}, rows)
+	return nil
+}
+
+func pointsOf(pairs [][2]float64) []Point {
+	points := make([]Point, 0, len(pairs))
+	for _, p := range pairs {
+		points = append(points, Point{p[0], p[1]})
+	}
+	return points
+}
+
+// callPeer returns the processor time and the bytes of one call to a server on
+// loopback over a kept connection.
+func callPeer(s peerpb.Peer, call func(*peer.Client) error) (spent, bytes float64, err error) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, err
+	}
+	listener := &countingListener{Listener: inner}
+	server := &http.Server{Handler: peerpb.NewPeerServer(s), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	transport := peer.NewTransport()
+	defer transport.CloseIdleConnections()
+	client := peer.NewClient(peer.Address{VM: vmName(1), HostPort: inner.Addr().String()}, transport)
+	if err := call(client); err != nil {
+		return 0, 0, err
+	}
+	calls := 0
+	before := listener.bytes.Load()
+	spent = cost(func(int) {
+		calls++
+		if failed := call(client); failed != nil {
+			err = failed
+		}
+	})
+	return spent, float64(listener.bytes.Load()-before) / float64(calls), err
+}
