Measure the platform's exchanges and the cell runner at several sizes

Cause: the task machine alone hides what the daemon does around it: views, summaries, usage reports, declared work.

--- a/capacity/fanout.go
+++ b/capacity/fanout.go
@@ -7,20 +7,20 @@
 const lastUninfected = 0.01
 
 // fanouts returns the fanout of each round of the synchronous protocol of Verma
-// and Ooi for n VMs: F(r+1) = ((N-1)/I(r)) ln(U(r)/U(r+1)), where I and U are
+// and Ooi for N = entryVMs: F(r+1) = ((N-1)/I(r)) ln(U(r)/U(r+1)), where I and U are
 // the VMs with and without the record. The wanted pattern multiplies I by
 // growth in each round; in the last one U falls to lastUninfected.
-func fanouts(n int, growth float64) []float64 {
+func fanouts(growth float64) []float64 {
 	var list []float64
 	infected := 1.0
 	for {
-		uninfected := float64(n) - infected
-		next := float64(n) - infected*growth
+		uninfected := float64(entryVMs) - infected
+		next := float64(entryVMs) - infected*growth
 		last := next < 1
 		if last {
 			next = lastUninfected
 		}
-		list = append(list, float64(n-1)/infected*math.Log(uninfected/next))
+		list = append(list, float64(entryVMs-1)/infected*math.Log(uninfected/next))
 		if last {
 			return list
 		}
--- a/capacity/peers.go
+++ b/capacity/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -99,27 +98,9 @@
 // callPeer returns the processor time and the bytes of one call to a server on
 // loopback over a kept connection.
 func callPeer(s peerpb.Peer, call func(*peer.Client) error) (spent, bytes float64, err error) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, 0, err
-	}
-	listener := &countingListener{Listener: inner}
-	server := &http.Server{Handler: peerpb.NewPeerServer(s), ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
-	transport := peer.NewTransport()
-	defer transport.CloseIdleConnections()
-	client := peer.NewClient(peer.Address{VM: vmName(1), HostPort: inner.Addr().String()}, transport)
-	if err := call(client); err != nil {
-		return 0, 0, err
-	}
-	calls := 0
-	before := listener.bytes.Load()
-	spent = cost(func(int) {
-		calls++
-		if failed := call(client); failed != nil {
-			err = failed
-		}
+	p, err := exchange(peerpb.NewPeerServer(s), func(address string, client *http.Client) func() error {
+		c := peer.NewClient(peer.Address{VM: vmName(1), HostPort: address}, client.Transport)
+		return func() error { return call(c) }
 	})
-	return spent, float64(listener.bytes.Load()-before) / float64(calls), err
+	return p.spent, p.bytes, err
 }
--- a/capacity/records.go
+++ b/capacity/records.go
@@ -58,3 +58,13 @@
 	r.section("Log records", []string{"kind", "bytes", "bytes in a batch of 4", "encode, ns", "decode, ns"}, rows)
 	return nil
 }
+
+// recordsOf returns the sample record of a kind.
+func recordsOf(kind string) []*recordpb.Record {
+	for _, s := range sampleRecords() {
+		if s.name == kind {
+			return []*recordpb.Record{s.record}
+		}
+	}
+	return nil
+}
--- a/capacity/run.go
+++ b/capacity/run.go
@@ -4,7 +4,7 @@
 
 // Parts returns the names of all measurements in the order of Run.
 func Parts() []string {
-	return []string{"store", "cell", "declared", "claims", "records", "writer", "peers", "copies", "spread"}
+	return []string{"store", "cell", "declared", "claims", "records", "writer", "platform", "peers", "copies", "spread"}
 }
 
 // Run makes the named measurements, all if there are none.
@@ -36,6 +36,8 @@
 		return measureRecords(r)
 	case "writer":
 		return measureWriter(r)
+	case "platform":
+		return measurePlatform(r)
 	case "peers":
 		return measurePeers(r)
 	case "copies":
--- a/capacity/spread.go
+++ b/capacity/spread.go
@@ -40,7 +40,7 @@
 			run: func(random *rand.Rand) spreadRun { return polling(l, logPoll, random) },
 		})
 		for _, growth := range []float64{2, 3, 5} {
-			plan := fanouts(entryVMs, growth)
+			plan := fanouts(growth)
 			round := 2 * l.delay
 			models = append(models, spreadModel{
 				name: fmt.Sprintf("adaptive fanout, growth %.0f, %d rounds of %s", growth, len(plan), round), links: l, bytes: pushBytes,
--- a/capacity/spread_test.go
+++ b/capacity/spread_test.go
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	for _, growth := range []float64{2, 3, 5} {
 		infected, logs := 1.0, 0.0
-		for _, f := range fanouts(entryVMs, growth) {
+		for _, f := range fanouts(growth) {
 			logs += f * infected / (entryVMs - 1)
 			infected *= growth
 		}
@@ -28,11 +28,11 @@
 func TestSpreadModels(t *testing.T) {
 	is := is.New(t)
 	lossless := links{delay: interDelay}
-	run := gossip(lossless, 2*interDelay, fanouts(entryVMs, 3), rand.New(rand.NewPCG(1, 1)))
+	run := gossip(lossless, 2*interDelay, fanouts(3), rand.New(rand.NewPCG(1, 1)))
 	is.True(run.reached > entryVMs/2)
 	is.True(run.all >= interDelay)
 	cut := links{delay: interDelay, loss: 1}
-	run = gossip(cut, 2*interDelay, fanouts(entryVMs, 3), rand.New(rand.NewPCG(1, 1)))
+	run = gossip(cut, 2*interDelay, fanouts(3), rand.New(rand.NewPCG(1, 1)))
 	is.True(run.reached <= vmsPerCentre)
 	run = polling(lossless, logPoll, rand.New(rand.NewPCG(1, 1)))
 	is.True(run.all > logPoll/2 && run.all < logPoll+2*interDelay+logReadLatency+time.Millisecond)
--- /dev/null
+++ b/entry/cellbench_test.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/capacity"
+	"github.com/cactusreel/cactusreel/ownership"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/scheduler"
+	"github.com/cactusreel/cactusreel/tasks"
+	"github.com/cactusreel/cactusreel/writer"
+)
+
+const (
+	benchWorkers = 45
+	benchTerm    = 9
+	benchDC      = "giza"
+)
+
+// benchHost is a node of which only one cell runs. Its worker agents are out of
+// reach, so that a benchmark measures the runner alone.
+type benchHost struct {
+	work *declaredWork
+	list *workerList
+}
+
+func (h *benchHost) agent(string) (platform.WorkerAgent, bool)      { return nil, false }
+func (h *benchHost) offerMove(context.Context, tasks.OfferMove)     {}
+func (h *benchHost) confirmMove(context.Context, tasks.ConfirmMove) {}
+func (h *benchHost) declared() *declaredWork                        { return h.work }
+func (h *benchHost) listed() *workerList                            { return h.list }
+func (h *benchHost) leavingServers() map[string]string              { return nil }
+func (h *benchHost) cells() int                                     { return 1 }
+func (h *benchHost) startsUntil() time.Duration                     { return time.Hour }
+func (h *benchHost) claimsReadAt() time.Duration                    { return time.Hour }
+func (h *benchHost) latencyP99(string, string) time.Duration        { return 0 }
+func (h *benchHost) otherCells(int) []scheduler.CellSummary         { return nil }
+func (h *benchHost) workerTimeout() time.Duration                   { return time.Second }
+func (h *benchHost) snapshotInterval() time.Duration                { return 100 * time.Hour }
+
+// benchCell is a runner with running tasks and its virtual clock.
+type benchCell struct {
+	*cellRunner
+	now    time.Duration
+	boot   time.Duration
+	tasks  map[string][]platform.Attempt
+	offset int64
+}
+
+// newBenchCell returns a cell that runs a number of tasks of jobs of 20 tasks.
+func newBenchCell(tb testing.TB, running int) *benchCell {
+	tb.Helper()
+	c := &benchCell{now: time.Minute, tasks: make(map[string][]platform.Attempt)}
+	store := benchStore(tb, (running+19)/20)
+	host := &benchHost{work: newDeclaredWork(store.View(), benchDC, c.now, nil), list: benchWorkerList()}
+	config := tasks.DefaultConfig("vm", benchDC, 0)
+	config.SnapshotRecords = 1 << 30
+	policy := scheduler.New(scheduler.DefaultConfig(), scheduler.NewKnowledge(), rand.New(rand.NewPCG(1, 1)))
+	cell := scheduler.CellID{DataCentre: benchDC}
+	w := writer.New(nil, writer.Options{Stream: record.TasksStream(benchDC, 0), Incarnation: 1})
+	c.cellRunner = newCellRunner(cell, config, policy, host, nil, w, nil, func() time.Duration { return c.now }, time.Second)
+	c.ctx, c.cancel = context.WithCancel(tb.Context())
+	c.handleOwnership(ownership.View{Own: ownership.StateHeld, OwnTerm: benchTerm, Term: benchTerm, PlaceUntil: time.Hour})
+	c.tick()
+	c.apply(tb, &recordpb.Record{Term: benchTerm, Open: &recordpb.Open{Owner: "vm"}})
+	c.observeAll()
+	c.place(tb, running)
+	c.observeAll()
+	c.tick()
+	return c
+}
+
+func benchStore(tb testing.TB, jobs int) *resources.Store {
+	store := resources.New(resources.Limits{})
+	put := func(r api.Resource) {
+		op, err := resources.NewPut("", r, resources.Precondition{})
+		if err != nil {
+			tb.Fatal(err)
+		}
+		if _, err := store.Apply(store.View().Offset()+1, op); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	put(api.Resource{Meta: api.Meta{Kind: api.KindDataCentre, Name: benchDC}, DataCentre: &api.DataCentreSpec{InService: true, Cells: 1, DrainSeconds: 120}})
+	for i := range 130 {
+		put(api.Resource{Meta: api.Meta{Kind: api.KindTeam, Name: fmt.Sprintf("team-%03d", i)}, Team: &api.TeamSpec{Quota: platform.Resources{MilliCPU: 1 << 30, MemoryMiB: 1 << 30}}})
+	}
+	for i := range jobs {
+		put(api.Resource{Meta: api.Meta{Kind: api.KindJob, Name: fmt.Sprintf("import-%05d", i)}, Job: &api.JobSpec{
+			Team: fmt.Sprintf("team-%03d", i%130), TaskKind: fmt.Sprintf("kind-%d", i%20), Tasks: 20,
+			Requests: platform.Resources{MilliCPU: 1000, MemoryMiB: 2048}, RunSeconds: 3600,
+		}})
+	}
+	return store
+}
+
+func benchWorkerList() *workerList {
+	var vms []platform.VM
+	for i := range benchWorkers {
+		vms = append(vms, platform.VM{
+			ID: benchWorker(i), DataCentre: benchDC, Rack: fmt.Sprintf("rack-%d", i/11), Role: platform.RoleWorker, State: platform.VMLive,
+			Capacity: platform.Resources{MilliCPU: 256_000, MemoryMiB: 1 << 20},
+		})
+	}
+	return newWorkerList(vms, time.Second)
+}
+
+func benchWorker(i int) string {
+	return fmt.Sprintf("giza-worker-%04d", i)
+}
+
+func (c *benchCell) apply(tb testing.TB, records ...*recordpb.Record) {
+	data, err := record.EncodeBatch(records)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c.offset++
+	id := record.ID{Incarnation: 1, Sequence: uint64(c.offset)}
+	c.applyRecord(platform.LogRecord{Offset: c.offset, ID: id.String(), Data: data})
+}
+
+// place records a placement of the first tasks in order of id.
+func (c *benchCell) place(tb testing.TB, running int) {
+	for i, t := range c.machine.Tasks()[:running] {
+		worker := benchWorker(i % benchWorkers)
+		c.apply(tb, &recordpb.Record{Term: benchTerm, Placed: &recordpb.Placed{
+			Task: t.Task, Attempt: 1, Worker: worker, Boot: "boot", Requests: &recordpb.Amount{MilliCpu: 1000, MemoryMib: 2048},
+		}})
+		c.tasks[worker] = append(c.tasks[worker], platform.Attempt{
+			ID: platform.AttemptID{Task: t.Task, Attempt: 1}, State: platform.AttemptRunning, Kind: "kind-1",
+			Requests: platform.Resources{MilliCPU: 1000, MemoryMiB: 2048}, LeaseExpiry: 10 * time.Hour, Progress: 0.5, Throttle: 1,
+		})
+	}
+}
+
+func (c *benchCell) observeAll() {
+	for i := range benchWorkers {
+		c.observeOne(i)
+	}
+}
+
+// observeOne brings a worker's answer with a fresh usage report per attempt.
+func (c *benchCell) observeOne(i int) {
+	c.boot += time.Microsecond
+	worker := benchWorker(i)
+	state := platform.WorkerState{
+		Worker: worker, Boot: "boot", Clock: time.Hour + c.boot, Term: benchTerm,
+		Capacity: platform.Resources{MilliCPU: 256_000, MemoryMiB: 1 << 20}, Attempts: c.tasks[worker],
+	}
+	for _, a := range c.tasks[worker] {
+		state.Usage = append(state.Usage, platform.Usage{
+			ID: a.ID, MeasuredAt: time.Hour + c.boot, Colocated: []string{"kind-2"}, Used: a.Requests, Slowdown: 1.1, Load: 0.5,
+		})
+	}
+	c.handleAnswer(&workerAnswer{sentAt: c.now, observed: observed{state: state, receivedAt: c.now}})
+}
+
+func (c *benchCell) running() int {
+	n := 0
+	for _, t := range c.view().tasks {
+		if t.Running {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against benchmarks of a cell that does not run its tasks.
+func TestBenchCellRuns(t *testing.T) {
+	is := is.New(t)
+	c := newBenchCell(t, 90)
+	is.Equal(c.running(), 90)
+	is.True(c.view().accepting)
+	is.Equal(len(c.starts), 90)
+}
+
+// benchSizes runs a benchmark of a cell at several numbers of running tasks and
+// reports processor time besides wall time.
+func benchSizes(b *testing.B, f func(c *benchCell, i int)) {
+	for _, n := range []int{325, 650, 1300, 2600} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			c := newBenchCell(b, n)
+			b.ReportAllocs()
+			begin := capacity.ProcessorTime()
+			i := 0
+			for b.Loop() {
+				f(c, i)
+				i++
+			}
+			b.ReportMetric(float64(capacity.ProcessorTime()-begin)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// BenchmarkCellTick measures 1 second of a runner at rest: ten ticks, in which
+// it plans five times and acts once.
+func BenchmarkCellTick(b *testing.B) {
+	benchSizes(b, func(c *benchCell, _ int) {
+		for range time.Second / cellTick {
+			c.now += cellTick
+			c.tick()
+		}
+		c.now -= time.Second
+		c.plannedAt, c.actedAt = 0, 0
+	})
+}
+
+// BenchmarkCellObservation measures one worker's answer with its usage reports.
+func BenchmarkCellObservation(b *testing.B) {
+	benchSizes(b, func(c *benchCell, i int) { c.observeOne(i % benchWorkers) })
+}
+
+// BenchmarkDeclaredWork measures what each new record of the resources stream
+// costs an entry VM besides its application.
+func BenchmarkDeclaredWork(b *testing.B) {
+	for _, jobs := range []int{6000, 12_000, 24_000, 48_000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			view := benchStore(b, jobs).View()
+			before := newDeclaredWork(view, benchDC, time.Minute, nil)
+			b.ReportAllocs()
+			begin := capacity.ProcessorTime()
+			for b.Loop() {
+				newDeclaredWork(view, benchDC, time.Minute, before)
+			}
+			b.ReportMetric(float64(capacity.ProcessorTime()-begin)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
