--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"syscall"
@@ -104,7 +105,10 @@
 	answered := 0
 	end := time.Now().Add(8 * time.Second) // longer than an owner's lease
 	for i := 0; time.Now().Before(end); i++ {
-		told, _ := c.send("register", try{method: http.MethodGet, id: "down" + time.Now().String()[:30], query: "work=5ms", vm: c.entries[i%len(c.entries)]})
+		vm := c.entries[i%len(c.entries)]
+		told, _ := c.send("register", try{method: http.MethodGet, id: fmt.Sprintf("get-%d", i), query: "work=5ms", vm: vm})
+		is.Equal(told, checker.Answered)
+		told, _ = c.send("register", try{method: http.MethodPost, id: fmt.Sprintf("%s.post-%d", vm.dataCentre, i), query: "work=5ms", vm: vm})
 		is.Equal(told, checker.Answered)
 		answered++
 	}
