Example tests for the embeddable packages; renewers and head reads in the daemon

Cause: (1) the packages were not shown in use. (2) The daemon passed the number of predecessors that may use slots to the task machine, which needs those that may renew task leases: after a hand-over a former owner that has not acknowledged it can still renew. (3) A read of the claims that did not reach the head counted as the newest.

Ruled out for (2): one number for both; a hand-over ends the use of slots at once, but not the renewals.

--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -278,11 +278,11 @@
 func (r *cellRunner) takeOver(before, v ownership.View) {
 	if v.OwnTerm != r.term {
 		r.term = v.OwnTerm
-		r.step(tasks.Owned{Term: v.OwnTerm, Rescue: v.Own == ownership.StateRescue, Predecessors: v.Predecessors})
+		r.step(tasks.Owned{Term: v.OwnTerm, Rescue: v.Own == ownership.StateRescue, Predecessors: v.Renewers})
 		return
 	}
-	if before.Predecessors != v.Predecessors {
-		r.step(tasks.PredecessorsChanged{Count: v.Predecessors})
+	if before.Renewers != v.Renewers {
+		r.step(tasks.PredecessorsChanged{Count: v.Renewers})
 	}
 }
 
--- a/entry/claimsrunner.go
+++ b/entry/claimsrunner.go
@@ -225,7 +225,10 @@
 	for _, logged := range page.Records {
 		r.applyRecord(logged)
 	}
-	r.readAt.Store(int64(sentAt))
+	if n := len(page.Records); n == 0 || page.Records[n-1].Offset+1 == page.Next {
+		// Only a read that reached the head shows what is newest.
+		r.readAt.Store(int64(sentAt))
+	}
 }
 
 // applyRecord passes a record on. The writer of this stream puts one item in
--- /dev/null
+++ b/freshness/example_test.go
@@ -0,0 +1,21 @@
+package freshness_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cactusreel/cactusreel/freshness"
+)
+
+// A read of the log's head that was sent at 10 s permits starts until 12 s,
+// once everything up to that head has been applied.
+func Example() {
+	m := freshness.New(freshness.DefaultConfig())
+	m.Step(10*time.Second, freshness.DirectRead{SentAt: 10 * time.Second, Head: 7})
+	fmt.Println(m.StartUntil())
+	m.Step(11*time.Second, freshness.Applied{Offset: 7})
+	fmt.Println(m.StartUntil())
+	// Output:
+	// 0s
+	// 12s
+}
--- /dev/null
+++ b/tasks/example_test.go
@@ -0,0 +1,31 @@
+package tasks_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/tasks"
+)
+
+// A declared job gives the machine of its home cell tasks to place.
+func Example() {
+	machine := tasks.New(tasks.DefaultConfig("giza-1", "giza", 0))
+	work := tasks.Work{
+		Kind:        api.KindJob,
+		Name:        "reports",
+		Created:     7,
+		Count:       2,
+		Requests:    platform.Resources{MilliCPU: 1000, MemoryMiB: 100},
+		DataCentres: []tasks.DataCentre{{Name: "giza", Cells: 1}},
+	}
+	machine.Step(time.Second, tasks.WorkChanged{Work: work})
+	machine.Step(time.Second, tasks.WorkThrough{Version: 7})
+	for _, t := range machine.Tasks() {
+		fmt.Println(t.Task, t.Status)
+	}
+	// Output:
+	// reports/7/0 pending
+	// reports/7/1 pending
+}
