--- a/entry/rescue.go
+++ b/entry/rescue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
+	"github.com/cactusreel/cactusreel/trace"
 )
 
 // Times of rescues.
@@ -101,6 +103,7 @@
 	w := n.writerFor(ctx, record.ClaimsStream(dataCentre), func() {})
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.claims = newClaimsRunner(ctx, config, n.log, w, r, n.events, n.clock, rescuePoll)
+	r.claims.trace = n.traced(trace.Ownership, dataCentre, config)
 	n.mu.Lock()
 	n.rescuers[dataCentre] = r
 	n.mu.Unlock()
@@ -140,6 +143,7 @@
 	id := scheduler.CellID{DataCentre: r.dataCentre, Index: cell}
 	w := r.writerFor(r.claims.ctx, record.TasksStream(r.dataCentre, cell), func() {})
 	runner := newCellRunner(id, config, policy, r, r.log, w, r.events, r.clock, t.LogPoll)
+	runner.trace = r.traced(trace.Tasks, fmt.Sprintf("%s/%d", r.dataCentre, cell), config)
 	runner.ctx, runner.cancel = context.WithCancel(r.claims.ctx)
 	r.mu.Lock()
 	r.runners[cell] = runner
