--- a/bench/run.go
+++ b/bench/run.go
@@ -12,13 +12,6 @@
 // defaultDuration is the virtual time of a run.
 const defaultDuration = 15 * time.Minute
 
-// job is one row to measure.
-type job struct {
-	deployment Deployment
-	scenario   Scenario
-	variant    Variant
-}
-
 // Run makes the runs that the options name and returns the table. The result
 // depends on the options alone. It fails if a name is unknown or a plot can't
 // be written.
--- /dev/null
+++ b/bench/template.go
@@ -0,0 +1,17 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+)
+
+// template is a job that recurs, with its true and declared values.
+type template struct {
+	name              string
+	class             Class
+	cpu, memory, work float64
+	declared          platform.Resources
+	runTime           time.Duration
+	impossible        bool
+}
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -27,16 +27,6 @@
 	taskSpread = 0.06
 )
 
-// template is a job that recurs, with its true and declared values.
-type template struct {
-	name              string
-	class             Class
-	cpu, memory, work float64
-	declared          platform.Resources
-	runTime           time.Duration
-	impossible        bool
-}
-
 // addTemplates draws the jobs that recur.
 func (w *world) addTemplates() {
 	spread := declarationError
--- a/scheduler/accumulate.go
+++ b/scheduler/accumulate.go
@@ -28,12 +28,6 @@
 	return true
 }
 
-// agedTask is the task for which a worker's room is kept.
-type agedTask struct {
-	task   string
-	worker string
-}
-
 // roomiest returns the position of the worker with the largest free share of
 // the need among a sample, or -1.
 func (r *Round) roomiest(t *Task, need platform.Resources) int {
--- /dev/null
+++ b/scheduler/candidate.go
@@ -0,0 +1,14 @@
+package scheduler
+
+import "github.com/cactusreel/cactusreel/platform"
+
+// Candidate is a worker that is considered for a task.
+type Candidate struct {
+	Worker *Worker
+	// Free is what is left after the placements of this round.
+	Free platform.Resources
+	// Added are the tasks that this round has placed on the worker.
+	Added []*Task
+	// position is the worker's place in the index.
+	position int
+}
--- a/scheduler/cellchoice.go
+++ b/scheduler/cellchoice.go
@@ -19,23 +19,6 @@
 	otherCentreCost = 0.5
 )
 
-// sentLoad is what was sent to a cell since its summary was made.
-type sentLoad struct {
-	at   time.Duration
-	sum  platform.Resources
-	jobs map[string]int
-}
-
-// load is what a cell is chosen for.
-type load struct {
-	job     string
-	service bool
-	urgent  bool
-	// takes is set when the task may take the room of ordinary work.
-	takes bool
-	need  platform.Resources
-}
-
 // ChooseCell returns the cell to move a task to, or false if no summary shows
 // room. The choice is random in proportion to the room, because many owners
 // choose from the same lagging summaries.
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -20,19 +20,6 @@
 	lateMoves = 20 * time.Second
 )
 
-// drainState counts the moves of one drain.
-type drainState struct {
-	since time.Duration
-	total int
-	begun int
-}
-
-// running is an attempt with its worker.
-type running struct {
-	worker  *Worker
-	attempt *Attempt
-}
-
 // drain empties a data centre that was taken out. Work that ends in time stays;
 // the rest moves at an even rate to cells with room, so that they are not
 // flooded.
--- /dev/null
+++ b/scheduler/filter.go
@@ -0,0 +1,8 @@
+package scheduler
+
+// Filter rejects workers that a task must not run on.
+type Filter interface {
+	// Reject returns why the worker can't run the task, as a phrase that
+	// completes "no worker ...", or "" to accept it.
+	Reject(r *Round, t *Task, c *Candidate) string
+}
--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -31,19 +31,6 @@
 	pairs map[pair]Estimate
 }
 
-// pair is an ordered pair of kinds in a load bucket.
-type pair struct {
-	victim, aggressor, bucket int32
-}
-
-// colocation is one pair of a report.
-type colocation struct {
-	pair  pair
-	known Estimate
-	// n is how many tasks of the aggressor's kind ran beside the victim.
-	n float64
-}
-
 // New returns a model that knows no pair.
 func New() *Model {
 	return &Model{kinds: map[string]int{}, pairs: map[pair]Estimate{}}
--- a/scheduler/knowledge.go
+++ b/scheduler/knowledge.go
@@ -27,11 +27,6 @@
 	boots map[string]string
 }
 
-// jobKnowledge is what was learned of one version of a job.
-type jobKnowledge struct {
-	retries *retry.Budget
-}
-
 // NewKnowledge returns empty knowledge.
 func NewKnowledge() *Knowledge {
 	return &Knowledge{
--- /dev/null
+++ b/scheduler/load.go
@@ -0,0 +1,13 @@
+package scheduler
+
+import "github.com/cactusreel/cactusreel/platform"
+
+// load is what a cell is chosen for.
+type load struct {
+	job     string
+	service bool
+	urgent  bool
+	// takes is set when the task may take the room of ordinary work.
+	takes bool
+	need  platform.Resources
+}
--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -18,13 +18,6 @@
 	reclaimShare = 1.5
 )
 
-// eviction is a set of attempts whose end makes room on a worker.
-type eviction struct {
-	candidate Candidate
-	victims   []*Attempt
-	cost      float64
-}
-
 // waitForRoom records that a task found no worker. It evicts others for the
 // task if the rules allow it, or names a better cell.
 func (r *Round) waitForRoom(t *Task, need platform.Resources, reason string) {
--- a/scheduler/relieve.go
+++ b/scheduler/relieve.go
@@ -109,12 +109,6 @@
 	return actions
 }
 
-// culprit is an attempt with the log slowdown that it is estimated to add.
-type culprit struct {
-	attempt *Attempt
-	harm    float64
-}
-
 // urgency returns 1 for urgent attempts and 0 for others.
 func urgency(a *Attempt) int {
 	if a.Urgent {
--- a/scheduler/retry/budget.go
+++ b/scheduler/retry/budget.go
@@ -23,13 +23,6 @@
 	tasks  map[string]taskRetries
 }
 
-// taskRetries holds the failures of one task.
-type taskRetries struct {
-	failures int
-	notUntil time.Duration
-	message  string
-}
-
 // New returns a full budget.
 func New() *Budget {
 	return &Budget{tokens: burst, tasks: map[string]taskRetries{}}
--- a/scheduler/round.go
+++ b/scheduler/round.go
@@ -29,19 +29,6 @@
 	full map[shape]string
 }
 
-// jobRack names the replicas of a service in one rack.
-type jobRack struct {
-	job  string
-	rack string
-}
-
-// shape is what decides whether a task fits: tasks of the same shape that come
-// after one without a worker need no search.
-type shape struct {
-	job  string
-	need platform.Resources
-}
-
 // newRound returns the state at the start of a round.
 func (p *Policy) newRound(now time.Duration, s *Snapshot) *Round {
 	return &Round{
--- /dev/null
+++ b/scheduler/running.go
@@ -0,0 +1,7 @@
+package scheduler
+
+// running is an attempt with its worker.
+type running struct {
+	worker  *Worker
+	attempt *Attempt
+}
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -19,12 +19,6 @@
 	assigned platform.Resources
 }
 
-// sums are amounts by team and replicas by service and rack.
-type sums struct {
-	use   map[string]platform.Resources
-	racks map[jobRack]int
-}
-
 // newSums returns sums over nothing.
 func newSums() sums {
 	return sums{use: map[string]platform.Resources{}, racks: map[jobRack]int{}}
