api, platform: one type a file

Cause: api/types.go held 16 types and platform/worker.go 9, against the house style.

Change: each type has its file; no code is changed.

--- a/api/kind.go
+++ b/api/kind.go
@@ -1,5 +1,18 @@
 package api
 
+// Kind names a kind of resource as it stands in paths and documents.
+type Kind string
+
+// Kinds of resources.
+const (
+	KindService    Kind = "services"
+	KindJob        Kind = "jobs"
+	KindPool       Kind = "pools"
+	KindDataCentre Kind = "datacentres"
+	KindTeam       Kind = "teams"
+	KindWeights    Kind = "weights"
+)
+
 // WeightsName is the only name that a resource of kind weights can have.
 const WeightsName = "default"
 
