--- /dev/null
+++ b/entry/tracing_test.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/replay"
+	"github.com/cactusreel/cactusreel/settings"
+)
+
+// Guards against a recording that the replay can't read.
+func TestRecordedTraceReplays(t *testing.T) {
+	is := is.New(t)
+	platform := httptest.NewServer(nil)
+	defer platform.Close()
+	target := filepath.Join(t.TempDir(), "trace.jsonl")
+	s, err := settings.Parse("test.ini", fmt.Appendf(nil, `[vm]
+id = giza-1
+data_centre = giza
+[listen]
+callers = %s
+peers = %s
+[platform]
+log_url = %s
+vm_list_url = %s
+[times]
+balancer_delay = 0s
+[logging]
+trace = %s
+`, freeAddress(t), freeAddress(t), platform.URL, platform.URL, target))
+	is.NoErr(err)
+	events, err := logevent.New(io.Discard, "info")
+	is.NoErr(err)
+	n, err := NewNode(s, events)
+	is.NoErr(err)
+	stop := make(chan struct{}, 1)
+	stop <- struct{}{}
+	is.NoErr(n.Run(context.Background(), stop))
+
+	data, err := os.ReadFile(target)
+	is.NoErr(err)
+	source := fmt.Sprintf("freshness/giza-1/%016x/2", n.incarnation)
+	stated := string(data) + fmt.Sprintf(`{"time":9000000000000,"source":%q,"outcome":{"state":[{"mayStart":false}]}}`, source)
+	_, err = replay.Run(context.Background(), target, strings.NewReader(stated))
+	is.NoErr(err)
+	is.True(strings.Contains(stated, `"machine":"resources"`))
+}
+
+// Guards against a daemon that ends with SIGPIPE when the reader of its
+// standard error goes away. The writing process is this test's own program.
+func TestLostReaderOfStandardError(t *testing.T) {
+	is := is.New(t)
+	const child = "CACTUSREEL_TEST_TRACE_CHILD"
+	if os.Getenv(child) != "" {
+		out, err := openTrace("-")
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, os.Stdin) // the parent has closed the reading end
+		_, err = out.Write([]byte("line\n"))
+		is.True(errors.Is(err, syscall.EPIPE))
+		return
+	}
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	c := exec.Command(os.Args[0], "-test.run=^TestLostReaderOfStandardError$")
+	c.Env = append(os.Environ(), child+"=1")
+	c.Stderr = writer
+	stdin, err := c.StdinPipe()
+	is.NoErr(err)
+	is.NoErr(c.Start())
+	is.NoErr(writer.Close())
+	is.NoErr(reader.Close())
+	is.NoErr(stdin.Close())
+	is.NoErr(c.Wait())
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/logevent/process.go
+++ b/logevent/process.go
@@ -4,12 +4,13 @@
 
 // Events of the process.
 const (
-	ProcessStarted Number = 101
-	ProcessReady   Number = 102
-	StopRequested  Number = 103
-	StopFinished   Number = 104
-	StopCutOff     Number = 105
-	ProcessFailed  Number = 109
+	ProcessStarted  Number = 101
+	ProcessReady    Number = 102
+	StopRequested   Number = 103
+	StopFinished    Number = 104
+	StopCutOff      Number = 105
+	ProcessFailed   Number = 109
+	TraceIncomplete Number = 110
 )
 
 var processEvents = []Info{
@@ -19,4 +20,5 @@
 	{StopFinished, "StopFinished", zapcore.InfoLevel, "planned stop finished with no request cut off", []string{"duration"}, "None."},
 	{StopCutOff, "StopCutOff", zapcore.ErrorLevel, "planned stop ended with requests cut off", []string{"requests", "reason"}, "Raise stop_deadline if this recurs; the callers see a broken connection."},
 	{ProcessFailed, "ProcessFailed", zapcore.ErrorLevel, "process ends after a failure that it cannot handle", []string{"error"}, "Read the error; the VM can be restarted."},
+	{TraceIncomplete, "TraceIncomplete", zapcore.WarnLevel, "lines of the trace were dropped", []string{"target", "lines", "error"}, "Attach a faster reader before the process starts; the trace can be replayed up to its first gap."},
 }
