Teach the policy outcomes of attempts never seen running; own addresses in e2e

Cause: (1) an attempt that fails between two observations of its worker was never seen running, and its outcome was not passed to the policy: a worker that fails everything at once was never quarantined. Boot, sizes and use were missing from outcomes. (2) Three of the end-to-end tests' VMs found their port in use: a port of 127.0.0.1 that was free had been taken for another listener or an outgoing connection meanwhile.

Ruled out for (2): retrying with other ports, which the other VMs' settings would not know.

Change: (1) outcomes follow the placed records of the own term; get shows the pending tasks. (2) each cluster of the tests has loopback addresses of its own; the demo's ports lie below those of outgoing connections. Profiles on the peer listener.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -72,7 +72,7 @@
 		{"apply -f ../examples/consortium.json", 0, "datacentres/giza applied, version 1\n"},
 		{"apply -f ../examples/consortium.json --create", 1, "16 of 16 resources were refused"},
 		{"get datacentres", 0, "NAME        VERSION  IN SERVICE  CELLS  DRAIN\ngiza        1        yes         4      120s\n"},
-		{"get service menus", 0, "menus  11       caterers  menu-web  24        17       80ms        normal       8c 24576MiB\n"},
+		{"get service menus", 0, "menus  11       caterers  menu-web  24        17       0        80ms        normal       8c 24576MiB\n"},
 		{"get weights -o json", 0, `"tailLatency": 100`},
 		{"get clusters", 2, "accepted: services, jobs"},
 		{"get services -o yaml", 2, "accepted: table or json"},
--- a/command/table.go
+++ b/command/table.go
@@ -12,8 +12,8 @@
 
 // columns holds the headings of each kind after NAME and VERSION.
 var columns = map[api.Kind]string{
-	api.KindService:    "TEAM\tKIND\tREPLICAS\tRUNNING\tP99 TARGET\tCRITICALITY\tPER REPLICA",
-	api.KindJob:        "TEAM\tKIND\tTASKS\tRUNNING\tCOMPLETED\tPRIORITY\tCANCELLED\tPER TASK",
+	api.KindService:    "TEAM\tKIND\tREPLICAS\tRUNNING\tPENDING\tP99 TARGET\tCRITICALITY\tPER REPLICA",
+	api.KindJob:        "TEAM\tKIND\tTASKS\tRUNNING\tPENDING\tCOMPLETED\tPRIORITY\tCANCELLED\tPER TASK",
 	api.KindPool:       "DATA CENTRES\tWORKERS",
 	api.KindDataCentre: "IN SERVICE\tCELLS\tDRAIN",
 	api.KindTeam:       "QUOTA\tMAY BORROW",
@@ -36,10 +36,10 @@
 	switch {
 	case r.Service != nil:
 		s := r.Service
-		return texts(s.Team, s.TaskKind, s.Replicas, count(r.Status, runningOf), fmt.Sprintf("%dms", s.TargetP99Millis), s.Criticality, amount(s.Requests))
+		return texts(s.Team, s.TaskKind, s.Replicas, count(r.Status, runningOf), count(r.Status, pendingOf), fmt.Sprintf("%dms", s.TargetP99Millis), s.Criticality, amount(s.Requests))
 	case r.Job != nil:
 		j := r.Job
-		return texts(j.Team, j.TaskKind, j.Tasks, count(r.Status, runningOf), count(r.Status, completedOf), j.Priority, yesNo(j.Cancelled), amount(j.Requests))
+		return texts(j.Team, j.TaskKind, j.Tasks, count(r.Status, runningOf), count(r.Status, pendingOf), count(r.Status, completedOf), j.Priority, yesNo(j.Cancelled), amount(j.Requests))
 	case r.Pool != nil:
 		return texts(orAll(r.Pool.DataCentres), orAll(r.Pool.Workers))
 	case r.DataCentre != nil:
@@ -61,6 +61,7 @@
 }
 
 func runningOf(s *api.Status) int   { return s.Running }
+func pendingOf(s *api.Status) int   { return s.Pending }
 func completedOf(s *api.Status) int { return s.Completed }
 
 func count(s *api.Status, of func(*api.Status) int) string {
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -6,13 +6,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -86,9 +86,10 @@
 func start(t *testing.T, l layout) *cluster {
 	t.Helper()
 	c := &cluster{t: t, started: time.Now(), times: l.times}
+	number := clusters.Add(1)
 	for i, dc := range l.dataCentres {
 		for n := range l.entries[i] {
-			c.entries = append(c.entries, &entryVM{name: fmt.Sprintf("%s-%d", dc, n+1), dataCentre: dc, callers: freeAddress(t), peers: freeAddress(t)})
+			c.entries = append(c.entries, &entryVM{name: fmt.Sprintf("%s-%d", dc, n+1), dataCentre: dc, callers: address(number, len(c.entries), callerPort), peers: address(number, len(c.entries), peerPort)})
 		}
 	}
 	c.startStandin(l)
@@ -105,16 +106,22 @@
 	return c
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// clusters numbers the clusters of this process.
+var clusters atomic.Int64
+
+// address returns an address of an entry VM. Each cluster has loopback
+// addresses of its own: ports of 127.0.0.1 that are free now can be taken by
+// the stand-in or by an outgoing connection before the VM listens.
+func address(cluster int64, vm, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%200, cluster%250, vm+1, port)
 }
 
+// Ports of every entry VM.
+const (
+	callerPort = 8080
+	peerPort   = 7070
+)
+
 func (c *cluster) startStandin(l layout) {
 	c.t.Helper()
 	args := []string{"--workers", fmt.Sprint(l.workers), "--list-lag", "500ms"}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -234,3 +234,26 @@
 	}
 	return count
 }
+
+// Guards against a worker that fails everything it starts and goes on getting
+// tasks until their retries are used up.
+func TestFailingWorker(t *testing.T) {
+	is := is.New(t)
+	c := start(t, twoCentres)
+	c.put(team())
+	c.fault(standin.Fault{Kind: standin.FaultFailing, Target: "worker/giza-w4"})
+	for i := range 4 {
+		c.put(job(fmt.Sprintf("reports-%d", i), 8, 1))
+	}
+	for i := range 4 {
+		c.await("job completes", func() bool { return c.jobStatus(api.KindJob, fmt.Sprintf("reports-%d", i)).Completed == 8 })
+	}
+	failed := 0
+	for _, a := range c.history().Attempts {
+		if a.State == platform.AttemptFailed {
+			failed++
+		}
+	}
+	is.True(failed > 0) // the fault took effect
+	c.judge()
+}
--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -119,6 +119,7 @@
 	leaving    map[string]string
 
 	workers   map[string]*observed
+	placed    map[platform.AttemptID]placement
 	usageSeen map[platform.AttemptID]time.Duration
 	starts    map[platform.AttemptID]startMark
 	pending   map[string]time.Duration
@@ -166,6 +167,7 @@
 		commands:   make(chan struct{}, commandsInFlight),
 		declared:   make(map[string]declaredVersion),
 		workers:    make(map[string]*observed),
+		placed:     make(map[platform.AttemptID]placement),
 		usageSeen:  make(map[platform.AttemptID]time.Duration),
 		starts:     make(map[platform.AttemptID]startMark),
 		pending:    make(map[string]time.Duration),
--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -5,7 +5,6 @@
 
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
 )
@@ -261,39 +260,3 @@
 	}
 	return w
 }
-
-// outcomeStates maps recorded outcomes to the states that the policy learns from.
-var outcomeStates = map[recordpb.Outcome]platform.AttemptState{
-	recordpb.Outcome_OUTCOME_COMPLETED: platform.AttemptCompleted,
-	recordpb.Outcome_OUTCOME_FAILED:    platform.AttemptFailed,
-	recordpb.Outcome_OUTCOME_STOPPED:   platform.AttemptStopped,
-	recordpb.Outcome_OUTCOME_LAPSED:    platform.AttemptLapsed,
-}
-
-// noteOutcomes passes the ends of attempts to the policy as they are read back.
-func (r *cellRunner) noteOutcomes(batch []*recordpb.Record) {
-	now := r.clock()
-	for _, one := range batch {
-		r.logRecord(one)
-		ended := one.Ended
-		if ended == nil || r.host.declared() == nil {
-			continue
-		}
-		state, known := outcomeStates[ended.Outcome]
-		job := r.host.declared().jobs[jobOf(ended.Task)]
-		id := platform.AttemptID{Task: ended.Task, Attempt: ended.Attempt}
-		mark, ran := r.starts[id]
-		if !known || job == nil || !ran {
-			continue
-		}
-		r.policy.ObserveOutcome(now, scheduler.Outcome{
-			ID:      id,
-			Job:     jobOf(ended.Task),
-			Kind:    job.work.TaskKind,
-			Worker:  mark.worker,
-			State:   state,
-			RanFor:  now - mark.at,
-			Message: ended.Message,
-		})
-	}
-}
--- /dev/null
+++ b/entry/outcomes.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/record/recordpb"
+	"github.com/cactusreel/cactusreel/scheduler"
+)
+
+// placement is where and when an attempt was placed, as the stream told.
+type placement struct {
+	at       time.Duration
+	worker   string
+	boot     string
+	requests platform.Resources
+}
+
+// outcomeStates maps recorded outcomes to the states that the policy learns from.
+var outcomeStates = map[recordpb.Outcome]platform.AttemptState{
+	recordpb.Outcome_OUTCOME_COMPLETED: platform.AttemptCompleted,
+	recordpb.Outcome_OUTCOME_FAILED:    platform.AttemptFailed,
+	recordpb.Outcome_OUTCOME_STOPPED:   platform.AttemptStopped,
+	recordpb.Outcome_OUTCOME_LAPSED:    platform.AttemptLapsed,
+}
+
+// noteOutcomes passes the ends of attempts to the policy as they are read
+// back. The placement comes from the stream too: an attempt can fail between
+// two observations of its worker, and then was never seen running.
+func (r *cellRunner) noteOutcomes(batch []*recordpb.Record) {
+	now := r.clock()
+	for _, one := range batch {
+		r.logRecord(one)
+		switch {
+		case one.Placed != nil && one.Term == r.term:
+			// Records of earlier terms are read at once, so that their times
+			// would teach nothing.
+			r.notePlaced(now, one.Placed)
+		case one.Ended != nil:
+			r.noteEnded(now, one.Ended)
+		}
+	}
+}
+
+func (r *cellRunner) notePlaced(now time.Duration, p *recordpb.Placed) {
+	r.placed[platform.AttemptID{Task: p.Task, Attempt: p.Attempt}] = placement{
+		at:     now,
+		worker: p.Worker,
+		boot:   p.Boot,
+		requests: platform.Resources{
+			MilliCPU:     p.GetRequests().GetMilliCpu(),
+			MemoryMiB:    p.GetRequests().GetMemoryMib(),
+			Accelerators: p.GetRequests().GetAccelerators(),
+		},
+	}
+}
+
+// noteEnded tells the policy how an attempt of this term ended.
+func (r *cellRunner) noteEnded(now time.Duration, ended *recordpb.Ended) {
+	id := platform.AttemptID{Task: ended.Task, Attempt: ended.Attempt}
+	p, placed := r.placed[id]
+	delete(r.placed, id)
+	d := r.host.declared()
+	state, known := outcomeStates[ended.Outcome]
+	if !placed || !known || d == nil {
+		return
+	}
+	job := d.jobs[jobOf(ended.Task)]
+	if job == nil {
+		return
+	}
+	o := scheduler.Outcome{
+		ID:       id,
+		Job:      jobOf(ended.Task),
+		Kind:     job.work.TaskKind,
+		Worker:   p.worker,
+		Boot:     p.boot,
+		State:    state,
+		Requests: p.requests,
+		Used:     r.lastUse(p.worker, id),
+		RanFor:   now - p.at,
+		Message:  ended.Message,
+	}
+	if state == platform.AttemptCompleted && ended.Attempt == 1 {
+		// Later attempts resume from a checkpoint, so their time is not the
+		// whole task's.
+		o.Work = o.RanFor
+	}
+	r.policy.ObserveOutcome(now, o)
+}
+
+// lastUse returns the newest reported use of an attempt, or zero.
+func (r *cellRunner) lastUse(worker string, id platform.AttemptID) platform.Resources {
+	seen := r.workers[worker]
+	if seen == nil {
+		return platform.Resources{}
+	}
+	for i := range seen.state.Usage {
+		if seen.state.Usage[i].ID == id {
+			return seen.state.Usage[i].Used
+		}
+	}
+	return platform.Resources{}
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"go.uber.org/zap"
@@ -149,10 +150,12 @@
 	return mux
 }
 
-// peerHandler serves other entry VMs.
+// peerHandler serves other entry VMs, and profiles, which callers must not reach.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/s/", n.proxy.PeerHandler())
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&peerServer{node: n}))
 	return mux
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,7 +9,7 @@
 pids=()
 
 # Another run on the same machine must not share the ports.
-base=$((20000 + RANDOM % 20000))
+base=$((20000 + RANDOM % 12000)) # below the ports of outgoing connections
 callers=("$base" "$((base + 1))" "$((base + 2))")
 peers=("$((base + 3))" "$((base + 4))" "$((base + 5))")
 # cleanup ends what this script started, by process id.
