Look only at the tasks of a work when it is declared

Cause: each declaration of a job walked all tasks of the cell twice (prune and advance). A new owner is told of every declared job before it places anything: at 0.117 ms per job beside 650 tasks, 48,000 jobs took 5.6 s, longer than the 2.2 s of an urgent start.

Ruled out: passing only jobs with tasks at home in the cell; a moved task needs the declaration of its work wherever it goes.

Change: a declaration advances the tasks of its own work up to the higher of the two counts, and prunes only after a deletion. Tasks of other works are advanced by the next tick as before, 100 ms later at most.

--- a/tasks/declare.go
+++ b/tasks/declare.go
@@ -6,14 +6,32 @@
 func (m *Machine) workChanged(e WorkChanged) {
 	work := e.Work
 	key := workKey{name: work.Name, created: work.Created}
+	count := work.Count
+	if before := m.works[key]; before != nil {
+		count = max(count, before.Count)
+	}
 	if e.Deleted {
 		delete(m.works, key)
+		m.prune()
 	} else {
 		m.works[key] = &work
 		m.derive(&work)
 	}
-	m.prune()
-	m.advanceAll()
+	m.advanceWork(&work, count)
+}
+
+// advanceWork does what is due for the first count tasks of a work. It leaves
+// the other tasks of the cell alone: a new owner is told of every declared job
+// before it places anything, and looking at all tasks for each took seconds.
+func (m *Machine) advanceWork(w *Work, count int) {
+	if !m.open {
+		return
+	}
+	for index := range count {
+		if t := m.tasks[w.TaskID(index)]; t != nil {
+			m.advance(t)
+		}
+	}
 }
 
 // derive creates the tasks of a work that are at home in this cell.
