Derive declared work from the changes since the last picture

Cause: each record of the resources stream derived all services and jobs again.

Ruled out: making the picture at intervals; a change must be in force at once.

Change: the picture copies the last one's map and applies the events that the store keeps for watches; if they are no longer kept, it derives all.

--- a/entry/cellbench_test.go
+++ b/entry/cellbench_test.go
@@ -267,6 +267,7 @@
 		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
 			view := benchStore(b, jobs).View()
 			before := newDeclaredWork(view, benchDC, time.Minute, nil)
+			before.offset--
 			b.ReportAllocs()
 			begin := capacity.ProcessorTime()
 			for b.Loop() {
--- a/entry/declared.go
+++ b/entry/declared.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
@@ -51,17 +52,11 @@
 func newDeclaredWork(v *resources.View, dataCentre string, now time.Duration, before *declaredWork) *declaredWork {
 	d := &declaredWork{
 		offset:  v.Offset(),
-		jobs:    make(map[string]*declaredJob),
+		jobs:    declaredJobs(v, before),
 		pools:   make(map[string]api.PoolSpec),
 		teams:   v.List(api.KindTeam),
 		weights: defaultWeights,
 	}
-	for _, r := range v.List(api.KindService) {
-		d.add(serviceWork(r), r, r.Service.Team, r.Service.Pool, true)
-	}
-	for _, r := range v.List(api.KindJob) {
-		d.add(jobWork(r), r, r.Job.Team, r.Job.Pool, r.Job.Priority == api.PriorityUrgent)
-	}
 	for _, r := range v.List(api.KindPool) {
 		d.pools[r.Name] = *r.Pool
 	}
@@ -72,8 +67,51 @@
 	return d
 }
 
-func (d *declaredWork) add(w tasks.Work, r api.Resource, team, pool string, urgent bool) {
-	d.jobs[jobKey(w)] = &declaredJob{work: w, resource: r, team: team, urgent: urgent, pool: pool}
+// declaredJobs returns the services and jobs of a view. If the changes since
+// the last picture are still kept, only these are derived again: deriving all
+// 48,000 jobs of a day took 0.1 s of processor time for each record.
+func declaredJobs(v *resources.View, before *declaredWork) map[string]*declaredJob {
+	if before != nil {
+		if changes, err := v.Events("", api.Version(before.offset)); err == nil {
+			return changedJobs(before.jobs, changes)
+		}
+	}
+	jobs := make(map[string]*declaredJob)
+	for _, kind := range []api.Kind{api.KindService, api.KindJob} {
+		for _, r := range v.List(kind) {
+			j := newDeclaredJob(r)
+			jobs[jobKey(j.work)] = j
+		}
+	}
+	return jobs
+}
+
+// changedJobs returns a copy of jobs with the changes applied.
+func changedJobs(jobs map[string]*declaredJob, changes []resources.Event) map[string]*declaredJob {
+	jobs = maps.Clone(jobs)
+	for _, change := range changes {
+		j := newDeclaredJob(*change.Resource)
+		switch {
+		case j == nil:
+		case change.Type == resources.EventDelete:
+			delete(jobs, jobKey(j.work))
+		default:
+			jobs[jobKey(j.work)] = j
+		}
+	}
+	return jobs
+}
+
+// newDeclaredJob returns what placement needs of a service or job, nil for a
+// resource of another kind.
+func newDeclaredJob(r api.Resource) *declaredJob {
+	switch r.Kind {
+	case api.KindService:
+		return &declaredJob{work: serviceWork(r), resource: r, team: r.Service.Team, urgent: true, pool: r.Service.Pool}
+	case api.KindJob:
+		return &declaredJob{work: jobWork(r), resource: r, team: r.Job.Team, urgent: r.Job.Priority == api.PriorityUrgent, pool: r.Job.Pool}
+	}
+	return nil
 }
 
 // setDataCentre works out the phase of this VM's data centre.
--- /dev/null
+++ b/entry/declared_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/resources"
+)
+
+// Guards against a picture made from changes that differs from one made anew:
+// after a put, a change, a deletion, a second creation of a name, and a gap of
+// more changes than the store keeps.
+func TestDeclaredWorkFromChanges(t *testing.T) {
+	is := is.New(t)
+	store := resources.New(resources.Limits{Events: 8})
+	var kept *declaredWork
+	do := func(op resources.Operation) {
+		_, err := store.Apply(store.View().Offset()+1, op)
+		is.NoErr(err)
+	}
+	put := func(r api.Resource) {
+		op, err := resources.NewPut("", r, resources.Precondition{})
+		is.NoErr(err)
+		do(op)
+	}
+	job := func(name string, tasks int) api.Resource {
+		return api.Resource{Meta: api.Meta{Kind: api.KindJob, Name: name}, Job: &api.JobSpec{Team: "a", Tasks: tasks, Priority: api.PriorityUrgent}}
+	}
+	check := func() {
+		kept = newDeclaredWork(store.View(), benchDC, time.Minute, kept)
+		is.Equal(kept.jobs, newDeclaredWork(store.View(), benchDC, time.Minute, nil).jobs)
+	}
+	put(job("one", 1))
+	put(api.Resource{Meta: api.Meta{Kind: api.KindService, Name: "web"}, Service: &api.ServiceSpec{Team: "a", Replicas: 2}})
+	check()
+	put(job("one", 3))
+	put(api.Resource{Meta: api.Meta{Kind: api.KindTeam, Name: "a"}, Team: &api.TeamSpec{}})
+	check()
+	do(resources.Operation{Verb: resources.VerbCancel, Kind: api.KindJob, Name: "one"})
+	check()
+	do(resources.Operation{Verb: resources.VerbDelete, Kind: api.KindJob, Name: "one"})
+	put(job("one", 2))
+	check()
+	is.Equal(len(kept.jobs), 2)
+	for i := range 20 {
+		put(job(fmt.Sprint("many-", i), 1))
+	}
+	check()
+	is.Equal(len(kept.jobs), 22)
+}
