--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -94,6 +94,7 @@
 	cell    scheduler.CellID
 	config  tasks.Config
 	machine *tasks.Machine
+	trace   tracedMachine
 	policy  *scheduler.Policy
 	host    cellHost
 	writer  *writer.Writer
@@ -287,11 +288,11 @@
 func (r *cellRunner) takeOver(before, v ownership.View) {
 	if v.OwnTerm != r.term {
 		r.term = v.OwnTerm
-		r.step(tasks.Owned{Term: v.OwnTerm, Rescue: v.Own == ownership.StateRescue, Predecessors: v.Predecessors})
+		r.step(tasks.Owned{Term: v.OwnTerm, Rescue: v.Own == ownership.StateRescue, Predecessors: v.Renewers})
 		return
 	}
-	if before.Predecessors != v.Predecessors {
-		r.step(tasks.PredecessorsChanged{Count: v.Predecessors})
+	if before.Renewers != v.Renewers {
+		r.step(tasks.PredecessorsChanged{Count: v.Renewers})
 	}
 }
 
@@ -330,7 +331,9 @@
 
 // step passes an event to the machine and carries out its actions.
 func (r *cellRunner) step(ev tasks.Event) {
-	for _, action := range r.machine.Step(r.clock(), ev) {
+	now := r.clock()
+	r.trace.event(now, ev)
+	for _, action := range r.machine.Step(now, ev) {
 		r.execute(action)
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,6 +20,7 @@
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/routing"
 	"github.com/cactusreel/cactusreel/settings"
+	"github.com/cactusreel/cactusreel/trace"
 	"github.com/cactusreel/cactusreel/writer"
 )
 
@@ -62,15 +63,22 @@
 	// caughtUp is set once the store holds what all answering peers know.
 	caughtUp atomic.Bool
 
-	work   atomic.Pointer[declaredWork]
-	list   atomic.Pointer[workerList]
-	claims atomic.Pointer[claimsRunner]
+	work atomic.Pointer[declaredWork]
+	list atomic.Pointer[workerList]
+	// recorder is nil unless the settings ask for a trace; machines counts
+	// those that it has declared.
+	recorder   *trace.Recorder
+	machines   atomic.Uint64
+	freshTrace tracedMachine
+	claims     atomic.Pointer[claimsRunner]
 
 	// mu guards the maps below.
 	mu      sync.Mutex
 	cellsOf map[int]*cellRunner
 	writers map[string]*writer.Writer
-	agents  map[string]agentEntry
+	// rescuers are changed by one loop only; mu guards them for readers.
+	rescuers map[string]*rescuer
+	agents   map[string]agentEntry
 
 	stopping   atomic.Bool
 	stopped    chan struct{}
@@ -100,6 +108,7 @@
 		router:      routing.New(),
 		cellsOf:     make(map[int]*cellRunner),
 		writers:     make(map[string]*writer.Writer),
+		rescuers:    make(map[string]*rescuer),
 		agents:      make(map[string]agentEntry),
 		stopped:     make(chan struct{}),
 	}
@@ -107,7 +116,7 @@
 	n.vmList = httpapi.NewVMListClient(s.VMListURL, n.httpClient)
 	n.setPeers()
 	n.log = peer.NewRelayLog(n.direct, n.relays, n.clock)
-	n.fresh = freshness.New(freshness.Config{Bound: s.Times.Freshness, Drift: s.Times.ClockDrift, AskEvery: s.Times.LogPoll})
+	n.fresh = freshness.New(n.freshConfig())
 	n.tables = dedup.NewStore(dedup.Limits{
 		Retention:  s.Times.RequestIDRetention,
 		MaxRequest: s.Times.MaxRequest,
--- a/entry/summary.go
+++ b/entry/summary.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -53,7 +55,13 @@
 	for _, r := range n.runners() {
 		s.Cells = append(s.Cells, n.cellSummary(r.view(), free[r.cell.Index]))
 	}
-	slices.SortFunc(s.Cells, func(a, b *peerpb.CellSummary) int { return int(a.Cell - b.Cell) })
+	for _, r := range n.rescuedRunners() {
+		// Only the cell's name and term: moves out of it are confirmed here.
+		s.Cells = append(s.Cells, &peerpb.CellSummary{DataCentre: r.cell.DataCentre, Cell: int32(r.cell.Index), Term: r.view().term})
+	}
+	slices.SortFunc(s.Cells, func(a, b *peerpb.CellSummary) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Cell, b.Cell))
+	})
 	return s
 }
 
@@ -167,14 +175,15 @@
 		}
 		for _, c := range word.Cells {
 			if c.Accepting {
-				list = append(list, policySummary(c))
+				list = append(list, policySummary(c, p.heardAt()))
 			}
 		}
 	}
 	return list
 }
 
-func policySummary(c *peerpb.CellSummary) scheduler.CellSummary {
+// policySummary converts a peer's summary, which held at a local time.
+func policySummary(c *peerpb.CellSummary, at time.Duration) scheduler.CellSummary {
 	s := scheduler.CellSummary{
 		Cell:     scheduler.CellID{DataCentre: c.DataCentre, Index: int(c.Cell)},
 		Phase:    scheduler.Phase(c.Phase),
@@ -183,6 +192,7 @@
 		Capacity: platform.Resources{MilliCPU: c.CapacityMilliCpu, MemoryMiB: c.CapacityMemoryMib, Accelerators: c.CapacityAccelerators},
 		Pending:  platform.Resources{MilliCPU: c.PendingMilliCpu, MemoryMiB: c.PendingMemoryMib, Accelerators: c.PendingAccelerators},
 		Replicas: make(map[string]int),
+		At:       at,
 	}
 	for _, service := range c.Services {
 		s.Replicas[jobKey(tasks.Work{Name: service.Service, Created: api.Version(service.Created)})] = int(service.Replicas)
