--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -34,6 +35,10 @@
 	}
 	s.Base, s.Slope = stat.LinearRegression(x, y, nil, false)
 	s.R2 = stat.RSquared(x, y, nil, s.Base, s.Slope)
+	if math.IsNaN(s.R2) {
+		// Equal values lie on their line.
+		s.R2 = 1
+	}
 	return s, nil
 }
 
