--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: all build run test lint fmt clean traces seeds
+.PHONY: all build run test lint fmt traces seeds fuzz pages clean traces seeds
 
 all: build
 
@@ -38,5 +38,20 @@
 	$(GO) test -count=1 -timeout 0 -run '^TestSchedules' ./ownership ./tasks ./dedup ./routing \
 		-rapid.checks=$(N) $(if $(SEED),-rapid.seed=$(SEED))
 
+# fuzz runs every fuzz target for FUZZTIME each.
+FUZZTIME ?= 10s
+fuzz:
+	@for f in $$(grep -rlE '^func Fuzz' --include='*_test.go' .); do \
+		for t in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$f); do \
+			$(GO) test -run '^$$' -fuzz "^$$t$$" -fuzztime $(FUZZTIME) ./$$(dirname $$f) || exit 1; \
+		done; \
+	done
+
+# pages writes the reference pages that tests keep in step with the code.
+pages: build
+	bin/cactusreel codes --markdown > docs/result-codes.md
+	bin/cactusreel events --markdown > docs/log-events.md
+	bin/cactusreel settings reference > docs/settings.md
+
 clean:
 	rm -rf bin run
