--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: all build run test lint fmt traces seeds fuzz pages clean traces seeds
+.PHONY: all build run test lint fmt traces seeds fuzz pages clean
 
 all: build
 
