--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -250,8 +250,8 @@
 }
 
 // reportedWorker describes a worker with those of its attempts that the reports
-// are about. It does not look at the other tasks of the cell: at 45 workers and
-// two answers of each per second that took 6% of a core.
+// are about. It does not look at the other tasks of the cell: at 45 workers
+// that answer once a second that took 3% of a core.
 func (r *cellRunner) reportedWorker(now time.Duration, seen *observed, reports []platform.Usage, d *declaredWork) *scheduler.Worker {
 	w := &scheduler.Worker{ID: seen.state.Worker, Boot: seen.state.Boot, Capacity: seen.state.Capacity}
 	for _, u := range reports {
