--- a/entry/claimsrunner.go
+++ b/entry/claimsrunner.go
@@ -16,7 +16,7 @@
 )
 
 // claimsTick is how often the ownership machine is told the time.
-const claimsTick = 50 * time.Millisecond
+const claimsTick = 100 * time.Millisecond
 
 // claimsQueue bounds the events that wait for the ownership machine.
 const claimsQueue = 1024
--- a/entry/run.go
+++ b/entry/run.go
@@ -24,9 +24,9 @@
 
 // Intervals of the node's loops.
 const (
-	freshTick      = 50 * time.Millisecond
+	freshTick      = 100 * time.Millisecond
 	peerPoll       = 300 * time.Millisecond
-	routePoll      = 100 * time.Millisecond
+	routePoll      = 250 * time.Millisecond
 	authorityPoll  = 100 * time.Millisecond
 	copyPoll       = 500 * time.Millisecond
 	expireInterval = 10 * time.Second
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -97,7 +97,7 @@
 			"Bound of the time without a byte while bytes are due, for services that state none."),
 		durationKey("request_id_retention", func(e *Entry) *time.Duration { return &e.Times.RequestIDRetention }, 10*time.Minute, 10*time.Second, 24*time.Hour,
 			"Time for which request ids and kept responses are held.").sameOnAll(),
-		durationKey("leaving_poll", func(e *Entry) *time.Duration { return &e.Times.LeavingPoll }, 500*time.Millisecond, 50*time.Millisecond, 10*time.Second,
+		durationKey("leaving_poll", func(e *Entry) *time.Duration { return &e.Times.LeavingPoll }, time.Second, 50*time.Millisecond, 10*time.Second,
 			"Interval between reads of the VM list and of a backend server's health."),
 		durationKey("balancer_delay", func(e *Entry) *time.Duration { return &e.Times.BalancerDelay }, 3*time.Second, 0, 5*time.Minute,
 			"Time that the platform's balancer needs to stop sending requests to a VM that is not ready."),
