Ready only with the newest head; writers live as long as the process

It had taken the word of a peer that was itself cut off from the log since before the first record; such a word gives start authority for 2 s, rightly, but is not the newest head. (2) Peers that were not yet asked for a summary did not count as relays, so a VM that starts without the log found none. (3) A rescue's writers ended with it and could not be used for a second rescue (found by reading).

Ruled out for (1): the freshness machine; its bound holds.

Change: (1) readiness needs the head of a log read, or the highest head of all answering peers; (2) peers not yet heard of are tried; (3) writers live as long as the process. Own and rescued cells are made in one place.

--- a/entry/cellbench_test.go
+++ b/entry/cellbench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -65,11 +64,9 @@
 	host := &benchHost{work: newDeclaredWork(store.View(), benchDC, c.now, nil), list: benchWorkerList()}
 	config := tasks.DefaultConfig("vm", benchDC, 0)
 	config.SnapshotRecords = 1 << 30
-	policy := scheduler.New(scheduler.DefaultConfig(), scheduler.NewKnowledge(), rand.New(rand.NewPCG(1, 1)))
 	cell := scheduler.CellID{DataCentre: benchDC}
 	w := writer.New(nil, writer.Options{Stream: record.TasksStream(benchDC, 0), Incarnation: 1})
-	c.cellRunner = newCellRunner(cell, config, policy, host, nil, w, nil, func() time.Duration { return c.now }, time.Second)
-	c.ctx, c.cancel = context.WithCancel(tb.Context())
+	c.cellRunner = newCellRunner(tb.Context(), cellOptions{cell: cell, config: config, host: host, writer: w, clock: func() time.Duration { return c.now }, poll: time.Second})
 	c.handleOwnership(ownership.View{Own: ownership.StateHeld, OwnTerm: benchTerm, Term: benchTerm, PlaceUntil: time.Hour})
 	c.tick()
 	c.apply(tb, &recordpb.Record{Term: benchTerm, Open: &recordpb.Open{Owner: "vm"}})
--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -44,50 +45,6 @@
 	commandsInFlight = 128
 )
 
-// cellHost is what a runner needs of its node.
-type cellHost interface {
-	agent(worker string) (platform.WorkerAgent, bool)
-	offerMove(ctx context.Context, a tasks.OfferMove)
-	confirmMove(ctx context.Context, a tasks.ConfirmMove)
-	// declared returns the newest declared work and what placement needs of it.
-	declared() *declaredWork
-	// listed returns the newest VM list of the data centre.
-	listed() *workerList
-	// leavingServers returns the workers whose backend servers say that they
-	// are leaving, with the boot id that the word is about.
-	leavingServers() map[string]string
-	// cells returns the number of cells of the data centre.
-	cells() int
-	// startsUntil is the end of freshness, claimsReadAt the last successful
-	// read of the claims stream, both on the local clock.
-	startsUntil() time.Duration
-	claimsReadAt() time.Duration
-	// latencyP99 returns the recent p99 of the response heads of a service on a
-	// backend server, 0 when unknown.
-	latencyP99(service, address string) time.Duration
-	// otherCells returns summaries of cells of other owners and of this VM.
-	otherCells(cell int) []scheduler.CellSummary
-	workerTimeout() time.Duration
-	// snapshotInterval is the longest time between two snapshots of a stream.
-	snapshotInterval() time.Duration
-}
-
-// cellMessage is what other goroutines send to a runner.
-type cellMessage struct {
-	event tasks.Event
-	page  []platform.LogRecord
-	// truncatedAt is the first kept offset if the stream was truncated.
-	truncatedAt int64
-	view        *ownership.View
-	answer      *workerAnswer
-}
-
-// workerAnswer is a worker's answer to Observe or Fence.
-type workerAnswer struct {
-	sentAt   time.Duration
-	observed observed
-}
-
 // cellRunner runs the task machine and the policy of one cell. Its goroutine
 // is the only one that touches them.
 type cellRunner struct {
@@ -153,16 +110,32 @@
 	worker string
 }
 
-func newCellRunner(cell scheduler.CellID, config tasks.Config, policy *scheduler.Policy, host cellHost, log platform.Log, w *writer.Writer, events *logevent.Logger, clock Clock, poll time.Duration) *cellRunner {
+// cellOptions is what a runner is made of.
+type cellOptions struct {
+	cell   scheduler.CellID
+	config tasks.Config
+	host   cellHost
+	log    platform.Log
+	writer *writer.Writer
+	events *logevent.Logger
+	clock  Clock
+	// poll is the interval between reads of the task stream.
+	poll time.Duration
+}
+
+// newCellRunner returns a runner that run drives until ctx ends or cancel is
+// called.
+func newCellRunner(ctx context.Context, o cellOptions) *cellRunner {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r := &cellRunner{
-		cell:       cell,
-		config:     config,
-		machine:    tasks.New(config),
-		policy:     policy,
-		host:       host,
-		writer:     w,
-		log:        events,
-		clock:      clock,
+		cell:       o.cell,
+		config:     o.config,
+		machine:    tasks.New(o.config),
+		policy:     scheduler.New(scheduler.DefaultConfig(), scheduler.NewKnowledge(), random),
+		host:       o.host,
+		writer:     o.writer,
+		log:        o.events,
+		clock:      o.clock,
 		messages:   make(chan cellMessage, cellQueue),
 		commands:   make(chan struct{}, commandsInFlight),
 		declared:   make(map[string]declaredVersion),
@@ -176,8 +149,9 @@
 		throttled:  make(map[platform.AttemptID]float64),
 		checkpoint: make(map[platform.AttemptID]time.Duration),
 	}
-	r.follower = r.newFollower(log, poll)
-	r.current.Store(&cellView{cell: cell.Index})
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	r.follower = r.newFollower(o.log, o.poll)
+	r.current.Store(&cellView{cell: o.cell.Index})
 	return r
 }
 
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,7 +35,7 @@
 	config.OfflineLimit = t.OfflineTasks
 	config.TaskLease = t.TaskLease
 	var runner *claimsRunner
-	w := n.writerFor(ctx, record.ClaimsStream(n.settings.DataCentre), func() {
+	w := n.writerFor(record.ClaimsStream(n.settings.DataCentre), func() {
 		if r := n.claims.Load(); r != nil {
 			r.follower.nudge()
 		}
@@ -77,27 +75,36 @@
 }
 
 func (n *Node) startCell(ctx context.Context, cell int) *cellRunner {
+	id := scheduler.CellID{DataCentre: n.settings.DataCentre, Index: cell}
+	runner := n.makeCell(ctx, id, n, func() { n.nudgeCell(cell) })
+	n.mu.Lock()
+	n.cellsOf[cell] = runner
+	n.mu.Unlock()
+	n.goDo(runner.run)
+	return runner
+}
+
+// makeCell returns a runner of an own or rescued cell with the settings' times.
+func (n *Node) makeCell(ctx context.Context, id scheduler.CellID, host cellHost, appended func()) *cellRunner {
 	t := n.settings.Times
-	config := tasks.DefaultConfig(n.settings.VM, n.settings.DataCentre, cell)
+	config := tasks.DefaultConfig(n.settings.VM, id.DataCentre, id.Index)
 	config.Lease = t.TaskLease
 	config.RenewEvery = t.TaskRenewal
 	config.Drift = t.ClockDrift
 	config.OfflineLimit = t.OfflineTasks
 	config.ObserveEvery = t.WorkerPoll
 	config.SnapshotRecords = n.settings.Limits.SnapshotRecords
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	policy := scheduler.New(scheduler.DefaultConfig(), scheduler.NewKnowledge(), random)
-	id := scheduler.CellID{DataCentre: n.settings.DataCentre, Index: cell}
-	stream := record.TasksStream(id.DataCentre, cell)
-	w := n.writerFor(ctx, stream, func() { n.nudgeCell(cell) })
-	runner := newCellRunner(id, config, policy, n, n.log, w, n.events, n.clock, t.LogPoll)
-	ctx, runner.cancel = context.WithCancel(ctx)
-	runner.ctx = ctx
-	runner.trace = n.traced(trace.Tasks, fmt.Sprintf("%s/%d", id.DataCentre, cell), config)
-	n.mu.Lock()
-	n.cellsOf[cell] = runner
-	n.mu.Unlock()
-	n.goDo(runner.run)
+	runner := newCellRunner(ctx, cellOptions{
+		cell:   id,
+		config: config,
+		host:   host,
+		log:    n.log,
+		writer: n.writerFor(record.TasksStream(id.DataCentre, id.Index), appended),
+		events: n.events,
+		clock:  n.clock,
+		poll:   t.LogPoll,
+	})
+	runner.trace = n.traced(trace.Tasks, id.String(), config)
 	return runner
 }
 
--- a/entry/fresh.go
+++ b/entry/fresh.go
@@ -146,13 +146,14 @@
 }
 
 // Ready returns nil once this VM holds the newest configuration and is not
-// stopping. While the log can't be reached, that is the newest configuration
+// stopping. Start authority is no proof of that: a peer that is cut off itself
+// can give its word on an older head. While the log can't be reached, that is the newest configuration
 // known to all peers that answered. It implements operator.Readiness.
 func (n *Node) Ready() error {
 	if n.stopping.Load() {
 		return result.Errorf(result.NotRunStopping, "this entry VM is stopping")
 	}
-	if n.startsUntil() == 0 && !n.caughtUp.Load() {
+	if !n.caughtUp.Load() {
 		return result.Errorf(result.NotReady, "the newest configuration has not been read yet")
 	}
 	return nil
--- a/entry/node.go
+++ b/entry/node.go
@@ -60,7 +60,8 @@
 	freshMu    sync.Mutex
 	fresh      *freshness.Machine
 	freshUntil atomic.Int64
-	// caughtUp is set once the store holds what all answering peers know.
+	// caughtUp is set once the store holds the head of the log, or what all
+	// answering peers know.
 	caughtUp atomic.Bool
 
 	work atomic.Pointer[declaredWork]
@@ -72,6 +73,10 @@
 	freshTrace tracedMachine
 	claims     atomic.Pointer[claimsRunner]
 
+	// lifetime ends with Run. Writers live as long: a writer that ended with a
+	// cell or a rescue could not be used for its stream again.
+	lifetime context.Context
+
 	// mu guards the maps below.
 	mu      sync.Mutex
 	cellsOf map[int]*cellRunner
@@ -164,13 +169,13 @@
 	return err
 }
 
-// relays returns the clients of the peers that answered lately, those of this
-// data centre last: a cut from the log mostly hits the whole data centre.
+// relays returns the clients of the peers that answered lately or were not yet
+// heard of, those of this data centre last: a cut from the log mostly hits the whole data centre.
 func (n *Node) relays() []*peer.Client {
 	now := n.clock()
 	var near, far []*peer.Client
 	for _, p := range n.peers {
-		if _, ok := p.word(now); !ok {
+		if _, ok := p.word(now); !ok && p.heardAt() > 0 {
 			continue
 		}
 		if p.client.Address.DataCentre == n.settings.DataCentre {
@@ -184,7 +189,7 @@
 
 // writerFor returns the writer of a stream. There is one for the life of the
 // process, because its sequence numbers must not start again.
-func (n *Node) writerFor(ctx context.Context, stream string, wake func()) *writer.Writer {
+func (n *Node) writerFor(stream string, wake func()) *writer.Writer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if w := n.writers[stream]; w != nil {
@@ -207,7 +212,7 @@
 	}
 	w := writer.New(n.log, options)
 	n.writers[stream] = w
-	n.goDo(func() { _ = w.Run(ctx) })
+	n.goDo(func() { _ = w.Run(n.lifetime) })
 	return w
 }
 
--- a/entry/rescue.go
+++ b/entry/rescue.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,7 +12,6 @@
 	"github.com/cactusreel/cactusreel/ownership"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/scheduler"
-	"github.com/cactusreel/cactusreel/tasks"
 	"github.com/cactusreel/cactusreel/trace"
 )
 
@@ -100,7 +97,7 @@
 	config.Drift = t.ClockDrift
 	config.OfflineLimit = t.OfflineTasks
 	config.TaskLease = t.TaskLease
-	w := n.writerFor(ctx, record.ClaimsStream(dataCentre), func() {})
+	w := n.writerFor(record.ClaimsStream(dataCentre), func() {})
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.claims = newClaimsRunner(ctx, config, n.log, w, r, n.events, n.clock, rescuePoll)
 	r.claims.trace = n.traced(trace.Ownership, dataCentre, config)
@@ -133,18 +130,8 @@
 }
 
 func (r *rescuer) startCell(cell int) *cellRunner {
-	t := r.settings.Times
-	config := tasks.DefaultConfig(r.settings.VM, r.dataCentre, cell)
-	config.Lease = t.TaskLease
-	config.Drift = t.ClockDrift
-	config.SnapshotRecords = r.settings.Limits.SnapshotRecords
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	policy := scheduler.New(scheduler.DefaultConfig(), scheduler.NewKnowledge(), random)
 	id := scheduler.CellID{DataCentre: r.dataCentre, Index: cell}
-	w := r.writerFor(r.claims.ctx, record.TasksStream(r.dataCentre, cell), func() {})
-	runner := newCellRunner(id, config, policy, r, r.log, w, r.events, r.clock, t.LogPoll)
-	runner.trace = r.traced(trace.Tasks, fmt.Sprintf("%s/%d", r.dataCentre, cell), config)
-	runner.ctx, runner.cancel = context.WithCancel(r.claims.ctx)
+	runner := r.makeCell(r.claims.ctx, id, r, func() {})
 	r.mu.Lock()
 	r.runners[cell] = runner
 	r.mu.Unlock()
--- a/entry/run.go
+++ b/entry/run.go
@@ -47,6 +47,7 @@
 // planned stop and ErrCutOff if requests were cut off.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
+	n.lifetime = ctx
 	defer n.startTrace()()
 	defer n.background.Wait()
 	defer cancel()
@@ -85,11 +86,14 @@
 
 // startFeed starts following the resources stream.
 func (n *Node) startFeed(ctx context.Context) {
-	w := n.writerFor(ctx, record.ResourcesStream, func() { n.feed.follower.nudge() })
+	w := n.writerFor(record.ResourcesStream, func() { n.feed.follower.nudge() })
 	n.feed = newResourceFeed(n.log, w, n.events, n.clock, n.settings.Times.LogPoll)
 	n.feed.trace = n.traced(trace.Resources, n.settings.VM, resources.Limits{})
 	n.freshTrace = n.traced(trace.Freshness, n.settings.VM, n.freshConfig())
 	n.feed.note = func(head int64, sentAt time.Duration) {
+		if n.feed.store.View().Offset() >= head {
+			n.caughtUp.Store(true)
+		}
 		n.stepFresh(ctx, freshness.DirectRead{SentAt: sentAt, Head: head})
 	}
 	n.feed.applied = func(offset int64) { n.resourcesApplied(ctx, offset) }
