--- a/capacity/spread.go
+++ b/capacity/spread.go
@@ -10,12 +10,12 @@
 // spreadSeeds is the number of runs per model.
 const spreadSeeds = 1000
 
-// Bytes of a message: the put of a job as the table of records shows it with
-// its id and offset, with the headers of UDP and IP for a push, and with those
-// of HTTP and TCP for the request and answer of a read.
+// Bytes of a message: for a push, the put of a job (284 bytes) with its id and
+// offset and the headers of UDP and IP, which is an estimate; for a read of one
+// record, what measurePoll measures.
 const (
 	pushBytes = 330
-	readBytes = 1250
+	readBytes = 687
 )
 
 // spreadModel is one way of dissemination over one kind of links.
