Hand a cell over only to members that hold its request table

Cause: TestLogDown: a POST with the caller's own id got 'outcome unknown' from an owner that had received its cell by a release during start-up, before it held a copy of the request table.

Ruled out: the vouched state; it was in force at all four VMs. Waiting after the drain, which would leave the cell without slots meanwhile.

Change: before a hand-over the owner waits, serving, until its last recorded renewal names every ready member (at most 4 s), then ends the requests.

--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -113,6 +113,13 @@
 // balancer delay of the daemon's settings in these tests.
 const balancerProbe = 50 * time.Millisecond
 
+// answered sends a request to the register service and reports whether it got
+// the server's answer.
+func (c *cluster) answered(r try) bool {
+	told, _ := c.send("register", r)
+	return told == checker.Answered
+}
+
 // tries bounds how often a caller repeats a request with the same id.
 const tries = 3
 
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -157,7 +157,7 @@
 		return
 	}
 	usable := v.WaitUntil
-	if v.Releasing {
+	if n.draining(v) {
 		usable = never
 	}
 	n.router.SetAuthority(v.Cell, routing.Authority{
@@ -225,11 +225,28 @@
 	n.claims.Load().send(ev)
 }
 
-// drainCell waits in the background until the last request on a cell has ended.
+// draining reports whether requests on a cell of this term are being ended. A
+// hand-over that was given up ends it.
+func (n *Node) draining(v ownership.View) bool {
+	if !v.Releasing {
+		n.drains.Delete(v.Cell)
+		return false
+	}
+	term, found := n.drains.Load(v.Cell)
+	return found && term == v.OwnTerm
+}
+
+// drainCell ends the requests on a cell in the background. Before a hand-over
+// it waits for the copies of the request table, and serves meanwhile.
 func (n *Node) drainCell(cell int) {
 	claims := n.claims.Load()
-	n.setAuthority(claims.Views()[cell])
 	n.goDo(func() {
+		if claims.Views()[cell].Releasing {
+			n.awaitSynced(claims.ctx)
+		}
+		view := claims.Views()[cell]
+		n.drains.Store(cell, view.OwnTerm)
+		n.setAuthority(view)
 		for n.router.InUse(cell, n.clock()) > 0 {
 			if !sleep(claims.ctx, claimsTick) {
 				return
--- a/entry/node.go
+++ b/entry/node.go
@@ -72,6 +72,9 @@
 	machines   atomic.Uint64
 	freshTrace tracedMachine
 	claims     atomic.Pointer[claimsRunner]
+	// drains holds the term of each own cell whose requests are being ended, by
+	// cell.
+	drains sync.Map
 
 	// lifetime ends with Run. Writers live as long: a writer that ended with a
 	// cell or a rescue could not be used for its stream again.
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/dedup"
@@ -29,6 +30,10 @@
 	synced map[int][]string
 	// copying holds the transfers in progress.
 	copying map[copyKey]bool
+	// common holds the members named by each renewal that has not been read
+	// back, recorded those of the last one that was.
+	common   map[uint64][]string
+	recorded []string
 	// offered holds the serials of renewals that have not been read back.
 	offered map[uint64][]offeredRenewal
 }
@@ -43,6 +48,7 @@
 		synced:  make(map[int][]string),
 		copying: make(map[copyKey]bool),
 		offered: make(map[uint64][]offeredRenewal),
+		common:  make(map[uint64][]string),
 	}
 }
 
@@ -112,6 +118,9 @@
 		}
 		common = intersection(common, synced)
 	}
+	n.copies.mu.Lock()
+	n.copies.common[number] = common
+	n.copies.mu.Unlock()
 	return common
 }
 
@@ -129,6 +138,12 @@
 func (n *Node) renewalRecorded(number uint64) {
 	n.copies.mu.Lock()
 	offered := n.copies.offered[number]
+	n.copies.recorded = n.copies.common[number]
+	for old := range n.copies.common {
+		if old <= number {
+			delete(n.copies.common, old)
+		}
+	}
 	for old := range n.copies.offered {
 		if old <= number {
 			delete(n.copies.offered, old)
@@ -140,6 +155,40 @@
 	}
 }
 
+// syncWait bounds the wait for copies before a cell is handed over.
+const syncWait = 4 * time.Second
+
+// awaitSynced waits until the last recorded renewal names every ready member of
+// the data centre. A receiver that it does not name would answer "outcome
+// unknown" to callers' own ids for the retention time.
+func (n *Node) awaitSynced(ctx context.Context) {
+	end := n.clock() + syncWait
+	for !n.allSynced() && n.clock() < end {
+		if !sleep(ctx, claimsTick) {
+			return
+		}
+	}
+}
+
+// allSynced reports whether the last recorded renewal names every ready member
+// of the data centre.
+func (n *Node) allSynced() bool {
+	now := n.clock()
+	n.copies.mu.Lock()
+	recorded := n.copies.recorded
+	n.copies.mu.Unlock()
+	for _, p := range n.peers {
+		word, ok := p.word(now)
+		if !ok || !word.Ready || word.DataCentre != n.settings.DataCentre {
+			continue
+		}
+		if !slices.Contains(recorded, member{vm: word.Vm, incarnation: word.Incarnation}.String()) {
+			return false
+		}
+	}
+	return true
+}
+
 // copyTables sends full copies of own tables to members that lack one.
 func (n *Node) copyTables(ctx context.Context) {
 	now := n.clock()
