--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/client"
 	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/resources"
