e2e: a data centre cut off from the other one and from the log

Cause: cuts between data centres were proved by no test with real processes.

Change: the entry VMs of two data centres reach each other through links of the test that can be cut.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -50,8 +50,10 @@
 type entryVM struct {
 	name, dataCentre string
 	callers, peers   string
-	process          *exec.Cmd
-	exited           chan int
+	// far is the address at which other data centres reach the VM.
+	far     string
+	process *exec.Cmd
+	exited  chan int
 }
 
 // cluster is a stand-in platform with entry VMs.
@@ -62,6 +64,8 @@
 	lists   map[string]string
 	standin *exec.Cmd
 	entries []*entryVM
+	// links carry the connections between data centres.
+	links []*link
 	// offset is what to add to local to get the stand-in's time.
 	started time.Time
 	offset  time.Duration
@@ -92,6 +96,10 @@
 			c.entries = append(c.entries, &entryVM{name: fmt.Sprintf("%s-%d", dc, n+1), dataCentre: dc, callers: address(number, len(c.entries), callerPort), peers: address(number, len(c.entries), peerPort)})
 		}
 	}
+	for i, vm := range c.entries {
+		vm.far = address(number, i, farPort)
+		c.links = append(c.links, newLink(t, vm.far, vm.peers))
+	}
 	c.startStandin(l)
 	for _, vm := range c.entries {
 		c.startEntry(vm)
@@ -120,6 +128,7 @@
 const (
 	callerPort = 8080
 	peerPort   = 7070
+	farPort    = 7071
 )
 
 func (c *cluster) startStandin(l layout) {
@@ -230,7 +239,7 @@
 		fmt.Fprintf(&b, "[peers.%s]\n", dc)
 		for _, other := range c.entries {
 			if other.dataCentre == dc {
-				fmt.Fprintf(&b, "%s = %s\n", other.name, other.peers)
+				fmt.Fprintf(&b, "%s = %s\n", other.name, vm.reaches(other))
 			}
 		}
 	}
@@ -238,6 +247,25 @@
 	return b.String()
 }
 
+// reaches returns the address at which a VM reaches another one.
+func (vm *entryVM) reaches(other *entryVM) string {
+	if vm.dataCentre == other.dataCentre {
+		return other.peers
+	}
+	return other.far
+}
+
+// in returns the entry VMs of a data centre.
+func (c *cluster) in(dataCentre string) []*entryVM {
+	var list []*entryVM
+	for _, vm := range c.entries {
+		if vm.dataCentre == dataCentre {
+			list = append(list, vm)
+		}
+	}
+	return list
+}
+
 // await waits for a state.
 func (c *cluster) await(what string, reached func() bool) {
 	c.t.Helper()
--- a/e2e/state_test.go
+++ b/e2e/state_test.go
@@ -54,9 +54,32 @@
 	return false
 }
 
+// owned reports whether all cells that the VMs own are in a state, and there
+// are such cells.
+func (c *cluster) owned(vms []*entryVM, state ownership.State) bool {
+	count := 0
+	for _, vm := range vms {
+		for _, v := range c.dump(vm).Claims {
+			if v.Own == ownership.StateNone {
+				continue
+			}
+			if v.Own != state {
+				return false
+			}
+			count++
+		}
+	}
+	return count > 0
+}
+
 // accepting reports whether some cell accepts starts.
 func (c *cluster) accepting() bool {
-	for _, vm := range c.entries {
+	return c.acceptingAt(c.entries)
+}
+
+// acceptingAt reports whether some cell of the VMs accepts starts.
+func (c *cluster) acceptingAt(vms []*entryVM) bool {
+	for _, vm := range vms {
 		for _, cell := range c.dump(vm).Cells {
 			if cell.Accepting {
 				return true
