Refuse work of which no task fits a quota; settings mistakes carry their code

Cause: result codes 2007 and 4001 were in the table and given by nothing. A job of which one task exceeds the quota of a team that may not borrow was accepted and waited for ever.

Change: the VM that takes the write refuses it with QuotaRefused; settings check names BadSettings.

Result: TestQuotaRefusesOnlyWhatNeverFits passes; every code of the table is given by some code path.

--- a/command/settings.go
+++ b/command/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cactusreel/cactusreel/result"
 	"github.com/cactusreel/cactusreel/settings"
 )
 
@@ -52,7 +53,7 @@
 func loadSettings(path string) (settings.Entry, error) {
 	e, err := settings.Load(path)
 	if err != nil {
-		return e, &ExitError{Code: ExitUsage, Err: err}
+		return e, &ExitError{Code: ExitUsage, Err: result.Errorf(result.BadSettings, "\n%w", err)}
 	}
 	return e, nil
 }
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -34,13 +34,12 @@
 	config.PromiseLife = t.Promise
 	config.OfflineLimit = t.OfflineTasks
 	config.TaskLease = t.TaskLease
-	var runner *claimsRunner
 	w := n.writerFor(record.ClaimsStream(n.settings.DataCentre), func() {
 		if r := n.claims.Load(); r != nil {
 			r.follower.nudge()
 		}
 	})
-	runner = newClaimsRunner(ctx, config, n.log, w, n, n.events, n.clock, t.LogPoll)
+	runner := newClaimsRunner(ctx, config, n.log, w, n, n.events, n.clock, t.LogPoll)
 	if !n.claims.CompareAndSwap(nil, runner) {
 		return
 	}
--- /dev/null
+++ b/entry/quotacheck_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/resources"
+	"github.com/cactusreel/cactusreel/result"
+)
+
+// Guards against a job that is accepted and can never start, and against a
+// refusal of work that only has to wait.
+func TestQuotaRefusesOnlyWhatNeverFits(t *testing.T) {
+	is := is.New(t)
+	store := resources.New(resources.Limits{})
+	put := func(r api.Resource) resources.Operation {
+		op, err := resources.NewPut(r.Name, r, resources.Precondition{})
+		is.NoErr(err)
+		return op
+	}
+	quota := platform.Resources{MilliCPU: 2000, MemoryMiB: 100}
+	_, err := store.Apply(1, put(api.Resource{Meta: api.Meta{Kind: api.KindTeam, Name: "t"}, Team: &api.TeamSpec{Quota: quota}}))
+	is.NoErr(err)
+	job := func(milliCPU int64) resources.Operation {
+		need := platform.Resources{MilliCPU: milliCPU, MemoryMiB: 10}
+		return put(api.Resource{Meta: api.Meta{Kind: api.KindJob, Name: "j"}, Job: &api.JobSpec{Team: "t", Tasks: 100, Requests: need}})
+	}
+	is.NoErr(checkQuota(store.View(), job(2000)))
+	is.Equal(result.CodeOf(checkQuota(store.View(), job(2001)), result.OK), result.QuotaRefused)
+}
--- a/entry/submitter.go
+++ b/entry/submitter.go
@@ -48,6 +48,9 @@
 	if outcome, ok := s.feed.duplicate(op); ok {
 		return outcome, nil
 	}
+	if err := checkQuota(s.feed.store.View(), op); err != nil {
+		return resources.Outcome{}, err
+	}
 	data, err := record.Encode(encodeOperation(op))
 	if err != nil {
 		return resources.Outcome{}, result.Errorf(result.TooLarge, "operation: %w", err)
