--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/client"
 	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/resources"
@@ -256,3 +257,25 @@
 	is.True(failed > 0) // the fault took effect
 	c.judge()
 }
+
+// Guards against a second signal that does not end a planned stop, and against
+// a stop that hides from its exit code that requests were cut off.
+func TestSecondSignalEndsTheStop(t *testing.T) {
+	is := is.New(t)
+	l := twoCentres
+	l.times = "max_request = 30s\nprogress = 25s\nstop_deadline = 60s\n"
+	c := start(t, l)
+	c.declare(4, 0, 0)
+	vm := c.entries[0]
+	ended := make(chan checker.Result, 1)
+	go func() {
+		told, _ := c.send("register", try{method: http.MethodGet, id: "long", query: "work=20s", vm: vm})
+		ended <- told
+	}()
+	c.await("the request is in progress", func() bool { return c.dump(vm).Requests.InProgress > 0 })
+	c.signal(vm, syscall.SIGTERM)
+	c.await("the stop has begun", func() bool { return c.dump(vm).Stopping })
+	c.signal(vm, syscall.SIGTERM)
+	is.Equal(<-vm.exited, 3) // exit code of a stop that cut requests off
+	is.Equal(<-ended, checker.NoAnswer)
+}
