entry, peer: one question to a worker; drop a promise field that nobody read

Cause, found in the read-through: observe and fence were twins but for the call, and the promise request carried a duration that its receiver ignored: the time is a setting that must be the same on all entry VMs.

Behaviour is unchanged.

--- a/entry/cellactions.go
+++ b/entry/cellactions.go
@@ -64,17 +64,18 @@
 }
 
 func (r *cellRunner) observe(ctx context.Context, agent platform.WorkerAgent) {
-	sentAt := r.clock()
-	state, err := agent.Observe(ctx)
-	if err != nil {
-		return
-	}
-	r.send(cellMessage{answer: &workerAnswer{sentAt: sentAt, observed: observed{state: state, receivedAt: r.clock()}}})
+	r.ask(func() (platform.WorkerState, error) { return agent.Observe(ctx) })
 }
 
 func (r *cellRunner) fence(ctx context.Context, agent platform.WorkerAgent, term int64) {
+	r.ask(func() (platform.WorkerState, error) { return agent.Fence(ctx, term) })
+}
+
+// ask puts a question to a worker that is answered with its state. Without an
+// answer nothing is sent to the machine, which repeats the question.
+func (r *cellRunner) ask(question func() (platform.WorkerState, error)) {
 	sentAt := r.clock()
-	state, err := agent.Fence(ctx, term)
+	state, err := question()
 	if err != nil {
 		return
 	}
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -194,11 +194,10 @@
 		cells = append(cells, &peerpb.CellTerm{Cell: int32(c.Cell), Term: c.Term})
 	}
 	request := &peerpb.PromiseRequest{
-		DataCentre:    n.settings.DataCentre,
-		Vm:            n.settings.VM,
-		Incarnation:   n.incarnation,
-		Cells:         cells,
-		DurationNanos: int64(n.settings.Times.Promise),
+		DataCentre:  n.settings.DataCentre,
+		Vm:          n.settings.VM,
+		Incarnation: n.incarnation,
+		Cells:       cells,
 	}
 	for _, vm := range a.Peers {
 		if p := n.peer(vm); p != nil {
