--- a/api/service.go
+++ b/api/service.go
@@ -1,14 +1,14 @@
 package api
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // ServiceSpec declares a latency-critical service.
 type ServiceSpec struct {
-	Team     string             `json:"team"`
-	TaskKind string             `json:"taskKind"`
-	Pool     string             `json:"pool,omitempty"`
-	Replicas int                `json:"replicas"`
-	Requests platform.Resources `json:"requests"`
+	Team     string            `json:"team"`
+	TaskKind string            `json:"taskKind"`
+	Pool     string            `json:"pool,omitempty"`
+	Replicas int               `json:"replicas"`
+	Requests hostapi.Resources `json:"requests"`
 	// TargetP99Millis is the latency target of the service in milliseconds.
 	TargetP99Millis int64 `json:"targetP99Millis"`
 	// MaxRequestMillis bounds a request from its arrival to its last byte.
--- a/api/team.go
+++ b/api/team.go
@@ -1,10 +1,10 @@
 package api
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // TeamSpec declares a team's quota.
 type TeamSpec struct {
-	Quota platform.Resources `json:"quota"`
+	Quota hostapi.Resources `json:"quota"`
 	// MayBorrow lets the team use what others leave unused until they want it back.
 	MayBorrow bool `json:"mayBorrow"`
 }
--- a/api/validator.go
+++ b/api/validator.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"regexp"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // validator collects faults.
@@ -67,7 +67,7 @@
 
 // demand checks what one task needs. Each task needs some processor time and
 // memory, so that capacity bounds the number of tasks on a VM.
-func (v *validator) demand(field string, r platform.Resources) {
+func (v *validator) demand(field string, r hostapi.Resources) {
 	v.between(field+".milliCPU", r.MilliCPU, 1, MaxMilliCPU)
 	v.between(field+".memoryMiB", r.MemoryMiB, 1, MaxMemoryMiB)
 	v.between(field+".accelerators", r.Accelerators, 0, MaxAccelerators)
--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -13,7 +13,7 @@
 const baselineRetries = 5
 
 // chooser returns the position of a worker for a need, or -1.
-type chooser func(free []platform.Resources, need platform.Resources) int
+type chooser func(free []hostapi.Resources, need hostapi.Resources) int
 
 // baseline places tasks in order of arrival by their declared needs. It learns
 // nothing, retries at once and evicts only at the end of a drain.
@@ -28,12 +28,12 @@
 }
 
 // firstFit returns the first worker with room.
-func firstFit(free []platform.Resources, need platform.Resources) int {
+func firstFit(free []hostapi.Resources, need hostapi.Resources) int {
 	return slices.IndexFunc(free, need.Fits)
 }
 
 // leastLoaded returns the worker with the most processors free.
-func leastLoaded(free []platform.Resources, need platform.Resources) int {
+func leastLoaded(free []hostapi.Resources, need hostapi.Resources) int {
 	best := -1
 	for i, f := range free {
 		if need.Fits(f) && (best < 0 || f.MilliCPU > free[best].MilliCPU) {
@@ -50,7 +50,7 @@
 	slices.SortStableFunc(sorted, func(x, y scheduler.Task) int { return int(x.Since - y.Since) })
 	phase := s.DataCentre().Phase
 	takes := phase == scheduler.InService || phase == scheduler.Returning
-	free := make([]platform.Resources, s.Len())
+	free := make([]hostapi.Resources, s.Len())
 	for i := range free {
 		free[i] = s.At(i).Free()
 	}
@@ -81,7 +81,7 @@
 }
 
 // wait names the cell with the most room for a task that has waited.
-func (b *baseline) wait(now time.Duration, s *scheduler.Snapshot, t *scheduler.Task, need platform.Resources, takes bool) scheduler.Wait {
+func (b *baseline) wait(now time.Duration, s *scheduler.Snapshot, t *scheduler.Task, need hostapi.Resources, takes bool) scheduler.Wait {
 	w := scheduler.Wait{Task: t.ID, Reason: "pending: no room"}
 	if takes && now-t.Since < 3*time.Second {
 		return w
@@ -121,11 +121,11 @@
 }
 
 // ObserveUsage ignores reports.
-func (b *baseline) ObserveUsage(time.Duration, *scheduler.Worker, []platform.Usage) {}
+func (b *baseline) ObserveUsage(time.Duration, *scheduler.Worker, []hostapi.Usage) {}
 
 // ObserveOutcome counts failures.
 func (b *baseline) ObserveOutcome(_ time.Duration, o scheduler.Outcome) {
-	if o.State == platform.AttemptFailed {
+	if o.State == hostapi.AttemptFailed {
 		b.failures[o.ID.Task]++
 	}
 }
--- a/bench/cell.go
+++ b/bench/cell.go
@@ -1,7 +1,7 @@
 package bench
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -47,7 +47,7 @@
 }
 
 // forget removes an attempt from the owner's state.
-func (c *cell) forget(worker string, id platform.AttemptID) {
+func (c *cell) forget(worker string, id hostapi.AttemptID) {
 	list := c.placed[worker]
 	for i, a := range list {
 		if a.id == id {
--- a/bench/decide.go
+++ b/bench/decide.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -68,7 +68,7 @@
 	c.pending = slices.Delete(c.pending, at, at+1)
 	t.attempts++
 	a := &fakeAttempt{
-		id: platform.AttemptID{Task: t.id, Attempt: p.Attempt}, task: t, requests: p.Requests,
+		id: hostapi.AttemptID{Task: t.id, Attempt: p.Attempt}, task: t, requests: p.Requests,
 		startedAt: w.now, savedAt: w.now, progress: t.progress, checkpoint: t.progress, throttle: 1, slowdown: 1,
 	}
 	a.seen = view{progress: t.progress, savedAt: w.now}
--- a/bench/decider.go
+++ b/bench/decider.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -11,7 +11,7 @@
 type Decider interface {
 	Place(now time.Duration, s *scheduler.Snapshot, pending []scheduler.Task) scheduler.Plan
 	Act(now time.Duration, s *scheduler.Snapshot) []scheduler.Action
-	ObserveUsage(now time.Duration, w *scheduler.Worker, reports []platform.Usage)
+	ObserveUsage(now time.Duration, w *scheduler.Worker, reports []hostapi.Usage)
 	ObserveOutcome(now time.Duration, o scheduler.Outcome)
 	ForgetJob(job string)
 }
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Deployment is one of today's deployments at the sizes of design 1.4.
@@ -15,7 +15,7 @@
 	Workers int
 	PerRack int
 	Cells   int
-	Worker  platform.Resources
+	Worker  hostapi.Resources
 	Weights api.WeightsSpec
 	Teams   int
 	// Services run for the whole time.
@@ -37,7 +37,7 @@
 	return Deployment{
 		Name: "consortium", DataCentres: []string{"giza", "heliopolis", "maadi"},
 		Workers: 65, PerRack: 11, Cells: 4, Teams: 12, Fill: 0.62,
-		Worker:  platform.Resources{MilliCPU: 64000, MemoryMiB: 250 * 1024},
+		Worker:  hostapi.Resources{MilliCPU: 64000, MemoryMiB: 250 * 1024},
 		Weights: api.WeightsSpec{TailLatency: 100, DataCentreChanges: 80, Evictions: 30, Throughput: 20},
 		Services: []Service{
 			{Name: "register", Kind: "register", Replicas: 30, CPU: 8000, Memory: 16 << 10, Target: 80 * time.Millisecond},
@@ -60,7 +60,7 @@
 	return Deployment{
 		Name: "bensalama", DataCentres: []string{"sfax-a", "sfax-b", "sfax-c"},
 		Workers: 50, PerRack: 8, Cells: 4, Teams: 9, Fill: 0.62,
-		Worker:  platform.Resources{MilliCPU: 64000, MemoryMiB: 250 * 1024},
+		Worker:  hostapi.Resources{MilliCPU: 64000, MemoryMiB: 250 * 1024},
 		Weights: api.WeightsSpec{TailLatency: 40, DataCentreChanges: 30, Evictions: 100, Throughput: 90},
 		Services: []Service{
 			{Name: "bench-check", Kind: "bench-check", Replicas: 18, CPU: 6000, Memory: 8 << 10, Target: 50 * time.Millisecond},
--- a/bench/ending.go
+++ b/bench/ending.go
@@ -1,10 +1,10 @@
 package bench
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // ending is the end of an attempt at its worker.
 type ending struct {
 	attempt *fakeAttempt
-	state   platform.AttemptState
+	state   hostapi.AttemptState
 	message string
 }
--- a/bench/fakeattempt.go
+++ b/bench/fakeattempt.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
 // fakeAttempt is an attempt at a worker, with its true properties.
 type fakeAttempt struct {
-	id         platform.AttemptID
+	id         hostapi.AttemptID
 	task       *fakeTask
-	requests   platform.Resources
+	requests   hostapi.Resources
 	startedAt  time.Duration
 	progress   float64
 	checkpoint float64
@@ -36,17 +36,17 @@
 	ran := now - a.startedAt
 	switch {
 	case faulty && ran >= faultyAfter:
-		return ending{a, platform.AttemptFailed, "device error"}, true
+		return ending{a, hostapi.AttemptFailed, "device error"}, true
 	case a.task.job.impossible && ran >= impossibleAfter:
-		return ending{a, platform.AttemptFailed, "missing input"}, true
+		return ending{a, hostapi.AttemptFailed, "missing input"}, true
 	case ran >= memoryAfter && a.task.memory > memorySlack*float64(a.requests.MemoryMiB):
-		return ending{a, platform.AttemptFailed, "out of memory"}, true
+		return ending{a, hostapi.AttemptFailed, "out of memory"}, true
 	}
 	if a.task.job.service == nil && !a.saving {
 		a.progress = min(1, a.progress+dt*a.throttle/a.slowdown/a.task.work)
 	}
 	if a.progress >= 1 {
-		return ending{a, platform.AttemptCompleted, ""}, true
+		return ending{a, hostapi.AttemptCompleted, ""}, true
 	}
 	if now-a.savedAt >= saveEvery {
 		a.checkpoint, a.savedAt = a.progress, now
@@ -55,7 +55,7 @@
 		if a.saving {
 			a.checkpoint = a.progress
 		}
-		return ending{a, platform.AttemptStopped, ""}, true
+		return ending{a, hostapi.AttemptStopped, ""}, true
 	}
 	return ending{}, false
 }
--- a/bench/fakejob.go
+++ b/bench/fakejob.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // fakeJob is a job or a service with its true properties.
@@ -13,7 +13,7 @@
 	team       string
 	class      Class
 	service    *Service
-	declared   platform.Resources
+	declared   hostapi.Resources
 	runTime    time.Duration
 	impossible bool
 	cancelled  bool
--- a/bench/fakeworker.go
+++ b/bench/fakeworker.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const (
@@ -33,7 +33,7 @@
 	dc       int
 	rack     string
 	boot     string
-	capacity platform.Resources
+	capacity hostapi.Resources
 	faulty   bool
 	down     bool
 	attempts []*fakeAttempt
@@ -44,8 +44,8 @@
 }
 
 // assigned returns the sum of what the attempts were assigned.
-func (w *fakeWorker) assigned() platform.Resources {
-	var sum platform.Resources
+func (w *fakeWorker) assigned() hostapi.Resources {
+	var sum hostapi.Resources
 	for _, a := range w.attempts {
 		sum = sum.Add(a.requests)
 	}
@@ -105,7 +105,7 @@
 
 // measure returns a noisy report of the present state.
 func (w *fakeWorker) measure(now time.Duration, random *rand.Rand) usageReport {
-	r := usageReport{due: now + reportLag, load: w.load, views: map[platform.AttemptID]view{}}
+	r := usageReport{due: now + reportLag, load: w.load, views: map[hostapi.AttemptID]view{}}
 	noise := func() float64 { return math.Exp(reportNoise * random.NormFloat64()) }
 	for _, a := range w.attempts {
 		var beside []string
@@ -115,11 +115,11 @@
 			}
 		}
 		memory := a.task.memory * min(1, float64(now-a.startedAt)/float64(memoryAfter))
-		used := platform.Resources{
+		used := hostapi.Resources{
 			MilliCPU: int64(a.cpu * noise()), MemoryMiB: int64(memory), Accelerators: a.requests.Accelerators,
 		}
 		r.views[a.id] = view{used: used, progress: a.progress, savedAt: a.savedAt, ratio: a.ratio * noise(), throttle: a.throttle}
-		r.usages = append(r.usages, platform.Usage{
+		r.usages = append(r.usages, hostapi.Usage{
 			ID: a.id, MeasuredAt: now, Colocated: beside, Used: used, Slowdown: a.slowdown * noise(), Load: w.load,
 		})
 	}
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -43,7 +43,7 @@
 		c := w.cell(scheduler.CellOf(w.deployment.DataCentres[f.dc], f.id, w.deployment.Cells))
 		for _, a := range slices.Clone(f.attempts) {
 			f.attempts = f.attempts[1:]
-			w.end(c, f, ending{a, platform.AttemptLapsed, "lease expired"})
+			w.end(c, f, ending{a, hostapi.AttemptLapsed, "lease expired"})
 		}
 	}
 }
--- a/bench/step.go
+++ b/bench/step.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -100,10 +100,10 @@
 	if t.job.service != nil {
 		t.job.running--
 	}
-	if e.state != platform.AttemptCompleted {
+	if e.state != hostapi.AttemptCompleted {
 		lost := (a.progress - a.checkpoint) * t.work * t.cpu / 1000
 		w.addWork(-lost)
-		if e.state == platform.AttemptStopped && a.kind != scheduler.Stop {
+		if e.state == hostapi.AttemptStopped && a.kind != scheduler.Stop {
 			w.metrics.lost += lost
 		}
 		t.progress = a.checkpoint
@@ -113,18 +113,18 @@
 		Requests: a.requests, Used: a.seen.used, RanFor: w.now - a.startedAt, Message: e.message,
 	}
 	switch e.state {
-	case platform.AttemptCompleted:
+	case hostapi.AttemptCompleted:
 		o.Work = time.Duration(t.work * float64(time.Second))
 		t.done = true
 		w.metrics.completed++
-	case platform.AttemptFailed:
+	case hostapi.AttemptFailed:
 		w.metrics.failures++
 	}
 	if a.kind == scheduler.Stop && w.scenario.CancelAt > 0 && a.stopAt > 0 {
 		w.metrics.freed = max(w.metrics.freed, w.now-w.scenario.CancelAt)
 	}
 	delay := observeDelay
-	if e.state == platform.AttemptLapsed {
+	if e.state == hostapi.AttemptLapsed {
 		delay = leaseTime
 	}
 	w.after(delay, func() {
--- a/bench/template.go
+++ b/bench/template.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // template is a job that recurs, with its true and declared values.
@@ -11,7 +11,7 @@
 	name              string
 	class             Class
 	cpu, memory, work float64
-	declared          platform.Resources
+	declared          hostapi.Resources
 	runTime           time.Duration
 	impossible        bool
 }
--- a/bench/view.go
+++ b/bench/view.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // view is what the owner knows of an attempt, as of its last report.
 type view struct {
-	used     platform.Resources
+	used     hostapi.Resources
 	progress float64
 	savedAt  time.Duration
 	ratio    float64
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -107,7 +107,7 @@
 			id: fmt.Sprintf("%s/%d", s.Name, w.version), kind: w.truth.kinds[s.Kind], team: w.teams[i%len(w.teams)].Name,
 			class:    Class{Kind: s.Kind, Checkpoint: time.Second},
 			service:  s,
-			declared: platform.Resources{MilliCPU: s.CPU + s.CPU/4, MemoryMiB: s.Memory + s.Memory/4},
+			declared: hostapi.Resources{MilliCPU: s.CPU + s.CPU/4, MemoryMiB: s.Memory + s.Memory/4},
 		}
 		w.services = append(w.services, j)
 		for n := range s.Replicas {
--- a/bench/world.go
+++ b/bench/world.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
 
@@ -108,7 +108,7 @@
 
 // addTeams gives each team the same quota; they add up to the capacity of a cell.
 func (w *world) addTeams() {
-	total := platform.Resources{
+	total := hostapi.Resources{
 		MilliCPU:  w.deployment.Worker.MilliCPU * int64(w.deployment.Workers),
 		MemoryMiB: w.deployment.Worker.MemoryMiB * int64(w.deployment.Workers),
 	}
@@ -116,7 +116,7 @@
 	for i := range w.deployment.Teams {
 		w.teams = append(w.teams, scheduler.Team{
 			Name: fmt.Sprintf("team-%02d", i), MayBorrow: true,
-			Quota: platform.Resources{MilliCPU: total.MilliCPU / parts, MemoryMiB: total.MemoryMiB / parts},
+			Quota: hostapi.Resources{MilliCPU: total.MilliCPU / parts, MemoryMiB: total.MemoryMiB / parts},
 		})
 	}
 }
--- a/capacity/cell.go
+++ b/capacity/cell.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/tasks"
@@ -19,7 +19,7 @@
 	offset  int64
 	work    tasks.Work
 	workers []string
-	running map[string][]platform.Attempt
+	running map[string][]hostapi.Attempt
 }
 
 // cellTerm is the term of the owner in measurements.
@@ -27,7 +27,7 @@
 
 // NewCell returns a cell of workersPerCell workers that runs a number of tasks.
 func NewCell(running int) *Cell {
-	c := &Cell{now: minute, running: make(map[string][]platform.Attempt)}
+	c := &Cell{now: minute, running: make(map[string][]hostapi.Attempt)}
 	c.Machine = tasks.New(tasks.DefaultConfig("vm", centreName(0), 0))
 	c.work = tasks.Work{
 		Kind: api.KindJob, Name: "nightly-import-00001", Created: 2, Count: running, MaxRetries: 3, Run: time.Hour,
@@ -58,7 +58,7 @@
 }
 
 // workerCapacity holds as many tasks as any measurement places on a worker.
-var workerCapacity = platform.Resources{MilliCPU: 640_000, MemoryMiB: 2_500_000}
+var workerCapacity = hostapi.Resources{MilliCPU: 640_000, MemoryMiB: 2_500_000}
 
 // Step passes an event to the machine and reads back what it appends.
 func (c *Cell) Step(ev tasks.Event) {
@@ -82,8 +82,8 @@
 }
 
 func (c *Cell) started(a tasks.Start) {
-	c.running[a.Worker] = append(c.running[a.Worker], platform.Attempt{
-		ID: a.Start.ID, State: platform.AttemptRunning, Kind: a.Start.Kind, Requests: a.Start.Requests,
+	c.running[a.Worker] = append(c.running[a.Worker], hostapi.Attempt{
+		ID: a.Start.ID, State: hostapi.AttemptRunning, Kind: a.Start.Kind, Requests: a.Start.Requests,
 		LeaseExpiry: 2000 * time.Hour, Progress: 0.5, Throttle: 1,
 	})
 }
@@ -102,9 +102,9 @@
 }
 
 // State returns what a worker answers.
-func (c *Cell) State(i int) platform.WorkerState {
+func (c *Cell) State(i int) hostapi.WorkerState {
 	id := c.workers[i]
-	return platform.WorkerState{
+	return hostapi.WorkerState{
 		Worker: id, Boot: "boot", Clock: c.now + time.Hour, Term: cellTerm,
 		Capacity: workerCapacity, Attempts: c.running[id],
 	}
@@ -115,16 +115,16 @@
 func (c *Cell) Cycle(i int) {
 	id := c.work.TaskID(i % c.work.Count)
 	view, _ := c.Machine.Task(id)
-	attempt := platform.AttemptID{Task: id, Attempt: view.Attempt}
+	attempt := hostapi.AttemptID{Task: id, Attempt: view.Attempt}
 	c.Step(tasks.EvictRequested{Task: id, Attempt: view.Attempt})
 	c.Step(tasks.CheckpointAnswered{ID: attempt})
 	c.drop(view.Worker, id)
-	c.Step(tasks.StopAnswered{Worker: view.Worker, Boot: "boot", Report: platform.Attempt{ID: attempt, State: platform.AttemptStopped}})
+	c.Step(tasks.StopAnswered{Worker: view.Worker, Boot: "boot", Report: hostapi.Attempt{ID: attempt, State: hostapi.AttemptStopped}})
 	c.Step(tasks.PlacementDecided{Task: id, Worker: view.Worker})
 }
 
 func (c *Cell) drop(worker, task string) {
-	var kept []platform.Attempt
+	var kept []hostapi.Attempt
 	for _, a := range c.running[worker] {
 		if a.ID.Task != task {
 			kept = append(kept, a)
--- a/capacity/declared.go
+++ b/capacity/declared.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/resources"
 )
 
@@ -14,7 +14,7 @@
 var jobSizes = []int{6_000, 12_000, 24_000, 48_000}
 
 // batchNeed is what a batch task requests.
-var batchNeed = platform.Resources{MilliCPU: 1500, MemoryMiB: 4096}
+var batchNeed = hostapi.Resources{MilliCPU: 1500, MemoryMiB: 4096}
 
 // NewStore returns a resource store with the data centres of the planned scale
 // and a number of jobs, as the log's records build it.
--- a/capacity/fixedlist.go
+++ b/capacity/fixedlist.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // fixedList is a VM list that does not change.
-type fixedList []platform.VM
+type fixedList []hostapi.VM
 
-// List implements platform.VMList.
-func (l fixedList) List(context.Context, string) ([]platform.VM, error) {
+// List implements hostapi.VMList.
+func (l fixedList) List(context.Context, string) ([]hostapi.VM, error) {
 	return l, nil
 }
--- a/capacity/pagelog.go
+++ b/capacity/pagelog.go
@@ -3,16 +3,16 @@
 import (
 	"context"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // pageLog is a log whose every read returns the same page.
 type pageLog struct {
-	platform.Log
-	page platform.LogPage
+	hostapi.Log
+	page hostapi.LogPage
 }
 
-// Read implements platform.Log.
-func (l pageLog) Read(context.Context, string, int64, int) (platform.LogPage, error) {
+// Read implements hostapi.Log.
+func (l pageLog) Read(context.Context, string, int64, int) (hostapi.LogPage, error) {
 	return l.page, nil
 }
--- a/capacity/platformcost.go
+++ b/capacity/platformcost.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/record"
 )
 
@@ -33,7 +33,7 @@
 		state := c.State(0)
 		state.Attempts = state.Attempts[:attempts]
 		for _, a := range state.Attempts {
-			state.Usage = append(state.Usage, platform.Usage{
+			state.Usage = append(state.Usage, hostapi.Usage{
 				ID: a.ID, MeasuredAt: time.Hour, Colocated: []string{"kind-2", "kind-7"}, Used: a.Requests, Slowdown: 1.1, Load: 0.5,
 			})
 		}
@@ -58,9 +58,9 @@
 	for _, vms := range []int{90, 180, 360, 720} {
 		var list fixedList
 		for i := range vms {
-			list = append(list, platform.VM{
+			list = append(list, hostapi.VM{
 				ID: fmt.Sprintf("%s-worker-%04d", centreName(0), i), DataCentre: centreName(0), Rack: fmt.Sprintf("rack-%02d", i/11),
-				Role: platform.RoleWorker, State: platform.VMLive, Capacity: workerCapacity, Slots: 8, Connections: 64,
+				Role: hostapi.RoleWorker, State: hostapi.VMLive, Capacity: workerCapacity, Slots: 8, Connections: 64,
 				AgentAddress: "10.11.12.13:7001", BackendAddress: "10.11.12.13:7002",
 			})
 		}
@@ -87,9 +87,9 @@
 		return err
 	}
 	for _, records := range []int{0, 1, 4, 16, 64} {
-		page := platform.LogPage{First: 1, Next: int64(records) + 50_000}
+		page := hostapi.LogPage{First: 1, Next: int64(records) + 50_000}
 		for i := range records {
-			page.Records = append(page.Records, platform.LogRecord{Offset: int64(i) + 50_000, ID: record.ID{Incarnation: 1 << 63, Sequence: 7}.String(), Data: data})
+			page.Records = append(page.Records, hostapi.LogRecord{Offset: int64(i) + 50_000, ID: record.ID{Incarnation: 1 << 63, Sequence: 7}.String(), Data: data})
 		}
 		p, err := exchange(httpapi.NewLogHandler(pageLog{page: page}), func(address string, client *http.Client) func() error {
 			log := httpapi.NewLogClient(address, client)
--- a/capacity/stateagent.go
+++ b/capacity/stateagent.go
@@ -3,16 +3,16 @@
 import (
 	"context"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // stateAgent is a worker agent that only reports its state.
 type stateAgent struct {
-	platform.WorkerAgent
-	state platform.WorkerState
+	hostapi.WorkerAgent
+	state hostapi.WorkerState
 }
 
-// Observe implements platform.WorkerAgent.
-func (a *stateAgent) Observe(context.Context) (platform.WorkerState, error) {
+// Observe implements hostapi.WorkerAgent.
+func (a *stateAgent) Observe(context.Context) (hostapi.WorkerState, error) {
 	return a.state, nil
 }
--- a/command/table.go
+++ b/command/table.go
@@ -7,7 +7,7 @@
 	"text/tabwriter"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // columns holds the headings of each kind after NAME and VERSION.
@@ -71,7 +71,7 @@
 	return fmt.Sprint(of(s))
 }
 
-func amount(r platform.Resources) string {
+func amount(r hostapi.Resources) string {
 	s := fmt.Sprintf("%gc %dMiB", float64(r.MilliCPU)/1000, r.MemoryMiB)
 	if r.Accelerators > 0 {
 		s += fmt.Sprintf(" %da", r.Accelerators)
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -14,7 +14,7 @@
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/client"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/resources"
 	"github.com/cactusreel/cactusreel/result"
 	"github.com/cactusreel/cactusreel/standin"
@@ -228,7 +228,7 @@
 func (c *cluster) runningIn(dataCentre string) int {
 	count := 0
 	for _, a := range c.history().Attempts {
-		if a.DataCentre == dataCentre && a.State == platform.AttemptRunning {
+		if a.DataCentre == dataCentre && a.State == hostapi.AttemptRunning {
 			count++
 		}
 	}
@@ -250,7 +250,7 @@
 	}
 	failed := 0
 	for _, a := range c.history().Attempts {
-		if a.State == platform.AttemptFailed {
+		if a.State == hostapi.AttemptFailed {
 			failed++
 		}
 	}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -11,26 +11,26 @@
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/client"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 func service(name string, replicas int) api.Resource {
 	return api.Resource{Meta: api.Meta{Kind: api.KindService, Name: name}, Service: &api.ServiceSpec{
 		Team: "t", TaskKind: "web", Replicas: replicas, TargetP99Millis: 100,
-		Requests: platform.Resources{MilliCPU: 4000, MemoryMiB: 1000},
+		Requests: hostapi.Resources{MilliCPU: 4000, MemoryMiB: 1000},
 	}}
 }
 
 func job(name string, count int, seconds int64) api.Resource {
 	return api.Resource{Meta: api.Meta{Kind: api.KindJob, Name: name}, Job: &api.JobSpec{
 		Team: "t", TaskKind: "report", Tasks: count, RunSeconds: seconds,
-		Requests: platform.Resources{MilliCPU: 2000, MemoryMiB: 1000},
+		Requests: hostapi.Resources{MilliCPU: 2000, MemoryMiB: 1000},
 	}}
 }
 
 func team() api.Resource {
 	return api.Resource{Meta: api.Meta{Kind: api.KindTeam, Name: "t"}, Team: &api.TeamSpec{
-		MayBorrow: true, Quota: platform.Resources{MilliCPU: 1_000_000, MemoryMiB: 1_000_000},
+		MayBorrow: true, Quota: hostapi.Resources{MilliCPU: 1_000_000, MemoryMiB: 1_000_000},
 	}}
 }
 
--- a/e2e/state_test.go
+++ b/e2e/state_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/entry"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
 )
 
 // dump returns the state of a process, or the zero value if it doesn't answer.
@@ -92,7 +92,7 @@
 // busyWorker returns a worker that runs a replica.
 func (c *cluster) busyWorker() string {
 	for _, a := range c.history().Attempts {
-		if a.State == platform.AttemptRunning && a.Kind == "web" {
+		if a.State == hostapi.AttemptRunning && a.Kind == "web" {
 			return a.Worker
 		}
 	}
@@ -103,7 +103,7 @@
 // serves reports whether a worker runs a replica.
 func (c *cluster) serves(worker string) bool {
 	for _, a := range c.history().Attempts {
-		if a.Worker == worker && a.State == platform.AttemptRunning && a.Kind == "web" {
+		if a.Worker == worker && a.State == hostapi.AttemptRunning && a.Kind == "web" {
 			return true
 		}
 	}
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
 )
 
 // agent returns the client of a worker's agent at its listed address.
-func (n *Node) agent(worker string) (platform.WorkerAgent, bool) {
+func (n *Node) agent(worker string) (hostapi.WorkerAgent, bool) {
 	vm, ok := n.list.Load().workers[worker]
 	if !ok {
 		return n.lastAgent(worker)
@@ -27,7 +27,7 @@
 
 // lastAgent returns the client of a worker that the list no longer names: the
 // list lags and the worker may still run attempts.
-func (n *Node) lastAgent(worker string) (platform.WorkerAgent, bool) {
+func (n *Node) lastAgent(worker string) (hostapi.WorkerAgent, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	entry, ok := n.agents[worker]
--- a/entry/cellactions.go
+++ b/entry/cellactions.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/tasks"
 )
 
@@ -17,21 +17,21 @@
 	case tasks.Append:
 		r.appendRecord(a.Record)
 	case tasks.Fence:
-		r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) { r.fence(ctx, agent, a.Term) })
+		r.command(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) { r.fence(ctx, agent, a.Term) })
 	case tasks.Observe:
 		r.command(a.Worker, r.observe)
 	case tasks.Start:
-		r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) { r.start(ctx, agent, a) })
+		r.command(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) { r.start(ctx, agent, a) })
 	case tasks.Renew:
-		r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) {
+		r.command(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) {
 			r.report(a.Worker, agent.Renew(ctx, a.Command, a.Renewals))
 		})
 	case tasks.Checkpoint:
-		r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) { r.takeCheckpoint(ctx, agent, a) })
+		r.command(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) { r.takeCheckpoint(ctx, agent, a) })
 	case tasks.Stop:
-		r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) { r.stopAttempt(ctx, agent, a) })
+		r.command(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) { r.stopAttempt(ctx, agent, a) })
 	case tasks.Forget:
-		r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) {
+		r.command(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) {
 			r.report(a.Worker, agent.Forget(ctx, a.Command, a.ID))
 		})
 	case tasks.OfferMove:
@@ -45,7 +45,7 @@
 
 // command runs a call to a worker's agent in its own goroutine. When too many
 // calls are in flight it is dropped: the machine repeats what gets no answer.
-func (r *cellRunner) command(worker string, call func(context.Context, platform.WorkerAgent)) {
+func (r *cellRunner) command(worker string, call func(context.Context, hostapi.WorkerAgent)) {
 	agent, ok := r.host.agent(worker)
 	if !ok {
 		return
@@ -63,17 +63,17 @@
 	}()
 }
 
-func (r *cellRunner) observe(ctx context.Context, agent platform.WorkerAgent) {
-	r.ask(func() (platform.WorkerState, error) { return agent.Observe(ctx) })
+func (r *cellRunner) observe(ctx context.Context, agent hostapi.WorkerAgent) {
+	r.ask(func() (hostapi.WorkerState, error) { return agent.Observe(ctx) })
 }
 
-func (r *cellRunner) fence(ctx context.Context, agent platform.WorkerAgent, term int64) {
-	r.ask(func() (platform.WorkerState, error) { return agent.Fence(ctx, term) })
+func (r *cellRunner) fence(ctx context.Context, agent hostapi.WorkerAgent, term int64) {
+	r.ask(func() (hostapi.WorkerState, error) { return agent.Fence(ctx, term) })
 }
 
 // ask puts a question to a worker that is answered with its state. Without an
 // answer nothing is sent to the machine, which repeats the question.
-func (r *cellRunner) ask(question func() (platform.WorkerState, error)) {
+func (r *cellRunner) ask(question func() (hostapi.WorkerState, error)) {
 	sentAt := r.clock()
 	state, err := question()
 	if err != nil {
@@ -90,7 +90,7 @@
 	r.checkCapacity(a.observed.state)
 }
 
-func (r *cellRunner) start(ctx context.Context, agent platform.WorkerAgent, a tasks.Start) {
+func (r *cellRunner) start(ctx context.Context, agent hostapi.WorkerAgent, a tasks.Start) {
 	err := agent.Start(ctx, a.Start)
 	if err != nil && !refused(err) {
 		return
@@ -101,7 +101,7 @@
 	r.event(tasks.StartAnswered{Worker: a.Worker, ID: a.Start.ID, Refused: err != nil})
 }
 
-func (r *cellRunner) takeCheckpoint(ctx context.Context, agent platform.WorkerAgent, a tasks.Checkpoint) {
+func (r *cellRunner) takeCheckpoint(ctx context.Context, agent hostapi.WorkerAgent, a tasks.Checkpoint) {
 	name, err := agent.Checkpoint(ctx, a.Command, a.ID)
 	if err != nil && !refused(err) {
 		return
@@ -109,7 +109,7 @@
 	r.event(tasks.CheckpointAnswered{ID: a.ID, Name: name})
 }
 
-func (r *cellRunner) stopAttempt(ctx context.Context, agent platform.WorkerAgent, a tasks.Stop) {
+func (r *cellRunner) stopAttempt(ctx context.Context, agent hostapi.WorkerAgent, a tasks.Stop) {
 	report, err := agent.Stop(ctx, a.Command, a.ID)
 	if err != nil {
 		r.report(a.Worker, err)
@@ -130,8 +130,8 @@
 // refused reports whether the worker answered that a command had no effect.
 func refused(err error) bool {
 	for _, known := range []error{
-		platform.ErrLowerTerm, platform.ErrDeadlinePassed, platform.ErrOtherBoot,
-		platform.ErrNoRoom, platform.ErrNoAttempt, platform.ErrOldAttempt,
+		hostapi.ErrLowerTerm, hostapi.ErrDeadlinePassed, hostapi.ErrOtherBoot,
+		hostapi.ErrNoRoom, hostapi.ErrNoAttempt, hostapi.ErrOldAttempt,
 	} {
 		if errors.Is(err, known) {
 			return true
--- a/entry/cellbench_test.go
+++ b/entry/cellbench_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/capacity"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/resources"
@@ -33,7 +33,7 @@
 	list *workerList
 }
 
-func (h *benchHost) agent(string) (platform.WorkerAgent, bool)      { return nil, false }
+func (h *benchHost) agent(string) (hostapi.WorkerAgent, bool)       { return nil, false }
 func (h *benchHost) offerMove(context.Context, tasks.OfferMove)     {}
 func (h *benchHost) confirmMove(context.Context, tasks.ConfirmMove) {}
 func (h *benchHost) declared() *declaredWork                        { return h.work }
@@ -52,14 +52,14 @@
 	*cellRunner
 	now    time.Duration
 	boot   time.Duration
-	tasks  map[string][]platform.Attempt
+	tasks  map[string][]hostapi.Attempt
 	offset int64
 }
 
 // newBenchCell returns a cell that runs a number of tasks of jobs of 20 tasks.
 func newBenchCell(tb testing.TB, running int) *benchCell {
 	tb.Helper()
-	c := &benchCell{now: time.Minute, tasks: make(map[string][]platform.Attempt)}
+	c := &benchCell{now: time.Minute, tasks: make(map[string][]hostapi.Attempt)}
 	store := benchStore(tb, (running+19)/20)
 	host := &benchHost{work: newDeclaredWork(store.View(), benchDC, c.now, nil), list: benchWorkerList()}
 	config := tasks.DefaultConfig("vm", benchDC, 0)
@@ -90,23 +90,23 @@
 	}
 	put(api.Resource{Meta: api.Meta{Kind: api.KindDataCentre, Name: benchDC}, DataCentre: &api.DataCentreSpec{InService: true, Cells: 1, DrainSeconds: 120}})
 	for i := range 130 {
-		put(api.Resource{Meta: api.Meta{Kind: api.KindTeam, Name: fmt.Sprintf("team-%03d", i)}, Team: &api.TeamSpec{Quota: platform.Resources{MilliCPU: 1 << 30, MemoryMiB: 1 << 30}}})
+		put(api.Resource{Meta: api.Meta{Kind: api.KindTeam, Name: fmt.Sprintf("team-%03d", i)}, Team: &api.TeamSpec{Quota: hostapi.Resources{MilliCPU: 1 << 30, MemoryMiB: 1 << 30}}})
 	}
 	for i := range jobs {
 		put(api.Resource{Meta: api.Meta{Kind: api.KindJob, Name: fmt.Sprintf("import-%05d", i)}, Job: &api.JobSpec{
 			Team: fmt.Sprintf("team-%03d", i%130), TaskKind: fmt.Sprintf("kind-%d", i%20), Tasks: 20,
-			Requests: platform.Resources{MilliCPU: 1000, MemoryMiB: 2048}, RunSeconds: 3600,
+			Requests: hostapi.Resources{MilliCPU: 1000, MemoryMiB: 2048}, RunSeconds: 3600,
 		}})
 	}
 	return store
 }
 
 func benchWorkerList() *workerList {
-	var vms []platform.VM
+	var vms []hostapi.VM
 	for i := range benchWorkers {
-		vms = append(vms, platform.VM{
-			ID: benchWorker(i), DataCentre: benchDC, Rack: fmt.Sprintf("rack-%d", i/11), Role: platform.RoleWorker, State: platform.VMLive,
-			Capacity: platform.Resources{MilliCPU: 256_000, MemoryMiB: 1 << 20},
+		vms = append(vms, hostapi.VM{
+			ID: benchWorker(i), DataCentre: benchDC, Rack: fmt.Sprintf("rack-%d", i/11), Role: hostapi.RoleWorker, State: hostapi.VMLive,
+			Capacity: hostapi.Resources{MilliCPU: 256_000, MemoryMiB: 1 << 20},
 		})
 	}
 	return newWorkerList(vms, time.Second)
@@ -123,7 +123,7 @@
 	}
 	c.offset++
 	id := record.ID{Incarnation: 1, Sequence: uint64(c.offset)}
-	c.applyRecord(platform.LogRecord{Offset: c.offset, ID: id.String(), Data: data})
+	c.applyRecord(hostapi.LogRecord{Offset: c.offset, ID: id.String(), Data: data})
 }
 
 // place records a placement of the first tasks in order of id.
@@ -133,9 +133,9 @@
 		c.apply(tb, &recordpb.Record{Term: benchTerm, Placed: &recordpb.Placed{
 			Task: t.Task, Attempt: 1, Worker: worker, Boot: "boot", Requests: &recordpb.Amount{MilliCpu: 1000, MemoryMib: 2048},
 		}})
-		c.tasks[worker] = append(c.tasks[worker], platform.Attempt{
-			ID: platform.AttemptID{Task: t.Task, Attempt: 1}, State: platform.AttemptRunning, Kind: "kind-1",
-			Requests: platform.Resources{MilliCPU: 1000, MemoryMiB: 2048}, LeaseExpiry: 10 * time.Hour, Progress: 0.5, Throttle: 1,
+		c.tasks[worker] = append(c.tasks[worker], hostapi.Attempt{
+			ID: hostapi.AttemptID{Task: t.Task, Attempt: 1}, State: hostapi.AttemptRunning, Kind: "kind-1",
+			Requests: hostapi.Resources{MilliCPU: 1000, MemoryMiB: 2048}, LeaseExpiry: 10 * time.Hour, Progress: 0.5, Throttle: 1,
 		})
 	}
 }
@@ -150,12 +150,12 @@
 func (c *benchCell) observeOne(i int) {
 	c.boot += time.Microsecond
 	worker := benchWorker(i)
-	state := platform.WorkerState{
+	state := hostapi.WorkerState{
 		Worker: worker, Boot: "boot", Clock: time.Hour + c.boot, Term: benchTerm,
-		Capacity: platform.Resources{MilliCPU: 256_000, MemoryMiB: 1 << 20}, Attempts: c.tasks[worker],
+		Capacity: hostapi.Resources{MilliCPU: 256_000, MemoryMiB: 1 << 20}, Attempts: c.tasks[worker],
 	}
 	for _, a := range c.tasks[worker] {
-		state.Usage = append(state.Usage, platform.Usage{
+		state.Usage = append(state.Usage, hostapi.Usage{
 			ID: a.ID, MeasuredAt: time.Hour + c.boot, Colocated: []string{"kind-2"}, Used: a.Requests, Slowdown: 1.1, Load: 0.5,
 		})
 	}
--- a/entry/cellhost.go
+++ b/entry/cellhost.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
 )
 
 // cellHost is what a runner needs of its node.
 type cellHost interface {
-	agent(worker string) (platform.WorkerAgent, bool)
+	agent(worker string) (hostapi.WorkerAgent, bool)
 	offerMove(ctx context.Context, a tasks.OfferMove)
 	confirmMove(ctx context.Context, a tasks.ConfirmMove)
 	// declared returns the newest declared work and what placement needs of it.
--- a/entry/cellmessage.go
+++ b/entry/cellmessage.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/tasks"
 )
 
 // cellMessage is what other goroutines send to a runner.
 type cellMessage struct {
 	event tasks.Event
-	page  []platform.LogRecord
+	page  []hostapi.LogRecord
 	// truncatedAt is the first kept offset if the stream was truncated.
 	truncatedAt int64
 	view        *ownership.View
--- a/entry/cellplan.go
+++ b/entry/cellplan.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
@@ -87,10 +87,10 @@
 	if seen == nil || now >= r.own.PlaceUntil {
 		return
 	}
-	command := platform.Command{Term: r.term, Boot: seen.state.Boot, Deadline: seen.deadline(r.own.PlaceUntil, r.config.Drift)}
+	command := hostapi.Command{Term: r.term, Boot: seen.state.Boot, Deadline: seen.deadline(r.own.PlaceUntil, r.config.Drift)}
 	r.throttled[a.ID] = a.Share
 	r.log.Log(logevent.TaskThrottled, zap.String("task", a.ID.Task), zap.Int64("attempt", a.ID.Attempt), zap.String("worker", a.Worker), zap.Float64("share", a.Share), zap.String("reason", a.Reason))
-	r.command(a.Worker, func(ctx context.Context, agent platform.WorkerAgent) {
+	r.command(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) {
 		r.report(a.Worker, agent.Throttle(ctx, command, a.ID, a.Share))
 	})
 }
--- a/entry/cellrunner.go
+++ b/entry/cellrunner.go
@@ -9,9 +9,9 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
@@ -76,9 +76,9 @@
 	leaving    map[string]string
 
 	workers   map[string]*observed
-	placed    map[platform.AttemptID]placement
-	usageSeen map[platform.AttemptID]time.Duration
-	starts    map[platform.AttemptID]startMark
+	placed    map[hostapi.AttemptID]placement
+	usageSeen map[hostapi.AttemptID]time.Duration
+	starts    map[hostapi.AttemptID]startMark
 	pending   map[string]time.Duration
 	reasons   map[string]string
 	// parked holds the jobs that were logged as parked.
@@ -92,8 +92,8 @@
 	// publishedAt is when the picture was last made, of publishedTasks tasks.
 	publishedAt    time.Duration
 	publishedTasks int
-	throttled      map[platform.AttemptID]float64
-	checkpoint     map[platform.AttemptID]time.Duration
+	throttled      map[hostapi.AttemptID]float64
+	checkpoint     map[hostapi.AttemptID]time.Duration
 
 	current atomic.Pointer[cellView]
 }
@@ -115,7 +115,7 @@
 	cell   scheduler.CellID
 	config tasks.Config
 	host   cellHost
-	log    platform.Log
+	log    hostapi.Log
 	writer *writer.Writer
 	events *logevent.Logger
 	clock  Clock
@@ -140,14 +140,14 @@
 		commands:   make(chan struct{}, commandsInFlight),
 		declared:   make(map[string]declaredVersion),
 		workers:    make(map[string]*observed),
-		placed:     make(map[platform.AttemptID]placement),
-		usageSeen:  make(map[platform.AttemptID]time.Duration),
-		starts:     make(map[platform.AttemptID]startMark),
+		placed:     make(map[hostapi.AttemptID]placement),
+		usageSeen:  make(map[hostapi.AttemptID]time.Duration),
+		starts:     make(map[hostapi.AttemptID]startMark),
 		pending:    make(map[string]time.Duration),
 		reasons:    make(map[string]string),
 		parked:     make(map[string]bool),
-		throttled:  make(map[platform.AttemptID]float64),
-		checkpoint: make(map[platform.AttemptID]time.Duration),
+		throttled:  make(map[hostapi.AttemptID]float64),
+		checkpoint: make(map[hostapi.AttemptID]time.Duration),
 	}
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	r.follower = r.newFollower(o.log, o.poll)
@@ -155,19 +155,19 @@
 	return r
 }
 
-func (r *cellRunner) newFollower(log platform.Log, poll time.Duration) *follower {
+func (r *cellRunner) newFollower(log hostapi.Log, poll time.Duration) *follower {
 	return &follower{
 		log:    log,
 		stream: record.TasksStream(r.cell.DataCentre, r.cell.Index),
 		clock:  r.clock,
 		poll:   poll,
 		wake:   make(chan struct{}, 1),
-		apply: func(page platform.LogPage, _ time.Duration) {
+		apply: func(page hostapi.LogPage, _ time.Duration) {
 			if len(page.Records) > 0 {
 				r.send(cellMessage{page: page.Records})
 			}
 		},
-		truncated: func(page platform.LogPage) int64 {
+		truncated: func(page hostapi.LogPage) int64 {
 			r.send(cellMessage{truncatedAt: page.First})
 			return page.First
 		},
--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
 )
@@ -39,7 +39,7 @@
 // attempt are taken off its capacity, so that they are never given away.
 func (r *cellRunner) schedulerWorker(w tasks.WorkerView, attempts []scheduler.Attempt) scheduler.Worker {
 	capacity := w.Capacity
-	known := platform.Resources{}
+	known := hostapi.Resources{}
 	for i := range attempts {
 		known = known.Add(attempts[i].Requests)
 	}
@@ -65,7 +65,7 @@
 }
 
 // load returns the newest measured load of a worker.
-func load(s platform.WorkerState) float64 {
+func load(s hostapi.WorkerState) float64 {
 	newest := time.Duration(-1)
 	value := 0.0
 	for _, u := range s.Usage {
@@ -77,7 +77,7 @@
 }
 
 func (r *cellRunner) attempt(now time.Duration, t tasks.View, d *declaredWork) scheduler.Attempt {
-	id := platform.AttemptID{Task: t.Task, Attempt: t.Attempt}
+	id := hostapi.AttemptID{Task: t.Task, Attempt: t.Attempt}
 	mark, known := r.starts[id]
 	if !known {
 		mark = startMark{at: now, worker: t.Worker}
@@ -147,7 +147,7 @@
 		list = append(list, scheduler.Team{
 			Name:      t.Name,
 			MayBorrow: t.Team.MayBorrow,
-			Quota: platform.Resources{
+			Quota: hostapi.Resources{
 				MilliCPU:     quota.MilliCPU / cells,
 				MemoryMiB:    quota.MemoryMiB / cells,
 				Accelerators: (quota.Accelerators + cells - 1) / cells,
@@ -205,12 +205,12 @@
 // noteRunning keeps when each attempt was first seen running, and forgets
 // what has ended.
 func (r *cellRunner) noteRunning(now time.Duration, list []tasks.View) {
-	running := make(map[platform.AttemptID]startMark)
+	running := make(map[hostapi.AttemptID]startMark)
 	for _, t := range list {
 		if !t.Running {
 			continue
 		}
-		id := platform.AttemptID{Task: t.Task, Attempt: t.Attempt}
+		id := hostapi.AttemptID{Task: t.Task, Attempt: t.Attempt}
 		mark, known := r.starts[id]
 		if !known {
 			mark = startMark{at: now, worker: t.Worker}
@@ -229,7 +229,7 @@
 
 // noteUsage passes each usage report to the policy once.
 func (r *cellRunner) noteUsage(seen *observed) {
-	var fresh []platform.Usage
+	var fresh []hostapi.Usage
 	for _, u := range seen.state.Usage {
 		if u.MeasuredAt <= r.usageSeen[u.ID] {
 			continue
@@ -251,7 +251,7 @@
 // reportedWorker describes a worker with those of its attempts that the reports
 // are about. It does not look at the other tasks of the cell: at 45 workers
 // that answer once a second that took 3% of a core.
-func (r *cellRunner) reportedWorker(now time.Duration, seen *observed, reports []platform.Usage, d *declaredWork) *scheduler.Worker {
+func (r *cellRunner) reportedWorker(now time.Duration, seen *observed, reports []hostapi.Usage, d *declaredWork) *scheduler.Worker {
 	w := &scheduler.Worker{ID: seen.state.Worker, Boot: seen.state.Boot, Capacity: seen.state.Capacity}
 	for _, u := range reports {
 		if t, ok := r.machine.Task(u.ID.Task); ok && t.Worker == w.ID {
--- a/entry/cellstream.go
+++ b/entry/cellstream.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/tasks"
@@ -15,13 +15,13 @@
 )
 
 // applyPage applies records of the cell's task stream.
-func (r *cellRunner) applyPage(page []platform.LogRecord) {
+func (r *cellRunner) applyPage(page []hostapi.LogRecord) {
 	for _, logged := range page {
 		r.applyRecord(logged)
 	}
 }
 
-func (r *cellRunner) applyRecord(logged platform.LogRecord) {
+func (r *cellRunner) applyRecord(logged hostapi.LogRecord) {
 	id, err := record.ParseID(logged.ID)
 	if err != nil {
 		r.undecodable(logged.Offset, err)
--- a/entry/cellview.go
+++ b/entry/cellview.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ownership"
 	"github.com/cactusreel/cactusreel/peer/peerpb"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
 )
@@ -31,7 +31,7 @@
 
 // observed is the newest answer of a worker.
 type observed struct {
-	state platform.WorkerState
+	state hostapi.WorkerState
 	// receivedAt is when the answer arrived, on the local clock.
 	receivedAt time.Duration
 }
--- a/entry/changelog.go
+++ b/entry/changelog.go
@@ -6,9 +6,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
 )
 
 // changeInterval is how often the state is compared for changes to log.
@@ -23,7 +23,7 @@
 	peers     map[string]bool
 	cells     map[int]ownership.View
 	workers   map[string]workerReach
-	vms       map[string]platform.VM
+	vms       map[string]hostapi.VM
 	inService map[string]bool
 }
 
--- a/entry/claimsrunner.go
+++ b/entry/claimsrunner.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/writer"
@@ -63,7 +63,7 @@
 	answer chan ownership.AnswerPromise
 }
 
-func newClaimsRunner(ctx context.Context, config ownership.Config, log platform.Log, w *writer.Writer, handler claimsHandler, events *logevent.Logger, clock Clock, poll time.Duration) *claimsRunner {
+func newClaimsRunner(ctx context.Context, config ownership.Config, log hostapi.Log, w *writer.Writer, handler claimsHandler, events *logevent.Logger, clock Clock, poll time.Duration) *claimsRunner {
 	r := &claimsRunner{
 		config:  config,
 		machine: ownership.New(config),
@@ -83,7 +83,7 @@
 		poll:      poll,
 		wake:      make(chan struct{}, 1),
 		apply:     r.applyPage,
-		truncated: func(page platform.LogPage) int64 { return page.First },
+		truncated: func(page hostapi.LogPage) int64 { return page.First },
 		failed:    func(error) {},
 	}
 	r.publish()
@@ -221,7 +221,7 @@
 }
 
 // applyPage is called by the follower's goroutine.
-func (r *claimsRunner) applyPage(page platform.LogPage, sentAt time.Duration) {
+func (r *claimsRunner) applyPage(page hostapi.LogPage, sentAt time.Duration) {
 	for _, logged := range page.Records {
 		r.applyRecord(logged)
 	}
@@ -233,7 +233,7 @@
 
 // applyRecord passes a record on. The writer of this stream puts one item in
 // a record, because the ownership machine orders records by offset.
-func (r *claimsRunner) applyRecord(logged platform.LogRecord) {
+func (r *claimsRunner) applyRecord(logged hostapi.LogRecord) {
 	defer r.writer.Observed(logged.ID, logged.Offset)
 	id, err := record.ParseID(logged.ID)
 	if err != nil || !r.filter.New(id, logged.Offset) {
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ownership"
 	"github.com/cactusreel/cactusreel/peer/peerpb"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/tasks"
 	"github.com/cactusreel/cactusreel/writer"
 )
@@ -27,7 +27,7 @@
 	Claims      []ownership.View        `json:"claims"`
 	Cells       []DumpCell              `json:"cells"`
 	Peers       []DumpPeer              `json:"peers"`
-	Workers     []platform.VM           `json:"workers"`
+	Workers     []hostapi.VM            `json:"workers"`
 	Requests    DumpRequests            `json:"requests"`
 	Writers     map[string]writer.Stats `json:"writers"`
 }
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // pageLimit bounds the records of one read of the log.
@@ -13,16 +13,16 @@
 
 // follower reads a stream of the log from an offset on, for ever.
 type follower struct {
-	log    platform.Log
+	log    hostapi.Log
 	stream string
 	clock  Clock
 	// poll is the time between reads that found nothing new.
 	poll time.Duration
 	// apply takes a page that was read by a request sent at sentAt.
-	apply func(page platform.LogPage, sentAt time.Duration)
+	apply func(page hostapi.LogPage, sentAt time.Duration)
 	// truncated is called when the next offset is no longer kept; it returns
 	// the offset to go on from.
-	truncated func(page platform.LogPage) int64
+	truncated func(page hostapi.LogPage) int64
 	// failed is called when a read fails.
 	failed func(err error)
 	// wake ends the wait between two reads. It may be nil.
@@ -66,7 +66,7 @@
 func (f *follower) step(ctx context.Context) bool {
 	sentAt := f.clock()
 	page, err := f.log.Read(ctx, f.stream, f.next, pageLimit)
-	if errors.Is(err, platform.ErrTruncated) {
+	if errors.Is(err, hostapi.ErrTruncated) {
 		f.next = f.truncated(page)
 		return true
 	}
--- a/entry/gapbuffer.go
+++ b/entry/gapbuffer.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
@@ -10,7 +10,7 @@
 // them are no longer in the log, until a whole snapshot covers the gap.
 type gapBuffer struct {
 	assembler record.Assembler
-	waiting   []platform.LogRecord
+	waiting   []hostapi.LogRecord
 }
 
 // reset forgets all records and chunks.
@@ -31,7 +31,7 @@
 }
 
 // hold keeps a record behind the gap.
-func (b *gapBuffer) hold(r platform.LogRecord) {
+func (b *gapBuffer) hold(r hostapi.LogRecord) {
 	b.waiting = append(b.waiting, r)
 }
 
@@ -45,7 +45,7 @@
 }
 
 // release returns the held records above an offset and forgets them all.
-func (b *gapBuffer) release(applied int64) []platform.LogRecord {
+func (b *gapBuffer) release(applied int64) []hostapi.LogRecord {
 	held := b.waiting
 	b.waiting = nil
 	for len(held) > 0 && held[0].Offset <= applied {
--- a/entry/node.go
+++ b/entry/node.go
@@ -12,10 +12,10 @@
 
 	"github.com/cactusreel/cactusreel/dedup"
 	"github.com/cactusreel/cactusreel/freshness"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/peer"
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
 	"github.com/cactusreel/cactusreel/proxy"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/routing"
@@ -38,9 +38,9 @@
 	events      *logevent.Logger
 	registry    gometrics.Registry
 
-	direct     platform.Log
+	direct     hostapi.Log
 	log        *peer.RelayLog
-	vmList     platform.VMList
+	vmList     hostapi.VMList
 	httpClient *http.Client
 	// health asks backend servers for their state, on connections of its own.
 	health *http.Client
@@ -99,7 +99,7 @@
 // agentEntry is a worker agent's client and the address that it was made for.
 type agentEntry struct {
 	address string
-	client  platform.WorkerAgent
+	client  hostapi.WorkerAgent
 }
 
 // NewNode builds a node from its settings. It opens no listener and starts no
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
@@ -13,15 +13,15 @@
 	at       time.Duration
 	worker   string
 	boot     string
-	requests platform.Resources
+	requests hostapi.Resources
 }
 
 // outcomeStates maps recorded outcomes to the states that the policy learns from.
-var outcomeStates = map[recordpb.Outcome]platform.AttemptState{
-	recordpb.Outcome_OUTCOME_COMPLETED: platform.AttemptCompleted,
-	recordpb.Outcome_OUTCOME_FAILED:    platform.AttemptFailed,
-	recordpb.Outcome_OUTCOME_STOPPED:   platform.AttemptStopped,
-	recordpb.Outcome_OUTCOME_LAPSED:    platform.AttemptLapsed,
+var outcomeStates = map[recordpb.Outcome]hostapi.AttemptState{
+	recordpb.Outcome_OUTCOME_COMPLETED: hostapi.AttemptCompleted,
+	recordpb.Outcome_OUTCOME_FAILED:    hostapi.AttemptFailed,
+	recordpb.Outcome_OUTCOME_STOPPED:   hostapi.AttemptStopped,
+	recordpb.Outcome_OUTCOME_LAPSED:    hostapi.AttemptLapsed,
 }
 
 // noteOutcomes passes the ends of attempts to the policy as they are read
@@ -43,11 +43,11 @@
 }
 
 func (r *cellRunner) notePlaced(now time.Duration, p *recordpb.Placed) {
-	r.placed[platform.AttemptID{Task: p.Task, Attempt: p.Attempt}] = placement{
+	r.placed[hostapi.AttemptID{Task: p.Task, Attempt: p.Attempt}] = placement{
 		at:     now,
 		worker: p.Worker,
 		boot:   p.Boot,
-		requests: platform.Resources{
+		requests: hostapi.Resources{
 			MilliCPU:     p.GetRequests().GetMilliCpu(),
 			MemoryMiB:    p.GetRequests().GetMemoryMib(),
 			Accelerators: p.GetRequests().GetAccelerators(),
@@ -57,7 +57,7 @@
 
 // noteEnded tells the policy how an attempt of this term ended.
 func (r *cellRunner) noteEnded(now time.Duration, ended *recordpb.Ended) {
-	id := platform.AttemptID{Task: ended.Task, Attempt: ended.Attempt}
+	id := hostapi.AttemptID{Task: ended.Task, Attempt: ended.Attempt}
 	p, placed := r.placed[id]
 	delete(r.placed, id)
 	d := r.host.declared()
@@ -81,7 +81,7 @@
 		RanFor:   now - p.at,
 		Message:  ended.Message,
 	}
-	if state == platform.AttemptCompleted && ended.Attempt == 1 {
+	if state == hostapi.AttemptCompleted && ended.Attempt == 1 {
 		// Later attempts resume from a checkpoint, so their time is not the
 		// whole task's.
 		o.Work = o.RanFor
@@ -90,15 +90,15 @@
 }
 
 // lastUse returns the newest reported use of an attempt, or zero.
-func (r *cellRunner) lastUse(worker string, id platform.AttemptID) platform.Resources {
+func (r *cellRunner) lastUse(worker string, id hostapi.AttemptID) hostapi.Resources {
 	seen := r.workers[worker]
 	if seen == nil {
-		return platform.Resources{}
+		return hostapi.Resources{}
 	}
 	for i := range seen.state.Usage {
 		if seen.state.Usage[i].ID == id {
 			return seen.state.Usage[i].Used
 		}
 	}
-	return platform.Resources{}
+	return hostapi.Resources{}
 }
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -6,9 +6,9 @@
 	"errors"
 
 	"github.com/cactusreel/cactusreel/dedup"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ownership"
 	"github.com/cactusreel/cactusreel/peer/peerpb"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/result"
 )
 
@@ -37,7 +37,7 @@
 func (s *peerServer) ReadLog(ctx context.Context, r *peerpb.ReadLogRequest) (*peerpb.ReadLogResponse, error) {
 	limit := min(max(1, int(r.Limit)), maxRelayedRecords)
 	page, err := s.node.direct.Read(ctx, r.Stream, r.From, limit)
-	truncated := errors.Is(err, platform.ErrTruncated)
+	truncated := errors.Is(err, hostapi.ErrTruncated)
 	if err != nil && !truncated {
 		return nil, err
 	}
@@ -64,7 +64,7 @@
 // AppendLog implements peerpb.Peer.
 func (s *peerServer) AppendLog(ctx context.Context, r *peerpb.AppendLogRequest) (*peerpb.AppendLogResponse, error) {
 	offset, err := s.node.direct.Append(ctx, r.Stream, r.Id, r.Data)
-	if errors.Is(err, platform.ErrNotSent) {
+	if errors.Is(err, hostapi.ErrNotSent) {
 		return &peerpb.AppendLogResponse{NotSent: true}, nil
 	}
 	if err != nil {
--- a/entry/quotacheck.go
+++ b/entry/quotacheck.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/resources"
 	"github.com/cactusreel/cactusreel/result"
 )
@@ -30,12 +30,12 @@
 }
 
 // demand returns the team and the need of one task of a service or job.
-func demand(r api.Resource) (team string, need platform.Resources) {
+func demand(r api.Resource) (team string, need hostapi.Resources) {
 	switch {
 	case r.Service != nil:
 		return r.Service.Team, r.Service.Requests
 	case r.Job != nil:
 		return r.Job.Team, r.Job.Requests
 	}
-	return "", platform.Resources{}
+	return "", hostapi.Resources{}
 }
--- a/entry/quotacheck_test.go
+++ b/entry/quotacheck_test.go
@@ -6,7 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/resources"
 	"github.com/cactusreel/cactusreel/result"
 )
@@ -21,11 +21,11 @@
 		is.NoErr(err)
 		return op
 	}
-	quota := platform.Resources{MilliCPU: 2000, MemoryMiB: 100}
+	quota := hostapi.Resources{MilliCPU: 2000, MemoryMiB: 100}
 	_, err := store.Apply(1, put(api.Resource{Meta: api.Meta{Kind: api.KindTeam, Name: "t"}, Team: &api.TeamSpec{Quota: quota}}))
 	is.NoErr(err)
 	job := func(milliCPU int64) resources.Operation {
-		need := platform.Resources{MilliCPU: milliCPU, MemoryMiB: 10}
+		need := hostapi.Resources{MilliCPU: milliCPU, MemoryMiB: 10}
 		return put(api.Resource{Meta: api.Meta{Kind: api.KindJob, Name: "j"}, Job: &api.JobSpec{Team: "t", Tasks: 100, Requests: need}})
 	}
 	is.NoErr(checkQuota(store.View(), job(2000)))
--- a/entry/recordlog.go
+++ b/entry/recordlog.go
@@ -3,8 +3,8 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/scheduler"
 )
@@ -38,10 +38,10 @@
 }
 
 // checkCapacity logs a worker that reports more work than it holds.
-func (r *cellRunner) checkCapacity(s platform.WorkerState) {
-	var used platform.Resources
+func (r *cellRunner) checkCapacity(s hostapi.WorkerState) {
+	var used hostapi.Resources
 	for i := range s.Attempts {
-		if s.Attempts[i].State == platform.AttemptRunning {
+		if s.Attempts[i].State == hostapi.AttemptRunning {
 			used = used.Add(s.Attempts[i].Requests)
 		}
 	}
--- a/entry/resourcefeed.go
+++ b/entry/resourcefeed.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/logevent"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/resources"
 	"github.com/cactusreel/cactusreel/trace"
@@ -47,7 +47,7 @@
 	snapshotTried time.Duration
 }
 
-func newResourceFeed(log platform.Log, w *writer.Writer, events *logevent.Logger, clock Clock, poll time.Duration) *resourceFeed {
+func newResourceFeed(log hostapi.Log, w *writer.Writer, events *logevent.Logger, clock Clock, poll time.Duration) *resourceFeed {
 	f := &resourceFeed{
 		store:    resources.New(resources.Limits{}),
 		writer:   w,
@@ -74,7 +74,7 @@
 
 // onTruncated starts over from the first kept record. Records are collected
 // until they hold a whole snapshot.
-func (f *resourceFeed) onTruncated(page platform.LogPage) int64 {
+func (f *resourceFeed) onTruncated(page hostapi.LogPage) int64 {
 	f.events.Log(logevent.RecordsMissing, zap.String("stream", record.ResourcesStream), zap.Int64("have", f.store.View().Offset()), zap.Int64("first", page.First))
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,7 +82,7 @@
 	return page.First
 }
 
-func (f *resourceFeed) applyPage(page platform.LogPage, sentAt time.Duration) {
+func (f *resourceFeed) applyPage(page hostapi.LogPage, sentAt time.Duration) {
 	f.mu.Lock()
 	before := f.store.View().Offset()
 	for _, r := range page.Records {
@@ -98,7 +98,7 @@
 
 // applyRecord applies a record, or keeps it until a snapshot fills the gap
 // before it.
-func (f *resourceFeed) applyRecord(r platform.LogRecord) {
+func (f *resourceFeed) applyRecord(r hostapi.LogRecord) {
 	batch, err := record.DecodeBatch(r.Data)
 	if err != nil {
 		// Every reader skips the same malformed record.
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/routing"
 	"github.com/cactusreel/cactusreel/tasks"
 )
@@ -55,7 +55,7 @@
 			Boot:     w.Boot,
 			Address:  vm.BackendAddress,
 			Slots:    vm.Slots,
-			Leaving:  vm.State == platform.VMLeaving,
+			Leaving:  vm.State == hostapi.VMLeaving,
 			Services: services[w.ID],
 		})
 	}
--- a/entry/summary.go
+++ b/entry/summary.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/peer/peerpb"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/scheduler"
 	"github.com/cactusreel/cactusreel/tasks"
 )
@@ -187,10 +187,10 @@
 	s := scheduler.CellSummary{
 		Cell:     scheduler.CellID{DataCentre: c.DataCentre, Index: int(c.Cell)},
 		Phase:    scheduler.Phase(c.Phase),
-		Free:     platform.Resources{MilliCPU: c.FreeMilliCpu, MemoryMiB: c.FreeMemoryMib, Accelerators: c.FreeAccelerators},
-		Largest:  platform.Resources{MilliCPU: c.LargestMilliCpu, MemoryMiB: c.LargestMemoryMib, Accelerators: c.LargestAccelerators},
-		Capacity: platform.Resources{MilliCPU: c.CapacityMilliCpu, MemoryMiB: c.CapacityMemoryMib, Accelerators: c.CapacityAccelerators},
-		Pending:  platform.Resources{MilliCPU: c.PendingMilliCpu, MemoryMiB: c.PendingMemoryMib, Accelerators: c.PendingAccelerators},
+		Free:     hostapi.Resources{MilliCPU: c.FreeMilliCpu, MemoryMiB: c.FreeMemoryMib, Accelerators: c.FreeAccelerators},
+		Largest:  hostapi.Resources{MilliCPU: c.LargestMilliCpu, MemoryMiB: c.LargestMemoryMib, Accelerators: c.LargestAccelerators},
+		Capacity: hostapi.Resources{MilliCPU: c.CapacityMilliCpu, MemoryMiB: c.CapacityMemoryMib, Accelerators: c.CapacityAccelerators},
+		Pending:  hostapi.Resources{MilliCPU: c.PendingMilliCpu, MemoryMiB: c.PendingMemoryMib, Accelerators: c.PendingAccelerators},
 		Replicas: make(map[string]int),
 		At:       at,
 	}
--- a/entry/workerlist.go
+++ b/entry/workerlist.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/tasks"
 )
 
@@ -11,18 +11,18 @@
 type workerList struct {
 	// readAt is when the read was sent, on the local clock; 0 if never.
 	readAt  time.Duration
-	workers map[string]platform.VM
+	workers map[string]hostapi.VM
 	// entryVMs are the ids of the entry VMs that the list names.
 	entryVMs []string
 }
 
-func newWorkerList(vms []platform.VM, readAt time.Duration) *workerList {
-	l := &workerList{readAt: readAt, workers: make(map[string]platform.VM)}
+func newWorkerList(vms []hostapi.VM, readAt time.Duration) *workerList {
+	l := &workerList{readAt: readAt, workers: make(map[string]hostapi.VM)}
 	for _, vm := range vms {
 		switch vm.Role {
-		case platform.RoleWorker:
+		case hostapi.RoleWorker:
 			l.workers[vm.ID] = vm
-		case platform.RoleEntry:
+		case hostapi.RoleEntry:
 			l.entryVMs = append(l.entryVMs, vm.ID)
 		}
 	}
@@ -36,7 +36,7 @@
 		if tasks.CellOf(id, cells) != index {
 			continue
 		}
-		list = append(list, tasks.Worker{ID: id, Leaving: vm.State == platform.VMLeaving, Capacity: vm.Capacity})
+		list = append(list, tasks.Worker{ID: id, Leaving: vm.State == hostapi.VMLeaving, Capacity: vm.Capacity})
 	}
 	return list
 }
--- a/platform/httpapi/agent_test.go
+++ b/hostapi/httpapi/agent_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
 var (
-	testCommand = platform.Command{Term: 9, Boot: "b1", Deadline: 5 * time.Second}
-	testID      = platform.AttemptID{Task: "calibrate/17/3", Attempt: 2}
+	testCommand = hostapi.Command{Term: 9, Boot: "b1", Deadline: 5 * time.Second}
+	testID      = hostapi.AttemptID{Task: "calibrate/17/3", Attempt: 2}
 )
 
 // Guards against arguments that a command loses on the way.
@@ -25,11 +25,11 @@
 	is := is.New(t)
 	ctx := testContext(t)
 	agent := &fakeAgent{
-		attempt: platform.Attempt{ID: testID, State: platform.AttemptStopped, Checkpoint: "cp", Progress: 0.25},
-		state: platform.WorkerState{
+		attempt: hostapi.Attempt{ID: testID, State: hostapi.AttemptStopped, Checkpoint: "cp", Progress: 0.25},
+		state: hostapi.WorkerState{
 			Worker: "w", Boot: "b1", Clock: 7, Term: 9,
-			Attempts: []platform.Attempt{{ID: testID, State: platform.AttemptRunning}},
-			Usage:    []platform.Usage{{ID: testID, Colocated: []string{"bench"}, Slowdown: 1.5}},
+			Attempts: []hostapi.Attempt{{ID: testID, State: hostapi.AttemptRunning}},
+			Usage:    []hostapi.Usage{{ID: testID, Colocated: []string{"bench"}, Slowdown: 1.5}},
 		},
 	}
 	client := httpapi.NewWorkerAgentClient(serve(t, httpapi.NewWorkerAgentHandler(agent)), nil)
@@ -42,14 +42,14 @@
 	is.Equal(state, agent.state)
 	is.Equal(agent.term, int64(11))
 
-	start := platform.Start{
+	start := hostapi.Start{
 		Command: testCommand, ID: testID, Kind: "long", Service: "bench", Checkpoint: "cp0",
-		Requests: platform.Resources{MilliCPU: 1, MemoryMiB: 2, Accelerators: 3}, LeaseExpiry: 10, Work: time.Minute,
+		Requests: hostapi.Resources{MilliCPU: 1, MemoryMiB: 2, Accelerators: 3}, LeaseExpiry: 10, Work: time.Minute,
 	}
 	is.NoErr(client.Start(ctx, start))
 	is.Equal(agent.start, start)
 
-	renewals := []platform.Renewal{{ID: testID, LeaseExpiry: 77}}
+	renewals := []hostapi.Renewal{{ID: testID, LeaseExpiry: 77}}
 	is.NoErr(client.Renew(ctx, testCommand, renewals))
 	is.Equal(agent.renewals, renewals)
 
@@ -61,7 +61,7 @@
 	report, err := client.Stop(ctx, testCommand, testID)
 	is.NoErr(err)
 	is.Equal(report, agent.attempt)
-	agent.command, agent.id = platform.Command{}, platform.AttemptID{}
+	agent.command, agent.id = hostapi.Command{}, hostapi.AttemptID{}
 	is.NoErr(client.Forget(ctx, testCommand, testID))
 	is.Equal(agent.command, testCommand)
 	is.Equal(agent.id, testID)
@@ -71,14 +71,14 @@
 func TestRefusalsKeepTheirKind(t *testing.T) {
 	is := is.New(t)
 	refusals := []error{
-		platform.ErrLowerTerm, platform.ErrDeadlinePassed, platform.ErrOtherBoot,
-		platform.ErrNoRoom, platform.ErrNoAttempt, platform.ErrOldAttempt,
+		hostapi.ErrLowerTerm, hostapi.ErrDeadlinePassed, hostapi.ErrOtherBoot,
+		hostapi.ErrNoRoom, hostapi.ErrNoAttempt, hostapi.ErrOldAttempt,
 	}
 	agent := &fakeAgent{}
 	client := httpapi.NewWorkerAgentClient(serve(t, httpapi.NewWorkerAgentHandler(agent)), nil)
 	for i, refusal := range refusals {
 		agent.err = fmt.Errorf("cause: %w", refusal)
-		err := client.Start(testContext(t), platform.Start{})
+		err := client.Start(testContext(t), hostapi.Start{})
 		for j, other := range refusals {
 			is.Equal(errors.Is(err, other), i == j)
 		}
@@ -92,9 +92,9 @@
 	is := is.New(t)
 	agent := &fakeAgent{err: context.DeadlineExceeded}
 	client := httpapi.NewWorkerAgentClient(serve(t, httpapi.NewWorkerAgentHandler(agent)), nil)
-	err := client.Start(testContext(t), platform.Start{})
+	err := client.Start(testContext(t), hostapi.Start{})
 	is.Equal(result.CodeOf(err, result.OK), result.WorkerUnavailable)
-	is.True(!errors.Is(err, platform.ErrNotSent))
+	is.True(!errors.Is(err, hostapi.ErrNotSent))
 	for _, c := range []struct {
 		status int
 		body   string
@@ -108,8 +108,8 @@
 	} {
 		err := httpapi.DecodeErrorBody(c.status, []byte(c.body))
 		is.True(err != nil)
-		is.True(!errors.Is(err, platform.ErrLowerTerm))
-		is.True(!errors.Is(err, platform.ErrTruncated))
+		is.True(!errors.Is(err, hostapi.ErrLowerTerm))
+		is.True(!errors.Is(err, hostapi.ErrTruncated))
 	}
 }
 
@@ -117,11 +117,11 @@
 // another attempt or one that still runs.
 func TestStopChecksItsAnswer(t *testing.T) {
 	is := is.New(t)
-	agent := &fakeAgent{attempt: platform.Attempt{ID: testID, State: platform.AttemptRunning}}
+	agent := &fakeAgent{attempt: hostapi.Attempt{ID: testID, State: hostapi.AttemptRunning}}
 	client := httpapi.NewWorkerAgentClient(serve(t, httpapi.NewWorkerAgentHandler(agent)), nil)
 	_, err := client.Stop(testContext(t), testCommand, testID)
 	is.True(err != nil)
-	agent.attempt = platform.Attempt{ID: platform.AttemptID{Task: testID.Task, Attempt: 1}, State: platform.AttemptStopped}
+	agent.attempt = hostapi.Attempt{ID: hostapi.AttemptID{Task: testID.Task, Attempt: 1}, State: hostapi.AttemptStopped}
 	_, err = client.Stop(testContext(t), testCommand, testID)
 	is.True(err != nil)
 }
@@ -129,9 +129,9 @@
 // Guards against a list that loses VMs or mixes up data centres.
 func TestVMListRoundTrip(t *testing.T) {
 	is := is.New(t)
-	list := &fakeVMs{vms: []platform.VM{{
-		ID: "w1", DataCentre: "giza", Rack: "r", Role: platform.RoleWorker, State: platform.VMLeaving,
-		Capacity: platform.Resources{MilliCPU: 1}, Slots: 8, Connections: 64, AgentAddress: "a", BackendAddress: "b",
+	list := &fakeVMs{vms: []hostapi.VM{{
+		ID: "w1", DataCentre: "giza", Rack: "r", Role: hostapi.RoleWorker, State: hostapi.VMLeaving,
+		Capacity: hostapi.Resources{MilliCPU: 1}, Slots: 8, Connections: 64, AgentAddress: "a", BackendAddress: "b",
 	}}}
 	client := httpapi.NewVMListClient(serve(t, httpapi.NewVMListHandler(list)), nil)
 	vms, err := client.List(testContext(t), "giza")
--- a/platform/httpapi/agenthandler.go
+++ b/hostapi/httpapi/agenthandler.go
@@ -4,18 +4,18 @@
 	"context"
 	"net/http"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
-// WorkerAgentHandler serves a platform.WorkerAgent under /agent/.
+// WorkerAgentHandler serves a hostapi.WorkerAgent under /agent/.
 type WorkerAgentHandler struct {
-	agent platform.WorkerAgent
+	agent hostapi.WorkerAgent
 	mux   *http.ServeMux
 }
 
 // NewWorkerAgentHandler returns a handler for agent.
-func NewWorkerAgentHandler(agent platform.WorkerAgent) *WorkerAgentHandler {
+func NewWorkerAgentHandler(agent hostapi.WorkerAgent) *WorkerAgentHandler {
 	h := &WorkerAgentHandler{agent: agent, mux: http.NewServeMux()}
 	h.mux.HandleFunc("GET "+statePath, h.state)
 	h.mux.HandleFunc("POST "+fencePath, command(h.fence))
@@ -61,11 +61,11 @@
 	writeJSON(w, http.StatusOK, state)
 }
 
-func (h *WorkerAgentHandler) fence(ctx context.Context, in FenceRequest) (platform.WorkerState, error) {
+func (h *WorkerAgentHandler) fence(ctx context.Context, in FenceRequest) (hostapi.WorkerState, error) {
 	return h.agent.Fence(ctx, in.Term)
 }
 
-func (h *WorkerAgentHandler) start(ctx context.Context, in platform.Start) (EmptyAnswer, error) {
+func (h *WorkerAgentHandler) start(ctx context.Context, in hostapi.Start) (EmptyAnswer, error) {
 	return EmptyAnswer{}, h.agent.Start(ctx, in)
 }
 
@@ -82,7 +82,7 @@
 	return EmptyAnswer{}, h.agent.Throttle(ctx, in.Command, in.ID, in.Share)
 }
 
-func (h *WorkerAgentHandler) stop(ctx context.Context, in AttemptRequest) (platform.Attempt, error) {
+func (h *WorkerAgentHandler) stop(ctx context.Context, in AttemptRequest) (hostapi.Attempt, error) {
 	return h.agent.Stop(ctx, in.Command, in.ID)
 }
 
--- a/platform/httpapi/agentwire.go
+++ b/hostapi/httpapi/agentwire.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Paths of the worker agent. State is read with GET, the others are POST.
@@ -21,19 +21,19 @@
 // DecodeWorkerState parses a worker state. It refuses a state without worker
 // or boot id, and an attempt without a task, without a positive number or
 // listed twice.
-func DecodeWorkerState(data []byte) (platform.WorkerState, error) {
-	var state platform.WorkerState
+func DecodeWorkerState(data []byte) (hostapi.WorkerState, error) {
+	var state hostapi.WorkerState
 	err := decodeJSON(data, &state)
 	if err != nil {
-		return platform.WorkerState{}, fmt.Errorf("worker state: %w", err)
+		return hostapi.WorkerState{}, fmt.Errorf("worker state: %w", err)
 	}
 	if state.Worker == "" || state.Boot == "" {
-		return platform.WorkerState{}, fmt.Errorf("worker state: worker %q or boot %q is empty", state.Worker, state.Boot)
+		return hostapi.WorkerState{}, fmt.Errorf("worker state: worker %q or boot %q is empty", state.Worker, state.Boot)
 	}
-	seen := make(map[platform.AttemptID]bool, len(state.Attempts))
+	seen := make(map[hostapi.AttemptID]bool, len(state.Attempts))
 	for _, a := range state.Attempts {
 		if a.ID.Task == "" || a.ID.Attempt < 1 || seen[a.ID] {
-			return platform.WorkerState{}, fmt.Errorf("worker state: attempt %d of task %q is invalid or listed twice", a.ID.Attempt, a.ID.Task)
+			return hostapi.WorkerState{}, fmt.Errorf("worker state: attempt %d of task %q is invalid or listed twice", a.ID.Attempt, a.ID.Task)
 		}
 		seen[a.ID] = true
 	}
--- a/platform/httpapi/caller.go
+++ b/hostapi/httpapi/caller.go
@@ -11,7 +11,7 @@
 	"strings"
 	"sync/atomic"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const urlScheme = "http://"
@@ -50,7 +50,7 @@
 func (c caller) postJSON(ctx context.Context, path string, in, out any) error {
 	data, err := json.Marshal(in)
 	if err != nil {
-		return fmt.Errorf("encode request to %s: %w: %w", path, err, platform.ErrNotSent)
+		return fmt.Errorf("encode request to %s: %w: %w", path, err, hostapi.ErrNotSent)
 	}
 	reply, err := c.send(ctx, http.MethodPost, path, nil, data, MaxAnswerBytes)
 	if err != nil {
@@ -60,7 +60,7 @@
 }
 
 // send makes one request and reads the whole answer. The error wraps
-// platform.ErrNotSent if no connection was obtained. That is certain for POST
+// hostapi.ErrNotSent if no connection was obtained. That is certain for POST
 // requests only: net/http may send a GET request again on a second connection.
 func (c caller) send(ctx context.Context, method, path string, query url.Values, body []byte, limit int64) (answer, error) {
 	return c.sendTagged(ctx, method, path, query, body, limit, "")
@@ -79,14 +79,14 @@
 	}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target, bytes.NewReader(body))
 	if err != nil {
-		return answer{}, fmt.Errorf("%s %s: %w: %w", method, path, err, platform.ErrNotSent)
+		return answer{}, fmt.Errorf("%s %s: %w: %w", method, path, err, hostapi.ErrNotSent)
 	}
 	if tag != "" {
 		request.Header.Set("If-None-Match", tag)
 	}
 	response, err := c.client.Do(request)
 	if err != nil && !connected.Load() {
-		return answer{}, fmt.Errorf("%w: %w", err, platform.ErrNotSent)
+		return answer{}, fmt.Errorf("%w: %w", err, hostapi.ErrNotSent)
 	}
 	if err != nil {
 		return answer{}, err
--- a/platform/httpapi/doc.go
+++ b/hostapi/httpapi/doc.go
@@ -1,4 +1,4 @@
-// Package httpapi implements the interfaces of package platform over HTTP.
+// Package httpapi implements the interfaces of package hostapi over HTTP.
 //
 // It holds the clients (LogClient, VMListClient, WorkerAgentClient), the wire
 // types that both sides share, and one handler per interface (LogHandler,
@@ -6,5 +6,5 @@
 //
 // Every body is bounded before it is parsed. Calls that change something are
 // POST requests, which net/http never sends a second time by itself. An error
-// wraps platform.ErrNotSent if no connection was obtained for the call.
+// wraps hostapi.ErrNotSent if no connection was obtained for the call.
 package httpapi
--- a/platform/httpapi/errorbody.go
+++ b/hostapi/httpapi/errorbody.go
@@ -5,14 +5,14 @@
 	"fmt"
 	"net/http"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
 // HeaderResult carries the number of the result code.
 const HeaderResult = "Cactusreel-Result"
 
-// refusal links an error value of package platform to its form on the wire.
+// refusal links an error value of package hostapi to its form on the wire.
 type refusal struct {
 	err    error
 	code   result.Code
@@ -20,13 +20,13 @@
 }
 
 var refusals = []refusal{
-	{platform.ErrLowerTerm, result.WorkerRefused, ReasonLowerTerm},
-	{platform.ErrDeadlinePassed, result.WorkerRefused, ReasonDeadlinePassed},
-	{platform.ErrOtherBoot, result.WorkerRefused, ReasonOtherBoot},
-	{platform.ErrNoRoom, result.WorkerRefused, ReasonNoRoom},
-	{platform.ErrNoAttempt, result.WorkerRefused, ReasonNoAttempt},
-	{platform.ErrOldAttempt, result.WorkerRefused, ReasonOldAttempt},
-	{platform.ErrTruncated, result.ListAgain, ReasonTruncated},
+	{hostapi.ErrLowerTerm, result.WorkerRefused, ReasonLowerTerm},
+	{hostapi.ErrDeadlinePassed, result.WorkerRefused, ReasonDeadlinePassed},
+	{hostapi.ErrOtherBoot, result.WorkerRefused, ReasonOtherBoot},
+	{hostapi.ErrNoRoom, result.WorkerRefused, ReasonNoRoom},
+	{hostapi.ErrNoAttempt, result.WorkerRefused, ReasonNoAttempt},
+	{hostapi.ErrOldAttempt, result.WorkerRefused, ReasonOldAttempt},
+	{hostapi.ErrTruncated, result.ListAgain, ReasonTruncated},
 }
 
 // ErrorBody is the JSON body of every answer that is not a success.
@@ -54,7 +54,7 @@
 	return body
 }
 
-// Err returns the error that the body describes. It wraps the platform.Err
+// Err returns the error that the body describes. It wraps the hostapi.Err
 // value that the code and the reason name; both must match.
 func (b ErrorBody) Err() error {
 	for _, r := range refusals {
@@ -67,7 +67,7 @@
 
 // DecodeErrorBody parses the body of an answer with the given HTTP status. A
 // body that is not an ErrorBody with a known code leads to an error that
-// wraps none of the platform.Err values: such an answer proves nothing about
+// wraps none of the hostapi.Err values: such an answer proves nothing about
 // the command's effect.
 func DecodeErrorBody(status int, data []byte) error {
 	var body ErrorBody
--- a/platform/httpapi/fakes_test.go
+++ b/hostapi/httpapi/fakes_test.go
@@ -10,12 +10,12 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // fakeLog returns page and err, and keeps the arguments of the last call.
 type fakeLog struct {
-	page   platform.LogPage
+	page   hostapi.LogPage
 	err    error
 	stream string
 	id     string
@@ -29,69 +29,69 @@
 	return f.page.Next, f.err
 }
 
-func (f *fakeLog) Read(_ context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+func (f *fakeLog) Read(_ context.Context, stream string, from int64, limit int) (hostapi.LogPage, error) {
 	f.stream, f.from, f.limit = stream, from, limit
 	return f.page, f.err
 }
 
 // fakeAgent returns its fields, and keeps the argument of the last command.
 type fakeAgent struct {
-	state    platform.WorkerState
-	attempt  platform.Attempt
+	state    hostapi.WorkerState
+	attempt  hostapi.Attempt
 	err      error
-	command  platform.Command
-	id       platform.AttemptID
-	start    platform.Start
-	renewals []platform.Renewal
+	command  hostapi.Command
+	id       hostapi.AttemptID
+	start    hostapi.Start
+	renewals []hostapi.Renewal
 	share    float64
 	term     int64
 }
 
-func (f *fakeAgent) Observe(context.Context) (platform.WorkerState, error) {
+func (f *fakeAgent) Observe(context.Context) (hostapi.WorkerState, error) {
 	return f.state, f.err
 }
 
-func (f *fakeAgent) Fence(_ context.Context, term int64) (platform.WorkerState, error) {
+func (f *fakeAgent) Fence(_ context.Context, term int64) (hostapi.WorkerState, error) {
 	f.term = term
 	return f.state, f.err
 }
 
-func (f *fakeAgent) Start(_ context.Context, s platform.Start) error {
+func (f *fakeAgent) Start(_ context.Context, s hostapi.Start) error {
 	f.start = s
 	return f.err
 }
 
-func (f *fakeAgent) Renew(_ context.Context, c platform.Command, renewals []platform.Renewal) error {
+func (f *fakeAgent) Renew(_ context.Context, c hostapi.Command, renewals []hostapi.Renewal) error {
 	f.command, f.renewals = c, renewals
 	return f.err
 }
 
-func (f *fakeAgent) Checkpoint(_ context.Context, c platform.Command, id platform.AttemptID) (string, error) {
+func (f *fakeAgent) Checkpoint(_ context.Context, c hostapi.Command, id hostapi.AttemptID) (string, error) {
 	f.command, f.id = c, id
 	return f.attempt.Checkpoint, f.err
 }
 
-func (f *fakeAgent) Throttle(_ context.Context, c platform.Command, id platform.AttemptID, share float64) error {
+func (f *fakeAgent) Throttle(_ context.Context, c hostapi.Command, id hostapi.AttemptID, share float64) error {
 	f.command, f.id, f.share = c, id, share
 	return f.err
 }
 
-func (f *fakeAgent) Stop(_ context.Context, c platform.Command, id platform.AttemptID) (platform.Attempt, error) {
+func (f *fakeAgent) Stop(_ context.Context, c hostapi.Command, id hostapi.AttemptID) (hostapi.Attempt, error) {
 	f.command, f.id = c, id
 	return f.attempt, f.err
 }
 
-func (f *fakeAgent) Forget(_ context.Context, c platform.Command, id platform.AttemptID) error {
+func (f *fakeAgent) Forget(_ context.Context, c hostapi.Command, id hostapi.AttemptID) error {
 	f.command, f.id = c, id
 	return f.err
 }
 
 type fakeVMs struct {
-	vms        []platform.VM
+	vms        []hostapi.VM
 	dataCentre string
 }
 
-func (f *fakeVMs) List(_ context.Context, dataCentre string) ([]platform.VM, error) {
+func (f *fakeVMs) List(_ context.Context, dataCentre string) ([]hostapi.VM, error) {
 	f.dataCentre = dataCentre
 	return f.vms, nil
 }
--- a/platform/httpapi/fencerequest.go
+++ b/hostapi/httpapi/fencerequest.go
@@ -1,8 +1,8 @@
 package httpapi
 
 // FenceRequest is the body of POST /agent/fence. The answer is a
-// platform.WorkerState, as for GET /agent/state. The body of POST /agent/start
-// is a platform.Start.
+// hostapi.WorkerState, as for GET /agent/state. The body of POST /agent/start
+// is a hostapi.Start.
 type FenceRequest struct {
 	Term int64 `json:"term"`
 }
--- a/platform/httpapi/fuzz_test.go
+++ b/hostapi/httpapi/fuzz_test.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"testing"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 )
 
 // Guards against panics, and against accepted pages with gaps or beyond their
@@ -50,10 +50,10 @@
 		if err == nil {
 			t.Fatal("an error body gave no error")
 		}
-		if errors.Is(err, platform.ErrNotSent) {
+		if errors.Is(err, hostapi.ErrNotSent) {
 			t.Fatal("an answer can't prove that nothing was sent")
 		}
-		if errors.Is(err, platform.ErrNoRoom) && status != http.StatusConflict {
+		if errors.Is(err, hostapi.ErrNoRoom) && status != http.StatusConflict {
 			t.Fatalf("status %d proves a refusal", status)
 		}
 	})
@@ -67,7 +67,7 @@
 		if err != nil {
 			return
 		}
-		seen := make(map[platform.AttemptID]bool)
+		seen := make(map[hostapi.AttemptID]bool)
 		for _, a := range state.Attempts {
 			if seen[a.ID] || state.Boot == "" {
 				t.Fatalf("accepted %+v", state)
--- a/platform/httpapi/log_test.go
+++ b/hostapi/httpapi/log_test.go
@@ -10,15 +10,15 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
 // Guards against stream names, ids or data that change on the way.
 func TestLogRoundTrip(t *testing.T) {
 	is := is.New(t)
-	log := &fakeLog{page: platform.LogPage{First: 3, Next: 7}}
+	log := &fakeLog{page: hostapi.LogPage{First: 3, Next: 7}}
 	client := httpapi.NewLogClient(serve(t, httpapi.NewLogHandler(log)), nil)
 	data := []byte{0, 0xff, '"', '\n'}
 
@@ -29,7 +29,7 @@
 	is.Equal(log.id, "00ff-1&x=%")
 	is.Equal(log.data, data)
 
-	log.page.Records = []platform.LogRecord{{Offset: 5, ID: "a", Data: data}, {Offset: 6, ID: "b", Data: []byte{}}}
+	log.page.Records = []hostapi.LogRecord{{Offset: 5, ID: "a", Data: data}, {Offset: 6, ID: "b", Data: []byte{}}}
 	page, err := client.Read(testContext(t), "claims/giza", 5, 10)
 	is.NoErr(err)
 	is.Equal(page, log.page)
@@ -41,7 +41,7 @@
 // Guards against base URLs, as they stand in settings, that give wrong paths.
 func TestBaseURL(t *testing.T) {
 	is := is.New(t)
-	handler := http.StripPrefix("/platform", httpapi.NewLogHandler(&fakeLog{page: platform.LogPage{Next: 4}}))
+	handler := http.StripPrefix("/platform", httpapi.NewLogHandler(&fakeLog{page: hostapi.LogPage{Next: 4}}))
 	client := httpapi.NewLogClient("http://"+serve(t, handler)+"/platform/", nil)
 	offset, err := client.Append(testContext(t), "claims/giza", "id", nil)
 	is.NoErr(err)
@@ -52,10 +52,10 @@
 // or does not learn where the stream starts.
 func TestTruncatedReadCarriesFirst(t *testing.T) {
 	is := is.New(t)
-	log := &fakeLog{page: platform.LogPage{First: 40, Next: 50}, err: fmt.Errorf("read: %w", platform.ErrTruncated)}
+	log := &fakeLog{page: hostapi.LogPage{First: 40, Next: 50}, err: fmt.Errorf("read: %w", hostapi.ErrTruncated)}
 	client := httpapi.NewLogClient(serve(t, httpapi.NewLogHandler(log)), nil)
 	page, err := client.Read(testContext(t), "resources", 7, 10)
-	is.True(errors.Is(err, platform.ErrTruncated))
+	is.True(errors.Is(err, hostapi.ErrTruncated))
 	is.Equal(page, log.page)
 }
 
@@ -64,7 +64,7 @@
 func TestNotSentOnlyWithoutConnection(t *testing.T) {
 	is := is.New(t)
 	_, err := httpapi.NewLogClient(refusingAddress(t), nil).Append(testContext(t), "resources", "id", nil)
-	is.True(errors.Is(err, platform.ErrNotSent))
+	is.True(errors.Is(err, hostapi.ErrNotSent))
 
 	abort := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -72,7 +72,7 @@
 	})
 	_, err = httpapi.NewLogClient(serve(t, abort), nil).Append(testContext(t), "resources", "id", nil)
 	is.True(err != nil)
-	is.True(!errors.Is(err, platform.ErrNotSent))
+	is.True(!errors.Is(err, hostapi.ErrNotSent))
 }
 
 // Guards against a redirect that sends an append a second time, to a server
@@ -85,7 +85,7 @@
 	})
 	_, err := httpapi.NewLogClient(serve(t, redirect), nil).Append(testContext(t), "resources", "id", nil)
 	is.True(err != nil)
-	is.True(!errors.Is(err, platform.ErrNotSent))
+	is.True(!errors.Is(err, hostapi.ErrNotSent))
 }
 
 // Guards against unbounded bodies on either side.
@@ -111,17 +111,17 @@
 	})
 	_, err = httpapi.NewLogClient(serve(t, endless), nil).Append(testContext(t), "resources", "id", nil)
 	is.Equal(result.CodeOf(err, result.OK), result.TooLarge)
-	is.True(!errors.Is(err, platform.ErrNotSent))
+	is.True(!errors.Is(err, hostapi.ErrNotSent))
 }
 
 // Guards against a page that exceeds what the client accepts, and against one
 // that is empty because its first record is large.
 func TestPageIsCutToItsBound(t *testing.T) {
 	is := is.New(t)
-	log := &fakeLog{page: platform.LogPage{First: 1, Next: 7}}
+	log := &fakeLog{page: hostapi.LogPage{First: 1, Next: 7}}
 	for i := range 6 {
 		data := make([]byte, httpapi.MaxRecordBytes)
-		log.page.Records = append(log.page.Records, platform.LogRecord{Offset: int64(i + 1), ID: "x", Data: data})
+		log.page.Records = append(log.page.Records, hostapi.LogRecord{Offset: int64(i + 1), ID: "x", Data: data})
 	}
 	client := httpapi.NewLogClient(serve(t, httpapi.NewLogHandler(log)), nil)
 	page, err := client.Read(testContext(t), "resources", 1, 100)
--- a/platform/httpapi/logclient.go
+++ b/hostapi/httpapi/logclient.go
@@ -7,16 +7,16 @@
 	"net/url"
 	"strconv"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
-// LogClient is a platform.Log over HTTP. It is safe for concurrent use.
+// LogClient is a hostapi.Log over HTTP. It is safe for concurrent use.
 type LogClient struct {
 	caller caller
 }
 
-var _ platform.Log = (*LogClient)(nil)
+var _ hostapi.Log = (*LogClient)(nil)
 
 // NewLogClient returns a client of the log at an IP address and port, or at
 // a base URL. A nil client stands for NewHTTPClient.
@@ -24,12 +24,12 @@
 	return &LogClient{caller: newCaller(address, client)}
 }
 
-// Append adds a record to a stream. The error wraps platform.ErrNotSent if no
+// Append adds a record to a stream. The error wraps hostapi.ErrNotSent if no
 // connection was obtained, or if the arguments are invalid.
 func (l *LogClient) Append(ctx context.Context, stream, id string, data []byte) (int64, error) {
 	err := checkAppend(stream, id, data)
 	if err != nil {
-		return 0, fmt.Errorf("append: %w: %w", err, platform.ErrNotSent)
+		return 0, fmt.Errorf("append: %w: %w", err, hostapi.ErrNotSent)
 	}
 	query := url.Values{"id": {id}}
 	reply, err := l.caller.send(ctx, http.MethodPost, logPath(stream), query, data, MaxAnswerBytes)
@@ -49,18 +49,18 @@
 
 // Read returns at most limit records from offset from on, and fewer if the
 // page would exceed MaxPageDataBytes or MaxPageRecords. The error wraps
-// platform.ErrTruncated if from is below the first retained offset.
-func (l *LogClient) Read(ctx context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+// hostapi.ErrTruncated if from is below the first retained offset.
+func (l *LogClient) Read(ctx context.Context, stream string, from int64, limit int) (hostapi.LogPage, error) {
 	err := CheckStream(stream)
 	if err != nil {
-		return platform.LogPage{}, fmt.Errorf("read: %w", err)
+		return hostapi.LogPage{}, fmt.Errorf("read: %w", err)
 	}
 	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "max": {strconv.Itoa(limit)}}
 	reply, err := l.caller.get(ctx, logPath(stream), query, MaxPageBytes)
 	if err != nil {
-		return platform.LogPage{}, fmt.Errorf("read %s: %w", stream, err)
+		return hostapi.LogPage{}, fmt.Errorf("read %s: %w", stream, err)
 	}
-	var page platform.LogPage
+	var page hostapi.LogPage
 	switch reply.status {
 	case http.StatusOK:
 		page, err = DecodePage(reply.body, from, limit)
--- a/platform/httpapi/loghandler.go
+++ b/hostapi/httpapi/loghandler.go
@@ -5,18 +5,18 @@
 	"net/http"
 	"strconv"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
-// LogHandler serves a platform.Log under /log/.
+// LogHandler serves a hostapi.Log under /log/.
 type LogHandler struct {
-	log platform.Log
+	log hostapi.Log
 	mux *http.ServeMux
 }
 
 // NewLogHandler returns a handler for log.
-func NewLogHandler(log platform.Log) *LogHandler {
+func NewLogHandler(log hostapi.Log) *LogHandler {
 	h := &LogHandler{log: log, mux: http.NewServeMux()}
 	h.mux.HandleFunc("POST /log/{stream...}", h.append)
 	h.mux.HandleFunc("GET /log/{stream...}", h.read)
@@ -62,7 +62,7 @@
 		return
 	}
 	page, err := h.log.Read(r.Context(), stream, from, limit)
-	if errors.Is(err, platform.ErrTruncated) {
+	if errors.Is(err, hostapi.ErrTruncated) {
 		body := TruncatedBody{ErrorBody: NewErrorBody(err, result.ListAgain), First: page.First, Next: page.Next}
 		writeJSON(w, http.StatusGone, body)
 		return
@@ -93,7 +93,7 @@
 
 // boundPage returns the longest start of records that fits in a page, with at
 // least one record.
-func boundPage(records []platform.LogRecord) []platform.LogRecord {
+func boundPage(records []hostapi.LogRecord) []hostapi.LogRecord {
 	total := 0
 	for i, r := range records {
 		total += len(r.Data)
--- a/platform/httpapi/logwire.go
+++ b/hostapi/httpapi/logwire.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
@@ -20,7 +20,7 @@
 var errBadPage = errors.New("log page is inconsistent")
 
 // PageToWire returns the wire form of a page.
-func PageToWire(page platform.LogPage) PageWire {
+func PageToWire(page hostapi.LogPage) PageWire {
 	wire := PageWire{First: page.First, Next: page.Next, Records: make([]RecordWire, 0, len(page.Records))}
 	for _, r := range page.Records {
 		wire.Records = append(wire.Records, RecordWire(r))
@@ -32,44 +32,44 @@
 // records. It refuses a page with gaps, with records outside [First, Next) or
 // with another start than from: a reader that applied such a page would skip
 // records without noticing.
-func DecodePage(data []byte, from int64, limit int) (platform.LogPage, error) {
+func DecodePage(data []byte, from int64, limit int) (hostapi.LogPage, error) {
 	var wire PageWire
 	err := decodeJSON(data, &wire)
 	if err != nil {
-		return platform.LogPage{}, fmt.Errorf("log page: %w", err)
+		return hostapi.LogPage{}, fmt.Errorf("log page: %w", err)
 	}
 	if wire.First < 1 || wire.Next < wire.First || from < wire.First {
-		return platform.LogPage{}, fmt.Errorf("%w: first %d, next %d", errBadPage, wire.First, wire.Next)
+		return hostapi.LogPage{}, fmt.Errorf("%w: first %d, next %d", errBadPage, wire.First, wire.Next)
 	}
 	if len(wire.Records) > limit {
-		return platform.LogPage{}, fmt.Errorf("%w: %d records instead of at most %d", errBadPage, len(wire.Records), limit)
+		return hostapi.LogPage{}, fmt.Errorf("%w: %d records instead of at most %d", errBadPage, len(wire.Records), limit)
 	}
-	page := platform.LogPage{First: wire.First, Next: wire.Next}
+	page := hostapi.LogPage{First: wire.First, Next: wire.Next}
 	for i, r := range wire.Records {
 		if r.Offset != from+int64(i) || r.Offset >= wire.Next {
-			return platform.LogPage{}, fmt.Errorf("%w: offset %d at place %d", errBadPage, r.Offset, i)
+			return hostapi.LogPage{}, fmt.Errorf("%w: offset %d at place %d", errBadPage, r.Offset, i)
 		}
-		page.Records = append(page.Records, platform.LogRecord(r))
+		page.Records = append(page.Records, hostapi.LogRecord(r))
 	}
 	if len(page.Records) == 0 && limit > 0 && from < wire.Next {
-		return platform.LogPage{}, fmt.Errorf("%w: no record at %d below next %d", errBadPage, from, wire.Next)
+		return hostapi.LogPage{}, fmt.Errorf("%w: no record at %d below next %d", errBadPage, from, wire.Next)
 	}
 	return page, nil
 }
 
 // decodeTruncated parses an answer 410 and returns its page with an error that
-// wraps platform.ErrTruncated.
-func decodeTruncated(status int, data []byte) (platform.LogPage, error) {
+// wraps hostapi.ErrTruncated.
+func decodeTruncated(status int, data []byte) (hostapi.LogPage, error) {
 	cause := DecodeErrorBody(status, data)
-	if !errors.Is(cause, platform.ErrTruncated) {
-		return platform.LogPage{}, cause
+	if !errors.Is(cause, hostapi.ErrTruncated) {
+		return hostapi.LogPage{}, cause
 	}
 	var body TruncatedBody
 	err := decodeJSON(data, &body)
 	if err != nil || body.First < 1 || body.Next < body.First {
-		return platform.LogPage{}, fmt.Errorf("%w: first %d, next %d in answer 410", errBadPage, body.First, body.Next)
+		return hostapi.LogPage{}, fmt.Errorf("%w: first %d, next %d in answer 410", errBadPage, body.First, body.Next)
 	}
-	return platform.LogPage{First: body.First, Next: body.Next}, cause
+	return hostapi.LogPage{First: body.First, Next: body.Next}, cause
 }
 
 // CheckStream returns an error with code BadResource unless stream is a valid
--- a/platform/httpapi/reason.go
+++ b/hostapi/httpapi/reason.go
@@ -1,6 +1,6 @@
 package httpapi
 
-// Reason tells the platform.Err values apart, which share a result code.
+// Reason tells the hostapi.Err values apart, which share a result code.
 type Reason string
 
 // Reasons of a refusal.
--- /dev/null
+++ b/hostapi/httpapi/renewrequest.go
@@ -0,0 +1,11 @@
+package httpapi
+
+import (
+	"github.com/cactusreel/cactusreel/hostapi"
+)
+
+// RenewRequest is the body of POST /agent/renew.
+type RenewRequest struct {
+	hostapi.Command
+	Renewals []hostapi.Renewal `json:"renewals"`
+}
--- a/platform/httpapi/taggedlist_test.go
+++ b/hostapi/httpapi/taggedlist_test.go
@@ -7,20 +7,20 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 )
 
 // changingList is a VM list that the test changes.
-type changingList struct{ vms []platform.VM }
+type changingList struct{ vms []hostapi.VM }
 
-func (l *changingList) List(context.Context, string) ([]platform.VM, error) { return l.vms, nil }
+func (l *changingList) List(context.Context, string) ([]hostapi.VM, error) { return l.vms, nil }
 
 // Guards against a whole VM list in every answer, against a change that the
 // tag hides, and against a reader that changes what the next one gets.
 func TestUnchangedVMListIsNotSent(t *testing.T) {
 	is := is.New(t)
-	list := &changingList{vms: []platform.VM{{ID: "a", State: platform.VMLive}}}
+	list := &changingList{vms: []hostapi.VM{{ID: "a", State: hostapi.VMLive}}}
 	handler := httpapi.NewVMListHandler(list)
 	whole := 0
 	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -31,7 +31,7 @@
 		}
 	}))
 	client := httpapi.NewVMListClient(address, nil)
-	read := func() []platform.VM {
+	read := func() []hostapi.VM {
 		vms, err := client.List(t.Context(), "giza")
 		is.NoErr(err)
 		return vms
@@ -39,8 +39,8 @@
 	read()[0].ID = "overwritten"
 	is.Equal(read()[0].ID, "a")
 	is.Equal(whole, 1)
-	list.vms = []platform.VM{{ID: "a", State: platform.VMLeaving}}
-	is.Equal(read()[0].State, platform.VMLeaving)
+	list.vms = []hostapi.VM{{ID: "a", State: hostapi.VMLeaving}}
+	is.Equal(read()[0].State, hostapi.VMLeaving)
 	is.Equal(whole, 2)
 }
 
--- a/platform/httpapi/vmclient.go
+++ b/hostapi/httpapi/vmclient.go
@@ -8,12 +8,12 @@
 	"slices"
 	"sync"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const vmsPath = "/vms"
 
-// VMListClient is a platform.VMList over HTTP. It is safe for concurrent use.
+// VMListClient is a hostapi.VMList over HTTP. It is safe for concurrent use.
 type VMListClient struct {
 	caller caller
 
@@ -23,7 +23,7 @@
 	known map[string]taggedList
 }
 
-var _ platform.VMList = (*VMListClient)(nil)
+var _ hostapi.VMList = (*VMListClient)(nil)
 
 // NewVMListClient returns a client of the VM list at an IP address and port,
 // or at a base URL. A nil client stands for NewHTTPClient.
@@ -32,7 +32,7 @@
 }
 
 // List returns all VMs of a data centre, or of all if dataCentre is "".
-func (c *VMListClient) List(ctx context.Context, dataCentre string) ([]platform.VM, error) {
+func (c *VMListClient) List(ctx context.Context, dataCentre string) ([]hostapi.VM, error) {
 	query := url.Values{}
 	if dataCentre != "" {
 		query.Set("dataCentre", dataCentre)
@@ -67,8 +67,8 @@
 
 // DecodeVMs parses a VM list. It refuses an entry without an id, a second
 // entry with the same id, and a negative capacity.
-func DecodeVMs(data []byte) ([]platform.VM, error) {
-	var vms []platform.VM
+func DecodeVMs(data []byte) ([]hostapi.VM, error) {
+	var vms []hostapi.VM
 	err := decodeJSON(data, &vms)
 	if err != nil {
 		return nil, fmt.Errorf("VM list: %w", err)
@@ -79,7 +79,7 @@
 			return nil, fmt.Errorf("VM list: id %q is empty or listed twice", vm.ID)
 		}
 		seen[vm.ID] = true
-		if !(platform.Resources{}).Fits(vm.Capacity) || vm.Slots < 0 || vm.Connections < 0 {
+		if !(hostapi.Resources{}).Fits(vm.Capacity) || vm.Slots < 0 || vm.Connections < 0 {
 			return nil, fmt.Errorf("VM list: %s has a negative capacity", vm.ID)
 		}
 	}
--- a/platform/httpapi/vmhandler.go
+++ b/hostapi/httpapi/vmhandler.go
@@ -7,18 +7,18 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
-// VMListHandler serves a platform.VMList at /vms.
+// VMListHandler serves a hostapi.VMList at /vms.
 type VMListHandler struct {
-	list platform.VMList
+	list hostapi.VMList
 	mux  *http.ServeMux
 }
 
 // NewVMListHandler returns a handler for list.
-func NewVMListHandler(list platform.VMList) *VMListHandler {
+func NewVMListHandler(list hostapi.VMList) *VMListHandler {
 	h := &VMListHandler{list: list, mux: http.NewServeMux()}
 	h.mux.HandleFunc("GET "+vmsPath, h.get)
 	return h
@@ -36,7 +36,7 @@
 		return
 	}
 	if vms == nil {
-		vms = []platform.VM{}
+		vms = []hostapi.VM{}
 	}
 	tag, err := tagOf(vms)
 	if err != nil {
@@ -52,7 +52,7 @@
 }
 
 // tagOf returns the entity tag of a VM list.
-func tagOf(vms []platform.VM) (string, error) {
+func tagOf(vms []hostapi.VM) (string, error) {
 	data, err := json.Marshal(vms)
 	if err != nil {
 		return "", fmt.Errorf("encode VM list: %w", err)
--- a/platform/worker_errors.go
+++ b/hostapi/worker_errors.go
@@ -1,4 +1,4 @@
-package platform
+package hostapi
 
 import "errors"
 
--- a/peer/error.go
+++ b/peer/error.go
@@ -5,15 +5,15 @@
 	"fmt"
 	"net"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // classify wraps errors of calls that certainly never reached the peer with
-// platform.ErrNotSent: the connection could not be established.
+// hostapi.ErrNotSent: the connection could not be established.
 func classify(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return fmt.Errorf("%w: %w", platform.ErrNotSent, err)
+		return fmt.Errorf("%w: %w", hostapi.ErrNotSent, err)
 	}
 	return err
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/peer/peerpb"
-	"github.com/cactusreel/cactusreel/platform"
 )
 
 // Times of the relay.
@@ -21,11 +21,11 @@
 	directRetry = 2 * time.Second
 )
 
-// RelayLog is a platform.Log that falls back to peers when the log can't be
+// RelayLog is a hostapi.Log that falls back to peers when the log can't be
 // reached directly. A relayed append may be a repeat of one that took effect;
 // readers drop it by its record id.
 type RelayLog struct {
-	direct platform.Log
+	direct hostapi.Log
 	peers  func() []*Client
 	now    func() time.Duration
 	// directFailed is the time of the last direct failure in nanoseconds, 0 if
@@ -35,7 +35,7 @@
 
 // NewRelayLog returns a log that uses direct first, then the peers in the
 // order in which peers returns them. now is a monotonic clock.
-func NewRelayLog(direct platform.Log, peers func() []*Client, now func() time.Duration) *RelayLog {
+func NewRelayLog(direct hostapi.Log, peers func() []*Client, now func() time.Duration) *RelayLog {
 	return &RelayLog{direct: direct, peers: peers, now: now}
 }
 
@@ -44,19 +44,19 @@
 	return l.directFailed.Load() == 0
 }
 
-// Append implements platform.Log.
+// Append implements hostapi.Log.
 func (l *RelayLog) Append(ctx context.Context, stream, id string, data []byte) (int64, error) {
 	offset, err := l.appendDirect(ctx, stream, id, data)
 	if err == nil {
 		return offset, nil
 	}
-	sent := !errors.Is(err, platform.ErrNotSent)
+	sent := !errors.Is(err, hostapi.ErrNotSent)
 	for _, client := range l.peers() {
 		offset, relayErr := relayAppend(ctx, client, stream, id, data)
 		if relayErr == nil {
 			return offset, nil
 		}
-		sent = sent || !errors.Is(relayErr, platform.ErrNotSent)
+		sent = sent || !errors.Is(relayErr, hostapi.ErrNotSent)
 	}
 	if sent {
 		return 0, errAppendUnknown
@@ -79,24 +79,24 @@
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *RelayLog) Read(ctx context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+// Read implements hostapi.Log.
+func (l *RelayLog) Read(ctx context.Context, stream string, from int64, limit int) (hostapi.LogPage, error) {
 	page, err := l.readDirect(ctx, stream, from, limit)
-	if err == nil || errors.Is(err, platform.ErrTruncated) {
+	if err == nil || errors.Is(err, hostapi.ErrTruncated) {
 		return page, err
 	}
 	for _, client := range l.peers() {
 		page, relayErr := relayRead(ctx, client, stream, from, limit)
-		if relayErr == nil || errors.Is(relayErr, platform.ErrTruncated) {
+		if relayErr == nil || errors.Is(relayErr, hostapi.ErrTruncated) {
 			return page, relayErr
 		}
 	}
-	return platform.LogPage{}, err
+	return hostapi.LogPage{}, err
 }
 
-func (l *RelayLog) readDirect(ctx context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+func (l *RelayLog) readDirect(ctx context.Context, stream string, from int64, limit int) (hostapi.LogPage, error) {
 	if !l.tryDirect() {
-		return platform.LogPage{}, errDirectSkipped
+		return hostapi.LogPage{}, errDirectSkipped
 	}
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
@@ -111,7 +111,7 @@
 type notSentError string
 
 func (e notSentError) Error() string { return string(e) }
-func (e notSentError) Unwrap() error { return platform.ErrNotSent }
+func (e notSentError) Unwrap() error { return hostapi.ErrNotSent }
 
 func (l *RelayLog) tryDirect() bool {
 	failed := l.directFailed.Load()
@@ -119,7 +119,7 @@
 }
 
 func (l *RelayLog) noteDirect(err error) {
-	if err == nil || errors.Is(err, platform.ErrTruncated) {
+	if err == nil || errors.Is(err, hostapi.ErrTruncated) {
 		l.directFailed.Store(0)
 		return
 	}
@@ -134,24 +134,24 @@
 		return 0, classify(err)
 	}
 	if response.NotSent {
-		return 0, platform.ErrNotSent
+		return 0, hostapi.ErrNotSent
 	}
 	return response.Offset, nil
 }
 
-func relayRead(ctx context.Context, client *Client, stream string, from int64, limit int) (platform.LogPage, error) {
+func relayRead(ctx context.Context, client *Client, stream string, from int64, limit int) (hostapi.LogPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	response, err := client.ReadLog(ctx, &peerpb.ReadLogRequest{Stream: stream, From: from, Limit: int32(min(limit, maxRelayRecords))})
 	if err != nil {
-		return platform.LogPage{}, err
+		return hostapi.LogPage{}, err
 	}
-	page := platform.LogPage{First: response.First, Next: response.Next}
+	page := hostapi.LogPage{First: response.First, Next: response.Next}
 	if response.Truncated {
-		return page, platform.ErrTruncated
+		return page, hostapi.ErrTruncated
 	}
 	for _, r := range response.Records {
-		page.Records = append(page.Records, platform.LogRecord{Offset: r.Offset, ID: r.Id, Data: r.Data})
+		page.Records = append(page.Records, hostapi.LogRecord{Offset: r.Offset, ID: r.Id, Data: r.Data})
 	}
 	return page, nil
 }
--- a/scheduler/accumulate.go
+++ b/scheduler/accumulate.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // accumulate keeps the free room of one worker for the oldest aged task that
 // finds none, so that small tasks don't take each amount that becomes free. It
 // reports whether the task got a worker.
-func (r *Round) accumulate(t *Task, need platform.Resources) bool {
+func (r *Round) accumulate(t *Task, need hostapi.Resources) bool {
 	if r.accumulating || r.Snapshot.size == 0 {
 		return false
 	}
@@ -23,14 +23,14 @@
 	c := r.candidate(at)
 	r.accumulating = true
 	r.policy.ageing = agedTask{task: t.ID, worker: c.Worker.ID}
-	r.root = r.root.set(r.Snapshot.size, at, c.Worker, platform.Resources{})
+	r.root = r.root.set(r.Snapshot.size, at, c.Worker, hostapi.Resources{})
 	r.wait(t, Waiting, 0, fmt.Sprintf("pending: room is kept on worker %s as it becomes free", c.Worker.ID))
 	return true
 }
 
 // roomiest returns the position of the worker with the largest free share of
 // the need among a sample, or -1.
-func (r *Round) roomiest(t *Task, need platform.Resources) int {
+func (r *Round) roomiest(t *Task, need hostapi.Resources) int {
 	size := r.Snapshot.size
 	start := r.policy.random.IntN(size)
 	best, bestShare := -1, 0.0
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -1,6 +1,6 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // ActionKind is what to do with a running attempt.
 type ActionKind int
@@ -35,7 +35,7 @@
 // Action is a decision on a running attempt.
 type Action struct {
 	Kind   ActionKind
-	ID     platform.AttemptID
+	ID     hostapi.AttemptID
 	Worker string
 	Boot   string
 	// Share is the processor share of a Throttle, from 0 to 1.
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Attempt is a running attempt as the cell's owner knows it. Times are on the
 // owner's monotonic clock.
 type Attempt struct {
-	ID platform.AttemptID
+	ID hostapi.AttemptID
 	// Job is the id of the job or service: "<name>/<version of its creation>".
 	Job  string
 	Team string
@@ -18,9 +18,9 @@
 	Service bool
 	Urgent  bool
 	// Requests is what the attempt was assigned when it was placed.
-	Requests platform.Resources
+	Requests hostapi.Resources
 	// Used is the newest measured use, or zero.
-	Used      platform.Resources
+	Used      hostapi.Resources
 	StartedAt time.Duration
 	// CheckpointAt is when the newest checkpoint was taken, or StartedAt.
 	CheckpointAt time.Duration
@@ -43,7 +43,7 @@
 
 // Reserved returns what the attempt holds of its worker: the larger of what it
 // was assigned and what it was measured to use, in each dimension.
-func (a *Attempt) Reserved() platform.Resources {
+func (a *Attempt) Reserved() hostapi.Resources {
 	return maxResources(a.Requests, a.Used)
 }
 
--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -1,12 +1,12 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // Candidate is a worker that is considered for a task.
 type Candidate struct {
 	Worker *Worker
 	// Free is what is left after the placements of this round.
-	Free platform.Resources
+	Free hostapi.Resources
 	// Added are the tasks that this round has placed on the worker.
 	Added []*Task
 	// position is the worker's place in the index.
--- a/scheduler/cellchoice.go
+++ b/scheduler/cellchoice.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const (
@@ -99,7 +99,7 @@
 }
 
 // noteSent records what was sent to a cell, until its next summary shows it.
-func (p *Policy) noteSent(sum *CellSummary, job string, need platform.Resources) {
+func (p *Policy) noteSent(sum *CellSummary, job string, need hostapi.Resources) {
 	sent := p.sent[sum.Cell]
 	if sent.at != sum.At || sent.jobs == nil {
 		sent = sentLoad{at: sum.At, jobs: map[string]int{}}
@@ -110,7 +110,7 @@
 }
 
 // betterCell returns a cell for a task that has waited long enough in this one.
-func (p *Policy) betterCell(r *Round, t *Task, need platform.Resources) (CellID, bool) {
+func (p *Policy) betterCell(r *Round, t *Task, need hostapi.Resources) (CellID, bool) {
 	if !t.Urgent && r.Now-p.seen[t.ID] < moveAfter {
 		return CellID{}, false
 	}
--- a/scheduler/estimate/size.go
+++ b/scheduler/estimate/size.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const (
@@ -34,12 +34,12 @@
 
 // Grow takes the measured use of an attempt of any age. Its memory counts as a
 // lower bound.
-func (s *Size) Grow(used platform.Resources) {
+func (s *Size) Grow(used hostapi.Resources) {
 	s.maxMemory = max(s.maxMemory, used.MemoryMiB)
 }
 
 // Observe takes the measured use of an attempt that has reached its full size.
-func (s *Size) Observe(used platform.Resources) {
+func (s *Size) Observe(used hostapi.Resources) {
 	s.reports++
 	miss := float64(used.MilliCPU) - s.meanCPU
 	s.meanCPU += miss / s.reports
@@ -49,9 +49,9 @@
 
 // Need returns the amount to assign to a task that declares an amount. It is
 // the declared amount without evidence. Accelerators are always as declared.
-func (s *Size) Need(declared platform.Resources) platform.Resources {
+func (s *Size) Need(declared hostapi.Resources) hostapi.Resources {
 	if s.reports < reportsPerTask {
-		return platform.Resources{
+		return hostapi.Resources{
 			MilliCPU:     declared.MilliCPU,
 			MemoryMiB:    max(declared.MemoryMiB, s.maxMemory),
 			Accelerators: declared.Accelerators,
@@ -62,7 +62,7 @@
 	cpu := (s.meanCPU + deviations*math.Sqrt(s.squareCPU/s.reports)) * margin
 	memory := float64(s.maxMemory) * margin
 	trust := evidence / (evidence + declaredWeight)
-	return platform.Resources{
+	return hostapi.Resources{
 		MilliCPU:     int64(trust*cpu + (1-trust)*float64(declared.MilliCPU)),
 		MemoryMiB:    max(int64(trust*memory+(1-trust)*float64(declared.MemoryMiB)), s.maxMemory),
 		Accelerators: declared.Accelerators,
@@ -72,7 +72,7 @@
 // Outgrew takes the failure of an attempt that was assigned an amount and last
 // measured to use another. It reports whether the attempt probably ran out of
 // memory; the need then grows.
-func (s *Size) Outgrew(assigned, used platform.Resources) bool {
+func (s *Size) Outgrew(assigned, used hostapi.Resources) bool {
 	if used.MemoryMiB == 0 || float64(used.MemoryMiB) < full*float64(assigned.MemoryMiB) {
 		return false
 	}
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // TestQuarantine guards against a faulty worker that goes on failing the tasks
@@ -29,7 +29,7 @@
 	is.Equal(len(plan.Placements), 1) // one probe, and never an urgent task
 	is.True(plan.Placements[0].Probe)
 	done := failure("x/7", "w0000")
-	done.State = platform.AttemptCompleted
+	done.State = hostapi.AttemptCompleted
 	p.ObserveOutcome(2*time.Minute, done)
 	plan = p.Place(2*time.Minute, s, []Task{urgent, batch("y", res(1, 1, 0))})
 	is.Equal(len(plan.Placements), 2)
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -7,15 +7,15 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // core is one processor core.
 const core = 1000
 
 // res returns an amount of cores, GiB and accelerators.
-func res(cores, gib, accelerators int64) platform.Resources {
-	return platform.Resources{MilliCPU: cores * core, MemoryMiB: gib << 10, Accelerators: accelerators}
+func res(cores, gib, accelerators int64) hostapi.Resources {
+	return hostapi.Resources{MilliCPU: cores * core, MemoryMiB: gib << 10, Accelerators: accelerators}
 }
 
 // newPolicy returns a policy with the given rules and a fixed seed.
@@ -45,16 +45,16 @@
 }
 
 // batch returns a pending batch task of its own job.
-func batch(name string, need platform.Resources) Task {
+func batch(name string, need hostapi.Resources) Task {
 	job := name + "/7"
 	return Task{ID: job + "/0", Job: job, Team: "a", Kind: "import", Requests: need, RunTime: time.Minute, Attempt: 1}
 }
 
 // running returns a running batch attempt of its own job.
-func runningBatch(name string, need platform.Resources) Attempt {
+func runningBatch(name string, need hostapi.Resources) Attempt {
 	job := name + "/7"
 	return Attempt{
-		ID: platform.AttemptID{Task: job + "/0", Attempt: 1}, Job: job, Team: "a", Kind: "import",
+		ID: hostapi.AttemptID{Task: job + "/0", Attempt: 1}, Job: job, Team: "a", Kind: "import",
 		Requests: need, RunTime: 10 * time.Minute, CheckpointCost: time.Second,
 	}
 }
@@ -62,7 +62,7 @@
 // failure returns the outcome of a failed attempt.
 func failure(job, worker string) Outcome {
 	return Outcome{
-		ID: platform.AttemptID{Task: job + "/0", Attempt: 1}, Job: job, Worker: worker, Boot: "1",
-		State: platform.AttemptFailed, Message: "exit 1", Requests: res(1, 1, 0),
+		ID: hostapi.AttemptID{Task: job + "/0", Attempt: 1}, Job: job, Worker: worker, Boot: "1",
+		State: hostapi.AttemptFailed, Message: "exit 1", Requests: res(1, 1, 0),
 	}
 }
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // holdTime is how long room is kept for a task after its evictions were
@@ -14,7 +14,7 @@
 // hold keeps room on a worker for a task for which others are being evicted.
 type hold struct {
 	worker string
-	need   platform.Resources
+	need   hostapi.Resources
 	until  time.Duration
 }
 
--- a/scheduler/index.go
+++ b/scheduler/index.go
@@ -1,13 +1,13 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // index is a persistent tree over the workers of a cell in order of id. Each
 // node holds the largest free amount below it in each dimension, so a search
 // skips subtrees without room. A change copies one path; older trees stay valid.
 type index struct {
 	left, right *index
-	free        platform.Resources
+	free        hostapi.Resources
 	worker      *Worker
 }
 
@@ -24,7 +24,7 @@
 
 // set returns the tree with the leaf at position i replaced. size is the
 // number of leaves below n.
-func (n *index) set(size, i int, w *Worker, free platform.Resources) *index {
+func (n *index) set(size, i int, w *Worker, free hostapi.Resources) *index {
 	if size == 1 {
 		return &index{worker: w, free: free}
 	}
@@ -53,7 +53,7 @@
 
 // next returns the first position from from on whose free amount covers need,
 // or -1.
-func (n *index) next(size, from int, need platform.Resources) int {
+func (n *index) next(size, from int, need hostapi.Resources) int {
 	if from >= size || !need.Fits(n.free) {
 		return -1
 	}
--- a/scheduler/index_test.go
+++ b/scheduler/index_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // TestIndexNext guards against a search that skips a worker with room, and
@@ -17,16 +17,16 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	workers := make([]Worker, 37)
 	for i := range workers {
-		workers[i] = Worker{ID: fmt.Sprintf("w%02d", i), Capacity: platform.Resources{MilliCPU: random.Int64N(100), MemoryMiB: random.Int64N(100)}}
+		workers[i] = Worker{ID: fmt.Sprintf("w%02d", i), Capacity: hostapi.Resources{MilliCPU: random.Int64N(100), MemoryMiB: random.Int64N(100)}}
 	}
 	s, err := NewSnapshot(CellID{}, 1, workers)
 	is.NoErr(err)
-	root, free := s.root, make([]platform.Resources, len(workers))
+	root, free := s.root, make([]hostapi.Resources, len(workers))
 	for i := range workers {
 		free[i] = workers[i].Capacity
 	}
 	for range 500 {
-		need := platform.Resources{MilliCPU: random.Int64N(100), MemoryMiB: random.Int64N(100)}
+		need := hostapi.Resources{MilliCPU: random.Int64N(100), MemoryMiB: random.Int64N(100)}
 		from := random.IntN(len(workers))
 		want := -1
 		for i := from; i < len(free) && want < 0; i++ {
--- a/scheduler/knowledge.go
+++ b/scheduler/knowledge.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/scheduler/interference"
 	"github.com/cactusreel/cactusreel/scheduler/quarantine"
 	"github.com/cactusreel/cactusreel/scheduler/retry"
@@ -45,7 +45,7 @@
 }
 
 // observeUsage takes one report of an attempt.
-func (k *Knowledge) observeUsage(now time.Duration, a *Attempt, u *platform.Usage) {
+func (k *Knowledge) observeUsage(now time.Duration, a *Attempt, u *hostapi.Usage) {
 	k.pairs.Observe(now, a.Kind, u.Colocated, u.Load, u.Slowdown)
 	size := &k.name(now, a.Job).size
 	size.Grow(u.Used)
@@ -61,13 +61,13 @@
 	}
 	k.boots[o.Worker] = o.Boot
 	switch o.State {
-	case platform.AttemptCompleted:
+	case hostapi.AttemptCompleted:
 		k.ledger.Completed(o.Worker, o.Job)
 		k.job(o.Job).retries.Completed(o.ID.Task)
 		if o.Work > 0 {
 			k.name(now, o.Job).runTime.Observe(o.Work)
 		}
-	case platform.AttemptFailed:
+	case hostapi.AttemptFailed:
 		k.failed(now, config, random, o)
 	}
 }
--- a/scheduler/leaving_test.go
+++ b/scheduler/leaving_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Guards against work that stays on a VM until the VM goes, and against a
@@ -15,9 +15,9 @@
 func TestWorkLeavesALeavingWorker(t *testing.T) {
 	is := is.New(t)
 	attempt := func(task string, service bool) Attempt {
-		return Attempt{ID: platform.AttemptID{Task: task, Attempt: 1}, Job: task, Service: service, RunTime: time.Hour}
+		return Attempt{ID: hostapi.AttemptID{Task: task, Attempt: 1}, Job: task, Service: service, RunTime: time.Hour}
 	}
-	w := Worker{ID: "w", Leaving: true, Capacity: platform.Resources{MilliCPU: 8000, MemoryMiB: 8000}}
+	w := Worker{ID: "w", Leaving: true, Capacity: hostapi.Resources{MilliCPU: 8000, MemoryMiB: 8000}}
 	w.Attempts = []Attempt{attempt("s/1", true), attempt("s/2", true), attempt("j/1", false), attempt("j/2", false)}
 	s, err := NewSnapshot(CellID{DataCentre: "giza"}, 1, []Worker{w})
 	is.NoErr(err)
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -1,6 +1,6 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // load is what a cell is chosen for.
 type load struct {
@@ -9,5 +9,5 @@
 	urgent  bool
 	// takes is set when the task may take the room of ordinary work.
 	takes bool
-	need  platform.Resources
+	need  hostapi.Resources
 }
--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const (
@@ -20,7 +20,7 @@
 
 // waitForRoom records that a task found no worker. It evicts others for the
 // task if the rules allow it, or names a better cell.
-func (r *Round) waitForRoom(t *Task, need platform.Resources, reason string) {
+func (r *Round) waitForRoom(t *Task, need hostapi.Resources, reason string) {
 	rules := r.policy.config.Rules
 	if rules.Has(RulePriority) && t.Urgent && !r.policy.knowledge.hasFailed(t) {
 		if r.evictFor(t, need, Evict, "urgent task", r.yieldsToUrgent) {
@@ -53,7 +53,7 @@
 }
 
 // withinQuota reports whether a task keeps its team within its quota.
-func (r *Round) withinQuota(t *Task, need platform.Resources) bool {
+func (r *Round) withinQuota(t *Task, need hostapi.Resources) bool {
 	return dominantShare(r.use(t.Team).Add(need), r.Snapshot.teams[t.Team].Quota) <= 1
 }
 
@@ -71,7 +71,7 @@
 
 // evictFor looks for the cheapest set of victims on a sample of workers, adds
 // their evictions to the plan and holds the room. It reports whether it did.
-func (r *Round) evictFor(t *Task, need platform.Resources, kind ActionKind, who string, yields func(*Attempt) bool) bool {
+func (r *Round) evictFor(t *Task, need hostapi.Resources, kind ActionKind, who string, yields func(*Attempt) bool) bool {
 	size := r.Snapshot.size
 	if size == 0 {
 		return false
@@ -115,7 +115,7 @@
 
 // victims returns a cheap set of attempts whose end makes need fit. Attempts
 // with the least cost go first; those that turn out not to be needed are kept.
-func (r *Round) victims(c Candidate, need platform.Resources, yields func(*Attempt) bool) (eviction, bool) {
+func (r *Round) victims(c Candidate, need hostapi.Resources, yields func(*Attempt) bool) (eviction, bool) {
 	var choice []*Attempt
 	for i := range c.Worker.Attempts {
 		a := &c.Worker.Attempts[i]
--- a/scheduler/need.go
+++ b/scheduler/need.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // need returns the amount to assign to a task: the declared or learned one, but
 // never more processors or memory than the largest worker has. Accelerators are
 // as declared, because a task can't run with fewer.
-func (p *Policy) need(s *Snapshot, t *Task) platform.Resources {
+func (p *Policy) need(s *Snapshot, t *Task) hostapi.Resources {
 	need := t.Requests
 	if j := p.knowledge.names[nameOf(t.Job)]; j != nil && p.config.Rules.Has(RuleLearnedSizes) {
 		need = j.size.Need(need)
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -3,22 +3,22 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Outcome is the end of an attempt.
 type Outcome struct {
-	ID     platform.AttemptID
+	ID     hostapi.AttemptID
 	Job    string
 	Kind   string
 	Worker string
 	Boot   string
 	// State is completed, failed, stopped or lapsed.
-	State platform.AttemptState
+	State hostapi.AttemptState
 	// Requests is what the attempt was assigned.
-	Requests platform.Resources
+	Requests hostapi.Resources
 	// Used is the newest measured use of the attempt, or zero.
-	Used platform.Resources
+	Used hostapi.Resources
 	// RanFor is the run time of the attempt.
 	RanFor time.Duration
 	// Work is the run time of the whole task over its attempts when State is
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // placeTask places one task or records why it waits.
@@ -44,7 +44,7 @@
 // search returns the worker with the lowest cost among a sample of the workers
 // with room, or the reason why there is none. The sample begins at a random
 // position, so that its cost doesn't grow with the number of workers.
-func (r *Round) search(t *Task, need platform.Resources) (Candidate, string) {
+func (r *Round) search(t *Task, need hostapi.Resources) (Candidate, string) {
 	size := r.Snapshot.size
 	if size == 0 {
 		return Candidate{}, "the cell has no workers"
@@ -78,7 +78,7 @@
 }
 
 // roomReason says which need no worker covers.
-func (r *Round) roomReason(need platform.Resources) string {
+func (r *Round) roomReason(need hostapi.Resources) string {
 	free := r.root.free
 	switch {
 	case need.Accelerators > free.Accelerators:
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // randomCell returns a cell with random attempts and tasks.
@@ -48,7 +48,7 @@
 		s, pending := randomCell(t, random)
 		plan := newPolicy(AllRules).Place(0, s, pending)
 		is.Equal(len(plan.Placements)+len(plan.Waits), len(pending)) // each task once
-		assigned := map[string]platform.Resources{}
+		assigned := map[string]hostapi.Resources{}
 		for _, p := range plan.Placements {
 			is.NoErr(StatePlanner{}.CheckPlacement(s, p))
 			is.True(p.Reason != "")
@@ -85,7 +85,7 @@
 	w := Worker{Attempts: []Attempt{a}}
 	for i := range 100 {
 		now := time.Minute + time.Duration(i)*time.Second
-		p.ObserveUsage(now, &w, []platform.Usage{{ID: a.ID, Used: res(200, 900, 0), Slowdown: 1}})
+		p.ObserveUsage(now, &w, []hostapi.Usage{{ID: a.ID, Used: res(200, 900, 0), Slowdown: 1}})
 	}
 	task = batch("learned", res(4, 4, 0))
 	is.Equal(p.need(s, &task), res(64, 250, 0))
@@ -102,7 +102,7 @@
 	task := batch("small", res(32, 100, 0))
 	observe := func(now time.Duration) {
 		for range 200 {
-			p.ObserveUsage(now, &w, []platform.Usage{{ID: a.ID, Used: res(4, 10, 0), Slowdown: 1}})
+			p.ObserveUsage(now, &w, []hostapi.Usage{{ID: a.ID, Used: res(4, 10, 0), Slowdown: 1}})
 		}
 	}
 	observe(10 * time.Second)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -1,6 +1,6 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // Placement assigns a pending task to a worker.
 type Placement struct {
@@ -10,7 +10,7 @@
 	// Boot is the boot id of the worker that the plan was made for.
 	Boot string
 	// Requests is the amount to assign; it can differ from the declared one.
-	Requests platform.Resources
+	Requests hostapi.Resources
 	// Probe is set when the task tests a quarantined worker.
 	Probe bool
 	// Reason is fit for a condition.
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Policy decides for one cell. It holds what it has learned and the state of
@@ -90,7 +90,7 @@
 
 // ObserveUsage takes the usage reports of one worker. Each report belongs to
 // the colocation that it names, and each is passed in once.
-func (p *Policy) ObserveUsage(now time.Duration, w *Worker, reports []platform.Usage) {
+func (p *Policy) ObserveUsage(now time.Duration, w *Worker, reports []hostapi.Usage) {
 	for i := range reports {
 		if a := w.find(reports[i].ID); a != nil {
 			p.knowledge.observeUsage(now, a, &reports[i])
--- a/scheduler/relieve_test.go
+++ b/scheduler/relieve_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // pressedCell returns a worker with a service at a ratio of its target, and a
@@ -20,7 +20,7 @@
 	workers[0].Attempts = []Attempt{service, runningBatch("noisy", res(8, 8, 0)), runningBatch("quiet", res(8, 8, 0))}
 	workers[0].Attempts[2].Kind = "quiet"
 	for range 40 {
-		p.ObserveUsage(0, &workers[0], []platform.Usage{
+		p.ObserveUsage(0, &workers[0], []hostapi.Usage{
 			{ID: service.ID, Colocated: []string{"import"}, Slowdown: 1.5, Load: 0.6},
 			{ID: service.ID, Colocated: []string{"quiet"}, Slowdown: 1, Load: 0.6},
 		})
@@ -83,7 +83,7 @@
 	service.Kind, service.ID.Task = "mail", "mail/7/0"
 	other.Attempts = []Attempt{service}
 	for range 40 {
-		p.ObserveUsage(0, &other, []platform.Usage{{ID: service.ID, Colocated: []string{"import"}, Slowdown: 1, Load: 0.2}})
+		p.ObserveUsage(0, &other, []hostapi.Usage{{ID: service.ID, Colocated: []string{"import"}, Slowdown: 1, Load: 0.2}})
 	}
 	workers[0].Attempts = workers[0].Attempts[:1]
 	s := snapshotOf(t, []Worker{workers[0], other})
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const (
@@ -20,12 +20,12 @@
 type urgentDemand struct {
 	at time.Duration
 	// need is the largest of them in each dimension, tasks their decayed number.
-	need  platform.Resources
+	need  hostapi.Resources
 	tasks float64
 }
 
 // arrived takes an urgent task that the cell sees for the first time.
-func (d *urgentDemand) arrived(now time.Duration, need platform.Resources) {
+func (d *urgentDemand) arrived(now time.Duration, need hostapi.Resources) {
 	d.decay(now)
 	d.need = maxResources(d.need, need)
 	d.tasks++
@@ -36,7 +36,7 @@
 	d.tasks *= math.Exp2(-float64(now-d.at) / float64(reserveHalfLife))
 	d.at = now
 	if d.tasks < 0.1 {
-		d.need = platform.Resources{}
+		d.need = hostapi.Resources{}
 	}
 }
 
@@ -51,7 +51,7 @@
 	most := reserveLimit * float64(r.Snapshot.capacity.MilliCPU) / float64(demand.need.MilliCPU)
 	parts := int(math.Ceil(min(demand.tasks, most, reserveParts)))
 	for range parts {
-		at := r.root.next(r.Snapshot.size, 0, platform.Resources{MilliCPU: r.root.free.MilliCPU})
+		at := r.root.next(r.Snapshot.size, 0, hostapi.Resources{MilliCPU: r.root.free.MilliCPU})
 		c := r.candidate(at)
 		r.root = r.root.set(r.Snapshot.size, at, c.Worker, c.Free.Sub(minResources(demand.need, c.Free)))
 	}
--- a/scheduler/resources.go
+++ b/scheduler/resources.go
@@ -1,10 +1,10 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // maxResources returns the larger value in each dimension.
-func maxResources(a, b platform.Resources) platform.Resources {
-	return platform.Resources{
+func maxResources(a, b hostapi.Resources) hostapi.Resources {
+	return hostapi.Resources{
 		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
 		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
 		Accelerators: max(a.Accelerators, b.Accelerators),
@@ -12,8 +12,8 @@
 }
 
 // minResources returns the smaller value in each dimension.
-func minResources(a, b platform.Resources) platform.Resources {
-	return platform.Resources{
+func minResources(a, b hostapi.Resources) hostapi.Resources {
+	return hostapi.Resources{
 		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
 		MemoryMiB:    min(a.MemoryMiB, b.MemoryMiB),
 		Accelerators: min(a.Accelerators, b.Accelerators),
@@ -21,8 +21,8 @@
 }
 
 // scaleResources returns r times f, rounded down.
-func scaleResources(r platform.Resources, f float64) platform.Resources {
-	return platform.Resources{
+func scaleResources(r hostapi.Resources, f float64) hostapi.Resources {
+	return hostapi.Resources{
 		MilliCPU:     int64(float64(r.MilliCPU) * f),
 		MemoryMiB:    int64(float64(r.MemoryMiB) * f),
 		Accelerators: int64(float64(r.Accelerators) * f),
@@ -31,7 +31,7 @@
 
 // dominantShare returns the largest share of r in total over the dimensions.
 // Any use of a dimension with a total of zero counts as a share of 1.
-func dominantShare(r, total platform.Resources) float64 {
+func dominantShare(r, total hostapi.Resources) float64 {
 	share := ratio(r.MilliCPU, total.MilliCPU)
 	share = max(share, ratio(r.MemoryMiB, total.MemoryMiB))
 	return max(share, ratio(r.Accelerators, total.Accelerators))
--- a/scheduler/round.go
+++ b/scheduler/round.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Round is the state of one round of placement. Plugins read it; only Reserve
@@ -18,11 +18,11 @@
 	root   *index
 	added  map[int][]*Task
 	// used is what this round adds to the use of each team.
-	used map[string]platform.Resources
+	used map[string]hostapi.Resources
 	// racked counts the service replicas that this round adds by job and rack.
 	racked map[jobRack]int
 	// placed is the sum of the needs placed in this round.
-	placed platform.Resources
+	placed hostapi.Resources
 	// accumulating is set when a worker's room is kept for an aged task.
 	accumulating bool
 	// full are the shapes that found no worker in this round.
@@ -34,12 +34,12 @@
 	return &Round{
 		Now: now, Snapshot: s, Plan: Plan{Base: s.version},
 		policy: p, root: s.root, added: map[int][]*Task{},
-		used: map[string]platform.Resources{}, racked: map[jobRack]int{}, full: map[shape]string{},
+		used: map[string]hostapi.Resources{}, racked: map[jobRack]int{}, full: map[shape]string{},
 	}
 }
 
 // use returns what a team holds, with the placements of this round.
-func (r *Round) use(team string) platform.Resources {
+func (r *Round) use(team string) hostapi.Resources {
 	return r.Snapshot.totals.use(team).Add(r.used[team])
 }
 
@@ -60,7 +60,7 @@
 }
 
 // place records a placement and takes its room.
-func (r *Round) place(t *Task, need platform.Resources, c *Candidate, probe bool, reason string) {
+func (r *Round) place(t *Task, need hostapi.Resources, c *Candidate, probe bool, reason string) {
 	r.root = r.root.set(r.Snapshot.size, c.position, c.Worker, c.Free.Sub(need))
 	r.added[c.position] = append(r.added[c.position], t)
 	r.used[t.Team] = r.used[t.Team].Add(need)
@@ -75,7 +75,7 @@
 }
 
 // needText describes a need for a reason.
-func needText(need platform.Resources) string {
+func needText(need hostapi.Resources) string {
 	text := fmt.Sprintf("%.1f cores and %d MiB", float64(need.MilliCPU)/1000, need.MemoryMiB)
 	if need.Accelerators > 0 {
 		text += fmt.Sprintf(" and %d accelerators", need.Accelerators)
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Snapshot is the immutable state of one cell. The With methods return changed
@@ -17,8 +17,8 @@
 	size       int
 	root       *index
 	positions  map[string]int
-	capacity   platform.Resources
-	largest    platform.Resources
+	capacity   hostapi.Resources
+	largest    hostapi.Resources
 	totals     *totals
 	teams      map[string]Team
 	dataCentre DataCentre
@@ -112,7 +112,7 @@
 func (s *Snapshot) Version() int64 { return s.version }
 
 // Capacity returns the capacity of all workers.
-func (s *Snapshot) Capacity() platform.Resources { return s.capacity }
+func (s *Snapshot) Capacity() hostapi.Resources { return s.capacity }
 
 // DataCentre returns the state of the data centre.
 func (s *Snapshot) DataCentre() DataCentre { return s.dataCentre }
--- a/scheduler/summary.go
+++ b/scheduler/summary.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // CellSummary is what the owner of a cell publishes to other owners.
@@ -12,17 +12,17 @@
 	// Phase is the state of the cell's data centre.
 	Phase Phase
 	// Free is the free amount over all workers.
-	Free platform.Resources
+	Free hostapi.Resources
 	// Largest is the largest free amount of any one worker in each dimension.
-	Largest  platform.Resources
-	Capacity platform.Resources
+	Largest  hostapi.Resources
+	Capacity hostapi.Resources
 	// Yields is what ordinary batch work holds, which urgent work can take.
-	Yields platform.Resources
+	Yields hostapi.Resources
 	// LargestYield is the largest sum of free and yielded amounts of any one
 	// worker in each dimension.
-	LargestYield platform.Resources
+	LargestYield hostapi.Resources
 	// Pending is the need of the tasks that wait in the cell.
-	Pending platform.Resources
+	Pending hostapi.Resources
 	// Replicas counts running service replicas by job id.
 	Replicas map[string]int
 	// At is when the summary was made, on the reading owner's clock.
@@ -48,8 +48,8 @@
 
 // addAttempts counts a worker's replicas and returns what its ordinary batch
 // attempts hold, except for those that are nearly done.
-func (sum *CellSummary) addAttempts(w *Worker) platform.Resources {
-	var yields platform.Resources
+func (sum *CellSummary) addAttempts(w *Worker) hostapi.Resources {
+	var yields hostapi.Resources
 	for i := range w.Attempts {
 		a := &w.Attempts[i]
 		if a.Service {
@@ -60,7 +60,7 @@
 		}
 	}
 	if w.Unreachable || w.Leaving {
-		return platform.Resources{}
+		return hostapi.Resources{}
 	}
 	return yields
 }
--- a/scheduler/sums.go
+++ b/scheduler/sums.go
@@ -1,9 +1,9 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // sums are amounts by team and replicas by service and rack.
 type sums struct {
-	use   map[string]platform.Resources
+	use   map[string]hostapi.Resources
 	racks map[jobRack]int
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Task is a pending task.
@@ -17,7 +17,7 @@
 	Service bool
 	Urgent  bool
 	// Requests is the declared need of a task.
-	Requests platform.Resources
+	Requests hostapi.Resources
 	// RunTime is the declared run time of the whole task; 0 for a service.
 	RunTime time.Duration
 	// Since is when the task's record was read back, on the owner's clock.
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -1,12 +1,12 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // Team is a team's quota in one cell: the team's whole quota times the cell's
 // share of the capacity in service. A team that is not in the snapshot has a
 // quota of zero and may borrow.
 type Team struct {
 	Name      string
-	Quota     platform.Resources
+	Quota     hostapi.Resources
 	MayBorrow bool
 }
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // maxDelta is how many changed sums a snapshot carries before they are merged
@@ -16,12 +16,12 @@
 type totals struct {
 	base     *sums
 	delta    sums
-	assigned platform.Resources
+	assigned hostapi.Resources
 }
 
 // newSums returns sums over nothing.
 func newSums() sums {
-	return sums{use: map[string]platform.Resources{}, racks: map[jobRack]int{}}
+	return sums{use: map[string]hostapi.Resources{}, racks: map[jobRack]int{}}
 }
 
 // newTotals returns totals over nothing.
@@ -31,7 +31,7 @@
 }
 
 // use returns what a team holds.
-func (t *totals) use(team string) platform.Resources {
+func (t *totals) use(team string) hostapi.Resources {
 	return t.base.use[team].Add(t.delta.use[team])
 }
 
@@ -70,7 +70,7 @@
 	for i := range w.Attempts {
 		a := &w.Attempts[i]
 		held := a.Reserved()
-		held = platform.Resources{
+		held = hostapi.Resources{
 			MilliCPU:     sign * held.MilliCPU,
 			MemoryMiB:    sign * held.MemoryMiB,
 			Accelerators: sign * held.Accelerators,
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -1,13 +1,13 @@
 package scheduler
 
-import "github.com/cactusreel/cactusreel/platform"
+import "github.com/cactusreel/cactusreel/hostapi"
 
 // Worker is one worker of a cell. It must not change once it is in a Snapshot.
 type Worker struct {
 	ID       string
 	Rack     string
 	Boot     string
-	Capacity platform.Resources
+	Capacity hostapi.Resources
 	// Unreachable workers count as full.
 	Unreachable bool
 	// Leaving workers get no new attempts.
@@ -19,19 +19,19 @@
 
 // Free returns the capacity that no attempt holds. It is at least 0 in each
 // dimension, and 0 for a worker that takes no new attempts.
-func (w *Worker) Free() platform.Resources {
+func (w *Worker) Free() hostapi.Resources {
 	if w.Unreachable || w.Leaving {
-		return platform.Resources{}
+		return hostapi.Resources{}
 	}
 	free := w.Capacity
 	for i := range w.Attempts {
 		free = free.Sub(w.Attempts[i].Reserved())
 	}
-	return maxResources(free, platform.Resources{})
+	return maxResources(free, hostapi.Resources{})
 }
 
 // find returns the attempt of a task, or nil.
-func (w *Worker) find(id platform.AttemptID) *Attempt {
+func (w *Worker) find(id hostapi.AttemptID) *Attempt {
 	for i := range w.Attempts {
 		if w.Attempts[i].ID == id {
 			return &w.Attempts[i]
--- a/standin/addresses.go
+++ b/standin/addresses.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Addresses tells where a Platform listens, as IP addresses and ports.
@@ -13,5 +13,5 @@
 	Log map[string]string `json:"log"`
 	VMs map[string]string `json:"vms"`
 	// Workers are all workers, as in the VM list.
-	Workers []platform.VM `json:"workers"`
+	Workers []hostapi.VM `json:"workers"`
 }
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"github.com/cactusreel/cactusreel/checker"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
--- a/standin/attempt.go
+++ b/standin/attempt.go
@@ -4,12 +4,12 @@
 	"math"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // attempt is the simulated run of one attempt.
 type attempt struct {
-	report platform.Attempt
+	report hostapi.Attempt
 	// work is the run time when alone and unthrottled; 0 runs until stopped.
 	work time.Duration
 	// failAt is the work after which the attempt fails; 0 stands for never.
@@ -21,12 +21,12 @@
 	// slowdown is the time of a unit of work over its time when alone and
 	// equally throttled.
 	slowdown float64
-	used     platform.Resources
-	samples  []platform.Usage
+	used     hostapi.Resources
+	samples  []hostapi.Usage
 }
 
 func (a *attempt) running() bool {
-	return a.report.State == platform.AttemptRunning
+	return a.report.State == hostapi.AttemptRunning
 }
 
 // target returns the work at which the attempt ends by itself, or 0.
@@ -68,7 +68,7 @@
 }
 
 // usageAt returns the newest sample taken at or before t and drops older ones.
-func (a *attempt) usageAt(t time.Duration) (platform.Usage, bool) {
+func (a *attempt) usageAt(t time.Duration) (hostapi.Usage, bool) {
 	newest := -1
 	for i, s := range a.samples {
 		if s.MeasuredAt <= t {
@@ -76,7 +76,7 @@
 		}
 	}
 	if newest < 0 {
-		return platform.Usage{}, false
+		return hostapi.Usage{}, false
 	}
 	a.samples = a.samples[newest:]
 	return a.samples[0], true
--- a/standin/attemptevent.go
+++ b/standin/attemptevent.go
@@ -3,23 +3,23 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // AttemptLost is the state, in the history only, of attempts that ended
 // because their worker went down.
-const AttemptLost platform.AttemptState = "lost"
+const AttemptLost hostapi.AttemptState = "lost"
 
 // AttemptEvent is the start or the end of an attempt on a worker.
 type AttemptEvent struct {
 	// At is on the worker's clock.
 	At       time.Duration
-	ID       platform.AttemptID
+	ID       hostapi.AttemptID
 	Kind     string
-	Requests platform.Resources
+	Requests hostapi.Resources
 	Term     int64
 	// State is AttemptRunning for a start.
-	State platform.AttemptState
+	State hostapi.AttemptState
 	// Resumed is the checkpoint that the attempt started from, or "".
 	Resumed string
 	// Checkpoint is the newest that the attempt has made, or "".
--- a/standin/attemptrun.go
+++ b/standin/attemptrun.go
@@ -3,24 +3,24 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // AttemptRun is one run of an attempt on a worker. Times are in nanoseconds
 // since the stand-in started.
 type AttemptRun struct {
-	Worker     string             `json:"worker"`
-	DataCentre string             `json:"dataCentre"`
-	Boot       string             `json:"boot"`
-	ID         platform.AttemptID `json:"id"`
-	Kind       string             `json:"kind"`
-	Requests   platform.Resources `json:"requests"`
+	Worker     string            `json:"worker"`
+	DataCentre string            `json:"dataCentre"`
+	Boot       string            `json:"boot"`
+	ID         hostapi.AttemptID `json:"id"`
+	Kind       string            `json:"kind"`
+	Requests   hostapi.Resources `json:"requests"`
 	// Term is that of the start.
 	Term  int64         `json:"term"`
 	Start time.Duration `json:"start"`
 	// End is 0 while State is running.
-	End   time.Duration         `json:"end"`
-	State platform.AttemptState `json:"state"`
+	End   time.Duration        `json:"end"`
+	State hostapi.AttemptState `json:"state"`
 	// Resumed is the checkpoint that the run started from, or "".
 	Resumed string `json:"resumed,omitempty"`
 	// Checkpoint is the newest that the run made, or "", if it has ended.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
--- a/standin/chaos_test.go
+++ b/standin/chaos_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/checker"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/standin"
 )
 
@@ -23,9 +23,9 @@
 	if err != nil {
 		return
 	}
-	_ = agent.Start(ctx, platform.Start{
-		Command: platform.Command{Term: 1, Boot: state.Boot, Deadline: state.Clock + time.Second},
-		ID:      attemptOf(task, 1), Kind: "batch", Requests: platform.Resources{MilliCPU: 16_000},
+	_ = agent.Start(ctx, hostapi.Start{
+		Command: hostapi.Command{Term: 1, Boot: state.Boot, Deadline: state.Clock + time.Second},
+		ID:      attemptOf(task, 1), Kind: "batch", Requests: hostapi.Resources{MilliCPU: 16_000},
 		LeaseExpiry: state.Clock + time.Hour, Work: 5 * time.Millisecond,
 	})
 }
--- a/standin/checkerevents.go
+++ b/standin/checkerevents.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"github.com/cactusreel/cactusreel/checker"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // CheckerEvents returns what the workers and backend servers saw in the form
@@ -62,7 +62,7 @@
 		At: a.Start, Type: checker.AttemptStarted, Worker: a.Worker, DataCentre: a.DataCentre,
 		Task: a.ID.Task, Attempt: a.ID.Attempt, Requests: checker.Amount(a.Requests), Checkpoint: a.Resumed,
 	}
-	if a.State == platform.AttemptRunning {
+	if a.State == hostapi.AttemptRunning {
 		return []checker.Event{start}
 	}
 	end := checker.Event{
@@ -72,13 +72,13 @@
 	return []checker.Event{start, end}
 }
 
-func outcomeOf(state platform.AttemptState) checker.Outcome {
+func outcomeOf(state hostapi.AttemptState) checker.Outcome {
 	switch state {
-	case platform.AttemptCompleted:
+	case hostapi.AttemptCompleted:
 		return checker.Completed
-	case platform.AttemptFailed:
+	case hostapi.AttemptFailed:
 		return checker.Failed
-	case platform.AttemptStopped:
+	case hostapi.AttemptStopped:
 		return checker.Stopped
 	default:
 		return checker.Expired
--- a/standin/checkerevents_test.go
+++ b/standin/checkerevents_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/checker"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/standin"
 )
 
@@ -19,7 +19,7 @@
 		return standin.WorkerView{Worker: name, DataCentre: "giza", Capacity: testCapacity, Slots: 2, ConnectionLimit: 1}
 	}
 	first, second := attemptOf("j/1/0", 1), attemptOf("j/1/0", 2)
-	full := platform.Resources{MilliCPU: testCapacity.MilliCPU}
+	full := hostapi.Resources{MilliCPU: testCapacity.MilliCPU}
 	return standin.HistoryView{
 		Workers: []standin.WorkerView{view("a"), view("b")},
 		Changes: []standin.WorkerEvent{
@@ -31,8 +31,8 @@
 		},
 		Attempts: []standin.AttemptRun{
 			{Worker: "a", ID: first, Requests: full, Start: 10, End: 50, State: standin.AttemptLost, Checkpoint: "c1"},
-			{Worker: "b", ID: second, Requests: full, Start: 55, End: 90, State: platform.AttemptCompleted, Resumed: "c1"},
-			{Worker: "b", ID: attemptOf("k/1/0", 1), Requests: full, Start: 90, State: platform.AttemptRunning},
+			{Worker: "b", ID: second, Requests: full, Start: 55, End: 90, State: hostapi.AttemptCompleted, Resumed: "c1"},
+			{Worker: "b", ID: attemptOf("k/1/0", 1), Requests: full, Start: 90, State: hostapi.AttemptRunning},
 		},
 		Executions: []standin.Execution{
 			{RequestID: "r1", Worker: "a", Start: 20, End: 51}, // recorded after the crash
@@ -74,7 +74,7 @@
 			v.Attempts[1].Resumed = "" // the checkpoint is reported later
 		}},
 		{checker.ResumeOnce, func(v *standin.HistoryView) {
-			v.Attempts[0].State = platform.AttemptStopped // its checkpoint must be used
+			v.Attempts[0].State = hostapi.AttemptStopped // its checkpoint must be used
 			v.Attempts[1].Resumed = ""
 		}},
 		{checker.AtMostOnce, func(v *standin.HistoryView) { v.Executions[1].RequestID = "r1" }},
--- a/standin/checkpoint.go
+++ b/standin/checkpoint.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // A checkpoint's name holds the work that it saves, so that any worker can
@@ -17,13 +17,13 @@
 	checkpointParts  = 4
 )
 
-func checkpointName(id platform.AttemptID, done time.Duration) string {
+func checkpointName(id hostapi.AttemptID, done time.Duration) string {
 	return fmt.Sprintf("%s:%d:%d:%s", checkpointPrefix, id.Attempt, int64(done), id.Task)
 }
 
 // parseCheckpoint returns the work that a checkpoint of an earlier attempt of
 // the task saves.
-func parseCheckpoint(name string, id platform.AttemptID) (time.Duration, error) {
+func parseCheckpoint(name string, id hostapi.AttemptID) (time.Duration, error) {
 	parts := strings.SplitN(name, ":", checkpointParts)
 	if len(parts) != checkpointParts || parts[0] != checkpointPrefix {
 		return 0, fmt.Errorf("malformed checkpoint %q", name)
--- a/standin/datacentre.go
+++ b/standin/datacentre.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net/netip"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // DataCentre describes one data centre. Its workers are named
@@ -30,7 +30,7 @@
 		return fmt.Errorf("number of workers or racks is negative")
 	}
 	shape := dc.Worker
-	if !(platform.Resources{}).Fits(shape.Capacity) || shape.Slots < 0 || shape.Connections < 0 {
+	if !(hostapi.Resources{}).Fits(shape.Capacity) || shape.Slots < 0 || shape.Connections < 0 {
 		return fmt.Errorf("worker has a negative capacity")
 	}
 	for _, address := range []string{dc.LogAddress, dc.VMsAddress} {
@@ -56,19 +56,19 @@
 }
 
 // workers returns the workers of the data centre, without addresses.
-func (dc DataCentre) workers() []platform.VM {
+func (dc DataCentre) workers() []hostapi.VM {
 	shape := dc.Worker
 	orDefault(&shape.Capacity, DefaultCapacity)
 	orDefault(&shape.Slots, DefaultSlots)
 	orDefault(&shape.Connections, DefaultConnections)
-	vms := make([]platform.VM, 0, dc.Workers)
+	vms := make([]hostapi.VM, 0, dc.Workers)
 	for i := range dc.Workers {
-		vms = append(vms, platform.VM{
+		vms = append(vms, hostapi.VM{
 			ID:          fmt.Sprintf("%s-w%d", dc.Name, i),
 			DataCentre:  dc.Name,
 			Rack:        fmt.Sprintf("%s-r%d", dc.Name, i%max(dc.Racks, 1)),
-			Role:        platform.RoleWorker,
-			State:       platform.VMLive,
+			Role:        hostapi.RoleWorker,
+			State:       hostapi.VMLive,
 			Capacity:    shape.Capacity,
 			Slots:       shape.Slots,
 			Connections: shape.Connections,
@@ -77,14 +77,14 @@
 	return vms
 }
 
-func (dc DataCentre) entries() []platform.VM {
-	vms := make([]platform.VM, 0, len(dc.Entries))
+func (dc DataCentre) entries() []hostapi.VM {
+	vms := make([]hostapi.VM, 0, len(dc.Entries))
 	for _, entry := range dc.Entries {
-		vms = append(vms, platform.VM{
+		vms = append(vms, hostapi.VM{
 			ID:           entry.ID,
 			DataCentre:   dc.Name,
-			Role:         platform.RoleEntry,
-			State:        platform.VMLive,
+			Role:         hostapi.RoleEntry,
+			State:        hostapi.VMLive,
 			AgentAddress: entry.Address,
 		})
 	}
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -7,6 +7,6 @@
 // adds the real clock and the listeners. History is what the workers and
 // backend servers really did, for an independent check.
 //
-// The stand-in refuses what the interfaces of package platform say that it
+// The stand-in refuses what the interfaces of package hostapi say that it
 // refuses, and nothing else: two workers told to run the same task both do.
 package standin
--- a/standin/history.go
+++ b/standin/history.go
@@ -4,14 +4,14 @@
 	"sync"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // attemptKey names a run: after a restart a worker can run an attempt again.
 type attemptKey struct {
 	worker string
 	boot   string
-	id     platform.AttemptID
+	id     hostapi.AttemptID
 }
 
 // History records what the workers and the backend servers did. It is safe for
@@ -37,7 +37,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	key := attemptKey{worker: worker, boot: boot, id: e.ID}
-	if e.State != platform.AttemptRunning {
+	if e.State != hostapi.AttemptRunning {
 		run := &h.attempts[h.running[key]]
 		run.End = at
 		run.State = e.State
--- a/standin/logservice.go
+++ b/standin/logservice.go
@@ -7,10 +7,10 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
-// logService is the platform.Log with the real clock, latency and a bound on
+// logService is the hostapi.Log with the real clock, latency and a bound on
 // the rate of appends.
 type logService struct {
 	platform *Platform
@@ -20,7 +20,7 @@
 	store *LogStore
 }
 
-var _ platform.Log = (*logService)(nil)
+var _ hostapi.Log = (*logService)(nil)
 
 func newLogService(p *Platform) *logService {
 	limit := rate.Limit(p.options.AppendsPerSecond)
@@ -34,7 +34,7 @@
 	}
 }
 
-// Append implements platform.Log. The append takes effect after half of the
+// Append implements hostapi.Log. The append takes effect after half of the
 // latency, even if ctx has ended by then: its request was received.
 func (l *logService) Append(_ context.Context, stream, id string, data []byte) (int64, error) {
 	err := l.limiter.Wait(context.Background())
@@ -50,8 +50,8 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *logService) Read(_ context.Context, stream string, from int64, limit int) (platform.LogPage, error) {
+// Read implements hostapi.Log.
+func (l *logService) Read(_ context.Context, stream string, from int64, limit int) (hostapi.LogPage, error) {
 	latency := l.platform.options.ReadLatency
 	l.platform.wait(latency / 2)
 	l.mu.Lock()
--- a/standin/logstore.go
+++ b/standin/logstore.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // LogStore is the state of the log. It is not safe for concurrent use.
@@ -30,8 +30,8 @@
 }
 
 // Read returns at most limit records from offset from on. The error is as for
-// platform.Log. A stream that nothing was appended to is empty.
-func (l *LogStore) Read(now time.Duration, name string, from int64, limit int) (platform.LogPage, error) {
+// hostapi.Log. A stream that nothing was appended to is empty.
+func (l *LogStore) Read(now time.Duration, name string, from int64, limit int) (hostapi.LogPage, error) {
 	s := l.streams[name]
 	if s == nil {
 		return newStream().read(from, limit)
--- a/standin/node.go
+++ b/standin/node.go
@@ -6,15 +6,15 @@
 	"sync"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 )
 
 // node is one worker VM: the simulated worker with a real clock, its agent and
 // its backend server.
 type node struct {
 	platform        *Platform
-	vm              platform.VM
+	vm              hostapi.VM
 	drift           float64
 	agentEndpoint   *endpoint
 	backendEndpoint *endpoint
@@ -33,7 +33,7 @@
 }
 
 // newNode boots a worker and opens its endpoints. vm has no addresses yet.
-func newNode(p *Platform, vm platform.VM, number int, drift float64) (*node, error) {
+func newNode(p *Platform, vm hostapi.VM, number int, drift float64) (*node, error) {
 	n := &node{platform: p, vm: vm, drift: drift, clockAtBoot: time.Duration(number+1) * time.Hour}
 	n.backend = &backend{node: n}
 	n.bootWorker()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 )
 
 // Platform is a running stand-in.
@@ -27,7 +27,7 @@
 	admin     *endpoint
 	addresses Addresses
 	// listed are all VMs as they were listed at the start.
-	listed  []platform.VM
+	listed  []hostapi.VM
 	stopped chan struct{}
 
 	// faultMu makes changes by faults exclusive.
@@ -108,7 +108,7 @@
 }
 
 func (p *Platform) open(topology Topology) error {
-	var vms []platform.VM
+	var vms []hostapi.VM
 	for _, dc := range topology.DataCentres {
 		for i, vm := range dc.workers() {
 			n, err := newNode(p, vm, len(p.nodes), dc.drift(i))
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/result"
 	"github.com/cactusreel/cactusreel/standin"
 )
@@ -93,7 +93,7 @@
 	}
 }
 
-func (s *system) vm(id string) *platform.VM {
+func (s *system) vm(id string) *hostapi.VM {
 	vms, err := httpapi.NewVMListClient(s.at.VMs["maadi"], nil).List(s.ctx, "")
 	s.is.NoErr(err)
 	for _, vm := range vms {
@@ -115,14 +115,14 @@
 	s.fault(standin.Fault{Kind: standin.FaultResponseLost, Target: "log", Count: 1})
 	_, err = giza.Append(s.ctx, "claims/giza", "b", []byte("2"))
 	s.is.True(err != nil)
-	s.is.True(!errors.Is(err, platform.ErrNotSent))
+	s.is.True(!errors.Is(err, hostapi.ErrNotSent))
 	s.fault(standin.Fault{Kind: standin.FaultDown, Target: "log", Count: 1})
 	_, err = giza.Append(s.ctx, "claims/giza", "c", []byte("3"))
 	s.is.True(err != nil)
 
 	s.fault(standin.Fault{Kind: standin.FaultDown, Target: "log/giza"})
 	_, err = s.log("giza").Append(s.ctx, "claims/giza", "d", nil) // on a new connection
-	s.is.True(errors.Is(err, platform.ErrNotSent))
+	s.is.True(errors.Is(err, hostapi.ErrNotSent))
 	page, err := maadi.Read(s.ctx, "claims/giza", 1, 10)
 	s.is.NoErr(err)
 	s.is.Equal(len(page.Records), 2) // a, and b whose response was lost
@@ -132,8 +132,8 @@
 
 	s.fault(standin.Fault{Kind: standin.FaultTruncated, Target: "stream/claims/giza", First: 3})
 	page, err = maadi.Read(s.ctx, "claims/giza", 1, 10)
-	s.is.True(errors.Is(err, platform.ErrTruncated))
-	s.is.Equal(page, platform.LogPage{First: 3, Next: 4})
+	s.is.True(errors.Is(err, hostapi.ErrTruncated))
+	s.is.Equal(page, hostapi.LogPage{First: 3, Next: 4})
 	s.is.Equal(result.CodeOf(s.platform.SetFault(standin.Fault{Kind: standin.FaultDown, Target: "log/nowhere"}), result.OK), result.NotFound)
 }
 
@@ -271,13 +271,13 @@
 	defer health.Body.Close()
 	s.is.Equal(health.StatusCode, http.StatusOK)
 	s.is.Equal(health.Header.Get(standin.HeaderLeaving), "true")
-	s.is.Equal(s.vm("giza-w0").State, platform.VMLive) // the list lags
+	s.is.Equal(s.vm("giza-w0").State, hostapi.VMLive) // the list lags
 	s.fault(standin.Fault{Kind: standin.FaultLagging, Target: "vms", Off: true})
-	s.is.Equal(s.vm("giza-w0").State, platform.VMLeaving)
+	s.is.Equal(s.vm("giza-w0").State, hostapi.VMLeaving)
 	s.fault(standin.Fault{Kind: standin.FaultGone, Target: "vm/entry-giza"})
 	s.is.Equal(s.vm("entry-giza"), nil)
 	s.fault(standin.Fault{Kind: standin.FaultGone, Target: "vm/entry-giza", Off: true})
-	s.is.Equal(s.vm("entry-giza").Role, platform.RoleEntry)
+	s.is.Equal(s.vm("entry-giza").Role, hostapi.RoleEntry)
 }
 
 // Guards against an agent that does not do what the simulated worker does, and
@@ -288,10 +288,10 @@
 	state, err := agent.Observe(s.ctx)
 	s.is.NoErr(err)
 	s.is.Equal(state.Worker, "maadi-w1")
-	start := platform.Start{
-		Command: platform.Command{Term: 3, Boot: state.Boot, Deadline: state.Clock + time.Hour},
+	start := hostapi.Start{
+		Command: hostapi.Command{Term: 3, Boot: state.Boot, Deadline: state.Clock + time.Hour},
 		ID:      attemptOf("j/1/0", 1), Kind: "batch",
-		Requests: platform.Resources{MilliCPU: 1000}, LeaseExpiry: state.Clock + time.Hour, Work: time.Hour,
+		Requests: hostapi.Resources{MilliCPU: 1000}, LeaseExpiry: state.Clock + time.Hour, Work: time.Hour,
 	}
 	s.is.NoErr(agent.Start(s.ctx, start))
 	s.is.NoErr(agent.Throttle(s.ctx, start.Command, start.ID, 0.5))
@@ -302,11 +302,11 @@
 	s.is.Equal(state.Attempts[0].Checkpoint, name)
 	s.is.Equal(state.Attempts[0].Throttle, 0.5)
 	_, err = agent.Stop(s.ctx, start.Command, start.ID)
-	s.is.True(errors.Is(err, platform.ErrLowerTerm))
+	s.is.True(errors.Is(err, hostapi.ErrLowerTerm))
 
 	s.fault(standin.Fault{Kind: standin.FaultWorkerDown, Target: "rack/maadi-r1"})
 	_, err = s.agent(3).Observe(s.ctx) // on a new connection, which is refused
-	s.is.True(errors.Is(err, platform.ErrNotSent))
+	s.is.True(errors.Is(err, hostapi.ErrNotSent))
 	s.is.Equal(s.vm("maadi-w1"), nil)
 	view := s.platform.History()
 	s.is.Equal(len(view.Attempts), 1)
@@ -322,5 +322,5 @@
 	s.is.True(again.Boot != state.Boot)
 	s.is.Equal(len(again.Attempts), 0)
 	s.is.True(s.vm("maadi-w1") != nil)
-	s.is.True(errors.Is(agent.Start(s.ctx, start), platform.ErrOtherBoot))
+	s.is.True(errors.Is(agent.Start(s.ctx, start), hostapi.ErrOtherBoot))
 }
--- a/standin/setfault.go
+++ b/standin/setfault.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 const (
@@ -139,9 +139,9 @@
 			return
 		}
 		err = nil
-		vm.State = platform.VMLeaving
+		vm.State = hostapi.VMLeaving
 		if f.Off {
-			vm.State = platform.VMLive
+			vm.State = hostapi.VMLive
 		}
 		table.Put(now, vm)
 	})
@@ -150,7 +150,7 @@
 
 // setGone takes a VM off the list, or puts it back.
 func (p *Platform) setGone(f Fault, id string) error {
-	index := slices.IndexFunc(p.listed, func(vm platform.VM) bool { return vm.ID == id })
+	index := slices.IndexFunc(p.listed, func(vm hostapi.VM) bool { return vm.ID == id })
 	if index < 0 {
 		return errNoTarget(f)
 	}
--- a/standin/slots.go
+++ b/standin/slots.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
@@ -25,7 +25,7 @@
 // the request was not run.
 func (g *SlotGuard) Begin(term int64) (int, error) {
 	if term != 0 && term < g.term {
-		return g.active, fmt.Errorf("term %d is below %d: %w", term, g.term, platform.ErrLowerTerm)
+		return g.active, fmt.Errorf("term %d is below %d: %w", term, g.term, hostapi.ErrLowerTerm)
 	}
 	if g.active >= g.slots {
 		return g.active, result.Errorf(result.NotRunOverloaded, "all %d slots are in use", g.slots)
--- a/standin/state_test.go
+++ b/standin/state_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 	"github.com/cactusreel/cactusreel/standin"
 )
@@ -27,9 +27,9 @@
 	is.Equal(page.First, int64(16))
 	is.Equal(page.Next, int64(26))
 	is.Equal(len(page.Records), 3)
-	is.Equal(page.Records[0], platform.LogRecord{Offset: 16, ID: "15", Data: []byte{15}})
+	is.Equal(page.Records[0], hostapi.LogRecord{Offset: 16, ID: "15", Data: []byte{15}})
 	page, err = log.Read(25*time.Second, "s", 15, 3)
-	is.True(errors.Is(err, platform.ErrTruncated))
+	is.True(errors.Is(err, hostapi.ErrTruncated))
 	is.Equal(page.First, int64(16))
 
 	// Record 20 was appended at 19 s, so it is kept until 79 s.
@@ -37,19 +37,19 @@
 	is.Equal(page.First, int64(20))
 	is.Equal(len(page.Records), 6)
 	page, _ = log.Read(time.Hour, "s", 26, 100)
-	is.Equal(page, platform.LogPage{First: 26, Next: 26})
+	is.Equal(page, hostapi.LogPage{First: 26, Next: 26})
 	is.Equal(log.Append(time.Hour, "s", "x", nil), int64(26))
 	is.Equal(log.Truncate("s", 0), int64(27))
 	is.Equal(log.Append(time.Hour, "s", "y", nil), int64(27))
 	page, err = log.Read(0, "other", 1, 5)
 	is.NoErr(err)
-	is.Equal(page, platform.LogPage{First: 1, Next: 1})
+	is.Equal(page, hostapi.LogPage{First: 1, Next: 1})
 }
 
 // Guards against a list that does not lag, loses changes, or moves while frozen.
 func TestVMTableLags(t *testing.T) {
 	is := is.New(t)
-	vms := []platform.VM{{ID: "b", DataCentre: "giza"}, {ID: "a", DataCentre: "maadi"}}
+	vms := []hostapi.VM{{ID: "b", DataCentre: "giza"}, {ID: "a", DataCentre: "maadi"}}
 	table := standin.NewVMTable(vms, 2*time.Second)
 	is.Equal(len(table.List(0, "")), 2)
 	is.Equal(table.List(0, "")[0].ID, "a")
@@ -80,7 +80,7 @@
 	is.Equal(result.CodeOf(err, result.OK), result.NotRunOverloaded)
 	guard.End()
 	_, err = guard.Begin(4)
-	is.True(errors.Is(err, platform.ErrLowerTerm))
+	is.True(errors.Is(err, hostapi.ErrLowerTerm))
 	n, err = guard.Begin(6)
 	is.NoErr(err)
 	is.Equal(n, 2)
@@ -151,7 +151,7 @@
 	f.Add([]byte(`{"term":1,"boot":"b1","deadline":9,"id":{"task":"t","attempt":2},"kind":"k","requests":{"milliCPU":9},"checkpoint":"cp:1:5:t","leaseExpiry":99999999999,"work":1000000}`))
 	f.Add([]byte(`{"boot":"b1","id":{"task":"t","attempt":1},"requests":{"milliCPU":9223372036854775807},"leaseExpiry":9223372036854775807,"work":9223372036854775807,"kind":"slow"}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var s platform.Start
+		var s hostapi.Start
 		if json.Unmarshal(data, &s) != nil {
 			return
 		}
@@ -160,12 +160,12 @@
 		first.Term = 0
 		is.New(t).NoErr(w.Start(0, first))
 		_ = w.Start(0, s)
-		var used platform.Resources
+		var used hostapi.Resources
 		for _, a := range w.Observe(time.Minute).Attempts {
 			if a.Progress < 0 || a.Progress > 1 {
 				t.Fatalf("progress %v", a.Progress)
 			}
-			if a.State == platform.AttemptRunning {
+			if a.State == hostapi.AttemptRunning {
 				used = used.Add(a.Requests)
 			}
 			if a.Requests.MilliCPU < 0 || !a.Requests.Fits(testCapacity) {
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -5,13 +5,13 @@
 	"slices"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // stream is one stream of the log.
 type stream struct {
 	first   int64
-	records []platform.LogRecord
+	records []hostapi.LogRecord
 	// times holds the time of each record.
 	times []time.Duration
 }
@@ -26,7 +26,7 @@
 
 func (s *stream) append(now time.Duration, id string, data []byte) int64 {
 	offset := s.next()
-	s.records = append(s.records, platform.LogRecord{Offset: offset, ID: id, Data: slices.Clone(data)})
+	s.records = append(s.records, hostapi.LogRecord{Offset: offset, ID: id, Data: slices.Clone(data)})
 	s.times = append(s.times, now)
 	return offset
 }
@@ -56,10 +56,10 @@
 	}
 }
 
-func (s *stream) read(from int64, limit int) (platform.LogPage, error) {
-	page := platform.LogPage{First: s.first, Next: s.next()}
+func (s *stream) read(from int64, limit int) (hostapi.LogPage, error) {
+	page := hostapi.LogPage{First: s.first, Next: s.next()}
 	if from < s.first {
-		return page, fmt.Errorf("offset %d is below %d: %w", from, s.first, platform.ErrTruncated)
+		return page, fmt.Errorf("offset %d is below %d: %w", from, s.first, hostapi.ErrTruncated)
 	}
 	if from >= page.Next {
 		return page, nil
--- a/standin/topology.go
+++ b/standin/topology.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // MaxTopologyBytes bounds a topology document.
@@ -19,7 +19,7 @@
 )
 
 // DefaultCapacity is that of today's workers.
-var DefaultCapacity = platform.Resources{MilliCPU: 64_000, MemoryMiB: 256_000}
+var DefaultCapacity = hostapi.Resources{MilliCPU: 64_000, MemoryMiB: 256_000}
 
 // Topology describes what the stand-in runs.
 type Topology struct {
--- a/standin/vmservice.go
+++ b/standin/vmservice.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
-// vmService is the platform.VMList with the real clock.
+// vmService is the hostapi.VMList with the real clock.
 type vmService struct {
 	platform *Platform
 
@@ -16,11 +16,11 @@
 	table *VMTable
 }
 
-var _ platform.VMList = (*vmService)(nil)
+var _ hostapi.VMList = (*vmService)(nil)
 
-// List implements platform.VMList.
-func (v *vmService) List(_ context.Context, dataCentre string) ([]platform.VM, error) {
-	var vms []platform.VM
+// List implements hostapi.VMList.
+func (v *vmService) List(_ context.Context, dataCentre string) ([]hostapi.VM, error) {
+	var vms []hostapi.VM
 	v.update(func(now time.Duration, table *VMTable) { vms = table.List(now, dataCentre) })
 	return vms, nil
 }
--- a/standin/vmtable.go
+++ b/standin/vmtable.go
@@ -5,23 +5,23 @@
 	"strings"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // VMTable is the list of VMs. What List returns lags behind Put and Remove. It
 // is not safe for concurrent use.
 type VMTable struct {
 	lag     time.Duration
-	present map[string]platform.VM
-	visible map[string]platform.VM
+	present map[string]hostapi.VM
+	visible map[string]hostapi.VM
 	// changes are those that are not visible yet, in the order of their times.
 	changes []vmChange
 	frozen  bool
 }
 
 // NewVMTable returns a list of vms, visible at once.
-func NewVMTable(vms []platform.VM, lag time.Duration) *VMTable {
-	t := &VMTable{lag: lag, present: make(map[string]platform.VM), visible: make(map[string]platform.VM)}
+func NewVMTable(vms []hostapi.VM, lag time.Duration) *VMTable {
+	t := &VMTable{lag: lag, present: make(map[string]hostapi.VM), visible: make(map[string]hostapi.VM)}
 	for _, vm := range vms {
 		t.present[vm.ID] = vm
 		t.visible[vm.ID] = vm
@@ -30,13 +30,13 @@
 }
 
 // Present returns a VM as it is now, without the lag.
-func (t *VMTable) Present(id string) (platform.VM, bool) {
+func (t *VMTable) Present(id string) (hostapi.VM, bool) {
 	vm, ok := t.present[id]
 	return vm, ok
 }
 
 // Put adds or replaces a VM.
-func (t *VMTable) Put(now time.Duration, vm platform.VM) {
+func (t *VMTable) Put(now time.Duration, vm hostapi.VM) {
 	t.present[vm.ID] = vm
 	t.changes = append(t.changes, vmChange{at: now, id: vm.ID, vm: &vm})
 }
@@ -55,15 +55,15 @@
 
 // List returns the VMs of a data centre, or of all if dataCentre is "", by id,
 // as they were one lag ago.
-func (t *VMTable) List(now time.Duration, dataCentre string) []platform.VM {
+func (t *VMTable) List(now time.Duration, dataCentre string) []hostapi.VM {
 	t.apply(now)
-	out := make([]platform.VM, 0, len(t.visible))
+	out := make([]hostapi.VM, 0, len(t.visible))
 	for _, vm := range t.visible {
 		if dataCentre == "" || vm.DataCentre == dataCentre {
 			out = append(out, vm)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b hostapi.VM) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 )
 
@@ -33,16 +33,16 @@
 }
 
 // Observe returns the worker's state.
-func (w *Worker) Observe(now time.Duration) platform.WorkerState {
+func (w *Worker) Observe(now time.Duration) hostapi.WorkerState {
 	w.advance(now)
-	state := platform.WorkerState{
+	state := hostapi.WorkerState{
 		Worker:   w.config.ID,
 		Boot:     w.config.Boot,
 		Clock:    w.clock,
 		Term:     w.term,
 		Capacity: w.config.Capacity,
-		Attempts: []platform.Attempt{},
-		Usage:    []platform.Usage{},
+		Attempts: []hostapi.Attempt{},
+		Usage:    []hostapi.Usage{},
 	}
 	for _, a := range w.attempts {
 		state.Attempts = append(state.Attempts, a.report)
@@ -55,10 +55,10 @@
 }
 
 // Fence raises the highest term.
-func (w *Worker) Fence(now time.Duration, term int64) (platform.WorkerState, error) {
+func (w *Worker) Fence(now time.Duration, term int64) (hostapi.WorkerState, error) {
 	w.advance(now)
 	if term < w.term {
-		return platform.WorkerState{}, fmt.Errorf("fence with term %d below %d: %w", term, w.term, platform.ErrLowerTerm)
+		return hostapi.WorkerState{}, fmt.Errorf("fence with term %d below %d: %w", term, w.term, hostapi.ErrLowerTerm)
 	}
 	w.term = term
 	return w.Observe(now), nil
@@ -66,7 +66,7 @@
 
 // Start starts an attempt. A start whose lease has already ended is refused
 // like one whose deadline has passed.
-func (w *Worker) Start(now time.Duration, s platform.Start) error {
+func (w *Worker) Start(now time.Duration, s hostapi.Start) error {
 	return w.command(now, s.Command, func() error {
 		if w.find(s.ID) != nil {
 			return nil
@@ -81,7 +81,7 @@
 
 // Renew extends leases of running attempts. Attempts that do not run here are
 // ignored, because an error would mean that no lease was extended.
-func (w *Worker) Renew(now time.Duration, c platform.Command, renewals []platform.Renewal) error {
+func (w *Worker) Renew(now time.Duration, c hostapi.Command, renewals []hostapi.Renewal) error {
 	return w.command(now, c, func() error {
 		for _, r := range renewals {
 			a := w.find(r.ID)
@@ -94,7 +94,7 @@
 }
 
 // Checkpoint saves the work of a running attempt and returns the checkpoint's name.
-func (w *Worker) Checkpoint(now time.Duration, c platform.Command, id platform.AttemptID) (string, error) {
+func (w *Worker) Checkpoint(now time.Duration, c hostapi.Command, id hostapi.AttemptID) (string, error) {
 	name := ""
 	err := w.command(now, c, func() error {
 		a, err := w.findRunning(id)
@@ -109,7 +109,7 @@
 }
 
 // Throttle limits a running attempt to a share of its processors, from 0 to 1.
-func (w *Worker) Throttle(now time.Duration, c platform.Command, id platform.AttemptID, share float64) error {
+func (w *Worker) Throttle(now time.Duration, c hostapi.Command, id hostapi.AttemptID, share float64) error {
 	if !(share >= 0 && share <= 1) {
 		return result.Errorf(result.BadResource, "share %v is not between 0 and 1", share)
 	}
@@ -125,8 +125,8 @@
 
 // Stop ends an attempt and returns its final report. An attempt that is not
 // known here is reported as stopped, and can't be started afterwards.
-func (w *Worker) Stop(now time.Duration, c platform.Command, id platform.AttemptID) (platform.Attempt, error) {
-	report := platform.Attempt{ID: id, State: platform.AttemptStopped}
+func (w *Worker) Stop(now time.Duration, c hostapi.Command, id hostapi.AttemptID) (hostapi.Attempt, error) {
+	report := hostapi.Attempt{ID: id, State: hostapi.AttemptStopped}
 	err := w.command(now, c, func() error {
 		w.highest[id.Task] = max(w.highest[id.Task], id.Attempt)
 		a := w.find(id)
@@ -134,7 +134,7 @@
 			return nil
 		}
 		if a.running() {
-			w.end(a, platform.AttemptStopped, "")
+			w.end(a, hostapi.AttemptStopped, "")
 		}
 		report = a.report
 		return nil
@@ -144,7 +144,7 @@
 
 // Forget removes the report of an ended attempt. An attempt that is not known
 // is no error, because the command may be a repeat.
-func (w *Worker) Forget(now time.Duration, c platform.Command, id platform.AttemptID) error {
+func (w *Worker) Forget(now time.Duration, c hostapi.Command, id hostapi.AttemptID) error {
 	return w.command(now, c, func() error {
 		a := w.find(id)
 		if a == nil {
@@ -187,16 +187,16 @@
 
 // command runs a command if its boot id, term and deadline allow it. A refused
 // command does not raise the worker's term.
-func (w *Worker) command(now time.Duration, c platform.Command, run func() error) error {
+func (w *Worker) command(now time.Duration, c hostapi.Command, run func() error) error {
 	w.advance(now)
 	if c.Boot != w.config.Boot {
-		return fmt.Errorf("boot id %q is not %q: %w", c.Boot, w.config.Boot, platform.ErrOtherBoot)
+		return fmt.Errorf("boot id %q is not %q: %w", c.Boot, w.config.Boot, hostapi.ErrOtherBoot)
 	}
 	if c.Term < w.term {
-		return fmt.Errorf("term %d is below %d: %w", c.Term, w.term, platform.ErrLowerTerm)
+		return fmt.Errorf("term %d is below %d: %w", c.Term, w.term, hostapi.ErrLowerTerm)
 	}
 	if w.clock > c.Deadline {
-		return fmt.Errorf("deadline %v, clock %v: %w", c.Deadline, w.clock, platform.ErrDeadlinePassed)
+		return fmt.Errorf("deadline %v, clock %v: %w", c.Deadline, w.clock, hostapi.ErrDeadlinePassed)
 	}
 	err := run()
 	if err != nil {
@@ -207,29 +207,29 @@
 }
 
 // admit checks what a start needs beyond the checks of every command.
-func (w *Worker) admit(s platform.Start) error {
-	if s.ID.Task == "" || s.ID.Attempt < 1 || s.Work < 0 || !(platform.Resources{}).Fits(s.Requests) {
+func (w *Worker) admit(s hostapi.Start) error {
+	if s.ID.Task == "" || s.ID.Attempt < 1 || s.Work < 0 || !(hostapi.Resources{}).Fits(s.Requests) {
 		return result.Errorf(result.BadResource, "start of attempt %d of task %q is malformed", s.ID.Attempt, s.ID.Task)
 	}
 	if s.ID.Attempt <= w.highest[s.ID.Task] {
-		return fmt.Errorf("attempt %d of task %s, highest %d: %w", s.ID.Attempt, s.ID.Task, w.highest[s.ID.Task], platform.ErrOldAttempt)
+		return fmt.Errorf("attempt %d of task %s, highest %d: %w", s.ID.Attempt, s.ID.Task, w.highest[s.ID.Task], hostapi.ErrOldAttempt)
 	}
 	if s.LeaseExpiry <= w.clock {
-		return fmt.Errorf("lease ends at %v, clock %v: %w", s.LeaseExpiry, w.clock, platform.ErrDeadlinePassed)
+		return fmt.Errorf("lease ends at %v, clock %v: %w", s.LeaseExpiry, w.clock, hostapi.ErrDeadlinePassed)
 	}
 	// The request alone is compared first: a huge one would overflow the sum.
 	capacity := w.config.Capacity
 	if !s.Requests.Fits(capacity) || !w.requested().Add(s.Requests).Fits(capacity) {
-		return fmt.Errorf("task %s: %w", s.ID.Task, platform.ErrNoRoom)
+		return fmt.Errorf("task %s: %w", s.ID.Task, hostapi.ErrNoRoom)
 	}
 	return nil
 }
 
-func (w *Worker) launch(s platform.Start) error {
+func (w *Worker) launch(s hostapi.Start) error {
 	a := &attempt{
-		report: platform.Attempt{
+		report: hostapi.Attempt{
 			ID:          s.ID,
-			State:       platform.AttemptRunning,
+			State:       hostapi.AttemptRunning,
 			Kind:        s.Kind,
 			Requests:    s.Requests,
 			LeaseExpiry: s.LeaseExpiry,
@@ -258,7 +258,7 @@
 	return nil
 }
 
-func (w *Worker) end(a *attempt, state platform.AttemptState, message string) {
+func (w *Worker) end(a *attempt, state hostapi.AttemptState, message string) {
 	a.report.State = state
 	a.report.Message = message
 	w.record(a, w.term, "")
@@ -278,7 +278,7 @@
 	})
 }
 
-func (w *Worker) find(id platform.AttemptID) *attempt {
+func (w *Worker) find(id hostapi.AttemptID) *attempt {
 	for _, a := range w.attempts {
 		if a.report.ID == id {
 			return a
@@ -287,17 +287,17 @@
 	return nil
 }
 
-func (w *Worker) findRunning(id platform.AttemptID) (*attempt, error) {
+func (w *Worker) findRunning(id hostapi.AttemptID) (*attempt, error) {
 	a := w.find(id)
 	if a == nil || !a.running() {
-		return nil, fmt.Errorf("attempt %d of task %s: %w", id.Attempt, id.Task, platform.ErrNoAttempt)
+		return nil, fmt.Errorf("attempt %d of task %s: %w", id.Attempt, id.Task, hostapi.ErrNoAttempt)
 	}
 	return a, nil
 }
 
 // requested returns what the running attempts have requested.
-func (w *Worker) requested() platform.Resources {
-	var sum platform.Resources
+func (w *Worker) requested() hostapi.Resources {
+	var sum hostapi.Resources
 	for _, a := range w.attempts {
 		if a.running() {
 			sum = sum.Add(a.report.Requests)
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/result"
 	"github.com/cactusreel/cactusreel/standin"
 )
@@ -20,7 +20,7 @@
 	testLag  = 2 * time.Second
 )
 
-var testCapacity = platform.Resources{MilliCPU: 4000, MemoryMiB: 1000, Accelerators: 1}
+var testCapacity = hostapi.Resources{MilliCPU: 4000, MemoryMiB: 1000, Accelerators: 1}
 
 func newTestWorker(t *testing.T, kinds map[string]standin.KindSpec, pairs ...standin.Interference) *standin.Worker {
 	t.Helper()
@@ -32,23 +32,23 @@
 	}, 0)
 }
 
-func commandAt(term int64) platform.Command {
-	return platform.Command{Term: term, Boot: "b1", Deadline: math.MaxInt64}
+func commandAt(term int64) hostapi.Command {
+	return hostapi.Command{Term: term, Boot: "b1", Deadline: math.MaxInt64}
 }
 
-func attemptOf(task string, number int64) platform.AttemptID {
-	return platform.AttemptID{Task: task, Attempt: number}
+func attemptOf(task string, number int64) hostapi.AttemptID {
+	return hostapi.AttemptID{Task: task, Attempt: number}
 }
 
 // startOf returns a start of one core with a far lease.
-func startOf(task string, number int64, work time.Duration) platform.Start {
-	return platform.Start{
+func startOf(task string, number int64, work time.Duration) hostapi.Start {
+	return hostapi.Start{
 		Command: commandAt(1), ID: attemptOf(task, number), Kind: "batch",
-		Requests: platform.Resources{MilliCPU: 1000, MemoryMiB: 100}, LeaseExpiry: farLease, Work: work,
+		Requests: hostapi.Resources{MilliCPU: 1000, MemoryMiB: 100}, LeaseExpiry: farLease, Work: work,
 	}
 }
 
-func reportOf(t *testing.T, w *standin.Worker, now time.Duration, id platform.AttemptID) platform.Attempt {
+func reportOf(t *testing.T, w *standin.Worker, now time.Duration, id hostapi.AttemptID) hostapi.Attempt {
 	t.Helper()
 	for _, a := range w.Observe(now).Attempts {
 		if a.ID == id {
@@ -56,7 +56,7 @@
 		}
 	}
 	t.Fatalf("attempt %v is not reported", id)
-	return platform.Attempt{}
+	return hostapi.Attempt{}
 }
 
 // Guards against run times that depend on how often the worker is looked at.
@@ -74,8 +74,8 @@
 		events := w.Drain(time.Minute)
 		is.Equal(len(events), 4)
 		is.Equal(events[2].ID.Task, "a")
-		is.Equal(events[2].State, platform.AttemptCompleted)
-		is.Equal(events[3].State, platform.AttemptCompleted)
+		is.Equal(events[2].State, hostapi.AttemptCompleted)
+		is.Equal(events[3].State, hostapi.AttemptCompleted)
 		for i, want := range []time.Duration{10 * time.Second, 20 * time.Second} {
 			is.True((events[2+i].At - want).Abs() < 10*time.Microsecond) // rounding of the steps only
 		}
@@ -91,18 +91,18 @@
 	s.LeaseExpiry = 10 * time.Second
 	is.NoErr(w.Start(0, s))
 	renew := func(now, expiry time.Duration) {
-		is.NoErr(w.Renew(now, commandAt(1), []platform.Renewal{{ID: attemptOf("other", 1), LeaseExpiry: farLease}, {ID: s.ID, LeaseExpiry: expiry}}))
+		is.NoErr(w.Renew(now, commandAt(1), []hostapi.Renewal{{ID: attemptOf("other", 1), LeaseExpiry: farLease}, {ID: s.ID, LeaseExpiry: expiry}}))
 	}
 	renew(9*time.Second, 20*time.Second)
 	renew(10*time.Second, 15*time.Second) // lower than the present one: no change
 	renew(25*time.Second, farLease)       // late
-	is.Equal(reportOf(t, w, 26*time.Second, s.ID).State, platform.AttemptLapsed)
+	is.Equal(reportOf(t, w, 26*time.Second, s.ID).State, hostapi.AttemptLapsed)
 	events := w.Drain(26 * time.Second)
 	is.Equal(events[1].At, 20*time.Second)
 
 	s.ID.Attempt = 2
 	s.LeaseExpiry = 26 * time.Second
-	is.True(errors.Is(w.Start(26*time.Second, s), platform.ErrDeadlinePassed))
+	is.True(errors.Is(w.Start(26*time.Second, s), hostapi.ErrDeadlinePassed))
 }
 
 // Guards against commands that take effect although their boot id, term or
@@ -113,15 +113,15 @@
 	_, err := w.Fence(0, 5)
 	is.NoErr(err)
 	_, err = w.Fence(0, 4)
-	is.True(errors.Is(err, platform.ErrLowerTerm))
+	is.True(errors.Is(err, hostapi.ErrLowerTerm))
 	id := attemptOf("a", 1)
 	for _, c := range []struct {
-		command platform.Command
+		command hostapi.Command
 		want    error
 	}{
-		{platform.Command{Term: 4, Boot: "b1", Deadline: time.Hour}, platform.ErrLowerTerm},
-		{platform.Command{Term: 9, Boot: "b0", Deadline: time.Hour}, platform.ErrOtherBoot},
-		{platform.Command{Term: 9, Boot: "b1", Deadline: time.Second}, platform.ErrDeadlinePassed},
+		{hostapi.Command{Term: 4, Boot: "b1", Deadline: time.Hour}, hostapi.ErrLowerTerm},
+		{hostapi.Command{Term: 9, Boot: "b0", Deadline: time.Hour}, hostapi.ErrOtherBoot},
+		{hostapi.Command{Term: 9, Boot: "b1", Deadline: time.Second}, hostapi.ErrDeadlinePassed},
 	} {
 		s := startOf("a", 1, time.Second)
 		s.Command = c.command
@@ -140,10 +140,10 @@
 	s := startOf("a", 1, time.Second)
 	s.Command = commandAt(9)
 	s.Requests.MilliCPU = testCapacity.MilliCPU + 1
-	is.True(errors.Is(w.Start(2*time.Second, s), platform.ErrNoRoom))
+	is.True(errors.Is(w.Start(2*time.Second, s), hostapi.ErrNoRoom))
 	is.Equal(w.Observe(2*time.Second).Term, int64(5))
 	_, err = w.Checkpoint(2*time.Second, commandAt(9), id)
-	is.True(errors.Is(err, platform.ErrNoAttempt))
+	is.True(errors.Is(err, hostapi.ErrNoAttempt))
 }
 
 // Guards against a worker that takes more than its capacity, or does not give
@@ -154,11 +154,11 @@
 	for i := range 4 {
 		is.NoErr(w.Start(0, startOf(fmt.Sprint(i), 1, time.Duration(i+1)*time.Minute)))
 	}
-	is.True(errors.Is(w.Start(0, startOf("x", 1, time.Second)), platform.ErrNoRoom))
+	is.True(errors.Is(w.Start(0, startOf("x", 1, time.Second)), hostapi.ErrNoRoom))
 	is.NoErr(w.Start(time.Minute, startOf("x", 1, time.Second))) // the first has completed
 	big := startOf("y", 1, time.Second)
-	big.Requests = platform.Resources{Accelerators: 2}
-	is.True(errors.Is(w.Start(time.Minute, big), platform.ErrNoRoom))
+	big.Requests = hostapi.Resources{Accelerators: 2}
+	is.True(errors.Is(w.Start(time.Minute, big), hostapi.ErrNoRoom))
 }
 
 // Guards against an attempt that runs a second time on one worker, or starts
@@ -168,21 +168,21 @@
 	w := newTestWorker(t, nil)
 	is.NoErr(w.Start(0, startOf("a", 2, time.Second)))
 	is.NoErr(w.Start(0, startOf("a", 2, time.Second))) // the same start
-	is.True(errors.Is(w.Start(0, startOf("a", 1, time.Second)), platform.ErrOldAttempt))
+	is.True(errors.Is(w.Start(0, startOf("a", 1, time.Second)), hostapi.ErrOldAttempt))
 	is.Equal(result.CodeOf(w.Forget(0, commandAt(1), attemptOf("a", 2)), result.OK), result.WorkerRefused)
 	is.NoErr(w.Start(time.Minute, startOf("a", 2, time.Second))) // has completed: still the same start
 	is.NoErr(w.Forget(time.Minute, commandAt(1), attemptOf("a", 2)))
 	is.NoErr(w.Forget(time.Minute, commandAt(1), attemptOf("a", 2)))
-	is.True(errors.Is(w.Start(time.Minute, startOf("a", 2, time.Second)), platform.ErrOldAttempt))
+	is.True(errors.Is(w.Start(time.Minute, startOf("a", 2, time.Second)), hostapi.ErrOldAttempt))
 
 	report, err := w.Stop(time.Minute, commandAt(1), attemptOf("b", 1))
 	is.NoErr(err)
-	is.Equal(report, platform.Attempt{ID: attemptOf("b", 1), State: platform.AttemptStopped})
-	is.True(errors.Is(w.Start(time.Minute, startOf("b", 1, time.Second)), platform.ErrOldAttempt))
+	is.Equal(report, hostapi.Attempt{ID: attemptOf("b", 1), State: hostapi.AttemptStopped})
+	is.True(errors.Is(w.Start(time.Minute, startOf("b", 1, time.Second)), hostapi.ErrOldAttempt))
 	is.NoErr(w.Start(time.Minute, startOf("b", 2, time.Hour)))
 	report, err = w.Stop(2*time.Minute, commandAt(1), attemptOf("b", 2))
 	is.NoErr(err)
-	is.Equal(report.State, platform.AttemptStopped)
+	is.Equal(report.State, hostapi.AttemptStopped)
 	is.Equal(len(w.Drain(2*time.Minute)), 4) // two starts, two ends
 }
 
@@ -202,7 +202,7 @@
 	events := second.Drain(time.Minute)
 	is.Equal(events[0].Resumed, name)
 	is.Equal(events[0].Done, 4*time.Second)
-	is.Equal(events[1].State, platform.AttemptCompleted)
+	is.Equal(events[1].State, hostapi.AttemptCompleted)
 	is.Equal(events[1].At, 6*time.Second)
 
 	for _, bad := range []string{"x", "cp:1:5:other", "cp:3:5:j/1/0", "cp:1:-5:j/1/0", "cp:a:5:j/1/0"} {
@@ -223,7 +223,7 @@
 	noisy.Requests.MilliCPU = 3000 // full load: "batch" takes twice as long
 	is.NoErr(w.Start(4*time.Second, noisy))
 	is.Equal(w.ServiceSlowdown(4*time.Second), 1.0) // the pair is ordered
-	usageOf := func(now time.Duration) platform.Usage { return w.Observe(now).Usage[0] }
+	usageOf := func(now time.Duration) hostapi.Usage { return w.Observe(now).Usage[0] }
 	is.Equal(usageOf(5*time.Second).Slowdown, 1.0)
 	is.Equal(len(usageOf(5*time.Second).Colocated), 0)
 	late := usageOf(6*time.Second + 600*time.Millisecond)
@@ -238,8 +238,8 @@
 	is.NoErr(w.Throttle(8*time.Second, commandAt(1), noisy.ID, 0))
 	is.NoErr(w.Throttle(8*time.Second, commandAt(1), attemptOf("a", 1), 0.25))
 	is.Equal(reportOf(t, w, 8*time.Second, attemptOf("a", 1)).Progress, 0.6)
-	is.Equal(reportOf(t, w, 23*time.Second, attemptOf("a", 1)).State, platform.AttemptRunning)
-	is.Equal(reportOf(t, w, 24*time.Second, attemptOf("a", 1)).State, platform.AttemptCompleted)
+	is.Equal(reportOf(t, w, 23*time.Second, attemptOf("a", 1)).State, hostapi.AttemptRunning)
+	is.Equal(reportOf(t, w, 24*time.Second, attemptOf("a", 1)).State, hostapi.AttemptCompleted)
 	is.Equal(result.CodeOf(w.Throttle(25*time.Second, commandAt(1), noisy.ID, math.NaN()), result.OK), result.BadResource)
 }
 
@@ -252,12 +252,12 @@
 	s.Kind = "broken"
 	is.NoErr(w.Start(0, s))
 	is.NoErr(w.Start(0, startOf("b", 1, time.Minute)))
-	is.Equal(reportOf(t, w, 5*time.Second, s.ID).State, platform.AttemptFailed)
+	is.Equal(reportOf(t, w, 5*time.Second, s.ID).State, hostapi.AttemptFailed)
 	is.Equal(w.Drain(5 * time.Second)[2].At, 3*time.Second)
 	w.SetFailing(5*time.Second, true)
 	is.NoErr(w.Start(5*time.Second, startOf("c", 1, 10*time.Second)))
-	is.Equal(reportOf(t, w, 6*time.Second, attemptOf("c", 1)).State, platform.AttemptFailed)
-	is.Equal(reportOf(t, w, 6*time.Second, attemptOf("b", 1)).State, platform.AttemptRunning)
+	is.Equal(reportOf(t, w, 6*time.Second, attemptOf("c", 1)).State, hostapi.AttemptFailed)
+	is.Equal(reportOf(t, w, 6*time.Second, attemptOf("b", 1)).State, hostapi.AttemptRunning)
 	w.Drain(6 * time.Second)
 	w.Crash(7 * time.Second)
 	events := w.Drain(7 * time.Second)
@@ -283,11 +283,11 @@
 			case 2:
 				_, _ = w.Stop(now, s.Command, s.ID)
 			case 3:
-				_ = w.Renew(now, s.Command, []platform.Renewal{{ID: s.ID, LeaseExpiry: s.LeaseExpiry}})
+				_ = w.Renew(now, s.Command, []hostapi.Renewal{{ID: s.ID, LeaseExpiry: s.LeaseExpiry}})
 			}
-			var used platform.Resources
+			var used hostapi.Resources
 			for _, a := range w.Observe(now).Attempts {
-				if a.State != platform.AttemptRunning {
+				if a.State != hostapi.AttemptRunning {
 					continue
 				}
 				used = used.Add(a.Requests)
@@ -307,12 +307,12 @@
 // the order of times.
 func checkEvents(t *testing.T, seed uint64, events []standin.AttemptEvent) {
 	t.Helper()
-	states := make(map[platform.AttemptID]platform.AttemptState)
+	states := make(map[hostapi.AttemptID]hostapi.AttemptState)
 	last := time.Duration(0)
 	for _, e := range events {
 		before, known := states[e.ID]
-		starts := e.State == platform.AttemptRunning
-		if starts == known || !starts && before != platform.AttemptRunning || e.At < last {
+		starts := e.State == hostapi.AttemptRunning
+		if starts == known || !starts && before != hostapi.AttemptRunning || e.At < last {
 			t.Fatalf("seed %d: event %+v after state %q", seed, e, before)
 		}
 		states[e.ID] = e.State
--- a/standin/workerconfig.go
+++ b/standin/workerconfig.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // WorkerConfig describes a simulated worker.
 type WorkerConfig struct {
 	ID       string
 	Boot     string
-	Capacity platform.Resources
+	Capacity hostapi.Resources
 	// UsageInterval is the time between two usage measurements.
 	UsageInterval time.Duration
 	// UsageLag is how long a measurement takes to be reported.
--- a/standin/workershape.go
+++ b/standin/workershape.go
@@ -1,14 +1,14 @@
 package standin
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // WorkerShape is the size of a worker.
 type WorkerShape struct {
-	Capacity    platform.Resources `json:"capacity"`
-	Slots       int                `json:"slots"`
-	Connections int                `json:"connections"`
+	Capacity    hostapi.Resources `json:"capacity"`
+	Slots       int               `json:"slots"`
+	Connections int               `json:"connections"`
 	// DriftPerMille is how much faster the worker's clock runs, in
 	// thousandths. Every second worker runs slower by as much.
 	DriftPerMille float64 `json:"driftPerMille,omitempty"`
