--- a/standin/workload.go
+++ b/standin/workload.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // advance brings the state up to now. Between two events (an attempt reaches
@@ -47,11 +47,11 @@
 		target := a.target()
 		switch {
 		case a.report.LeaseExpiry <= w.clock:
-			w.end(a, platform.AttemptLapsed, "lease ended")
+			w.end(a, hostapi.AttemptLapsed, "lease ended")
 		case target > 0 && a.done >= target && a.fails():
-			w.end(a, platform.AttemptFailed, "task failed")
+			w.end(a, hostapi.AttemptFailed, "task failed")
 		case target > 0 && a.done >= target:
-			w.end(a, platform.AttemptCompleted, "")
+			w.end(a, hostapi.AttemptCompleted, "")
 		}
 	}
 }
@@ -65,7 +65,7 @@
 			continue
 		}
 		factor := w.config.Kinds.usageFactor(a.report.Kind)
-		a.used = platform.Resources{
+		a.used = hostapi.Resources{
 			MilliCPU:     int64(float64(a.report.Requests.MilliCPU) * factor * a.report.Throttle),
 			MemoryMiB:    int64(float64(a.report.Requests.MemoryMiB) * factor),
 			Accelerators: a.report.Requests.Accelerators,
@@ -84,7 +84,7 @@
 }
 
 // slowdownOf returns how much the neighbours slow down a task of a kind.
-func (w *Worker) slowdownOf(id platform.AttemptID, kind string, load float64) float64 {
+func (w *Worker) slowdownOf(id hostapi.AttemptID, kind string, load float64) float64 {
 	slowdown := 1.0
 	for _, other := range w.attempts {
 		if other.running() && other.report.ID != id {
@@ -125,8 +125,8 @@
 	}
 }
 
-func (w *Worker) measure(a *attempt, at time.Duration, load float64) platform.Usage {
-	usage := platform.Usage{
+func (w *Worker) measure(a *attempt, at time.Duration, load float64) hostapi.Usage {
+	usage := hostapi.Usage{
 		ID:         a.report.ID,
 		MeasuredAt: at,
 		Colocated:  []string{},
--- a/tasks/action.go
+++ b/tasks/action.go
@@ -1,7 +1,7 @@
 package tasks
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -39,37 +39,37 @@
 
 // Start asks a worker to run an attempt. StartAnswered answers it.
 type Start struct {
-	Worker string         `json:"worker"`
-	Start  platform.Start `json:"start"`
+	Worker string        `json:"worker"`
+	Start  hostapi.Start `json:"start"`
 }
 
 // Renew extends leases on a worker. It needs no answer.
 type Renew struct {
-	Worker   string             `json:"worker"`
-	Command  platform.Command   `json:"command"`
-	Renewals []platform.Renewal `json:"renewals"`
+	Worker   string            `json:"worker"`
+	Command  hostapi.Command   `json:"command"`
+	Renewals []hostapi.Renewal `json:"renewals"`
 }
 
 // Checkpoint asks a worker for a checkpoint. CheckpointAnswered answers it.
 type Checkpoint struct {
-	Worker  string             `json:"worker"`
-	Command platform.Command   `json:"command"`
-	ID      platform.AttemptID `json:"id"`
+	Worker  string            `json:"worker"`
+	Command hostapi.Command   `json:"command"`
+	ID      hostapi.AttemptID `json:"id"`
 }
 
 // Stop asks a worker to end an attempt. StopAnswered answers it.
 type Stop struct {
-	Worker  string             `json:"worker"`
-	Command platform.Command   `json:"command"`
-	ID      platform.AttemptID `json:"id"`
+	Worker  string            `json:"worker"`
+	Command hostapi.Command   `json:"command"`
+	ID      hostapi.AttemptID `json:"id"`
 }
 
 // Forget asks a worker to drop the report of an ended attempt, after Ended
 // has been read back. It needs no answer.
 type Forget struct {
-	Worker  string             `json:"worker"`
-	Command platform.Command   `json:"command"`
-	ID      platform.AttemptID `json:"id"`
+	Worker  string            `json:"worker"`
+	Command hostapi.Command   `json:"command"`
+	ID      hostapi.AttemptID `json:"id"`
 }
 
 // OfferMove offers a task to the owner of the cell To. It is repeated until
--- a/tasks/advance.go
+++ b/tasks/advance.go
@@ -1,7 +1,7 @@
 package tasks
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -84,7 +84,7 @@
 	}
 }
 
-func (m *Machine) forget(w *worker, id platform.AttemptID) {
+func (m *Machine) forget(w *worker, id hostapi.AttemptID) {
 	if command, ok := m.command(w, w.boot); ok {
 		m.emit(Forget{Worker: w.id, Command: command, ID: id})
 	}
--- a/tasks/event.go
+++ b/tasks/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
@@ -58,8 +58,8 @@
 type Worker struct {
 	ID string `json:"id"`
 	// Leaving workers take no new attempts.
-	Leaving  bool               `json:"leaving,omitempty"`
-	Capacity platform.Resources `json:"capacity"`
+	Leaving  bool              `json:"leaving,omitempty"`
+	Capacity hostapi.Resources `json:"capacity"`
 }
 
 // Owned says that this VM owns the cell with a new term.
@@ -101,7 +101,7 @@
 	Worker string `json:"worker"`
 	// Requests is what to reserve, which can differ from the declared need; the
 	// zero value stands for the declared need.
-	Requests platform.Resources `json:"requests,omitzero"`
+	Requests hostapi.Resources `json:"requests,omitzero"`
 }
 
 // EvictRequested asks to evict a running attempt.
@@ -127,14 +127,14 @@
 // Observed brings a worker's answer to Observe or Fence.
 type Observed struct {
 	// SentAt is the local time before the question was sent.
-	SentAt time.Duration        `json:"sentAt"`
-	State  platform.WorkerState `json:"state"`
+	SentAt time.Duration       `json:"sentAt"`
+	State  hostapi.WorkerState `json:"state"`
 }
 
 // StartAnswered brings the answer to Start.
 type StartAnswered struct {
-	Worker string             `json:"worker"`
-	ID     platform.AttemptID `json:"id"`
+	Worker string            `json:"worker"`
+	ID     hostapi.AttemptID `json:"id"`
 	// Refused means that the worker answered that the start had no effect.
 	// An unknown outcome is not reported; the machine repeats the start.
 	Refused bool `json:"refused,omitempty"`
@@ -142,16 +142,16 @@
 
 // CheckpointAnswered brings the answer to Checkpoint.
 type CheckpointAnswered struct {
-	ID platform.AttemptID `json:"id"`
+	ID hostapi.AttemptID `json:"id"`
 	// Name is the checkpoint, or "" if none could be made.
 	Name string `json:"name,omitempty"`
 }
 
 // StopAnswered brings the final report that answers Stop.
 type StopAnswered struct {
-	Worker string           `json:"worker"`
-	Boot   string           `json:"boot"`
-	Report platform.Attempt `json:"report"`
+	Worker string          `json:"worker"`
+	Boot   string          `json:"boot"`
+	Report hostapi.Attempt `json:"report"`
 }
 
 // MoveOffered is another cell's offer of a task.
--- a/tasks/example_test.go
+++ b/tasks/example_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/tasks"
 )
 
@@ -17,7 +17,7 @@
 		Name:        "reports",
 		Created:     7,
 		Count:       2,
-		Requests:    platform.Resources{MilliCPU: 1000, MemoryMiB: 100},
+		Requests:    hostapi.Resources{MilliCPU: 1000, MemoryMiB: 100},
 		DataCentres: []tasks.DataCentre{{Name: "giza", Cells: 1}},
 	}
 	machine.Step(time.Second, tasks.WorkChanged{Work: work})
--- a/tasks/lease.go
+++ b/tasks/lease.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -44,14 +44,14 @@
 	}
 }
 
-func (m *Machine) renewals(w *worker) []platform.Renewal {
-	var renewals []platform.Renewal
+func (m *Machine) renewals(w *worker) []hostapi.Renewal {
+	var renewals []hostapi.Renewal
 	for _, id := range m.sorted() {
 		t := m.tasks[id]
 		if !t.live || t.worker != w.id || t.boot != w.boot || !t.started || t.ended != nil || t.inFlight.GetEnded() != nil {
 			continue
 		}
-		renewals = append(renewals, platform.Renewal{ID: t.attemptID(), LeaseExpiry: m.leaseExpiry(w)})
+		renewals = append(renewals, hostapi.Renewal{ID: t.attemptID(), LeaseExpiry: m.leaseExpiry(w)})
 		t.leaseEnd = max(t.leaseEnd, m.now+m.config.stretched(m.config.Lease))
 	}
 	return renewals
--- a/tasks/observe.go
+++ b/tasks/observe.go
@@ -1,7 +1,7 @@
 package tasks
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -18,7 +18,7 @@
 		// A newer owner has fenced the worker; its claim will be read.
 		return
 	}
-	w.strange = platform.Resources{}
+	w.strange = hostapi.Resources{}
 	listed := make(map[string]bool, len(e.State.Attempts))
 	for _, a := range e.State.Attempts {
 		m.reported(w, a)
@@ -43,12 +43,12 @@
 }
 
 // reported takes one attempt of a worker's list.
-func (m *Machine) reported(w *worker, a platform.Attempt) {
+func (m *Machine) reported(w *worker, a hostapi.Attempt) {
 	t := m.tasks[a.ID.Task]
 	switch {
 	case t != nil && t.runs(a.ID, w.id, w.boot):
 		m.reportedLive(t, w, a)
-	case a.State == platform.AttemptRunning:
+	case a.State == hostapi.AttemptRunning:
 		w.strange = w.strange.Add(a.Requests)
 		if m.open {
 			m.stopStrange(w, a.ID)
@@ -59,11 +59,11 @@
 }
 
 // reportedLive takes a worker's report of a live attempt.
-func (m *Machine) reportedLive(t *task, w *worker, a platform.Attempt) {
+func (m *Machine) reportedLive(t *task, w *worker, a hostapi.Attempt) {
 	if !w.fenced(m.ownTerm) {
 		return
 	}
-	if a.State != platform.AttemptRunning {
+	if a.State != hostapi.AttemptRunning {
 		m.reportedEnd(t, a)
 		return
 	}
@@ -76,7 +76,7 @@
 }
 
 // reportedEnd records the end that a worker reports.
-func (m *Machine) reportedEnd(t *task, a platform.Attempt) {
+func (m *Machine) reportedEnd(t *task, a hostapi.Attempt) {
 	m.finish(t, &recordpb.Ended{
 		Outcome:    m.outcome(t, a.State),
 		Checkpoint: a.Checkpoint,
@@ -86,16 +86,16 @@
 
 // outcome translates a worker's report. A replica of a service is never
 // complete: if it ends by itself it has failed.
-func (m *Machine) outcome(t *task, s platform.AttemptState) recordpb.Outcome {
+func (m *Machine) outcome(t *task, s hostapi.AttemptState) recordpb.Outcome {
 	switch s {
-	case platform.AttemptCompleted:
+	case hostapi.AttemptCompleted:
 		if w := m.work(t); w != nil && w.Kind == serviceKind {
 			return recordpb.Outcome_OUTCOME_FAILED
 		}
 		return completed
-	case platform.AttemptFailed:
+	case hostapi.AttemptFailed:
 		return recordpb.Outcome_OUTCOME_FAILED
-	case platform.AttemptStopped:
+	case hostapi.AttemptStopped:
 		return recordpb.Outcome_OUTCOME_STOPPED
 	}
 	return recordpb.Outcome_OUTCOME_LAPSED
--- a/tasks/place.go
+++ b/tasks/place.go
@@ -1,7 +1,7 @@
 package tasks
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -23,7 +23,7 @@
 		return
 	}
 	needs := e.Requests
-	if needs == (platform.Resources{}) {
+	if needs == (hostapi.Resources{}) {
 		needs = m.needs(t)
 	}
 	if !m.reserved()[w.id].Add(needs).Fits(w.capacity) {
@@ -66,10 +66,10 @@
 	m.sendStart(t)
 }
 
-func (m *Machine) newStart(t *task, w *worker) *platform.Start {
+func (m *Machine) newStart(t *task, w *worker) *hostapi.Start {
 	work := m.work(t)
-	start := &platform.Start{
-		Command: platform.Command{
+	start := &hostapi.Start{
+		Command: hostapi.Command{
 			Term:     m.ownTerm,
 			Boot:     t.boot,
 			Deadline: w.deadline(&m.config, m.placeUntil),
--- a/tasks/sim_test.go
+++ b/tasks/sim_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/cactusreel/cactusreel/api"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ownership"
-	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/tasks"
 )
 
@@ -169,7 +169,7 @@
 	for i := range 2 {
 		work := tasks.Work{
 			Kind: api.KindJob, Name: fmt.Sprintf("job%d", i), Created: api.Version(i + 2), Count: 8, MaxRetries: 50,
-			TaskKind: "batch", Requests: platform.Resources{MilliCPU: 1000, MemoryMiB: 500}, Run: time.Duration(10+20*i) * time.Second,
+			TaskKind: "batch", Requests: hostapi.Resources{MilliCPU: 1000, MemoryMiB: 500}, Run: time.Duration(10+20*i) * time.Second,
 			DataCentres: []tasks.DataCentre{{Name: "giza", Cells: simCells}},
 		}
 		if s.plan.Fast {
@@ -298,8 +298,8 @@
 	s.resources = append(s.resources, tasks.WorkChanged{Work: s.works[1]})
 }
 
-func sortAttempts(attempts []platform.Attempt) {
-	slices.SortFunc(attempts, func(a, b platform.Attempt) int {
+func sortAttempts(attempts []hostapi.Attempt) {
+	slices.SortFunc(attempts, func(a, b hostapi.Attempt) int {
 		return cmp.Or(cmp.Compare(a.ID.Task, b.ID.Task), cmp.Compare(a.ID.Attempt, b.ID.Attempt))
 	})
 }
--- a/tasks/simcheck_test.go
+++ b/tasks/simcheck_test.go
@@ -6,13 +6,13 @@
 	"slices"
 	"strings"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/tasks"
 )
 
 // startOn delivers a start and checks I3, I4 and I10 (a cancel in the log is
 // in effect everywhere after the freshness bound, and stays).
-func (s *sim) startOn(w *simWorker, start platform.Start) bool {
+func (s *sim) startOn(w *simWorker, start hostapi.Start) bool {
 	accepted, fresh := w.start(s.now, start)
 	if !fresh {
 		return accepted
@@ -39,9 +39,9 @@
 func (s *sim) check() {
 	runs := make(map[string]string)
 	for _, w := range s.workers {
-		var used platform.Resources
+		var used hostapi.Resources
 		for id, a := range w.attempts {
-			if a.State != platform.AttemptRunning || s.now < w.down {
+			if a.State != hostapi.AttemptRunning || s.now < w.down {
 				continue
 			}
 			used = used.Add(a.Requests)
--- a/tasks/simworker_test.go
+++ b/tasks/simworker_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // simWorker is a worker agent by the assumptions of design section 4. It does
@@ -21,25 +21,25 @@
 	mute time.Duration
 	// reaches is the only VM that can talk to the worker during a cut, or "".
 	reaches  string
-	attempts map[platform.AttemptID]*simAttempt
-	stopped  map[platform.AttemptID]bool
+	attempts map[hostapi.AttemptID]*simAttempt
+	stopped  map[hostapi.AttemptID]bool
 	newest   map[string]int64
 }
 
 type simAttempt struct {
-	platform.Attempt
+	hostapi.Attempt
 	work time.Duration
 	done time.Duration
 }
 
-var simCapacity = platform.Resources{MilliCPU: 2000, MemoryMiB: 2000}
+var simCapacity = hostapi.Resources{MilliCPU: 2000, MemoryMiB: 2000}
 
 func (w *simWorker) reboot(now time.Duration) {
 	w.boot++
 	w.birth = now
 	w.term = 0
-	w.attempts = make(map[platform.AttemptID]*simAttempt)
-	w.stopped = make(map[platform.AttemptID]bool)
+	w.attempts = make(map[hostapi.AttemptID]*simAttempt)
+	w.stopped = make(map[hostapi.AttemptID]bool)
 	w.newest = make(map[string]int64)
 }
 
@@ -49,8 +49,8 @@
 	return time.Hour + time.Duration(float64(now-w.birth)*w.rate)
 }
 
-func (w *simWorker) state(now time.Duration) platform.WorkerState {
-	s := platform.WorkerState{Worker: w.name, Boot: w.bootID(), Clock: w.clock(now), Term: w.term, Capacity: simCapacity}
+func (w *simWorker) state(now time.Duration) hostapi.WorkerState {
+	s := hostapi.WorkerState{Worker: w.name, Boot: w.bootID(), Clock: w.clock(now), Term: w.term, Capacity: simCapacity}
 	for _, a := range w.attempts {
 		s.Attempts = append(s.Attempts, a.Attempt)
 	}
@@ -59,7 +59,7 @@
 }
 
 // refuses applies the checks that all commands share.
-func (w *simWorker) refuses(now time.Duration, c platform.Command) bool {
+func (w *simWorker) refuses(now time.Duration, c hostapi.Command) bool {
 	if c.Term < w.term || c.Boot != w.bootID() || w.clock(now) > c.Deadline {
 		return true
 	}
@@ -68,7 +68,7 @@
 }
 
 // start reports whether the attempt is accepted and whether it is new.
-func (w *simWorker) start(now time.Duration, s platform.Start) (accepted, fresh bool) {
+func (w *simWorker) start(now time.Duration, s hostapi.Start) (accepted, fresh bool) {
 	if w.refuses(now, s.Command) || w.stopped[s.ID] || s.ID.Attempt < w.newest[s.ID.Task] {
 		return false, false
 	}
@@ -80,50 +80,50 @@
 	}
 	w.newest[s.ID.Task] = s.ID.Attempt
 	w.attempts[s.ID] = &simAttempt{
-		Attempt: platform.Attempt{ID: s.ID, State: platform.AttemptRunning, Requests: s.Requests, LeaseExpiry: s.LeaseExpiry},
+		Attempt: hostapi.Attempt{ID: s.ID, State: hostapi.AttemptRunning, Requests: s.Requests, LeaseExpiry: s.LeaseExpiry},
 		work:    s.Work,
 		done:    checkpointDone(s.Checkpoint),
 	}
 	return true, true
 }
 
-func (w *simWorker) renew(now time.Duration, c platform.Command, renewals []platform.Renewal) {
+func (w *simWorker) renew(now time.Duration, c hostapi.Command, renewals []hostapi.Renewal) {
 	if w.refuses(now, c) {
 		return
 	}
 	for _, r := range renewals {
-		if a := w.attempts[r.ID]; a != nil && a.State == platform.AttemptRunning {
+		if a := w.attempts[r.ID]; a != nil && a.State == hostapi.AttemptRunning {
 			a.LeaseExpiry = max(a.LeaseExpiry, r.LeaseExpiry)
 		}
 	}
 }
 
-func (w *simWorker) checkpoint(now time.Duration, c platform.Command, id platform.AttemptID) string {
+func (w *simWorker) checkpoint(now time.Duration, c hostapi.Command, id hostapi.AttemptID) string {
 	a := w.attempts[id]
-	if w.refuses(now, c) || a == nil || a.State != platform.AttemptRunning {
+	if w.refuses(now, c) || a == nil || a.State != hostapi.AttemptRunning {
 		return ""
 	}
 	a.Checkpoint = fmt.Sprintf("%s@%d", id.Task, a.done)
 	return a.Checkpoint
 }
 
-func (w *simWorker) stop(now time.Duration, c platform.Command, id platform.AttemptID) (platform.Attempt, bool) {
+func (w *simWorker) stop(now time.Duration, c hostapi.Command, id hostapi.AttemptID) (hostapi.Attempt, bool) {
 	if w.refuses(now, c) {
-		return platform.Attempt{}, false
+		return hostapi.Attempt{}, false
 	}
 	a := w.attempts[id]
 	if a == nil {
 		w.stopped[id] = true
-		return platform.Attempt{ID: id, State: platform.AttemptStopped}, true
+		return hostapi.Attempt{ID: id, State: hostapi.AttemptStopped}, true
 	}
-	if a.State == platform.AttemptRunning {
-		a.State = platform.AttemptStopped
+	if a.State == hostapi.AttemptRunning {
+		a.State = hostapi.AttemptStopped
 	}
 	return a.Attempt, true
 }
 
-func (w *simWorker) forget(now time.Duration, c platform.Command, id platform.AttemptID) {
-	if a := w.attempts[id]; a != nil && a.State != platform.AttemptRunning && !w.refuses(now, c) {
+func (w *simWorker) forget(now time.Duration, c hostapi.Command, id hostapi.AttemptID) {
+	if a := w.attempts[id]; a != nil && a.State != hostapi.AttemptRunning && !w.refuses(now, c) {
 		delete(w.attempts, id)
 	}
 }
@@ -132,17 +132,17 @@
 func (w *simWorker) run(now, step time.Duration, fail func() bool) {
 	for _, reported := range w.state(now).Attempts {
 		a := w.attempts[reported.ID]
-		if a.State != platform.AttemptRunning {
+		if a.State != hostapi.AttemptRunning {
 			continue
 		}
 		a.done += step
 		switch {
 		case w.clock(now) >= a.LeaseExpiry:
-			a.State = platform.AttemptLapsed
+			a.State = hostapi.AttemptLapsed
 		case a.done >= a.work:
-			a.State = platform.AttemptCompleted
+			a.State = hostapi.AttemptCompleted
 		case fail():
-			a.State = platform.AttemptFailed
+			a.State = hostapi.AttemptFailed
 		}
 	}
 }
--- a/tasks/stop.go
+++ b/tasks/stop.go
@@ -1,7 +1,7 @@
 package tasks
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -20,7 +20,7 @@
 }
 
 // stopStrange stops an attempt that the cell's stream does not know as live.
-func (m *Machine) stopStrange(w *worker, id platform.AttemptID) {
+func (m *Machine) stopStrange(w *worker, id hostapi.AttemptID) {
 	if command, ok := m.command(w, w.boot); ok {
 		m.emit(Stop{Worker: w.id, Command: command, ID: id})
 	}
@@ -31,7 +31,7 @@
 	if t == nil || !m.owned || !t.runs(e.Report.ID, e.Worker, e.Boot) {
 		return
 	}
-	if e.Report.State != platform.AttemptRunning {
+	if e.Report.State != hostapi.AttemptRunning {
 		m.reportedEnd(t, e.Report)
 	}
 }
--- a/tasks/task.go
+++ b/tasks/task.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -27,7 +27,7 @@
 	worker     string
 	boot       string
 	placedTerm int64
-	requests   platform.Resources
+	requests   hostapi.Resources
 	evicting   bool
 	// to is the target of a wanted or recorded move, or nil.
 	to         *recordpb.Cell
@@ -48,7 +48,7 @@
 	// ended is the end of the live attempt that is to be recorded.
 	ended *recordpb.Ended
 
-	start         *platform.Start
+	start         *hostapi.Start
 	startAt       time.Duration
 	startAnswered bool
 	// started means that the worker has answered the start or listed the
@@ -74,8 +74,8 @@
 }
 
 // attemptID names the last placed attempt.
-func (t *task) attemptID() platform.AttemptID {
-	return platform.AttemptID{Task: t.id, Attempt: t.attempt}
+func (t *task) attemptID() hostapi.AttemptID {
+	return hostapi.AttemptID{Task: t.id, Attempt: t.attempt}
 }
 
 // here reports whether the task belongs to this cell.
@@ -85,6 +85,6 @@
 
 // runs reports whether the attempt named is the live one of this task on a
 // worker.
-func (t *task) runs(id platform.AttemptID, worker, boot string) bool {
+func (t *task) runs(id hostapi.AttemptID, worker, boot string) bool {
 	return t.live && t.attempt == id.Attempt && t.worker == worker && t.boot == boot
 }
--- a/tasks/unit_test.go
+++ b/tasks/unit_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 	"github.com/cactusreel/cactusreel/tasks"
@@ -30,13 +30,13 @@
 	b := &bench{now: time.Minute, clock: time.Hour}
 	b.work = tasks.Work{
 		Kind: api.KindJob, Name: "job", Created: 2, Count: 1, MaxRetries: 1, Run: time.Minute,
-		Requests: platform.Resources{MilliCPU: 1000}, DataCentres: []tasks.DataCentre{{Name: "giza", Cells: 1}},
+		Requests: hostapi.Resources{MilliCPU: 1000}, DataCentres: []tasks.DataCentre{{Name: "giza", Cells: 1}},
 	}
 	b.Machine = tasks.New(tasks.DefaultConfig("vm", "giza", 0))
 	b.do(tasks.PlacingChanged{Allowed: true})
 	b.do(tasks.WorkChanged{Work: b.work})
 	b.do(tasks.WorkThrough{Version: 2})
-	b.do(tasks.WorkersListed{Workers: []tasks.Worker{{ID: "w", Capacity: platform.Resources{MilliCPU: 1500}}}})
+	b.do(tasks.WorkersListed{Workers: []tasks.Worker{{ID: "w", Capacity: hostapi.Resources{MilliCPU: 1500}}}})
 	b.do(tasks.AuthorityChanged{PlaceUntil: time.Hour, RenewUntil: time.Hour})
 	b.do(owned)
 	b.readBack()
@@ -67,11 +67,11 @@
 }
 
 // observe lets time pass and brings the worker's list.
-func (b *bench) observe(step time.Duration, attempts ...platform.Attempt) {
+func (b *bench) observe(step time.Duration, attempts ...hostapi.Attempt) {
 	b.now += step
 	b.clock += step
-	b.do(tasks.Observed{SentAt: b.now, State: platform.WorkerState{
-		Worker: "w", Boot: "b", Clock: b.clock, Term: 9, Capacity: platform.Resources{MilliCPU: 1500}, Attempts: attempts,
+	b.do(tasks.Observed{SentAt: b.now, State: hostapi.WorkerState{
+		Worker: "w", Boot: "b", Clock: b.clock, Term: 9, Capacity: hostapi.Resources{MilliCPU: 1500}, Attempts: attempts,
 	}})
 }
 
@@ -89,8 +89,8 @@
 	return false
 }
 
-func attempt(number int64, state platform.AttemptState) platform.Attempt {
-	return platform.Attempt{ID: platform.AttemptID{Task: benchTask, Attempt: number}, State: state, LeaseExpiry: 2 * time.Hour}
+func attempt(number int64, state hostapi.AttemptState) hostapi.Attempt {
+	return hostapi.Attempt{ID: hostapi.AttemptID{Task: benchTask, Attempt: number}, State: state, LeaseExpiry: 2 * time.Hour}
 }
 
 // Guards against a start after the cancel was read, and against a second
@@ -115,14 +115,14 @@
 	b.do(tasks.PlacementDecided{Task: benchTask, Worker: "w"})
 	b.readBack()
 	is.True(did[tasks.Start](b))
-	b.observe(time.Second, attempt(1, platform.AttemptRunning))
+	b.observe(time.Second, attempt(1, hostapi.AttemptRunning))
 	b.do(tasks.EvictRequested{Task: benchTask, Attempt: 1})
 	b.readBack()
 	is.Equal(b.status(), tasks.StatusEvicting)
 	is.True(did[tasks.Checkpoint](b))
-	b.observe(time.Second, attempt(1, platform.AttemptCompleted))
-	b.do(tasks.CheckpointAnswered{ID: platform.AttemptID{Task: benchTask, Attempt: 1}, Name: "late"})
-	b.do(tasks.StopAnswered{Worker: "w", Boot: "b", Report: attempt(1, platform.AttemptStopped)})
+	b.observe(time.Second, attempt(1, hostapi.AttemptCompleted))
+	b.do(tasks.CheckpointAnswered{ID: hostapi.AttemptID{Task: benchTask, Attempt: 1}, Name: "late"})
+	b.do(tasks.StopAnswered{Worker: "w", Boot: "b", Report: attempt(1, hostapi.AttemptStopped)})
 	b.readBack()
 	is.True(did[tasks.Forget](b))
 	view, _ := b.Task(benchTask)
@@ -137,7 +137,7 @@
 	b := newBench(tasks.Owned{Term: 9})
 	b.do(tasks.PlacementDecided{Task: benchTask, Worker: "w"})
 	b.readBack()
-	b.observe(time.Second, attempt(1, platform.AttemptRunning))
+	b.observe(time.Second, attempt(1, hostapi.AttemptRunning))
 	b.observe(0)
 	is.Equal(b.status(), tasks.StatusPlaced)
 	is.Equal(len(b.pending), 0)
@@ -154,7 +154,7 @@
 		is.Equal(b.status(), tasks.StatusPending)
 		b.do(tasks.PlacementDecided{Task: benchTask, Worker: "w"})
 		b.readBack()
-		b.observe(time.Second, attempt(number, platform.AttemptFailed))
+		b.observe(time.Second, attempt(number, hostapi.AttemptFailed))
 		b.readBack()
 	}
 	is.Equal(b.status(), tasks.StatusFailed)
@@ -186,16 +186,16 @@
 	b.do(tasks.WorkChanged{Work: b.work})
 	b.do(tasks.PlacementDecided{Task: benchTask, Worker: "w"})
 	b.readBack()
-	b.observe(time.Second, attempt(1, platform.AttemptCompleted))
+	b.observe(time.Second, attempt(1, hostapi.AttemptCompleted))
 	b.readBack()
 	is.Equal(b.status(), tasks.StatusPending)
 	b.do(tasks.PlacementDecided{Task: benchTask, Worker: "w"})
 	b.readBack()
-	b.observe(time.Second, attempt(2, platform.AttemptRunning))
+	b.observe(time.Second, attempt(2, hostapi.AttemptRunning))
 	b.work.Count = 0
 	b.do(tasks.WorkChanged{Work: b.work})
 	is.True(did[tasks.Stop](b))
-	b.do(tasks.StopAnswered{Worker: "w", Boot: "b", Report: attempt(2, platform.AttemptStopped)})
+	b.do(tasks.StopAnswered{Worker: "w", Boot: "b", Report: attempt(2, hostapi.AttemptStopped)})
 	b.readBack()
 	is.Equal(b.status(), tasks.StatusSurplus)
 	b.work.Count = 1
--- a/tasks/view.go
+++ b/tasks/view.go
@@ -1,7 +1,7 @@
 package tasks
 
 import (
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -44,7 +44,7 @@
 	Outcome  recordpb.Outcome `json:"outcome,omitempty"`
 	Message  string           `json:"message,omitempty"`
 	// Requests is what the live attempt reserves, or what the next one needs.
-	Requests platform.Resources `json:"requests"`
+	Requests hostapi.Resources `json:"requests"`
 	// InFlight means that a record about the task awaits its read-back.
 	InFlight bool `json:"inFlight,omitempty"`
 }
@@ -53,12 +53,12 @@
 type WorkerView struct {
 	ID string `json:"id"`
 	// Ready means that attempts can be placed on it.
-	Ready    bool               `json:"ready"`
-	Leaving  bool               `json:"leaving,omitempty"`
-	Boot     string             `json:"boot,omitempty"`
-	Capacity platform.Resources `json:"capacity"`
+	Ready    bool              `json:"ready"`
+	Leaving  bool              `json:"leaving,omitempty"`
+	Boot     string            `json:"boot,omitempty"`
+	Capacity hostapi.Resources `json:"capacity"`
 	// Reserved is the sum of all attempts that run or may run on it.
-	Reserved platform.Resources `json:"reserved"`
+	Reserved hostapi.Resources `json:"reserved"`
 }
 
 // Tasks returns all tasks of the cell in ascending order of id.
--- a/tasks/work.go
+++ b/tasks/work.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/api"
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // Work is a declared job or service as far as its tasks need it.
@@ -22,9 +22,9 @@
 	Cancelled bool `json:"cancelled,omitempty"`
 	// MaxRetries bounds the failed attempts of each task of a job; a task
 	// that failed more often is StatusFailed. It is ignored for services.
-	MaxRetries int                `json:"maxRetries,omitempty"`
-	TaskKind   string             `json:"taskKind"`
-	Requests   platform.Resources `json:"requests"`
+	MaxRetries int               `json:"maxRetries,omitempty"`
+	TaskKind   string            `json:"taskKind"`
+	Requests   hostapi.Resources `json:"requests"`
 	// Run is the declared run time of a task; 0 runs until stopped.
 	Run time.Duration `json:"run,omitempty"`
 	// DataCentres are those in service at version Created, in any order.
--- a/tasks/worker.go
+++ b/tasks/worker.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // worker is a worker of the cell as its owner knows it.
@@ -14,7 +14,7 @@
 	id       string
 	listed   bool
 	leaving  bool
-	capacity platform.Resources
+	capacity hostapi.Resources
 
 	// asked and askedAt tell when the state was last asked for.
 	asked   bool
@@ -28,7 +28,7 @@
 	term      int64
 	renewedAt time.Duration
 	// strange is what attempts unknown to the cell's stream use.
-	strange platform.Resources
+	strange hostapi.Resources
 }
 
 // reset forgets what a term has learned.
@@ -102,11 +102,11 @@
 
 // command returns the common part of a command that is not a start, and
 // whether the authority to send it is in force.
-func (m *Machine) command(w *worker, boot string) (platform.Command, bool) {
+func (m *Machine) command(w *worker, boot string) (hostapi.Command, bool) {
 	if w == nil || w.boot != boot || m.now >= m.renewUntil {
-		return platform.Command{}, false
+		return hostapi.Command{}, false
 	}
-	return platform.Command{
+	return hostapi.Command{
 		Term:     m.ownTerm,
 		Boot:     boot,
 		Deadline: w.deadline(&m.config, m.renewUntil),
@@ -115,8 +115,8 @@
 
 // reserved returns what is reserved on each worker: all live attempts, the
 // placements in flight, and attempts that only the worker knows.
-func (m *Machine) reserved() map[string]platform.Resources {
-	sums := make(map[string]platform.Resources, len(m.workers))
+func (m *Machine) reserved() map[string]hostapi.Resources {
+	sums := make(map[string]hostapi.Resources, len(m.workers))
 	for id, w := range m.workers {
 		sums[id] = w.strange
 	}
@@ -132,11 +132,11 @@
 }
 
 // needs returns what the next attempt of a task requests.
-func (m *Machine) needs(t *task) platform.Resources {
+func (m *Machine) needs(t *task) hostapi.Resources {
 	if w := m.work(t); w != nil {
 		return w.Requests
 	}
-	return platform.Resources{}
+	return hostapi.Resources{}
 }
 
 // Workers returns all workers of the cell in ascending order of id.
--- a/writer/example_test.go
+++ b/writer/example_test.go
@@ -4,27 +4,27 @@
 	"context"
 	"fmt"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/writer"
 )
 
 // onlyStream is a log with one stream in memory.
 type onlyStream struct {
-	appended chan platform.LogRecord
+	appended chan hostapi.LogRecord
 }
 
 func (l *onlyStream) Append(_ context.Context, _, id string, data []byte) (int64, error) {
-	l.appended <- platform.LogRecord{Offset: 1, ID: id, Data: data}
+	l.appended <- hostapi.LogRecord{Offset: 1, ID: id, Data: data}
 	return 1, nil
 }
 
-func (l *onlyStream) Read(context.Context, string, int64, int) (platform.LogPage, error) {
-	return platform.LogPage{}, nil
+func (l *onlyStream) Read(context.Context, string, int64, int) (hostapi.LogPage, error) {
+	return hostapi.LogPage{}, nil
 }
 
 // An item is accepted once its record was read back.
 func Example() {
-	log := &onlyStream{appended: make(chan platform.LogRecord, 1)}
+	log := &onlyStream{appended: make(chan hostapi.LogRecord, 1)}
 	w := writer.New(log, writer.Options{Stream: "resources", Incarnation: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/writer/fakelog_test.go
+++ b/writer/fakelog_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 )
 
 // behaviour says what the fake log does with one append.
@@ -32,10 +32,10 @@
 
 var errUnclear = errors.New("connection reset")
 
-// fakeLog is a platform.Log in memory whose appends take 10 ms.
+// fakeLog is a hostapi.Log in memory whose appends take 10 ms.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.LogRecord
+	records []hostapi.LogRecord
 	calls   []string
 	// plan holds the behaviour of the next appends; then they succeed.
 	plan     []behaviour
@@ -54,7 +54,7 @@
 	time.Sleep(appendTime)
 	switch next {
 	case refuse:
-		return 0, fmt.Errorf("dial: %w", platform.ErrNotSent)
+		return 0, fmt.Errorf("dial: %w", hostapi.ErrNotSent)
 	case failUnknown:
 		return 0, errUnclear
 	case hang:
@@ -100,14 +100,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	offset := int64(len(f.records) + 1)
-	f.records = append(f.records, platform.LogRecord{Offset: offset, ID: id, Data: data})
+	f.records = append(f.records, hostapi.LogRecord{Offset: offset, ID: id, Data: data})
 	return offset
 }
 
-func (f *fakeLog) Read(_ context.Context, _ string, from int64, _ int) (platform.LogPage, error) {
+func (f *fakeLog) Read(_ context.Context, _ string, from int64, _ int) (hostapi.LogPage, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	page := platform.LogPage{First: 1, Next: int64(len(f.records) + 1)}
+	page := hostapi.LogPage{First: 1, Next: int64(len(f.records) + 1)}
 	page.Records = append(page.Records, f.records[from-1:]...)
 	return page, nil
 }
--- a/writer/standin_test.go
+++ b/writer/standin_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cactusreel/cactusreel/platform/httpapi"
+	"github.com/cactusreel/cactusreel/hostapi/httpapi"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/standin"
 	"github.com/cactusreel/cactusreel/writer"
--- a/writer/writer.go
+++ b/writer/writer.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cactusreel/cactusreel/platform"
+	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/result"
 )
@@ -18,7 +18,7 @@
 // Writer appends to one stream. Run must be running for anything to be sent.
 // Its methods are safe for concurrent use.
 type Writer struct {
-	log     platform.Log
+	log     hostapi.Log
 	options Options
 	// wake holds a token when there may be something to send.
 	wake chan struct{}
@@ -35,7 +35,7 @@
 }
 
 // New returns a writer. Nothing is sent before Run is called.
-func New(log platform.Log, options Options) *Writer {
+func New(log hostapi.Log, options Options) *Writer {
 	return &Writer{
 		log:      log,
 		options:  options.withDefaults(),
@@ -190,7 +190,7 @@
 		w.current = nil
 		return true
 	}
-	if !errors.Is(err, platform.ErrNotSent) {
+	if !errors.Is(err, hostapi.ErrNotSent) {
 		b.sent = true
 	}
 	if err != nil {
