--- a/cmd/cactusreel/main.go
+++ b/cmd/cactusreel/main.go
@@ -8,6 +8,8 @@
 
 	"github.com/cactusreel/cactusreel/command"
 	"github.com/cactusreel/cactusreel/entry"
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/platform"
 	"github.com/cactusreel/cactusreel/replay"
 	"github.com/cactusreel/cactusreel/settings"
 )
@@ -17,12 +19,13 @@
 
 func main() {
 	os.Exit(command.Main(context.Background(), os.Args[1:], command.Options{
-		Stdin:   os.Stdin,
-		Stdout:  os.Stdout,
-		Stderr:  os.Stderr,
-		Version: version,
-		Entry:   runEntry,
-		Replay:  replay.Files,
+		Stdin:       os.Stdin,
+		Stdout:      os.Stdout,
+		Stderr:      os.Stderr,
+		Version:     version,
+		Entry:       runEntry,
+		Coordinator: runCoordinator,
+		Replay:      replay.Files,
 	}))
 }
 
@@ -34,3 +37,12 @@
 	}
 	return err
 }
+
+// runCoordinator runs the coordinator with logs on standard output.
+func runCoordinator(ctx context.Context, settingsPath string) error {
+	events, err := logevent.New(os.Stdout, "info")
+	if err != nil {
+		return err
+	}
+	return platform.Run(ctx, settingsPath, events)
+}
--- /dev/null
+++ b/command/coordinator.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"errors"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// settingsVariable names the settings file when no flag does.
+const settingsVariable = "CACTUSREEL_SETTINGS"
+
+func newCoordinator(o Options) *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "coordinator [--settings FILE]",
+		Short: "Run the coordinator of submissions on a VM",
+		Long: "Run the coordinator of submissions on a VM. Without --settings the variable " +
+			settingsVariable + " names the settings file.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if path == "" {
+				path = os.Getenv(settingsVariable)
+			}
+			if path == "" {
+				return usageErrorf("coordinator needs --settings FILE or %s", settingsVariable)
+			}
+			if o.Coordinator == nil {
+				return errors.New("this build has no coordinator")
+			}
+			return o.Coordinator(c.Context(), path)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file")
+	return c
+}
--- a/command/main.go
+++ b/command/main.go
@@ -33,7 +33,7 @@
 	root.SetOut(o.Stdout)
 	root.SetErr(o.Stderr)
 	root.AddCommand(
-		newEntry(o),
+		newEntry(o), newCoordinator(o),
 		newApply(), newGet(), newDescribe(), newWatch(), newDelete(),
 		newCancel(), newTakeOut(), newBringBack(),
 		newDump(), newReplay(o), newSettings(), newCodes(), newEvents(),
--- a/command/options.go
+++ b/command/options.go
@@ -18,6 +18,8 @@
 	// An error that wraps *ExitError sets the exit code; any other gives
 	// ExitFailed.
 	Entry func(ctx context.Context, s settings.Entry) error
+	// Coordinator runs the coordinator with a settings file until it has stopped.
+	Coordinator func(ctx context.Context, settingsPath string) error
 	// Replay replays trace files and writes the comparison.
 	Replay func(ctx context.Context, paths []string, w io.Writer) error
 }
--- /dev/null
+++ b/coordinator/cell.go
@@ -0,0 +1,191 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/logevent"
+)
+
+// Topics of the cells' streams; the partition is the cell's number.
+const (
+	intakeTopic = "intake"
+	// CellTopic is the topic whose partitions the group distributes.
+	CellTopic = "cells"
+)
+
+// cell follows the streams of one cell, and owns the cell while it is assigned.
+type cell struct {
+	node   *Node
+	number int
+	book   *ledger.Book
+	// intakeNext and cellNext are the offsets of the records to apply next.
+	intakeNext int64
+	cellNext   int64
+	// assigned is the generation of the assignment, or 0.
+	assigned atomic.Int64
+	// changed wakes the cell's goroutine.
+	changed chan struct{}
+	// refreshes asks for a read of the streams.
+	refreshes chan chan error
+	// owner is who opened the newest epoch.
+	owner atomic.Pointer[ledger.Owner]
+	// owning is true while this node owns the cell.
+	owning atomic.Bool
+	// recent are the ids that this node accepted and has not read back.
+	recent sync.Map
+	// orders gets a signal when the set of evacuated data centres changed.
+	evacuation chan struct{}
+}
+
+func newCell(n *Node, number int) *cell {
+	return &cell{
+		node: n, number: number, book: ledger.NewBook(),
+		changed:    make(chan struct{}, 1),
+		refreshes:  make(chan chan error),
+		evacuation: make(chan struct{}, 1),
+	}
+}
+
+func (c *cell) intake() Stream { return Stream{Topic: intakeTopic, Partition: c.number} }
+func (c *cell) stream() Stream { return Stream{Topic: CellTopic, Partition: c.number} }
+
+// assign gives the cell to this node in a generation, or takes it away with 0.
+func (c *cell) assign(generation int64) {
+	if c.assigned.Swap(generation) != generation {
+		signal(c.changed)
+	}
+}
+
+func (c *cell) evacuationChanged() { signal(c.evacuation) }
+
+// signal sets a flag that one goroutine waits for.
+func signal(flag chan struct{}) {
+	select {
+	case flag <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the cell and owns it while it is assigned.
+func (c *cell) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		if c.assigned.Load() != 0 {
+			c.own(ctx)
+			timer.Reset(followInterval)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.changed:
+		case answer := <-c.refreshes:
+			answer <- c.catchUp(ctx)
+		case <-timer.C:
+			if err := c.catchUp(ctx); err != nil && ctx.Err() == nil {
+				c.node.logError(logevent.FollowFailed, err, zap.Int("cell", c.number))
+			}
+			timer.Reset(followInterval)
+		}
+	}
+}
+
+// waitReleased waits until the cell is not owned.
+func (c *cell) waitReleased(ctx context.Context) {
+	for c.owning.Load() && pause(ctx, 5*time.Millisecond) {
+	}
+}
+
+// catchUp applies all records of both streams. The cell stream is read first
+// and applied last: its records refer to submissions that are already in the
+// intake.
+func (c *cell) catchUp(ctx context.Context) error {
+	placed, next, err := c.readAll(ctx, c.stream(), c.cellNext)
+	if err != nil {
+		return err
+	}
+	handed, intakeNext, err := c.readAll(ctx, c.intake(), c.intakeNext)
+	if err != nil {
+		return err
+	}
+	c.applyAll(handed)
+	c.applyAll(placed)
+	c.intakeNext, c.cellNext = intakeNext, next
+	owner := c.book.Owner()
+	c.owner.Store(&owner)
+	return nil
+}
+
+// readAll reads a stream from an offset to its present end.
+func (c *cell) readAll(ctx context.Context, s Stream, from int64) (records [][]byte, next int64, err error) {
+	for {
+		page, err := c.read(ctx, s, from, 0)
+		if errors.Is(err, ErrExpired) {
+			c.node.events.Log(logevent.LogExpired, zap.String("topic", s.Topic), zap.Int64("from", from), zap.Int64("first", page.First))
+			from = page.First
+			continue
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		records = append(records, page.Records...)
+		from = page.From + int64(len(page.Records))
+		if from >= page.End {
+			return records, from, nil
+		}
+	}
+}
+
+func (c *cell) read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
+	call, cancel := context.WithTimeout(ctx, wait+logTimeout)
+	defer cancel()
+	page, err := c.node.platform.Log.Read(call, s, from, wait)
+	c.node.meters.logCall(err)
+	if err == nil {
+		c.node.storeAnswered()
+	}
+	return page, err
+}
+
+func (c *cell) applyAll(records [][]byte) {
+	for _, data := range records {
+		c.apply(data)
+	}
+}
+
+// apply applies one record and returns its entry, or nil.
+func (c *cell) apply(data []byte) *ledger.Entry {
+	r, err := ledger.Decode(data)
+	if err != nil {
+		c.node.logError(logevent.BadLedgerRecord, err, zap.Int("cell", c.number))
+		return nil
+	}
+	e := c.book.Apply(r)
+	if e != nil && r.Submitted != nil {
+		c.recent.Delete(e.ID)
+	}
+	return e
+}
+
+// refresh reads the streams to their end, unless this node owns the cell.
+func (c *cell) refresh(ctx context.Context) error {
+	answer := make(chan error, 1)
+	select {
+	case c.refreshes <- answer:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/coordinator/decisions.go
@@ -0,0 +1,32 @@
+package coordinator
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// TaskName is the text form of a task in log lines: id.occurrence.step.index.
+func TaskName(id workload.TaskID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", id.Submission, id.Occurrence, id.Step, id.Index)
+}
+
+// logDecision writes one line for a decision.
+func (n *Node) logDecision(epoch int64, d dispatch.Decision) {
+	n.meters.count("decisions", "kind", d.Kind.String())
+	fields := []zap.Field{zap.String("decision", d.Kind.String()), zap.String("worker", d.Worker), zap.Int64("epoch", epoch)}
+	if d.Run.Run > 0 {
+		fields = append(fields, zap.String("id", d.Run.Task.Submission), zap.String("task", TaskName(d.Run.Task)), zap.Int64("run", d.Run.Run))
+	}
+	if d.Reason != "" {
+		fields = append(fields, zap.String("reason", d.Reason))
+	}
+	if d.Age > 0 {
+		fields = append(fields, zap.Duration("age", d.Age))
+	}
+	n.events.Log(logevent.DispatchDecision, fields...)
+}
--- /dev/null
+++ b/coordinator/declarations.go
@@ -0,0 +1,49 @@
+package coordinator
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/logevent"
+)
+
+// followDeclarations keeps the newest manifest and set of evacuated data
+// centres. A manifest never goes back to an older version.
+func (n *Node) followDeclarations(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		d, err := n.platform.Declarations.Next(ctx)
+		if err != nil {
+			if !failing && ctx.Err() == nil {
+				n.logError(logevent.DeclarationsLost, err)
+			}
+			failing = true
+			pause(ctx, logRetry)
+			continue
+		}
+		if failing {
+			n.events.Log(logevent.DeclarationsRegained)
+		}
+		failing = false
+		n.storeAnswered()
+		n.adopt(d)
+	}
+}
+
+func (n *Node) adopt(d Declared) {
+	before := n.declared.Load()
+	if before != nil && before.Manifest != nil && (d.Manifest == nil || d.Manifest.Version < before.Manifest.Version) {
+		d.Manifest = before.Manifest
+	}
+	n.declared.Store(&d)
+	if d.Manifest != nil && (before == nil || before.Manifest == nil || before.Manifest.Version != d.Manifest.Version) {
+		n.events.Log(logevent.ManifestAdopted, zap.Int64("version", d.Manifest.Version), zap.Int("queues", len(d.Manifest.Queues)))
+	}
+	if before == nil || len(before.Evacuated)+len(d.Evacuated) > 0 {
+		n.events.Log(logevent.EvacuationChanged, zap.Any("dataCentres", d.Evacuated))
+		for _, c := range n.cells {
+			c.evacuationChanged()
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/limits.go
@@ -0,0 +1,44 @@
+package coordinator
+
+import "time"
+
+// Intervals and time limits that do not depend on the deployment.
+const (
+	// joinInterval is a fifth of the group's time to live, so that four lost
+	// calls in a row do not cost a cell.
+	joinInterval = 300 * time.Millisecond
+	// groupTTL is how long a silent node keeps its cells.
+	groupTTL = 1500 * time.Millisecond
+	// authority is how long an owner extends leases without a successful join.
+	// It bridges an outage of the store of several seconds.
+	authority = 10 * time.Second
+	// followInterval is how often a node that does not own a cell reads its
+	// streams. States must be visible everywhere within 3 s.
+	followInterval = time.Second
+	// directoryInterval is how often an owner reads the list of workers. A
+	// draining worker must get no starts after 2 s.
+	directoryInterval = 400 * time.Millisecond
+	// tickInterval drives time limits of the dispatch machine.
+	tickInterval = 40 * time.Millisecond
+	// tailWait is how long the log may delay its answer to an owner's read of
+	// the intake.
+	tailWait = 10 * time.Second
+	// logTimeout bounds a call to the log; its usual answer takes 4 ms and a
+	// slow one 60 times as long.
+	logTimeout = 900 * time.Millisecond
+	// logRetry is the pause before a log call is repeated.
+	logRetry = 100 * time.Millisecond
+	// orderTimeout bounds a start, stop or pace; the usual answer takes one
+	// round trip of 10 ms.
+	orderTimeout = 700 * time.Millisecond
+	// lookupTimeout bounds the question to a cell's owner.
+	lookupTimeout = 300 * time.Millisecond
+	// storeSilence is how long a node stays ready without an answer of the store.
+	storeSilence = 2500 * time.Millisecond
+	// eventBacklog bounds the events that wait for a cell's goroutine.
+	eventBacklog = 4096
+	// maxAppendBytes bounds one append; the platform's own bound is 2 MiB.
+	maxAppendBytes = 1 << 20
+	// appendShare is the part of a caller's time that repeats of an append may use.
+	appendShare = 0.7
+)
--- /dev/null
+++ b/coordinator/node.go
@@ -0,0 +1,108 @@
+package coordinator
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// Node accepts submissions and owns the cells that the group assigns to it.
+type Node struct {
+	config   Config
+	platform Platform
+	events   *logevent.Logger
+	meters   *Meters
+	peers    *peers
+	cells    []*cell
+	declared atomic.Pointer[Declared]
+	// storeSeen is when the store last answered, in nanoseconds since start.
+	storeSeen atomic.Int64
+	stopping  atomic.Bool
+	started   time.Time
+	running   sync.WaitGroup
+}
+
+// NewNode returns a node that has not started.
+func NewNode(config Config, platform Platform, events *logevent.Logger, meters *Meters) *Node {
+	n := &Node{config: config, platform: platform, events: events, meters: meters, started: time.Now()}
+	n.peers = newPeers()
+	for i := range config.Cells {
+		n.cells = append(n.cells, newCell(n, i))
+	}
+	return n
+}
+
+// now returns the steady time since the node was made.
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+// Run works until ctx is done.
+func (n *Node) Run(ctx context.Context) {
+	n.running.Go(func() { n.followDeclarations(ctx) })
+	n.running.Go(func() { n.keepMembership(ctx) })
+	for _, c := range n.cells {
+		n.running.Go(func() { c.run(ctx) })
+	}
+	n.running.Wait()
+}
+
+// Stop gives up the node's cells, so that others take them over at once. The
+// node goes on answering callers.
+func (n *Node) Stop(ctx context.Context) {
+	if n.stopping.Swap(true) {
+		return
+	}
+	for _, c := range n.cells {
+		c.assign(0)
+	}
+	for _, c := range n.cells {
+		c.waitReleased(ctx)
+	}
+	if err := n.platform.Group.Leave(ctx); err != nil {
+		n.logError(logevent.GroupCallFailed, err)
+	}
+}
+
+// Ready tells whether the node can take submissions.
+func (n *Node) Ready() bool {
+	d := n.declared.Load()
+	if n.stopping.Load() || d == nil || d.Manifest == nil {
+		return false
+	}
+	return n.now()-time.Duration(n.storeSeen.Load()) < storeSilence
+}
+
+// Manifest returns the newest manifest, or nil.
+func (n *Node) Manifest() *workload.Manifest {
+	d := n.declared.Load()
+	if d == nil {
+		return nil
+	}
+	return d.Manifest
+}
+
+// cellOf returns the cell of a submission or of a worker.
+func (n *Node) cellOf(id string) *cell {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return n.cells[int(h.Sum32()%uint32(len(n.cells)))]
+}
+
+// storeAnswered notes an answer of the store.
+func (n *Node) storeAnswered() { n.storeSeen.Store(int64(n.now())) }
+
+// pause waits, or returns false if ctx is done first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/coordinator/records.go
@@ -0,0 +1,23 @@
+package coordinator
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+func submittedData(s *workload.Submission) []byte { return mustEncode(ledger.SubmittedRecord(s)) }
+
+func cancelledData(id string) []byte { return mustEncode(ledger.CancelledRecord(id)) }
+
+// mustEncode encodes a record whose strings the adapter has checked to be
+// valid UTF-8, the only thing that can fail.
+func mustEncode(r *ledgerpb.Record) []byte {
+	data, err := proto.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/coordinator/writer.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/logevent"
+)
+
+// cellWriter appends an owner's records with group commit: what arrives while
+// an append is in flight forms the next one. An append is repeated with the
+// same sequence number until its outcome is known.
+type cellWriter struct {
+	ownership *ownership
+	mu        sync.Mutex
+	waiting   []dispatch.Append
+	wake      chan struct{}
+	// sequence is that of the last append; 1 was the Opened record.
+	sequence int64
+}
+
+func newCellWriter(o *ownership) *cellWriter {
+	return &cellWriter{ownership: o, wake: make(chan struct{}, 1), sequence: 1}
+}
+
+// add queues records behind those that wait.
+func (w *cellWriter) add(a dispatch.Append) {
+	w.mu.Lock()
+	w.waiting = append(w.waiting, a)
+	w.mu.Unlock()
+	signal(w.wake)
+}
+
+func (w *cellWriter) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		for ctx.Err() == nil {
+			records, tokens := w.next()
+			if len(tokens) == 0 {
+				break
+			}
+			w.append(ctx, records, tokens)
+		}
+	}
+}
+
+// next takes waiting appends up to the size of one call.
+func (w *cellWriter) next() (records [][]byte, tokens []int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	size, taken := 0, 0
+	for _, a := range w.waiting {
+		if size > maxAppendBytes {
+			break
+		}
+		for _, r := range a.Records {
+			data, err := ledger.Encode(r)
+			if err != nil {
+				w.ownership.node.logError(logevent.BadLedgerRecord, err)
+				w.ownership.cancel()
+				return nil, nil
+			}
+			size += len(data) + 4
+			records = append(records, data)
+		}
+		tokens = append(tokens, a.Token)
+		taken++
+	}
+	w.waiting = append([]dispatch.Append(nil), w.waiting[taken:]...)
+	return records, tokens
+}
+
+// append appends one batch. It returns when the batch is on the log or the
+// ownership has ended.
+func (w *cellWriter) append(ctx context.Context, records [][]byte, tokens []int64) {
+	o := w.ownership
+	w.sequence++
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		call, cancel := context.WithTimeout(ctx, logTimeout)
+		sent := o.node.now()
+		end, err := o.node.platform.Log.Append(call, o.stream(), records, &Fence{Epoch: o.epoch, Sequence: w.sequence, At: -1})
+		cancel()
+		o.node.meters.logCall(err)
+		if err == nil {
+			o.node.storeAnswered()
+			o.node.meters.appended(o.node.now() - sent)
+			o.post(ctx, written{tokens: tokens, end: end})
+			return
+		}
+		if errors.Is(err, ErrFenced) {
+			o.node.events.Log(logevent.EpochFenced, zap.Int64("epoch", o.epoch), zap.String("worker", "log"))
+			o.cancel()
+			return
+		}
+		if attempt == 1 && ctx.Err() == nil {
+			o.node.logError(logevent.AppendRepeated, err, zap.Int("cell", o.number), zap.Int("records", len(records)))
+		}
+		pause(ctx, retryPause(attempt))
+	}
+}
--- /dev/null
+++ b/dispatch/config.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import "time"
+
+// Times and limits that do not depend on the deployment.
+const (
+	// clockDrift bounds how much slower a worker's clock runs than the node's;
+	// it is stated by the platform (2%).
+	clockDrift = 0.02
+	// lapseMargin covers rounding of worker clocks to milliseconds and the
+	// delay between a worker's answer and its arrival.
+	lapseMargin = 100 * time.Millisecond
+	// holdSpacing groups the ends of a busy worker into one look.
+	holdSpacing = 30 * time.Millisecond
+	// holdRetry is the pause after a hold without an answer.
+	holdRetry = 150 * time.Millisecond
+	// refusedPause keeps new runs off a worker that refused one as unhealthy.
+	refusedPause = 2 * time.Second
+	// stalledAppend stops planning when the log has not answered for so long:
+	// the decisions would be stale when it does.
+	stalledAppend = 700 * time.Millisecond
+	// maxBatch bounds the placements of one planning round, so that one round
+	// does not delay the answers that wait behind it.
+	maxBatch = 200
+)
+
+// Config holds the figures of the deployment.
+type Config struct {
+	// Epoch is the fencing token on every order.
+	Epoch int64
+	// Lease is how long a worker may run without hearing from its owner.
+	Lease time.Duration
+	// HoldWait is how long a worker may delay its answer to a hold until a run ends.
+	HoldWait time.Duration
+	// PredecessorLapse is the time after which every lease that an earlier
+	// owner gave has lapsed.
+	PredecessorLapse time.Duration
+	// RemoteFactor is how much longer a task takes away from its data or its
+	// step's rack.
+	RemoteFactor float64
+	// StartEarly is how much earlier than due an occurrence may start.
+	StartEarly time.Duration
+	// SettleTime is how long a change of pace takes to show in a worker's figures.
+	SettleTime time.Duration
+}
--- /dev/null
+++ b/dispatch/machine.go
@@ -0,0 +1,288 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// Machine decides for one cell during one epoch. One goroutine uses it.
+type Machine struct {
+	config  Config
+	book    *ledger.Book
+	now     time.Duration
+	wall    time.Time
+	out     []Action
+	workers map[string]*worker
+	// former are earlier lives of workers whose runs are not all resolved.
+	active map[workload.TaskID]*run
+	// byEntry are the active runs of each submission.
+	byEntry map[string]map[workload.TaskID]*run
+	// checkpoints are newer than the book's, from runs whose end was not reported.
+	checkpoints map[workload.TaskID]string
+	// avoid is the worker on which a task failed last.
+	avoid     map[workload.TaskID]string
+	evacuated map[string]bool
+	// pending are the continuations of appends in flight, oldestAppend the
+	// time of the oldest one.
+	pending  map[int64]appendInFlight
+	token    int64
+	records  []*ledgerpb.Record
+	then     []func()
+	planAt   time.Duration
+	wantPlan bool
+	images   images
+}
+
+type appendInFlight struct {
+	at   time.Duration
+	then []func()
+}
+
+// New returns the machine of an epoch that begins now. The book has been read
+// to the end of both streams.
+func New(config Config, book *ledger.Book, now time.Duration, wall time.Time) *Machine {
+	m := &Machine{
+		config: config, book: book, now: now, wall: wall,
+		workers:     make(map[string]*worker),
+		active:      make(map[workload.TaskID]*run),
+		byEntry:     make(map[string]map[workload.TaskID]*run),
+		checkpoints: make(map[workload.TaskID]string),
+		avoid:       make(map[workload.TaskID]string),
+		evacuated:   make(map[string]bool),
+		pending:     make(map[int64]appendInFlight),
+		images:      newImages(),
+	}
+	m.inherit()
+	return m
+}
+
+// inherit takes over the runs that earlier owners placed and whose end is not
+// on the log.
+func (m *Machine) inherit() {
+	for _, e := range m.book.Live() {
+		for number := range e.Runs() {
+			if !e.Begun(number) {
+				continue
+			}
+			o := e.Occurrence(number)
+			for s := range o.Steps {
+				m.inheritTasks(e, o.Steps[s].Tasks)
+			}
+		}
+	}
+}
+
+func (m *Machine) inheritTasks(e *ledger.Entry, tasks []ledger.Task) {
+	for i := range tasks {
+		t := &tasks[i]
+		if t.Done || !t.Open {
+			continue
+		}
+		w := m.workers[t.On.Worker]
+		if w == nil {
+			w = newWorker(workload.Worker{Life: t.On})
+			w.lapseAt = m.now + m.config.PredecessorLapse
+			m.workers[t.On.Worker] = w
+		}
+		r := m.newRun(e, t, t.Run, w)
+		r.phase, r.inherited = starting, true
+	}
+}
+
+func (m *Machine) newRun(e *ledger.Entry, t *ledger.Task, number int64, w *worker) *run {
+	r := &run{
+		id:    workload.RunID{Task: t.ID, Run: number},
+		entry: e, task: t, step: &e.Steps[t.ID.Step], on: w,
+		phase: recording, percent: 100, wanted: 100, checkpoint: t.Checkpoint,
+	}
+	if newer := m.checkpoints[t.ID]; newer != "" {
+		r.checkpoint = newer
+	}
+	w.add(r)
+	m.active[t.ID] = r
+	if m.byEntry[e.ID] == nil {
+		m.byEntry[e.ID] = make(map[workload.TaskID]*run)
+	}
+	m.byEntry[e.ID][t.ID] = r
+	return r
+}
+
+// forget drops a run that can't exist any more; its task may be placed again.
+func (m *Machine) forget(r *run) {
+	r.on.remove(r)
+	if m.active[r.id.Task] != r {
+		return
+	}
+	delete(m.active, r.id.Task)
+	runs := m.byEntry[r.entry.ID]
+	delete(runs, r.id.Task)
+	if len(runs) == 0 {
+		delete(m.byEntry, r.entry.ID)
+	}
+	m.wantPlan = true
+}
+
+// Step takes an event at time now of the node's steady clock and returns the
+// actions. Time never goes back.
+func (m *Machine) Step(now time.Duration, ev Event) []Action {
+	m.now = max(m.now, now)
+	m.out = nil
+	m.take(ev)
+	if _, ok := ev.(Tick); ok || m.wantPlan {
+		m.plan()
+	}
+	m.flush()
+	return m.out
+}
+
+func (m *Machine) take(ev Event) {
+	switch ev := ev.(type) {
+	case EntryChanged:
+		m.entryChanged(ev.Entry)
+	case WorkersListed:
+		m.workersListed(ev.Workers)
+	case Evacuated:
+		m.evacuated = ev.DataCentres
+		m.wantPlan = true
+	case Appended:
+		m.appended(ev.Token)
+	case HoldAnswered:
+		m.holdAnswered(ev)
+	case HoldFailed:
+		m.holdFailed(ev)
+	case StartAnswered:
+		m.startAnswered(ev)
+	case StopAnswered:
+		m.stopAnswered(ev)
+	case PaceAnswered:
+		m.paceAnswered(ev)
+	case Tick:
+		m.tick(ev.Now)
+	}
+}
+
+func (m *Machine) emit(a Action) { m.out = append(m.out, a) }
+
+func (m *Machine) decide(kind DecisionKind, id workload.RunID, worker, reason string, age time.Duration) {
+	m.emit(Decision{Kind: kind, Run: id, Worker: worker, Reason: reason, Age: age})
+}
+
+// write adds a record to the append that leaves at the end of the step.
+func (m *Machine) write(r *ledgerpb.Record, then func()) {
+	m.records = append(m.records, r)
+	m.then = append(m.then, then)
+}
+
+func (m *Machine) flush() {
+	if len(m.records) == 0 {
+		return
+	}
+	m.token++
+	m.pending[m.token] = appendInFlight{at: m.now, then: m.then}
+	m.emit(Append{Token: m.token, Records: m.records})
+	m.records, m.then = nil, nil
+}
+
+func (m *Machine) appended(token int64) {
+	then := m.pending[token].then
+	delete(m.pending, token)
+	for _, f := range then {
+		f()
+	}
+}
+
+// logStalled tells that an append has been without an answer for long.
+func (m *Machine) logStalled() bool {
+	for _, p := range m.pending {
+		if m.now-p.at > stalledAppend {
+			return true
+		}
+	}
+	return false
+}
+
+// entryChanged stops the runs of an entry that is final.
+func (m *Machine) entryChanged(e *ledger.Entry) {
+	if e == nil {
+		return
+	}
+	m.wantPlan = true
+	if !e.State().Final() {
+		return
+	}
+	for _, r := range m.byEntry[e.ID] {
+		m.stopRun(r, "submission is "+e.State().String())
+	}
+}
+
+// tick lets leases lapse and holds the workers that are due.
+func (m *Machine) tick(wall time.Time) {
+	m.wall = wall
+	for id, w := range m.workers {
+		if w.silent && m.now >= w.lapseAt && len(w.runs) > 0 {
+			m.loseRuns(w, "lease has lapsed")
+		}
+		if !w.listed && !w.holding && !w.hasWork() {
+			delete(m.workers, id)
+			continue
+		}
+		m.retryOrders(w)
+		m.holdIfDue(w)
+	}
+	m.share()
+	m.unstick()
+}
+
+// workersListed takes the platform's present list.
+func (m *Machine) workersListed(list []workload.Worker) {
+	present := make(map[string]bool, len(list))
+	for _, info := range list {
+		present[info.ID()] = true
+		w := m.workers[info.ID()]
+		if w == nil {
+			w = newWorker(info)
+			m.workers[info.ID()] = w
+		}
+		if w.Life != info.Life && info.Born > w.Born {
+			m.reborn(w, info.Life)
+		}
+		if w.Life == info.Life {
+			w.Worker = info
+			w.listed = true
+		}
+	}
+	for id, w := range m.workers {
+		w.listed = w.listed && present[id]
+	}
+	m.wantPlan = true
+}
+
+// reborn begins a new life of a worker: nothing of the old one runs any more.
+func (m *Machine) reborn(w *worker, life workload.Life) {
+	m.decide(WorkerReborn, workload.RunID{}, life.Worker, "born differs", 0)
+	m.loseRuns(w, "the worker's life ended")
+	w.Life = life
+	w.reported, w.silent = false, false
+	w.seen, w.cursor, w.acked = 0, 0, 0
+	w.clock, w.clockAt, w.lapseAt = 0, 0, 0
+	w.record = record{}
+	w.nextHoldAt = m.now
+}
+
+// loseRuns gives up the runs of a worker that can't run any more.
+func (m *Machine) loseRuns(w *worker, reason string) {
+	for _, r := range w.runs {
+		m.decide(RunLost, r.id, w.ID(), reason, m.now-w.clockAt)
+		if r.checkpoint != "" {
+			m.checkpoints[r.id.Task] = r.checkpoint
+		}
+		if r.phase == recording {
+			r.stop = true
+			continue
+		}
+		m.forget(r)
+	}
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// candidate is a step of an occurrence with tasks that wait.
+type candidate struct {
+	entry      *ledger.Entry
+	occurrence int
+	step       int
+	tasks      []*ledger.Task
+	priority   int
+	// due is the objective's time of day.
+	due time.Time
+}
+
+// plan places waiting tasks on workers.
+func (m *Machine) plan() {
+	m.wantPlan = false
+	if m.logStalled() {
+		m.wantPlan = true
+		return
+	}
+	waiting := m.candidates()
+	if len(waiting) == 0 {
+		return
+	}
+	workers := m.usable()
+	if len(workers) == 0 {
+		return
+	}
+	placed := 0
+	for i := range waiting {
+		placed += m.placeStep(&waiting[i], workers)
+		if placed >= maxBatch {
+			m.wantPlan = true
+			return
+		}
+	}
+}
+
+// candidates returns the steps whose turn has come, the most urgent first.
+func (m *Machine) candidates() []candidate {
+	var out []candidate
+	for _, e := range m.book.Live() {
+		if e.State().Final() {
+			continue
+		}
+		for number := range e.Runs() {
+			due := e.DueAt(number)
+			if e.Timed() && due.Add(-m.config.StartEarly).After(m.wall) {
+				break
+			}
+			out = m.occurrenceCandidates(out, e, number, due)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), a.due.Compare(b.due))
+	})
+	return out
+}
+
+func (m *Machine) occurrenceCandidates(out []candidate, e *ledger.Entry, number int, due time.Time) []candidate {
+	o := e.Occurrence(number)
+	if o.Done() {
+		return out
+	}
+	for s := range o.Steps {
+		if o.Steps[s].Done() || !o.Ready(e.Steps, s) {
+			continue
+		}
+		tasks := m.waitingTasks(o.Steps[s].Tasks)
+		if len(tasks) == 0 || e.Steps[s].Gang && len(tasks) < o.Steps[s].Left {
+			continue
+		}
+		out = append(out, candidate{
+			entry: e, occurrence: number, step: s, tasks: tasks,
+			priority: e.Policy.Priority, due: due.Add(e.Objective()),
+		})
+	}
+	return out
+}
+
+// waitingTasks returns the tasks that are not done and have no run.
+func (m *Machine) waitingTasks(tasks []ledger.Task) []*ledger.Task {
+	var out []*ledger.Task
+	for i := range tasks {
+		t := &tasks[i]
+		if !t.Done && m.active[t.ID] == nil {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// usable returns the workers that may get new runs, in a fixed order.
+func (m *Machine) usable() []*worker {
+	var out []*worker
+	for _, w := range m.workers {
+		if w.listed && w.reported && !w.silent && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.ID(), b.ID()) })
+	return out
+}
+
+// placeStep places the waiting tasks of a step and returns how many it placed.
+func (m *Machine) placeStep(c *candidate, workers []*worker) int {
+	step := &c.entry.Steps[c.step]
+	number := int64(0)
+	if step.Gang {
+		for _, t := range c.tasks {
+			number = max(number, t.Run)
+		}
+	}
+	var placed []*run
+	for _, t := range c.tasks {
+		w := m.choose(c, step, t, workers)
+		if w == nil {
+			break
+		}
+		placed = append(placed, m.newRun(c.entry, t, max(number, t.Run)+1, w))
+	}
+	if step.Gang && len(placed) < len(c.tasks) {
+		for _, r := range placed {
+			m.forget(r)
+		}
+		m.wantPlan = false
+		return 0
+	}
+	for _, r := range placed {
+		m.recordRun(r)
+	}
+	return len(placed)
+}
+
+// choose returns the best worker for a task, or nil.
+func (m *Machine) choose(c *candidate, step *workload.Step, t *ledger.Task, workers []*worker) *worker {
+	var best *worker
+	bestScore := 0.0
+	rack := m.rackOf(c, step)
+	for _, w := range workers {
+		if !m.fits(c, step, w) {
+			continue
+		}
+		score := m.score(step, w, rack)
+		if m.avoid[t.ID] == w.ID() {
+			score -= avoidPenalty
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// rackOf returns the rack on which a same-rack step already has a run, or "".
+func (m *Machine) rackOf(c *candidate, step *workload.Step) string {
+	if !step.SameRack {
+		return ""
+	}
+	for _, r := range m.byEntry[c.entry.ID] {
+		if r.id.Task.Step == c.step && r.id.Task.Occurrence == c.occurrence {
+			return r.on.Rack
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/dispatch/worker.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// worker is what the owner knows of one life of a worker.
+type worker struct {
+	workload.Worker
+	// listed: the present list shows this life.
+	listed bool
+	// reported: the life answered a hold of this epoch, so it refuses the
+	// orders of earlier epochs.
+	reported bool
+	// clock is the newest reading of the worker's clock, received at clockAt.
+	clock   time.Duration
+	clockAt time.Duration
+	// lapseAt is when every lease of this life has lapsed, as far as the
+	// orders sent so far go.
+	lapseAt time.Duration
+	// silent: the last hold had no answer.
+	silent bool
+	// holding: a hold is in flight.
+	holding    bool
+	nextHoldAt time.Duration
+	// seen is the highest end handed to the log, cursor the highest that is on it.
+	seen   int64
+	cursor int64
+	// acked is the highest cursor that the worker has confirmed.
+	acked int64
+	// pausedUntil keeps new runs off the worker.
+	pausedUntil time.Duration
+	runs        map[workload.RunID]*run
+	// reserved is the room of all runs; bestEffort the processors of best-effort runs.
+	reserved   hostapi.Resources
+	bestEffort int64
+	record     record
+}
+
+func newWorker(info workload.Worker) *worker {
+	return &worker{Worker: info, runs: make(map[workload.RunID]*run)}
+}
+
+func (w *worker) target() Target { return Target{Life: w.Life, Address: w.Address} }
+
+// add reserves the room of a run.
+func (w *worker) add(r *run) {
+	w.runs[r.id] = r
+	w.count(r, 1)
+}
+
+// remove frees the room of a run.
+func (w *worker) remove(r *run) {
+	if _, ok := w.runs[r.id]; !ok {
+		return
+	}
+	delete(w.runs, r.id)
+	w.count(r, -1)
+}
+
+func (w *worker) count(r *run, sign int64) {
+	request := r.step.Request
+	if r.step.BestEffort {
+		w.bestEffort += sign * request.MilliCPU
+		request.MilliCPU = 0
+	}
+	w.reserved.MilliCPU += sign * request.MilliCPU
+	w.reserved.MemoryMiB += sign * request.MemoryMiB
+	w.reserved.Accelerators += sign * request.Accelerators
+}
+
+// readClock notes a reading of the worker's clock.
+func (w *worker) readClock(now, clock time.Duration) {
+	if clock > 0 {
+		w.clock, w.clockAt = clock, now
+	}
+}
+
+// leaseEnd returns the worker's clock at the end of a lease that begins now,
+// and notes when it has lapsed at the latest.
+func (w *worker) leaseEnd(now, lease time.Duration) time.Duration {
+	end := w.clock + (now - w.clockAt) + lease
+	w.noteLease(end)
+	return end
+}
+
+// noteLease notes when the worker's clock has certainly passed end.
+func (w *worker) noteLease(end time.Duration) {
+	lapse := w.clockAt + time.Duration(float64(end-w.clock)/(1-clockDrift)) + lapseMargin
+	w.lapseAt = max(w.lapseAt, lapse)
+}
+
+// hasWork tells whether the worker needs to be held.
+func (w *worker) hasWork() bool {
+	return len(w.runs) > 0 || w.acked < w.cursor
+}
--- /dev/null
+++ b/ledger/book.go
@@ -0,0 +1,209 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// ErrBadRecord is wrapped by errors about records that can't be applied.
+var ErrBadRecord = errors.New("bad ledger record")
+
+// Owner is who opened the newest epoch of a cell.
+type Owner struct {
+	Epoch       int64
+	VM          string
+	PeerAddress string
+}
+
+// Book is the durable state of a cell.
+type Book struct {
+	Index
+	// live are the entries that are not final, by id.
+	live map[string]*Entry
+	// order are the ids of live entries in the order of their acceptance.
+	order []*Entry
+	owner Owner
+}
+
+// NewBook returns the state of empty streams.
+func NewBook() *Book {
+	return &Book{live: make(map[string]*Entry)}
+}
+
+// Owner returns who opened the newest epoch.
+func (b *Book) Owner() Owner { return b.owner }
+
+// Live returns the entries that are not final, in the order of acceptance.
+func (b *Book) Live() []*Entry {
+	kept := b.order[:0]
+	for _, e := range b.order {
+		if b.live[e.ID] == e {
+			kept = append(kept, e)
+		}
+	}
+	clear(b.order[len(kept):])
+	b.order = kept
+	return kept
+}
+
+// Decode parses a record of either stream.
+func Decode(data []byte) (*ledgerpb.Record, error) {
+	r := new(ledgerpb.Record)
+	if err := proto.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadRecord, err)
+	}
+	return r, nil
+}
+
+// Encode returns the bytes of a record.
+func Encode(r *ledgerpb.Record) ([]byte, error) {
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode ledger record: %w", err)
+	}
+	return data, nil
+}
+
+// Apply applies a record of either stream and returns the entry that it is
+// about, or nil. A repeated record changes nothing.
+func (b *Book) Apply(r *ledgerpb.Record) *Entry {
+	switch {
+	case r.Submitted != nil:
+		return b.submit(submissionOf(r.Submitted))
+	case r.Cancelled != nil:
+		return b.cancel(r.Cancelled.Id)
+	case r.Opened != nil:
+		if r.Opened.Epoch > b.owner.Epoch {
+			b.owner = Owner{Epoch: r.Opened.Epoch, VM: r.Opened.Vm, PeerAddress: r.Opened.PeerAddress}
+		}
+	case r.Placed != nil:
+		return b.place(r.Placed)
+	case r.Ended != nil:
+		return b.end(r.Ended)
+	case r.Retained != nil:
+		return b.retain(r.Retained)
+	}
+	return nil
+}
+
+func (b *Book) submit(s workload.Submission) *Entry {
+	if e := b.Find(s.ID); e != nil {
+		return e
+	}
+	e := newEntry(s)
+	b.entries.Store(s.ID, e)
+	b.live[s.ID] = e
+	b.order = append(b.order, e)
+	return e
+}
+
+func (b *Book) cancel(id string) *Entry {
+	e := b.Find(id)
+	if e == nil || e.State().Final() {
+		return e
+	}
+	e.cancelled = true
+	b.settle(e)
+	return e
+}
+
+func (b *Book) place(p *ledgerpb.Placed) *Entry {
+	e, t := b.task(p.Task)
+	if t == nil {
+		return nil
+	}
+	if p.Run > t.Run {
+		t.Run, t.Open = p.Run, true
+		t.On = workload.Life{Worker: p.Worker, Born: p.Born}
+	}
+	e.started = true
+	b.settle(e)
+	return e
+}
+
+func (b *Book) end(r *ledgerpb.Ended) *Entry {
+	e, t := b.task(r.Task)
+	if t == nil {
+		return nil
+	}
+	if r.Checkpoint != "" && r.Run >= t.Run {
+		t.Checkpoint = r.Checkpoint
+	}
+	outcome := workload.Outcome(r.Outcome)
+	if e.Steps[t.ID.Step].Gang {
+		b.endGang(e, t, r.Run, outcome)
+	} else {
+		b.endTask(e, t, r.Run, outcome)
+	}
+	b.settle(e)
+	return e
+}
+
+func (b *Book) endTask(e *Entry, t *Task, run int64, outcome workload.Outcome) {
+	if outcome == workload.Succeeded && !e.Steps[t.ID.Step].LongRunning {
+		t.Open = false
+		e.finish(t)
+		return
+	}
+	if run != t.Run || !t.Open {
+		return
+	}
+	t.Open = false
+	if outcome == workload.Errored {
+		t.Failures++
+	}
+	e.failed = e.failed || e.exhausted(t)
+}
+
+// endGang applies the end of a member. One success stands for all members; one
+// failure of a run counts once for the gang, on its first member.
+func (b *Book) endGang(e *Entry, t *Task, run int64, outcome workload.Outcome) {
+	members := e.Occurrence(t.ID.Occurrence).Steps[t.ID.Step].Tasks
+	if outcome == workload.Succeeded {
+		for i := range members {
+			members[i].Open = false
+			e.finish(&members[i])
+		}
+		return
+	}
+	if run != t.Run || !t.Open {
+		return
+	}
+	t.Open = false
+	if t.Checkpoint != "" {
+		for i := range members {
+			members[i].Checkpoint = t.Checkpoint
+		}
+	}
+	if outcome == workload.Errored {
+		members[0].Failures++
+		e.failed = e.failed || e.exhausted(&members[0])
+	}
+}
+
+// exhausted tells whether a task has failed as often as its queue allows.
+func (e *Entry) exhausted(t *Task) bool {
+	return !e.Steps[t.ID.Step].LongRunning && e.Policy.MaxAttempts > 0 && t.Failures >= e.Policy.MaxAttempts
+}
+
+func (b *Book) task(id *ledgerpb.Task) (*Entry, *Task) {
+	task := taskIDOf(id)
+	e := b.Find(task.Submission)
+	if e == nil {
+		return nil, nil
+	}
+	return e, e.Task(task)
+}
+
+// settle publishes the state and drops a final entry from the live ones.
+func (b *Book) settle(e *Entry) {
+	e.publish()
+	if e.State().Final() {
+		delete(b.live, e.ID)
+	}
+}
--- /dev/null
+++ b/ledger/occurrence.go
@@ -0,0 +1,35 @@
+package ledger
+
+import "github.com/cactusreel/cactusreel/workload"
+
+// Occurrence is the durable state of one occurrence of a submission.
+type Occurrence struct {
+	Steps []Step
+	// Left counts the steps that are not done.
+	Left int
+}
+
+// Done tells that all steps are done.
+func (o *Occurrence) Done() bool { return o.Left == 0 }
+
+// Ready tells whether all steps before a step are done.
+func (o *Occurrence) Ready(steps []workload.Step, step int) bool {
+	for _, before := range steps[step].After {
+		if !o.Steps[before].Done() {
+			return false
+		}
+	}
+	return true
+}
+
+func newOccurrence(s *workload.Submission, number int) *Occurrence {
+	o := &Occurrence{Steps: make([]Step, len(s.Steps)), Left: len(s.Steps)}
+	for i, step := range s.Steps {
+		tasks := make([]Task, step.Tasks)
+		for k := range tasks {
+			tasks[k].ID = workload.TaskID{Submission: s.ID, Occurrence: number, Step: i, Index: k}
+		}
+		o.Steps[i] = Step{Tasks: tasks, Left: step.Tasks}
+	}
+	return o
+}
--- a/logevent/info.go
+++ b/logevent/info.go
@@ -28,6 +28,7 @@
 	resourceEvents,
 	peerEvents,
 	platformEvents,
+	coordinatorEvents,
 }
 
 var byNumber = indexByNumber()
