Share workers between long-running and best-effort tasks by learned disturbance

Reports of 66 workers, fitted offline, show that the tail grows as 1/(1-u) and that a few pairs of images disturb strongly, the others not at all. Ruled out: saturation of the processors (used over requested stays at 0.95 down to minus 0.3 of a worker unused).

--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -19,7 +19,7 @@
 	// draining worker must get no starts after 2 s.
 	directoryInterval = 400 * time.Millisecond
 	// tickInterval drives time limits of the dispatch machine.
-	tickInterval = 40 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
 	// tailWait is how long the log may delay its answer to an owner's read of
 	// the intake.
 	tailWait = 10 * time.Second
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -19,6 +19,11 @@
 	// stalledAppend stops planning when the log has not answered for so long:
 	// the decisions would be stale when it does.
 	stalledAppend = 700 * time.Millisecond
+	// planInterval bounds how often tasks are placed, for the processor time.
+	planInterval = 8 * time.Millisecond
+	// replanInterval is how often tasks are placed without a cause: pauses end
+	// and schedules come due.
+	replanInterval = 200 * time.Millisecond
 	// maxBatch bounds the placements of one planning round, so that one round
 	// does not delay the answers that wait behind it.
 	maxBatch = 200
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -93,6 +93,7 @@
 	w.reported = true
 	m.readEnds(w, report.Ended)
 	m.readActive(w, ev, report.Active)
+	m.observeSharing(w)
 }
 
 // cursorSent returns the cursor that an answered hold carried: ends up to it
@@ -217,16 +218,11 @@
 		r.checkpoint = a.Checkpoint
 		r.progressAt = m.now
 	}
-	if a.UsedMilliCPU > 0 {
+	if a.Percent != r.percent {
 		r.progressAt = m.now
 	}
 	r.percent = a.Percent
 	r.tail, r.used = a.Tail, a.UsedMilliCPU
-	if r.step.LatencyTarget == 0 || a.Tail <= r.step.LatencyTarget {
-		r.overSince = 0
-	} else if r.overSince == 0 {
-		r.overSince = m.now
-	}
 }
 
 // readAbsent handles a run that its worker does not list. The report counts
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -27,13 +27,14 @@
 	evacuated map[string]bool
 	// pending are the continuations of appends in flight, oldestAppend the
 	// time of the oldest one.
-	pending  map[int64]appendInFlight
-	token    int64
-	records  []*ledgerpb.Record
-	then     []func()
-	planAt   time.Duration
-	wantPlan bool
-	images   images
+	pending map[int64]appendInFlight
+	token   int64
+	records []*ledgerpb.Record
+	then    []func()
+	// plannedAt is when tasks were placed last.
+	plannedAt time.Duration
+	wantPlan  bool
+	images    images
 }
 
 type appendInFlight struct {
@@ -96,7 +97,7 @@
 	r := &run{
 		id:    workload.RunID{Task: t.ID, Run: number},
 		entry: e, task: t, step: &e.Steps[t.ID.Step], on: w,
-		phase: recording, percent: 100, wanted: 100, checkpoint: t.Checkpoint,
+		phase: recording, wanted: 100, checkpoint: t.Checkpoint,
 	}
 	if newer := m.checkpoints[t.ID]; newer != "" {
 		r.checkpoint = newer
@@ -131,7 +132,8 @@
 	m.now = max(m.now, now)
 	m.out = nil
 	m.take(ev)
-	if _, ok := ev.(Tick); ok || m.wantPlan {
+	if m.wantPlan && m.now-m.plannedAt >= planInterval {
+		m.plannedAt = m.now
 		m.plan()
 	}
 	m.flush()
@@ -221,6 +223,9 @@
 // tick lets leases lapse and holds the workers that are due.
 func (m *Machine) tick(wall time.Time) {
 	m.wall = wall
+	if m.now-m.plannedAt >= replanInterval {
+		m.wantPlan = true
+	}
 	for id, w := range m.workers {
 		if w.silent && m.now >= w.lapseAt && len(w.runs) > 0 {
 			m.loseRuns(w, "lease has lapsed")
@@ -232,7 +237,6 @@
 		m.retryOrders(w)
 		m.holdIfDue(w)
 	}
-	m.share()
 	m.unstick()
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -49,16 +49,18 @@
 	checkpoint string
 	// progressAt is when the run last showed progress.
 	progressAt time.Duration
-	// percent is the share of its processors that the run may use.
+	// percent is the progress; of a long-running run 100 when it is at work.
 	percent int
-	// wanted is the share that was asked for last, changedAt when.
+	// wanted is the share of its processors that was asked for last, in
+	// percent, changedAt when.
 	wanted    int
 	changedAt time.Duration
 	// tail is the last reported tail latency, used the last processor use.
 	tail time.Duration
 	used int64
-	// overSince is when the tail went over its target; 0 if it is under.
-	overSince time.Duration
+	// base is the utilisation by the run's own load, observed at baseAt.
+	base   float64
+	baseAt time.Duration
 }
 
 // occupies tells whether the run counts against its worker's room.
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -13,9 +13,10 @@
 	// remotePenalty is the loss of running away from the data or the step's
 	// rack, for each time that the run takes longer.
 	remotePenalty = 1.0
-	// disturbPenalty keeps best-effort work away from long-running tasks with
-	// a latency target, and those away from it.
-	disturbPenalty = 0.5
+	// headroomWeight is the worth of all headroom under the latency targets.
+	headroomWeight = 0.5
+	// companyWeight is the worth of a worker with only the same image.
+	companyWeight = 1.0
 	// slowPenalty is the loss for each time that a worker is slower than estimated.
 	slowPenalty = 0.5
 	// bestEffortFloor is the least share of its processors that a best-effort
@@ -35,15 +36,33 @@
 	if !w.reserved.Add(request).Fits(w.Capacity) {
 		return false
 	}
-	if step.BestEffort && float64(w.unused()) < bestEffortFloor*float64(step.Request.MilliCPU) {
+	if step.BestEffort && !m.fitsBeside(step, w) {
 		return false
 	}
 	return step.MaxPerWorker == 0 || w.countStep(c) < step.MaxPerWorker
 }
 
-// unused returns the processors that neither reservations nor best-effort runs use.
-func (w *worker) unused() int64 {
-	return w.Capacity.MilliCPU - w.reserved.MilliCPU - w.bestEffort
+// fitsBeside tells whether a best-effort task finds processors on a worker and
+// leaves the latency targets of the tasks there alone.
+func (m *Machine) fitsBeside(step *workload.Step, w *worker) bool {
+	if w.unused() < bestEffortFloor*float64(step.Request.MilliCPU) {
+		return false
+	}
+	return len(w.serving) == 0 || m.headroom(w, step.Image, w.shareOf(step)) >= 0
+}
+
+// shareOf returns the part of a worker's processors that a task asks for.
+func (w *worker) shareOf(step *workload.Step) float64 {
+	return float64(step.Request.MilliCPU) / max(float64(w.Capacity.MilliCPU), 1)
+}
+
+// unused returns the processors that are expected to be free.
+func (w *worker) unused() float64 {
+	used := float64(w.reserved.MilliCPU + w.bestEffort)
+	for _, s := range w.serving {
+		used -= (1 - servingUse) * float64(s.step.Request.MilliCPU)
+	}
+	return float64(w.Capacity.MilliCPU) - used
 }
 
 // countStep counts the runs of a step's occurrence on a worker.
@@ -60,8 +79,7 @@
 
 // score is higher for a better worker.
 func (m *Machine) score(step *workload.Step, w *worker, rack string) float64 {
-	capacity := max(float64(w.Capacity.MilliCPU), 1)
-	score := float64(w.unused()-step.Request.MilliCPU) / capacity
+	score := (w.unused() - float64(step.Request.MilliCPU)) / max(float64(w.Capacity.MilliCPU), 1)
 	if step.DataRack != "" && step.DataRack != w.Rack {
 		score -= remotePenalty * (m.config.RemoteFactor - 1)
 	}
@@ -72,20 +90,33 @@
 		score -= slowPenalty * (w.record.speed - 1)
 	}
 	switch {
-	case step.BestEffort && w.serves():
-		score -= disturbPenalty
+	case step.BestEffort && len(w.serving) > 0:
+		score += headroomWeight * m.headroom(w, step.Image, w.shareOf(step))
+	case step.BestEffort:
+		score += headroomWeight
 	case step.LatencyTarget > 0:
-		score -= disturbPenalty * float64(w.bestEffort) / capacity
+		score += m.companyScore(step, w)
 	}
 	return score
 }
 
-// serves tells whether a worker runs a task with a latency target.
-func (w *worker) serves() bool {
-	for _, r := range w.runs {
-		if r.step.LatencyTarget > 0 {
-			return true
+// companyScore prefers workers whose long-running tasks have the same image:
+// what disturbs an image then has the workers of all others for itself. It
+// avoids workers whose best-effort runs disturb the image.
+func (m *Machine) companyScore(step *workload.Step, w *worker) float64 {
+	score := 0.0
+	for _, s := range w.serving {
+		if s.step.Image == step.Image {
+			score += companyWeight
+		} else {
+			score -= companyWeight
 		}
 	}
-	return false
+	if n := len(w.serving); n > 0 {
+		score /= float64(n)
+	}
+	for _, f := range w.filling {
+		score -= headroomWeight * f.share() * m.images.disturbance(step.Image, f.step.Image)
+	}
+	return score
 }
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -16,13 +16,9 @@
 		m.emit(Retire{Worker: w.ID()})
 	case Done:
 	default:
-		r.wanted = r.percent
+		r.wanted = 100
 	}
 }
 
-// share slows best-effort runs beside long-running tasks that are over their
-// latency target, and speeds them up again.
-func (m *Machine) share() {}
-
 // unstick stops runs that make no progress.
 func (m *Machine) unstick() {}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cactusreel/cactusreel/hostapi"
@@ -34,6 +35,9 @@
 	// pausedUntil keeps new runs off the worker.
 	pausedUntil time.Duration
 	runs        map[workload.RunID]*run
+	// serving are the runs with a latency target, filling the best-effort ones.
+	serving []*run
+	filling []*run
 	// reserved is the room of all runs; bestEffort the processors of best-effort runs.
 	reserved   hostapi.Resources
 	bestEffort int64
@@ -50,6 +54,12 @@
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
 	w.count(r, 1)
+	switch {
+	case r.step.LatencyTarget > 0:
+		w.serving = append(w.serving, r)
+	case r.step.BestEffort:
+		w.filling = append(w.filling, r)
+	}
 }
 
 // remove frees the room of a run.
@@ -59,6 +69,9 @@
 	}
 	delete(w.runs, r.id)
 	w.count(r, -1)
+	isRun := func(other *run) bool { return other == r }
+	w.serving = slices.DeleteFunc(w.serving, isRun)
+	w.filling = slices.DeleteFunc(w.filling, isRun)
 }
 
 func (w *worker) count(r *run, sign int64) {
