Fit the disturbance between images by recursive least squares

Cause: per-pair evidence blamed innocent images that ran beside guilty ones, and the figures of a worker were compared with the runs of the moment instead of those of the half second that they cover.

--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -127,7 +127,7 @@
 	}
 	m.decide(RunEnded, end.RunID, w.ID(), end.Outcome.String(), 0)
 	m.learn(w, r, end.Outcome)
-	w.remove(r)
+	w.remove(r, m.now)
 	r.phase, r.inherited = ending, false
 	if r.step.Gang && end.Outcome != workload.Succeeded {
 		m.stopGang(r)
--- a/dispatch/images.go
+++ b/dispatch/images.go
@@ -6,115 +6,163 @@
 
 // Figures of the disturbance model. A long-running task's tail latency grows as
 // 1/(1-u), where u is the utilisation that its own load and the best-effort
-// runs beside it add up to.
+// runs beside it add up to. Each best-effort image adds to u in proportion to
+// its share of the worker's processors; many pairs of images add nothing.
 const (
-	// usualUtilisation is expected of an image before anything is known.
+	// usualUtilisation is expected of an image's own load at first.
 	usualUtilisation = 0.5
-	// usualWeight is how many observations that expectation counts for.
-	usualWeight = 8.0
-	// unknownDisturbance is the expected disturbance of a pair of images that
+	// ownVariance is the variance of that expectation.
+	ownVariance = 0.02
+	// usualDisturbance is the expected disturbance of a pair of images that
 	// were not seen together: the utilisation that a best-effort run adds for
 	// each worker's worth of processors.
-	unknownDisturbance = 0.4
-	// unknownWeight is what that expectation counts for, in squared shares of
-	// a worker; one observation of a tenth of a worker counts 0.01.
-	unknownWeight = 0.015
+	usualDisturbance = 0.4
+	// pairVariance is the variance of that expectation: about one pair in four
+	// adds 1.6, the others nothing.
+	pairVariance = 0.5
+	// insignificant is a fitted disturbance that counts as none: it is within
+	// the error of the fit, and a disturbing pair adds several times as much.
+	insignificant = 0.3
+	// noiseVariance is the variance of an observed utilisation around the
+	// expected one; the load of a task swings by 0.2 within seconds.
+	noiseVariance = 0.03
+	// remembered is the part of the knowledge that is kept with each
+	// observation, so that changed behaviour is noticed.
+	remembered = 0.9995
 	// maxUtilisation bounds what is read from a very long tail.
 	maxUtilisation = 0.95
 	// usualTargetRatio is the expected ratio of a latency target to the tail
 	// without load, before lower tails were seen.
 	usualTargetRatio = 5.0
-	// forget is the share of old evidence kept with each new observation, so
-	// that changed behaviour is noticed.
-	forget = 0.985
 )
 
-// pair is a long-running image and a best-effort image beside it.
-type pair struct{ serving, filling string }
+// imageID numbers the images that a machine has seen.
+type imageID int
 
-// evidence is a weighted sum of observations of one pair.
-type evidence struct{ product, square float64 }
-
-// serving is what is known of an image with a latency target.
-type serving struct {
+// image is what is known of the tasks of one image with a latency target. It
+// is a linear model of the utilisation, fitted by recursive least squares.
+type image struct {
 	// leastTail is the tail without load.
 	leastTail time.Duration
-	// utilisation is the mean without disturbance over count observations.
-	utilisation float64
-	count       float64
+	// position is the index of a best-effort image's coefficient; index 0 is
+	// the utilisation by the image's own load.
+	position     map[imageID]int
+	coefficient  []float64
+	covariance   [][]float64
+	observations int
 }
 
-// images learns from lagging, rough figures how strongly the best-effort runs
-// of one image disturb the long-running tasks of another.
+// images learns from lagging, rough figures which best-effort images disturb
+// which long-running ones.
 type images struct {
-	serving map[string]*serving
-	pairs   map[pair]*evidence
+	ids   map[string]imageID
+	known []*image
 }
 
-func newImages() images {
-	return images{serving: make(map[string]*serving), pairs: make(map[pair]*evidence)}
-}
+func newImages() images { return images{ids: make(map[string]imageID)} }
 
-func (x *images) of(image string, target time.Duration) *serving {
-	s := x.serving[image]
-	if s == nil {
-		s = &serving{
-			leastTail:   time.Duration(float64(target) / usualTargetRatio),
-			utilisation: usualUtilisation, count: usualWeight,
-		}
-		x.serving[image] = s
+// id returns the number of an image.
+func (x *images) id(name string) imageID {
+	if id, ok := x.ids[name]; ok {
+		return id
 	}
-	return s
+	id := imageID(len(x.known))
+	x.ids[name] = id
+	x.known = append(x.known, &image{
+		position:    make(map[imageID]int),
+		coefficient: []float64{usualUtilisation},
+		covariance:  [][]float64{{ownVariance}},
+	})
+	return id
 }
 
+// utilisation returns the expected utilisation by the image's own load.
+func (i *image) utilisation() float64 { return i.coefficient[0] }
+
 // disturbance returns the utilisation that a best-effort image adds to a
 // long-running one for each worker's worth of processors.
-func (x *images) disturbance(servingImage, fillingImage string) float64 {
-	e := x.pairs[pair{servingImage, fillingImage}]
-	if e == nil {
-		return unknownDisturbance
+func (x *images) disturbance(serving, filling imageID) float64 {
+	s := x.known[serving]
+	if at, ok := s.position[filling]; ok {
+		if s.coefficient[at] < insignificant {
+			return 0
+		}
+		return s.coefficient[at]
 	}
-	return max(0, (unknownDisturbance*unknownWeight+e.product)/(unknownWeight+e.square))
+	return usualDisturbance
 }
 
-// utilisation reads the utilisation of a long-running run from its tail.
-func (x *images) utilisation(image string, tail, target time.Duration) float64 {
-	s := x.of(image, target)
-	if tail > 0 {
-		s.leastTail = min(s.leastTail, tail)
+// extend adds a best-effort image to the model.
+func (i *image) extend(filling imageID) int {
+	if at, ok := i.position[filling]; ok {
+		return at
+	}
+	at := len(i.coefficient)
+	i.position[filling] = at
+	i.coefficient = append(i.coefficient, usualDisturbance)
+	for k := range i.covariance {
+		i.covariance[k] = append(i.covariance[k], 0)
 	}
-	if tail <= s.leastTail {
-		return 0
+	i.covariance = append(i.covariance, make([]float64, at+1))
+	i.covariance[at][at] = pairVariance
+	return at
+}
+
+// read reads the utilisation of a long-running run from its tail.
+func (x *images) read(id imageID, tail, target time.Duration) float64 {
+	s := x.known[id]
+	if s.leastTail == 0 {
+		s.leastTail = time.Duration(float64(target) / usualTargetRatio)
 	}
+	s.leastTail = min(s.leastTail, tail)
 	return min(maxUtilisation, 1-float64(s.leastTail)/float64(tail))
 }
 
 // limit returns the utilisation at which the tail reaches the target.
-func (x *images) limit(image string, target time.Duration) float64 {
-	return 1 - float64(x.of(image, target).leastTail)/float64(target)
+func (x *images) limit(id imageID, target time.Duration) float64 {
+	least := x.known[id].leastTail
+	if least == 0 {
+		return 1 - 1/usualTargetRatio
+	}
+	return 1 - float64(least)/float64(target)
 }
 
-// observe takes the utilisation of a run and the shares of the worker that the
-// best-effort images beside it use.
-func (x *images) observe(image string, target time.Duration, u, base float64, shares map[string]float64) {
-	s := x.of(image, target)
-	if len(shares) == 0 {
-		s.count = min(s.count+1, 200)
-		s.utilisation += (u - s.utilisation) / s.count
-		return
+// observe takes the utilisation of a run beside best-effort images that use
+// shares of its worker. It is one step of recursive least squares.
+func (x *images) observe(id imageID, u float64, shares map[imageID]float64) {
+	s := x.known[id]
+	for filling := range shares {
+		s.extend(filling)
 	}
-	total := 0.0
+	features := make([]float64, len(s.coefficient))
+	features[0] = 1
 	for filling, share := range shares {
-		total += share * x.disturbance(image, filling)
+		features[s.position[filling]] = share
 	}
-	for filling, share := range shares {
-		e := x.pairs[pair{image, filling}]
-		if e == nil {
-			e = &evidence{}
-			x.pairs[pair{image, filling}] = e
+	s.update(features, u)
+}
+
+func (i *image) update(features []float64, value float64) {
+	n := len(features)
+	gain := make([]float64, n)
+	expected, spread := 0.0, noiseVariance
+	for a := range n {
+		for b := range n {
+			gain[a] += i.covariance[a][b] * features[b]
+		}
+		expected += i.coefficient[a] * features[a]
+	}
+	for a := range n {
+		spread += features[a] * gain[a]
+	}
+	for a := range n {
+		i.coefficient[a] += gain[a] / spread * (value - expected)
+	}
+	for a := range n {
+		for b := range n {
+			i.covariance[a][b] -= gain[a] * gain[b] / spread
 		}
-		others := total - share*x.disturbance(image, filling)
-		e.product = forget*e.product + share*(u-base-others)
-		e.square = forget*e.square + share*share
+		i.covariance[a][a] = min(i.covariance[a][a]/remembered, pairVariance)
 	}
+	i.observations++
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -98,6 +98,7 @@
 		id:    workload.RunID{Task: t.ID, Run: number},
 		entry: e, task: t, step: &e.Steps[t.ID.Step], on: w,
 		phase: recording, wanted: 100, checkpoint: t.Checkpoint,
+		image: m.images.id(e.Steps[t.ID.Step].Image),
 	}
 	if newer := m.checkpoints[t.ID]; newer != "" {
 		r.checkpoint = newer
@@ -113,7 +114,7 @@
 
 // forget drops a run that can't exist any more; its task may be placed again.
 func (m *Machine) forget(r *run) {
-	r.on.remove(r)
+	r.on.remove(r, m.now)
 	if m.active[r.id.Task] != r {
 		return
 	}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -74,6 +74,7 @@
 	r.confirmedAt = m.now
 	if r.startedAt == 0 {
 		r.startedAt, r.progressAt = m.now, m.now
+		r.on.arrive(r, m.now)
 		m.decide(RunStarted, r.id, r.on.ID(), "", 0)
 	}
 	if r.stop {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,6 +15,7 @@
 	occurrence int
 	step       int
 	tasks      []*ledger.Task
+	image      imageID
 	priority   int
 	// due is the objective's time of day.
 	due time.Time
@@ -80,7 +81,7 @@
 			continue
 		}
 		out = append(out, candidate{
-			entry: e, occurrence: number, step: s, tasks: tasks,
+			entry: e, occurrence: number, step: s, tasks: tasks, image: m.images.id(e.Steps[s].Image),
 			priority: e.Policy.Priority, due: due.Add(e.Objective()),
 		})
 	}
@@ -150,7 +151,7 @@
 		if !m.fits(c, step, w) {
 			continue
 		}
-		score := m.score(step, w, rack)
+		score := m.score(c, step, w, rack)
 		if m.avoid[t.ID] == w.ID() {
 			score -= avoidPenalty
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -61,6 +61,16 @@
 	// base is the utilisation by the run's own load, observed at baseAt.
 	base   float64
 	baseAt time.Duration
+	// overSince is when a report first showed the tail over its target; 0 if
+	// the last one showed it under.
+	overSince time.Duration
+	// image numbers the step's image.
+	image imageID
+	// room is the result of Machine.room for the company at roomAt and the
+	// report at roomBase.
+	room     float64
+	roomAt   int64
+	roomBase time.Duration
 }
 
 // occupies tells whether the run counts against its worker's room.
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -36,7 +36,7 @@
 	if !w.reserved.Add(request).Fits(w.Capacity) {
 		return false
 	}
-	if step.BestEffort && !m.fitsBeside(step, w) {
+	if step.BestEffort && !m.fitsBeside(c, step, w) {
 		return false
 	}
 	return step.MaxPerWorker == 0 || w.countStep(c) < step.MaxPerWorker
@@ -44,11 +44,11 @@
 
 // fitsBeside tells whether a best-effort task finds processors on a worker and
 // leaves the latency targets of the tasks there alone.
-func (m *Machine) fitsBeside(step *workload.Step, w *worker) bool {
+func (m *Machine) fitsBeside(c *candidate, step *workload.Step, w *worker) bool {
 	if w.unused() < bestEffortFloor*float64(step.Request.MilliCPU) {
 		return false
 	}
-	return len(w.serving) == 0 || m.headroom(w, step.Image, w.shareOf(step)) >= 0
+	return len(w.serving) == 0 || m.headroom(w, c.image, w.shareOf(step)) >= 0
 }
 
 // shareOf returns the part of a worker's processors that a task asks for.
@@ -78,7 +78,7 @@
 }
 
 // score is higher for a better worker.
-func (m *Machine) score(step *workload.Step, w *worker, rack string) float64 {
+func (m *Machine) score(c *candidate, step *workload.Step, w *worker, rack string) float64 {
 	score := (w.unused() - float64(step.Request.MilliCPU)) / max(float64(w.Capacity.MilliCPU), 1)
 	if step.DataRack != "" && step.DataRack != w.Rack {
 		score -= remotePenalty * (m.config.RemoteFactor - 1)
@@ -91,11 +91,11 @@
 	}
 	switch {
 	case step.BestEffort && len(w.serving) > 0:
-		score += headroomWeight * m.headroom(w, step.Image, w.shareOf(step))
+		score += headroomWeight * m.headroom(w, c.image, w.shareOf(step))
 	case step.BestEffort:
 		score += headroomWeight
 	case step.LatencyTarget > 0:
-		score += m.companyScore(step, w)
+		score += m.companyScore(c.image, w)
 	}
 	return score
 }
@@ -103,10 +103,10 @@
 // companyScore prefers workers whose long-running tasks have the same image:
 // what disturbs an image then has the workers of all others for itself. It
 // avoids workers whose best-effort runs disturb the image.
-func (m *Machine) companyScore(step *workload.Step, w *worker) float64 {
+func (m *Machine) companyScore(serving imageID, w *worker) float64 {
 	score := 0.0
 	for _, s := range w.serving {
-		if s.step.Image == step.Image {
+		if s.image == serving {
 			score += companyWeight
 		} else {
 			score -= companyWeight
@@ -116,7 +116,7 @@
 		score /= float64(n)
 	}
 	for _, f := range w.filling {
-		score -= headroomWeight * f.share() * m.images.disturbance(step.Image, f.step.Image)
+		score -= headroomWeight * f.share() * m.images.disturbance(serving, f.image)
 	}
 	return score
 }
--- a/dispatch/sharing.go
+++ b/dispatch/sharing.go
@@ -9,37 +9,91 @@
 	// servingUse is the share of its processors that a long-running task uses
 	// on average; best-effort work takes the rest.
 	servingUse = 0.5
-	// settledAfter is how old a run must be to show in the figures of the runs
-	// beside it: they cover the last half second.
-	settledAfter = 700 * time.Millisecond
+	// figureWindow is the time that a worker's figures cover.
+	figureWindow = 500 * time.Millisecond
+	// settledAfter is how long a change takes to show in the figures.
+	settledAfter = figureWindow + 200*time.Millisecond
+	// reliefLimit is how long a task may be over its target before the
+	// best-effort runs beside it stop whatever is known of them. It leaves half
+	// of the 4 s that the deployments allow for a report and the stop.
+	reliefLimit = 1500 * time.Millisecond
 	// baseMemory is the weight of the newest observation in a run's own load.
 	baseMemory = 0.6
+	// swingShare is the part of a run's last deviation from its image's mean
+	// load that is expected to remain at the next report.
+	swingShare = 0.5
 	// riseMargin is the rise of a run's own load that placing allows for: the
 	// load changes within seconds and is known with a lag of up to 2 s.
 	riseMargin = 0.12
+	// negligible is an added utilisation that is ignored: twenty of it take a
+	// run from its mean load to its target.
+	negligible = 0.015
 	// utilisationMargin is kept free below the utilisation of the target.
 	utilisationMargin = 0.04
 )
 
-// settled tells whether the figures of the runs beside a best-effort run show it.
-func (m *Machine) settled(r *run) bool {
-	return r.startedAt > 0 && m.now-r.startedAt > settledAfter && m.now-r.changedAt > settledAfter+m.config.SettleTime
+// observeSharing learns from a report and stops what disturbs too much.
+func (m *Machine) observeSharing(w *worker) {
+	if len(w.serving) == 0 {
+		return
+	}
+	shares := w.exposure(m.now)
+	for _, s := range w.serving {
+		if s.phase == running && s.tail > 0 && m.now-s.startedAt > settledAfter {
+			m.observeServing(w, s, shares)
+		}
+	}
 }
 
-// observeSharing learns from a report and slows what disturbs too much.
-func (m *Machine) observeSharing(w *worker) {
-	shares := make(map[string]float64)
-	clean := true
-	for _, f := range w.filling {
-		if f.phase != running && f.phase != stopping {
+// presence is a best-effort run that was on a worker for a time.
+type presence struct {
+	image imageID
+	share float64
+	from  time.Duration
+	// to is 0 while the run is there.
+	to time.Duration
+}
+
+// exposure returns the mean shares that best-effort images had of a worker
+// during the time that its newest figures cover.
+func (w *worker) exposure(now time.Duration) map[imageID]float64 {
+	shares := make(map[imageID]float64)
+	kept := w.presences[:0]
+	begin := now - figureWindow
+	for _, p := range w.presences {
+		end := now
+		if p.to > 0 {
+			end = p.to
+		}
+		if end <= begin {
 			continue
 		}
-		clean = clean && m.settled(f)
-		shares[f.step.Image] += f.share()
+		kept = append(kept, p)
+		if overlap := end - max(begin, p.from); overlap > 0 {
+			shares[p.image] += p.share * float64(overlap) / float64(figureWindow)
+		}
 	}
-	for _, s := range w.serving {
-		if s.phase == running && s.tail > 0 && m.now-s.startedAt > settledAfter {
-			m.observeServing(w, s, shares, clean)
+	w.presences = kept
+	return shares
+}
+
+// arrive notes that a best-effort run is on its worker.
+func (w *worker) arrive(r *run, now time.Duration) {
+	if r.step.BestEffort {
+		w.presences = append(w.presences, presence{image: r.image, share: r.share(), from: now})
+	}
+}
+
+// depart notes that a best-effort run has left.
+func (w *worker) depart(r *run, now time.Duration) {
+	if !r.step.BestEffort || r.startedAt == 0 {
+		return
+	}
+	for i := range w.presences {
+		p := &w.presences[i]
+		if p.to == 0 && p.image == r.image && p.from == r.startedAt {
+			p.to = now
+			return
 		}
 	}
 }
@@ -49,15 +103,17 @@
 	return float64(r.step.Request.MilliCPU) / max(float64(r.on.Capacity.MilliCPU), 1) * float64(r.wanted) / 100
 }
 
-func (m *Machine) observeServing(w *worker, s *run, shares map[string]float64, clean bool) {
-	u := m.images.utilisation(s.step.Image, s.tail, s.step.LatencyTarget)
-	base := m.images.of(s.step.Image, s.step.LatencyTarget).utilisation
-	if clean {
-		m.images.observe(s.step.Image, s.step.LatencyTarget, u, base, shares)
+func (m *Machine) observeServing(w *worker, s *run, shares map[imageID]float64) {
+	u := m.images.read(s.image, s.tail, s.step.LatencyTarget)
+	mean := m.images.known[s.image].utilisation()
+	swing := 0.0
+	if s.baseAt > 0 {
+		swing = swingShare * (s.base - mean)
 	}
+	m.images.observe(s.image, u-swing, shares)
 	own := u
 	for image, share := range shares {
-		own -= share * m.images.disturbance(s.step.Image, image)
+		own -= share * m.images.disturbance(s.image, image)
 	}
 	own = max(0, own)
 	if s.baseAt == 0 {
@@ -65,21 +121,36 @@
 	}
 	s.base += baseMemory * (own - s.base)
 	s.baseAt = m.now
-	if s.tail > s.step.LatencyTarget && len(w.filling) > 0 {
-		m.relieve(w, s)
+	if s.tail <= s.step.LatencyTarget {
+		s.overSince = 0
+		return
+	}
+	if s.overSince == 0 {
+		s.overSince = m.now
 	}
+	m.relieve(w, s, u)
 }
 
 // relieve stops best-effort runs beside a run that is over its target, the
-// most disturbing first, until the rest should leave it under the target.
-func (m *Machine) relieve(w *worker, s *run) {
-	excess := m.images.utilisation(s.step.Image, s.tail, s.step.LatencyTarget) - m.images.limit(s.step.Image, s.step.LatencyTarget) + utilisationMargin
+// most disturbing first, until the rest should leave it under the target. After
+// that it waits until the figures show the effect.
+func (m *Machine) relieve(w *worker, s *run, u float64) {
+	if m.now-w.relievedAt < settledAfter {
+		return
+	}
+	urgent := m.now-s.overSince > reliefLimit
+	excess := u - m.images.limit(s.image, s.step.LatencyTarget) + utilisationMargin
 	for excess > 0 {
 		worst := m.worstBeside(w, s)
 		if worst == nil {
 			return
 		}
-		excess -= max(worst.share()*m.images.disturbance(s.step.Image, worst.step.Image), 0.01)
+		effect := worst.share() * m.images.disturbance(s.image, worst.image)
+		if effect < negligible && !urgent {
+			return
+		}
+		excess -= max(effect, negligible)
+		w.relievedAt = m.now
 		m.stopRun(worst, "disturbs a task that is over its latency target")
 	}
 }
@@ -92,7 +163,7 @@
 		if f.phase != running || f.stop {
 			continue
 		}
-		effect := f.share() * m.images.disturbance(s.step.Image, f.step.Image)
+		effect := f.share() * m.images.disturbance(s.image, f.image)
 		if worst == nil || effect > most {
 			worst, most = f, effect
 		}
@@ -101,23 +172,41 @@
 }
 
 // headroom returns how far the runs of a worker stay under the utilisation of
-// their targets if a best-effort run of an image comes beside them. It is 1 on
-// a worker without such runs.
-func (m *Machine) headroom(w *worker, image string, share float64) float64 {
+// their targets if a best-effort run of an image comes beside them. Runs that
+// the image does not disturb don't count. It is 1 if there are no others.
+func (m *Machine) headroom(w *worker, filling imageID, share float64) float64 {
 	least := 1.0
 	for _, s := range w.serving {
-		u := m.expectedLoad(s) + share*m.images.disturbance(s.step.Image, image)
-		for _, f := range w.filling {
-			u += f.share() * m.images.disturbance(s.step.Image, f.step.Image)
+		effect := share * m.images.disturbance(s.image, filling)
+		if effect < negligible {
+			continue
 		}
-		least = min(least, m.images.limit(s.step.Image, s.step.LatencyTarget)-utilisationMargin-u)
+		if s.overSince > 0 {
+			return -1
+		}
+		least = min(least, m.room(w, s)-effect)
 	}
 	return least
 }
 
+// room returns how far a run is expected to stay under the utilisation of its
+// target. The value is kept until the run's report or its company changes.
+func (m *Machine) room(w *worker, s *run) float64 {
+	if s.roomAt == w.companyAt && s.roomBase == s.baseAt && s.roomAt != 0 {
+		return s.room
+	}
+	u := m.expectedLoad(s)
+	for _, f := range w.filling {
+		u += f.share() * m.images.disturbance(s.image, f.image)
+	}
+	s.room = m.images.limit(s.image, s.step.LatencyTarget) - utilisationMargin - u
+	s.roomAt, s.roomBase = w.companyAt, s.baseAt
+	return s.room
+}
+
 // expectedLoad returns the utilisation that a run's own load reaches soon.
 func (m *Machine) expectedLoad(s *run) float64 {
-	mean := m.images.of(s.step.Image, s.step.LatencyTarget).utilisation
+	mean := m.images.known[s.image].utilisation()
 	if s.baseAt == 0 {
 		return mean + riseMargin
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -38,6 +38,12 @@
 	// serving are the runs with a latency target, filling the best-effort ones.
 	serving []*run
 	filling []*run
+	// presences are the best-effort runs of the last moments.
+	presences []presence
+	// relievedAt is when best-effort runs were stopped for a latency target.
+	relievedAt time.Duration
+	// companyAt counts the changes of runs.
+	companyAt int64
 	// reserved is the room of all runs; bestEffort the processors of best-effort runs.
 	reserved   hostapi.Resources
 	bestEffort int64
@@ -63,18 +69,20 @@
 }
 
 // remove frees the room of a run.
-func (w *worker) remove(r *run) {
+func (w *worker) remove(r *run, now time.Duration) {
 	if _, ok := w.runs[r.id]; !ok {
 		return
 	}
 	delete(w.runs, r.id)
 	w.count(r, -1)
+	w.depart(r, now)
 	isRun := func(other *run) bool { return other == r }
 	w.serving = slices.DeleteFunc(w.serving, isRun)
 	w.filling = slices.DeleteFunc(w.filling, isRun)
 }
 
 func (w *worker) count(r *run, sign int64) {
+	w.companyAt++
 	request := r.step.Request
 	if r.step.BestEffort {
 		w.bestEffort += sign * request.MilliCPU
