--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -76,9 +76,7 @@
 	if state != workload.Unknown {
 		return state, nil
 	}
-	call, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
-	if err := c.refresh(call); err != nil {
+	if err := c.readIntake(ctx); err != nil {
 		return workload.Unknown, ErrUnavailable
 	}
 	if state = c.state(id); state == workload.Unknown {
@@ -118,11 +116,12 @@
 	for attempt := 1; ; attempt++ {
 		call, cancel := context.WithTimeout(ctx, min(logTimeout, max(limit, time.Millisecond)))
 		began := c.node.now()
-		_, err := c.node.platform.Log.Append(call, c.intake(), [][]byte{data}, nil)
+		end, err := c.node.platform.Log.Append(call, c.intake(), [][]byte{data}, nil)
 		cancel()
 		c.node.meters.logCall(err)
 		if err == nil {
 			c.node.storeAnswered()
+			c.notifyOwner(notice{offset: end - 1, record: data})
 			return nil
 		}
 		unknown = unknown || !errors.Is(err, ErrNotDone)
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -33,14 +33,20 @@
 	// changed wakes the cell's goroutine.
 	changed chan struct{}
 	// refreshes asks for a read of the streams.
-	refreshes chan chan error
+	refreshes chan chan position
 	// owner is who opened the newest epoch.
 	owner atomic.Pointer[ledger.Owner]
 	// owning is true while this node owns the cell.
 	owning atomic.Bool
+	// epoch is the newest epoch of this node, resigned the highest one that it
+	// was asked to end.
+	epoch    atomic.Int64
+	resigned atomic.Int64
 	// recent are the ids that this node accepted and has not read back.
 	recent sync.Map
-	// orders gets a signal when the set of evacuated data centres changed.
+	// notices are records of the intake that other nodes told of.
+	notices chan notice
+	// evacuation gets a signal when the set of evacuated data centres changed.
 	evacuation chan struct{}
 }
 
@@ -48,7 +54,8 @@
 	return &cell{
 		node: n, number: number, book: ledger.NewBook(),
 		changed:    make(chan struct{}, 1),
-		refreshes:  make(chan chan error),
+		refreshes:  make(chan chan position),
+		notices:    make(chan notice, noticeBacklog),
 		evacuation: make(chan struct{}, 1),
 	}
 }
@@ -87,7 +94,8 @@
 		case <-ctx.Done():
 		case <-c.changed:
 		case answer := <-c.refreshes:
-			answer <- c.catchUp(ctx)
+			err := c.catchUp(ctx)
+			answer <- position{intake: c.intakeNext, err: err}
 		case <-timer.C:
 			if err := c.catchUp(ctx); err != nil && ctx.Err() == nil {
 				c.node.logError(logevent.FollowFailed, err, zap.Int("cell", c.number))
@@ -174,18 +182,47 @@
 	return e
 }
 
-// refresh reads the streams to their end, unless this node owns the cell.
-func (c *cell) refresh(ctx context.Context) error {
-	answer := make(chan error, 1)
+// position is how far a cell's goroutine has read.
+type position struct {
+	// intake is the offset of the intake's record to apply next.
+	intake int64
+	err    error
+}
+
+// refresh reads the streams, unless this node owns the cell, and returns how
+// far they are read. A read may be seconds behind the log's end.
+func (c *cell) refresh(ctx context.Context) (int64, error) {
+	answer := make(chan position, 1)
 	select {
 	case c.refreshes <- answer:
 	case <-ctx.Done():
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	select {
-	case err := <-answer:
-		return err
+	case p := <-answer:
+		return p.intake, p.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return 0, ctx.Err()
+	}
+}
+
+// readIntake reads the intake up to the end that it has now.
+func (c *cell) readIntake(ctx context.Context) error {
+	end, err := c.node.platform.Log.End(ctx, c.intake())
+	c.node.meters.logCall(err)
+	if err != nil {
+		return err
+	}
+	for attempt := 1; ; attempt++ {
+		read, err := c.refresh(ctx)
+		if err != nil {
+			return err
+		}
+		if read >= end {
+			return nil
+		}
+		if !pause(ctx, retryPause(attempt)) {
+			return ctx.Err()
+		}
 	}
 }
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -21,8 +21,8 @@
 	// tickInterval drives time limits of the dispatch machine.
 	tickInterval = 20 * time.Millisecond
 	// tailWait is how long the log may delay its answer to an owner's read of
-	// the intake.
-	tailWait = 10 * time.Second
+	// the intake. A connection that went silent costs at most a little more.
+	tailWait = time.Second
 	// logTimeout bounds a call to the log; its usual answer takes 4 ms and a
 	// slow one 60 times as long.
 	logTimeout = 900 * time.Millisecond
@@ -33,10 +33,17 @@
 	orderTimeout = 700 * time.Millisecond
 	// lookupTimeout bounds the question to a cell's owner.
 	lookupTimeout = 300 * time.Millisecond
+	// notifyTimeout bounds a notice to a cell's owner; the log tells it too.
+	notifyTimeout = 500 * time.Millisecond
+	// resignTimeout bounds the question to a former owner.
+	resignTimeout = 500 * time.Millisecond
 	// storeSilence is how long a node stays ready without an answer of the store.
 	storeSilence = 2500 * time.Millisecond
 	// eventBacklog bounds the events that wait for a cell's goroutine.
 	eventBacklog = 4096
+	// noticeBacklog bounds the notices that wait; more are dropped, because
+	// the log tells of the same records.
+	noticeBacklog = 256
 	// maxAppendBytes bounds one append; the platform's own bound is 2 MiB.
 	maxAppendBytes = 1 << 20
 	// appendShare is the part of a caller's time that repeats of an append may use.
--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -48,6 +48,9 @@
 	// Append adds records in order, all or none. Fence may be nil. It returns
 	// the offset after the last record.
 	Append(ctx context.Context, s Stream, records [][]byte, f *Fence) (int64, error)
+	// End returns the offset of the record that is appended next. Unlike a read
+	// it is never behind.
+	End(ctx context.Context, s Stream) (int64, error)
 	// Read returns records from an offset on; it waits for one if there is none.
 	// It returns ErrExpired and a Page with First if the offset is too old.
 	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
--- a/coordinator/meters.go
+++ b/coordinator/meters.go
@@ -42,6 +42,8 @@
 
 func (m *Meters) logCall(err error) { m.count("log_calls", "outcome", outcome(err)) }
 
+func (m *Meters) notified(err error) { m.count("owner_notices", "outcome", outcome(err)) }
+
 func (m *Meters) lookedUp(err error) { m.count("owner_lookups", "outcome", outcome(err)) }
 
 func (m *Meters) appended(d time.Duration) { m.time("append_seconds", d) }
--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -21,6 +21,7 @@
 	machine *dispatch.Machine
 	events  chan any
 	writer  *cellWriter
+	opened  time.Duration
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 }
@@ -36,7 +37,7 @@
 
 // own opens an epoch and works until the cell is taken away or fenced.
 func (c *cell) own(parent context.Context) {
-	epoch, err := c.open(parent)
+	epoch, former, err := c.open(parent)
 	if err != nil {
 		if parent.Err() == nil {
 			c.node.logError(logevent.EpochNotOpened, err, zap.Int("cell", c.number))
@@ -49,20 +50,24 @@
 	ctx, cancel := context.WithCancel(parent)
 	config := c.node.config.Dispatch
 	config.Epoch = epoch
+	config.PredecessorLapse = c.predecessorLapse(former)
 	o := &ownership{
 		cell: c, epoch: epoch, cancel: cancel,
 		machine: dispatch.New(config, c.book, c.node.now(), time.Now()),
+		opened:  began,
 		events:  make(chan any, eventBacklog),
 	}
 	o.writer = newCellWriter(o)
+	c.epoch.Store(epoch)
 	c.owning.Store(true)
 	o.tasks.Go(func() { o.tailIntake(ctx, c.intakeNext) })
 	o.tasks.Go(func() { o.pollDirectory(ctx) })
 	o.tasks.Go(func() { o.writer.run(ctx) })
+	o.tasks.Go(func() { o.askResignation(ctx, former) })
 	reason := o.loop(ctx)
 	cancel()
-	c.owning.Store(false)
 	o.tasks.Wait()
+	c.owning.Store(false)
 	c.node.events.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
 		zap.String("reason", reason), zap.Duration("duration", c.node.now()-began))
 }
@@ -70,17 +75,18 @@
 // open reads the streams and fences earlier owners with an Opened record. The
 // record goes to the end that was read, so no record of an earlier owner can
 // come between.
-func (c *cell) open(ctx context.Context) (int64, error) {
+func (c *cell) open(ctx context.Context) (epoch int64, former ledger.Owner, err error) {
 	for c.assigned.Load() != 0 {
 		if err := c.catchUp(ctx); err != nil {
-			return 0, fmt.Errorf("read the streams: %w", err)
+			return 0, former, fmt.Errorf("read the streams: %w", err)
 		}
-		epoch := max(c.assigned.Load(), c.book.Owner().Epoch+1)
+		former = c.book.Owner()
+		epoch = max(c.assigned.Load(), c.book.Owner().Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
 		record := ledger.OpenedRecord(owner)
 		data, err := ledger.Encode(record)
 		if err != nil {
-			return 0, err
+			return 0, former, err
 		}
 		call, cancel := context.WithTimeout(ctx, logTimeout)
 		end, err := c.node.platform.Log.Append(call, c.stream(), [][]byte{data}, &Fence{Epoch: epoch, Sequence: 1, At: c.cellNext})
@@ -90,14 +96,14 @@
 			continue
 		}
 		if err != nil {
-			return 0, fmt.Errorf("append the epoch: %w", err)
+			return 0, former, fmt.Errorf("append the epoch: %w", err)
 		}
 		c.book.Apply(record)
 		c.cellNext = end
 		c.owner.Store(&owner)
-		return epoch, nil
+		return epoch, former, nil
 	}
-	return 0, errors.New("cell is no longer assigned")
+	return 0, former, errors.New("cell is no longer assigned")
 }
 
 // loop feeds the machine until the ownership ends, and returns why it ended.
@@ -116,8 +122,13 @@
 			if o.assigned.Load() == 0 {
 				return "assignment ended"
 			}
+			if o.resigned.Load() >= o.epoch {
+				return "resigned"
+			}
 		case answer := <-o.refreshes:
-			answer <- nil
+			answer <- position{intake: o.intakeNext}
+		case n := <-o.notices:
+			o.takeNotice(ctx, n)
 		case <-o.evacuation:
 			if d := o.node.declared.Load(); d != nil {
 				o.step(ctx, dispatch.Evacuated{DataCentres: d.Evacuated})
@@ -144,16 +155,35 @@
 	}
 }
 
+// takeIntake applies the records of a page that are not applied yet.
 func (o *ownership) takeIntake(ctx context.Context, page Page) {
 	for i, data := range page.Records {
 		if page.From+int64(i) < o.intakeNext {
 			continue
 		}
-		if e := o.apply(data); e != nil {
-			o.step(ctx, dispatch.EntryChanged{Entry: e})
-		}
+		o.applyIntake(ctx, data)
+		o.intakeNext = page.From + int64(i) + 1
+	}
+}
+
+func (o *ownership) applyIntake(ctx context.Context, data []byte) {
+	if e := o.apply(data); e != nil {
+		o.step(ctx, dispatch.EntryChanged{Entry: e})
+	}
+}
+
+// takeNotice applies a record that another node told of. A record that is not
+// the next one of the intake is applied at once too: records of different
+// submissions do not depend on each other, and the log brings it again in its
+// order. A cancellation of an unknown submission has no effect before that.
+func (o *ownership) takeNotice(ctx context.Context, n notice) {
+	if n.offset < o.intakeNext {
+		return
+	}
+	o.applyIntake(ctx, n.record)
+	if n.offset == o.intakeNext {
+		o.intakeNext++
 	}
-	o.intakeNext = max(o.intakeNext, page.From+int64(len(page.Records)))
 }
 
 // post gives an event to the loop.
--- /dev/null
+++ b/coordinator/resign.go
@@ -0,0 +1,64 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/coordinator/coordpb"
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/logevent"
+)
+
+// predecessorLapse returns the time after which every lease that a former
+// owner gave has lapsed. An earlier process of this VM has ended; any other
+// former owner may extend leases until its authority ends.
+func (c *cell) predecessorLapse(former ledger.Owner) time.Duration {
+	if former.VM == "" || former.VM == c.node.config.VM && former.PeerAddress == c.node.config.PeerAddress {
+		return c.resignedLapse()
+	}
+	return authority + c.resignedLapse()
+}
+
+// resignedLapse returns the time after which every lease has lapsed that was
+// given until now.
+func (c *cell) resignedLapse() time.Duration {
+	return dispatch.LeaseLapse(c.node.config.Dispatch.Lease) + orderTimeout
+}
+
+// askResignation asks the former owner to end its ownership. A new process at
+// its address answers as well: the former one has ended then.
+func (o *ownership) askResignation(ctx context.Context, former ledger.Owner) {
+	if former.PeerAddress == "" || former.PeerAddress == o.node.config.PeerAddress {
+		return
+	}
+	for attempt := 1; ctx.Err() == nil && o.node.now()-o.opened < authority; attempt++ {
+		call, cancel := context.WithTimeout(ctx, resignTimeout)
+		answer, err := o.node.peers.client(former.PeerAddress).Resign(call, &coordpb.ResignRequest{Cell: int32(o.number), Epoch: former.Epoch})
+		cancel()
+		if err == nil && answer.Resigned {
+			o.node.events.Log(logevent.FormerOwnerResigned, zap.String("vm", former.VM), zap.Int64("epoch", former.Epoch))
+			o.post(ctx, dispatch.PredecessorResigned{Lapse: o.resignedLapse()})
+			return
+		}
+		pause(ctx, retryPause(attempt))
+	}
+}
+
+// Resign ends this node's ownership of a cell up to an epoch.
+func (n *Node) Resign(ctx context.Context, q *coordpb.ResignRequest) (*coordpb.ResignAnswer, error) {
+	c := n.cell(q.Cell)
+	if c == nil {
+		return &coordpb.ResignAnswer{}, nil
+	}
+	c.resigned.Store(max(c.resigned.Load(), q.Epoch))
+	signal(c.changed)
+	for c.owning.Load() && c.epoch.Load() <= q.Epoch {
+		if !pause(ctx, 5*time.Millisecond) {
+			return &coordpb.ResignAnswer{}, nil
+		}
+	}
+	return &coordpb.ResignAnswer{Resigned: true}, nil
+}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -60,6 +60,10 @@
 	Answer Answer
 }
 
+// PredecessorResigned tells that no earlier owner gives leases any more, and
+// when the last one has lapsed, counted from now.
+type PredecessorResigned struct{ Lapse time.Duration }
+
 // Tick lets time pass. Now is the time of day, for schedules.
 type Tick struct{ Now time.Time }
 
@@ -74,6 +78,8 @@
 func (PaceAnswered) isEvent()  {}
 func (Tick) isEvent()          {}
 
+func (PredecessorResigned) isEvent() {}
+
 // Answer is a worker's answer to an order.
 type Answer int
 
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -90,6 +90,9 @@
 	if !w.reported {
 		w.nextHoldAt = m.now
 	}
+	if !w.reported {
+		w.fenceFormer(m.now, m.config.Lease)
+	}
 	w.reported = true
 	m.readEnds(w, report.Ended)
 	m.readActive(w, ev, report.Active)
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -16,8 +16,7 @@
 	wall    time.Time
 	out     []Action
 	workers map[string]*worker
-	// former are earlier lives of workers whose runs are not all resolved.
-	active map[workload.TaskID]*run
+	active  map[workload.TaskID]*run
 	// byEntry are the active runs of each submission.
 	byEntry map[string]map[workload.TaskID]*run
 	// checkpoints are newer than the book's, from runs whose end was not reported.
@@ -85,7 +84,7 @@
 		w := m.workers[t.On.Worker]
 		if w == nil {
 			w = newWorker(workload.Worker{Life: t.On})
-			w.lapseAt = m.now + m.config.PredecessorLapse
+			w.formerLapseAt = m.now + m.config.PredecessorLapse
 			m.workers[t.On.Worker] = w
 		}
 		r := m.newRun(e, t, t.Run, w)
@@ -162,6 +161,8 @@
 		m.stopAnswered(ev)
 	case PaceAnswered:
 		m.paceAnswered(ev)
+	case PredecessorResigned:
+		m.predecessorResigned(ev.Lapse)
 	case Tick:
 		m.tick(ev.Now)
 	}
@@ -228,7 +229,7 @@
 		m.wantPlan = true
 	}
 	for id, w := range m.workers {
-		if w.silent && m.now >= w.lapseAt && len(w.runs) > 0 {
+		if (w.silent || w.Address == "") && w.lapsed(m.now) && len(w.runs) > 0 {
 			m.loseRuns(w, "lease has lapsed")
 		}
 		if !w.listed && !w.holding && !w.hasWork() {
@@ -241,6 +242,13 @@
 	m.unstick()
 }
 
+// predecessorResigned shortens the wait for leases that earlier owners gave.
+func (m *Machine) predecessorResigned(lapse time.Duration) {
+	for _, w := range m.workers {
+		w.formerLapseAt = min(w.formerLapseAt, m.now+lapse)
+	}
+}
+
 // workersListed takes the platform's present list.
 func (m *Machine) workersListed(list []workload.Worker) {
 	present := make(map[string]bool, len(list))
@@ -272,7 +280,7 @@
 	w.Life = life
 	w.reported, w.silent = false, false
 	w.seen, w.cursor, w.acked = 0, 0, 0
-	w.clock, w.clockAt, w.lapseAt = 0, 0, 0
+	w.clock, w.clockAt, w.lapseAt, w.formerLapseAt = 0, 0, 0, 0
 	w.record = record{}
 	w.nextHoldAt = m.now
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -22,6 +22,8 @@
 	// lapseAt is when every lease of this life has lapsed, as far as the
 	// orders sent so far go.
 	lapseAt time.Duration
+	// formerLapseAt is the same for the leases that earlier owners gave.
+	formerLapseAt time.Duration
 	// silent: the last hold had no answer.
 	silent bool
 	// holding: a hold is in flight.
@@ -110,8 +112,23 @@
 
 // noteLease notes when the worker's clock has certainly passed end.
 func (w *worker) noteLease(end time.Duration) {
-	lapse := w.clockAt + time.Duration(float64(end-w.clock)/(1-clockDrift)) + lapseMargin
-	w.lapseAt = max(w.lapseAt, lapse)
+	w.lapseAt = max(w.lapseAt, w.clockAt+LeaseLapse(end-w.clock))
+}
+
+// LeaseLapse returns the time after which a lease has lapsed on a worker whose
+// clock is as slow as workers' clocks may be.
+func LeaseLapse(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-clockDrift)) + lapseMargin
+}
+
+// lapsed tells whether every lease of this life has lapsed.
+func (w *worker) lapsed(now time.Duration) bool {
+	return now >= w.lapseAt && now >= w.formerLapseAt
+}
+
+// fenceFormer notes that the worker refuses earlier owners from now on.
+func (w *worker) fenceFormer(now, lease time.Duration) {
+	w.formerLapseAt = min(w.formerLapseAt, now+LeaseLapse(lease))
 }
 
 // hasWork tells whether the worker needs to be held.
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -14,6 +14,7 @@
 	EpochFenced          Number = 814
 	GroupCallFailed      Number = 815
 	GroupRegained        Number = 816
+	FormerOwnerResigned  Number = 817
 	FollowFailed         Number = 821
 	LogExpired           Number = 822
 	BadLedgerRecord      Number = 823
@@ -41,6 +42,7 @@
 	{EpochFenced, "EpochFenced", zapcore.WarnLevel, "another VM has opened a higher epoch", []string{"epoch", "worker"}, "None; frequent changes point to a flapping link or a slow VM."},
 	{GroupCallFailed, "GroupCallFailed", zapcore.WarnLevel, "group call failed", []string{"error"}, "Look at the link to the platform's store."},
 	{GroupRegained, "GroupRegained", zapcore.InfoLevel, "group call succeeds again", nil, "None."},
+	{FormerOwnerResigned, "FormerOwnerResigned", zapcore.InfoLevel, "former owner of the cell gives no orders any more", []string{"vm", "epoch"}, "None."},
 	{FollowFailed, "FollowFailed", zapcore.WarnLevel, "cell streams could not be read", []string{"cell", "error"}, "Look at the link to the platform's store."},
 	{LogExpired, "LogExpired", zapcore.WarnLevel, "records expired before they were read", []string{"topic", "from", "first"}, "Expected at the first read of an old stream; otherwise the VM was cut off for longer than the log keeps records."},
 	{BadLedgerRecord, "BadLedgerRecord", zapcore.ErrorLevel, "record could not be decoded or encoded", []string{"cell", "error"}, "Check the versions of the program on all VMs."},
