--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -76,7 +76,7 @@
 // record goes to the end that was read, so no record of an earlier owner can
 // come between.
 func (c *cell) open(ctx context.Context) (epoch int64, former ledger.Owner, err error) {
-	for c.assigned.Load() != 0 {
+	for attempt := 1; c.assigned.Load() != 0; attempt++ {
 		if err := c.catchUp(ctx); err != nil {
 			return 0, former, fmt.Errorf("read the streams: %w", err)
 		}
@@ -93,6 +93,8 @@
 		cancel()
 		c.node.meters.logCall(err)
 		if errors.Is(err, ErrMoved) {
+			// The read was behind the stream's end.
+			pause(ctx, retryPause(attempt))
 			continue
 		}
 		if err != nil {
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -21,9 +21,12 @@
 	case !w.reported || w.clock == 0:
 		// The first hold reads the worker's clock; without it no lease can be given.
 	case len(w.runs) == 0:
+	case w.silent:
+		// A hold without an answer may have been carried out, so it must not
+		// extend the lease: the lease of a worker that is gone has to lapse.
 	default:
 		h.Deadline = w.leaseEnd(m.now, m.config.Lease)
-		if !w.silent && w.seen == w.cursor && !w.awaitsListing() {
+		if w.seen == w.cursor && !w.awaitsListing() {
 			h.Wait = m.config.HoldWait
 		}
 	}
@@ -33,7 +36,7 @@
 
 // awaitsListing tells whether a run waits for the worker's word.
 func (w *worker) awaitsListing() bool {
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.inherited || r.phase == stopping {
 			return true
 		}
@@ -122,10 +125,16 @@
 }
 
 func (m *Machine) readEnd(w *worker, end *workload.EndedRun) {
-	advance := func() { w.cursor = max(w.cursor, end.Sequence) }
+	life := w.Life
+	advance := func() {
+		// A new life of the worker numbers its ends from 1 again.
+		if w.Life == life {
+			w.cursor = max(w.cursor, end.Sequence)
+		}
+	}
 	r := w.runs[end.RunID]
 	if r == nil {
-		m.readForeignEnd(w, end, advance)
+		m.readForeignEnd(end, advance)
 		return
 	}
 	m.decide(RunEnded, end.RunID, w.ID(), end.Outcome.String(), 0)
@@ -145,7 +154,7 @@
 
 // readForeignEnd handles the end of a run that this machine gave up or never
 // knew. A success counts if nothing else was placed for the task since.
-func (m *Machine) readForeignEnd(_ *worker, end *workload.EndedRun, advance func()) {
+func (m *Machine) readForeignEnd(end *workload.EndedRun, advance func()) {
 	e := m.book.Find(end.Task.Submission)
 	if e == nil || e.State().Final() {
 		advance()
@@ -156,7 +165,11 @@
 		advance()
 		return
 	}
-	m.recordEnd(e, end, advance)
+	m.closing[end.Task] = true
+	m.recordEnd(e, end, func() {
+		advance()
+		delete(m.closing, end.Task)
+	})
 }
 
 // recordEnd writes an end; then runs when the record is on the log.
@@ -195,8 +208,8 @@
 		}
 		m.readRun(r, a)
 	}
-	for id, r := range w.runs {
-		if !listed[id] {
+	for _, r := range w.order {
+		if !listed[r.id] {
 			m.readAbsent(r, ev.SentAt)
 		}
 	}
--- a/dispatch/images.go
+++ b/dispatch/images.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -131,7 +133,7 @@
 // shares of its worker. It is one step of recursive least squares.
 func (x *images) observe(id imageID, u float64, shares map[imageID]float64) {
 	s := x.known[id]
-	for filling := range shares {
+	for _, filling := range slices.Sorted(maps.Keys(shares)) {
 		s.extend(filling)
 	}
 	features := make([]float64, len(s.coefficient))
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cactusreel/cactusreel/ledger"
@@ -16,14 +18,19 @@
 	wall    time.Time
 	out     []Action
 	workers map[string]*worker
-	active  map[workload.TaskID]*run
+	// sorted are the workers in ascending order of id.
+	sorted []*worker
+	active map[workload.TaskID]*run
 	// byEntry are the active runs of each submission.
-	byEntry map[string]map[workload.TaskID]*run
+	byEntry map[string][]*run
 	// checkpoints are newer than the book's, from runs whose end was not reported.
 	checkpoints map[workload.TaskID]string
 	// avoid is the worker on which a task failed last.
 	avoid     map[workload.TaskID]string
 	evacuated map[string]bool
+	// closing are tasks whose end was listed by a worker that no run of theirs
+	// is on any more, until the end is on the log.
+	closing map[workload.TaskID]bool
 	// pending are the continuations of appends in flight, oldestAppend the
 	// time of the oldest one.
 	pending map[int64]appendInFlight
@@ -48,10 +55,11 @@
 		config: config, book: book, now: now, wall: wall,
 		workers:     make(map[string]*worker),
 		active:      make(map[workload.TaskID]*run),
-		byEntry:     make(map[string]map[workload.TaskID]*run),
+		byEntry:     make(map[string][]*run),
 		checkpoints: make(map[workload.TaskID]string),
 		avoid:       make(map[workload.TaskID]string),
 		evacuated:   make(map[string]bool),
+		closing:     make(map[workload.TaskID]bool),
 		pending:     make(map[int64]appendInFlight),
 		images:      newImages(),
 	}
@@ -81,17 +89,45 @@
 		if t.Done || !t.Open {
 			continue
 		}
-		w := m.workers[t.On.Worker]
+		w := m.inheritWorker(t.On)
 		if w == nil {
-			w = newWorker(workload.Worker{Life: t.On})
-			w.formerLapseAt = m.now + m.config.PredecessorLapse
-			m.workers[t.On.Worker] = w
+			continue
 		}
 		r := m.newRun(e, t, t.Run, w)
 		r.phase, r.inherited = starting, true
 	}
 }
 
+// inheritWorker returns the worker of an inherited run, or nil if a run on a
+// later life of the worker shows that the life has ended.
+func (m *Machine) inheritWorker(life workload.Life) *worker {
+	w := m.workers[life.Worker]
+	switch {
+	case w == nil:
+		w = m.addWorker(workload.Worker{Life: life})
+	case life.Born < w.Born:
+		return nil
+	case life.Born > w.Born:
+		m.reborn(w, life)
+	}
+	w.formerLapseAt = m.now + m.config.PredecessorLapse
+	return w
+}
+
+func (m *Machine) addWorker(info workload.Worker) *worker {
+	w := newWorker(info)
+	m.workers[info.ID()] = w
+	at, _ := slices.BinarySearchFunc(m.sorted, info.ID(), func(w *worker, id string) int { return cmp.Compare(w.ID(), id) })
+	m.sorted = slices.Insert(slices.Clone(m.sorted), at, w)
+	return w
+}
+
+// dropWorker forgets a worker. Callers may range over the former slice.
+func (m *Machine) dropWorker(w *worker) {
+	delete(m.workers, w.ID())
+	m.sorted = slices.DeleteFunc(slices.Clone(m.sorted), func(other *worker) bool { return other == w })
+}
+
 func (m *Machine) newRun(e *ledger.Entry, t *ledger.Task, number int64, w *worker) *run {
 	r := &run{
 		id:    workload.RunID{Task: t.ID, Run: number},
@@ -104,10 +140,7 @@
 	}
 	w.add(r)
 	m.active[t.ID] = r
-	if m.byEntry[e.ID] == nil {
-		m.byEntry[e.ID] = make(map[workload.TaskID]*run)
-	}
-	m.byEntry[e.ID][t.ID] = r
+	m.byEntry[e.ID] = append(m.byEntry[e.ID], r)
 	return r
 }
 
@@ -118,10 +151,12 @@
 		return
 	}
 	delete(m.active, r.id.Task)
-	runs := m.byEntry[r.entry.ID]
-	delete(runs, r.id.Task)
-	if len(runs) == 0 {
+	// Callers range over the former slice while runs are forgotten.
+	left := slices.DeleteFunc(slices.Clone(m.byEntry[r.entry.ID]), func(other *run) bool { return other == r })
+	if len(left) == 0 {
 		delete(m.byEntry, r.entry.ID)
+	} else {
+		m.byEntry[r.entry.ID] = left
 	}
 	m.wantPlan = true
 }
@@ -228,20 +263,34 @@
 	if m.now-m.plannedAt >= replanInterval {
 		m.wantPlan = true
 	}
-	for id, w := range m.workers {
+	for _, w := range m.sorted {
 		if (w.silent || w.Address == "") && w.lapsed(m.now) && len(w.runs) > 0 {
 			m.loseRuns(w, "lease has lapsed")
 		}
 		if !w.listed && !w.holding && !w.hasWork() {
-			delete(m.workers, id)
+			m.dropWorker(w)
 			continue
 		}
+		if w.Draining {
+			m.leave(w)
+		}
 		m.retryOrders(w)
 		m.holdIfDue(w)
 	}
 	m.unstick()
 }
 
+// leave stops the long-running tasks of a worker that goes away soon, so that
+// they start elsewhere at once instead of when its lease has lapsed. Other
+// tasks usually end before the worker goes.
+func (m *Machine) leave(w *worker) {
+	for _, r := range w.order {
+		if r.step.LongRunning && r.phase == running && !r.stop {
+			m.stopRun(r, "worker is draining")
+		}
+	}
+}
+
 // predecessorResigned shortens the wait for leases that earlier owners gave.
 func (m *Machine) predecessorResigned(lapse time.Duration) {
 	for _, w := range m.workers {
@@ -256,8 +305,7 @@
 		present[info.ID()] = true
 		w := m.workers[info.ID()]
 		if w == nil {
-			w = newWorker(info)
-			m.workers[info.ID()] = w
+			w = m.addWorker(info)
 		}
 		if w.Life != info.Life && info.Born > w.Born {
 			m.reborn(w, info.Life)
@@ -267,8 +315,8 @@
 			w.listed = true
 		}
 	}
-	for id, w := range m.workers {
-		w.listed = w.listed && present[id]
+	for _, w := range m.sorted {
+		w.listed = w.listed && present[w.ID()]
 	}
 	m.wantPlan = true
 }
@@ -287,7 +335,7 @@
 
 // loseRuns gives up the runs of a worker that can't run any more.
 func (m *Machine) loseRuns(w *worker, reason string) {
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		m.decide(RunLost, r.id, w.ID(), reason, m.now-w.clockAt)
 		if r.checkpoint != "" {
 			m.checkpoints[r.id.Task] = r.checkpoint
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -9,6 +9,8 @@
 // refuses tells why a recorded run must not be started now, or "".
 func (m *Machine) refuses(r *run) string {
 	switch {
+	case r.task.Done:
+		return "task is done"
 	case r.entry.State().Final():
 		return "submission is " + r.entry.State().String()
 	case !r.on.listed:
@@ -194,7 +196,7 @@
 	if w.silent || w.Address == "" {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		switch {
 		case r.phase == starting && !r.inFlight && !r.inherited && r.repeated:
 			m.sendStart(r)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -93,22 +93,21 @@
 	var out []*ledger.Task
 	for i := range tasks {
 		t := &tasks[i]
-		if !t.Done && m.active[t.ID] == nil {
+		if !t.Done && m.active[t.ID] == nil && !m.closing[t.ID] {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
-// usable returns the workers that may get new runs, in a fixed order.
+// usable returns the workers that may get new runs, in ascending order of id.
 func (m *Machine) usable() []*worker {
 	var out []*worker
-	for _, w := range m.workers {
+	for _, w := range m.sorted {
 		if w.listed && w.reported && !w.silent && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.ID(), b.ID()) })
 	return out
 }
 
--- a/dispatch/sharing.go
+++ b/dispatch/sharing.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -112,8 +114,8 @@
 	}
 	m.images.observe(s.image, u-swing, shares)
 	own := u
-	for image, share := range shares {
-		own -= share * m.images.disturbance(s.image, image)
+	for _, image := range slices.Sorted(maps.Keys(shares)) {
+		own -= shares[image] * m.images.disturbance(s.image, image)
 	}
 	own = max(0, own)
 	if s.baseAt == 0 {
--- /dev/null
+++ b/dispatch/simworker_test.go
@@ -0,0 +1,164 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// simWorker is a worker that follows the platform's rules in virtual time: it
+// refuses lower epochs, old runs, passed deadlines and what has no room, and
+// kills everything when its lease lapses.
+type simWorker struct {
+	info     workload.Worker
+	up       bool
+	cut      bool
+	gone     bool
+	zero     time.Duration
+	epoch    int64
+	deadline time.Duration
+	runs     map[workload.RunID]*simRun
+	refused  map[workload.TaskID]int64
+	ends     []workload.EndedRun
+	// voided are the ends between which and their acknowledgement the lease
+	// lapsed: by the platform's rules they count as never acknowledged.
+	voided   map[int64]bool
+	sequence int64
+	cursor   int64
+}
+
+type simRun struct {
+	id      workload.RunID
+	request hostapi.Resources
+	endsAt  time.Duration
+	outcome workload.Outcome
+}
+
+func newSimWorker(id string, milliCPU int64) *simWorker {
+	return &simWorker{
+		info: workload.Worker{
+			Life: workload.Life{Worker: id, Born: 1}, Service: "register", Address: id, DataCentre: "giza", Rack: "r1-1",
+			Capacity: hostapi.Resources{MilliCPU: milliCPU, MemoryMiB: 1 << 20},
+		},
+		up: true, runs: make(map[workload.RunID]*simRun), refused: make(map[workload.TaskID]int64),
+		voided: make(map[int64]bool),
+	}
+}
+
+func (w *simWorker) clock(now time.Duration) time.Duration { return now - w.zero + time.Second }
+
+// advance ends runs that are due and kills all when the lease has lapsed.
+func (w *simWorker) advance(now time.Duration) {
+	if !w.up {
+		return
+	}
+	expired := w.clock(now) > w.deadline
+	lapsed := len(w.runs) > 0 && expired
+	if expired {
+		for _, e := range w.ends {
+			w.voided[e.Sequence] = true
+		}
+	}
+	for _, r := range w.sorted() {
+		switch {
+		case lapsed:
+			w.end(r, workload.Lapsed)
+		case now >= r.endsAt:
+			w.end(r, r.outcome)
+		}
+	}
+}
+
+func (w *simWorker) sorted() []*simRun {
+	var all []*simRun
+	for _, r := range w.runs {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *simRun) int { return cmpString(fmt.Sprint(a.id), fmt.Sprint(b.id)) })
+	return all
+}
+
+func cmpString(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+func (w *simWorker) end(r *simRun, outcome workload.Outcome) {
+	delete(w.runs, r.id)
+	w.refused[r.id.Task] = max(w.refused[r.id.Task], r.id.Run)
+	w.sequence++
+	w.ends = append(w.ends, workload.EndedRun{RunID: r.id, Sequence: w.sequence, Outcome: outcome})
+}
+
+// reboot begins a new life that knows nothing of the former one.
+func (w *simWorker) reboot(now time.Duration) {
+	w.info.Born++
+	w.up, w.zero, w.epoch, w.deadline, w.sequence, w.cursor = true, now, 0, 0, 0, 0
+	w.voided = make(map[int64]bool)
+	w.runs, w.refused, w.ends = make(map[workload.RunID]*simRun), make(map[workload.TaskID]int64), nil
+}
+
+func (w *simWorker) fenced(epoch int64) bool {
+	if epoch < w.epoch {
+		return true
+	}
+	w.epoch = epoch
+	return false
+}
+
+func (w *simWorker) free() hostapi.Resources {
+	left := w.info.Capacity
+	for _, r := range w.runs {
+		left = left.Sub(r.request)
+	}
+	return left
+}
+
+func (w *simWorker) start(now time.Duration, epoch int64, s dispatch.Start, r *simRun) dispatch.Answer {
+	switch {
+	case w.fenced(epoch):
+		return dispatch.Fenced
+	case s.Deadline < w.clock(now):
+		return dispatch.TooLate
+	case w.runs[s.Run] != nil:
+		return dispatch.Done
+	case s.Run.Run <= w.refused[s.Run.Task]:
+		return dispatch.Superseded
+	case !r.request.Fits(w.free()):
+		return dispatch.NoRoom
+	}
+	w.deadline = max(w.deadline, s.Deadline)
+	w.runs[s.Run] = r
+	return dispatch.Done
+}
+
+func (w *simWorker) stop(epoch int64, s dispatch.Stop) dispatch.Answer {
+	if w.fenced(epoch) {
+		return dispatch.Fenced
+	}
+	w.refused[s.Run.Task] = max(w.refused[s.Run.Task], s.Run.Run)
+	if r := w.runs[s.Run]; r != nil {
+		w.end(r, workload.Stopped)
+	}
+	return dispatch.Done
+}
+
+func (w *simWorker) hold(now time.Duration, epoch int64, h dispatch.Hold) (workload.Report, dispatch.Answer) {
+	if w.fenced(epoch) {
+		return workload.Report{}, dispatch.Fenced
+	}
+	w.deadline = max(w.deadline, h.Deadline)
+	w.cursor = max(w.cursor, h.Cursor)
+	w.ends = slices.DeleteFunc(w.ends, func(e workload.EndedRun) bool { return e.Sequence <= w.cursor })
+	report := workload.Report{Life: w.info.Life, Clock: w.clock(now), Ended: slices.Clone(w.ends)}
+	for _, r := range w.sorted() {
+		report.Active = append(report.Active, workload.ActiveRun{RunID: r.id, Percent: 50})
+	}
+	return report, dispatch.Done
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,7 +36,10 @@
 	acked int64
 	// pausedUntil keeps new runs off the worker.
 	pausedUntil time.Duration
-	runs        map[workload.RunID]*run
+	// runs are the runs that may be on the worker; order has the same runs in
+	// the order in which they were placed.
+	runs  map[workload.RunID]*run
+	order []*run
 	// serving are the runs with a latency target, filling the best-effort ones.
 	serving []*run
 	filling []*run
@@ -61,6 +64,7 @@
 // add reserves the room of a run.
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
+	w.order = append(w.order, r)
 	w.count(r, 1)
 	switch {
 	case r.step.LatencyTarget > 0:
@@ -79,8 +83,10 @@
 	w.count(r, -1)
 	w.depart(r, now)
 	isRun := func(other *run) bool { return other == r }
-	w.serving = slices.DeleteFunc(w.serving, isRun)
-	w.filling = slices.DeleteFunc(w.filling, isRun)
+	// Callers range over the former slice while they remove runs.
+	w.order = slices.DeleteFunc(slices.Clone(w.order), isRun)
+	w.serving = slices.DeleteFunc(slices.Clone(w.serving), isRun)
+	w.filling = slices.DeleteFunc(slices.Clone(w.filling), isRun)
 }
 
 func (w *worker) count(r *run, sign int64) {
