Pass what was learned of images to the successor; explore one unknown at a time

Forgetting inflated the variance of what was not observed, and a pair wrongly believed to disturb was never tried again.

--- a/dispatch/images.go
+++ b/dispatch/images.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -22,15 +23,22 @@
 	// pairVariance is the variance of that expectation: about one pair in four
 	// adds 1.6, the others nothing.
 	pairVariance = 0.5
+	// uncertainVariance is the variance above which a pair counts as unknown:
+	// about seven observations of a tenth of a worker go below it.
+	uncertainVariance = 0.25
 	// insignificant is a fitted disturbance that counts as none: it is within
 	// the error of the fit, and a disturbing pair adds several times as much.
 	insignificant = 0.3
 	// noiseVariance is the variance of an observed utilisation around the
 	// expected one; the load of a task swings by 0.2 within seconds.
 	noiseVariance = 0.03
-	// remembered is the part of the knowledge that is kept with each
-	// observation, so that changed behaviour is noticed.
-	remembered = 0.9995
+	// leastVariance is the variance below which no coefficient gets, so that
+	// changed behaviour is noticed.
+	leastVariance = 0.002
+	// optimism is the number of standard deviations by which an estimate is
+	// taken to be lower: a pair that is wrongly believed to disturb would
+	// never be tried again otherwise.
+	optimism = 0.5
 	// maxUtilisation bounds what is read from a very long tail.
 	maxUtilisation = 0.95
 	// usualTargetRatio is the expected ratio of a latency target to the tail
@@ -59,6 +67,8 @@
 type images struct {
 	ids   map[string]imageID
 	known []*image
+	// updates counts the observations of all images.
+	updates int
 }
 
 func newImages() images { return images{ids: make(map[string]imageID)} }
@@ -86,12 +96,25 @@
 func (x *images) disturbance(serving, filling imageID) float64 {
 	s := x.known[serving]
 	if at, ok := s.position[filling]; ok {
-		if s.coefficient[at] < insignificant {
-			return 0
-		}
-		return s.coefficient[at]
+		return significant(s.coefficient[at] - optimism*math.Sqrt(s.covariance[at][at]))
+	}
+	return significant(usualDisturbance - optimism*math.Sqrt(pairVariance))
+}
+
+// uncertain tells that too little is known of a pair of images to place several
+// such runs on a worker.
+func (x *images) uncertain(serving, filling imageID) bool {
+	s := x.known[serving]
+	at, ok := s.position[filling]
+	return !ok || s.covariance[at][at] > uncertainVariance
+}
+
+// significant returns 0 for what is within the error of the fit.
+func significant(disturbance float64) float64 {
+	if disturbance < insignificant {
+		return 0
 	}
-	return usualDisturbance
+	return disturbance
 }
 
 // extend adds a best-effort image to the model.
@@ -142,6 +165,7 @@
 		features[s.position[filling]] = share
 	}
 	s.update(features, u)
+	x.updates++
 }
 
 func (i *image) update(features []float64, value float64) {
@@ -164,7 +188,7 @@
 		for b := range n {
 			i.covariance[a][b] -= gain[a] * gain[b] / spread
 		}
-		i.covariance[a][a] = min(i.covariance[a][a]/remembered, pairVariance)
+		i.covariance[a][a] = max(i.covariance[a][a], leastVariance)
 	}
 	i.observations++
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -41,6 +41,10 @@
 	plannedAt time.Duration
 	wantPlan  bool
 	images    images
+	// learnedAt is when the knowledge of images was recorded last, after
+	// learnedUpdates observations.
+	learnedAt      time.Duration
+	learnedUpdates int
 }
 
 type appendInFlight struct {
@@ -63,6 +67,7 @@
 		pending:     make(map[int64]appendInFlight),
 		images:      newImages(),
 	}
+	m.images.restore(book.Learned())
 	m.inherit()
 	return m
 }
@@ -278,6 +283,7 @@
 		m.holdIfDue(w)
 	}
 	m.unstick()
+	m.recordLearned()
 }
 
 // leave stops the long-running tasks of a worker that goes away soon, so that
--- a/dispatch/sharing.go
+++ b/dispatch/sharing.go
@@ -184,18 +184,36 @@
 func (m *Machine) headroom(w *worker, filling imageID, share float64) float64 {
 	least := 1.0
 	for _, s := range w.serving {
+		if s.overSince > 0 || m.confounds(w, s, filling) {
+			return -1
+		}
 		effect := share * m.images.disturbance(s.image, filling)
 		if effect < negligible {
 			continue
 		}
-		if s.overSince > 0 {
-			return -1
-		}
 		least = min(least, m.room(w, s)-effect)
 	}
 	return least
 }
 
+// confounds tells that a best-effort run of an image would come beside another
+// one while little is known of what either does to a run: a missed target could
+// not be attributed then.
+func (m *Machine) confounds(w *worker, s *run, filling imageID) bool {
+	if len(w.filling) == 0 {
+		return false
+	}
+	if m.images.uncertain(s.image, filling) {
+		return true
+	}
+	for _, f := range w.filling {
+		if m.images.uncertain(s.image, f.image) {
+			return true
+		}
+	}
+	return false
+}
+
 // room returns how far a run is expected to stay under the utilisation of its
 // target. The value is kept until the run's report or its company changes.
 func (m *Machine) room(w *worker, s *run) float64 {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -28,6 +28,8 @@
 	// order are the ids of live entries in the order of their acceptance.
 	order []*Entry
 	owner Owner
+	// learned is what the newest owner that told has learned of images, or nil.
+	learned *ledgerpb.Learned
 }
 
 // NewBook returns the state of empty streams.
@@ -38,6 +40,9 @@
 // Owner returns who opened the newest epoch.
 func (b *Book) Owner() Owner { return b.owner }
 
+// Learned returns what earlier owners have learned of images, or nil.
+func (b *Book) Learned() *ledgerpb.Learned { return b.learned }
+
 // Live returns the entries that are not final, in the order of acceptance.
 func (b *Book) Live() []*Entry {
 	kept := b.order[:0]
@@ -85,6 +90,8 @@
 		return b.place(r.Placed)
 	case r.Ended != nil:
 		return b.end(r.Ended)
+	case r.Learned != nil:
+		b.learned = r.Learned
 	case r.Retained != nil:
 		return b.retain(r.Retained)
 	}
