--- a/cmd/cactusreel/main.go
+++ b/cmd/cactusreel/main.go
@@ -40,9 +40,15 @@
 
 // runCoordinator runs the coordinator with logs on standard output.
 func runCoordinator(ctx context.Context, settingsPath string) error {
-	events, err := logevent.New(os.Stdout, "info")
+	s, err := settings.LoadCoordinator(settingsPath)
+	if err != nil {
+		return &command.ExitError{Code: command.ExitUsage, Err: err}
+	}
+	budget := logevent.NewBudget(os.Stdout, s.Log.LinesPerSecond)
+	defer budget.Close()
+	events, err := logevent.NewBounded(budget, s.Log.Level)
 	if err != nil {
 		return err
 	}
-	return platform.Run(ctx, settingsPath, events)
+	return platform.Run(ctx, s, platform.Options{SettingsPath: settingsPath, Events: events, LogDropped: budget.Dropped})
 }
--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,116 @@
+package command
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// maxLogLine bounds a line of a log file.
+const maxLogLine = 1 << 20
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID FILE...",
+		Short: "Print what log files say of a submission, in order of time",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			return explain(c.OutOrStdout(), args[0], args[1:])
+		},
+	}
+}
+
+// logLine is a line of a log file that names the submission or an ownership.
+type logLine struct {
+	time   string
+	file   string
+	fields map[string]any
+}
+
+// explain prints the lines about a submission, and the changes of ownership
+// between the first and the last of them.
+func explain(w io.Writer, id string, files []string) error {
+	var lines []logLine
+	for _, file := range files {
+		more, err := readLog(file, id)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.time, b.time) })
+	first, last := -1, -1
+	for i, l := range lines {
+		if l.fields["id"] == id {
+			if first < 0 {
+				first = i
+			}
+			last = i
+		}
+	}
+	if first < 0 {
+		_, err := fmt.Fprintf(w, "no line names %s; events 851 count dropped lines\n", id)
+		return err
+	}
+	for _, l := range lines[first : last+1] {
+		if _, err := fmt.Fprintln(w, l.text()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readLog returns the lines of a file that name the submission, and those
+// about ownership and the store, which have no id. Lines that are not JSON are
+// skipped: the file may hold other output.
+func readLog(path, id string) ([]logLine, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	defer f.Close()
+	var lines []logLine
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal([]byte(text[start:]), &fields) != nil {
+			continue
+		}
+		event, _ := fields["event"].(float64)
+		ownership := event >= 811 && event <= 826
+		if fields["id"] != id && !ownership {
+			continue
+		}
+		time, _ := fields["time"].(string)
+		source := path
+		if start > 0 {
+			source = strings.Join(strings.Fields(text[:start]), " ")
+		}
+		lines = append(lines, logLine{time: time, file: source, fields: fields})
+	}
+	return lines, scanner.Err()
+}
+
+// text returns the line for a reader.
+func (l logLine) text() string {
+	out := fmt.Sprintf("%s %s %v", l.time, l.file, l.fields["name"])
+	for _, key := range []string{"decision", "task", "run", "worker", "reason", "age", "queue", "cell", "epoch", "duration", "error"} {
+		if value, ok := l.fields[key]; ok {
+			out += fmt.Sprintf(" %s=%v", key, value)
+		}
+	}
+	return out
+}
--- a/command/settings.go
+++ b/command/settings.go
@@ -22,18 +22,32 @@
 }
 
 func newSettingsCheck() *cobra.Command {
-	return &cobra.Command{
+	coordinator := false
+	check := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file and name every mistake",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if _, err := loadSettings(args[0]); err != nil {
+			if err := checkSettings(args[0], coordinator); err != nil {
 				return err
 			}
 			_, err := fmt.Fprintf(c.OutOrStdout(), "%s: no mistakes\n", args[0])
 			return err
 		},
 	}
+	check.Flags().BoolVar(&coordinator, "coordinator", false, "the file is a coordinator's")
+	return check
+}
+
+func checkSettings(path string, coordinator bool) error {
+	if !coordinator {
+		_, err := loadSettings(path)
+		return err
+	}
+	if _, err := settings.LoadCoordinator(path); err != nil {
+		return &ExitError{Code: ExitUsage, Err: result.Errorf(result.BadSettings, "\n%w", err)}
+	}
+	return nil
 }
 
 func newSettingsReference() *cobra.Command {
--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -35,16 +35,13 @@
 		c.recent.Store(s.ID, n.now())
 	}
 	n.meters.submitted(err, n.now()-began)
-	n.events.Log(submitEvent(err), zap.String("id", s.ID), zap.String("queue", s.Queue),
-		zap.Duration("duration", n.now()-began), zap.Error(err))
-	return err
-}
-
-func submitEvent(err error) logevent.Number {
-	if err == nil {
-		return logevent.SubmissionAccepted
+	fields := []zap.Field{zap.String("id", s.ID), zap.String("queue", s.Queue), zap.Duration("duration", n.now()-began)}
+	if err != nil {
+		n.logError(logevent.SubmissionRejected, err, fields...)
+		return err
 	}
-	return logevent.SubmissionRejected
+	n.events.Log(logevent.SubmissionAccepted, fields...)
+	return nil
 }
 
 // Cancel cancels a submission. It returns nil if that is stored, and
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -7,8 +7,6 @@
 	// joinInterval is a fifth of the group's time to live, so that four lost
 	// calls in a row do not cost a cell.
 	joinInterval = 300 * time.Millisecond
-	// groupTTL is how long a silent node keeps its cells.
-	groupTTL = 1500 * time.Millisecond
 	// authority is how long an owner extends leases without a successful join.
 	// It bridges an outage of the store of several seconds.
 	authority = 10 * time.Second
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -51,10 +51,8 @@
 	progressAt time.Duration
 	// percent is the progress; of a long-running run 100 when it is at work.
 	percent int
-	// wanted is the share of its processors that was asked for last, in
-	// percent, changedAt when.
-	wanted    int
-	changedAt time.Duration
+	// wanted is the share of its processors that was asked for last, in percent.
+	wanted int
 	// tail is the last reported tail latency, used the last processor use.
 	tail time.Duration
 	used int64
@@ -72,6 +70,3 @@
 	roomAt   int64
 	roomBase time.Duration
 }
-
-// occupies tells whether the run counts against its worker's room.
-func (r *run) occupies() bool { return r.phase != ending }
--- a/logevent/markdown.go
+++ b/logevent/markdown.go
@@ -24,6 +24,7 @@
 	5: "Resources",
 	6: "Peers and freshness",
 	7: "Platform",
+	8: "Coordinator",
 }
 
 // rangeSize is the count of numbers in the range of an area.
--- /dev/null
+++ b/settings/coordinator_test.go
@@ -0,0 +1,59 @@
+package settings_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/settings"
+)
+
+// rendered fills the deploy template in with an address, a number or a name.
+func rendered(t *testing.T) string {
+	data, err := os.ReadFile("../deploy/coordinator.ini.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("{{listen_addrs.frontend}}", "10.1.0.13:8161", "{{listen_addrs.readiness}}", "10.1.0.13:8167",
+		"{{platform.address}}", "10.200.1.7:8169", "{{ip}}", "10.1.0.13", "{{node_name}}", "front-1", "{{zone}}", "giza",
+		"{{internal_ports.0}}", "7720", "{{internal_ports.1}}", "7735").Replace(string(data))
+	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(text, "3000")
+}
+
+// Guards against a template whose keys the daemon does not read.
+func TestTemplateIsAccepted(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.ParseCoordinator("coordinator.ini", []byte(rendered(t)))
+	is.NoErr(err)
+	is.Equal(s.VM.Name, "front-1")
+	is.Equal(s.Listen.Peers, "10.1.0.13:7720")
+	is.Equal(s.Times.Grace, 3000*time.Second)
+	is.Equal(s.Limits.Cells, 1)
+}
+
+// Guards against a start with impossible settings, and against a check that
+// names only the first mistake.
+func TestCoordinatorMistakesAreAllNamed(t *testing.T) {
+	is := is.New(t)
+	text := strings.NewReplacer("10.1.0.13:8161", "nowhere", "address = 10.200.1.7:8169", "address =",
+		"remote_factor = 3000", "remote_factor = 0.5", "[limits]", "[limits]\ncells = 9999").Replace(rendered(t))
+	_, err := settings.ParseCoordinator("coordinator.ini", []byte(text))
+	is.True(err != nil)
+	for _, key := range []string{"callers", "address", "remote_factor", "cells"} {
+		is.True(strings.Contains(err.Error(), key))
+	}
+	_, err = settings.ParseCoordinator("coordinator.ini", []byte("[times]\ngrace = soon\n"))
+	is.True(err != nil)
+}
+
+// Guards against a newer platform whose extra or absent figures stop the daemon.
+func TestUnknownAndEmptyKeysAreIgnored(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(rendered(t), "[times]", "[times]\nnovel = 12\npace = ms", 1)
+	_, err := settings.ParseCoordinator("coordinator.ini", []byte(text))
+	is.NoErr(err)
+}
--- a/workload/worker.go
+++ b/workload/worker.go
@@ -36,4 +36,4 @@
 }
 
 // ID returns the worker's id.
-func (w *Worker) ID() string { return w.Life.Worker }
+func (w *Worker) ID() string { return w.Worker }
