Several cells, owned by the larger VMs; small VMs in reserve

Now the store's budget gives the number of cells (600 calls a second: 1; 1,200: 4), and VMs under 0.3 of a core join the group only if no other VM holds a cell.

--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -14,6 +14,8 @@
 	PeerAddress string
 	// Cells is the number of cells; all nodes use the same number.
 	Cells int
+	// Reserve tells that the node takes cells over only if nobody owns them.
+	Reserve bool
 	// Dispatch holds the figures of the dispatch machine, without an epoch.
 	Dispatch dispatch.Config
 }
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -99,6 +99,9 @@
 	mu         sync.Mutex
 	generation int64
 	owner      string
+	volunteers bool
+	// asked counts the joins of each member.
+	asked map[string]int
 }
 
 func (g *fakeGroup) give(vm string) {
@@ -108,6 +111,12 @@
 	g.owner = vm
 }
 
+func (g *fakeGroup) set(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
+}
+
 // member is the view of one node.
 type member struct {
 	*fakeGroup
@@ -119,6 +128,10 @@
 func (m member) Join(context.Context, int64) (coordinator.Assignment, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.asked == nil {
+		m.asked = make(map[string]int)
+	}
+	m.asked[m.vm]++
 	if m.lost != nil && *m.lost {
 		return coordinator.Assignment{}, errors.New("no answer")
 	}
@@ -129,6 +142,12 @@
 	return a, nil
 }
 
+func (m member) Volunteers(context.Context) (bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.volunteers, nil
+}
+
 func (m member) Leave(context.Context) error { return nil }
 
 // fakeFleet is one worker that runs each task for a second.
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -7,12 +7,17 @@
 	// joinInterval is a fifth of the group's time to live, so that four lost
 	// calls in a row do not cost a cell.
 	joinInterval = 300 * time.Millisecond
+	// reserveInterval is how often a node in reserve looks for other owners,
+	// reserveChecks how many looks in a row must find none. A restart of all
+	// other nodes at once takes about 2 s.
+	reserveInterval = 1200 * time.Millisecond
+	reserveChecks   = 2
 	// authority is how long an owner extends leases without a successful join.
 	// It bridges an outage of the store of several seconds.
 	authority = 10 * time.Second
 	// followInterval is how often a node that does not own a cell reads its
 	// streams. States must be visible everywhere within 3 s.
-	followInterval = time.Second
+	followInterval = 2500 * time.Millisecond
 	// directoryInterval is how often an owner reads the list of workers. A
 	// draining worker must get no starts after 2 s.
 	directoryInterval = 400 * time.Millisecond
--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -66,6 +66,8 @@
 type Group interface {
 	// Join keeps this node in the group.
 	Join(ctx context.Context, generation int64) (Assignment, error)
+	// Volunteers tells whether a member that is not in reserve holds a cell.
+	Volunteers(ctx context.Context) (bool, error)
 	// Leave gives all cells back.
 	Leave(ctx context.Context) error
 }
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -23,8 +23,12 @@
 	// storeSeen is when the store last answered, in nanoseconds since start.
 	storeSeen atomic.Int64
 	stopping  atomic.Bool
-	started   time.Time
-	running   sync.WaitGroup
+	// serving tells that a node in reserve owns cells, absent counts its
+	// checks in a row that found nobody else.
+	serving atomic.Bool
+	absent  int
+	started time.Time
+	running sync.WaitGroup
 }
 
 // NewNode returns a node that has not started.
@@ -56,15 +60,7 @@
 	if n.stopping.Swap(true) {
 		return
 	}
-	for _, c := range n.cells {
-		c.assign(0)
-	}
-	for _, c := range n.cells {
-		c.waitReleased(ctx)
-	}
-	if err := n.platform.Group.Leave(ctx); err != nil {
-		n.logError(logevent.GroupCallFailed, err)
-	}
+	n.giveUp(ctx)
 }
 
 // Ready tells whether the node can take submissions.
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -28,8 +28,14 @@
 }
 
 func (s *site) node(vm string, lost *bool) *coordinator.Node {
+	return s.run(vm, lost, false)
+}
+
+func (s *site) reserve(vm string) *coordinator.Node { return s.run(vm, nil, true) }
+
+func (s *site) run(vm string, lost *bool, reserve bool) *coordinator.Node {
 	n := coordinator.NewNode(coordinator.Config{
-		VM: vm, Cells: 1, Dispatch: dispatch.Config{Lease: 5 * time.Second, HoldWait: time.Second, RemoteFactor: 2},
+		VM: vm, Cells: 1, Reserve: reserve, Dispatch: dispatch.Config{Lease: 5 * time.Second, HoldWait: time.Second, RemoteFactor: 2},
 	}, coordinator.Platform{
 		Log: s.log, Group: member{s.group, vm, lost}, Fleet: s.fleet, Directory: s.fleet, Declarations: fakeDeclarations{},
 	}, nil, coordinator.NewMeters())
@@ -211,3 +217,26 @@
 		is.Equal(state, workload.Cancelled)
 	})
 }
+
+// Guards against a small node that owns cells beside larger ones, and against
+// cells that nobody owns when the larger ones are gone.
+func TestReserveServesOnlyAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite()
+		defer s.close()
+		s.group.volunteers = true
+		s.group.give("small")
+		n := s.reserve("small")
+		time.Sleep(5 * time.Second)
+		is.Equal(s.group.asked["small"], 0)
+		is.True(n.Ready())
+		s.group.set(func() { s.group.volunteers = false })
+		time.Sleep(5 * time.Second)
+		is.NoErr(n.Submit(within(3*time.Second), submission("s")))
+		time.Sleep(4 * time.Second)
+		state, err := n.State(within(time.Second), "s")
+		is.NoErr(err)
+		is.Equal(state, workload.Completed)
+	})
+}
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -66,8 +66,14 @@
 
 // CoordinatorLimits holds the deployment's figures that are not times.
 type CoordinatorLimits struct {
-	// Cells is the number of cells; all VMs must have the same number.
+	// Cells is the number of cells; all VMs must have the same number. 0
+	// derives it from StoreWrites.
 	Cells int `ini:"cells"`
+	// StoreWrites is the number of calls a second that change the store, of
+	// all VMs together.
+	StoreWrites float64 `ini:"store_writes"`
+	// CPUShare is this VM's share of a core.
+	CPUShare float64 `ini:"cpu_share"`
 	// RemoteFactor is how much longer a task takes away from its data.
 	RemoteFactor float64 `ini:"remote_factor"`
 	// StorePartitions is the number of partitions of a topic.
@@ -90,7 +96,7 @@
 			Checkpoint: 2 * time.Second, Impact: 4 * time.Second, Grace: 6 * time.Second,
 			GroupTTLLeast: time.Second, LogRetention: 5 * time.Minute,
 		},
-		Limits: CoordinatorLimits{Cells: 1, RemoteFactor: 2, StorePartitions: 24},
+		Limits: CoordinatorLimits{StoreWrites: 600, CPUShare: 1, RemoteFactor: 2, StorePartitions: 24},
 		Log:    CoordinatorLog{Level: "info", LinesPerSecond: 400},
 	}
 }
@@ -116,12 +122,30 @@
 	if err := file.StrictMapTo(&s); err != nil {
 		return s, Mistakes{{File: name, Problem: err.Error(), Accepted: "durations with a unit, and numbers"}}
 	}
+	if s.Limits.Cells == 0 {
+		s.Limits.Cells = cellsFor(s.Limits.StoreWrites, s.Limits.StorePartitions)
+	}
 	if mistakes := s.check(name); len(mistakes) > 0 {
 		return s, mistakes
 	}
 	return s, nil
 }
 
+// Figures of the number of cells.
+const (
+	// sharedWrites is the part of the store's calls a second that is kept for
+	// submissions and membership.
+	sharedWrites = 400
+	// writesPerCell is what the owner of a cell needs at its peak: it groups
+	// the records of 5 ms into one append.
+	writesPerCell = 200
+)
+
+// cellsFor returns the number of cells whose owners the store can serve.
+func cellsFor(writes float64, partitions int) int {
+	return max(1, min(partitions, int((writes-sharedWrites)/writesPerCell)))
+}
+
 // dropEmpty removes keys without a value, so that their presets hold: a
 // template renders an unknown figure as nothing, or as a unit alone.
 func dropEmpty(file *ini.File) {
