--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -34,6 +34,8 @@
 	changed chan struct{}
 	// refreshes asks for a read of the streams.
 	refreshes chan chan position
+	// sweptAt is when ended submissions were forgotten last.
+	sweptAt time.Duration
 	// owner is who opened the newest epoch.
 	owner atomic.Pointer[ledger.Owner]
 	// owning is true while this node owns the cell.
@@ -100,11 +102,28 @@
 			if err := c.catchUp(ctx); err != nil && ctx.Err() == nil {
 				c.node.logError(logevent.FollowFailed, err, zap.Int("cell", c.number))
 			}
+			c.sweep()
 			timer.Reset(followInterval)
 		}
 	}
 }
 
+// sweep forgets what ended long ago.
+func (c *cell) sweep() {
+	now := c.node.now()
+	if now-c.sweptAt < sweepInterval {
+		return
+	}
+	c.sweptAt = now
+	c.book.Sweep(now, finalKept)
+	c.recent.Range(func(id, at any) bool {
+		if now-at.(time.Duration) > finalKept {
+			c.recent.Delete(id)
+		}
+		return true
+	})
+}
+
 // waitReleased waits until the cell is not owned.
 func (c *cell) waitReleased(ctx context.Context) {
 	for c.owning.Load() && pause(ctx, 5*time.Millisecond) {
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -44,6 +44,11 @@
 	storeSilence = 2500 * time.Millisecond
 	// eventBacklog bounds the events that wait for a cell's goroutine.
 	eventBacklog = 4096
+	// finalKept is how long ended submissions stay in memory. Callers may ask
+	// for 2 minutes, and a late copy of a request arrives within seconds.
+	finalKept = 10 * time.Minute
+	// sweepInterval is how often ended submissions are forgotten.
+	sweepInterval = 10 * time.Second
 	// noticeBacklog bounds the notices that wait; more are dropped, because
 	// the log tells of the same records.
 	noticeBacklog = 256
--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -139,6 +139,7 @@
 			o.take(ctx, ev)
 		case now := <-tick.C:
 			o.step(ctx, dispatch.Tick{Now: now})
+			o.sweep()
 		}
 	}
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -43,6 +43,8 @@
 	// RemoteFactor is how much longer a task takes away from its data or its
 	// step's rack.
 	RemoteFactor float64
+	// Retention is how long the log keeps records; 0 is for ever.
+	Retention time.Duration
 	// StartEarly is how much earlier than due an occurrence may start.
 	StartEarly time.Duration
 	// SettleTime is how long a change of pace takes to show in a worker's figures.
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -256,6 +256,7 @@
 	if a.Percent != r.percent {
 		r.progressAt = m.now
 	}
+	r.reportedAt = m.now
 	r.percent = a.Percent
 	r.tail, r.used = a.Tail, a.UsedMilliCPU
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -45,6 +45,11 @@
 	// learnedUpdates observations.
 	learnedAt      time.Duration
 	learnedUpdates int
+	// retained is when the state of a submission was repeated last, or first
+	// seen, openedAt the same for the epoch's own record.
+	retained   map[string]time.Duration
+	retainedAt time.Duration
+	openedAt   time.Duration
 }
 
 type appendInFlight struct {
@@ -64,6 +69,8 @@
 		avoid:       make(map[workload.TaskID]string),
 		evacuated:   make(map[string]bool),
 		closing:     make(map[workload.TaskID]bool),
+		retained:    make(map[string]time.Duration),
+		openedAt:    now,
 		pending:     make(map[int64]appendInFlight),
 		images:      newImages(),
 	}
@@ -257,6 +264,7 @@
 	if !e.State().Final() {
 		return
 	}
+	delete(m.retained, e.ID)
 	for _, r := range m.byEntry[e.ID] {
 		m.stopRun(r, "submission is "+e.State().String())
 	}
@@ -284,6 +292,7 @@
 	}
 	m.unstick()
 	m.recordLearned()
+	m.retain()
 }
 
 // leave stops the long-running tasks of a worker that goes away soon, so that
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -21,6 +21,8 @@
 	// failures counts the failures in a row, of the submissions in failed.
 	failed   map[string]bool
 	refusals int
+	// stuck counts the runs that stood still.
+	stuck int
 	// speed is the mean ratio of run time to expectation; 0 if nothing is known.
 	speed float64
 }
@@ -32,7 +34,7 @@
 		m.learnFailure(w, r)
 	case workload.Succeeded:
 		w.record.failed = nil
-		w.record.refusals = 0
+		w.record.refusals, w.record.stuck = 0, 0
 		m.learnTime(w, r)
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -47,8 +47,10 @@
 	startedAt time.Duration
 	// checkpoint is the newest known checkpoint.
 	checkpoint string
-	// progressAt is when the run last showed progress.
+	// progressAt is when the run last showed progress, reportedAt when it was
+	// last listed.
 	progressAt time.Duration
+	reportedAt time.Duration
 	// percent is the progress; of a long-running run 100 when it is at work.
 	percent int
 	// wanted is the share of its processors that was asked for last, in percent.
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -19,6 +19,3 @@
 		r.wanted = 100
 	}
 }
-
-// unstick stops runs that make no progress.
-func (m *Machine) unstick() {}
--- /dev/null
+++ b/dispatch/stuck_test.go
@@ -0,0 +1,76 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+var plainStep = workload.Step{
+	Tasks: 1, Estimate: 10 * time.Second, Request: hostapi.Resources{MilliCPU: 1000, MemoryMiB: 10},
+}
+
+// setProgress sets the progress that the worker reports of a submission's runs.
+func (d *desk) setProgress(id string, percent int) {
+	for run, a := range d.active {
+		if run.Task.Submission == id {
+			a.Percent = percent
+			d.active[run] = a
+		}
+	}
+}
+
+// Guards against tasks that stand still on a worker until their estimate has
+// passed many times, and against a slow task that is taken for one of them.
+func TestRunsWithoutProgressAreStopped(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.report()
+	d.submit("still", plainStep)
+	d.submit("slow", plainStep)
+	d.setProgress("still", 30)
+	for i := range 8 {
+		d.setProgress("slow", i)
+		d.pass(400 * time.Millisecond)
+		d.report()
+	}
+	d.pass(20 * time.Millisecond)
+	is.Equal(d.count(stopOf("still")), 1)
+	is.Equal(d.count(stopOf("slow")), 0)
+}
+
+// Guards against a log that forgets a long-running submission: its state must
+// be repeated before the log drops the records, and suffice alone.
+func TestStateOutlivesTheLogsRetention(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.machine = dispatch.New(dispatch.Config{
+		Epoch: 1, Lease: simLease, HoldWait: 2 * time.Second, RemoteFactor: 2, Retention: 30 * time.Second,
+	}, d.book, d.now, time.Now())
+	d.list(workload.Worker{})
+	d.report()
+	d.submit("watch", watchStep)
+	d.actions = nil
+	for range 30 {
+		d.pass(500 * time.Millisecond)
+		d.report()
+	}
+	later := ledger.NewBook()
+	for _, a := range d.actions {
+		if appended, ok := a.(dispatch.Append); ok {
+			for _, r := range appended.Records {
+				later.Apply(r)
+			}
+		}
+	}
+	e := later.Find("watch")
+	is.True(e != nil)
+	is.Equal(e.Task(workload.TaskID{Submission: "watch"}).On.Worker, "w")
+	is.Equal(e.State(), workload.Running)
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -28,6 +28,10 @@
 	// order are the ids of live entries in the order of their acceptance.
 	order []*Entry
 	owner Owner
+	// settled are the entries that became final since the last sweep, aging
+	// those that became final before.
+	settled []string
+	aging   []settledEntry
 	// learned is what the newest owner that told has learned of images, or nil.
 	learned *ledgerpb.Learned
 }
@@ -212,7 +216,8 @@
 // settle publishes the state and drops a final entry from the live ones.
 func (b *Book) settle(e *Entry) {
 	e.publish()
-	if e.State().Final() {
+	if _, live := b.live[e.ID]; live && e.State().Final() {
 		delete(b.live, e.ID)
+		b.settled = append(b.settled, e.ID)
 	}
 }
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -182,3 +182,19 @@
 	b.Apply(ledger.SubmittedRecord(submission("s")))
 	is.True(b.Apply(placed(task("s", 9, 9), 1)) == nil)
 }
+
+// Guards against a book that grows for ever, and one that forgets a submission
+// that callers still ask for.
+func TestSweepForgetsOnlyOldFinalEntries(t *testing.T) {
+	is := is.New(t)
+	b := ledger.NewBook()
+	b.Apply(ledger.SubmittedRecord(submission("live")))
+	b.Apply(ledger.SubmittedRecord(submission("gone")))
+	b.Apply(ledger.CancelledRecord("gone"))
+	b.Sweep(time.Minute, time.Minute)
+	b.Sweep(2*time.Minute, time.Minute)
+	is.True(b.Find("gone") != nil)
+	b.Sweep(2*time.Minute+time.Second, time.Minute)
+	is.True(b.Find("gone") == nil)
+	is.True(b.Find("live") != nil)
+}
