Keep the bound per worker at a takeover; soak: orders die with a worker's life

Causes, both in the stand-in: a late cursor stayed in force in the worker's next life, and orders held up by the proxy reached that life over connections that end with the former one.

--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -286,7 +286,7 @@
 // worker has never begun, as far as it says: a copy of the start may be late.
 func (m *Machine) resumeInherited(r *run) {
 	r.inherited = false
-	if r.stop || m.refuses(r) != "" || r.step.Gang {
+	if r.stop || m.refuses(r) != "" || r.step.Gang || r.crowded() {
 		m.stopRun(r, "start of an earlier owner is not repeated")
 		return
 	}
--- /dev/null
+++ b/dispatch/inherit_test.go
@@ -0,0 +1,40 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// Guards against a new owner that starts a run which the former one recorded
+// and gave up, beside the run that got its place: more tasks of the step would
+// be on the worker than the submission allows.
+func TestInheritedRunKeepsTheBoundPerWorker(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	step := plainStep
+	step.Tasks, step.MaxPerWorker = 2, 1
+	d.book.Apply(ledger.SubmittedRecord(&workload.Submission{
+		ID: "apart", Queue: "q", Steps: []workload.Step{step}, Policy: workload.Policy{Service: "register", MaxAttempts: 3},
+	}))
+	life := workload.Life{Worker: "w", Born: 1}
+	for index := range 2 {
+		task := workload.TaskID{Submission: "apart", Index: index}
+		d.book.Apply(ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, life))
+	}
+	d.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HoldWait: time.Second, RemoteFactor: 2}, d.book, d.now, time.Now())
+	second := workload.RunID{Task: workload.TaskID{Submission: "apart", Index: 1}, Run: 1}
+	d.active[second] = workload.ActiveRun{RunID: second, Percent: 10}
+	d.list(workload.Worker{})
+	d.report()
+	for range 5 {
+		d.pass(300 * time.Millisecond)
+		d.report()
+	}
+	is.Equal(d.count(startOf("apart")), 0)
+}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -65,6 +65,14 @@
 	return float64(w.Capacity.MilliCPU) - used
 }
 
+// crowded tells that more runs of a step's occurrence are recorded on a worker
+// than may be there: an earlier owner gave some of them up.
+func (r *run) crowded() bool {
+	limit := r.step.MaxPerWorker
+	task := r.id.Task
+	return limit > 0 && r.on.countStep(&candidate{entry: r.entry, occurrence: task.Occurrence, step: task.Step}) > limit
+}
+
 // countStep counts the runs of a step's occurrence on a worker.
 func (w *worker) countStep(c *candidate) int {
 	n := 0
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -200,6 +200,8 @@
 	case 7:
 		s.later(func() { link.set(func() { link.deaf = true }); time.Sleep(last); link.heal() })
 	case 8:
+		// The connections of a life end with it: no held-up order reaches the next one.
+		link.reset()
 		s.workers[worker].Reboot()
 	case 9:
 		s.later(func() {
