--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -238,8 +238,6 @@
 	return dispatch.Done
 }
 
-func (f *fakeFleet) Pace(context.Context, int64, dispatch.Pace) dispatch.Answer { return dispatch.Done }
-
 // Workers implements coordinator.Directory.
 func (f *fakeFleet) Workers(context.Context) ([]workload.Worker, bool, error) {
 	return []workload.Worker{{
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -14,7 +14,6 @@
 	// Start returns the worker's clock too, or 0.
 	Start(ctx context.Context, epoch int64, s dispatch.Start) (dispatch.Answer, time.Duration)
 	Stop(ctx context.Context, epoch int64, s dispatch.Stop) dispatch.Answer
-	Pace(ctx context.Context, epoch int64, p dispatch.Pace) dispatch.Answer
 }
 
 // Directory lists the workers.
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -30,7 +30,7 @@
 	logTimeout = 900 * time.Millisecond
 	// logRetry is the pause before a log call is repeated.
 	logRetry = 100 * time.Millisecond
-	// orderTimeout bounds a start, stop or pace; the usual answer takes one
+	// orderTimeout bounds a start or a stop; the usual answer takes one
 	// round trip of 10 ms.
 	orderTimeout = 700 * time.Millisecond
 	// lookupTimeout bounds the question to a cell's owner.
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -38,8 +38,6 @@
 		o.tasks.Go(func() { o.start(ctx, a) })
 	case dispatch.Stop:
 		o.tasks.Go(func() { o.stop(ctx, a) })
-	case dispatch.Pace:
-		o.tasks.Go(func() { o.pace(ctx, a) })
 	case dispatch.Retire:
 		o.node.events.Log(logevent.EpochFenced, zap.Int64("epoch", o.epoch), zap.String("worker", a.Worker))
 		o.cancel()
@@ -75,10 +73,3 @@
 	cancel()
 	o.post(ctx, dispatch.StopAnswered{Worker: s.Worker, Run: s.Run, Answer: answer})
 }
-
-func (o *ownership) pace(ctx context.Context, p dispatch.Pace) {
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	answer := o.node.platform.Fleet.Pace(call, o.epoch, p)
-	cancel()
-	o.post(ctx, dispatch.PaceAnswered{Worker: p.Worker, Run: p.Run, Answer: answer})
-}
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -47,6 +47,4 @@
 	Retention time.Duration
 	// StartEarly is how much earlier than due an occurrence may start.
 	StartEarly time.Duration
-	// SettleTime is how long a change of pace takes to show in a worker's figures.
-	SettleTime time.Duration
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -144,7 +144,7 @@
 	r := &run{
 		id:    workload.RunID{Task: t.ID, Run: number},
 		entry: e, task: t, step: &e.Steps[t.ID.Step], on: w,
-		phase: recording, wanted: 100, checkpoint: t.Checkpoint,
+		phase: recording, checkpoint: t.Checkpoint,
 		image: m.images.id(e.Steps[t.ID.Step].Image),
 	}
 	if newer := m.checkpoints[t.ID]; newer != "" {
@@ -206,8 +206,6 @@
 		m.startAnswered(ev)
 	case StopAnswered:
 		m.stopAnswered(ev)
-	case PaceAnswered:
-		m.paceAnswered(ev)
 	case PredecessorResigned:
 		m.predecessorResigned(ev.Lapse)
 	case Tick:
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -53,8 +53,6 @@
 	reportedAt time.Duration
 	// percent is the progress; of a long-running run 100 when it is at work.
 	percent int
-	// wanted is the share of its processors that was asked for last, in percent.
-	wanted int
 	// tail is the last reported tail latency, used the last processor use.
 	tail time.Duration
 	used int64
--- a/settings/coordinator_test.go
+++ b/settings/coordinator_test.go
@@ -53,7 +53,7 @@
 // Guards against a newer platform whose extra or absent figures stop the daemon.
 func TestUnknownAndEmptyKeysAreIgnored(t *testing.T) {
 	is := is.New(t)
-	text := strings.Replace(rendered(t), "[times]", "[times]\nnovel = 12\npace = ms", 1)
+	text := strings.Replace(rendered(t), "[times]", "[times]\nnovel = 12\ngrace = s", 1)
 	_, err := settings.ParseCoordinator("coordinator.ini", []byte(text))
 	is.NoErr(err)
 }
--- a/workload/run.go
+++ b/workload/run.go
@@ -37,7 +37,7 @@
 	RunID
 	// Checkpoint is the newest checkpoint, or "".
 	Checkpoint string
-	// Percent is the share of its processors that the run may use.
+	// Percent is the progress; of a long-running run 100 when it is at work.
 	Percent int
 	// Tail is the tail latency of a long-running task with a target.
 	Tail time.Duration
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -95,20 +95,13 @@
 
 // Chain returns the estimated time of the longest chain of dependent steps.
 func (s *Submission) Chain() time.Duration {
-	return s.chain(func(int) bool { return false })
-}
-
-// chain returns the longest chain over the steps that are not skipped.
-func (s *Submission) chain(skip func(step int) bool) time.Duration {
 	ends := make([]time.Duration, len(s.Steps))
 	var longest time.Duration
 	for i, step := range s.Steps {
 		for _, before := range step.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		if !skip(i) {
-			ends[i] += step.Estimate
-		}
+		ends[i] += step.Estimate
 		longest = max(longest, ends[i])
 	}
 	return longest
