Wait for a worker's stop time before a stopped run counts as gone

Found by reading; the test fails without the change. Ruled out: lapsed leases, late starts, records of earlier epochs.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -14,6 +14,9 @@
 	holdSpacing = 30 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 150 * time.Millisecond
+	// stopMargin is added to the time that a worker takes to stop a run, for
+	// the way of the order and rounding.
+	stopMargin = 100 * time.Millisecond
 	// refusedPause keeps new runs off a worker that refused one as unhealthy.
 	refusedPause = 2 * time.Second
 	// stalledAppend stops planning when the log has not answered for so long:
@@ -43,6 +46,9 @@
 	// RemoteFactor is how much longer a task takes away from its data or its
 	// step's rack.
 	RemoteFactor float64
+	// StopTime is how long a worker takes to stop a run. Meanwhile it lists the
+	// run neither as active nor as ended, and the run may still end as done.
+	StopTime time.Duration
 	// Retention is how long the log keeps records; 0 is for ever.
 	Retention time.Duration
 	// StartEarly is how much earlier than due an occurrence may start.
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -274,7 +274,7 @@
 			m.stopRun(r, "the worker does not list the run")
 		}
 	case stopping:
-		if sentAt > r.confirmedAt && !r.inFlight {
+		if sentAt > r.confirmedAt+m.config.StopTime+stopMargin && !r.inFlight {
 			m.decide(RunStopped, r.id, r.on.ID(), "gone", m.now-r.confirmedAt)
 			m.keepCheckpoint(r)
 			m.forget(r)
--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -74,3 +74,33 @@
 	is.Equal(e.Task(workload.TaskID{Submission: "watch"}).On.Worker, "w")
 	is.Equal(e.State(), workload.Running)
 }
+
+// Guards against a run that is taken for gone while its worker is still
+// stopping it: it may yet end as done, and its task must not start again.
+func TestStoppingRunIsNotGoneBeforeTheStopTime(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.machine = dispatch.New(dispatch.Config{
+		Epoch: 1, Lease: simLease, HoldWait: 2 * time.Second, RemoteFactor: 2, StopTime: 900 * time.Millisecond,
+	}, d.book, d.now, time.Now())
+	d.list(workload.Worker{})
+	d.report()
+	d.submit("still", plainStep)
+	d.setProgress("still", 30)
+	for range 8 {
+		d.pass(400 * time.Millisecond)
+		d.report()
+	}
+	is.Equal(d.count(stopOf("still")), 1)
+	first := workload.RunID{Task: workload.TaskID{Submission: "still"}, Run: 1}
+	delete(d.active, first)
+	d.do(dispatch.StopAnswered{Worker: "w", Run: first, Answer: dispatch.Done})
+	for range 8 {
+		d.pass(100 * time.Millisecond)
+		d.report()
+	}
+	d.report(workload.EndedRun{RunID: first, Sequence: 1, Outcome: workload.Succeeded})
+	d.pass(time.Second)
+	is.Equal(d.count(startOf("still")), 1)
+	is.Equal(d.book.Find("still").State(), workload.Completed)
+}
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -48,6 +48,8 @@
 	LeaseLimit time.Duration `ini:"lease_limit"`
 	// StartEarly is how much before its due time an occurrence may start.
 	StartEarly time.Duration `ini:"start_early"`
+	// Stop is how long a worker takes to stop a run.
+	Stop time.Duration `ini:"stop"`
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration `ini:"grace"`
 	// GroupTTLLeast is the least time to live that the store's groups accept.
@@ -84,7 +86,7 @@
 func presetCoordinator() Coordinator {
 	return Coordinator{
 		Times: CoordinatorTimes{
-			LeaseLimit: 6 * time.Second, StartEarly: 0, Grace: 6 * time.Second,
+			LeaseLimit: 6 * time.Second, StartEarly: 0, Stop: time.Second, Grace: 6 * time.Second,
 			GroupTTLLeast: time.Second, LogRetention: 5 * time.Minute,
 		},
 		Limits: CoordinatorLimits{StoreWrites: 600, CPUShare: 1, RemoteFactor: 2, StorePartitions: 24},
