--- a/dispatch/inherit_test.go
+++ b/dispatch/inherit_test.go
@@ -38,3 +38,19 @@
 	}
 	is.Equal(d.count(startOf("apart")), 0)
 }
+
+// Guards against a start that reached the worker's next life, which has the
+// same id, and a second run of the task placed beside it.
+func TestStartThatReachedTheNextLifeIsStopped(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.report()
+	d.submit("early", plainStep)
+	is.Equal(d.count(startOf("early")), 1)
+	d.do(dispatch.HoldAnswered{Worker: "w", SentAt: d.now, Report: workload.Report{
+		Life: workload.Life{Worker: "w", Born: 2}, Clock: time.Second,
+		Active: []workload.ActiveRun{{RunID: workload.RunID{Task: workload.TaskID{Submission: "early"}, Run: 1}}},
+	}})
+	is.Equal(d.count(stopOf("early")), 1)
+	is.Equal(d.count(startOf("early")), 1)
+}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -335,10 +335,21 @@
 }
 
 // reborn begins a new life of a worker: nothing of the old one runs any more.
+// A start that the old life never listed may have reached the new one, which
+// has the same id; such a run is stopped there before its task is placed again.
 func (m *Machine) reborn(w *worker, life workload.Life) {
 	m.decide(WorkerReborn, workload.RunID{}, life.Worker, "born differs", 0)
+	unsure := w.unlisted()
+	for _, r := range unsure {
+		w.remove(r, m.now)
+	}
 	m.loseRuns(w, "the worker's life ended")
 	w.Life = life
+	for _, r := range unsure {
+		w.add(r)
+		r.stop = true
+		m.sendStop(r)
+	}
 	w.reported, w.silent = false, false
 	w.seen, w.cursor, w.acked = 0, 0, 0
 	w.clock, w.clockAt, w.lapseAt, w.formerLapseAt = 0, 0, 0, 0
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -137,6 +137,18 @@
 	w.formerLapseAt = min(w.formerLapseAt, now+LeaseLapse(lease))
 }
 
+// unlisted returns the runs whose start was sent and which no report of the
+// life has listed.
+func (w *worker) unlisted() []*run {
+	var out []*run
+	for _, r := range w.order {
+		if !r.inherited && r.reportedAt == 0 && (r.phase == starting || r.phase == running) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // hasWork tells whether the worker needs to be held.
 func (w *worker) hasWork() bool {
 	return len(w.runs) > 0 || w.acked < w.cursor
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,7 +29,9 @@
 )
 
 // regressions are the seeds that failed once, each with its cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	508: "a start that was sent for one life of a worker reached the next one, which has the same id",
+}
 
 const (
 	coordinators = 3
