--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -178,7 +178,7 @@
 		s.group.give("a")
 		a := s.node("a", &lost)
 		time.Sleep(2 * time.Second)
-		lost = true
+		s.group.set(func() { lost = true })
 		time.Sleep(3 * time.Second)
 		is.NoErr(a.Submit(within(3*time.Second), submission("s")))
 		time.Sleep(4 * time.Second)
