--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -15,8 +15,6 @@
 	started     bool
 	cancelled   bool
 	failed      bool
-	// Touched is the cell offset of the newest record about the entry.
-	Touched int64
 	// state is read by other goroutines.
 	state atomic.Int32
 }
