Dispatch: keep the cursor below every end whose record is not on the log

Cause: an end that needs no record (of a cancelled submission, or of a run that was given up) moved the worker's cursor at once, past earlier ends whose records waited for a log that was down. Ruled out: reads behind the end of the cell stream (the opening append is conditional), repeated appends.

--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -138,7 +138,7 @@
 		if end.Sequence <= w.seen {
 			continue
 		}
-		w.seen = end.Sequence
+		w.list(end.Sequence)
 		m.readEnd(w, end)
 	}
 }
@@ -148,7 +148,7 @@
 	advance := func() {
 		// A new life of the worker numbers its ends from 1 again.
 		if w.Life == life {
-			w.cursor = max(w.cursor, end.Sequence)
+			w.settle(end.Sequence)
 		}
 	}
 	r := w.runs[end.RunID]
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -351,7 +351,7 @@
 		m.sendStop(r)
 	}
 	w.reported, w.silent = false, false
-	w.seen, w.cursor, w.acked = 0, 0, 0
+	w.seen, w.cursor, w.acked, w.unsettled = 0, 0, 0, nil
 	w.clock, w.clockAt, w.lapseAt, w.formerLapseAt = 0, 0, 0, 0
 	w.record = record{}
 	w.nextHoldAt = m.now
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -21,6 +21,8 @@
 	actions []dispatch.Action
 	active  map[workload.RunID]workload.ActiveRun
 	seq     int64
+	// stalled keeps appends without an answer, as a log that is down.
+	stalled bool
 }
 
 func newDesk(t *testing.T) *desk {
@@ -46,6 +48,9 @@
 		d.actions = append(d.actions, a)
 		switch a := a.(type) {
 		case dispatch.Append:
+			if d.stalled {
+				continue
+			}
 			queue = append(queue, d.machine.Step(d.now, dispatch.Appended{Token: a.Token})...)
 		case dispatch.Start:
 			d.active[a.Run] = workload.ActiveRun{RunID: a.Run, Percent: 100}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -34,6 +34,8 @@
 	succeeded map[workload.TaskID]bool
 	// faulty while answers are lost and orders are carried out late.
 	faulty bool
+	// logDownUntil is when the log answers again.
+	logDownUntil time.Duration
 	starts int
 	// gone counts the workers that were taken away for good.
 	gone int
@@ -171,6 +173,7 @@
 		if s.faulty {
 			delay = s.delay(300)
 		}
+		delay = max(delay, s.logDownUntil-s.now)
 		s.after(max(delay, o.appendedAt-s.now), func() { s.append(o, a) })
 		o.appendedAt = max(o.appendedAt, s.now+delay)
 	case dispatch.Start:
@@ -359,6 +362,13 @@
 			s.intake(ledger.SubmittedRecord(simSubmission(fmt.Sprintf("s%d", i), 1+s.random.IntN(6))))
 		})
 	}
+	for i := range 10 {
+		id := fmt.Sprintf("cancelled%d", i)
+		s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() {
+			s.intake(ledger.SubmittedRecord(simSubmission(id, 1+s.random.IntN(6))))
+			s.after(time.Duration(s.random.IntN(1500))*time.Millisecond, func() { s.intake(ledger.CancelledRecord(id)) })
+		})
+	}
 	s.after(time.Second, func() { s.faulty = true })
 	for range 12 {
 		s.after(time.Duration(s.random.IntN(25000))*time.Millisecond, s.fault)
@@ -377,7 +387,14 @@
 func (s *sim) fault() {
 	w := s.workers[fmt.Sprintf("w%d", s.random.IntN(len(s.workers)))]
 	last := time.Duration(500+s.random.IntN(8000)) * time.Millisecond
-	switch s.random.IntN(5) {
+	switch s.random.IntN(6) {
+	case 5:
+		// The log answers no appends; half of the time another owner opens the
+		// next epoch before the appends that wait.
+		s.logDownUntil = max(s.logDownUntil, s.now+last)
+		if s.random.IntN(2) == 0 {
+			s.after(last-time.Millisecond, func() { s.open() })
+		}
 	case 0:
 		w.cut = true
 		s.after(last, func() { w.cut = false })
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -29,9 +29,12 @@
 	// holding: a hold is in flight.
 	holding    bool
 	nextHoldAt time.Duration
-	// seen is the highest end handed to the log, cursor the highest that is on it.
-	seen   int64
-	cursor int64
+	// seen is the highest end that was listed, unsettled are the listed ends
+	// whose record is not on the log, in ascending order. The cursor is below
+	// all of these: the worker forgets every end up to it.
+	seen      int64
+	unsettled []int64
+	cursor    int64
 	// acked is the highest cursor that the worker has confirmed.
 	acked int64
 	// pausedUntil keeps new runs off the worker.
@@ -101,6 +104,23 @@
 	w.reserved.Accelerators += sign * request.Accelerators
 }
 
+// list notes that the worker lists an end for the first time.
+func (w *worker) list(sequence int64) {
+	w.seen = sequence
+	w.unsettled = append(w.unsettled, sequence)
+}
+
+// settle notes that an end is on the log or needs no record.
+func (w *worker) settle(sequence int64) {
+	if at, ok := slices.BinarySearch(w.unsettled, sequence); ok {
+		w.unsettled = slices.Delete(w.unsettled, at, at+1)
+	}
+	w.cursor = w.seen
+	if len(w.unsettled) > 0 {
+		w.cursor = w.unsettled[0] - 1
+	}
+}
+
 // readClock notes a reading of the worker's clock.
 func (w *worker) readClock(now, clock time.Duration) {
 	if clock > 0 {
