Coordinator: one reader of the worker list for all cells of a node

Cause: each owned cell read the list with the same client, which is made for one goroutine; and a node that owned a cell after a long time read every record of the topic since. Stops of inherited runs went to an empty address.

--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -115,6 +115,8 @@
 	generation int64
 	owner      string
 	volunteers bool
+	// cells is the number of cells that the owner gets; 0 counts as 1.
+	cells int
 	// asked counts the joins of each member.
 	asked map[string]int
 }
@@ -152,7 +154,9 @@
 	}
 	a := coordinator.Assignment{Generation: m.generation}
 	if m.owner == m.vm {
-		a.Cells = []int{0}
+		for number := range max(1, m.cells) {
+			a.Cells = append(a.Cells, number)
+		}
 	}
 	return a, nil
 }
@@ -174,6 +178,10 @@
 	ends     []workload.EndedRun
 	sequence int64
 	starts   map[workload.TaskID]int
+	// listing counts the reads of the list in progress, mostListing the most
+	// at a time.
+	listing     int
+	mostListing int
 }
 
 func newFakeFleet() *fakeFleet {
@@ -240,6 +248,14 @@
 
 // Workers implements coordinator.Directory.
 func (f *fakeFleet) Workers(context.Context) ([]workload.Worker, bool, error) {
+	f.mu.Lock()
+	f.listing++
+	f.mostListing = max(f.mostListing, f.listing)
+	f.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	f.mu.Lock()
+	f.listing--
+	f.mu.Unlock()
 	return []workload.Worker{{
 		Life: workload.Life{Worker: "w", Born: 1}, Service: "register", Address: "w", DataCentre: "giza",
 		Capacity: hostapi.Resources{MilliCPU: 8000, MemoryMiB: 1000},
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -20,6 +20,7 @@
 	meters   *Meters
 	peers    *peers
 	owners   *owners
+	workers  *workerList
 	cells    []*cell
 	declared atomic.Pointer[Declared]
 	// storeSeen is when the store last answered, in nanoseconds since start.
@@ -38,6 +39,7 @@
 	n := &Node{config: config, platform: platform, events: events, meters: meters, started: time.Now()}
 	n.peers = newPeers()
 	n.owners = &owners{node: n, known: make(map[int]ledger.Owner)}
+	n.workers = newWorkerList(n)
 	for i := range config.Cells {
 		n.cells = append(n.cells, newCell(n, i))
 	}
@@ -51,6 +53,7 @@
 func (n *Node) Run(ctx context.Context) {
 	n.running.Go(func() { n.followDeclarations(ctx) })
 	n.running.Go(func() { n.keepMembership(ctx) })
+	n.running.Go(func() { n.workers.follow(ctx) })
 	for _, c := range n.cells {
 		n.running.Go(func() { c.run(ctx) })
 	}
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 
 func (s *site) run(vm string, lost *bool, reserve bool) *coordinator.Node {
 	n := coordinator.NewNode(coordinator.Config{
-		VM: vm, Cells: 1, Reserve: reserve, Dispatch: dispatch.Config{Lease: 5 * time.Second, HoldWait: time.Second, RemoteFactor: 2},
+		VM: vm, Cells: max(1, s.group.cells), Reserve: reserve, Dispatch: dispatch.Config{Lease: 5 * time.Second, HoldWait: time.Second, RemoteFactor: 2},
 	}, coordinator.Platform{
 		Log: s.log, Register: s.log, Group: member{s.group, vm, lost}, Fleet: s.fleet, Directory: s.fleet, Declarations: fakeDeclarations{},
 	}, nil, coordinator.NewMeters())
@@ -240,3 +241,29 @@
 		is.Equal(state, workload.Completed)
 	})
 }
+
+// Guards against cells of one node that read the list of workers side by side:
+// the reader is not made for that, and each read is paid.
+func TestCellsShareTheWorkerList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite()
+		defer s.close()
+		s.group.cells = 3
+		s.group.give("a")
+		a := s.node("a", nil)
+		time.Sleep(2 * time.Second)
+		for i := range 6 {
+			is.NoErr(a.Submit(within(3*time.Second), submission(fmt.Sprint(i))))
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(s.fleet.mostListing, 1)
+		completed := 0
+		for i := range 6 {
+			if state, err := a.State(within(time.Second), fmt.Sprint(i)); err == nil && state == workload.Completed {
+				completed++
+			}
+		}
+		is.True(completed > 0) // those of the worker's cell
+	})
+}
--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -61,12 +61,13 @@
 	c.epoch.Store(epoch)
 	c.owning.Store(true)
 	o.tasks.Go(func() { o.tailIntake(ctx, c.intakeNext) })
-	o.tasks.Go(func() { o.pollDirectory(ctx) })
+	c.node.workers.subscribe(ctx, o)
 	o.tasks.Go(func() { o.writer.run(ctx) })
 	o.tasks.Go(func() { o.askResignation(ctx, former) })
 	o.tasks.Go(func() { o.announce(ctx, c.book.Owner()) })
 	reason := o.loop(ctx)
 	cancel()
+	c.node.workers.unsubscribe(o)
 	o.tasks.Wait()
 	c.owning.Store(false)
 	c.node.events.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
@@ -217,28 +218,3 @@
 		}
 	}
 }
-
-// pollDirectory reads the list of workers.
-func (o *ownership) pollDirectory(ctx context.Context) {
-	failing := false
-	first := true
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, logTimeout)
-		list, changed, err := o.node.platform.Directory.Workers(call)
-		cancel()
-		o.node.meters.logCall(err)
-		switch {
-		case err != nil:
-			if !failing && ctx.Err() == nil {
-				o.node.logError(logevent.DirectoryLost, err)
-			}
-			failing = true
-		case changed || first:
-			o.post(ctx, dispatch.WorkersListed{Workers: o.node.workersOf(o.cell, list)})
-			failing, first = false, false
-		default:
-			failing = false
-		}
-		pause(ctx, directoryInterval)
-	}
-}
--- a/dispatch/inherit_test.go
+++ b/dispatch/inherit_test.go
@@ -54,3 +54,20 @@
 	is.Equal(d.count(stopOf("early")), 1)
 	is.Equal(d.count(startOf("early")), 1)
 }
+
+// Guards against a stop that is sent to an empty address, and then not sent
+// when the address is known.
+func TestStopWaitsForTheAddress(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.book.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "former", Queue: "q", Steps: []workload.Step{plainStep}}))
+	run := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
+	d.book.Apply(ledger.PlacedRecord(run, workload.Life{Worker: "w", Born: 1}))
+	d.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HoldWait: time.Second, RemoteFactor: 2, PredecessorLapse: time.Minute}, d.book, d.now, time.Now())
+	d.do(dispatch.EntryChanged{Entry: d.book.Apply(ledger.CancelledRecord("former"))})
+	d.pass(20 * time.Millisecond)
+	is.Equal(d.count(stopOf("former")), 0)
+	d.list(workload.Worker{})
+	d.pass(20 * time.Millisecond)
+	is.Equal(d.count(stopOf("former")), 1)
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -158,9 +158,15 @@
 	m.sendStop(r)
 }
 
+// sendStop orders the end of a run. The address of a worker that is not listed
+// yet is unknown; the order then waits for it.
 func (m *Machine) sendStop(r *run) {
 	r.phase, r.inFlight = stopping, true
 	r.confirmedAt = m.now
+	if r.on.Address == "" {
+		r.repeated = true
+		return
+	}
 	m.emit(Stop{Target: r.on.target(), Run: r.id})
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -36,7 +36,7 @@
 	faulty bool
 	// logDownUntil is when the log answers again.
 	logDownUntil time.Duration
-	starts int
+	starts       int
 	// gone counts the workers that were taken away for good.
 	gone int
 }
