--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -257,7 +257,9 @@
 			is.NoErr(a.Submit(within(3*time.Second), submission(fmt.Sprint(i))))
 		}
 		time.Sleep(5 * time.Second)
+		s.fleet.mu.Lock()
 		is.Equal(s.fleet.mostListing, 1)
+		s.fleet.mu.Unlock()
 		completed := 0
 		for i := range 6 {
 			if state, err := a.State(within(time.Second), fmt.Sprint(i)); err == nil && state == workload.Completed {
