Dispatch: judge each worker once for a step instead of once for a task

Cause: half of a core of the owner of 490 workers went into judging all workers for every task of every waiting step in each planning round, with map lookups for each pair of images. Now a step ranks the workers once, a request that found no room is not tried again in the round, waiting tasks are counted, and what is known of a pair of images is kept ready.

--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -185,9 +185,11 @@
 		return
 	}
 	m.closing[end.Task] = true
+	m.occupy(e, end.Task, 1)
 	m.recordEnd(e, end, func() {
 		advance()
 		delete(m.closing, end.Task)
+		m.occupy(e, end.Task, -1)
 	})
 }
 
--- a/dispatch/images.go
+++ b/dispatch/images.go
@@ -60,6 +60,25 @@
 	coefficient  []float64
 	covariance   [][]float64
 	observations int
+	// effects are what placing reads of the model, by best-effort image. Images
+	// beyond the slice, and those that are not known, have unknownEffect.
+	effects []effect
+}
+
+// effect is what a best-effort image does to a long-running one.
+type effect struct {
+	// known is false if the two were not seen together.
+	known bool
+	// disturbance is the utilisation that is added for each worker's worth of
+	// processors.
+	disturbance float64
+	// uncertain: too little is known to place several such runs on a worker.
+	uncertain bool
+}
+
+// unknownEffect is expected of images that were not seen together.
+var unknownEffect = effect{
+	disturbance: significant(usualDisturbance - optimism*math.Sqrt(pairVariance)), uncertain: true,
 }
 
 // images learns from lagging, rough figures which best-effort images disturb
@@ -91,22 +110,40 @@
 // utilisation returns the expected utilisation by the image's own load.
 func (i *image) utilisation() float64 { return i.coefficient[0] }
 
+// effect returns what a best-effort image does to a long-running one.
+func (x *images) effect(serving, filling imageID) effect {
+	known := x.known[serving].effects
+	if int(filling) >= len(known) || !known[filling].known {
+		return unknownEffect
+	}
+	return known[filling]
+}
+
 // disturbance returns the utilisation that a best-effort image adds to a
 // long-running one for each worker's worth of processors.
 func (x *images) disturbance(serving, filling imageID) float64 {
-	s := x.known[serving]
-	if at, ok := s.position[filling]; ok {
-		return significant(s.coefficient[at] - optimism*math.Sqrt(s.covariance[at][at]))
-	}
-	return significant(usualDisturbance - optimism*math.Sqrt(pairVariance))
+	return x.effect(serving, filling).disturbance
 }
 
 // uncertain tells that too little is known of a pair of images to place several
 // such runs on a worker.
 func (x *images) uncertain(serving, filling imageID) bool {
-	s := x.known[serving]
-	at, ok := s.position[filling]
-	return !ok || s.covariance[at][at] > uncertainVariance
+	return x.effect(serving, filling).uncertain
+}
+
+// derive brings effects up to date with the model.
+func (i *image) derive() {
+	for filling, at := range i.position {
+		for int(filling) >= len(i.effects) {
+			i.effects = append(i.effects, effect{})
+		}
+		variance := i.covariance[at][at]
+		i.effects[filling] = effect{
+			known:       true,
+			disturbance: significant(i.coefficient[at] - optimism*math.Sqrt(variance)),
+			uncertain:   variance > uncertainVariance,
+		}
+	}
 }
 
 // significant returns 0 for what is within the error of the fit.
@@ -165,6 +202,7 @@
 		features[s.position[filling]] = share
 	}
 	s.update(features, u)
+	s.derive()
 	x.updates++
 }
 
--- a/dispatch/learned.go
+++ b/dispatch/learned.go
@@ -55,6 +55,7 @@
 			model.coefficient[at] = effect.Effect
 			model.covariance[at][at] = min(pairVariance, effect.Variance+agedVariance)
 		}
+		model.derive()
 	}
 }
 
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -31,6 +31,11 @@
 	// closing are tasks whose end was listed by a worker that no run of theirs
 	// is on any more, until the end is on the log.
 	closing map[workload.TaskID]bool
+	// busy counts the tasks of each step that have a run or whose end is on its
+	// way to the log.
+	busy map[*ledger.Step]int
+	// rankSpace is reused by each ranking.
+	rankSpace []ranked
 	// pending are the continuations of appends in flight, oldestAppend the
 	// time of the oldest one.
 	pending map[int64]appendInFlight
@@ -69,6 +74,7 @@
 		avoid:       make(map[workload.TaskID]string),
 		evacuated:   make(map[string]bool),
 		closing:     make(map[workload.TaskID]bool),
+		busy:        make(map[*ledger.Step]int),
 		retained:    make(map[string]time.Duration),
 		openedAt:    now,
 		pending:     make(map[int64]appendInFlight),
@@ -152,6 +158,7 @@
 	}
 	w.add(r)
 	m.active[t.ID] = r
+	m.occupy(e, t.ID, 1)
 	m.byEntry[e.ID] = append(m.byEntry[e.ID], r)
 	return r
 }
@@ -163,6 +170,7 @@
 		return
 	}
 	delete(m.active, r.id.Task)
+	m.occupy(r.entry, r.id.Task, -1)
 	// Callers range over the former slice while runs are forgotten.
 	left := slices.DeleteFunc(slices.Clone(m.byEntry[r.entry.ID]), func(other *run) bool { return other == r })
 	if len(left) == 0 {
@@ -173,6 +181,15 @@
 	m.wantPlan = true
 }
 
+// occupy counts a task that has a run, or no longer has one.
+func (m *Machine) occupy(e *ledger.Entry, id workload.TaskID, change int) {
+	step := &e.Occurrence(id.Occurrence).Steps[id.Step]
+	m.busy[step] += change
+	if m.busy[step] == 0 {
+		delete(m.busy, step)
+	}
+}
+
 // Step takes an event at time now of the node's steady clock and returns the
 // actions. Time never goes back.
 func (m *Machine) Step(now time.Duration, ev Event) []Action {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -14,11 +14,12 @@
 	entry      *ledger.Entry
 	occurrence int
 	step       int
-	tasks      []*ledger.Task
-	image      imageID
+	// state is the step's; its tasks that wait are found when it is placed.
+	state *ledger.Step
+	image imageID
 	priority   int
-	// due is the objective's time of day.
-	due time.Time
+	// due is the objective's time of day in Unix nanoseconds.
+	due int64
 }
 
 // plan places waiting tasks on workers.
@@ -37,8 +38,17 @@
 		return
 	}
 	placed := 0
+	full := make(fullFor)
 	for i := range waiting {
-		placed += m.placeStep(&waiting[i], workers)
+		c := &waiting[i]
+		if full.covers(c) {
+			continue
+		}
+		n := m.placeStep(c, workers)
+		if n == 0 {
+			full.note(c)
+		}
+		placed += n
 		if placed >= maxBatch {
 			m.wantPlan = true
 			return
@@ -62,7 +72,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), a.due.Compare(b.due))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.due, b.due))
 	})
 	return out
 }
@@ -73,16 +83,14 @@
 		return out
 	}
 	for s := range o.Steps {
-		if o.Steps[s].Done() || !o.Ready(e.Steps, s) {
-			continue
-		}
-		tasks := m.waitingTasks(o.Steps[s].Tasks)
-		if len(tasks) == 0 || e.Steps[s].Gang && len(tasks) < o.Steps[s].Left {
+		state := &o.Steps[s]
+		busy := m.busy[state]
+		if state.Left <= busy || e.Steps[s].Gang && busy > 0 || !o.Ready(e.Steps, s) {
 			continue
 		}
 		out = append(out, candidate{
-			entry: e, occurrence: number, step: s, tasks: tasks, image: m.images.id(e.Steps[s].Image),
-			priority: e.Policy.Priority, due: due.Add(e.Objective()),
+			entry: e, occurrence: number, step: s, state: state, image: m.images.id(e.Steps[s].Image),
+			priority: e.Policy.Priority, due: due.UnixNano() + int64(e.Objective()),
 		})
 	}
 	return out
@@ -90,7 +98,7 @@
 
 // waitingTasks returns the tasks that are not done and have no run.
 func (m *Machine) waitingTasks(tasks []ledger.Task) []*ledger.Task {
-	var out []*ledger.Task
+	out := make([]*ledger.Task, 0, len(tasks))
 	for i := range tasks {
 		t := &tasks[i]
 		if !t.Done && m.active[t.ID] == nil && !m.closing[t.ID] {
@@ -114,21 +122,29 @@
 // placeStep places the waiting tasks of a step and returns how many it placed.
 func (m *Machine) placeStep(c *candidate, workers []*worker) int {
 	step := &c.entry.Steps[c.step]
+	tasks := m.waitingTasks(c.state.Tasks)
 	number := int64(0)
 	if step.Gang {
-		for _, t := range c.tasks {
+		for _, t := range tasks {
 			number = max(number, t.Run)
 		}
 	}
 	var placed []*run
-	for _, t := range c.tasks {
-		w := m.choose(c, step, t, workers)
+	ranking := m.rank(c, step, workers)
+	for _, t := range tasks {
+		w := ranking.take(m.avoid[t.ID])
 		if w == nil {
 			break
 		}
 		placed = append(placed, m.newRun(c.entry, t, max(number, t.Run)+1, w))
+		if step.SameRack && len(placed) == 1 {
+			// The first run decides the rack, and with it all scores.
+			ranking = m.rank(c, step, workers)
+			continue
+		}
+		m.rankAgain(ranking, c, step, w)
 	}
-	if step.Gang && len(placed) < len(c.tasks) {
+	if step.Gang && len(placed) < len(tasks) {
 		for _, r := range placed {
 			m.forget(r)
 		}
@@ -141,26 +157,6 @@
 	return len(placed)
 }
 
-// choose returns the best worker for a task, or nil.
-func (m *Machine) choose(c *candidate, step *workload.Step, t *ledger.Task, workers []*worker) *worker {
-	var best *worker
-	bestScore := 0.0
-	rack := m.rackOf(c, step)
-	for _, w := range workers {
-		if !m.fits(c, step, w) {
-			continue
-		}
-		score := m.score(c, step, w, rack)
-		if m.avoid[t.ID] == w.ID() {
-			score -= avoidPenalty
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // rackOf returns the rack on which a same-rack step already has a run, or "".
 func (m *Machine) rackOf(c *candidate, step *workload.Step) string {
 	if !step.SameRack {
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -58,10 +58,7 @@
 
 // unused returns the processors that are expected to be free.
 func (w *worker) unused() float64 {
-	used := float64(w.reserved.MilliCPU + w.bestEffort)
-	for _, s := range w.serving {
-		used -= (1 - servingUse) * float64(s.step.Request.MilliCPU)
-	}
+	used := float64(w.reserved.MilliCPU+w.bestEffort) - (1-servingUse)*float64(w.servingCPU)
 	return float64(w.Capacity.MilliCPU) - used
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -52,9 +52,11 @@
 	relievedAt time.Duration
 	// companyAt counts the changes of runs.
 	companyAt int64
-	// reserved is the room of all runs; bestEffort the processors of best-effort runs.
+	// reserved is the room of all runs; bestEffort the processors of best-effort
+	// runs, servingCPU those of runs with a latency target.
 	reserved   hostapi.Resources
 	bestEffort int64
+	servingCPU int64
 	record     record
 }
 
@@ -99,6 +101,9 @@
 		w.bestEffort += sign * request.MilliCPU
 		request.MilliCPU = 0
 	}
+	if r.step.LatencyTarget > 0 {
+		w.servingCPU += sign * request.MilliCPU
+	}
 	w.reserved.MilliCPU += sign * request.MilliCPU
 	w.reserved.MemoryMiB += sign * request.MemoryMiB
 	w.reserved.Accelerators += sign * request.Accelerators
