--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,9 +15,9 @@
 	occurrence int
 	step       int
 	// state is the step's; its tasks that wait are found when it is placed.
-	state *ledger.Step
-	image imageID
-	priority   int
+	state    *ledger.Step
+	image    imageID
+	priority int
 	// due is the objective's time of day in Unix nanoseconds.
 	due int64
 }
