--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -30,6 +30,11 @@
 	// intakeNext and cellNext are the offsets of the records to apply next.
 	intakeNext int64
 	cellNext   int64
+	// ahead are records of the cell stream from cellNext on that wait for the
+	// records of the intake which they refer to.
+	ahead [][]byte
+	// caughtUpAt is when the streams were last read to their ends.
+	caughtUpAt time.Duration
 	// assigned is the generation of the assignment, or 0.
 	assigned atomic.Int64
 	// changed wakes the cell's goroutine.
@@ -96,7 +101,7 @@
 		case <-ctx.Done():
 		case <-c.changed:
 		case answer := <-c.refreshes:
-			err := c.catchUp(ctx)
+			err := c.catchUp(ctx, readable)
 			answer <- position{intake: c.intakeNext, err: err}
 		case <-sweep.C:
 			c.sweep()
@@ -126,49 +131,95 @@
 	}
 }
 
-// catchUp applies all records of both streams. The cell stream is read first
-// and applied last: its records refer to submissions that are already in the
-// intake.
-func (c *cell) catchUp(ctx context.Context) error {
-	placed, next, err := c.readAll(ctx, c.stream(), c.cellNext)
-	if err != nil {
+// catchUp applies all records of both streams, the intake's up to at least the
+// offset that through returns. The cell stream is read first and applied last:
+// its records refer to submissions that are in the intake by then. What a
+// failed try has read is kept for the next one.
+func (c *cell) catchUp(ctx context.Context, through func(context.Context) (int64, error)) error {
+	if c.caughtUpAt == 0 || c.node.now()-c.caughtUpAt > snapshotBehind {
+		c.loadSnapshot(ctx)
+	}
+	if err := c.readAhead(ctx); err != nil {
 		return err
 	}
-	handed, intakeNext, err := c.readAll(ctx, c.intake(), c.intakeNext)
+	end, err := through(ctx)
 	if err != nil {
 		return err
 	}
-	c.applyAll(handed)
-	c.applyAll(placed)
-	c.intakeNext, c.cellNext = intakeNext, next
+	if err := c.applyIntakeThrough(ctx, end); err != nil {
+		return err
+	}
+	for _, data := range c.ahead {
+		c.apply(data)
+	}
+	c.cellNext += int64(len(c.ahead))
+	c.ahead = nil
+	c.caughtUpAt = c.node.now()
 	c.node.owners.note(c.number, c.book.Owner())
 	return nil
 }
 
-// readAll reads a stream from an offset to its present end.
-func (c *cell) readAll(ctx context.Context, s Stream, from int64) (records [][]byte, next int64, err error) {
+// readable asks for the records of the intake that a read shows, which may be
+// behind its end.
+func readable(context.Context) (int64, error) { return 0, nil }
+
+// readAhead reads the cell stream to its present end.
+func (c *cell) readAhead(ctx context.Context) error {
 	for {
-		page, err := c.read(ctx, s, from, 0)
+		page, err := c.read(ctx, c.stream(), c.cellNext+int64(len(c.ahead)), cellPage, 0)
 		if errors.Is(err, ErrExpired) {
-			c.node.events.Log(logevent.LogExpired, zap.String("topic", s.Topic), zap.Int64("from", from), zap.Int64("first", page.First))
-			from = page.First
+			c.logExpired(c.stream(), c.cellNext, page.First)
+			c.cellNext, c.ahead = page.First, nil
 			continue
 		}
 		if err != nil {
-			return nil, 0, err
+			return err
 		}
-		records = append(records, page.Records...)
-		from = page.From + int64(len(page.Records))
-		if from >= page.End {
-			return records, from, nil
+		c.ahead = append(c.ahead, page.Records...)
+		if c.cellNext+int64(len(c.ahead)) >= page.End {
+			return nil
 		}
 	}
 }
 
-func (c *cell) read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
+// applyIntakeThrough reads and applies the intake to its present end, and at
+// least to an offset: reads may be seconds behind.
+func (c *cell) applyIntakeThrough(ctx context.Context, end int64) error {
+	for attempt := 1; ; {
+		page, err := c.read(ctx, c.intake(), c.intakeNext, intakePage, 0)
+		if errors.Is(err, ErrExpired) {
+			c.logExpired(c.intake(), c.intakeNext, page.First)
+			c.intakeNext = page.First
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		for _, data := range page.Records {
+			c.apply(data)
+		}
+		c.intakeNext += int64(len(page.Records))
+		switch {
+		case c.intakeNext >= max(end, page.End):
+			return nil
+		case len(page.Records) > 0:
+			continue
+		}
+		if !pause(ctx, retryPause(attempt)) {
+			return ctx.Err()
+		}
+		attempt++
+	}
+}
+
+func (c *cell) logExpired(s Stream, from, first int64) {
+	c.node.events.Log(logevent.LogExpired, zap.String("topic", s.Topic), zap.Int64("from", from), zap.Int64("first", first))
+}
+
+func (c *cell) read(ctx context.Context, s Stream, from int64, limit int, wait time.Duration) (Page, error) {
 	call, cancel := context.WithTimeout(ctx, wait+logTimeout)
 	defer cancel()
-	page, err := c.node.platform.Log.Read(call, s, from, wait)
+	page, err := c.node.platform.Log.Read(call, s, from, limit, wait)
 	c.node.meters.logCall(err)
 	if err == nil {
 		c.node.storeAnswered()
@@ -176,12 +227,6 @@
 	return page, err
 }
 
-func (c *cell) applyAll(records [][]byte) {
-	for _, data := range records {
-		c.apply(data)
-	}
-}
-
 // apply applies one record and returns its entry, or nil.
 func (c *cell) apply(data []byte) *ledger.Entry {
 	r, err := ledger.Decode(data)
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -39,6 +39,7 @@
 type Platform struct {
 	Log          Log
 	Register     Register
+	Snapshots    Snapshots
 	Group        Group
 	Fleet        Fleet
 	Directory    Directory
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -53,6 +53,24 @@
 	// noticeBacklog bounds the notices that wait; more are dropped, because
 	// the log tells of the same records.
 	noticeBacklog = 256
+	// snapshotInterval is how often an owner writes its state if it has changed
+	// by snapshotLeast records. A successor reads what came since: at 3,500
+	// records a second this is about 1 MB, less than the state itself.
+	snapshotInterval = 3 * time.Second
+	snapshotLeast    = 500
+	// snapshotAtLeast is how often a state that changes little is written, to
+	// stay far below the 5 minutes for which the log keeps records.
+	snapshotAtLeast = 30 * time.Second
+	// snapshotBehind is how old a node's own copy may be before it reads the
+	// snapshot first.
+	snapshotBehind = 2 * time.Second
+	// snapshotTimeout bounds a snapshot's way: 1 MB takes 0.9 s at 10 Mbit/s.
+	snapshotTimeout = 2 * time.Second
+	// cellPage and intakePage bound the records of one read: records of a cell
+	// take about 100 bytes, submissions up to 5 kB, and a page has to arrive
+	// within logTimeout at 10 Mbit/s.
+	cellPage   = 4096
+	intakePage = 256
 	// maxAppendBytes bounds one append; the platform's own bound is 2 MiB.
 	maxAppendBytes = 1 << 20
 	// appendShare is the part of a caller's time that repeats of an append may use.
--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -51,9 +51,20 @@
 	// End returns the offset of the record that is appended next. Unlike a read
 	// it is never behind.
 	End(ctx context.Context, s Stream) (int64, error)
-	// Read returns records from an offset on; it waits for one if there is none.
-	// It returns ErrExpired and a Page with First if the offset is too old.
-	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
+	// Read returns at most limit records from an offset on; it waits for one if
+	// there is none. It returns ErrExpired and a Page with First if the offset
+	// is too old.
+	Read(ctx context.Context, s Stream, from int64, limit int, wait time.Duration) (Page, error)
+}
+
+// Snapshots keep the newest snapshot of each cell's state for ever. Parts of
+// two snapshots may be mixed while one is written.
+type Snapshots interface {
+	// Save replaces the parts of a cell. An error leaves the outcome unknown.
+	Save(ctx context.Context, cell int, parts [][]byte) error
+	// Load returns the parts of a cell in order. Parts of an older, longer
+	// snapshot may follow.
+	Load(ctx context.Context, cell int) ([][]byte, error)
 }
 
 // Register keeps the newest value of each key for ever, beside the log's
--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,7 +24,10 @@
 	writer  *cellWriter
 	opened  time.Duration
 	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	// saved is what the last snapshot held, saving is true while one is written.
+	saved  savedSnapshot
+	saving atomic.Bool
+	tasks  sync.WaitGroup
 }
 
 // intakeRead is a page of the intake that the tail read.
@@ -79,7 +83,7 @@
 // come between.
 func (c *cell) open(ctx context.Context) (epoch int64, former ledger.Owner, err error) {
 	for attempt := 1; c.assigned.Load() != 0; attempt++ {
-		if err := c.catchUp(ctx); err != nil {
+		if err := c.catchUp(ctx, c.intakeEnd); err != nil {
 			return 0, former, fmt.Errorf("read the streams: %w", err)
 		}
 		former = c.book.Owner()
@@ -110,6 +114,17 @@
 	return 0, former, errors.New("cell is no longer assigned")
 }
 
+// intakeEnd returns the intake's end, which a read may not show yet. A record of
+// the cell stream that refers to a submission beyond what is applied would be
+// lost, and its task would run again.
+func (c *cell) intakeEnd(ctx context.Context) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	end, err := c.node.platform.Log.End(call, c.intake())
+	c.node.meters.logCall(err)
+	return end, err
+}
+
 // loop feeds the machine until the ownership ends, and returns why it ended.
 func (o *ownership) loop(ctx context.Context) string {
 	tick := time.NewTicker(tickInterval)
@@ -142,6 +157,7 @@
 		case now := <-tick.C:
 			o.step(ctx, dispatch.Tick{Now: now})
 			o.sweep()
+			o.saveSnapshot(ctx)
 		}
 	}
 }
@@ -202,7 +218,7 @@
 // tailIntake reads the intake as records come.
 func (o *ownership) tailIntake(ctx context.Context, from int64) {
 	for attempt := 1; ctx.Err() == nil; {
-		page, err := o.read(ctx, o.intake(), from, tailWait)
+		page, err := o.read(ctx, o.intake(), from, intakePage, tailWait)
 		switch {
 		case errors.Is(err, ErrExpired):
 			from = page.First
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -49,8 +49,6 @@
 	// StopTime is how long a worker takes to stop a run. Meanwhile it lists the
 	// run neither as active nor as ended, and the run may still end as done.
 	StopTime time.Duration
-	// Retention is how long the log keeps records; 0 is for ever.
-	Retention time.Duration
 	// StartEarly is how much earlier than due an occurrence may start.
 	StartEarly time.Duration
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -50,11 +50,6 @@
 	// learnedUpdates observations.
 	learnedAt      time.Duration
 	learnedUpdates int
-	// retained is when the state of a submission was repeated last, or first
-	// seen, openedAt the same for the epoch's own record.
-	retained   map[string]time.Duration
-	retainedAt time.Duration
-	openedAt   time.Duration
 }
 
 type appendInFlight struct {
@@ -75,8 +70,6 @@
 		evacuated:   make(map[string]bool),
 		closing:     make(map[workload.TaskID]bool),
 		busy:        make(map[*ledger.Step]int),
-		retained:    make(map[string]time.Duration),
-		openedAt:    now,
 		pending:     make(map[int64]appendInFlight),
 		images:      newImages(),
 	}
@@ -279,7 +272,6 @@
 	if !e.State().Final() {
 		return
 	}
-	delete(m.retained, e.ID)
 	for _, r := range m.byEntry[e.ID] {
 		m.stopRun(r, "submission is "+e.State().String())
 	}
@@ -307,7 +299,6 @@
 	}
 	m.unstick()
 	m.recordLearned()
-	m.retain()
 }
 
 // leave stops the long-running tasks of a worker that goes away soon, so that
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -96,8 +96,6 @@
 		return b.end(r.Ended)
 	case r.Learned != nil:
 		b.learned = r.Learned
-	case r.Retained != nil:
-		return b.retain(r.Retained)
 	}
 	return nil
 }
--- a/ledger/retain.go
+++ b/ledger/retain.go
@@ -5,19 +5,30 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// RetainedRecord returns the whole state of an entry as one record, for a
-// reader whose log no longer has the entry's older records.
-func (e *Entry) RetainedRecord() *ledgerpb.Record {
-	r := &ledgerpb.Retained{Submitted: submittedOf(&e.Submission), Cancelled: e.cancelled, Failed: e.failed}
+// retainedTasks bounds the tasks of one Retained, so that a part of a snapshot
+// stays below the largest record of the log.
+const retainedTasks = 1000
+
+// retained returns the state of an entry that is not final, in one or more
+// pieces that each name the submission.
+func (e *Entry) retained() []*ledgerpb.Retained {
+	var tasks []*ledgerpb.TaskState
 	for number, o := range e.occurrences {
 		if o == nil {
 			continue
 		}
 		for s := range o.Steps {
-			r.Tasks = appendTasks(r.Tasks, o.Steps[s].Tasks, number)
+			tasks = appendTasks(tasks, o.Steps[s].Tasks, number)
 		}
 	}
-	return &ledgerpb.Record{Retained: r}
+	submitted := submittedOf(&e.Submission)
+	var out []*ledgerpb.Retained
+	for len(tasks) > 0 || out == nil {
+		n := min(len(tasks), retainedTasks)
+		out = append(out, &ledgerpb.Retained{Submitted: submitted, Cancelled: e.cancelled, Failed: e.failed, Tasks: tasks[:n]})
+		tasks = tasks[n:]
+	}
+	return out
 }
 
 func appendTasks(out []*ledgerpb.TaskState, tasks []Task, occurrence int) []*ledgerpb.TaskState {
@@ -38,32 +49,33 @@
 	return out
 }
 
-// retain applies a Retained record. An entry whose older records were read is
-// at least as new, so the record changes only unknown entries and never goes back.
-func (b *Book) retain(r *ledgerpb.Retained) *Entry {
+// retain applies the state of an entry. An entry whose later records were read
+// is at least as new, so nothing goes back.
+func (b *Book) retain(r *ledgerpb.Retained) {
 	if r.Submitted == nil {
-		return nil
+		return
 	}
 	e := b.submit(submissionOf(r.Submitted))
 	e.cancelled = e.cancelled || r.Cancelled
 	e.failed = e.failed || r.Failed
 	for _, state := range r.Tasks {
 		id := workload.TaskID{Submission: e.ID, Occurrence: int(state.Occurrence), Step: int(state.Step), Index: int(state.Index)}
-		t := e.Task(id)
-		if t == nil {
-			continue
-		}
-		e.started = true
-		if state.Run >= t.Run {
-			t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
-			t.Open = state.Worker != ""
-			t.On = workload.Life{Worker: state.Worker, Born: state.Born}
-		}
-		if state.Done {
-			t.close()
-			e.finish(t)
+		if t := e.Task(id); t != nil {
+			e.started = true
+			e.retainTask(t, state)
 		}
 	}
 	b.settle(e)
-	return e
+}
+
+func (e *Entry) retainTask(t *Task, state *ledgerpb.TaskState) {
+	if state.Run >= t.Run {
+		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
+		t.Open = state.Worker != ""
+		t.On = workload.Life{Worker: state.Worker, Born: state.Born}
+	}
+	if state.Done {
+		t.close()
+		e.finish(t)
+	}
 }
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -54,8 +54,6 @@
 	Grace time.Duration `ini:"grace"`
 	// GroupTTLLeast is the least time to live that the store's groups accept.
 	GroupTTLLeast time.Duration `ini:"group_ttl_least"`
-	// LogRetention is how long the log keeps records.
-	LogRetention time.Duration `ini:"log_retention"`
 }
 
 // CoordinatorLimits holds the deployment's figures that are not times.
@@ -87,7 +85,7 @@
 	return Coordinator{
 		Times: CoordinatorTimes{
 			LeaseLimit: 6 * time.Second, StartEarly: 0, Stop: time.Second, Grace: 6 * time.Second,
-			GroupTTLLeast: time.Second, LogRetention: 5 * time.Minute,
+			GroupTTLLeast: time.Second,
 		},
 		Limits: CoordinatorLimits{StoreWrites: 600, CPUShare: 1, RemoteFactor: 2, StorePartitions: 24},
 		Log:    CoordinatorLog{Level: "info", LinesPerSecond: 400},
