One cell for 1,200 writing calls a second; work that can be on time goes first

Four cells wasted room: each has its own workers. Order: by due time alone, the latest work comes first while there is too little room, and everything is late. Now a step's work is judged by what completing it is still worth: on time, late but of use, too late.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -10,8 +10,11 @@
 	// lapseMargin covers rounding of worker clocks to milliseconds and the
 	// delay between a worker's answer and its arrival.
 	lapseMargin = 100 * time.Millisecond
-	// holdSpacing groups the ends of a busy worker into one look.
-	holdSpacing = 30 * time.Millisecond
+	// urgentSpacing and relaxedSpacing group the ends of a busy worker into one
+	// report. Steps that callers wait for take 0.3 s and more; best-effort tasks
+	// take seconds and have seconds of slack.
+	urgentSpacing  = 30 * time.Millisecond
+	relaxedSpacing = 120 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 150 * time.Millisecond
 	// stopMargin is added to the time that a worker takes to stop a run, for
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -53,6 +53,22 @@
 	return m.config.HoldWait
 }
 
+// holdSpacing returns the pause between two reports. Ends of best-effort runs
+// may wait a little: the next report then tells of several.
+func (w *worker) holdSpacing() time.Duration {
+	for _, r := range w.order {
+		if !r.step.BestEffort && !r.step.LongRunning || r.phase != running {
+			return urgentSpacing
+		}
+	}
+	for _, s := range w.serving {
+		if s.overSince > 0 {
+			return urgentSpacing
+		}
+	}
+	return relaxedSpacing
+}
+
 // awaitsListing tells whether a run waits for the worker's word.
 func (w *worker) awaitsListing() bool {
 	for _, r := range w.order {
@@ -108,17 +124,18 @@
 	w.silent = false
 	w.readClock(m.now, report.Clock)
 	w.acked = max(w.acked, min(w.cursor, m.cursorSent(ev, w)))
-	w.nextHoldAt = m.now + holdSpacing
-	if !w.reported {
-		w.nextHoldAt = m.now
-	}
-	if !w.reported {
+	first := !w.reported
+	if first {
 		w.fenceFormer(m.now, m.config.Lease)
 	}
 	w.reported = true
 	m.readEnds(w, report.Ended)
 	m.readActive(w, ev, report.Active)
 	m.observeSharing(w)
+	w.nextHoldAt = m.now
+	if !first {
+		w.nextHoldAt += w.holdSpacing()
+	}
 }
 
 // cursorSent returns the cursor that an answered hold carried: ends up to it
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -82,7 +82,7 @@
 	if r.stop {
 		m.sendStop(r)
 	}
-	r.on.nextHoldAt = min(r.on.nextHoldAt, m.now+holdSpacing)
+	r.on.nextHoldAt = min(r.on.nextHoldAt, m.now+urgentSpacing)
 }
 
 func (m *Machine) startAnswered(ev StartAnswered) {
@@ -193,7 +193,7 @@
 	default:
 		r.confirmedAt = m.now
 		r.repeated = false
-		w.nextHoldAt = min(w.nextHoldAt, m.now+holdSpacing)
+		w.nextHoldAt = min(w.nextHoldAt, m.now+urgentSpacing)
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -18,6 +18,7 @@
 	state    *ledger.Step
 	image    imageID
 	priority int
+	hope     hope
 	// due is the objective's time of day in Unix nanoseconds.
 	due int64
 }
@@ -72,7 +73,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.due, b.due))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.hope, b.hope), cmp.Compare(a.due, b.due))
 	})
 	return out
 }
@@ -90,7 +91,7 @@
 		}
 		out = append(out, candidate{
 			entry: e, occurrence: number, step: s, state: state, image: m.images.id(e.Steps[s].Image),
-			priority: e.Policy.Priority, due: due.UnixNano() + int64(e.Objective()),
+			priority: e.Policy.Priority, hope: hopeFor(e, s, m.wall.Sub(due)), due: due.UnixNano() + int64(e.Objective()),
 		})
 	}
 	return out
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -66,6 +66,8 @@
 	StoreWrites float64 `ini:"store_writes"`
 	// CPUShare is this VM's share of a core.
 	CPUShare float64 `ini:"cpu_share"`
+	// MemoryMiB is the memory of this VM for the process.
+	MemoryMiB int64 `ini:"memory_mib"`
 	// RemoteFactor is how much longer a task takes away from its data.
 	RemoteFactor float64 `ini:"remote_factor"`
 	// StorePartitions is the number of partitions of a topic.
@@ -87,7 +89,7 @@
 			LeaseLimit: 6 * time.Second, StartEarly: 0, Stop: time.Second, Grace: 6 * time.Second,
 			GroupTTLLeast: time.Second,
 		},
-		Limits: CoordinatorLimits{StoreWrites: 600, CPUShare: 1, RemoteFactor: 2, StorePartitions: 24},
+		Limits: CoordinatorLimits{StoreWrites: 600, CPUShare: 1, MemoryMiB: 256, RemoteFactor: 2, StorePartitions: 24},
 		Log:    CoordinatorLog{Level: "info", LinesPerSecond: 400},
 	}
 }
@@ -122,19 +124,19 @@
 	return s, nil
 }
 
-// Figures of the number of cells.
-const (
-	// sharedWrites is the part of the store's calls a second that is kept for
-	// submissions and membership.
-	sharedWrites = 400
-	// writesPerCell is what the owner of a cell needs at its peak: it groups
-	// the records of 5 ms into one append.
-	writesPerCell = 200
-)
+// writesPerCell is the number of the store's writing calls a second for each
+// cell. The platform states these in proportion to the deployment's size: 1,200
+// for 490 workers and 1,000 starts a second, which take their owner 0.3 of a core.
+const writesPerCell = 1200
+
+// leastMemoryMiB is the least memory that a node runs in: 50 MiB at rest, and as
+// much for the state of a cell that it may have to own.
+const leastMemoryMiB = 100
 
-// cellsFor returns the number of cells whose owners the store can serve.
+// cellsFor returns the number of cells of a deployment. Fewer cells place better:
+// each has its own workers, and what one lacks another may leave unused.
 func cellsFor(writes float64, partitions int) int {
-	return max(1, min(partitions, int((writes-sharedWrites)/writesPerCell)))
+	return max(1, min(partitions, int(writes/writesPerCell)))
 }
 
 // dropEmpty removes keys without a value, so that their presets hold: a
@@ -174,6 +176,9 @@
 	if s.Times.LeaseLimit < time.Second {
 		wrong("times", "lease_limit", "has the value "+s.Times.LeaseLimit.String(), "1s or more")
 	}
+	if s.Limits.MemoryMiB < leastMemoryMiB {
+		wrong("limits", "memory_mib", fmt.Sprintf("has the value %d", s.Limits.MemoryMiB), fmt.Sprintf("%d or more", leastMemoryMiB))
+	}
 	if s.Limits.RemoteFactor < 1 {
 		wrong("limits", "remote_factor", fmt.Sprintf("has the value %g", s.Limits.RemoteFactor), "1 or more")
 	}
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -95,18 +95,26 @@
 
 // Chain returns the estimated time of the longest chain of dependent steps.
 func (s *Submission) Chain() time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
 	var longest time.Duration
-	for i, step := range s.Steps {
-		for _, before := range step.After {
-			ends[i] = max(ends[i], ends[before])
-		}
-		ends[i] += step.Estimate
-		longest = max(longest, ends[i])
+	for i := range s.Steps {
+		longest = max(longest, s.ChainFrom(i))
 	}
 	return longest
 }
 
+// ChainFrom returns the estimated time of the longest chain of steps that begins
+// with a step.
+func (s *Submission) ChainFrom(step int) time.Duration {
+	left := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= step; i-- {
+		left[i] += s.Steps[i].Estimate
+		for _, before := range s.Steps[i].After {
+			left[before] = max(left[before], left[i])
+		}
+	}
+	return left[step]
+}
+
 // Objective returns the time after the due time by which the work should be done.
 func (s *Submission) Objective() time.Duration {
 	return time.Duration(s.Policy.Slack*float64(s.Chain())) + s.Policy.Target
