--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -29,6 +29,8 @@
 	// offset that is kept of all streams.
 	snapshots map[int][][]byte
 	first     int64
+	// opens counts the reads of the cell streams.
+	opens int
 	// behind hides that many of the newest records of the intake from reads.
 	behind int
 }
@@ -103,6 +105,9 @@
 	for {
 		l.mu.Lock()
 		end := int64(len(l.streams[s]))
+		if s.Topic == coordinator.CellTopic {
+			l.opens++
+		}
 		if from < l.first {
 			l.mu.Unlock()
 			return coordinator.Page{First: min(l.first, end)}, coordinator.ErrExpired
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -15,6 +15,10 @@
 	// authority is how long an owner extends leases without a successful join.
 	// It bridges an outage of the store of several seconds.
 	authority = 10 * time.Second
+	// assignmentHolds is how long after a join a node tries to open a cell: the
+	// time to live in the group, after which another node may have the cell. The
+	// calls of a node that the store turns away are in vain, and counted.
+	assignmentHolds = 1500 * time.Millisecond
 	// ownersInterval bounds how often a node reads who owns the cells.
 	ownersInterval = 300 * time.Millisecond
 	// directoryInterval is how often an owner reads the list of workers. A
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -31,6 +31,7 @@
 				n.events.Log(logevent.GroupRegained)
 			}
 			joined, failing = sent, false
+			n.joinedAt.Store(int64(sent))
 			n.storeAnswered()
 			generation = a.Generation
 			n.assign(a)
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -25,7 +25,9 @@
 	declared atomic.Pointer[Declared]
 	// storeSeen is when the store last answered, in nanoseconds since start.
 	storeSeen atomic.Int64
-	stopping  atomic.Bool
+	// joinedAt is when the last successful join was sent, in nanoseconds since start.
+	joinedAt atomic.Int64
+	stopping atomic.Bool
 	// serving tells that a node in reserve owns cells, absent counts its
 	// checks in a row that found nobody else.
 	serving atomic.Bool
@@ -97,6 +99,11 @@
 // storeAnswered notes an answer of the store.
 func (n *Node) storeAnswered() { n.storeSeen.Store(int64(n.now())) }
 
+// assignmentFresh tells whether the group's last word on the cells still holds.
+func (n *Node) assignmentFresh() bool {
+	return n.now()-time.Duration(n.joinedAt.Load()) < assignmentHolds
+}
+
 // pause waits, or returns false if ctx is done first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -329,3 +329,26 @@
 		}
 	})
 }
+
+// Guards against a node that the store turns away and that goes on trying to
+// open a cell which another node may have by then.
+func TestNoOpeningWithoutAFreshAssignment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite()
+		defer s.close()
+		lost := false
+		s.group.give("a")
+		a := s.node("a", &lost)
+		time.Sleep(2 * time.Second)
+		s.group.set(func() { lost = true })
+		s.log.set(func() { s.log.epochs[coordinator.Stream{Topic: coordinator.CellTopic}] = 1000 })
+		is.NoErr(a.Submit(within(3*time.Second), submission("s")))
+		time.Sleep(3 * time.Second)
+		s.log.set(func() { s.log.opens = 0 })
+		time.Sleep(4 * time.Second)
+		s.log.mu.Lock()
+		is.Equal(s.log.opens, 0)
+		s.log.mu.Unlock()
+	})
+}
--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -41,6 +41,10 @@
 
 // own opens an epoch and works until the cell is taken away or fenced.
 func (c *cell) own(parent context.Context) {
+	if !c.node.assignmentFresh() {
+		pause(parent, logRetry)
+		return
+	}
 	epoch, former, err := c.open(parent)
 	if err != nil {
 		if parent.Err() == nil {
