Coordinator: a line and distributions for each submission that ends; a state dump

On-call engineers had no line that says when a submission was shown as completed or failed, and how that compares with its objective: event 805, with the times to the first start and to the end by queue as metrics. Tests: TestDump, and a check in TestCursorStaysBelowAnUnrecordedEnd.

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/logevent"
 )
@@ -41,6 +42,8 @@
 	changed chan struct{}
 	// refreshes asks for a read of the streams.
 	refreshes chan chan position
+	// dumps asks the owner for its machine's state.
+	dumps chan chan dispatch.Dump
 	// sweptAt is when ended submissions were forgotten last.
 	sweptAt time.Duration
 	// owning is true while this node owns the cell.
@@ -62,6 +65,7 @@
 		node: n, number: number, book: ledger.NewBook(),
 		changed:    make(chan struct{}, 1),
 		refreshes:  make(chan chan position),
+		dumps:      make(chan chan dispatch.Dump),
 		notices:    make(chan notice, noticeBacklog),
 		evacuation: make(chan struct{}, 1),
 	}
--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -7,6 +7,7 @@
 
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/metrics"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -15,9 +16,22 @@
 	return fmt.Sprintf("%s.%d.%d.%d", id.Submission, id.Occurrence, id.Step, id.Index)
 }
 
-// logDecision writes one line for a decision.
+// logDecision writes one line for a decision and counts it.
 func (n *Node) logDecision(epoch int64, d dispatch.Decision) {
 	n.meters.count("decisions", "kind", d.Kind.String())
+	switch d.Kind {
+	case dispatch.SubmissionBegan:
+		n.meters.time(metrics.Name("submission_first_start_microseconds", "queue", d.Queue), d.Took)
+		return
+	case dispatch.SubmissionEnded:
+		n.meters.time(metrics.Name("submission_end_microseconds", "queue", d.Queue, "state", d.Reason), d.Took)
+		if d.Took > d.Objective {
+			n.meters.count("submissions_late", "queue", d.Queue)
+		}
+		n.events.Log(logevent.SubmissionEnded, zap.String("id", d.Run.Task.Submission), zap.String("queue", d.Queue),
+			zap.String("state", d.Reason), zap.Int64("epoch", epoch), zap.Duration("took", d.Took), zap.Duration("objective", d.Objective))
+		return
+	}
 	fields := []zap.Field{zap.String("decision", d.Kind.String()), zap.String("worker", d.Worker), zap.Int64("epoch", epoch)}
 	if d.Run.Run > 0 {
 		fields = append(fields, zap.String("id", d.Run.Task.Submission), zap.String("task", TaskName(d.Run.Task)), zap.Int64("run", d.Run.Run))
--- /dev/null
+++ b/coordinator/dump.go
@@ -0,0 +1,101 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
+)
+
+// dumpTimeout bounds the wait for a cell's goroutine.
+const dumpTimeout = time.Second
+
+// Dump is the state of a node for people. Ages are in milliseconds.
+type Dump struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"dataCentre"`
+	Ready      bool   `json:"ready"`
+	Reserve    bool   `json:"reserve"`
+	// StoreAgeMillis is the time since the store's last answer, JoinAgeMillis
+	// since the last join of the group.
+	StoreAgeMillis  int64      `json:"storeAgeMillis"`
+	JoinAgeMillis   int64      `json:"joinAgeMillis"`
+	ManifestVersion int64      `json:"manifestVersion"`
+	Evacuated       []string   `json:"evacuated"`
+	Cells           []CellDump `json:"cells"`
+}
+
+// CellDump is the state of a cell as this node knows it.
+type CellDump struct {
+	Number   int  `json:"number"`
+	Assigned bool `json:"assigned"`
+	Owned    bool `json:"owned"`
+	// Owner is who opened the newest epoch that this node knows.
+	Owner ledger.Owner `json:"owner"`
+	// Machine is only there for a cell that this node owns.
+	Machine *dispatch.Dump `json:"machine,omitempty"`
+}
+
+// Dump collects the state. A cell whose goroutine does not answer in time is
+// shown without its machine.
+func (n *Node) Dump(ctx context.Context) Dump {
+	d := Dump{
+		VM: n.config.VM, DataCentre: n.config.DataCentre, Ready: n.Ready(), Reserve: n.config.Reserve,
+		StoreAgeMillis: (n.now() - time.Duration(n.storeSeen.Load())).Milliseconds(),
+		JoinAgeMillis:  (n.now() - time.Duration(n.joinedAt.Load())).Milliseconds(),
+	}
+	if declared := n.declared.Load(); declared != nil {
+		if declared.Manifest != nil {
+			d.ManifestVersion = declared.Manifest.Version
+		}
+		for dc := range declared.Evacuated {
+			d.Evacuated = append(d.Evacuated, dc)
+		}
+		slices.Sort(d.Evacuated)
+	}
+	for _, c := range n.cells {
+		d.Cells = append(d.Cells, c.dump(ctx))
+	}
+	return d
+}
+
+func (c *cell) dump(ctx context.Context) CellDump {
+	d := CellDump{
+		Number: c.number, Assigned: c.assigned.Load() != 0, Owned: c.owning.Load(), Owner: c.node.owners.of(c.number),
+	}
+	if !d.Owned {
+		return d
+	}
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	answer := make(chan dispatch.Dump, 1)
+	select {
+	case c.dumps <- answer:
+	case <-ctx.Done():
+		return d
+	}
+	select {
+	case machine := <-answer:
+		d.Machine = &machine
+	case <-ctx.Done():
+	}
+	return d
+}
+
+// DumpHandler serves the state dump.
+func (n *Node) DumpHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := json.MarshalIndent(n.Dump(r.Context()), "", "  ")
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// The write fails only if the reader has gone.
+		_, _ = w.Write(append(data, '\n'))
+	})
+}
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -352,3 +352,23 @@
 		s.log.mu.Unlock()
 	})
 }
+
+// Guards against a state dump that hangs, or says nothing of an owned cell.
+func TestDump(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite()
+		defer s.close()
+		s.group.give("a")
+		a, b := s.node("a", nil), s.node("b", nil)
+		time.Sleep(2 * time.Second)
+		is.NoErr(a.Submit(within(3*time.Second), submission("s")))
+		time.Sleep(300 * time.Millisecond)
+		d := a.Dump(within(time.Second))
+		is.True(d.Ready)
+		is.True(d.Cells[0].Owned)
+		is.Equal(d.Cells[0].Machine.Workers.Listed, 1)
+		is.Equal(d.Cells[0].Machine.Runs["running"], 2)
+		is.True(b.Dump(within(time.Second)).Cells[0].Machine == nil)
+	})
+}
--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -150,6 +150,8 @@
 			}
 		case answer := <-o.refreshes:
 			answer <- position{intake: o.intakeNext}
+		case answer := <-o.dumps:
+			answer <- o.machine.Dump()
 		case n := <-o.notices:
 			o.takeNotice(ctx, n)
 		case <-o.evacuation:
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -15,6 +15,11 @@
 	Reason string
 	// Age is how old the deciding input was.
 	Age time.Duration
+	// Queue, Took and Objective are those of a submission that began or ended:
+	// its time since it was due, and the time that it should take.
+	Queue     string
+	Took      time.Duration
+	Objective time.Duration
 }
 
 // DecisionKind tells what was decided.
@@ -31,10 +36,14 @@
 	WorkerSuspected
 	WorkerTrusted
 	WorkerReborn
+	// SubmissionBegan: the first run of the submission was recorded.
+	SubmissionBegan
+	// SubmissionEnded: the submission is shown as completed or failed.
+	SubmissionEnded
 )
 
 // String returns the kind's name.
 func (k DecisionKind) String() string {
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
-		"worker suspected", "worker trusted", "worker reborn"}[k]
+		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended"}[k]
 }
--- a/dispatch/ends_test.go
+++ b/dispatch/ends_test.go
@@ -46,4 +46,12 @@
 	d.report(ends...)
 	d.pass(200 * time.Millisecond)
 	is.True(d.count(acknowledging) > 0)
+	told := func(kind dispatch.DecisionKind) func(dispatch.Action) bool {
+		return func(a dispatch.Action) bool {
+			decision, ok := a.(dispatch.Decision)
+			return ok && decision.Kind == kind && decision.Run.Task.Submission == "done"
+		}
+	}
+	is.Equal(d.count(told(dispatch.SubmissionBegan)), 1)
+	is.Equal(d.count(told(dispatch.SubmissionEnded)), 1)
 }
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -214,12 +214,17 @@
 func (m *Machine) recordEnd(e *ledger.Entry, end *workload.EndedRun, then func()) {
 	record := ledger.EndedRecord(end.RunID, end.Outcome, end.Checkpoint)
 	m.write(record, func() {
-		changed := m.book.Apply(record)
+		live := !e.State().Final()
+		m.book.Apply(record)
 		then()
 		m.wantPlan = true
-		if changed != nil && changed.State().Final() {
-			m.entryChanged(e)
+		if !e.State().Final() {
+			return
 		}
+		if live {
+			m.decideSubmission(SubmissionEnded, e)
+		}
+		m.entryChanged(e)
 	})
 }
 
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -229,6 +229,14 @@
 	m.emit(Decision{Kind: kind, Run: id, Worker: worker, Reason: reason, Age: age})
 }
 
+// decideSubmission tells of a submission as a whole.
+func (m *Machine) decideSubmission(kind DecisionKind, e *ledger.Entry) {
+	m.emit(Decision{
+		Kind: kind, Run: workload.RunID{Task: workload.TaskID{Submission: e.ID}}, Reason: e.State().String(),
+		Queue: e.Queue, Took: m.wall.Sub(e.DueAt(e.Runs() - 1)), Objective: e.Objective(),
+	})
+}
+
 // write adds a record to the append that leaves at the end of the step.
 func (m *Machine) write(r *ledgerpb.Record, then func()) {
 	m.records = append(m.records, r)
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
 )
 
 // refuses tells why a recorded run must not be started now, or "".
@@ -31,7 +32,11 @@
 	record := ledger.PlacedRecord(r.id, r.on.Life)
 	life := r.on.Life
 	m.write(record, func() {
+		first := r.entry.State() == workload.Queued
 		m.book.Apply(record)
+		if first {
+			m.decideSubmission(SubmissionBegan, r.entry)
+		}
 		reason := m.refuses(r)
 		if r.stop || reason != "" || r.on.Life != life || !m.gangRecorded(r) {
 			m.decide(RunRefused, r.id, r.on.ID(), reason, 0)
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -8,6 +8,7 @@
 	SubmissionRejected   Number = 802
 	SubmissionRepeated   Number = 803
 	SubmissionCancelled  Number = 804
+	SubmissionEnded      Number = 805
 	EpochOpened          Number = 811
 	EpochNotOpened       Number = 812
 	EpochEnded           Number = 813
@@ -37,6 +38,7 @@
 	{SubmissionRejected, "SubmissionRejected", zapcore.WarnLevel, "submission was not confirmed as stored", []string{"id", "queue", "duration", "error"}, "Look for events 815 and 824 of the same time: the log did not answer."},
 	{SubmissionRepeated, "SubmissionRepeated", zapcore.InfoLevel, "submission was already stored", []string{"id", "queue"}, "None."},
 	{SubmissionCancelled, "SubmissionCancelled", zapcore.InfoLevel, "submission was cancelled", []string{"id", "error"}, "With an error: as for event 802."},
+	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission is shown as completed or failed", []string{"id", "queue", "state", "epoch", "took", "objective"}, "None."},
 	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM owns the cell", []string{"cell", "epoch", "live"}, "None."},
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "the cell is assigned but could not be opened", []string{"cell", "error"}, "Look at the log's health if it recurs."},
 	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration"}, "None."},
