--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -368,7 +368,7 @@
 	}
 	w.reported, w.silent = false, false
 	w.seen, w.cursor, w.acked, w.unsettled = 0, 0, 0, nil
-	w.clock, w.clockAt, w.lapseAt, w.formerLapseAt = 0, 0, 0, 0
+	w.clock, w.clockAt, w.lapseAt, w.formerLapseAt, w.granted = 0, 0, 0, 0, 0
 	w.record = record{}
 	w.nextHoldAt = m.now
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -69,7 +69,7 @@
 func (m *Machine) sendStart(r *run) {
 	w := r.on
 	if r.deadline == 0 {
-		r.deadline = w.leaseEnd(m.now, m.config.Lease)
+		r.deadline = w.startLease(m.now, m.config.Lease)
 	}
 	r.phase, r.inFlight = starting, true
 	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.checkpoint, Deadline: r.deadline})
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -22,6 +22,8 @@
 	// lapseAt is when every lease of this life has lapsed, as far as the
 	// orders sent so far go.
 	lapseAt time.Duration
+	// granted is the end of the longest lease on the worker's clock.
+	granted time.Duration
 	// formerLapseAt is the same for the leases that earlier owners gave.
 	formerLapseAt time.Duration
 	// silent: the last hold had no answer.
@@ -141,8 +143,20 @@
 	return end
 }
 
+// startLease returns the worker's clock at the end of the lease that a start
+// carries. It extends nothing while holds keep the lease long enough: a start
+// that is sent to a worker which has just gone would put off the time from which
+// its other tasks may be placed again.
+func (w *worker) startLease(now, lease time.Duration) time.Duration {
+	if w.granted-(w.clock+now-w.clockAt) >= lease/2 {
+		return w.granted
+	}
+	return w.leaseEnd(now, lease)
+}
+
 // noteLease notes when the worker's clock has certainly passed end.
 func (w *worker) noteLease(end time.Duration) {
+	w.granted = max(w.granted, end)
 	w.lapseAt = max(w.lapseAt, w.clockAt+LeaseLapse(end-w.clock))
 }
 
