--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -37,18 +37,17 @@
 	holds    int
 	// stepped is the real time that the machine's steps took.
 	stepped time.Duration
-	// tickDue is when the next tick is expected.
-	stopAt time.Duration
 }
 
 type loadWorker struct {
-	info  workload.Worker
-	runs  map[workload.RunID]*loadRun
-	ends  []workload.EndedRun
-	seq   int64
-	held  *dispatch.Hold
-	sent  time.Duration
-	until int
+	info workload.Worker
+	runs map[workload.RunID]*loadRun
+	ends []workload.EndedRun
+	seq  int64
+	// held is the hold that waits, sent when it was sent; serial counts holds.
+	held   *dispatch.Hold
+	sent   time.Duration
+	serial int
 }
 
 type loadRun struct {
@@ -194,15 +193,15 @@
 func (l *load) hold(h dispatch.Hold) {
 	w := l.workers[h.Worker]
 	w.held, w.sent = &h, l.now-loadOneWay
-	w.until++
-	serial := w.until
+	w.serial++
+	serial := w.serial
 	w.ends = slices.DeleteFunc(w.ends, func(e workload.EndedRun) bool { return e.Sequence <= h.Cursor })
 	if h.Wait == 0 || len(w.ends) > 0 {
 		l.answer(w)
 		return
 	}
 	l.after(h.Wait, func() {
-		if w.until == serial {
+		if w.serial == serial {
 			l.answer(w)
 		}
 	})
