Coordinator: a reader of the streams asks for the intake's end, too

Cause: a node that answered a caller from the streams, because no owner did, applied the cell stream while its read of the intake was behind, and lost what the records said of newer submissions; when it owned the cell later, their tasks ran again. Found by reading. Test: TestReaderKeepsRecordsOfUnseenSubmissions failed before (2 starts).

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -105,7 +105,7 @@
 		case <-ctx.Done():
 		case <-c.changed:
 		case answer := <-c.refreshes:
-			err := c.catchUp(ctx, readable)
+			err := c.catchUp(ctx)
 			answer <- position{intake: c.intakeNext, err: err}
 		case <-sweep.C:
 			c.sweep()
@@ -135,18 +135,18 @@
 	}
 }
 
-// catchUp applies all records of both streams, the intake's up to at least the
-// offset that through returns. The cell stream is read first and applied last:
-// its records refer to submissions that are in the intake by then. What a
-// failed try has read is kept for the next one.
-func (c *cell) catchUp(ctx context.Context, through func(context.Context) (int64, error)) error {
+// catchUp applies all records of both streams. The cell stream is read first and
+// applied last: its records refer to submissions that are in the intake by then,
+// up to the end that is asked for in between. What a failed try has read is kept
+// for the next one.
+func (c *cell) catchUp(ctx context.Context) error {
 	if c.caughtUpAt == 0 || c.node.now()-c.caughtUpAt > snapshotBehind {
 		c.loadSnapshot(ctx)
 	}
 	if err := c.readAhead(ctx); err != nil {
 		return err
 	}
-	end, err := through(ctx)
+	end, err := c.intakeEnd(ctx)
 	if err != nil {
 		return err
 	}
@@ -163,9 +163,16 @@
 	return nil
 }
 
-// readable asks for the records of the intake that a read shows, which may be
-// behind its end.
-func readable(context.Context) (int64, error) { return 0, nil }
+// intakeEnd returns the intake's end, which a read may not show yet. A record of
+// the cell stream that refers to a submission beyond what is applied would be
+// lost, and its task would run again.
+func (c *cell) intakeEnd(ctx context.Context) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	end, err := c.node.platform.Log.End(call, c.intake())
+	c.node.meters.logCall(err)
+	return end, err
+}
 
 // readAhead reads the cell stream to its present end.
 func (c *cell) readAhead(ctx context.Context) error {
@@ -271,8 +278,7 @@
 
 // readIntake reads the intake up to the end that it has now.
 func (c *cell) readIntake(ctx context.Context) error {
-	end, err := c.node.platform.Log.End(ctx, c.intake())
-	c.node.meters.logCall(err)
+	end, err := c.intakeEnd(ctx)
 	if err != nil {
 		return err
 	}
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -372,3 +372,30 @@
 		is.True(b.Dump(within(time.Second)).Cells[0].Machine == nil)
 	})
 }
+
+// Guards against a node that answers a caller from the streams while the intake
+// is read only in part, and later owns the cell with what it has lost then.
+func TestReaderKeepsRecordsOfUnseenSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite()
+		defer s.close()
+		s.group.give("a")
+		a, b := s.node("a", nil), s.node("b", nil)
+		time.Sleep(2 * time.Second)
+		is.NoErr(a.Submit(within(3*time.Second), submission("s")))
+		time.Sleep(3 * time.Second)
+		s.log.set(func() { s.log.behind = 1 })
+		_, err := b.State(within(2*time.Second), "s")
+		is.True(errors.Is(err, coordinator.ErrUnavailable))
+		s.log.set(func() { s.log.behind = 0 })
+		s.group.give("b")
+		time.Sleep(5 * time.Second)
+		state, err := b.State(within(time.Second), "s")
+		is.NoErr(err)
+		is.Equal(state, workload.Completed)
+		for _, starts := range s.fleet.starts {
+			is.Equal(starts, 1)
+		}
+	})
+}
--- a/coordinator/own.go
+++ b/coordinator/own.go
@@ -87,7 +87,7 @@
 // come between.
 func (c *cell) open(ctx context.Context) (epoch int64, former ledger.Owner, err error) {
 	for attempt := 1; c.assigned.Load() != 0; attempt++ {
-		if err := c.catchUp(ctx, c.intakeEnd); err != nil {
+		if err := c.catchUp(ctx); err != nil {
 			return 0, former, fmt.Errorf("read the streams: %w", err)
 		}
 		former = c.book.Owner()
@@ -118,17 +118,6 @@
 	return 0, former, errors.New("cell is no longer assigned")
 }
 
-// intakeEnd returns the intake's end, which a read may not show yet. A record of
-// the cell stream that refers to a submission beyond what is applied would be
-// lost, and its task would run again.
-func (c *cell) intakeEnd(ctx context.Context) (int64, error) {
-	call, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
-	end, err := c.node.platform.Log.End(call, c.intake())
-	c.node.meters.logCall(err)
-	return end, err
-}
-
 // loop feeds the machine until the ownership ends, and returns why it ended.
 func (o *ownership) loop(ctx context.Context) string {
 	tick := time.NewTicker(tickInterval)
