--- a/ledger/convert.go
+++ b/ledger/convert.go
@@ -79,7 +79,7 @@
 		Request:     &ledgerpb.Resources{MilliCpu: s.Request.MilliCPU, MemoryMib: s.Request.MemoryMiB, Accelerators: s.Request.Accelerators},
 		Checkpoints: s.Checkpoints, Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack,
 		MaxPerWorker: int32(s.MaxPerWorker), Speculative: s.Speculative, LongRunning: s.LongRunning, Image: s.Image,
-		LatencyTargetUs: s.LatencyTarget.Microseconds(), BestEffort: s.BestEffort, MaxUnavailable: int32(s.MaxUnavailable),
+		LatencyTargetUs: s.LatencyTarget.Microseconds(), BestEffort: s.BestEffort, UnavailableLimit: int32(s.MaxUnavailable),
 	}
 }
 
@@ -113,6 +113,6 @@
 		Checkpoints: s.Checkpoints, Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack,
 		MaxPerWorker: int(s.MaxPerWorker), Speculative: s.Speculative, LongRunning: s.LongRunning, Image: s.Image,
 		LatencyTarget: time.Duration(s.LatencyTargetUs) * time.Microsecond, BestEffort: s.BestEffort,
-		MaxUnavailable: int(s.MaxUnavailable),
+		MaxUnavailable: int(s.UnavailableLimit),
 	}
 }
