--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -53,7 +53,7 @@
 	{DirectoryLost, "DirectoryLost", zapcore.WarnLevel, "list of workers could not be read", []string{"error"}, "Look at the link to the platform's store."},
 	{DeclarationsLost, "DeclarationsLost", zapcore.WarnLevel, "declarations could not be read", []string{"error"}, "Look at the link to the platform's store."},
 	{DeclarationsRegained, "DeclarationsRegained", zapcore.InfoLevel, "declarations are read again", nil, "None."},
-	{SnapshotFailed, "SnapshotFailed", zapcore.WarnLevel, "snapshot of a cell could not be written or read", []string{"cell", "error"}, "Expected once at the first start; otherwise look at the link to the platform's store. A takeover without a snapshot reads all records."},
+	{SnapshotFailed, "SnapshotFailed", zapcore.WarnLevel, "snapshot of a cell could not be written or read", []string{"cell", "error"}, "Look at the link to the platform's store. A takeover without a snapshot reads all records."},
 	{ManifestAdopted, "ManifestAdopted", zapcore.InfoLevel, "manifest is in force on this VM", []string{"version", "queues"}, "None."},
 	{EvacuationChanged, "EvacuationChanged", zapcore.InfoLevel, "set of evacuated data centres", []string{"dataCentres"}, "None."},
 	{BadPlatformEntry, "BadPlatformEntry", zapcore.WarnLevel, "entry of the platform's store is malformed and names nothing", []string{"key", "error"}, "Find out who wrote the entry."},
