Dispatch: begun work keeps its place while it is of use

A large submission became late while it ran, gave way to newer ones, and what was done for it was lost. Now only work that has not begun gives way. Test: TestBegunWorkKeepsItsPlace failed before; TestOverloadServesWhatCanBeOnTime holds. Event 832 is written at changes only, not at each read of the declarations.

--- a/coordinator/declarations.go
+++ b/coordinator/declarations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"go.uber.org/zap"
 
@@ -40,7 +41,7 @@
 	if d.Manifest != nil && (before == nil || before.Manifest == nil || before.Manifest.Version != d.Manifest.Version) {
 		n.events.Log(logevent.ManifestAdopted, zap.Int64("version", d.Manifest.Version), zap.Int("queues", len(d.Manifest.Queues)))
 	}
-	if before == nil || len(before.Evacuated)+len(d.Evacuated) > 0 {
+	if before == nil || !maps.Equal(before.Evacuated, d.Evacuated) {
 		n.events.Log(logevent.EvacuationChanged, zap.Any("dataCentres", d.Evacuated))
 		for _, c := range n.cells {
 			c.evacuationChanged()
--- a/dispatch/hope.go
+++ b/dispatch/hope.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
 )
 
 // hope is how much completing a step's submission soon is still worth to its
@@ -13,9 +14,11 @@
 type hope int
 
 const (
-	// onTime: the submission can complete within its objective.
+	// onTime: the submission can complete within its objective, or it has begun
+	// and is still of use: what was done for it would be lost to its caller, and
+	// large submissions, which take longest, would never end.
 	onTime hope = iota
-	// late: it can complete within lateLimit times its objective.
+	// late: it has not begun, and can complete within lateLimit times its objective.
 	late
 	// tooLate: it is finished because it was accepted, when there is room.
 	tooLate
@@ -40,8 +43,10 @@
 	switch {
 	case since+left <= objective:
 		return onTime
-	case since+left <= lateLimit*objective:
-		return late
+	case since+left > lateLimit*objective:
+		return tooLate
+	case e.State() == workload.Running:
+		return onTime
 	}
-	return tooLate
+	return late
 }
