--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -69,7 +69,9 @@
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
 	c.owning.Store(true)
-	o.wg.Go(func() { o.tailIntake(ctx, c.intakeNext) })
+	// The event loop changes intakeNext, so it is read before the goroutine starts.
+	intakeFrom := c.intakeNext
+	o.wg.Go(func() { o.tailIntake(ctx, intakeFrom) })
 	c.node.workers.subscribe(ctx, o)
 	o.wg.Go(func() { o.writer.run(ctx) })
 	o.wg.Go(func() { o.requestResignation(ctx, previous) })
