dispatch: suspend a run that interferes while it is being stopped

Cause: a stop takes up to the worker's stop time (0.9 s), during which the run goes on to push the tasks beside it over their targets. Change: command Suspend beside the stop.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -38,6 +38,8 @@
 		o.wg.Go(func() { o.startRun(ctx, a) })
 	case dispatch.Stop:
 		o.wg.Go(func() { o.stopRun(ctx, a) })
+	case dispatch.Suspend:
+		o.wg.Go(func() { o.suspendRun(ctx, a) })
 	case dispatch.StepDown:
 		o.node.logger.Log(logevent.EpochFenced, zap.Int64("epoch", o.epoch), zap.String("worker", a.Worker))
 		o.cancel()
@@ -73,3 +75,11 @@
 	cancel()
 	o.post(ctx, dispatch.StopAnswered{Worker: s.Worker, Run: s.Run, Answer: answer})
 }
+
+// suspendRun sends a suspension. Its answer is not needed: the machine stops the run
+// as well.
+func (o *ownership) suspendRun(ctx context.Context, s dispatch.Suspend) {
+	call, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	o.node.platform.WorkerClient.Suspend(call, o.epoch, s)
+}
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -280,6 +280,14 @@
 	return dispatch.Done
 }
 
+func (f *fakeWorker) Suspend(_ context.Context, epoch int64, _ dispatch.Suspend) dispatch.Answer {
+	defer f.mu.Unlock()
+	if !f.lockForEpoch(epoch) {
+		return dispatch.Fenced
+	}
+	return dispatch.Done
+}
+
 // Workers implements coordinator.WorkerDirectory.
 func (f *fakeWorker) Workers(context.Context) ([]workload.Worker, bool, error) {
 	f.mu.Lock()
--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -52,6 +52,13 @@
 	Run workload.RunID
 }
 
+// Suspend commands a worker to give a run no CPU from now on. It takes effect in a
+// tenth of a second, a stop only after the worker's stop time.
+type Suspend struct {
+	Target
+	Run workload.RunID
+}
+
 // StepDown reports that a worker has seen a higher epoch: the owner must give up
 // the cell.
 type StepDown struct{ Worker string }
@@ -60,5 +67,6 @@
 func (Heartbeat) isAction() {}
 func (Start) isAction()     {}
 func (Stop) isAction()      {}
+func (Suspend) isAction()   {}
 func (StepDown) isAction()  {}
 func (Decision) isAction()  {}
--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -148,6 +148,8 @@
 		h.report()
 	}
 	is.True(h.now-over <= 3*time.Second)
+	// The stop takes up to a second: until then the run must not interfere.
+	is.Equal(h.count(func(a dispatch.Action) bool { _, ok := a.(dispatch.Suspend); return ok }), 1)
 }
 
 // Guards against reports of a shared worker that are too rare to detect a missed
