--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -69,9 +69,25 @@
 	if err := proto.Unmarshal(data, r); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadRecord, err)
 	}
+	if err := validate(r.Submitted); err != nil {
+		return nil, err
+	}
 	return r, nil
 }
 
+// validate returns an error that wraps ErrBadRecord if a submission in the log is not
+// valid. Applying it could panic, in every owner that reads it.
+func validate(r *ledgerpb.Submitted) error {
+	if r == nil {
+		return nil
+	}
+	s := submissionOf(r)
+	if err := s.Validate(); err != nil {
+		return fmt.Errorf("%w: submission %q: %w", ErrBadRecord, r.Id, err)
+	}
+	return nil
+}
+
 // Encode returns the encoding of a record.
 func Encode(r *ledgerpb.Record) ([]byte, error) {
 	data, err := proto.Marshal(r)
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -82,6 +82,11 @@
 		if err := proto.Unmarshal(d, p); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBadRecord, err)
 		}
+		for _, r := range p.Live {
+			if err := validate(r.Submitted); err != nil {
+				return nil, err
+			}
+		}
 		first := p
 		if i > 0 {
 			first = parts[0]
--- a/workload/step.go
+++ b/workload/step.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cactusreel/cactusreel/hostapi"
@@ -50,3 +51,18 @@
 
 // Work returns the estimated work of a task, in seconds of a core.
 func (s *Step) Work() float64 { return s.Estimate.Seconds() * float64(s.Request.MilliCPU) / 1000 }
+
+// validate returns an error if a number of the step is out of range. A negative
+// request would make room on a worker that it does not have.
+func (s *Step) validate() error {
+	q := s.Request
+	switch {
+	case s.Tasks <= 0 || s.Tasks > MaxTasks:
+		return fmt.Errorf("has %d tasks", s.Tasks)
+	case q.MilliCPU < 0 || q.MemoryMiB < 0 || q.Accelerators < 0:
+		return fmt.Errorf("requests a negative amount: %+v", q)
+	case s.Estimate < 0 || s.LatencyTarget < 0:
+		return fmt.Errorf("has a negative duration")
+	}
+	return nil
+}
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -15,6 +15,9 @@
 	MaxTasks = 5000
 	// MaxOccurrences limits the occurrences of a schedule.
 	MaxOccurrences = 10000
+	// MaxTotalTasks limits the tasks of all occurrences. A node keeps about 150 bytes
+	// for each, and the smallest VMs have 184 MB.
+	MaxTotalTasks = 100000
 )
 
 // ErrInvalid is wrapped by the errors of Submission.Validate.
@@ -81,10 +84,13 @@
 	}
 	tasks := 0
 	for i, step := range s.Steps {
-		if step.Tasks <= 0 {
-			return fmt.Errorf("%w: step %d has %d tasks", ErrInvalid, i, step.Tasks)
+		if err := step.validate(); err != nil {
+			return fmt.Errorf("%w: step %d %w", ErrInvalid, i, err)
 		}
 		tasks += step.Tasks
+		if len(step.After) > i {
+			return fmt.Errorf("%w: step %d depends on %d steps", ErrInvalid, i, len(step.After))
+		}
 		for _, dependency := range step.After {
 			if dependency < 0 || dependency >= i {
 				return fmt.Errorf("%w: step %d depends on step %d, which is not an earlier one", ErrInvalid, i, dependency)
@@ -94,6 +100,9 @@
 	if tasks > MaxTasks {
 		return fmt.Errorf("%w: %d tasks, want at most %d", ErrInvalid, tasks, MaxTasks)
 	}
+	if total := tasks * s.OccurrenceCount(); total > MaxTotalTasks {
+		return fmt.Errorf("%w: %d tasks in all occurrences, want at most %d", ErrInvalid, total, MaxTotalTasks)
+	}
 	return nil
 }
 
