coordinator: a panic in a cell's state ends its epoch, not the process

Cause: the owner's event loop and the reading of records run without recovery, so one unexpected report or record ends the process, and the next owner's too. Ruled out: HTTP handlers (net/http and twirp recover). Change: the event loop recovers, logs event 818 with the stack, counts it, discards the cell's state and reads it again from the log; a record whose handling panics is skipped.

--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -129,7 +129,7 @@
 
 // localState returns the state of a submission from the local copy, or Unknown.
 func (c *cell) localState(id string) workload.State {
-	if e := c.ledger.Find(id); e != nil {
+	if e := c.ledger().Find(id); e != nil {
 		return e.State()
 	}
 	if _, ok := c.recentlyAccepted.Load(id); ok {
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -28,7 +28,8 @@
 type cell struct {
 	node   *Node
 	number int
-	ledger *ledger.Ledger
+	// state is the ledger. It is replaced when a panic may have left it inconsistent.
+	state atomic.Pointer[ledger.Ledger]
 	// intakeNext and cellNext are the offsets of the records to apply next.
 	intakeNext int64
 	cellNext   int64
@@ -67,17 +68,20 @@
 
 func newCell(n *Node, number int) *cell {
 	c := &cell{
-		node: n, number: number, ledger: ledger.New(),
+		node: n, number: number,
 		wake:            make(chan struct{}, 1),
 		refreshRequests: make(chan chan refreshResult),
 		dumpRequests:    make(chan chan dispatch.Dump),
 		notifications:   make(chan notification, maxQueuedNotifications),
 		evacuation:      make(chan struct{}, 1),
 	}
+	c.state.Store(ledger.New())
 	c.intakeWriter = newIntakeWriter(c)
 	return c
 }
 
+func (c *cell) ledger() *ledger.Ledger { return c.state.Load() }
+
 func (c *cell) intakeStream() Stream { return Stream{Topic: intakeTopic, Partition: c.number} }
 func (c *cell) cellStream() Stream   { return Stream{Topic: CellTopic, Partition: c.number} }
 
@@ -129,7 +133,7 @@
 		return
 	}
 	c.lastSweep = now
-	c.ledger.Sweep(now, finalRetention)
+	c.ledger().Sweep(now, finalRetention)
 	c.recentlyAccepted.Range(func(id, at any) bool {
 		if now-at.(time.Duration) > finalRetention {
 			c.recentlyAccepted.Delete(id)
@@ -168,7 +172,7 @@
 	c.cellNext += int64(len(c.unapplied))
 	c.unapplied = nil
 	c.caughtUpAt = c.node.monotonicNow()
-	c.node.owners.update(c.number, c.ledger.Owner())
+	c.node.owners.update(c.number, c.ledger().Owner())
 	return nil
 }
 
@@ -247,14 +251,21 @@
 	return page, err
 }
 
-// apply applies one record and returns its entry, or nil.
-func (c *cell) apply(data []byte) *ledger.Entry {
+// apply applies one record and returns its entry, or nil. A record that can't be
+// decoded, or whose handling panics, is skipped, so that it does not stop a takeover.
+func (c *cell) apply(data []byte) (entry *ledger.Entry) {
+	defer func() {
+		if v := recover(); v != nil {
+			c.reportPanic(v)
+			entry = nil
+		}
+	}()
 	r, err := ledger.Decode(data)
 	if err != nil {
 		c.node.logError(logevent.BadLedgerRecord, err, zap.Int("cell", c.number))
 		return nil
 	}
-	e := c.ledger.Apply(r)
+	e := c.ledger().Apply(r)
 	if e != nil && r.Submitted != nil {
 		c.recentlyAccepted.Delete(e.ID)
 	}
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -216,6 +216,8 @@
 	endedRuns []workload.EndedRun
 	sequence  int64
 	starts    map[workload.TaskID]int
+	// outcome is the outcome of runs that end by themselves.
+	outcome workload.Outcome
 	// endlessSubmission is the submission whose runs never end.
 	endlessSubmission string
 	// activeListCalls is the number of calls to Workers in progress, maxListCalls
@@ -225,7 +227,7 @@
 }
 
 func newFakeWorker() *fakeWorker {
-	return &fakeWorker{startedAt: time.Now(), runs: make(map[workload.RunID]time.Time), starts: make(map[workload.TaskID]int)}
+	return &fakeWorker{outcome: workload.Succeeded, startedAt: time.Now(), runs: make(map[workload.RunID]time.Time), starts: make(map[workload.TaskID]int)}
 }
 
 func (f *fakeWorker) update(change func()) {
@@ -244,7 +246,7 @@
 		if time.Since(at) >= time.Second && run.Task.Submission != f.endlessSubmission {
 			delete(f.runs, run)
 			f.sequence++
-			f.endedRuns = append(f.endedRuns, workload.EndedRun{RunID: run, Sequence: f.sequence, Outcome: workload.Succeeded})
+			f.endedRuns = append(f.endedRuns, workload.EndedRun{RunID: run, Sequence: f.sequence, Outcome: f.outcome})
 		}
 	}
 	return epoch >= f.epoch
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -55,14 +55,14 @@
 		return
 	}
 	began := c.node.monotonicNow()
-	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch), zap.Int("live", len(c.ledger.Live())))
+	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch), zap.Int("live", len(c.ledger().Live())))
 	ctx, cancel := context.WithCancel(parent)
 	config := c.node.config.Dispatch
 	config.Epoch = epoch
 	config.PredecessorExpiry = c.predecessorLeaseExpiry(previous)
 	o := &ownership{
 		cell: c, epoch: epoch, cancel: cancel,
-		machine:  dispatch.New(config, c.ledger, c.node.monotonicNow(), time.Now()),
+		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began,
 		events:   make(chan any, maxQueuedEvents),
 	}
@@ -75,8 +75,8 @@
 	c.node.workers.subscribe(ctx, o)
 	o.wg.Go(func() { o.writer.run(ctx) })
 	o.wg.Go(func() { o.requestResignation(ctx, previous) })
-	o.wg.Go(func() { o.publishOwner(ctx, c.ledger.Owner()) })
-	reason := o.eventLoop(ctx)
+	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
+	reason := o.guardedEventLoop(ctx)
 	cancel()
 	c.node.workers.unsubscribe(o)
 	o.wg.Wait()
@@ -93,8 +93,8 @@
 		if err := c.catchUp(ctx); err != nil {
 			return 0, previous, fmt.Errorf("read the streams: %w", err)
 		}
-		previous = c.ledger.Owner()
-		epoch = max(c.generation.Load(), c.ledger.Owner().Epoch+1)
+		previous = c.ledger().Owner()
+		epoch = max(c.generation.Load(), c.ledger().Owner().Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
 		record := ledger.OpenedRecord(owner)
 		data, err := ledger.Encode(record)
@@ -113,7 +113,7 @@
 		if err != nil {
 			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
 		}
-		c.ledger.Apply(record)
+		c.ledger().Apply(record)
 		c.cellNext = end
 		c.node.owners.update(c.number, owner)
 		return epoch, previous, nil
@@ -121,6 +121,20 @@
 	return 0, previous, errors.New("cell is no longer assigned")
 }
 
+// guardedEventLoop runs eventLoop. A panic there ends the ownership, not the process:
+// the node goes on serving callers, and the cell's state is read again from the log
+// by its next owner.
+func (o *ownership) guardedEventLoop(ctx context.Context) (reason string) {
+	defer func() {
+		if v := recover(); v != nil {
+			o.reportPanic(v)
+			o.resetState()
+			reason = "panic"
+		}
+	}()
+	return o.eventLoop(ctx)
+}
+
 // eventLoop passes events to the machine until the ownership ends, and returns
 // the reason for its end.
 func (o *ownership) eventLoop(ctx context.Context) string {
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -77,7 +77,7 @@
 // Queued, from the cell's owner. It returns false if no owner answered.
 func (n *Node) pendingCount(ctx context.Context, c *cell, queue string) (int, bool) {
 	if c.owning.Load() {
-		return c.ledger.Pending(queue), true
+		return c.ledger().Pending(queue), true
 	}
 	pending := 0
 	ok := n.queryOwner(ctx, c, func(ctx context.Context, owner coordpb.Coordinator) (bool, error) {
@@ -97,7 +97,7 @@
 	if c == nil || !c.owning.Load() {
 		return &coordpb.PendingAnswer{}, nil
 	}
-	return &coordpb.PendingAnswer{Owner: true, Pending: int32(c.ledger.Pending(q.Queue))}, nil
+	return &coordpb.PendingAnswer{Owner: true, Pending: int32(c.ledger().Pending(q.Queue))}, nil
 }
 
 // Lookup handles a query of another node for the state of a submission. An owner
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -31,7 +31,7 @@
 		return
 	}
 	o.lastSnapshot = snapshotMark{at: now, offsets: offsets}
-	parts := o.ledger.Snapshot(offsets)
+	parts := o.ledger().Snapshot(offsets)
 	o.wg.Go(func() {
 		defer o.snapshotInProgress.Store(false)
 		o.writeSnapshot(ctx, parts)
@@ -81,7 +81,7 @@
 	if parts[0].CellNext <= c.cellNext+int64(len(c.unapplied)) {
 		return
 	}
-	at := c.ledger.ApplySnapshot(parts)
+	at := c.ledger().ApplySnapshot(parts)
 	c.cellNext, c.unapplied = at.Cell, nil
 	c.intakeNext = max(c.intakeNext, at.Intake)
 }
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -74,6 +74,12 @@
 		if err != nil {
 			return
 		}
-		ledger.New().ApplySnapshot(parts)
+		l := ledger.New()
+		l.ApplySnapshot(parts)
+		for _, e := range l.Live() {
+			if len(e.Steps) > 0 {
+				e.Occurrence(0)
+			}
+		}
 	})
 }
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -16,6 +16,7 @@
 	GroupCallFailed      Number = 815
 	GroupRegained        Number = 816
 	FormerOwnerResigned  Number = 817
+	CellPanicked         Number = 818
 	FollowFailed         Number = 821
 	LogExpired           Number = 822
 	BadLedgerRecord      Number = 823
@@ -46,6 +47,7 @@
 	{GroupCallFailed, "GroupCallFailed", zapcore.WarnLevel, "call to the membership group failed", []string{"error"}, "Check the connection to the platform's store."},
 	{GroupRegained, "GroupRegained", zapcore.InfoLevel, "call to the membership group succeeds again", nil, "None."},
 	{FormerOwnerResigned, "FormerOwnerResigned", zapcore.InfoLevel, "former owner of the cell stopped sending orders", []string{"vm", "epoch"}, "None."},
+	{CellPanicked, "CellPanicked", zapcore.ErrorLevel, "handling of a cell's state panicked; the record is skipped or the epoch ends", []string{"cell", "error", "stack"}, "Report the stack. The process goes on; the cell is opened again from the log."},
 	{FollowFailed, "FollowFailed", zapcore.WarnLevel, "owners of the cells could not be read from the register", []string{"cell", "error"}, "Check the connection to the platform's store."},
 	{LogExpired, "LogExpired", zapcore.WarnLevel, "records expired before they were read", []string{"topic", "from", "first"}, "Expected at the first read of an old stream; otherwise the VM was disconnected from the log for longer than the log keeps records."},
 	{BadLedgerRecord, "BadLedgerRecord", zapcore.ErrorLevel, "record could not be decoded or encoded", []string{"cell", "error"}, "Check that all VMs run the same version."},
