coordinator: measure an owner's authority on a clock that counts suspension

Cause: the age of the last join is taken from the monotonic clock, which stands still while a VM is suspended. An owner that was suspended for 12 s believes that it joined just now, extends leases and starts tasks, although its successor has waited for its authority to run out and may have started the same tasks elsewhere. Ruled out: fencing alone: a worker that the successor has not reached yet accepts the old epoch; deadlines of starts: a heartbeat after the suspension renews the clock.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -28,7 +28,14 @@
 	}
 }
 
+// execute carries out an action. A node whose authority has run out, for example
+// while it was suspended, sends no command: its successor may have started the same
+// tasks elsewhere.
 func (o *ownership) execute(ctx context.Context, action dispatch.Action) {
+	if !o.node.hasAuthority() {
+		o.cancel()
+		return
+	}
 	switch a := action.(type) {
 	case dispatch.Append:
 		o.writer.enqueue(a)
--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"github.com/cactusreel/cactusreel/dispatch"
 )
 
@@ -17,6 +19,9 @@
 	// Reserve puts the node in reserve: it owns cells only while no node that is
 	// not in reserve owns one.
 	Reserve bool
+	// SuspendClock is a steady clock that counts the time for which the VM is
+	// suspended; nil stands for the monotonic clock.
+	SuspendClock func() time.Duration
 	// Dispatch holds the settings of the dispatch machine. Epoch and
 	// PredecessorExpiry are set for each epoch.
 	Dispatch dispatch.Config
--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -46,7 +46,7 @@
 	d := Dump{
 		VM: n.config.VM, DataCentre: n.config.DataCentre, Ready: n.Ready(), Reserve: n.config.Reserve,
 		StoreAgeMillis: (n.monotonicNow() - time.Duration(n.lastStoreResponse.Load())).Milliseconds(),
-		JoinAgeMillis:  (n.monotonicNow() - time.Duration(n.lastJoin.Load())).Milliseconds(),
+		JoinAgeMillis:  n.joinAge().Milliseconds(),
 	}
 	if declared := n.declarations.Load(); declared != nil {
 		if declared.Manifest != nil {
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -236,6 +236,13 @@
 	change()
 }
 
+// startedTasks returns the number of tasks that were started.
+func (f *fakeWorker) startedTasks() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.starts)
+}
+
 func (f *fakeWorker) clock() time.Duration { return time.Since(f.startedAt) + time.Second }
 
 func (f *fakeWorker) lockForEpoch(epoch int64) bool {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -13,14 +13,13 @@
 // assignments.
 func (n *Node) maintainMembership(ctx context.Context) {
 	var generation int64
-	lastJoin := n.monotonicNow()
 	failing := false
 	for ctx.Err() == nil && !n.stopping.Load() {
 		if n.config.Reserve && !n.reserveNeeded(ctx) {
 			generation = 0
 			continue
 		}
-		sent := n.monotonicNow()
+		sent, sentAuthority := n.monotonicNow(), n.authorityNow()
 		call, cancel := context.WithTimeout(ctx, logTimeout)
 		a, err := n.platform.Group.Join(call, generation)
 		cancel()
@@ -31,8 +30,8 @@
 			if failing {
 				n.logger.Log(logevent.GroupRegained)
 			}
-			lastJoin, failing = sent, false
-			n.lastJoin.Store(int64(sent))
+			failing = false
+			n.lastJoin.Store(int64(sentAuthority))
 			n.recordStoreResponse()
 			generation = a.Generation
 			n.assign(a)
@@ -41,7 +40,7 @@
 				n.logError(logevent.GroupCallFailed, err)
 			}
 			failing = true
-			if n.monotonicNow()-lastJoin > authorityDuration {
+			if !n.hasAuthority() {
 				n.assign(Assignment{})
 			}
 		}
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -26,8 +26,8 @@
 	// lastStoreResponse is when the store last responded, in nanoseconds since
 	// startedAt.
 	lastStoreResponse atomic.Int64
-	// lastJoin is when the last successful join was sent, in nanoseconds since
-	// startedAt.
+	// lastJoin is when the last successful join was sent, in nanoseconds of
+	// authorityNow.
 	lastJoin atomic.Int64
 	stopping atomic.Bool
 	// reserveActive reports whether a node in reserve currently takes cells.
@@ -45,6 +45,7 @@
 	n.peers = newPeerClients()
 	n.owners = &ownerCache{node: n, owners: make(map[int]ledger.Owner)}
 	n.workers = newWorkerList(n)
+	n.lastJoin.Store(int64(n.authorityNow() - assignmentValidity))
 	for i := range config.Cells {
 		n.cells = append(n.cells, newCell(n, i))
 	}
@@ -102,12 +103,6 @@
 // recordStoreResponse records the time of a response of the store.
 func (n *Node) recordStoreResponse() { n.lastStoreResponse.Store(int64(n.monotonicNow())) }
 
-// assignmentValid reports whether the assignment of the last successful join is
-// still valid.
-func (n *Node) assignmentValid() bool {
-	return n.monotonicNow()-time.Duration(n.lastJoin.Load()) < assignmentValidity
-}
-
 // sleep waits for d. It returns false if ctx is done first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,8 @@
 	group  *fakeGroup
 	worker *fakeWorker
 	stops  []func()
+	// suspended is the time for which the nodes' VMs have been suspended.
+	suspended atomic.Int64
 }
 
 func newHarness() *harness {
@@ -36,8 +39,10 @@
 func (h *harness) startReserveNode(vm string) *coordinator.Node { return h.start(vm, nil, true) }
 
 func (h *harness) start(vm string, unreachable *bool, reserve bool) *coordinator.Node {
+	startedAt := time.Now()
 	n := coordinator.NewNode(coordinator.Config{
-		VM: vm, Cells: max(1, h.group.cells), Reserve: reserve, Dispatch: dispatch.Config{Lease: 5 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2},
+		SuspendClock: func() time.Duration { return time.Since(startedAt) + time.Duration(h.suspended.Load()) },
+		VM:           vm, Cells: max(1, h.group.cells), Reserve: reserve, Dispatch: dispatch.Config{Lease: 5 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2},
 	}, coordinator.Platform{
 		Log: h.log, Owners: h.log, Snapshots: h.log, Group: member{h.group, vm, unreachable}, WorkerClient: h.worker, Directory: h.worker, Declarations: fakeDeclarations{},
 	}, nil, coordinator.NewMetrics())
