--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -39,7 +39,7 @@
 	task := workload.TaskID{Submission: "s", Occurrence: -1, Step: 9, Index: -3}
 	seed(f, ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, workload.Incarnation{}))
 	seed(f, ledger.EndedRecord(workload.RunID{Task: task, Run: 1}, workload.Succeeded, "c"))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		l := ledger.New()
 		l.Apply(ledger.SubmittedRecord(fuzzSubmission()))
 		r, err := ledger.Decode(data)
@@ -69,7 +69,7 @@
 	add()
 	part.Live[0].Submitted.Steps[0].Tasks = -1
 	add()
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		parts, err := ledger.DecodeSnapshot([][]byte{data})
 		if err != nil {
 			return
