coordinator: time the second append to the intake by each append

Cause: the timer was set when a series of appends began, so an append that hangs later in the series held up all callers until its timeout. Change: each append sets its own timer. Tests of coordinator and platform pass with the race detector, three times.

--- a/coordinator/intakewriter.go
+++ b/coordinator/intakewriter.go
@@ -77,20 +77,16 @@
 	}
 	w.inFlight++
 	go w.run()
-	w.addSecondAppend()
 }
 
-// addSecondAppend sends the records that are queued after secondAppendDelay if the
-// append in flight has not been answered by then.
+// addSecondAppend sends the queued records beside an append that has no answer yet.
 func (w *intakeWriter) addSecondAppend() {
-	time.AfterFunc(secondAppendDelay, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if w.inFlight > 0 && w.inFlight < maxIntakeAppends && len(w.queue) > 0 {
-			w.inFlight++
-			go w.run()
-		}
-	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.inFlight < maxIntakeAppends && len(w.queue) > 0 {
+		w.inFlight++
+		go w.run()
+	}
 }
 
 // run appends batches until the queue is empty.
@@ -147,6 +143,8 @@
 		records[i] = r.data
 	}
 	sent := n.monotonicNow()
+	second := time.AfterFunc(secondAppendDelay, w.addSecondAppend)
+	defer second.Stop()
 	call, cancel := context.WithTimeout(context.Background(), timeout)
 	end, err := n.platform.Log.Append(call, w.cell.intakeStream(), records, nil)
 	cancel()
