dispatch: name the weight of a queue's mean work

The factor stood without a name, and the comment on the order said that a begun submission is never overtaken, which holds only against submissions that are not much smaller.

--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -26,8 +26,8 @@
 
 // compareUrgency orders waiting steps, the most urgent first. Among steps of one
 // priority and timeliness, those whose occurrence has the least relative remaining
-// work come first: a free core then completes the most submissions, and a submission
-// that has begun is not overtaken by one that has not.
+// work come first: a free core then completes the most submissions, and the work done
+// for a submission that has begun counts in its favour.
 func compareUrgency(a, b waitingStep) int {
 	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.timeliness, b.timeliness),
 		cmp.Compare(a.remaining, b.remaining), cmp.Compare(a.due, b.due))
@@ -48,12 +48,16 @@
 	return sums
 }
 
+// queueMeanWeight is the weight of the queue's mean work in workIndex.remaining. With
+// a greater weight, small submissions overtake a large one that is half done.
+const queueMeanWeight = 0.5
+
 // remaining returns the remaining work of an occurrence relative to its whole work
-// and the mean of its queue, a value from 0 to 1. The mean ranks small submissions
+// and the weighted mean of its queue, a value from 0 to 1. The mean ranks small submissions
 // before large ones, and bounds their advantage: a large submission that is half
 // done comes before any that has not begun and is larger than the mean.
 func (x workIndex) remaining(e *ledger.Entry, o *ledger.Occurrence) float64 {
-	whole := e.Work() + 0.5*x[e.Queue]
+	whole := e.Work() + queueMeanWeight*x[e.Queue]
 	if whole == 0 {
 		return 0
 	}
