--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -234,6 +234,8 @@
 	outcome workload.Outcome
 	// endlessSubmission is the submission whose runs never end; "*" stands for all.
 	endlessSubmission string
+	// silent: commands get no answer and have no effect.
+	silent bool
 	// activeListCalls is the number of calls to Workers in progress, maxListCalls
 	// its maximum.
 	activeListCalls int
@@ -259,6 +261,17 @@
 
 func (f *fakeWorker) clock() time.Duration { return time.Since(f.startedAt) + time.Second }
 
+// isSilent reports whether a command gets no answer, after the time that its sender waits.
+func (f *fakeWorker) isSilent() bool {
+	f.mu.Lock()
+	silent := f.silent
+	f.mu.Unlock()
+	if silent {
+		time.Sleep(700 * time.Millisecond)
+	}
+	return silent
+}
+
 func (f *fakeWorker) lockForEpoch(epoch int64) bool {
 	time.Sleep(5 * time.Millisecond)
 	f.mu.Lock()
@@ -286,6 +299,9 @@
 }
 
 func (f *fakeWorker) Heartbeat(_ context.Context, epoch int64, h dispatch.Heartbeat) (workload.Report, dispatch.Answer) {
+	if f.isSilent() {
+		return workload.Report{}, dispatch.NoAnswer
+	}
 	defer f.mu.Unlock()
 	if !f.lockForEpoch(epoch) {
 		return workload.Report{}, dispatch.Fenced
@@ -304,6 +320,9 @@
 }
 
 func (f *fakeWorker) Start(_ context.Context, epoch int64, s dispatch.Start) (dispatch.Answer, time.Duration) {
+	if f.isSilent() {
+		return dispatch.NoAnswer, 0
+	}
 	defer f.mu.Unlock()
 	if !f.lockForEpoch(epoch) {
 		return dispatch.Fenced, f.clock()
@@ -317,6 +336,9 @@
 }
 
 func (f *fakeWorker) Stop(_ context.Context, epoch int64, s dispatch.Stop) dispatch.Answer {
+	if f.isSilent() {
+		return dispatch.NoAnswer
+	}
 	defer f.mu.Unlock()
 	if !f.lockForEpoch(epoch) {
 		return dispatch.Fenced
--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -167,6 +167,9 @@
 	return call(ctx, p, p.Coordinator.FreeCapacity, q)
 }
 
+// clusterLease is the duration of the leases that the owners of a cluster grant.
+const clusterLease = 5 * time.Second
+
 // cluster runs several nodes that call each other and own cells independently, in the
 // virtual time of package synctest.
 type cluster struct {
@@ -220,7 +223,7 @@
 	c.nodes[vm] = coordinator.NewNode(coordinator.Config{
 		SuspendClock: func() time.Duration { return time.Since(startedAt) },
 		VM:           vm, PeerAddress: vm, Cells: cells,
-		Dispatch: dispatch.Config{Lease: 5 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2, StopTime: 100 * time.Millisecond},
+		Dispatch: dispatch.Config{Lease: clusterLease, HandoverLease: 2 * clusterLease, HeartbeatWait: time.Second, RemoteFactor: 2, StopTime: 100 * time.Millisecond},
 	}, p, nil, coordinator.NewMetrics())
 }
 
--- /dev/null
+++ b/coordinator/silentworker_test.go
@@ -0,0 +1,158 @@
+package coordinator_test
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+const (
+	// silentTakeoverInterval is the time between two takeovers while a worker is silent.
+	silentTakeoverInterval = 3 * time.Second
+	// ownerAuthority is how long an owner that does not reach the store extends leases.
+	ownerAuthority = 10 * time.Second
+)
+
+// silentWorkerTest is a long-running task whose worker falls silent while the cell goes
+// from one owner to the next.
+type silentWorkerTest struct {
+	*cluster
+	t    *testing.T
+	task workload.TaskID
+	// silent is the worker that falls silent.
+	silent *fakeWorker
+}
+
+// startSilentWorkerTest starts the task in a cluster whose first VM owns the cell.
+func startSilentWorkerTest(t *testing.T, vms int) *silentWorkerTest {
+	var names []string
+	for i := range vms {
+		names = append(names, fmt.Sprintf("vm-%d", i))
+	}
+	workers := newFakeWorkers("*", "w1", "w2")
+	s := &silentWorkerTest{cluster: startCluster(1, workers, names...), t: t, task: workload.TaskID{Submission: "lasting"}}
+	long := submission("lasting")
+	long.Steps[0].LongRunning, long.Steps[0].Tasks = true, 1
+	if err := s.nodes["vm-0"].Submit(timeoutContext(3*time.Second), long); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	for _, w := range workers {
+		if w.starts[s.task] > 0 {
+			s.silent = w
+		}
+	}
+	return s
+}
+
+// silence makes the worker of the task fall silent. It runs on until its lease expires.
+func (s *silentWorkerTest) silence() { s.silent.update(func() { s.silent.silent = true }) }
+
+// leaseEnd returns the time until the lease of the silent worker expires.
+func (s *silentWorkerTest) leaseEnd() time.Duration {
+	s.silent.mu.Lock()
+	defer s.silent.mu.Unlock()
+	return s.silent.leaseEnd - s.silent.clock()
+}
+
+// waitForRestart waits until the task runs on the other worker, and fails the test if
+// that takes longer than limit or the task then runs on both workers.
+func (s *silentWorkerTest) waitForRestart(limit time.Duration) {
+	for waited := time.Duration(0); s.workers.starts(s.task) < 2; waited += 20 * time.Millisecond {
+		if waited > limit {
+			s.t.Fatalf("no run %v after the worker fell silent", waited)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if left := s.leaseEnd(); left > 0 {
+		s.t.Fatalf("the task runs again %v before the lease of its silent worker expires", left)
+	}
+}
+
+// Guards against a long-running task that is not started again for as long as takeovers
+// follow one another, because each new owner waits for the leases of the silent worker
+// from its takeover on.
+func TestTakeoversDoNotProlongTheWaitForASilentWorker(t *testing.T) {
+	for _, storeAway := range []time.Duration{0, time.Second} {
+		t.Run(fmt.Sprintf("store away for %v after each takeover", storeAway), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startSilentWorkerTest(t, 3)
+				defer s.close()
+				s.group.assign(0, "vm-1")
+				time.Sleep(silentTakeoverInterval)
+				s.silence()
+				defer s.background(func(stopped func() bool) { s.passOn(storeAway, stopped) })()
+				s.waitForRestart(s.leaseEnd() + maxRestartDelay)
+			})
+		})
+	}
+}
+
+// background runs f until the returned function is called, which waits for its end.
+func (s *silentWorkerTest) background(f func(stopped func() bool)) (stop func()) {
+	var stopping atomic.Bool
+	done := make(chan struct{})
+	go func() {
+		f(stopping.Load)
+		close(done)
+	}()
+	return func() { stopping.Store(true); <-done }
+}
+
+// passOn passes the cell from one VM to the next, all of which stay reachable. After each
+// takeover the store takes no appends for storeAway.
+func (s *silentWorkerTest) passOn(storeAway time.Duration, stopped func() bool) {
+	for i := 0; i < 8 && !stopped(); i++ {
+		s.group.assign(0, fmt.Sprintf("vm-%d", (i+2)%3))
+		time.Sleep(500 * time.Millisecond)
+		if storeAway > 0 {
+			s.log.update(func() { s.log.appendErr = errors.New("no answer") })
+		}
+		time.Sleep(storeAway)
+		s.log.update(func() { s.log.appendErr = nil })
+		time.Sleep(silentTakeoverInterval - 500*time.Millisecond - storeAway)
+	}
+}
+
+// Guards against the same wait if the owners die one after the other, so that none can
+// tell its successor what leases it has granted.
+func TestTakeoversFromDeadOwnersDoNotProlongTheWaitForASilentWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const vms = 9
+		s := startSilentWorkerTest(t, vms)
+		defer s.close()
+		s.silence()
+		defer s.background(func(stopped func() bool) {
+			for next := 1; next < vms && !stopped(); next++ {
+				s.isolate(fmt.Sprintf("vm-%d", next-1), vms)
+				s.group.assign(0, fmt.Sprintf("vm-%d", next))
+				time.Sleep(silentTakeoverInterval)
+			}
+		})()
+		s.waitForRestart(ownerAuthority + dispatch.LeaseExpiryBound(clusterLease) + maxTakeoverTime)
+		is.Equal(s.workers.starts(s.task), 2)
+	})
+}
+
+// maxTakeoverTime is the time within which a successor owns the cell and has placed what
+// waits.
+const maxTakeoverTime = 2 * time.Second
+
+// isolate cuts a VM off from the store and from the other VMs.
+func (s *silentWorkerTest) isolate(vm string, vms int) {
+	s.cutStore(vm, true)
+	for i := range vms {
+		other := fmt.Sprintf("vm-%d", i)
+		s.cutLink(vm, other, true)
+		s.cutLink(other, vm, true)
+	}
+}
