--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -48,6 +48,10 @@
 	// TaskReleased: a task, and maybe others of its step, that had no run for the time in
 	// Age is given to another cell, which Reason names.
 	TaskReleased
+	// LeasesAwaited: runs of workers that do not answer are kept until the leases of these
+	// workers have expired. Worker is the one whose leases expire last, Age its silence, or 0
+	// if it has not answered this owner.
+	LeasesAwaited
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -55,5 +59,5 @@
 func (k DecisionKind) String() string {
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
-		"task released"}[k]
+		"task released", "leases awaited"}[k]
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -57,6 +57,8 @@
 	longRunningWaits []*longWait
 	longWaitsAt      time.Duration
 	transfers        transfers
+	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
+	leaseWaitsReportedAt time.Duration
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -335,6 +337,7 @@
 	}
 	m.stopStalledRuns()
 	m.reportWaiting()
+	m.reportLeaseWaits()
 	if m.config.CellOf != nil {
 		m.transferWaiting()
 		m.checkGuests()
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -33,6 +33,7 @@
 	OrderUnanswered      Number = 842
 	TaskWaiting          Number = 843
 	TaskReleased         Number = 844
+	LeasesAwaited        Number = 845
 	LinesDropped         Number = 851
 )
 
@@ -66,5 +67,6 @@
 	{OrderUnanswered, "OrderUnanswered", zapcore.WarnLevel, "order to a worker got no usable response", []string{"worker", "order", "error"}, "None; if it recurs on one worker, check that worker."},
 	{TaskWaiting, "TaskWaiting", zapcore.WarnLevel, "long-running task has no run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason counts the workers by why they do not take the task. Add capacity if they are full; report it if the task fits or is overtaken."},
 	{TaskReleased, "TaskReleased", zapcore.WarnLevel, "tasks are given to another cell, because the workers of their own are full", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "None; the owner of the other cell logs the placement. If it recurs, use fewer cells or add capacity."},
+	{LeasesAwaited, "LeasesAwaited", zapcore.WarnLevel, "tasks of silent workers are not started elsewhere until their leases have expired", []string{"worker", "age", "reason", "epoch", "cell"}, "Check the workers and the network. The reason says how long the wait goes on and whether a previous owner granted the lease."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
 }
