A takeover no longer begins the wait for the leases of silent workers anew

Cause: a successor could not know which leases its predecessors had granted to a worker that does not answer it. It took the longest possible one, of a hand-over, from its own takeover on, and dropped what the previous owner knew. Each takeover added up to 11 s, or 21 s with an owner that did not resign; takeovers that come often enough put a restart off without a bound. The longer leases of a hand-over made the wait long enough to break the rule with two takeovers; they stay, because without them runs lapse when the store is away after a hand-over.

Ruled out: the lease of 7 s at a hand-over (leaves the class); clocks of nodes (they may step); counting from the group's generation (a node may have seen it before the previous owner stopped recording).

Also mended by it: a restarted process at the previous owner's address was taken as word that owners before it had stopped, too; and a resignation that is asked for while the epoch is being opened was answered as if the process had never owned it.

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -59,8 +59,12 @@
 	intakeReadAt atomic.Int64
 	// newestEpoch is the newest epoch that this node opened, resignedEpoch the
 	// highest epoch that it was requested to end.
-	newestEpoch   atomic.Int64
+	newestEpoch atomic.Int64
+	// firstEpoch is the first epoch that this process tried to open, or 0.
+	firstEpoch    atomic.Int64
 	resignedEpoch atomic.Int64
+	// lastLeases are the leases at the end of this node's last ownership.
+	lastLeases atomic.Pointer[grantedLeases]
 	// recentlyAccepted maps the ids of submissions that this node accepted, but
 	// has not yet read from the intake, to the time of acceptance.
 	recentlyAccepted sync.Map
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -21,6 +21,9 @@
 	assignmentValidity = 1500 * time.Millisecond
 	// ownersReadInterval is the minimum time between reads of the cells' owners.
 	ownersReadInterval = 300 * time.Millisecond
+	// ownersLearnDelay is the time from a new generation of the group until the owners are
+	// read: two joins, after which new owners have usually opened their epochs.
+	ownersLearnDelay = 2 * joinInterval
 	// directoryReadInterval is the pause between reads of the list of workers. A
 	// draining worker must not be sent any starts after 2 s.
 	directoryReadInterval = 400 * time.Millisecond
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -33,6 +33,9 @@
 			failing = false
 			n.lastJoin.Store(int64(sentAuthority))
 			n.recordStoreResponse()
+			if a.Generation != generation {
+				n.wg.Go(func() { n.learnOwners(ctx) })
+			}
 			generation = a.Generation
 			n.assign(a)
 		default:
@@ -48,6 +51,15 @@
 	}
 }
 
+// learnOwners reads the owners once the members of a new generation have opened their
+// epochs. A node that has learned of an epoch early knows how old the records before it
+// are, if it takes the cell over.
+func (n *Node) learnOwners(ctx context.Context) {
+	if sleep(ctx, ownersLearnDelay) {
+		n.owners.refresh(ctx)
+	}
+}
+
 // reserveNeeded reports whether a node in reserve has to own cells because no
 // other node does. If it has not, reserveNeeded also waits until the next check.
 func (n *Node) reserveNeeded(ctx context.Context) bool {
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -43,7 +43,7 @@
 func NewNode(config Config, platform Platform, logger *logevent.Logger, metrics *Metrics) *Node {
 	n := &Node{config: config, platform: platform, logger: logger, metrics: metrics, startedAt: time.Now()}
 	n.peers = newPeerClients()
-	n.owners = &ownerCache{node: n, owners: make(map[int]ledger.Owner)}
+	n.owners = &ownerCache{node: n, owners: make(map[int]ledger.Owner), sightings: make(map[int]epochSightings)}
 	n.workers = newWorkerList(n)
 	n.lastJoin.Store(int64(n.authorityNow() - assignmentValidity))
 	for i := range config.Cells {
--- a/coordinator/ownercache.go
+++ b/coordinator/ownercache.go
@@ -16,11 +16,13 @@
 // from Platform.Owners. It is refreshed only when a cached owner is unknown or
 // does not answer as the owner.
 type ownerCache struct {
-	node     *Node
-	mu       sync.Mutex
-	owners   map[int]ledger.Owner
-	lastRead time.Duration
-	hasRead  bool
+	node   *Node
+	mu     sync.Mutex
+	owners map[int]ledger.Owner
+	// sightings are the epochs of each cell that the node has learned of.
+	sightings map[int]epochSightings
+	lastRead  time.Duration
+	hasRead   bool
 }
 
 func (o *ownerCache) owner(cell int) ledger.Owner {
@@ -35,9 +37,17 @@
 	defer o.mu.Unlock()
 	if owner.Epoch > o.owners[cell].Epoch {
 		o.owners[cell] = owner
+		o.sightings[cell] = o.sightings[cell].add(owner.Epoch, o.node.monotonicNow())
 	}
 }
 
+// epochAge returns for how long, at least, an epoch of a cell has been open.
+func (o *ownerCache) epochAge(cell int, epoch int64) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sightings[cell].age(epoch, o.node.monotonicNow())
+}
+
 // refresh reads all owners, at most once per ownersReadInterval.
 func (o *ownerCache) refresh(ctx context.Context) {
 	o.mu.Lock()
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -66,7 +66,9 @@
 	if len(c.node.cells) > 1 {
 		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
 	}
-	config.PredecessorExpiry = c.predecessorLeaseExpiry(previous)
+	config.PredecessorExpiry = c.predecessorLeaseExpiry()
+	config.AuthorityDuration = authorityDuration
+	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
 		cell: c, epoch: epoch, cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
@@ -91,6 +93,7 @@
 	cancel()
 	c.node.workers.unsubscribe(o)
 	o.wg.Wait()
+	o.keepLeases(reason)
 	c.owning.Store(false)
 	c.node.logger.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
 		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began))
@@ -108,6 +111,7 @@
 		epoch = max(c.generation.Load(), c.ledger().Owner().Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
 		record := ledger.OpenedRecord(owner)
+		c.firstEpoch.CompareAndSwap(0, epoch)
 		data, err := ledger.Encode(record)
 		if err != nil {
 			return 0, previous, err
@@ -135,6 +139,9 @@
 // assignmentEnded is the reason for the end of an ownership that the node gives up.
 const assignmentEnded = "assignment ended"
 
+// panicked is the reason for the end of an ownership whose state may be inconsistent.
+const panicked = "panic"
+
 // guardedEventLoop runs eventLoop. A panic there ends the ownership, not the process:
 // the node goes on serving callers, and the cell's state is read again from the log
 // by its next owner.
@@ -143,7 +150,7 @@
 		if v := recover(); v != nil {
 			o.reportPanic(v)
 			o.resetState()
-			reason = "panic"
+			reason = panicked
 		}
 	}()
 	return o.eventLoop(ctx)
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -14,13 +14,12 @@
 )
 
 // predecessorLeaseExpiry returns the time after which every lease that a previous
-// owner granted has expired. A previous process at this node's address has ended;
-// any other previous owner may extend leases for authorityDuration.
-func (c *cell) predecessorLeaseExpiry(previous ledger.Owner) time.Duration {
-	if previous.VM == "" || previous.VM == c.node.config.VM && previous.PeerAddress == c.node.config.PeerAddress {
-		return c.grantedLeaseExpiry()
-	}
-	return authorityDuration + c.grantedLeaseExpiry()
+// owner granted has expired, if nothing is heard from it: it may extend leases for
+// authorityDuration after the last join that assigned the cell to it, which is older than
+// the successor's epoch, and its last lease ends by then plus the duration of a lease. A
+// command that is still on its way carries no later end.
+func (c *cell) predecessorLeaseExpiry() time.Duration {
+	return dispatch.LeaseExpiryBound(authorityDuration + c.node.config.Dispatch.Lease)
 }
 
 // grantedLeaseExpiry returns the time after which every lease that was granted
@@ -36,7 +35,9 @@
 	call, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, h := range o.machine.HandOver(o.node.monotonicNow()) {
+	// A successor that hears nothing from this owner expects no later leases.
+	lease := min(o.node.config.Dispatch.HandoverLease, authorityDuration-o.node.joinAge()+o.node.config.Dispatch.Lease)
+	for _, h := range o.machine.HandOver(o.node.monotonicNow(), lease) {
 		wg.Go(func() { o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h) })
 	}
 	wg.Wait()
@@ -45,7 +46,11 @@
 // requestResignation requests the previous owner to end its ownership. An answer
 // of a new process at its address counts too: the previous process has then ended.
 func (o *ownership) requestResignation(ctx context.Context, previous ledger.Owner) {
-	if previous.PeerAddress == "" || previous.PeerAddress == o.node.config.PeerAddress {
+	if previous.VM == o.node.config.VM && previous.PeerAddress == o.node.config.PeerAddress {
+		o.postResigned(ctx, previous, o.resignAnswer(previous.Epoch))
+		return
+	}
+	if previous.PeerAddress == "" {
 		return
 	}
 	for attempt := 1; ctx.Err() == nil && o.node.monotonicNow()-o.openedAt < authorityDuration; attempt++ {
@@ -54,7 +59,7 @@
 		cancel()
 		if err == nil && answer.Resigned {
 			o.node.logger.Log(logevent.FormerOwnerResigned, zap.String("vm", previous.VM), zap.Int64("epoch", previous.Epoch))
-			o.post(ctx, dispatch.PredecessorResigned{Expiry: o.grantedLeaseExpiry()})
+			o.postResigned(ctx, previous, answer)
 			return
 		}
 		sleep(ctx, retryDelay(attempt))
@@ -76,5 +81,32 @@
 			return &coordpb.ResignAnswer{}, nil
 		}
 	}
-	return &coordpb.ResignAnswer{Resigned: true}, nil
+	return c.resignAnswer(q.Epoch), nil
+}
+
+// postResigned passes on what the previous owner, or the process that is now at its
+// address, says of the leases that workers may hold.
+func (o *ownership) postResigned(ctx context.Context, previous ledger.Owner, answer *coordpb.ResignAnswer) {
+	if answer.LeasesKnown {
+		o.post(ctx, dispatch.PredecessorResigned{Leases: leasesOf(answer)})
+		return
+	}
+	expiry := o.grantedLeaseExpiry()
+	if answer.Restarted {
+		expiry = max(0, expiry-time.Duration(answer.ProcessAgeMs)*time.Millisecond)
+	}
+	if !previous.Sole {
+		// An owner before the previous one may have gone on granting leases.
+		expiry = max(expiry, o.predecessorLeaseExpiry()-o.node.owners.epochAge(o.number, previous.Epoch))
+	}
+	o.post(ctx, dispatch.PredecessorResigned{Expiry: expiry})
+}
+
+// keepLeases keeps the leases at the end of the ownership for its successor.
+func (o *ownership) keepLeases(reason string) {
+	g := &grantedLeases{epoch: o.epoch, endedAt: o.node.monotonicNow(), known: reason != panicked}
+	if g.known {
+		g.expiry = o.machine.Leases(g.endedAt)
+	}
+	o.lastLeases.Store(g)
 }
--- a/coordinator/silentworker_test.go
+++ b/coordinator/silentworker_test.go
@@ -46,9 +46,11 @@
 	}
 	time.Sleep(time.Second)
 	for _, w := range workers {
-		if w.starts[s.task] > 0 {
-			s.silent = w
-		}
+		w.update(func() {
+			if w.starts[s.task] > 0 {
+				s.silent = w
+			}
+		})
 	}
 	return s
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -53,6 +53,12 @@
 	// PredecessorExpiry is the time, from the creation of the machine, after which
 	// every lease that a previous owner granted has expired.
 	PredecessorExpiry time.Duration
+	// AuthorityDuration is the time, from the creation of the machine, after which no
+	// previous owner can grant leases any more.
+	AuthorityDuration time.Duration
+	// EpochAge returns for how long, at least, an epoch has been open. If it is nil, or
+	// returns 0, nothing is known.
+	EpochAge func(epoch int64) time.Duration
 	// RemoteFactor is the factor by which a task takes longer away from the rack of
 	// its data or of its step.
 	RemoteFactor float64
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -52,9 +52,13 @@
 	Answer Answer
 }
 
-// PredecessorResigned reports that no previous owner grants leases any more. All
-// leases that they granted have expired after Expiry, counted from now.
-type PredecessorResigned struct{ Expiry time.Duration }
+// PredecessorResigned reports that no previous owner grants leases any more. All leases
+// that they granted to a worker have expired after the time in Leases, or after Expiry if
+// the worker is not in it, counted from now.
+type PredecessorResigned struct {
+	Expiry time.Duration
+	Leases map[workload.Incarnation]time.Duration
+}
 
 // CapacityFound is a cell's answer to FindCapacity: how many tasks of each demand its
 // workers could take, all together.
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -3,16 +3,17 @@
 import "time"
 
 // HandOver returns the heartbeats of an owner that gives the cell up at time now of the
-// node's monotonic clock: they extend the leases of all workers with runs, so that the
-// runs outlast a takeover that has to wait for the store. Their answers are not needed.
-func (m *Machine) HandOver(now time.Duration) []Heartbeat {
+// node's monotonic clock: they extend the leases of all workers with runs to a duration,
+// so that the runs outlast a takeover that has to wait for the store. Their answers are
+// not needed.
+func (m *Machine) HandOver(now, lease time.Duration) []Heartbeat {
 	m.now = max(m.now, now)
 	var out []Heartbeat
 	for _, w := range m.sorted {
-		if len(w.runs) == 0 || !w.reported || w.silent || w.Address == "" || w.clock == 0 {
+		if len(w.runs) == 0 || !w.reported || w.silent || w.bar != leasesAllowed || w.Address == "" || w.clock == 0 {
 			continue
 		}
-		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: w.extendLease(m.now, m.config.longestLease())})
+		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: w.extendLease(m.now, lease)})
 	}
 	return out
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -22,6 +22,8 @@
 		// The first heartbeat reads the worker's clock, without which no lease can be
 		// granted.
 	case len(w.runs) == 0:
+	case w.bar != leasesAllowed:
+		// A successor may rely on the record of the worker's silence.
 	case w.silent:
 		// An unanswered heartbeat may have been carried out, so it must not renew the
 		// lease: the lease of a worker that has failed must expire.
@@ -123,6 +125,7 @@
 		m.planNeeded = true
 	}
 	w.silent = false
+	m.endSilence(w)
 	w.updateClock(m.now, report.Clock)
 	w.ackedCursor = max(w.ackedCursor, min(w.cursor, m.acknowledgedCursor(ev, w)))
 	first := !w.reported
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -13,12 +13,14 @@
 // Machine is the scheduling state machine of one cell during one epoch. It is not
 // safe for concurrent use.
 type Machine struct {
-	config  Config
-	ledger  *ledger.Ledger
-	now     time.Duration
-	wall    time.Time
-	actions []Action
-	workers map[string]*worker
+	config Config
+	ledger *ledger.Ledger
+	now    time.Duration
+	// createdAt is when the epoch began.
+	createdAt time.Duration
+	wall      time.Time
+	actions   []Action
+	workers   map[string]*worker
 	// sorted lists the workers in ascending order of id.
 	sorted []*worker
 	active map[workload.TaskID]*run
@@ -59,6 +61,8 @@
 	transfers        transfers
 	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
 	leaseWaitsReportedAt time.Duration
+	// soleRecorded: the record that no previous owner can grant leases was appended.
+	soleRecorded bool
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -74,7 +78,7 @@
 // read to the end of both streams.
 func New(config Config, cellLedger *ledger.Ledger, now time.Duration, wall time.Time) *Machine {
 	m := &Machine{
-		config: config, ledger: cellLedger, now: now, wall: wall,
+		config: config, ledger: cellLedger, now: now, createdAt: now, wall: wall,
 		workers:       make(map[string]*worker),
 		active:        make(map[workload.TaskID]*run),
 		byEntry:       make(map[string][]*run),
@@ -136,12 +140,13 @@
 	case incarnation.StartMillis > w.StartMillis:
 		m.workerRestarted(w, incarnation)
 	}
-	w.predecessorsExpireAt = m.now + m.config.PredecessorExpiry
+	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
 	return w
 }
 
 func (m *Machine) addWorker(info workload.Worker) *worker {
 	w := newWorker(info)
+	m.inheritSilence(w)
 	m.workers[info.ID()] = w
 	at, _ := slices.BinarySearchFunc(m.sorted, info.ID(), func(w *worker, id string) int { return cmp.Compare(w.ID(), id) })
 	m.sorted = slices.Insert(slices.Clone(m.sorted), at, w)
@@ -234,7 +239,7 @@
 	case StopAnswered:
 		m.stopAnswered(ev)
 	case PredecessorResigned:
-		m.predecessorResigned(ev.Expiry)
+		m.predecessorResigned(ev)
 	case CapacityFound:
 		m.capacityFound(ev)
 	case SearchEnded:
@@ -326,6 +331,7 @@
 			m.abandonRuns(w, "lease has expired")
 		}
 		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat() {
+			m.endSilence(w)
 			m.removeWorker(w)
 			continue
 		}
@@ -335,6 +341,10 @@
 		m.retryCommands(w)
 		m.heartbeatIfDue(w)
 	}
+	m.recordSilences()
+	if m.now-m.createdAt >= m.config.AuthorityDuration {
+		m.recordSole()
+	}
 	m.stopStalledRuns()
 	m.reportWaiting()
 	m.reportLeaseWaits()
@@ -355,10 +365,3 @@
 		}
 	}
 }
-
-// predecessorResigned shortens the wait for the leases that previous owners granted.
-func (m *Machine) predecessorResigned(expiry time.Duration) {
-	for _, w := range m.workers {
-		w.predecessorsExpireAt = min(w.predecessorsExpireAt, m.now+expiry)
-	}
-}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -135,7 +135,7 @@
 }
 
 func (m *Machine) usable(w *worker) bool {
-	return w.listed && w.reported && !w.silent && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil
+	return w.listed && w.reported && !w.silent && w.bar == leasesAllowed && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil
 }
 
 // placeStep places the waiting tasks of a step, as far as workers have free
--- /dev/null
+++ b/dispatch/silence.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// silenceRecordDelay is how long a worker with runs that has answered this owner must be
+// silent before that is recorded. A single lost answer is not recorded, because the
+// worker can be granted no lease again until another record is in the log.
+const silenceRecordDelay = 2 * time.Second
+
+// silenceUpdateStep is by how much a recorded expiry must be too late to be replaced.
+const silenceUpdateStep = 500 * time.Millisecond
+
+// leaseBar says whether a worker may be granted leases.
+type leaseBar int
+
+const (
+	// leasesAllowed: the log does not have the worker as silent.
+	leasesAllowed leaseBar = iota
+	// leasesBarred: the log has, or is about to have, the worker as silent.
+	leasesBarred
+	// barEnding: the record that ends the silence is being appended.
+	barEnding
+)
+
+// recordSilences records the workers with runs that have been silent for a while. A
+// successor then knows when their leases expire, however late it takes over: until the
+// worker is recorded as heard again, it is granted none. A record is replaced when this
+// owner knows of an earlier expiry than a successor would.
+func (m *Machine) recordSilences() {
+	if m.logStalled() {
+		return
+	}
+	expiry := make(map[workload.Incarnation]time.Duration)
+	for _, w := range m.sorted {
+		if len(w.runs) == 0 || w.leasesExpired(m.now) {
+			continue
+		}
+		left := w.leaseExpiry() - m.now
+		switch {
+		case w.bar == leasesAllowed && m.silentForLong(w):
+		case w.bar == leasesBarred && w.recordedExpiry(m.now)-left >= silenceUpdateStep:
+		default:
+			continue
+		}
+		expiry[w.Incarnation] = left
+		w.bar, w.silenceRecorded, w.recordedLeft = leasesBarred, true, left
+	}
+	if len(expiry) == 0 {
+		return
+	}
+	record := ledger.SilentRecord(expiry)
+	m.appendRecord(record, func() { m.ledger.Apply(record) })
+}
+
+// recordedExpiry returns the time that the records about a silent worker leave until its
+// leases have expired, for a successor that takes over now.
+func (w *worker) recordedExpiry(now time.Duration) time.Duration {
+	if w.silenceRecorded {
+		return w.recordedLeft
+	}
+	return w.inheritedExpireAt - now
+}
+
+// silentForLong reports whether a worker has answered nothing in this epoch, or nothing
+// for silenceRecordDelay.
+func (m *Machine) silentForLong(w *worker) bool {
+	switch {
+	case w.Address == "":
+		return m.now-m.createdAt >= silenceRecordDelay
+	case !w.reported:
+		return w.silent
+	}
+	return w.silent && m.now-w.clockAt >= silenceRecordDelay
+}
+
+// endSilence records that a worker was heard again, or is not needed any longer. Leases
+// are granted to it once the record is in the log.
+func (m *Machine) endSilence(w *worker) {
+	if w.bar != leasesBarred {
+		return
+	}
+	w.bar = barEnding
+	incarnation := w.Incarnation
+	record := ledger.HeardRecord(incarnation)
+	m.appendRecord(record, func() {
+		m.ledger.Apply(record)
+		if w.Incarnation == incarnation {
+			w.bar = leasesAllowed
+			m.planNeeded = true
+		}
+	})
+}
+
+// inheritSilence bars a worker from leases if a previous owner recorded it as silent.
+func (m *Machine) inheritSilence(w *worker) {
+	w.bar, w.silenceRecorded = leasesAllowed, false
+	silence, silent := m.ledger.Silence(w.Incarnation)
+	if !silent {
+		return
+	}
+	w.bar, w.inheritedExpireAt = leasesBarred, m.now+m.remaining(silence)
+}
+
+// remaining returns the time until the leases of a silent worker have expired by its
+// record. A record of this epoch counts as new.
+func (m *Machine) remaining(s ledger.Silence) time.Duration {
+	if s.NextEpoch == 0 || m.config.EpochAge == nil {
+		return s.Expiry
+	}
+	return max(0, s.Expiry-m.config.EpochAge(s.NextEpoch))
+}
+
+// predecessorExpiry returns the time after which every lease that previous owners granted
+// to a worker has expired.
+func (m *Machine) predecessorExpiry(worker workload.Incarnation) time.Duration {
+	silence, ok := m.ledger.Silence(worker)
+	if !ok {
+		return m.config.PredecessorExpiry
+	}
+	return min(m.config.PredecessorExpiry, m.remaining(silence))
+}
+
+// predecessorResigned shortens the wait for the leases that previous owners granted.
+func (m *Machine) predecessorResigned(ev PredecessorResigned) {
+	for _, w := range m.workers {
+		expiry := ev.Expiry
+		if known, ok := ev.Leases[w.Incarnation]; ok {
+			expiry = known
+		}
+		w.predecessorsExpireAt = min(w.predecessorsExpireAt, m.now+expiry)
+	}
+	m.recordSole()
+}
+
+// recordSole records that no previous owner can grant leases any more.
+func (m *Machine) recordSole() {
+	owner := m.ledger.Owner()
+	if m.soleRecorded || owner.Epoch != m.config.Epoch {
+		return
+	}
+	m.soleRecorded = true
+	owner.Sole = true
+	record := ledger.OpenedRecord(owner)
+	m.appendRecord(record, func() { m.ledger.Apply(record) })
+	m.forgetSilences()
+}
+
+// forgetSilences removes recorded silences of workers that are neither listed nor have
+// runs.
+func (m *Machine) forgetSilences() {
+	var unknown []workload.Incarnation
+	for _, incarnation := range m.ledger.SilentWorkers() {
+		if w := m.workers[incarnation.Worker]; w == nil || w.Incarnation != incarnation {
+			unknown = append(unknown, incarnation)
+		}
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	record := ledger.HeardRecord(unknown...)
+	m.appendRecord(record, func() { m.ledger.Apply(record) })
+}
+
+// Leases returns, for each worker that may hold a lease, the time after which all its
+// leases have expired, those of previous owners included.
+func (m *Machine) Leases(now time.Duration) map[workload.Incarnation]time.Duration {
+	m.now = max(m.now, now)
+	out := make(map[workload.Incarnation]time.Duration)
+	for _, w := range m.sorted {
+		if expiry := w.leaseExpiry() - m.now; expiry > 0 {
+			out[w.Incarnation] = expiry
+		}
+	}
+	return out
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -29,6 +29,14 @@
 	predecessorsExpireAt time.Duration
 	// silent: the last heartbeat failed.
 	silent bool
+	// bar says whether the worker may be granted leases.
+	bar leaseBar
+	// silenceRecorded: this owner recorded the worker as silent, with recordedLeft until
+	// its leases have expired. Otherwise they have by the record of a previous owner at
+	// inheritedExpireAt.
+	silenceRecorded   bool
+	recordedLeft      time.Duration
+	inheritedExpireAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
 	heartbeatInFlight bool
 	nextHeartbeatAt   time.Duration
--- a/ledger/convert.go
+++ b/ledger/convert.go
@@ -32,12 +32,12 @@
 
 // OpenedRecord returns the record that opens an epoch.
 func OpenedRecord(o Owner) *ledgerpb.Record {
-	return &ledgerpb.Record{Opened: &ledgerpb.Opened{Epoch: o.Epoch, Vm: o.VM, PeerAddress: o.PeerAddress}}
+	return &ledgerpb.Record{Opened: &ledgerpb.Opened{Epoch: o.Epoch, Vm: o.VM, PeerAddress: o.PeerAddress, Sole: o.Sole}}
 }
 
 // OwnerOf returns the owner that an Opened record names.
 func OwnerOf(r *ledgerpb.Opened) Owner {
-	return Owner{Epoch: r.Epoch, VM: r.Vm, PeerAddress: r.PeerAddress}
+	return Owner{Epoch: r.Epoch, VM: r.Vm, PeerAddress: r.PeerAddress, Sole: r.Sole}
 }
 
 func taskMessage(id workload.TaskID) *ledgerpb.Task {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -18,6 +18,8 @@
 	Epoch       int64
 	VM          string
 	PeerAddress string
+	// Sole: no owner of an earlier epoch can grant leases any more.
+	Sole bool
 }
 
 // Ledger is the durable state of a cell, rebuilt from its two streams.
@@ -36,11 +38,13 @@
 	// interferenceModel is the interference model that an owner recorded last, or
 	// nil.
 	interferenceModel *ledgerpb.Learned
+	// silences are the workers that did not answer an owner, and were not heard again.
+	silences map[workload.Incarnation]Silence
 }
 
 // New returns the ledger of two empty streams.
 func New() *Ledger {
-	return &Ledger{live: make(map[string]*Entry)}
+	return &Ledger{live: make(map[string]*Entry), silences: make(map[workload.Incarnation]Silence)}
 }
 
 // Owner returns the owner that opened the newest epoch.
@@ -109,9 +113,7 @@
 	case r.Cancelled != nil:
 		return l.applyCancelled(r.Cancelled.Id)
 	case r.Opened != nil:
-		if r.Opened.Epoch > l.owner.Epoch {
-			l.owner = OwnerOf(r.Opened)
-		}
+		l.applyOpened(r.Opened)
 	case r.Placed != nil:
 		return l.applyPlaced(r.Placed)
 	case r.Ended != nil:
@@ -122,6 +124,10 @@
 		return l.applyReleased(r.Released)
 	case r.Transferred != nil:
 		return l.applyTransferred(r.Transferred)
+	case r.Silent != nil:
+		l.applySilent(r.Silent)
+	case r.Heard != nil:
+		l.applyHeard(r.Heard)
 	}
 	return nil
 }
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -52,6 +52,10 @@
 	w := &snapshotWriter{}
 	first := w.partFor(proto.Size(l.interferenceModel))
 	first.Owner, first.Learned = OpenedRecord(l.owner).Opened, l.interferenceModel
+	for _, s := range l.silenceMessages() {
+		p := w.partFor(proto.Size(s))
+		p.Silent = append(p.Silent, s)
+	}
 	for _, e := range l.Live() {
 		for _, r := range e.retainedMessages() {
 			p := w.partFor(proto.Size(r))
@@ -109,9 +113,11 @@
 // which it covers the streams. Newer state in the ledger is kept.
 func (l *Ledger) ApplySnapshot(parts []*ledgerpb.Snapshot) Offsets {
 	for _, p := range parts {
-		if p.Owner.GetEpoch() > l.owner.Epoch {
-			l.owner = OwnerOf(p.Owner)
+		if p.Owner != nil {
+			l.applyOpened(p.Owner)
+			clear(l.silences)
 		}
+		l.applySilent(&ledgerpb.Silent{Workers: p.Silent})
 		if p.Learned != nil {
 			l.interferenceModel = p.Learned
 		}
