dispatch: ask silent workers again that have no runs any more

Callers saw less capacity: a worker that was silent for longer than its lease, without leaving the list, lost its runs and was then never asked again in that epoch, so it stayed unused until the next takeover. Cause: heartbeats go to workers with runs or ends to acknowledge, and to those that have not reported; a silent one without runs is neither. TestWorkerIsAskedAgainAfterALongSilence fails without the change.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -8,12 +8,13 @@
 )
 
 // heartbeatIfDue sends a heartbeat if one is due to a worker that has runs or ends
-// to acknowledge, or that has not reported in this epoch yet.
+// to acknowledge, or that is not known to answer.
 func (m *Machine) heartbeatIfDue(w *worker) {
 	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" {
 		return
 	}
-	if w.reported && !w.needsHeartbeat() {
+	answers := w.reported && !w.silent && w.bar == leasesAllowed
+	if answers && !w.needsHeartbeat() {
 		return
 	}
 	h := Heartbeat{Target: w.target(), Cursor: w.cursor}
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -102,3 +102,30 @@
 	h.advance(200 * time.Millisecond)
 	is.Equal(h.count(lost), 1)
 }
+
+// Guards against a worker that stays unused because it was silent for longer than its
+// lease, ran nothing after that, and was never asked again.
+func TestWorkerIsAskedAgainAfterALongSilence(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("lasting", plainStep)
+	h.report()
+	h.advance(100 * time.Millisecond)
+	for range 60 {
+		h.silence(200 * time.Millisecond)
+	}
+	clear(h.active)
+	h.actions = nil
+	h.silence(200 * time.Millisecond)
+	asked := func(a dispatch.Action) bool {
+		_, ok := a.(dispatch.Heartbeat)
+		return ok
+	}
+	is.Equal(h.count(asked), 1)
+	h.report()
+	h.advance(200 * time.Millisecond)
+	h.report()
+	h.submit("later", plainStep)
+	is.Equal(h.count(startOf("later")), 1)
+}
