Test leases around an owner that was cut off and owns the cell again (known red)

An owner that is admitted again near the end of its authority extends leases when it gives the cell up, or goes on in its old epoch; its successors count its authority from their own epoch. Both make a task run twice. And an owner that owns the cell again doesn't use what it knows of its own leases. The clusters of the tests get links between VMs and workers, and nodes whose store is cut off don't reach the owners' store either.

--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -44,6 +44,20 @@
 	return page, err
 }
 
+func (l *cutLog) Values(ctx context.Context) (map[string][]byte, error) {
+	if l.isCut() {
+		return nil, errors.New("cut off")
+	}
+	return l.fakeLog.Values(ctx)
+}
+
+func (l *cutLog) Put(ctx context.Context, key string, value []byte) error {
+	if l.isCut() {
+		return errors.New("cut off")
+	}
+	return l.fakeLog.Put(ctx, key, value)
+}
+
 func (l *cutLog) isCut() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -218,7 +232,8 @@
 func (c *cluster) addNode(vm string, cells int) {
 	c.logs[vm] = &cutLog{fakeLog: c.log}
 	p := c.platform(cellMember{c.group, vm})
-	p.Log, p.Directory = c.logs[vm], c.directory
+	p.Log, p.Owners, p.Directory = c.logs[vm], c.logs[vm], c.directory
+	p.WorkerClient = linkedWorkers{c.workers, func(worker string) bool { return c.linkIsCut(vm, worker) }}
 	startedAt := time.Now()
 	c.nodes[vm] = coordinator.NewNode(coordinator.Config{
 		SuspendClock: func() time.Duration { return time.Since(startedAt) },
@@ -239,7 +254,7 @@
 	c.cutLinks[[2]string{from, to}] = cut
 }
 
-// cutStore cuts a node off from the log and the group, or ends that.
+// cutStore cuts a node off from the log, the owners and the group, or ends that.
 func (c *cluster) cutStore(vm string, cut bool) {
 	c.log.update(func() { c.logs[vm].cut = cut })
 	c.group.mu.Lock()
