coordinator: a cell's authority is renewed only while no other node can own the cell

A task could run twice: an owner that was cut off beside a worker, and admitted again just before its authority ended, extended the worker's lease when it gave the cell up, or went on in its old epoch if it was assigned the cell again. Its successor counts the authority from its own epoch and had placed the task elsewhere by then.

Cause: authority belonged to the node, and any successful join renewed it, also one that didn't assign the cell or came after another node had owned it.

Change: authority belongs to the cell and begins with a join that assigned it. If the answers to joins are apart by the group's TTL or more, the epoch must first be proven the newest by an append that took effect at its first attempt; a repeated one gets the answer to the first. A cell without records to append repeats its Opened record.

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -63,6 +63,8 @@
 	// firstEpoch is the first epoch that this process tried to open, or 0.
 	firstEpoch    atomic.Int64
 	resignedEpoch atomic.Int64
+	// authority is this node's permission to send commands for the cell.
+	authority cellAuthority
 	// lastLeases are the leases at the end of this node's last ownership.
 	lastLeases atomic.Pointer[grantedLeases]
 	// recentlyAccepted maps the ids of submissions that this node accepted, but
--- a/coordinator/guests.go
+++ b/coordinator/guests.go
@@ -68,7 +68,7 @@
 		call, cancel := context.WithTimeout(ctx, lookupTimeout)
 		defer cancel()
 		states, age = c.ownerStates(call, ids)
-		return states, age, n.hasAuthority()
+		return states, age, c.hasAuthority()
 	}
 	ok = n.queryOwner(ctx, c, func(ctx context.Context, owner coordpb.Coordinator) (bool, error) {
 		answer, err := owner.States(ctx, &coordpb.StatesRequest{Cell: int32(c.number), Ids: ids})
@@ -118,7 +118,7 @@
 		return &coordpb.StatesAnswer{}, nil
 	}
 	states, age := c.ownerStates(ctx, q.Ids)
-	answer := &coordpb.StatesAnswer{Owner: c.owning.Load() && n.hasAuthority(), AgeMs: age.Milliseconds()}
+	answer := &coordpb.StatesAnswer{Owner: c.owning.Load() && c.hasAuthority(), AgeMs: age.Milliseconds()}
 	for _, state := range states {
 		answer.States = append(answer.States, int32(state))
 	}
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -24,6 +24,9 @@
 	// ownersLearnDelay is the time from a new generation of the group until the owners are
 	// read: two joins, after which new owners have usually opened their epochs.
 	ownersLearnDelay = 2 * joinInterval
+	// proofInterval is the minimum time between two appends that prove an epoch to be the
+	// newest.
+	proofInterval = 500 * time.Millisecond
 	// directoryReadInterval is the pause between reads of the list of workers. A
 	// draining worker must not be sent any starts after 2 s.
 	directoryReadInterval = 400 * time.Millisecond
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -12,6 +12,7 @@
 
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/logevent"
 )
 
@@ -26,6 +27,8 @@
 	cancel             context.CancelFunc
 	lastSnapshot       snapshotMark
 	snapshotInProgress atomic.Bool
+	// proofSentAt is when a proof of the epoch was last appended.
+	proofSentAt time.Duration
 	// suspended is the time for which the VM has been suspended, as the event loop last
 	// saw it. cancelling are the guests whose cancellation is being appended.
 	suspended  time.Duration
@@ -87,7 +90,7 @@
 	o.wg.Go(func() { o.requestResignation(ctx, previous) })
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
-	if reason == assignmentEnded && o.node.hasAuthority() {
+	if reason == assignmentEnded && o.hasAuthority() {
 		o.handOver(ctx)
 	}
 	cancel()
@@ -117,6 +120,7 @@
 			return 0, previous, err
 		}
 		call, cancel := context.WithTimeout(ctx, logTimeout)
+		sent := c.node.authorityNow()
 		end, err := c.node.platform.Log.Append(call, c.cellStream(), [][]byte{data}, &Fence{Epoch: epoch, Sequence: 1, ExpectedEnd: c.cellNext})
 		cancel()
 		c.node.metrics.countLogCall(err)
@@ -128,6 +132,7 @@
 		if err != nil {
 			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
 		}
+		c.authority.proven(sent)
 		c.ledger().Apply(record)
 		c.cellNext = end
 		c.node.owners.update(c.number, owner)
@@ -176,6 +181,7 @@
 			if o.resignedEpoch.Load() >= o.epoch {
 				return "resigned"
 			}
+			o.proveEpoch()
 			o.wg.Go(func() { o.verifyEpoch(ctx) })
 		case answer := <-o.refreshRequests:
 			answer <- refreshResult{intakeNext: o.intakeNext}
@@ -193,12 +199,24 @@
 			o.handleEvent(ctx, ev)
 		case now := <-tick.C:
 			o.step(ctx, dispatch.Tick{Now: now})
+			o.proveEpoch()
 			o.sweep()
 			o.saveSnapshot(ctx)
 		}
 	}
 }
 
+// proveEpoch appends a record without effect if a newer epoch may have been opened since
+// the joins of this node were interrupted.
+func (o *ownership) proveEpoch() {
+	now := o.node.monotonicNow()
+	if !o.authority.needsProof() || now-o.proofSentAt < proofInterval {
+		return
+	}
+	o.proofSentAt = now
+	o.writer.enqueue(dispatch.Append{Records: []*ledgerpb.Record{ledger.OpenedRecord(o.ledger().Owner())}})
+}
+
 // verifyEpoch ends the ownership if another node has opened a newer epoch. Without runs
 // or records, an owner that was cut off and is assigned the cell again would not notice.
 func (o *ownership) verifyEpoch(ctx context.Context) {
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -88,12 +88,16 @@
 	w.sequence++
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		call, cancel := context.WithTimeout(ctx, logTimeout)
-		sent := o.node.monotonicNow()
+		sent, sentAuthority := o.node.monotonicNow(), o.node.authorityNow()
 		end, err := o.node.platform.Log.Append(call, o.cellStream(), records, &Fence{Epoch: o.epoch, Sequence: w.sequence, ExpectedEnd: -1})
 		cancel()
 		o.node.metrics.countLogCall(err)
 		if err == nil {
 			o.node.recordStoreResponse()
+			if attempt == 1 {
+				// A repeated append may have taken effect at the first attempt.
+				o.authority.proven(sentAuthority)
+			}
 			o.node.metrics.observeAppend(o.node.monotonicNow() - sent)
 			o.post(ctx, batchAppended{appendIDs: appendIDs, end: end})
 			return
