coordinator: an owner that owns a cell again goes by its own knowledge of its leases

A long-running task could wait 17.5 s although the node that owns the cell knew that its worker's leases had expired: the owner between had not heard from it and gave the cell up first, so its answer had the longest wait.

Change: an answer to a resignation says which epoch was before, and what of a lease's expiry the answering owner has granted itself. A node that owned the epoch before replaces the rest by what it kept.

--- a/coordinator/grantedleases.go
+++ b/coordinator/grantedleases.go
@@ -4,29 +4,26 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
+	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
 // grantedLeases are the leases that workers may hold when an ownership of a cell ends.
 type grantedLeases struct {
 	epoch int64
+	// previousEpoch is the epoch before it.
+	previousEpoch int64
 	// endedAt is when the ownership ended, on the node's monotonic clock.
 	endedAt time.Duration
 	// known: expiry has all leases. After a panic nothing is known.
 	known bool
-	// expiry is the time, from endedAt, after which all leases of a worker have expired.
-	expiry map[workload.Incarnation]time.Duration
+	// expiry is the lease expiry of each worker, from endedAt.
+	expiry map[workload.Incarnation]dispatch.LeaseExpiry
 }
 
-// remaining returns the time from now after which all leases of each worker have expired.
-func (g *grantedLeases) remaining(now time.Duration) map[workload.Incarnation]time.Duration {
-	out := make(map[workload.Incarnation]time.Duration, len(g.expiry))
-	for worker, expiry := range g.expiry {
-		if left := g.endedAt + expiry - now; left > 0 {
-			out[worker] = left
-		}
-	}
-	return out
+// left returns the time from now after which all leases of a worker have expired.
+func (g *grantedLeases) left(worker workload.Incarnation, now time.Duration) time.Duration {
+	return max(0, g.endedAt+g.expiry[worker].All-now)
 }
 
 // resignAnswer returns the answer to a request to end the ownerships up to an epoch, all of
@@ -37,9 +34,13 @@
 	last := c.lastLeases.Load()
 	switch {
 	case last != nil && last.epoch == epoch && last.known:
-		answer.LeasesKnown = true
-		for worker, left := range last.remaining(now) {
-			answer.Leases = append(answer.Leases, &coordpb.WorkerLease{Worker: worker.Worker, Born: worker.StartMillis, ExpiryMs: ceilMillis(left)})
+		answer.LeasesKnown, answer.PreviousEpoch = true, last.previousEpoch
+		for worker, expiry := range last.expiry {
+			answer.Leases = append(answer.Leases, &coordpb.WorkerLease{
+				Worker: worker.Worker, Born: worker.StartMillis,
+				ExpiryMs:    ceilMillis(last.left(worker, now)),
+				OwnExpiryMs: ceilMillis(max(0, last.endedAt+expiry.Own-now)),
+			})
 		}
 	case c.firstEpoch.Load() == 0 || c.firstEpoch.Load() > epoch:
 		answer.Restarted, answer.ProcessAgeMs = true, now.Milliseconds()
@@ -47,11 +48,20 @@
 	return answer
 }
 
-// leasesOf returns the leases in an answer.
-func leasesOf(answer *coordpb.ResignAnswer) map[workload.Incarnation]time.Duration {
+// leasesOf returns the time after which all leases of each worker in an answer have
+// expired. If this node owned the epoch before, it knows the leases of that epoch, and of
+// those before it, itself.
+func (c *cell) leasesOf(answer *coordpb.ResignAnswer) map[workload.Incarnation]time.Duration {
 	out := make(map[workload.Incarnation]time.Duration, len(answer.Leases))
+	own := c.lastLeases.Load()
+	ownPrevious := own != nil && own.known && own.epoch == answer.PreviousEpoch
 	for _, l := range answer.Leases {
-		out[workload.Incarnation{Worker: l.Worker, StartMillis: l.Born}] = time.Duration(l.ExpiryMs) * time.Millisecond
+		worker := workload.Incarnation{Worker: l.Worker, StartMillis: l.Born}
+		out[worker] = time.Duration(l.ExpiryMs) * time.Millisecond
+		if ownPrevious {
+			granted := time.Duration(l.OwnExpiryMs) * time.Millisecond
+			out[worker] = min(out[worker], max(granted, own.left(worker, c.node.monotonicNow())))
+		}
 	}
 	return out
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -20,6 +20,7 @@
 type ownership struct {
 	*cell
 	epoch              int64
+	previousEpoch      int64
 	machine            *dispatch.Machine
 	events             chan any
 	writer             *cellWriter
@@ -73,7 +74,7 @@
 	config.AuthorityDuration = authorityDuration
 	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
-		cell: c, epoch: epoch, cancel: cancel,
+		cell: c, epoch: epoch, previousEpoch: previous.Epoch, cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan any, maxQueuedEvents),
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -88,7 +88,7 @@
 // address, says of the leases that workers may hold.
 func (o *ownership) postResigned(ctx context.Context, previous ledger.Owner, answer *coordpb.ResignAnswer) {
 	if answer.LeasesKnown {
-		o.post(ctx, dispatch.PredecessorResigned{Leases: leasesOf(answer)})
+		o.post(ctx, dispatch.PredecessorResigned{Leases: o.leasesOf(answer)})
 		return
 	}
 	expiry := o.grantedLeaseExpiry()
@@ -104,7 +104,7 @@
 
 // keepLeases keeps the leases at the end of the ownership for its successor.
 func (o *ownership) keepLeases(reason string) {
-	g := &grantedLeases{epoch: o.epoch, endedAt: o.node.monotonicNow(), known: reason != panicked}
+	g := &grantedLeases{epoch: o.epoch, previousEpoch: o.previousEpoch, endedAt: o.node.monotonicNow(), known: reason != panicked}
 	if g.known {
 		g.expiry = o.machine.Leases(g.endedAt)
 	}
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -166,14 +166,19 @@
 	m.appendRecord(record, func() { m.ledger.Apply(record) })
 }
 
-// Leases returns, for each worker that may hold a lease, the time after which all its
-// leases have expired, those of previous owners included.
-func (m *Machine) Leases(now time.Duration) map[workload.Incarnation]time.Duration {
+// LeaseExpiry is the time after which the leases of a worker have expired.
+type LeaseExpiry struct {
+	// All counts all leases, Own those only that this owner granted.
+	All, Own time.Duration
+}
+
+// Leases returns the lease expiry of each worker that may hold a lease.
+func (m *Machine) Leases(now time.Duration) map[workload.Incarnation]LeaseExpiry {
 	m.now = max(m.now, now)
-	out := make(map[workload.Incarnation]time.Duration)
+	out := make(map[workload.Incarnation]LeaseExpiry)
 	for _, w := range m.sorted {
-		if expiry := w.leaseExpiry() - m.now; expiry > 0 {
-			out[w.Incarnation] = expiry
+		if w.leaseExpiry() > m.now {
+			out[w.Incarnation] = LeaseExpiry{All: w.leaseExpiry() - m.now, Own: max(0, w.leasesExpireAt-m.now)}
 		}
 	}
 	return out
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -92,7 +92,7 @@
 			return 7 * time.Second
 		},
 	}, h.ledger, h.now, time.Now())
-	is.Equal(h.machine.Leases(h.now), map[workload.Incarnation]time.Duration{silentIncarnation: 2 * time.Second})
+	is.Equal(h.machine.Leases(h.now), map[workload.Incarnation]dispatch.LeaseExpiry{silentIncarnation: {All: 2 * time.Second}})
 	lost := func(a dispatch.Action) bool {
 		d, ok := a.(dispatch.Decision)
 		return ok && d.Kind == dispatch.RunLost
