dispatch: a recorded run is not started on a worker whose capacity has shrunk

A worker that accepts every start ran more than its capacity: the capacity shrank while the placement was being recorded, or before a takeover for a run that the previous owner had recorded and not started. startBlocker checked that the worker was listed, not draining and answering, but not that its runs fit in its capacity, which only planning compared.

startBlocker now also refuses a run while the runs of its worker exceed its capacity. A refused run gives up its reservation, so of several recorded runs those that still fit are started. Running tasks are not stopped.

Before the change TestRecordedRunIsNotStartedOnShrunkWorker (1 start instead of 0), TestRecordedRunsThatFitAreStartedOnShrunkWorker (3 instead of 2) and TestInheritedRunIsNotStartedOnShrunkWorker (1 instead of 0) failed.

--- /dev/null
+++ b/dispatch/blockedstart_test.go
@@ -0,0 +1,84 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// submitWhileLogStalls submits a step whose placement the log does not answer yet, and
+// returns the event of its answer.
+func (h *harness) submitWhileLogStalls(id string, step workload.Step) dispatch.Appended {
+	h.t.Helper()
+	h.logStalled = true
+	h.submit(id, step)
+	h.logStalled = false
+	for _, a := range h.actions {
+		if a, ok := a.(dispatch.Append); ok && a.Records[0].Placed.GetTask().GetSubmission() == id {
+			return dispatch.Appended{ID: a.ID}
+		}
+	}
+	h.t.Fatal("no placement")
+	return dispatch.Appended{}
+}
+
+// Guards against the start of a run that was recorded while its worker's capacity
+// shrank: a worker that accepts every start would exceed its capacity.
+func TestRecordedRunIsNotStartedOnShrunkWorker(t *testing.T) {
+	for _, capacity := range []hostapi.Resources{capacityOf(31), {}, {MilliCPU: 64000, MemoryMiB: 199}} {
+		is := is.New(t)
+		h := newHarness(t)
+		h.report()
+		h.submit("load", stepOfSize(1, 16))
+		recorded := h.submitWhileLogStalls("late", stepOfSize(1, 16))
+		h.listCapacity(capacity)
+		h.handle(recorded)
+		h.advance(300 * time.Millisecond)
+		is.Equal(h.count(startOf("late")), 0)
+		is.Equal(h.count(stopOf("load")), 0)
+		h.listCapacity(capacityOf(64))
+		is.Equal(h.count(startOf("late")), 1)
+	}
+}
+
+// Guards against recorded runs that all give way when the shrunk worker can still take
+// some of them.
+func TestRecordedRunsThatFitAreStartedOnShrunkWorker(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	recorded := h.submitWhileLogStalls("late", stepOfSize(3, 16))
+	h.listCapacity(capacityOf(40))
+	h.handle(recorded)
+	is.Equal(h.count(startOf("late")), 2)
+}
+
+// Guards against the start of a run that a previous owner recorded, on a worker whose
+// capacity has shrunk since.
+func TestInheritedRunIsNotStartedOnShrunkWorker(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{
+		ID: "former", Queue: "q", Steps: []workload.Step{stepOfSize(2, 16)}, Policy: workload.Policy{Service: "register", MaxAttempts: 3},
+	}))
+	for index := range 2 {
+		run := workload.RunID{Task: workload.TaskID{Submission: "former", Index: index}, Run: 1}
+		h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+	}
+	first := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
+	h.active[first] = workload.ActiveRun{RunID: first, ProgressPercent: 10}
+	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2}, h.ledger, h.now, time.Now())
+	h.listCapacity(capacityOf(31))
+	h.report()
+	for range 5 {
+		h.advance(300 * time.Millisecond)
+		h.report()
+	}
+	is.Equal(h.count(startOf("former")), 0)
+}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -23,6 +23,8 @@
 		return "data centre is evacuated"
 	case r.worker.silent:
 		return "worker is silent"
+	case !r.worker.reserved.Fits(r.worker.Capacity):
+		return "runs exceed the worker's capacity"
 	case m.unconfirmed(r.entry):
 		return "submission is not confirmed by its own cell"
 	}
