dispatch: an unanswered start is not repeated once it must not be sent

A start that was not answered was sent again every 0.7 s whatever had become of its worker since, so that a worker whose capacity had shrunk exceeded it, and a worker that drained or whose data centre was evacuated was given a task long after that was known. Only the first start was checked by startBlocker; the repeated one was only withheld from an unconfirmed guest.

The start is repeated only if startBlocker has no objection. Otherwise the worker's next report decides: a run that it lists goes on, one that it does not list is stopped, because the unanswered command may still be carried out.

Before the change TestUnansweredStartIsNotRepeatedOnShrunkWorker and TestUnansweredStartIsNotRepeatedOnBlockedWorker (draining, evacuated, unlisted) failed with 2 starts instead of 1. TestUnansweredRunGoesOnOnShrunkWorker guards what was right before.

--- /dev/null
+++ b/dispatch/blockedstart.go
@@ -0,0 +1,20 @@
+package dispatch
+
+// repeatStart sends the start of a run again that was not answered, unless the run must
+// not be started any more.
+func (m *Machine) repeatStart(r *run) {
+	if m.startBlocker(r) == "" {
+		m.sendStart(r)
+	}
+}
+
+// stopBlocked stops a run that its worker does not list and whose start was not answered,
+// if the start must not be repeated. The run is stopped rather than removed because the
+// unanswered command may still be carried out. A guest waits for its confirmation.
+func (m *Machine) stopBlocked(r *run) {
+	reason := m.startBlocker(r)
+	if reason == "" || m.unconfirmed(r.entry) {
+		return
+	}
+	m.stopRun(r, reason)
+}
--- a/dispatch/blockedstart_test.go
+++ b/dispatch/blockedstart_test.go
@@ -59,6 +59,74 @@
 	is.Equal(h.count(startOf("late")), 2)
 }
 
+// Guards against a second start command for a run whose first one was not answered, after
+// its worker's capacity has shrunk.
+func TestUnansweredStartIsNotRepeatedOnShrunkWorker(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("load", stepOfSize(1, 16))
+	run := h.submitUnanswered("late", stepOfSize(1, 16))
+	h.listCapacity(capacityOf(31))
+	h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.NoAnswer})
+	h.advance(20 * time.Millisecond)
+	is.Equal(h.count(startOf("late")), 1)
+	// A delayed copy of the command may still be carried out, so the run is stopped.
+	h.report()
+	h.advance(20 * time.Millisecond)
+	is.Equal(h.count(startOf("late")), 1)
+	is.True(h.count(stopOf("late")) > 0)
+	is.Equal(h.count(stopOf("load")), 0)
+}
+
+// Guards against the end of a run whose start was not answered but carried out, because
+// its worker's capacity has shrunk since.
+func TestUnansweredRunGoesOnOnShrunkWorker(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("load", stepOfSize(1, 16))
+	run := h.submitUnanswered("late", stepOfSize(1, 16))
+	h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
+	h.listCapacity(capacityOf(31))
+	h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.NoAnswer})
+	h.advance(20 * time.Millisecond)
+	h.report()
+	h.advance(20 * time.Millisecond)
+	is.Equal(h.count(stopOf("late")), 0)
+}
+
+// submitUnanswered submits a task whose start the worker does not answer, and returns its
+// run.
+func (h *harness) submitUnanswered(id string, step workload.Step) workload.RunID {
+	recorded := h.submitWhileLogStalls(id, step)
+	h.actions = append(h.actions, h.machine.Step(h.now, recorded)...)
+	return workload.RunID{Task: workload.TaskID{Submission: id}, Run: 1}
+}
+
+// Guards against a second start command for a run whose first one was not answered, on a
+// worker that drains or in a data centre that is evacuated meanwhile.
+func TestUnansweredStartIsNotRepeatedOnBlockedWorker(t *testing.T) {
+	for name, block := range map[string]func(*harness){
+		"draining":  func(h *harness) { h.listWorker(workload.Worker{Draining: true}) },
+		"evacuated": func(h *harness) { h.handle(dispatch.Evacuated{DataCentres: map[string]bool{"giza": true}}) },
+		"unlisted":  func(h *harness) { h.handle(dispatch.WorkersListed{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.report()
+			run := h.submitUnanswered("late", plainStep)
+			block(h)
+			h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.NoAnswer})
+			h.advance(20 * time.Millisecond)
+			is.Equal(h.count(startOf("late")), 1)
+			h.report()
+			is.Equal(h.count(stopOf("late")), 1)
+		})
+	}
+}
+
 // Guards against the start of a run that a previous owner recorded, on a worker whose
 // capacity has shrunk since.
 func TestInheritedRunIsNotStartedOnShrunkWorker(t *testing.T) {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -217,8 +217,8 @@
 	}
 	for _, r := range w.runList {
 		switch {
-		case r.phase == starting && !r.commandInFlight && !r.inherited && r.unanswered && !m.unconfirmed(r.entry):
-			m.sendStart(r)
+		case r.phase == starting && !r.commandInFlight && !r.inherited && r.unanswered:
+			m.repeatStart(r)
 		case r.phase == stopping && r.unanswered && r.commandInFlight:
 			r.unanswered = false
 			m.sendStop(r)
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -298,8 +298,12 @@
 func (m *Machine) handleUnlistedRun(r *run, sentAt time.Duration) {
 	switch r.phase {
 	case starting:
-		if r.inherited && !r.commandInFlight {
+		switch {
+		case r.commandInFlight:
+		case r.inherited:
 			m.resumeInherited(r)
+		case r.unanswered:
+			m.stopBlocked(r)
 		}
 	case running:
 		if sentAt > r.confirmedAt {
