dispatch: a gang is stopped when the start of a member is withheld

If the last member of a gang was not started because its worker's capacity had shrunk, or its worker had been removed, drained or evacuated, while the placement was being recorded, the members that had been started before it waited for it until they ended by themselves. The same happened when a repeated start was refused or withheld after an unanswered one. The other members were stopped only where a member before them had given up its run, or where a first start was refused.

Each of these paths now stops the other members, and stopGang itself checks that the step is a gang.

Before the change TestGangIsStoppedWhenAMemberIsNotStarted and TestGangIsStoppedWhenAStartIsNotRepeated (refused, withheld) failed: no member was stopped.

--- a/dispatch/blockedstart.go
+++ b/dispatch/blockedstart.go
@@ -16,5 +16,6 @@
 	if reason == "" || m.unconfirmed(r.entry) {
 		return
 	}
+	m.stopGang(r)
 	m.stopRun(r, reason)
 }
--- a/dispatch/blockedstart_test.go
+++ b/dispatch/blockedstart_test.go
@@ -150,3 +150,76 @@
 	}
 	is.Equal(h.count(startOf("former")), 0)
 }
+
+// listTwo lists two workers with 16 cores each, of which the second has another capacity.
+func (h *harness) listTwo(second hostapi.Resources) {
+	first := workload.Worker{
+		Incarnation: workload.Incarnation{Worker: "v", StartMillis: 1}, Service: "register", Address: "v", DataCentre: "giza", Rack: "r1-1",
+		Capacity: capacityOf(16),
+	}
+	other := first
+	other.Worker, other.Address, other.Capacity = "w", "w", second
+	h.handle(dispatch.WorkersListed{Workers: []workload.Worker{first, other}})
+	h.advance(20 * time.Millisecond)
+}
+
+// reportNothing answers a heartbeat to a worker without any run.
+func (h *harness) reportNothing(worker string) {
+	incarnation := workload.Incarnation{Worker: worker, StartMillis: 1}
+	h.handle(dispatch.HeartbeatAnswered{Worker: worker, SentAt: h.now, Report: workload.Report{Incarnation: incarnation, Clock: h.now}})
+}
+
+// recordedGang returns a harness whose log answers that a gang has been placed, a member
+// on each of two workers, after the capacity of the second has become another one.
+func recordedGang(t *testing.T, second hostapi.Resources) *harness {
+	h := newHarness(t)
+	h.listTwo(capacityOf(16))
+	h.reportNothing("v")
+	h.reportNothing("w")
+	gang := stepOfSize(2, 16)
+	gang.Gang = true
+	recorded := h.submitWhileLogStalls("gang", gang)
+	h.listTwo(second)
+	h.actions = append(h.actions, h.machine.Step(h.now, recorded)...)
+	return h
+}
+
+// Guards against a member of a gang that waits for another one whose start was withheld,
+// until it ends by itself.
+func TestGangIsStoppedWhenAMemberIsNotStarted(t *testing.T) {
+	is := is.New(t)
+	is.Equal(recordedGang(t, capacityOf(16)).count(startOf("gang")), 2)
+	h := recordedGang(t, capacityOf(8))
+	is.Equal(h.count(startOf("gang")), 1)
+	is.Equal(h.count(stopOf("gang")), 1)
+}
+
+// Guards against a member of a gang that waits for another one whose repeated start was
+// refused or withheld.
+func TestGangIsStoppedWhenAStartIsNotRepeated(t *testing.T) {
+	for name, settle := range map[string]func(*harness, workload.RunID){
+		"refused": func(h *harness, run workload.RunID) {
+			h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.NoRoom})
+		},
+		"withheld": func(h *harness, _ workload.RunID) {
+			h.listTwo(capacityOf(8))
+			h.reportNothing("w")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := recordedGang(t, capacityOf(16))
+			member := func(index int) workload.RunID {
+				return workload.RunID{Task: workload.TaskID{Submission: "gang", Index: index}, Run: 1}
+			}
+			h.handle(dispatch.StartAnswered{Worker: "v", Run: member(0), Answer: dispatch.Done, Clock: h.now})
+			h.handle(dispatch.StartAnswered{Worker: "w", Run: member(1), Answer: dispatch.NoAnswer})
+			settle(h, member(1))
+			stopped := h.count(func(a dispatch.Action) bool {
+				s, ok := a.(dispatch.Stop)
+				return ok && s.Run == member(0)
+			})
+			is.True(stopped > 0)
+		})
+	}
+}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -46,6 +46,7 @@
 		reason := m.startBlocker(r)
 		if r.stopRequested || reason != "" || r.worker.Incarnation != incarnation || !m.gangRecorded(r) {
 			m.emitDecision(RunRefused, r.id, r.worker.ID(), reason, 0)
+			m.stopGang(r)
 			m.removeRun(r)
 			return
 		}
@@ -54,7 +55,6 @@
 }
 
 // gangRecorded reports whether all members of a run's gang still have their run.
-// If not, it stops the other members.
 func (m *Machine) gangRecorded(r *run) bool {
 	if !r.step.Gang {
 		return true
@@ -65,11 +65,7 @@
 			members++
 		}
 	}
-	if members == r.step.Tasks {
-		return true
-	}
-	m.stopGang(r)
-	return false
+	return members == r.step.Tasks
 }
 
 func (m *Machine) sendStart(r *run) {
@@ -140,13 +136,11 @@
 		w.pausedUntil = m.now + m.noRoomPause(w)
 	}
 	m.emitDecision(RunRefused, r.id, w.ID(), answer.String(), m.now-w.clockAt)
+	m.stopGang(r)
 	if r.unanswered && answer != WrongWorker {
 		m.stopRun(r, "an earlier copy of the start may still be carried out")
 		return
 	}
-	if r.step.Gang {
-		m.stopGang(r)
-	}
 	m.removeRun(r)
 }
 
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -178,7 +178,7 @@
 	m.updateHistory(w, r, end.Outcome)
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
-	if r.step.Gang && end.Outcome != workload.Succeeded {
+	if end.Outcome != workload.Succeeded {
 		m.stopGang(r)
 	}
 	m.recordEnd(r.entry, end, func() {
@@ -233,8 +233,11 @@
 	})
 }
 
-// stopGang stops the other members of a run's gang.
+// stopGang stops the other members of a run's gang, if its step is one.
 func (m *Machine) stopGang(ended *run) {
+	if !ended.step.Gang {
+		return
+	}
 	for _, r := range m.byEntry[ended.entry.ID] {
 		same := r.id.Task.Step == ended.id.Task.Step && r.id.Task.Occurrence == ended.id.Task.Occurrence
 		if same && r != ended && r.id.Run == ended.id.Run {
