dispatch: a new incarnation of a worker is not used before it is listed

A worker that restarted under its id was given tasks by the capacity, the labels and the service of its previous life if its answer to a heartbeat arrived before the list of workers: the new life may be of a smaller kind or lack a required label. workerRestarted switched to the new incarnation but left listed, which says that the list contains this incarnation, as it was. A restart that the list shows first was ruled out: there the properties are replaced with it.

Before the change TestNewIncarnationGetsNothingBeforeItIsListed failed with 2 starts instead of 0.

--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -28,7 +28,8 @@
 // workerRestarted switches to a new incarnation of a worker: no run of the old one
 // is active any more. A start that the old incarnation never reported may have
 // reached the new one, which has the same id; such a run is stopped there before
-// its task is placed again.
+// its task is placed again. The properties of the new incarnation, which may differ, are
+// not known before it is listed.
 func (m *Machine) workerRestarted(w *worker, incarnation workload.Incarnation) {
 	m.emitDecision(WorkerRestarted, workload.RunID{}, incarnation.Worker, "start time differs", 0)
 	unreported := w.unreportedRuns()
@@ -36,7 +37,7 @@
 		w.removeRun(r, m.now)
 	}
 	m.abandonRuns(w, "worker restarted")
-	w.Incarnation = incarnation
+	w.Incarnation, w.listed = incarnation, false
 	for _, r := range unreported {
 		w.addRun(r)
 		r.stopRequested = true
