--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -37,7 +37,9 @@
 		w.removeRun(r, m.now)
 	}
 	m.abandonRuns(w, "worker restarted")
+	m.endSilence(w)
 	w.Incarnation, w.listed = incarnation, false
+	m.inheritSilence(w)
 	for _, r := range unreported {
 		w.addRun(r)
 		r.stopRequested = true
