dispatch: runs of final submissions count after a takeover until they end

A new owner filled workers on which runs of cancelled or failed submissions were still active or being stopped: it took over the open runs of live submissions only, stopped the others when a report listed them, and counted nothing for them meanwhile. A worker that accepts every start exceeded its capacity; others rejected the start. A run that the previous owner was stopping was not seen at all, as the worker lists it neither as active nor as ended for up to the stop time.

The owner takes over the open runs of cancelled and failed submissions as well and stops them. They keep their reservation until their end is listed, or the worker no longer lists them after the stop time, like all others. Within one epoch runs being stopped counted already (TestStoppingRunsCountOnShrunkWorker).

Before the change TestRunsOfFinalSubmissionsCountAfterTakeover and TestStoppedRunsOfFinalSubmissionsCountAfterTakeover failed with 1 start instead of 0.

--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -97,20 +97,28 @@
 	return m
 }
 
-// inheritRuns takes over the runs that previous owners placed and whose end is not
-// in the log.
+// inheritRuns takes over the runs that previous owners placed and whose end is not in the
+// log. Those of final submissions take capacity until they have been stopped.
 func (m *Machine) inheritRuns() {
 	for _, e := range m.ledger.Live() {
-		forEachTaskOf(e, func(t *ledger.Task) {
-			if t.Done || !t.Open {
-				return
-			}
-			if w := m.inheritWorker(t.PlacedOn); w != nil {
-				r := m.newRun(e, t, t.Run, w)
-				r.phase, r.inherited = starting, true
-			}
-		})
+		m.inheritRunsOf(e, false)
 	}
+	for _, e := range m.ledger.Abandoned() {
+		m.inheritRunsOf(e, true)
+	}
+}
+
+// inheritRunsOf takes over the runs of an entry. final: they must be stopped.
+func (m *Machine) inheritRunsOf(e *ledger.Entry, final bool) {
+	forEachTaskOf(e, func(t *ledger.Task) {
+		if t.Done || !t.Open {
+			return
+		}
+		if w := m.inheritWorker(t.PlacedOn); w != nil {
+			r := m.newRun(e, t, t.Run, w)
+			r.phase, r.inherited, r.stopRequested = starting, true, final
+		}
+	})
 }
 
 // forEachTaskOf calls f for the tasks of an entry whose state has been allocated.
