dispatch: a worker with unknown runs gets nothing until they have ended

It stopped such a run when a report listed it, but filled the worker meanwhile, and if the worker had no other runs it sent no further heartbeat, so that a lost stop was not repeated. A worker that accepts every start exceeded its capacity. Open runs that the log still shows were ruled out: they are taken over.

While a report lists unknown runs, and for the stop time after it, the worker is given no runs, and heartbeats go on until a report lists none.

Before the change TestWorkerWithUnknownRunsGetsNothing failed with 1 start instead of 0.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -80,7 +80,7 @@
 			return true
 		}
 	}
-	return false
+	return w.hasUnknownRuns
 }
 
 func (m *Machine) heartbeatFailed(ev HeartbeatFailed) {
@@ -88,7 +88,7 @@
 	if w == nil {
 		return
 	}
-	w.heartbeatInFlight = false
+	w.heartbeatInFlight, w.hasUnknownRuns = false, false
 	w.nextHeartbeatAt = m.now + heartbeatRetryDelay
 	switch ev.Answer {
 	case Fenced:
@@ -254,6 +254,7 @@
 // it.
 func (m *Machine) processActive(w *worker, ev HeartbeatAnswered, active []workload.ActiveRun) {
 	listed := make(map[workload.RunID]bool, len(active))
+	w.hasUnknownRuns = false
 	for i := range active {
 		a := &active[i]
 		listed[a.RunID] = true
@@ -273,11 +274,14 @@
 
 // stopUnknownRun stops a run that this machine does not have on the worker: one
 // that a previous owner started for a submission that is final now, or one that
-// has been removed.
+// has been removed. What it requests is not known, so the worker is given no runs until it
+// has been stopped.
 func (m *Machine) stopUnknownRun(w *worker, id workload.RunID) {
 	if current := m.active[id.Task]; current != nil && current.id == id && current.phase == ending {
 		return
 	}
+	w.hasUnknownRuns = true
+	w.pausedUntil = max(w.pausedUntil, m.now+m.config.StopTime+stopMargin)
 	m.emitDecision(RunStopped, id, w.ID(), "run is not needed", 0)
 	m.emit(Stop{Target: w.target(), Run: id})
 }
--- a/dispatch/inheritfinal_test.go
+++ b/dispatch/inheritfinal_test.go
@@ -69,3 +69,35 @@
 	h.advance(20 * time.Millisecond)
 	is.Equal(h.count(startOf("next")), 1)
 }
+
+// Guards against a successor that fills a worker with an active run of which it knows only
+// that its submission is final, and against a lost stop of that run that is not repeated.
+func TestWorkerWithUnknownRunsGetsNothing(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	run := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
+	h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
+	config := dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2, PredecessorExpiry: time.Minute, StopTime: stopTime}
+	h.machine = dispatch.New(config, h.ledger, h.now, time.Now())
+	h.listWorker(workload.Worker{})
+	h.submit("next", stepOfSize(1, 16))
+	for i := range 5 {
+		sent := h.count(isHeartbeat)
+		h.report()
+		h.advance(stopTime)
+		is.Equal(h.count(stopOf("former")), i+1)
+		is.Equal(h.count(startOf("next")), 0)
+		is.Equal(h.count(isHeartbeat), sent+1)
+	}
+	// The worker lists a run that it stops neither as active nor as ended.
+	delete(h.active, run)
+	h.report()
+	is.Equal(h.count(startOf("next")), 0)
+	h.advance(stopTime)
+	is.Equal(h.count(startOf("next")), 1)
+}
+
+func isHeartbeat(a dispatch.Action) bool {
+	_, ok := a.(dispatch.Heartbeat)
+	return ok
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -73,7 +73,9 @@
 	reserved      hostapi.Resources
 	bestEffortCPU int64
 	latencyCPU    int64
-	history       runHistory
+	// hasUnknownRuns: the last report lists runs that this owner does not have.
+	hasUnknownRuns bool
+	history        runHistory
 }
 
 func newWorker(info workload.Worker) *worker {
@@ -228,7 +230,8 @@
 	return sum
 }
 
-// needsHeartbeat reports whether the worker has runs or ends to be acknowledged.
+// needsHeartbeat reports whether the worker has runs, also unknown ones, or ends to be
+// acknowledged.
 func (w *worker) needsHeartbeat() bool {
-	return len(w.runs) > 0 || w.ackedCursor < w.cursor
+	return len(w.runs) > 0 || w.hasUnknownRuns || w.ackedCursor < w.cursor
 }
