--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -80,7 +80,7 @@
 			return true
 		}
 	}
-	return false
+	return w.hasUnknownRuns
 }
 
 func (m *Machine) heartbeatFailed(ev HeartbeatFailed) {
@@ -88,7 +88,7 @@
 	if w == nil {
 		return
 	}
-	w.heartbeatInFlight = false
+	w.heartbeatInFlight, w.hasUnknownRuns = false, false
 	w.nextHeartbeatAt = m.now + heartbeatRetryDelay
 	switch ev.Answer {
 	case Fenced:
@@ -182,7 +182,7 @@
 	m.updateHistory(w, r, end.Outcome)
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
-	if r.step.Gang && end.Outcome != workload.Succeeded {
+	if end.Outcome != workload.Succeeded {
 		m.stopGang(r)
 	}
 	m.recordEnd(r.entry, end, func() {
@@ -237,8 +237,11 @@
 	})
 }
 
-// stopGang stops the other members of a run's gang.
+// stopGang stops the other members of a run's gang, if its step is one.
 func (m *Machine) stopGang(ended *run) {
+	if !ended.step.Gang {
+		return
+	}
 	for _, r := range m.byEntry[ended.entry.ID] {
 		same := r.id.Task.Step == ended.id.Task.Step && r.id.Task.Occurrence == ended.id.Task.Occurrence
 		if same && r != ended && r.id.Run == ended.id.Run {
@@ -251,6 +254,7 @@
 // it.
 func (m *Machine) processActive(w *worker, ev HeartbeatAnswered, active []workload.ActiveRun) {
 	listed := make(map[workload.RunID]bool, len(active))
+	w.hasUnknownRuns = false
 	for i := range active {
 		a := &active[i]
 		listed[a.RunID] = true
@@ -270,11 +274,14 @@
 
 // stopUnknownRun stops a run that this machine does not have on the worker: one
 // that a previous owner started for a submission that is final now, or one that
-// has been removed.
+// has been removed. What it requests is not known, so the worker is given no runs until it
+// has been stopped.
 func (m *Machine) stopUnknownRun(w *worker, id workload.RunID) {
 	if current := m.active[id.Task]; current != nil && current.id == id && current.phase == ending {
 		return
 	}
+	w.hasUnknownRuns = true
+	w.pausedUntil = max(w.pausedUntil, m.now+m.config.StopTime+stopMargin)
 	m.emitDecision(RunStopped, id, w.ID(), "run is not needed", 0)
 	m.emit(Stop{Target: w.target(), Run: id})
 }
@@ -302,8 +309,12 @@
 func (m *Machine) handleUnlistedRun(r *run, sentAt time.Duration) {
 	switch r.phase {
 	case starting:
-		if r.inherited && !r.commandInFlight {
+		switch {
+		case r.commandInFlight:
+		case r.inherited:
 			m.resumeInherited(r)
+		case r.unanswered:
+			m.stopBlocked(r)
 		}
 	case running:
 		if sentAt > r.confirmedAt {
