--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -316,6 +316,7 @@
 	answer := w.start(s.now, o.epoch, a, r)
 	if len(w.runs) > before {
 		s.checkStart(a.Run, sent)
+		s.crashes.started(s, w, a.Run.Task)
 	}
 	return answer, true
 }
--- /dev/null
+++ b/dispatch/simcrashes_test.go
@@ -0,0 +1,59 @@
+package dispatch_test
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+const (
+	// simCrashDelay is the time from the start of a task that crashes its worker to the
+	// crash.
+	simCrashDelay = 15 * time.Millisecond
+	// simCrashTime is the time after which a crashed worker is back.
+	simCrashTime = 3 * time.Second
+	// maxStartsAfterCrashes is the number of starts, after three workers have crashed
+	// under a task, that the platform's users do not accept.
+	maxStartsAfterCrashes = 3
+)
+
+// simCrashes are the tasks that crash their workers, and what they have done.
+type simCrashes struct {
+	// crashes tells which tasks crash each worker that starts them; nil if none does.
+	crashes func(id workload.TaskID) bool
+	// workers counts the workers that have crashed under each task.
+	workers map[workload.TaskID]int
+	// startsAfter counts the starts of each task after three workers have crashed under
+	// it.
+	startsAfter map[workload.TaskID]int
+}
+
+func newSimCrashes() simCrashes {
+	return simCrashes{workers: make(map[workload.TaskID]int), startsAfter: make(map[workload.TaskID]int)}
+}
+
+// started crashes a worker that has started a task if the task does so.
+func (c *simCrashes) started(s *sim, w *simWorker, id workload.TaskID) {
+	if c.crashes == nil || !c.crashes(id) {
+		return
+	}
+	if c.workers[id] >= 3 {
+		c.startsAfter[id]++
+	}
+	if c.startsAfter[id] >= maxStartsAfterCrashes {
+		s.t.Fatalf("%v: %v was started %d times more after %d workers had crashed under it", s.now, id, c.startsAfter[id], c.workers[id])
+	}
+	incarnation := w.info.Incarnation
+	s.after(simCrashDelay, func() {
+		if w.up && w.info.Incarnation == incarnation {
+			c.workers[id]++
+			s.crash(w)
+		}
+	})
+}
+
+// crash ends a worker's incarnation; the next one begins after simCrashTime.
+func (s *sim) crash(w *simWorker) {
+	w.up = false
+	s.after(simCrashTime, func() { s.reboot(w) })
+}
--- a/dispatch/simworld_test.go
+++ b/dispatch/simworld_test.go
@@ -28,13 +28,14 @@
 	started map[workload.TaskID]int64
 	// cancelledAt is when the cancellation of a submission was in the log.
 	cancelledAt map[string]time.Duration
+	crashes     simCrashes
 }
 
 func newSimWorld(t *testing.T, seed uint64) *simWorld {
 	return &simWorld{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Minute,
 		succeeded: make(map[workload.TaskID]bool), started: make(map[workload.TaskID]int64),
-		cancelledAt: make(map[string]time.Duration),
+		cancelledAt: make(map[string]time.Duration), crashes: newSimCrashes(),
 	}
 }
 
