dispatch, ledger: count the crashes of workers under a task, give it up after two

Callers saw one task crash worker after worker, with all that ran there. Nothing recorded that a worker had ended under a run, so the task was placed again at once, beside other starts.

A crash has suspects: the runs that the worker had started and not outlasted by 0.5 s of its own clock. A suspect is started again in isolation, on a worker where no other run is being started; the next crash there has one suspect and counts against it, unless another worker went away at the same time without a suspect. A run that outlasts its start clears its task (Survived). After two crashes that count the task is given up and its submission has failed.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -19,8 +19,10 @@
 // warnings are the decisions that are logged as warnings, so that the lines of other
 // decisions cannot displace them.
 var warnings = map[dispatch.DecisionKind]logevent.Number{
-	dispatch.TaskWaiting:  logevent.TaskWaiting,
-	dispatch.TaskReleased: logevent.TaskReleased,
+	dispatch.TaskWaiting:   logevent.TaskWaiting,
+	dispatch.TaskReleased:  logevent.TaskReleased,
+	dispatch.TaskGivenUp:   logevent.TaskGivenUp,
+	dispatch.WorkerCrashed: logevent.WorkerCrashed,
 }
 
 // logDecision logs a decision of a cell's owner and updates the metrics.
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -107,6 +107,9 @@
 	if ev.Answer != NoAnswer && ev.Answer != WrongWorker {
 		w.updateClock(m.now, ev.Clock)
 	}
+	if ev.Answer == Done && r.activeFrom == 0 {
+		r.activeFrom = ev.Clock
+	}
 	if r.phase != starting {
 		return
 	}
--- /dev/null
+++ b/dispatch/crashes.go
@@ -0,0 +1,251 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// Attribution of crashes.
+const (
+	// survivalTime is the time, on the worker's clock, after which a run that was started
+	// is not suspected of a crash any more.
+	survivalTime = 500 * time.Millisecond
+	// outageWindow is the maximum time between two outages that count as one event. A
+	// worker that only waits for an end is heard once in HeartbeatWait.
+	outageWindow = 1500 * time.Millisecond
+	// minOutage is the silence from which it counts as an outage.
+	minOutage = 1500 * time.Millisecond
+	// outageMemory is the time for which outages are remembered.
+	outageMemory = time.Minute
+)
+
+// outage is the end of an incarnation, or a long silence.
+type outage struct {
+	address string
+	// heardAt is when the worker was last heard before it.
+	heardAt time.Duration
+	// suspects are the runs that may have caused it.
+	suspects []workload.RunID
+	// unit is the first of the suspects if they are of one task, or one gang.
+	unit *run
+	// incarnation is the worker's incarnation before the outage.
+	incarnation workload.Incarnation
+}
+
+// crashes is what an owner remembers of the outages of workers.
+type crashes struct {
+	// outages are those of the last outageMemory.
+	outages []outage
+	// lost are the workers whose leases have expired, by address. Whether they crashed
+	// is known when another incarnation is listed there.
+	lost map[string]outage
+}
+
+func newCrashes() crashes { return crashes{lost: make(map[string]outage)} }
+
+// outageOf describes the outage of a worker that has been silent since it was last heard.
+func (w *worker) outageOf() outage {
+	o := outage{address: w.Address, heardAt: w.clockAt, incarnation: w.Incarnation}
+	for _, r := range w.runList {
+		if r.survived || r.phase == recording {
+			continue
+		}
+		switch {
+		case len(o.suspects) == 0:
+			o.unit = r
+		case o.unit != nil && !sameUnit(o.unit, r):
+			o.unit = nil
+		}
+		o.suspects = append(o.suspects, r.id)
+	}
+	return o
+}
+
+// sameUnit reports whether two runs are members of one run of a gang.
+func sameUnit(a, b *run) bool {
+	x, y := a.id.Task, b.id.Task
+	return a.step.Gang && a.entry == b.entry && x.Step == y.Step && x.Occurrence == y.Occurrence && a.id.Run == b.id.Run
+}
+
+// workerCrashed handles the end of an incarnation that didn't announce it. It is called
+// before the runs are abandoned. The list of workers may still contain an incarnation
+// whose end has been handled; this owner has not heard that one.
+func (m *Machine) workerCrashed(w *worker, reason string) {
+	if w.Draining || w.clockAt == 0 && len(w.runs) == 0 {
+		return
+	}
+	m.attribute(w.outageOf(), reason)
+}
+
+// workerLost handles the expiry of a silent worker's leases: it may have crashed, or may
+// only be cut off.
+func (m *Machine) workerLost(w *worker) {
+	o := w.outageOf()
+	m.remember(o)
+	if o.address == "" || len(o.suspects) == 0 || w.Draining {
+		return
+	}
+	m.crashes.lost[o.address] = o
+	m.recordCrash(&o, false)
+}
+
+// checkSuccessor attributes the crash of a lost worker when a new incarnation is listed
+// at its address.
+func (m *Machine) checkSuccessor(info workload.Worker) {
+	o, ok := m.crashes.lost[info.Address]
+	if !ok || info.StartMillis <= o.incarnation.StartMillis {
+		return
+	}
+	delete(m.crashes.lost, info.Address)
+	m.attribute(o, "another worker is listed at the address")
+}
+
+// noteSilence remembers the outage of a worker that answers again.
+func (m *Machine) noteSilence(w *worker) {
+	if w.clockAt > 0 && m.now-w.clockAt >= minOutage {
+		m.remember(w.outageOf())
+	}
+}
+
+func (m *Machine) remember(o outage) {
+	m.crashes.outages = slices.DeleteFunc(m.crashes.outages, func(old outage) bool { return m.now-old.heardAt > outageMemory })
+	m.crashes.outages = append(m.crashes.outages, o)
+}
+
+// attribute records a crash with its suspects. It counts against a task, or a gang, that
+// is the only suspect, unless there is a sign of another cause.
+func (m *Machine) attribute(o outage, reason string) {
+	other := m.otherCause(&o)
+	m.remember(o)
+	if len(o.suspects) == 0 {
+		m.emitDecision(WorkerCrashed, workload.RunID{}, o.incarnation.Worker, reason+"; no run was being started", m.now-o.heardAt)
+		return
+	}
+	attributed := o.unit != nil && other == ""
+	if !attributed && other == "" {
+		other = "more than one run was being started"
+	}
+	if attributed {
+		reason += "; counts against the task"
+	} else {
+		reason += fmt.Sprintf("; %d suspects, counts against none: %s", len(o.suspects), other)
+	}
+	m.emitDecision(WorkerCrashed, o.suspects[0], o.incarnation.Worker, reason, m.now-o.heardAt)
+	m.recordCrash(&o, attributed)
+}
+
+// otherCause returns the sign that a crash has another cause than its suspects, or "".
+func (m *Machine) otherCause(o *outage) string {
+	if o.heardAt == 0 {
+		return "the worker was not heard in this epoch"
+	}
+	near := func(at time.Duration) bool { return at > 0 && max(at-o.heardAt, o.heardAt-at) <= outageWindow }
+	for _, w := range m.sorted {
+		if w.silent && w.ID() != o.incarnation.Worker && near(w.clockAt) && m.now-w.clockAt >= minOutage &&
+			len(w.runList) > 0 && len(w.outageOf().suspects) == 0 {
+			return "worker " + w.ID() + " is silent without a suspect"
+		}
+	}
+	for i := range m.crashes.outages {
+		old := &m.crashes.outages[i]
+		switch {
+		case len(old.suspects) > 0 || old.incarnation == o.incarnation:
+		case near(old.heardAt):
+			return "worker " + old.incarnation.Worker + " was away without a suspect"
+		case old.address == o.address:
+			return "the worker was away before without a suspect"
+		}
+	}
+	return ""
+}
+
+// recordCrash records the suspects of a crash. Their tasks are not placed before the
+// record is in the log.
+func (m *Machine) recordCrash(o *outage, attributed bool) {
+	var blocked []workload.TaskID
+	for _, s := range o.suspects {
+		if e := m.ledger.Find(s.Task.Submission); e != nil && !e.State().Final() && !m.recordingEnds[s.Task] {
+			m.recordingEnds[s.Task] = true
+			m.addOccupied(e, s.Task, 1)
+			blocked = append(blocked, s.Task)
+		}
+	}
+	record := ledger.CrashedRecord(o.incarnation, o.suspects, attributed)
+	m.appendRecord(record, func() {
+		m.ledger.Apply(record)
+		for _, id := range blocked {
+			delete(m.recordingEnds, id)
+			if e := m.ledger.Find(id.Submission); e != nil {
+				m.addOccupied(e, id, -1)
+			}
+		}
+		m.planNeeded = true
+		if attributed {
+			m.checkGivenUp(o)
+		}
+	})
+}
+
+// checkGivenUp ends a task, or a gang, whose last crash has reached the limit.
+func (m *Machine) checkGivenUp(o *outage) {
+	s := o.suspects[0]
+	e := m.ledger.Find(s.Task.Submission)
+	if e == nil || e.State().Final() && e.State() != workload.Failed {
+		return
+	}
+	t := e.Task(s.Task)
+	if t == nil || !e.CrashLimitReached(t) {
+		return
+	}
+	m.emitDecision(TaskGivenUp, s, o.incarnation.Worker, fmt.Sprintf("%d workers crashed under it", e.CrashRecordOf(t).Crashes), 0)
+	m.returnFinished(e, s.Task)
+	if e.State().Final() {
+		m.emitSubmissionDecision(SubmissionEnded, e)
+		delete(m.transfers.released, e.ID)
+		m.entryChanged(e)
+	}
+}
+
+// observeSurvival clears the runs on a worker that has outlasted their starts, at a
+// reading of its clock.
+func (m *Machine) observeSurvival(w *worker, clock time.Duration) {
+	for _, r := range w.runList {
+		switch {
+		case r.survived || r.phase != running:
+		case r.activeFrom == 0:
+			r.activeFrom = clock
+		case clock-r.activeFrom >= survivalTime:
+			m.runSurvived(r)
+		}
+	}
+}
+
+// runSurvived records that a run is not suspect, and clears its task.
+func (m *Machine) runSurvived(r *run) {
+	r.survived = true
+	if r.isolated {
+		r.isolated = false
+		r.worker.isolated--
+		m.planNeeded = true
+	}
+	if !r.entry.CrashRecordOf(r.task).Suspect || r.step.Gang && !m.gangSurvived(r) {
+		return
+	}
+	record := ledger.SurvivedRecord(r.id)
+	m.appendRecord(record, func() { m.ledger.Apply(record) })
+}
+
+// gangSurvived reports whether all members of a run's gang have survived.
+func (m *Machine) gangSurvived(r *run) bool {
+	survived := 0
+	for _, other := range m.byEntry[r.entry.ID] {
+		if other.survived && (other == r || sameUnit(other, r)) {
+			survived++
+		}
+	}
+	return survived == r.step.Tasks
+}
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -48,6 +48,10 @@
 	// TaskReleased: a task, and maybe others of its step, that had no run for the time in
 	// Age is given to another cell, which Reason names.
 	TaskReleased
+	// WorkerCrashed: a worker's incarnation ended in a crash. Reason names the suspects.
+	WorkerCrashed
+	// TaskGivenUp: so many workers have crashed under a task that it is not run again.
+	TaskGivenUp
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -55,5 +59,5 @@
 func (k DecisionKind) String() string {
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
-		"task released"}[k]
+		"task released", "worker crashed", "task given up"}[k]
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -91,6 +91,7 @@
 	case Fenced:
 		m.emit(StepDown{Worker: w.ID()})
 	case WrongWorker:
+		m.workerCrashed(w, "another worker answers at the address")
 		m.abandonRuns(w, "another worker answers at the address")
 		w.listed = false
 		w.ackedCursor = w.cursor
@@ -116,6 +117,7 @@
 		return
 	}
 	if w.silent {
+		m.noteSilence(w)
 		m.emitDecision(WorkerTrusted, workload.RunID{}, w.ID(), "answered a heartbeat", m.now-w.clockAt)
 		m.planNeeded = true
 	}
@@ -132,6 +134,7 @@
 	w.reported = true
 	m.processEnds(w, report.Ended)
 	m.processActive(w, ev, report.Active)
+	m.observeSurvival(w, report.Clock)
 	m.observeInterference(w)
 	w.nextHeartbeatAt = m.now
 	if !first {
@@ -176,6 +179,9 @@
 	}
 	m.emitDecision(RunEnded, end.RunID, w.ID(), end.Outcome.String(), 0)
 	m.updateHistory(w, r, end.Outcome)
+	if end.Outcome == workload.Errored && !r.step.Gang {
+		m.runSurvived(r)
+	}
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
 	if r.step.Gang && end.Outcome != workload.Succeeded {
@@ -319,7 +325,7 @@
 // of the previous owner may still be carried out.
 func (m *Machine) resumeInherited(r *run) {
 	r.inherited = false
-	if r.stopRequested || m.startBlocker(r) != "" || r.step.Gang || r.exceedsMaxPerWorker() {
+	if r.stopRequested || m.startBlocker(r) != "" || r.step.Gang || r.isolated || r.exceedsMaxPerWorker() {
 		m.stopRun(r, "start of a previous owner is not retried")
 		return
 	}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -57,6 +57,7 @@
 	longRunningWaits []*longWait
 	longWaitsAt      time.Duration
 	transfers        transfers
+	crashes          crashes
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -85,6 +86,7 @@
 		pending:       make(map[int64]appendInFlight),
 		model:         newInterferenceModel(),
 		transfers:     newTransfers(),
+		crashes:       newCrashes(),
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
@@ -158,7 +160,8 @@
 		id:    workload.RunID{Task: t.ID, Run: number},
 		entry: e, task: t, step: &e.Steps[t.ID.Step], worker: w,
 		phase: recording, checkpoint: t.Checkpoint,
-		image: m.model.idOf(e.Steps[t.ID.Step].Image),
+		image:    m.model.idOf(e.Steps[t.ID.Step].Image),
+		isolated: e.CrashRecordOf(t).Suspect,
 	}
 	if newer := m.checkpoints[t.ID]; newer != "" {
 		r.checkpoint = newer
@@ -321,6 +324,7 @@
 	}
 	for _, w := range m.sorted {
 		if (w.silent || w.Address == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
+			m.workerLost(w)
 			m.abandonRuns(w, "lease has expired")
 		}
 		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat() {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -23,7 +23,7 @@
 	if len(workers) == 0 {
 		return
 	}
-	placed := 0
+	workers, placed := m.placeSuspects(waiting, workers)
 	longRunning, finite := newCandidates(workers), newCandidates(workers)
 	failedHolds := make(unplaceable)
 	for i := range waiting {
@@ -57,7 +57,11 @@
 	if c.failed.covers(ws) {
 		return 0
 	}
-	n := m.placeStep(ws, c.workers)
+	tasks := m.unsuspectedTasks(ws)
+	if len(tasks) == 0 {
+		return 0
+	}
+	n := m.placeTasks(ws, tasks, c.workers)
 	if n == 0 {
 		c.failed.add(ws)
 	}
@@ -135,15 +139,13 @@
 }
 
 func (m *Machine) usable(w *worker) bool {
-	return w.listed && w.reported && !w.silent && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil
+	return w.listed && w.reported && !w.silent && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil && w.isolated == 0
 }
 
-// placeStep places the waiting tasks of a step, as far as workers have free
-// capacity, and returns how many it placed. A gang is placed as a whole or not at
-// all.
-func (m *Machine) placeStep(ws *waitingStep, workers []*worker) int {
+// placeTasks places waiting tasks of a step, as far as workers have free capacity, and
+// returns how many it placed. A gang is placed as a whole or not at all.
+func (m *Machine) placeTasks(ws *waitingStep, tasks []*ledger.Task, workers []*worker) int {
 	step := &ws.entry.Steps[ws.stepIndex]
-	tasks := m.waitingTasks(ws.state.Tasks)
 	number := int64(0)
 	if step.Gang {
 		for _, t := range tasks {
@@ -164,7 +166,9 @@
 			ranking = m.rankWorkers(ws, step, workers)
 			continue
 		}
-		m.reinsert(ranking, ws, step, w)
+		if !ws.suspect || step.Gang {
+			m.reinsert(ranking, ws, step, w)
+		}
 	}
 	if step.Gang && len(placed) < len(tasks) {
 		for _, r := range placed {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -48,6 +48,14 @@
 	confirmedAt time.Duration
 	// startedAt is when the start was first confirmed.
 	startedAt time.Duration
+	// activeFrom is a reading of the worker's clock at which the run was active, the first
+	// that is known, or 0.
+	activeFrom time.Duration
+	// survived: the worker has outlasted the start of the run by survivalTime.
+	survived bool
+	// isolated: no other run is started on the worker until this one has survived,
+	// because its task is suspected of a crash.
+	isolated bool
 	// checkpoint is the newest reported checkpoint.
 	checkpoint string
 	// progressAt is when a report last showed progress, reportedAt when a report
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -95,6 +95,9 @@
 	if rack != "" && rack != w.Rack {
 		score -= remotePenalty * (m.config.RemoteFactor - 1)
 	}
+	if ws.suspect {
+		score -= m.collateral(w)
+	}
 	if w.history.slowdown > 1 {
 		score -= slowPenalty * (w.history.slowdown - 1)
 	}
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -23,6 +23,8 @@
 	// due is the wall-clock time at which the objective is reached, in Unix
 	// nanoseconds.
 	due int64
+	// suspect: the tasks to place are suspected of a crash.
+	suspect bool
 }
 
 // compareUrgency orders waiting steps, the most urgent first. Among steps of one
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -65,7 +65,9 @@
 	reserved      hostapi.Resources
 	bestEffortCPU int64
 	latencyCPU    int64
-	history       runHistory
+	// isolated is the number of isolated runs.
+	isolated int64
+	history  runHistory
 }
 
 func newWorker(info workload.Worker) *worker {
@@ -115,6 +117,9 @@
 
 func (w *worker) adjustReserved(r *run, sign int64) {
 	w.runsVersion++
+	if r.isolated {
+		w.isolated += sign
+	}
 	request := reservation(r.step)
 	if r.step.BestEffort {
 		w.bestEffortCPU += sign * r.step.Request.MilliCPU
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -8,6 +8,7 @@
 	for _, info := range list {
 		present[info.ID()] = true
 		w := m.workers[info.ID()]
+		m.checkSuccessor(info)
 		if w == nil {
 			w = m.addWorker(info)
 		}
@@ -31,6 +32,7 @@
 // its task is placed again.
 func (m *Machine) workerRestarted(w *worker, incarnation workload.Incarnation) {
 	m.emitDecision(WorkerRestarted, workload.RunID{}, incarnation.Worker, "start time differs", 0)
+	m.workerCrashed(w, "worker restarted")
 	unreported := w.unreportedRuns()
 	for _, r := range unreported {
 		w.removeRun(r, m.now)
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -21,6 +21,8 @@
 	started   bool
 	cancelled bool
 	failed    bool
+	// everSuspected: a task has been suspected of a crash.
+	everSuspected bool
 	// state is the published state. Other goroutines read it.
 	state atomic.Int32
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -122,6 +122,10 @@
 		return l.applyReleased(r.Released)
 	case r.Transferred != nil:
 		return l.applyTransferred(r.Transferred)
+	case r.Crashed != nil:
+		return l.applyCrashed(r.Crashed)
+	case r.Survived != nil:
+		return l.applySurvived(r.Survived)
 	}
 	return nil
 }
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -26,12 +26,15 @@
 	// to the cell of the submission.
 	Away       bool
 	ReleasedTo int
+	// CrashRecord says whether the task may crash its workers. That of a gang is kept on
+	// the first member.
+	CrashRecord
 }
 
 // Returned reports whether a guest has finished the task and returned it to the cell of
 // the submission.
 func (e *Entry) Returned(t *Task) bool {
-	return e.guest && t.Away && t.Transfer > 0 && (t.Done || e.attemptsExhausted(t))
+	return e.guest && t.Away && t.Transfer > 0 && (t.Done || e.hopeless(t))
 }
 
 // closeRun marks the end of the task's run as recorded.
