dispatch: only a crash under an isolated start counts against a task

A crash now counts only if the start was isolated and no other worker went away in the same interval without an isolated run. The interval is from the last word of a worker to the first call that failed. A successor takes the isolation over with the runs.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -55,3 +55,132 @@
 		s.t.Errorf("%s is %v, not %v", id, e.State(), state)
 	}
 }
+
+// Guards against a count of crashes that a takeover forgets.
+func TestTaskThatCrashesItsWorkersIsGivenUpDespiteTakeovers(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(t, seed, 12)
+			s.crashes.crashes = func(id workload.TaskID) bool { return id.Submission == "deadly" && id.Index == 0 }
+			for i := range 20 {
+				s.after(time.Duration(s.random.IntN(10000))*time.Millisecond, func() {
+					s.appendIntake(ledger.SubmittedRecord(simSubmission(fmt.Sprintf("s%d", i), 1+s.random.IntN(6))))
+				})
+			}
+			s.after(2*time.Second, func() { s.appendIntake(ledger.SubmittedRecord(simSubmission("deadly", 4))) })
+			for i := range 3 {
+				s.after(time.Duration(2000+5000*i+s.random.IntN(5000))*time.Millisecond, func() { s.openEpoch() })
+			}
+			s.run(s.now + 90*time.Second)
+			for i := range 20 {
+				s.expectState(fmt.Sprintf("s%d", i), workload.Completed)
+			}
+			s.expectState("deadly", workload.Failed)
+		})
+	}
+}
+
+// Guards against giving up healthy tasks because the workers of a rack crash again and
+// again while many tasks are being started there.
+func TestHealthyTasksOutlastCrashesOfARack(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(t, seed, 12)
+			s.submitOften(60)
+			for i := range 4 {
+				s.after(time.Duration(1500+4500*i+s.random.IntN(1000))*time.Millisecond, func() {
+					for k := range 6 {
+						s.crash(s.workers[fmt.Sprintf("w%d", k)])
+					}
+				})
+			}
+			s.run(s.now + 90*time.Second)
+			s.expectCompleted(60)
+		})
+	}
+}
+
+// Guards against giving up healthy tasks because single workers crash at any time.
+func TestHealthyTasksOutlastCrashesOfSingleWorkers(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(t, seed, 12)
+			s.submitOften(60)
+			for range 40 {
+				s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() {
+					if w := s.workers[fmt.Sprintf("w%d", s.random.IntN(12))]; w.up {
+						s.crash(w)
+					}
+				})
+			}
+			s.run(s.now + 90*time.Second)
+			s.expectCompleted(60)
+		})
+	}
+}
+
+// Guards against counting a worker that was only cut off as crashed.
+func TestSilentWorkerIsNoCrash(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(t, seed, 4)
+			s.submitOften(30)
+			for i := range 4 {
+				w := s.workers[fmt.Sprintf("w%d", i)]
+				at := time.Duration(1000+5000*i) * time.Millisecond
+				s.after(at, func() { w.partitioned = true })
+				s.after(at+time.Duration(1+i*3)*time.Second, func() { w.partitioned = false })
+			}
+			s.run(s.now + 60*time.Second)
+			s.expectCompleted(30)
+			for _, r := range s.log {
+				if r.Crashed != nil && r.Crashed.Attributed {
+					t.Errorf("a crash counts against %v", r.Crashed.Suspects)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a gang, or a long-running task, that crashes its workers without end.
+func TestGangAndLongRunningTaskThatCrashWorkersAreGivenUp(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			cells := newSimCells(t, seed, 12)
+			s := cells.cells[0]
+			s.crashes = newSimCrashes()
+			s.crashes.crashes = func(id workload.TaskID) bool {
+				return id.Index == 1 && (id.Submission == "deadly-gang" || id.Submission == "deadly-long")
+			}
+			gang := simSubmission("deadly-gang", 4)
+			gang.Steps[0].Gang, gang.Steps[0].MaxPerWorker = true, int(1+seed%2)
+			s.after(3*time.Second, func() {
+				cells.home["deadly-gang"] = s
+				s.appendIntake(ledger.SubmittedRecord(gang))
+				cells.submit(s, "deadly-long", 3)
+				cells.submit(s, "long", 3)
+			})
+			cells.run(cells.now + 60*time.Second)
+			s.expectState("deadly-gang", workload.Failed)
+			s.expectState("deadly-long", workload.Failed)
+			s.expectState("long", workload.Running)
+		})
+	}
+}
+
+// submitOften submits a number of submissions, s0 and so on, in 20 s.
+func (s *sim) submitOften(n int) {
+	for i := range n {
+		s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() {
+			s.appendIntake(ledger.SubmittedRecord(simSubmission(fmt.Sprintf("s%d", i), 1+s.random.IntN(6))))
+		})
+	}
+}
+
+// expectCompleted fails the test if a submission of submitOften has not completed.
+func (s *sim) expectCompleted(n int) {
+	s.t.Helper()
+	for i := range n {
+		s.expectState(fmt.Sprintf("s%d", i), workload.Completed)
+	}
+}
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -14,9 +14,8 @@
 	// survivalTime is the time, on the worker's clock, after which a run that was started
 	// is not suspected of a crash any more.
 	survivalTime = 500 * time.Millisecond
-	// outageWindow is the maximum time between two outages that count as one event. A
-	// worker that only waits for an end is heard once in HeartbeatWait.
-	outageWindow = 1500 * time.Millisecond
+	// outageMargin covers the delays with which outages that begin together are seen.
+	outageMargin = 100 * time.Millisecond
 	// minOutage is the silence from which it counts as an outage.
 	minOutage = 1500 * time.Millisecond
 	// outageMemory is the time for which outages are remembered.
@@ -26,16 +25,25 @@
 // outage is the end of an incarnation, or a long silence.
 type outage struct {
 	address string
-	// heardAt is when the worker was last heard before it.
+	// heardAt is when the worker was last heard before it, seenAt when it was first found
+	// silent. The outage began between the two.
 	heardAt time.Duration
+	seenAt  time.Duration
 	// suspects are the runs that may have caused it.
 	suspects []workload.RunID
 	// unit is the first of the suspects if they are of one task, or one gang.
 	unit *run
+	// isolated: the suspects are isolated, so there is no other.
+	isolated bool
 	// incarnation is the worker's incarnation before the outage.
 	incarnation workload.Incarnation
 }
 
+// overlaps reports whether two outages may have begun at the same time.
+func (o *outage) overlaps(other *outage) bool {
+	return o.heardAt <= other.seenAt+outageMargin && other.heardAt <= o.seenAt+outageMargin
+}
+
 // crashes is what an owner remembers of the outages of workers.
 type crashes struct {
 	// outages are those of the last outageMemory.
@@ -48,8 +56,11 @@
 func newCrashes() crashes { return crashes{lost: make(map[string]outage)} }
 
 // outageOf describes the outage of a worker that has been silent since it was last heard.
-func (w *worker) outageOf() outage {
-	o := outage{address: w.Address, heardAt: w.clockAt, incarnation: w.Incarnation}
+func (w *worker) outageOf(now time.Duration) outage {
+	o := outage{address: w.Address, heardAt: w.clockAt, seenAt: now, incarnation: w.Incarnation}
+	if w.silent {
+		o.seenAt = w.silentAt
+	}
 	for _, r := range w.runList {
 		if r.survived || r.phase == recording {
 			continue
@@ -62,6 +73,7 @@
 		}
 		o.suspects = append(o.suspects, r.id)
 	}
+	o.isolated = o.unit != nil && o.unit.isolated
 	return o
 }
 
@@ -78,13 +90,13 @@
 	if w.Draining || w.clockAt == 0 && len(w.runs) == 0 {
 		return
 	}
-	m.attribute(w.outageOf(), reason)
+	m.attribute(w.outageOf(m.now), reason)
 }
 
 // workerLost handles the expiry of a silent worker's leases: it may have crashed, or may
 // only be cut off.
 func (m *Machine) workerLost(w *worker) {
-	o := w.outageOf()
+	o := w.outageOf(m.now)
 	m.remember(o)
 	if o.address == "" || len(o.suspects) == 0 || w.Draining {
 		return
@@ -107,7 +119,7 @@
 // noteSilence remembers the outage of a worker that answers again.
 func (m *Machine) noteSilence(w *worker) {
 	if w.clockAt > 0 && m.now-w.clockAt >= minOutage {
-		m.remember(w.outageOf())
+		m.remember(w.outageOf(m.now))
 	}
 }
 
@@ -117,7 +129,9 @@
 }
 
 // attribute records a crash with its suspects. It counts against a task, or a gang, that
-// is the only suspect, unless there is a sign of another cause.
+// was started in isolation, unless there is a sign of another cause. A crash under the
+// first start of a task makes it suspect and doesn't count: healthy tasks, too, are
+// started shortly before a worker crashes.
 func (m *Machine) attribute(o outage, reason string) {
 	other := m.otherCause(&o)
 	m.remember(o)
@@ -125,44 +139,55 @@
 		m.emitDecision(WorkerCrashed, workload.RunID{}, o.incarnation.Worker, reason+"; no run was being started", m.now-o.heardAt)
 		return
 	}
-	attributed := o.unit != nil && other == ""
-	if !attributed && other == "" {
-		other = "more than one run was being started"
-	}
-	if attributed {
+	if other == "" {
 		reason += "; counts against the task"
 	} else {
 		reason += fmt.Sprintf("; %d suspects, counts against none: %s", len(o.suspects), other)
 	}
 	m.emitDecision(WorkerCrashed, o.suspects[0], o.incarnation.Worker, reason, m.now-o.heardAt)
-	m.recordCrash(&o, attributed)
+	m.recordCrash(&o, other == "")
 }
 
-// otherCause returns the sign that a crash has another cause than its suspects, or "".
+// otherCause returns why a crash may have another cause than a task, or "".
 func (m *Machine) otherCause(o *outage) string {
-	if o.heardAt == 0 {
-		return "the worker was not heard in this epoch"
+	switch {
+	case !o.isolated:
+		return "the start was not isolated"
+	case o.heardAt == 0:
+		return m.otherCauseOfUnheard(o)
 	}
-	near := func(at time.Duration) bool { return at > 0 && max(at-o.heardAt, o.heardAt-at) <= outageWindow }
 	for _, w := range m.sorted {
-		if w.silent && w.ID() != o.incarnation.Worker && near(w.clockAt) && m.now-w.clockAt >= minOutage &&
-			len(w.runList) > 0 && len(w.outageOf().suspects) == 0 {
-			return "worker " + w.ID() + " is silent without a suspect"
+		if !w.silent || w.ID() == o.incarnation.Worker || len(w.runList) == 0 || m.now-w.clockAt < minOutage {
+			continue
+		}
+		if other := w.outageOf(m.now); !other.isolated && other.overlaps(o) {
+			return "worker " + w.ID() + " has been silent since then"
 		}
 	}
 	for i := range m.crashes.outages {
 		old := &m.crashes.outages[i]
 		switch {
-		case len(old.suspects) > 0 || old.incarnation == o.incarnation:
-		case near(old.heardAt):
-			return "worker " + old.incarnation.Worker + " was away without a suspect"
-		case old.address == o.address:
+		case old.isolated || old.incarnation == o.incarnation:
+		case old.overlaps(o):
+			return "worker " + old.incarnation.Worker + " was away at that time"
+		case old.address == o.address && len(old.suspects) == 0:
 			return "the worker was away before without a suspect"
 		}
 	}
 	return ""
 }
 
+// otherCauseOfUnheard is otherCause for a worker that this owner has not heard. When its
+// outage began is not known.
+func (m *Machine) otherCauseOfUnheard(o *outage) string {
+	for _, w := range m.sorted {
+		if w.ID() != o.incarnation.Worker && w.clockAt == 0 && len(w.runList) > 0 && w.isolated == 0 {
+			return "worker " + w.ID() + " was not heard in this epoch either"
+		}
+	}
+	return ""
+}
+
 // recordCrash records the suspects of a crash. Their tasks are not placed before the
 // record is in the log.
 func (m *Machine) recordCrash(o *outage, attributed bool) {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -98,6 +98,7 @@
 		return
 	}
 	if !w.silent {
+		w.silentAt = m.now
 		m.emitDecision(WorkerSuspected, workload.RunID{}, w.ID(), ev.Answer.String(), m.now-w.clockAt)
 	}
 	w.silent = true
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -107,6 +107,7 @@
 			}
 		})
 	}
+	m.inheritIsolation()
 }
 
 // forEachTaskOf calls f for the tasks of an entry whose state has been allocated.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -273,6 +273,10 @@
 	}
 	s.after(s.delay(5), func() {
 		answer, ok := do()
+		if !ok && s.crashes.reset {
+			s.after(s.delay(5), func() { answered(nil, true) })
+			return
+		}
 		if !ok || lost {
 			s.after(timeout, func() { answered(nil, true) })
 			return
--- a/dispatch/simcrashes_test.go
+++ b/dispatch/simcrashes_test.go
@@ -21,6 +21,9 @@
 type simCrashes struct {
 	// crashes tells which tasks crash each worker that starts them; nil if none does.
 	crashes func(id workload.TaskID) bool
+	// reset: a call that a worker doesn't answer fails at once, as if its host refused
+	// the connection.
+	reset bool
 	// workers counts the workers that have crashed under each task.
 	workers map[workload.TaskID]int
 	// startsAfter counts the starts of each task after three workers have crashed under
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -29,6 +29,8 @@
 	predecessorsExpireAt time.Duration
 	// silent: the last heartbeat failed.
 	silent bool
+	// silentAt is when it became silent.
+	silentAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
 	heartbeatInFlight bool
 	nextHeartbeatAt   time.Duration
