dispatch, ledger: weigh the evidence of crashes

Such a crash is now weak evidence: two strong ones, or up to four with weak ones among them, end the task.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -134,8 +134,8 @@
 			s.run(s.now + 60*time.Second)
 			s.expectCompleted(30)
 			for _, r := range s.log {
-				if r.Crashed != nil && r.Crashed.Attributed {
-					t.Errorf("a crash counts against %v", r.Crashed.Suspects)
+				if r.Crashed != nil && r.Crashed.Evidence > 0 {
+					t.Errorf("a crash is evidence against %v", r.Crashed.Suspects)
 				}
 			}
 		})
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -102,7 +102,7 @@
 		return
 	}
 	m.crashes.lost[o.address] = o
-	m.recordCrash(&o, false)
+	m.recordCrash(&o, 0)
 }
 
 // checkSuccessor attributes the crash of a lost worker when a new incarnation is listed
@@ -128,33 +128,41 @@
 	m.crashes.outages = append(m.crashes.outages, o)
 }
 
-// attribute records a crash with its suspects. It counts against a task, or a gang, that
-// was started in isolation, unless there is a sign of another cause. A crash under the
-// first start of a task makes it suspect and doesn't count: healthy tasks, too, are
-// started shortly before a worker crashes.
+// attribute records a crash with its suspects. Only a crash under an isolated start is
+// evidence: healthy tasks, too, are started shortly before a worker crashes.
 func (m *Machine) attribute(o outage, reason string) {
-	other := m.otherCause(&o)
+	evidence, other := 0, ""
+	if o.isolated {
+		evidence = ledger.StrongEvidence
+		if other = m.otherCause(&o); other != "" {
+			evidence = ledger.WeakEvidence
+		}
+	}
 	m.remember(o)
-	if len(o.suspects) == 0 {
-		m.emitDecision(WorkerCrashed, workload.RunID{}, o.incarnation.Worker, reason+"; no run was being started", m.now-o.heardAt)
-		return
+	first := workload.RunID{}
+	switch {
+	case len(o.suspects) == 0:
+		reason += "; no run was being started"
+	case evidence == 0:
+		reason += fmt.Sprintf("; %d runs were being started", len(o.suspects))
+	case other == "":
+		reason += "; strong evidence against the task"
+	default:
+		reason += "; weak evidence against the task: " + other
+	}
+	if len(o.suspects) > 0 {
+		first = o.suspects[0]
 	}
-	if other == "" {
-		reason += "; counts against the task"
-	} else {
-		reason += fmt.Sprintf("; %d suspects, counts against none: %s", len(o.suspects), other)
+	m.emitDecision(WorkerCrashed, first, o.incarnation.Worker, reason, m.now-o.heardAt)
+	if len(o.suspects) > 0 {
+		m.recordCrash(&o, evidence)
 	}
-	m.emitDecision(WorkerCrashed, o.suspects[0], o.incarnation.Worker, reason, m.now-o.heardAt)
-	m.recordCrash(&o, other == "")
 }
 
-// otherCause returns why a crash may have another cause than a task, or "".
+// otherCause returns why a crash under an isolated start may have another cause, or "".
 func (m *Machine) otherCause(o *outage) string {
-	switch {
-	case !o.isolated:
-		return "the start was not isolated"
-	case o.heardAt == 0:
-		return m.otherCauseOfUnheard(o)
+	if o.heardAt == 0 {
+		return "the worker was not heard in this epoch"
 	}
 	for _, w := range m.sorted {
 		if !w.silent || w.ID() == o.incarnation.Worker || len(w.runList) == 0 || m.now-w.clockAt < minOutage {
@@ -177,20 +185,9 @@
 	return ""
 }
 
-// otherCauseOfUnheard is otherCause for a worker that this owner has not heard. When its
-// outage began is not known.
-func (m *Machine) otherCauseOfUnheard(o *outage) string {
-	for _, w := range m.sorted {
-		if w.ID() != o.incarnation.Worker && w.clockAt == 0 && len(w.runList) > 0 && w.isolated == 0 {
-			return "worker " + w.ID() + " was not heard in this epoch either"
-		}
-	}
-	return ""
-}
-
 // recordCrash records the suspects of a crash. Their tasks are not placed before the
 // record is in the log.
-func (m *Machine) recordCrash(o *outage, attributed bool) {
+func (m *Machine) recordCrash(o *outage, evidence int) {
 	var blocked []workload.TaskID
 	for _, s := range o.suspects {
 		if e := m.ledger.Find(s.Task.Submission); e != nil && !e.State().Final() && !m.recordingEnds[s.Task] {
@@ -199,7 +196,7 @@
 			blocked = append(blocked, s.Task)
 		}
 	}
-	record := ledger.CrashedRecord(o.incarnation, o.suspects, attributed)
+	record := ledger.CrashedRecord(o.incarnation, o.suspects, evidence)
 	m.appendRecord(record, func() {
 		m.ledger.Apply(record)
 		for _, id := range blocked {
@@ -209,13 +206,13 @@
 			}
 		}
 		m.planNeeded = true
-		if attributed {
+		if evidence > 0 {
 			m.checkGivenUp(o)
 		}
 	})
 }
 
-// checkGivenUp ends a task, or a gang, whose last crash has reached the limit.
+// checkGivenUp ends a task, or a gang, against which the evidence has become conclusive.
 func (m *Machine) checkGivenUp(o *outage) {
 	s := o.suspects[0]
 	e := m.ledger.Find(s.Task.Submission)
@@ -226,7 +223,7 @@
 	if t == nil || !e.CrashLimitReached(t) {
 		return
 	}
-	m.emitDecision(TaskGivenUp, s, o.incarnation.Worker, fmt.Sprintf("%d workers crashed under it", e.CrashRecordOf(t).Crashes), 0)
+	m.emitDecision(TaskGivenUp, s, o.incarnation.Worker, "workers crashed under its isolated starts", 0)
 	m.returnFinished(e, s.Task)
 	if e.State().Final() {
 		m.emitSubmissionDecision(SubmissionEnded, e)
--- a/ledger/crash.go
+++ b/ledger/crash.go
@@ -5,25 +5,31 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// maxCrashes is the number of crashes that count against a task, or a gang, from which
-// it is given up.
-const maxCrashes = 2
+// Evidence that a task, or a gang, crashes its workers.
+const (
+	// StrongEvidence is that of a crash under an isolated start without a sign of another
+	// cause, WeakEvidence that of one with such a sign.
+	StrongEvidence = 2
+	WeakEvidence   = 1
+	// conclusiveEvidence is the sum from which the task is given up: two crashes at least.
+	conclusiveEvidence = 4
+)
 
 // CrashRecord is what is known of the crashes of workers under a task.
 type CrashRecord struct {
 	// Suspect is true if a run of the task is among the suspects of a crash and none has
 	// survived since.
 	Suspect bool
-	// Crashes is the number of crashes that count against the task.
-	Crashes int
-	// CrashRun is the newest run that is cleared or of which a crash counts, or 0.
+	// Evidence is the sum of the evidence since a run survived.
+	Evidence int
+	// CrashRun is the newest run that is cleared or adds to the evidence, or 0.
 	CrashRun int64
 }
 
 // CrashedRecord returns the record of a worker's crash with the runs that may have
-// caused it. If it is attributed, it counts against the task, or the gang, of these runs.
-func CrashedRecord(on workload.Incarnation, suspects []workload.RunID, attributed bool) *ledgerpb.Record {
-	r := &ledgerpb.Crashed{Worker: on.Worker, Born: on.StartMillis, Attributed: attributed}
+// caused it and the evidence against them, or 0 if their start was not isolated.
+func CrashedRecord(on workload.Incarnation, suspects []workload.RunID, evidence int) *ledgerpb.Record {
+	r := &ledgerpb.Crashed{Worker: on.Worker, Born: on.StartMillis, Evidence: int32(evidence)}
 	for _, s := range suspects {
 		r.Suspects = append(r.Suspects, &ledgerpb.Suspect{Task: taskMessage(s.Task), Run: s.Run})
 	}
@@ -57,24 +63,24 @@
 		if first == nil {
 			first = e
 		}
-		e.suspect(t, s.Run, r.Attributed)
+		e.suspect(t, s.Run, int(r.Evidence))
 		l.updateState(e)
 	}
 	return first
 }
 
-func (e *Entry) suspect(t *Task, run int64, attributed bool) {
+func (e *Entry) suspect(t *Task, run int64, evidence int) {
 	c := e.CrashRecordOf(t)
 	if t.Done || t.Away || run <= c.CrashRun {
 		return
 	}
 	c.Suspect, e.everSuspected = true, true
-	if !attributed {
+	if evidence == 0 {
 		return
 	}
-	c.Crashes++
+	c.Evidence += evidence
 	c.CrashRun = run
-	if c.Crashes < maxCrashes {
+	if !e.CrashLimitReached(t) {
 		return
 	}
 	if !e.Steps[t.ID.Step].Gang {
@@ -103,16 +109,18 @@
 }
 
 // CrashLimitReached reports whether a task is given up because workers crashed under it.
-func (e *Entry) CrashLimitReached(t *Task) bool { return e.CrashRecordOf(t).Crashes >= maxCrashes }
+func (e *Entry) CrashLimitReached(t *Task) bool {
+	return e.CrashRecordOf(t).Evidence >= conclusiveEvidence
+}
 
 // hopeless reports whether a task must not be run again although it is not done.
 func (e *Entry) hopeless(t *Task) bool { return e.attemptsExhausted(t) || e.CrashLimitReached(t) }
 
 // mergeCrashes takes over a crash record that is at least as new as the present one.
-func (e *Entry) mergeCrashes(t *Task, suspect bool, crashes int32, run int64) {
+func (e *Entry) mergeCrashes(t *Task, suspect bool, evidence int32, run int64) {
 	if run < t.CrashRun {
 		return
 	}
-	t.CrashRecord = CrashRecord{Suspect: suspect || t.Suspect && run == t.CrashRun, Crashes: int(crashes), CrashRun: run}
+	t.CrashRecord = CrashRecord{Suspect: suspect || t.Suspect && run == t.CrashRun, Evidence: int(evidence), CrashRun: run}
 	e.everSuspected = e.everSuspected || suspect
 }
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -41,7 +41,7 @@
 			Occurrence: int32(occurrence), Step: int32(t.ID.Step), Index: int32(t.ID.Index),
 			Done: t.Done, Run: t.Run, Failures: int32(t.Failures), Checkpoint: t.Checkpoint,
 			Transfer: t.Transfer, Away: t.Away, ReleasedTo: int32(t.ReleasedTo),
-			Suspect: t.Suspect, Crashes: int32(t.Crashes), CrashRun: t.CrashRun,
+			Suspect: t.Suspect, Evidence: int32(t.Evidence), CrashRun: t.CrashRun,
 		}
 		if t.Open {
 			state.Worker, state.Born = t.PlacedOn.Worker, t.PlacedOn.StartMillis
@@ -88,7 +88,7 @@
 		t.Open = state.Worker != ""
 		t.PlacedOn = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}
 	}
-	e.mergeCrashes(t, state.Suspect, state.Crashes, state.CrashRun)
+	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun)
 	if state.Done && e.guest {
 		t.Done = true
 	} else if state.Done {
--- a/ledger/transfer.go
+++ b/ledger/transfer.go
@@ -33,7 +33,7 @@
 		r.Tasks = append(r.Tasks, &ledgerpb.TransferredTask{
 			Occurrence: int32(t.ID.Occurrence), Step: int32(t.ID.Step), Index: int32(t.ID.Index),
 			Run: t.Run, Failures: int32(t.Failures), Checkpoint: t.Checkpoint, Transfer: t.Transfer, Done: t.Done,
-			Suspect: t.Suspect, Crashes: int32(t.Crashes), CrashRun: t.CrashRun,
+			Suspect: t.Suspect, Evidence: int32(t.Evidence), CrashRun: t.CrashRun,
 		})
 	}
 	return r
@@ -95,7 +95,7 @@
 		t.closeRun()
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
 	}
-	e.mergeCrashes(t, state.Suspect, state.Crashes, state.CrashRun)
+	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun)
 	switch {
 	case state.Done:
 		e.markDone(t)
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -69,6 +69,6 @@
 	{TaskWaiting, "TaskWaiting", zapcore.WarnLevel, "long-running task has no run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason counts the workers by why they do not take the task. Add capacity if they are full; report it if the task fits or is overtaken."},
 	{TaskReleased, "TaskReleased", zapcore.WarnLevel, "tasks are given to another cell, because the workers of their own are full", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "None; the owner of the other cell logs the placement. If it recurs, use fewer cells or add capacity."},
 	{TaskGivenUp, "TaskGivenUp", zapcore.WarnLevel, "a task is not run again, because workers crashed under it", []string{"task", "run", "worker", "reason", "epoch", "cell"}, "Correct the task and submit it again. Event 847 names the crashes."},
-	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash counts against a task, see event 846. If crashes recur that count against none, check the worker."},
+	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash is evidence against a task, see event 846. If crashes recur that are not, check the worker."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
 }
