--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -184,3 +187,19 @@
 		s.expectState(fmt.Sprintf("s%d", i), workload.Completed)
 	}
 }
+
+// Guards against taking a worker that has announced its shutdown for one that crashed,
+// and against a crash that goes unnoticed because the next worker has another id.
+func TestLeavingWorkerIsNoCrash(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		h := newHarness(t)
+		h.report()
+		h.submit("early", plainStep)
+		h.listWorker(workload.Worker{Draining: draining})
+		h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.WrongWorker})
+		crashed := slices.ContainsFunc(h.appendedRecords(), func(r *ledgerpb.Record) bool { return r.Crashed != nil })
+		if crashed == draining {
+			t.Errorf("draining %v, crash recorded %v", draining, crashed)
+		}
+	}
+}
