--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -63,6 +63,7 @@
 	leaseWaitsReportedAt time.Duration
 	// soleRecorded: the record that no previous owner can grant leases was appended.
 	soleRecorded bool
+	crashes      crashes
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -91,6 +92,7 @@
 		pending:       make(map[int64]appendInFlight),
 		model:         newInterferenceModel(),
 		transfers:     newTransfers(),
+		crashes:       newCrashes(),
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
@@ -106,6 +108,7 @@
 	for _, e := range m.ledger.Abandoned() {
 		m.inheritRunsOf(e, true)
 	}
+	m.inheritIsolation()
 }
 
 // inheritRunsOf takes over the runs of an entry. final: they must be stopped.
@@ -173,7 +176,8 @@
 		id:    workload.RunID{Task: t.ID, Run: number},
 		entry: e, task: t, step: &e.Steps[t.ID.Step], worker: w,
 		phase: recording, checkpoint: t.Checkpoint,
-		image: m.model.idOf(e.Steps[t.ID.Step].Image),
+		image:    m.model.idOf(e.Steps[t.ID.Step].Image),
+		isolated: e.CrashRecordOf(t).Suspect,
 	}
 	if newer := m.checkpoints[t.ID]; newer != "" {
 		r.checkpoint = newer
@@ -336,6 +340,7 @@
 	}
 	for _, w := range m.sorted {
 		if (w.silent || w.Address == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
+			m.workerLost(w)
 			m.abandonRuns(w, "lease has expired")
 		}
 		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat() {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -128,6 +128,10 @@
 		l.applySilent(r.Silent)
 	case r.Heard != nil:
 		l.applyHeard(r.Heard)
+	case r.Crashed != nil:
+		return l.applyCrashed(r.Crashed)
+	case r.Survived != nil:
+		return l.applySurvived(r.Survived)
 	}
 	return nil
 }
