settings: numbers of a coordinator that overflow or are not numbers are refused

What operators would see: a store_writes of 1e300, which gives as many cells as partitions on arm64 and one cell on x86-64 (the conversion differs), NaN, which passes every comparison, a memory limit that overflows, or a negative duration that is replaced by its default without a word.

Change: ranges for all numbers of [limits] and [times], well above every deployment.

Evidence: TestCoordinatorNumbersOutOfRangeAreRefused fails before with each of these accepted and passes with the change.

--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"strings"
 	"time"
@@ -120,7 +121,7 @@
 	if s.Limits.Cells == 0 {
 		s.Limits.Cells = cellCount(s.Limits.StoreWrites, s.Limits.StorePartitions)
 	}
-	if mistakes := s.check(name); len(mistakes) > 0 {
+	if mistakes := append(s.check(name), negativeTimes(name, file)...); len(mistakes) > 0 {
 		return s, mistakes
 	}
 	return s, nil
@@ -186,5 +187,55 @@
 	if s.Limits.RemoteFactor < 1 {
 		addMistake("limits", "remote_factor", fmt.Sprintf("has the value %g", s.Limits.RemoteFactor), "1 or more")
 	}
+	return append(mistakes, s.checkRanges(name)...)
+}
+
+// Limits of numbers that are converted or added up.
+const (
+	// maxCoordinatorTime is the longest duration of the [times] section.
+	maxCoordinatorTime = 24 * time.Hour
+	// maxCoordinatorNumber is the largest number of the [limits] section.
+	maxCoordinatorNumber = 1e9
+)
+
+// negativeTimes reports the negative durations, for which the ini package keeps the
+// defaults.
+func negativeTimes(name string, file *ini.File) Mistakes {
+	var mistakes Mistakes
+	for _, key := range []string{"lease_limit", "start_early", "stop", "grace", "group_ttl_least"} {
+		if value := file.Section("times").Key(key).Value(); strings.HasPrefix(value, "-") {
+			mistakes = append(mistakes, Mistake{
+				File: name, Section: "times", Key: key, Problem: "has the value " + quoted(value), Accepted: "0s to " + maxCoordinatorTime.String(),
+			})
+		}
+	}
+	return mistakes
+}
+
+// checkRanges reports the durations that are too long, and the numbers that are negative or too
+// large.
+func (s *Coordinator) checkRanges(name string) Mistakes {
+	var mistakes Mistakes
+	for key, value := range map[string]time.Duration{
+		"lease_limit": s.Times.LeaseLimit, "start_early": s.Times.StartEarly, "stop": s.Times.Stop, "grace": s.Times.Grace,
+		"group_ttl_least": s.Times.GroupTTLLeast,
+	} {
+		if value > maxCoordinatorTime {
+			mistakes = append(mistakes, Mistake{
+				File: name, Section: "times", Key: key, Problem: "has the value " + value.String(), Accepted: "0s to " + maxCoordinatorTime.String(),
+			})
+		}
+	}
+	for key, value := range map[string]float64{
+		"store_writes": s.Limits.StoreWrites, "cpu_share": s.Limits.CPUShare, "memory_mib": float64(s.Limits.MemoryMiB),
+		"remote_factor": s.Limits.RemoteFactor, "store_partitions": float64(s.Limits.StorePartitions),
+	} {
+		if math.IsNaN(value) || value < 0 || value > maxCoordinatorNumber {
+			mistakes = append(mistakes, Mistake{
+				File: name, Section: "limits", Key: key, Problem: fmt.Sprintf("has the value %g", value),
+				Accepted: fmt.Sprintf("0 to %g", float64(maxCoordinatorNumber)),
+			})
+		}
+	}
 	return mistakes
 }
--- a/settings/coordinator_test.go
+++ b/settings/coordinator_test.go
@@ -59,3 +59,24 @@
 	_, err := settings.ParseCoordinator("coordinator.ini", []byte(text))
 	is.NoErr(err)
 }
+
+// Guards against numbers whose conversion overflows, to a number of cells or a memory
+// limit that differs by processor, and against values that no comparison rejects.
+func TestCoordinatorNumbersOutOfRangeAreRefused(t *testing.T) {
+	for key, values := range map[string][]string{
+		"limits/store_writes": {"NaN", "+Inf", "-1", "1e300"}, "limits/cpu_share": {"NaN", "-1", "1e300"},
+		"limits/remote_factor": {"NaN", "+Inf", "1e300"}, "limits/memory_mib": {"9223372036854775807", "9223372036854775808"},
+		"limits/store_partitions": {"9223372036854775807"},
+		"times/grace":             {"-1s", "2000000h"}, "times/stop": {"-1s", "2000000h"}, "times/start_early": {"-1s", "2000000h"},
+		"times/lease_limit": {"2000000h"}, "times/group_ttl_least": {"-1s", "2000000h"},
+	} {
+		section, name, _ := strings.Cut(key, "/")
+		for _, value := range values {
+			text := regexp.MustCompile(`(?m)^`+name+` *=.*$`).ReplaceAllString(renderTemplate(t), "")
+			text = strings.Replace(text, "["+section+"]", "["+section+"]\n"+name+" = "+value, 1)
+			if s, err := settings.ParseCoordinator("coordinator.ini", []byte(text)); err == nil {
+				t.Errorf("%s = %s: accepted as %+v", key, value, s)
+			}
+		}
+	}
+}
