dispatch: schedules of workers whose capacity shrinks and grows

Seeded schedules in which workers that accept every start shrink and grow again, beside the faults of TestSchedulesOfOwnersAndWorkers: no start that is sent 4.1 s after a shrinkage exceeds the capacity.

--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -316,6 +316,7 @@
 	answer := w.start(s.now, o.epoch, a, r)
 	if len(w.runs) > before {
 		s.checkStart(a.Run, sent)
+		s.checkCapacity(w, a.Run, sent)
 	}
 	return answer, true
 }
--- a/dispatch/simworker_test.go
+++ b/dispatch/simworker_test.go
@@ -29,6 +29,9 @@
 	voided   map[int64]bool
 	sequence int64
 	cursor   int64
+	// unguarded workers start what exceeds their capacity, which last shrank at shrunkAt.
+	unguarded bool
+	shrunkAt  time.Duration
 }
 
 type simRun struct {
@@ -135,7 +138,7 @@
 		return dispatch.Done
 	case s.Run.Run <= w.highestRefused[s.Run.Task]:
 		return dispatch.Superseded
-	case !r.request.Fits(w.free()):
+	case !w.unguarded && !r.request.Fits(w.free()):
 		return dispatch.NoRoom
 	}
 	w.deadline = max(w.deadline, s.Deadline)
