--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -321,6 +321,7 @@
 	if len(w.runs) > before {
 		s.checkStart(a.Run, sent)
 		s.crashes.started(s, w, a.Run.Task)
+		s.checkCapacity(w, a.Run, sent)
 	}
 	return answer, true
 }
