New processes no longer begin the wait for a recorded silent worker anew

A long-running task waited without a bound while owners followed one another whose process had just started, or that the store had turned away: each read a record of the worker's silence, could not tell its age, and counted its whole expiry from its own epoch. An owner replaced only records of its own, not inherited ones, although it knew better than such a successor. Now it replaces these, too, and the ledger keeps the older records beside the newest one, because they are more exact for a node that knows their age.

Evidence: TestNewProcessesDoNotProlongTheWaitForASilentWorker failed before.

--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -30,7 +30,8 @@
 // recordSilences records the workers with runs that have been silent for a while. A
 // successor then knows when their leases expire, however late it takes over: until the
 // worker is recorded as heard again, it is granted none. A record is replaced when this
-// owner knows of an earlier expiry than a successor would.
+// owner knows of an earlier expiry than a successor that has just started would: it does
+// not know how old the record is.
 func (m *Machine) recordSilences() {
 	if m.logStalled() {
 		return
@@ -43,12 +44,12 @@
 		left := w.leaseExpiry() - m.now
 		switch {
 		case w.bar == leasesAllowed && m.silentForLong(w):
-		case w.bar == leasesBarred && w.recordedExpiry(m.now)-left >= silenceUpdateStep:
+		case w.bar == leasesBarred && w.recordedLeft-left >= silenceUpdateStep:
 		default:
 			continue
 		}
 		expiry[w.Incarnation] = left
-		w.bar, w.silenceRecorded, w.recordedLeft = leasesBarred, true, left
+		w.bar, w.recordedLeft = leasesBarred, left
 	}
 	if len(expiry) == 0 {
 		return
@@ -57,15 +58,6 @@
 	m.appendRecord(record, func() { m.ledger.Apply(record) })
 }
 
-// recordedExpiry returns the time that the records about a silent worker leave until its
-// leases have expired, for a successor that takes over now.
-func (w *worker) recordedExpiry(now time.Duration) time.Duration {
-	if w.silenceRecorded {
-		return w.recordedLeft
-	}
-	return w.inheritedExpireAt - now
-}
-
 // silentForLong reports whether a worker has answered nothing in this epoch, or nothing
 // for silenceRecordDelay.
 func (m *Machine) silentForLong(w *worker) bool {
@@ -98,15 +90,14 @@
 
 // inheritSilence bars a worker from leases if a previous owner recorded it as silent.
 func (m *Machine) inheritSilence(w *worker) {
-	w.bar, w.silenceRecorded = leasesAllowed, false
+	w.bar = leasesAllowed
 	silence, silent := m.ledger.Silence(w.Incarnation)
-	if !silent {
-		return
+	if silent {
+		w.bar, w.recordedLeft = leasesBarred, silence.Expiry
 	}
-	w.bar, w.inheritedExpireAt = leasesBarred, m.now+m.remaining(silence)
 }
 
-// remaining returns the time until the leases of a silent worker have expired by its
+// remaining returns the time until the leases of a silent worker have expired by a
 // record. A record of this epoch counts as new.
 func (m *Machine) remaining(s ledger.Silence) time.Duration {
 	if s.NextEpoch == 0 || m.config.EpochAge == nil {
@@ -118,11 +109,11 @@
 // predecessorExpiry returns the time after which every lease that previous owners granted
 // to a worker has expired.
 func (m *Machine) predecessorExpiry(worker workload.Incarnation) time.Duration {
-	silence, ok := m.ledger.Silence(worker)
-	if !ok {
-		return m.config.PredecessorExpiry
+	expiry := m.config.PredecessorExpiry
+	for _, silence := range m.ledger.Silences(worker) {
+		expiry = min(expiry, m.remaining(silence))
 	}
-	return min(m.config.PredecessorExpiry, m.remaining(silence))
+	return expiry
 }
 
 // predecessorResigned shortens the wait for the leases that previous owners granted.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -31,12 +31,9 @@
 	silent bool
 	// bar says whether the worker may be granted leases.
 	bar leaseBar
-	// silenceRecorded: this owner recorded the worker as silent, with recordedLeft until
-	// its leases have expired. Otherwise they have by the record of a previous owner at
-	// inheritedExpireAt.
-	silenceRecorded   bool
-	recordedLeft      time.Duration
-	inheritedExpireAt time.Duration
+	// recordedLeft is the time until the worker's leases have expired in the newest
+	// record of its silence.
+	recordedLeft time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
 	heartbeatInFlight bool
 	nextHeartbeatAt   time.Duration
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -39,12 +39,12 @@
 	// nil.
 	interferenceModel *ledgerpb.Learned
 	// silences are the workers that did not answer an owner, and were not heard again.
-	silences map[workload.Incarnation]Silence
+	silences map[workload.Incarnation][]Silence
 }
 
 // New returns the ledger of two empty streams.
 func New() *Ledger {
-	return &Ledger{live: make(map[string]*Entry), silences: make(map[workload.Incarnation]Silence)}
+	return &Ledger{live: make(map[string]*Entry), silences: make(map[workload.Incarnation][]Silence)}
 }
 
 // Owner returns the owner that opened the newest epoch.
--- a/ledger/silence.go
+++ b/ledger/silence.go
@@ -21,12 +21,22 @@
 	NextEpoch int64
 }
 
-// Silence returns the recorded silence of a worker.
+// maxSilenceRecords limits the records that are kept of one worker's silence.
+const maxSilenceRecords = 4
+
+// Silence returns the newest record of a worker's silence.
 func (l *Ledger) Silence(worker workload.Incarnation) (Silence, bool) {
-	s, ok := l.silences[worker]
-	return s, ok
+	records := l.silences[worker]
+	if len(records) == 0 {
+		return Silence{}, false
+	}
+	return records[len(records)-1], true
 }
 
+// Silences returns the records of a worker's silence, oldest first: the first one and those
+// of the newest epochs with a record. All of them hold.
+func (l *Ledger) Silences(worker workload.Incarnation) []Silence { return l.silences[worker] }
+
 // SilentWorkers returns the workers with a recorded silence.
 func (l *Ledger) SilentWorkers() []workload.Incarnation {
 	return slices.Collect(maps.Keys(l.silences))
@@ -60,7 +70,16 @@
 
 func (l *Ledger) applySilent(r *ledgerpb.Silent) {
 	for _, w := range r.Workers {
-		l.silences[incarnationOf(w)] = Silence{Expiry: time.Duration(w.LeaseExpiryMs) * time.Millisecond, NextEpoch: w.NextEpoch}
+		records := l.silences[incarnationOf(w)]
+		if n := len(records); n > 0 && records[n-1].NextEpoch == 0 {
+			records = records[:n-1]
+		}
+		records = append(records, Silence{Expiry: time.Duration(w.LeaseExpiryMs) * time.Millisecond, NextEpoch: w.NextEpoch})
+		if len(records) > maxSilenceRecords {
+			// The oldest record is the most exact one for a node that knows its age.
+			records = slices.Delete(records, 1, 2)
+		}
+		l.silences[incarnationOf(w)] = records
 	}
 }
 
@@ -81,10 +100,9 @@
 		return
 	}
 	l.owner = OwnerOf(r)
-	for worker, s := range l.silences {
-		if s.NextEpoch == 0 {
-			s.NextEpoch = r.Epoch
-			l.silences[worker] = s
+	for _, records := range l.silences {
+		if newest := &records[len(records)-1]; newest.NextEpoch == 0 {
+			newest.NextEpoch = r.Epoch
 		}
 	}
 }
@@ -92,10 +110,12 @@
 // silenceMessages returns the recorded silences for a snapshot.
 func (l *Ledger) silenceMessages() []*ledgerpb.SilentWorker {
 	var out []*ledgerpb.SilentWorker
-	for worker, s := range l.silences {
-		out = append(out, &ledgerpb.SilentWorker{
-			Worker: worker.Worker, Born: worker.StartMillis, LeaseExpiryMs: s.Expiry.Milliseconds(), NextEpoch: s.NextEpoch,
-		})
+	for worker, records := range l.silences {
+		for _, s := range records {
+			out = append(out, &ledgerpb.SilentWorker{
+				Worker: worker.Worker, Born: worker.StartMillis, LeaseExpiryMs: s.Expiry.Milliseconds(), NextEpoch: s.NextEpoch,
+			})
+		}
 	}
 	return out
 }
