A successor no longer waits for leases that its predecessor found expired

A long-running task that could not be placed again at once, for lack of capacity, waited up to 17.5 s once more after a takeover from a dead owner: the owner ended the recorded silence of a worker when it removed the worker, although the log still had the task's run as open. It now records that the leases have expired, and ends the silence of a worker that is not known when the log has no open run on it (every 10 s).

Evidence: TestSuccessorKnowsThatTheLeasesOfAnUnlistedWorkerHaveExpired failed before.

--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -61,6 +61,8 @@
 	transfers        transfers
 	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
 	leaseWaitsReportedAt time.Duration
+	// silencesForgottenAt is when recorded silences were last looked through.
+	silencesForgottenAt time.Duration
 	// soleRecorded: the record that no previous owner can grant leases was appended.
 	soleRecorded bool
 	// modelRecordedAt is when the interference model was last recorded, after
@@ -328,10 +330,10 @@
 	}
 	for _, w := range m.sorted {
 		if (w.silent || w.Address == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
+			m.recordExpiry(w)
 			m.abandonRuns(w, "lease has expired")
 		}
 		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat() {
-			m.endSilence(w)
 			m.removeWorker(w)
 			continue
 		}
@@ -345,6 +347,7 @@
 	if m.now-m.createdAt >= m.config.AuthorityDuration {
 		m.recordSole()
 	}
+	m.forgetSilences()
 	m.stopStalledRuns()
 	m.reportWaiting()
 	m.reportLeaseWaits()
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -15,6 +15,10 @@
 // silenceUpdateStep is by how much a recorded expiry must be too late to be replaced.
 const silenceUpdateStep = 500 * time.Millisecond
 
+// silenceForgetInterval is the time between two searches for recorded silences that are not
+// needed any longer.
+const silenceForgetInterval = 10 * time.Second
+
 // leaseBar says whether a worker may be granted leases.
 type leaseBar int
 
@@ -54,8 +58,31 @@
 	if len(expiry) == 0 {
 		return
 	}
+	m.appendSilent(expiry)
+}
+
+// recordExpiry records that the leases of a silent worker have expired, unless its record
+// says about that already.
+func (m *Machine) recordExpiry(w *worker) {
+	if w.bar == barEnding || w.bar == leasesBarred && w.recordedLeft < silenceUpdateStep {
+		return
+	}
+	w.bar, w.recordedLeft = leasesBarred, 0
+	m.appendSilent(map[workload.Incarnation]time.Duration{w.Incarnation: 0})
+}
+
+// appendSilent records workers as silent. A worker that was removed and listed again
+// while the record was being appended is barred from leases, too.
+func (m *Machine) appendSilent(expiry map[workload.Incarnation]time.Duration) {
 	record := ledger.SilentRecord(expiry)
-	m.appendRecord(record, func() { m.ledger.Apply(record) })
+	m.appendRecord(record, func() {
+		m.ledger.Apply(record)
+		for incarnation, left := range expiry {
+			if w := m.workers[incarnation.Worker]; w != nil && w.Incarnation == incarnation && w.bar == leasesAllowed {
+				w.bar, w.recordedLeft = leasesBarred, left
+			}
+		}
+	})
 }
 
 // silentForLong reports whether a worker has answered nothing in this epoch, or nothing
@@ -70,8 +97,8 @@
 	return w.silent && m.now-w.clockAt >= silenceRecordDelay
 }
 
-// endSilence records that a worker was heard again, or is not needed any longer. Leases
-// are granted to it once the record is in the log.
+// endSilence records that a worker was heard again. Leases are granted to it once the
+// record is in the log.
 func (m *Machine) endSilence(w *worker) {
 	if w.bar != leasesBarred {
 		return
@@ -138,15 +165,28 @@
 	owner.Sole = true
 	record := ledger.OpenedRecord(owner)
 	m.appendRecord(record, func() { m.ledger.Apply(record) })
-	m.forgetSilences()
 }
 
-// forgetSilences removes recorded silences of workers that are neither listed nor have
-// runs.
+// forgetSilences removes recorded silences of workers that are not known and on which the
+// log has no open run. Until its task is placed again, an open run of a worker whose leases
+// have expired needs the record: a successor would wait for them.
 func (m *Machine) forgetSilences() {
+	silent := m.ledger.SilentWorkers()
+	if len(silent) == 0 || m.now-m.silencesForgottenAt < silenceForgetInterval || m.logStalled() {
+		return
+	}
+	m.silencesForgottenAt = m.now
+	needed := make(map[workload.Incarnation]bool)
+	for _, e := range m.ledger.Live() {
+		forEachTaskOf(e, func(t *ledger.Task) {
+			if t.Open && !t.Done {
+				needed[t.PlacedOn] = true
+			}
+		})
+	}
 	var unknown []workload.Incarnation
-	for _, incarnation := range m.ledger.SilentWorkers() {
-		if w := m.workers[incarnation.Worker]; w == nil || w.Incarnation != incarnation {
+	for _, incarnation := range silent {
+		if w := m.workers[incarnation.Worker]; !needed[incarnation] && (w == nil || w.Incarnation != incarnation) {
 			unknown = append(unknown, incarnation)
 		}
 	}
--- a/dispatch/silencebounds_test.go
+++ b/dispatch/silencebounds_test.go
@@ -55,3 +55,18 @@
 		return ok && d.Kind == dispatch.RunLost
 	}) > 0)
 }
+
+// Guards against an owner that waits for the leases of a worker again, after its
+// predecessor had found them expired, but had no capacity to place the tasks again.
+func TestSuccessorKnowsThatTheLeasesOfAnUnlistedWorkerHaveExpired(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.placeOnSilentWorker()
+	h.takeOver(2)
+	h.advanceInSteps(20 * time.Second)
+	is.Equal(h.machine.Leases(h.now), map[workload.Incarnation]time.Duration{})
+	h.takeOver(3)
+	for _, left := range h.machine.Leases(h.now) {
+		is.True(left < time.Second)
+	}
+}
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -36,7 +36,6 @@
 		w.removeRun(r, m.now)
 	}
 	m.abandonRuns(w, "worker restarted")
-	m.endSilence(w)
 	w.Incarnation = incarnation
 	m.inheritSilence(w)
 	for _, r := range unreported {
