A listed worker that fell silent and lost its runs is used again when it answers

A worker that did not answer its owner for longer than its lease, but stayed listed, got no heartbeat any more once it had no runs, and remained silent, and barred from leases, until the end of the epoch. It is now sent heartbeats while only an answer makes it usable.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -13,7 +13,7 @@
 	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" {
 		return
 	}
-	if w.reported && !w.needsHeartbeat() {
+	if w.reported && !w.needsHeartbeat() && !w.isUnusableUntilHeard() {
 		return
 	}
 	h := Heartbeat{Target: w.target(), Cursor: w.cursor}
--- a/dispatch/silencebounds_test.go
+++ b/dispatch/silencebounds_test.go
@@ -70,3 +70,31 @@
 		is.True(left < time.Second)
 	}
 }
+
+// Guards against a worker that is listed all the time, falls silent until its runs are
+// lost, and is used no more when it answers again.
+func TestSilentWorkerWithoutRunsIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("lasting", plainStep)
+	h.report()
+	h.silence(100 * time.Millisecond)
+	isHeartbeat := func(a dispatch.Action) bool { _, ok := a.(dispatch.Heartbeat); return ok }
+	for range 200 {
+		h.silence(100 * time.Millisecond)
+	}
+	is.True(h.count(func(a dispatch.Action) bool {
+		d, ok := a.(dispatch.Decision)
+		return ok && d.Kind == dispatch.RunLost
+	}) > 0)
+	clear(h.active)
+	for range 50 {
+		h.actions = nil
+		h.advance(100 * time.Millisecond)
+		if h.count(isHeartbeat) > 0 {
+			h.report()
+		}
+	}
+	is.Equal(len(h.active), 1)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -229,3 +229,9 @@
 func (w *worker) needsHeartbeat() bool {
 	return len(w.runs) > 0 || w.ackedCursor < w.cursor
 }
+
+// isUnusableUntilHeard reports whether only an answer to a heartbeat lets runs be placed on
+// a listed worker.
+func (w *worker) isUnusableUntilHeard() bool {
+	return w.listed && (w.silent || w.bar == leasesBarred)
+}
