An owner is recorded as sole only when all earlier owners have stopped

An answer of the previous owner says nothing of owners before it. An owner took any answer as word that none of them can grant leases, and recorded that; after a restart of its process, its successor expected no later leases than its own. An owner cut off beside a worker may extend leases for 10 s more: its task would run twice.

--- a/coordinator/leasebounds_test.go
+++ b/coordinator/leasebounds_test.go
@@ -5,7 +5,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cactusreel/cactusreel/coordinator"
 	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
 )
 
 // cutToAllBut cuts the links of all VMs but one to the worker of the task.
@@ -102,3 +104,38 @@
 		s.waitForRestart(2*ownerAuthority + dispatch.LeaseExpiryBound(2*clusterLease) + maxTakeoverTime)
 	})
 }
+
+// Guards against an owner that is recorded as the only one that can grant leases while an
+// owner before its predecessor, cut off beside a worker, still extends them: a successor of
+// a restarted process would then expect no later leases, and the task would run twice.
+func TestOwnerIsNotSoleWhileAnEarlierOneHasAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 3)
+		defer s.close()
+		s.cutToAllBut("vm-0", "vm-0", "vm-1", "vm-2")
+		s.cutStore("vm-0", true)
+		s.cutPeers("vm-0", true, "vm-1", "vm-2")
+		s.group.assign(0, "vm-1")
+		time.Sleep(time.Second)
+		s.group.assign(0, "vm-2")
+		// vm-0 has authority for at least 7 s more.
+		time.Sleep(2 * time.Second)
+		if s.ownerIsSole() {
+			t.Fatal("vm-2 is recorded as the only owner that can grant leases, while vm-0 grants them")
+		}
+	})
+}
+
+// ownerIsSole reports whether the log says that no owner of an earlier epoch can grant
+// leases any more.
+func (s *silentWorkerTest) ownerIsSole() bool {
+	s.log.mu.Lock()
+	defer s.log.mu.Unlock()
+	var owner ledger.Owner
+	for _, data := range s.log.streams[coordinator.Stream{Topic: coordinator.CellTopic, Partition: 0}] {
+		if r, err := ledger.Decode(data); err == nil && r.Opened != nil {
+			owner = ledger.OwnerOf(r.Opened)
+		}
+	}
+	return owner.Sole
+}
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -88,7 +88,7 @@
 // address, says of the leases that workers may hold.
 func (o *ownership) postResigned(ctx context.Context, previous ledger.Owner, answer *coordpb.ResignAnswer) {
 	if answer.LeasesKnown {
-		o.post(ctx, dispatch.PredecessorResigned{Leases: leasesOf(answer)})
+		o.post(ctx, dispatch.PredecessorResigned{Sole: previous.Sole, Leases: leasesOf(answer)})
 		return
 	}
 	expiry := o.grantedLeaseExpiry()
@@ -99,7 +99,7 @@
 		// An owner before the previous one may have gone on granting leases.
 		expiry = max(expiry, o.predecessorLeaseExpiry()-o.node.owners.epochAge(o.number, previous.Epoch))
 	}
-	o.post(ctx, dispatch.PredecessorResigned{Expiry: expiry})
+	o.post(ctx, dispatch.PredecessorResigned{Sole: previous.Sole, Expiry: expiry})
 }
 
 // keepLeases keeps the leases at the end of the ownership for its successor.
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -52,10 +52,12 @@
 	Answer Answer
 }
 
-// PredecessorResigned reports that no previous owner grants leases any more. All leases
-// that they granted to a worker have expired after the time in Leases, or after Expiry if
-// the worker is not in it, counted from now.
+// PredecessorResigned reports that the previous owner grants no leases any more. All leases
+// that it and owners before it granted to a worker, or will grant, have expired after the
+// time in Leases, or after Expiry if the worker is not in it, counted from now.
 type PredecessorResigned struct {
+	// Sole: no owner before the previous one can grant leases any more either.
+	Sole   bool
 	Expiry time.Duration
 	Leases map[workload.Incarnation]time.Duration
 }
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -152,7 +152,9 @@
 		}
 		w.predecessorsExpireAt = min(w.predecessorsExpireAt, m.now+expiry)
 	}
-	m.recordSole()
+	if ev.Sole {
+		m.recordSole()
+	}
 }
 
 // recordSole records that no previous owner can grant leases any more.
