A hand-over extends no lease beyond the authority over the cell

An owner that was cut off beside a worker, and was admitted again near the end of its authority by a join that gave its cell to another node, took that join as new authority and extended the worker's lease by the full hand-over lease. Its successor counts the authority from its own epoch, which is up to 10 s older: the task ran twice. Authority over a cell now counts from the last join that assigned the cell to the node.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -36,7 +36,7 @@
 // while it was suspended, sends no command: its successor may have started the same
 // tasks elsewhere.
 func (o *ownership) execute(ctx context.Context, action dispatch.Action) {
-	if !o.node.hasAuthority() {
+	if !o.hasAuthority() {
 		o.cancel()
 		return
 	}
--- a/coordinator/authority.go
+++ b/coordinator/authority.go
@@ -26,3 +26,12 @@
 
 // hasAuthority reports whether the node may still send commands as an owner.
 func (n *Node) hasAuthority() bool { return n.joinAge() < authorityDuration }
+
+// assignedAge returns the time since the last join that assigned the cell to this node was
+// sent. A join that takes the cell away gives no authority over it.
+func (c *cell) assignedAge() time.Duration {
+	return c.node.authorityNow() - time.Duration(c.lastAssigned.Load())
+}
+
+// hasAuthority reports whether the node may still send commands as the cell's owner.
+func (c *cell) hasAuthority() bool { return c.assignedAge() < authorityDuration }
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -57,6 +57,9 @@
 	// intakeReadAt is when the owner sent its last read of the intake that was answered,
 	// in nanoseconds of the node's monotonic clock.
 	intakeReadAt atomic.Int64
+	// lastAssigned is when the last join that assigned the cell to this node was sent, on
+	// the clock of authorityNow.
+	lastAssigned atomic.Int64
 	// newestEpoch is the newest epoch that this node opened, resignedEpoch the
 	// highest epoch that it was requested to end.
 	newestEpoch atomic.Int64
@@ -86,6 +89,7 @@
 		evacuation:       make(chan struct{}, 1),
 	}
 	c.state.Store(ledger.New())
+	c.lastAssigned.Store(n.lastJoin.Load())
 	c.intakeWriter = newIntakeWriter(c)
 	return c
 }
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -37,14 +37,14 @@
 				n.wg.Go(func() { n.learnOwners(ctx) })
 			}
 			generation = a.Generation
-			n.assign(a)
+			n.assign(a, sentAuthority)
 		default:
 			if !failing && ctx.Err() == nil {
 				n.logError(logevent.GroupCallFailed, err)
 			}
 			failing = true
 			if !n.hasAuthority() {
-				n.assign(Assignment{})
+				n.assign(Assignment{}, sentAuthority)
 			}
 		}
 		sleep(ctx, max(0, joinInterval-(n.monotonicNow()-sent)))
@@ -105,13 +105,15 @@
 	}
 }
 
-func (n *Node) assign(a Assignment) {
+// assign applies the assignment of a join that was sent at a time of authorityNow.
+func (n *Node) assign(a Assignment, sent time.Duration) {
 	assigned := make(map[int]bool, len(a.Cells))
 	for _, number := range a.Cells {
 		assigned[number] = true
 	}
 	for _, c := range n.cells {
 		if assigned[c.number] {
+			c.lastAssigned.Store(int64(sent))
 			c.assign(a.Generation)
 		} else {
 			c.assign(0)
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -87,7 +87,7 @@
 	o.wg.Go(func() { o.requestResignation(ctx, previous) })
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
-	if reason == assignmentEnded && o.node.hasAuthority() {
+	if reason == assignmentEnded && o.hasAuthority() {
 		o.handOver(ctx)
 	}
 	cancel()
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -36,7 +36,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	// A successor that hears nothing from this owner expects no later leases.
-	lease := min(o.node.config.Dispatch.HandoverLease, authorityDuration-o.node.joinAge()+o.node.config.Dispatch.Lease)
+	lease := min(o.node.config.Dispatch.HandoverLease, authorityDuration-o.assignedAge()+o.node.config.Dispatch.Lease)
 	for _, h := range o.machine.HandOver(o.node.monotonicNow(), lease) {
 		wg.Go(func() { o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h) })
 	}
