--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -13,8 +13,7 @@
 	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" {
 		return
 	}
-	answers := w.reported && !w.silent && w.bar == leasesAllowed
-	if answers && !w.needsHeartbeat() {
+	if w.reported && !w.needsHeartbeat() && !w.isUnusableUntilHeard() {
 		return
 	}
 	h := Heartbeat{Target: w.target(), Cursor: w.cursor}
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -15,6 +15,10 @@
 // silenceUpdateStep is by how much a recorded expiry must be too late to be replaced.
 const silenceUpdateStep = 500 * time.Millisecond
 
+// silenceForgetInterval is the time between two searches for recorded silences that are not
+// needed any longer.
+const silenceForgetInterval = 10 * time.Second
+
 // leaseBar says whether a worker may be granted leases.
 type leaseBar int
 
@@ -30,7 +34,8 @@
 // recordSilences records the workers with runs that have been silent for a while. A
 // successor then knows when their leases expire, however late it takes over: until the
 // worker is recorded as heard again, it is granted none. A record is replaced when this
-// owner knows of an earlier expiry than a successor would.
+// owner knows of an earlier expiry than a successor that has just started would: it does
+// not know how old the record is.
 func (m *Machine) recordSilences() {
 	if m.logStalled() {
 		return
@@ -43,27 +48,41 @@
 		left := w.leaseExpiry() - m.now
 		switch {
 		case w.bar == leasesAllowed && m.silentForLong(w):
-		case w.bar == leasesBarred && w.recordedExpiry(m.now)-left >= silenceUpdateStep:
+		case w.bar == leasesBarred && w.recordedLeft-left >= silenceUpdateStep:
 		default:
 			continue
 		}
 		expiry[w.Incarnation] = left
-		w.bar, w.silenceRecorded, w.recordedLeft = leasesBarred, true, left
+		w.bar, w.recordedLeft = leasesBarred, left
 	}
 	if len(expiry) == 0 {
 		return
 	}
-	record := ledger.SilentRecord(expiry)
-	m.appendRecord(record, func() { m.ledger.Apply(record) })
+	m.appendSilent(expiry)
 }
 
-// recordedExpiry returns the time that the records about a silent worker leave until its
-// leases have expired, for a successor that takes over now.
-func (w *worker) recordedExpiry(now time.Duration) time.Duration {
-	if w.silenceRecorded {
-		return w.recordedLeft
+// recordExpiry records that the leases of a silent worker have expired, unless its record
+// says about that already.
+func (m *Machine) recordExpiry(w *worker) {
+	if w.bar == barEnding || w.bar == leasesBarred && w.recordedLeft < silenceUpdateStep {
+		return
 	}
-	return w.inheritedExpireAt - now
+	w.bar, w.recordedLeft = leasesBarred, 0
+	m.appendSilent(map[workload.Incarnation]time.Duration{w.Incarnation: 0})
+}
+
+// appendSilent records workers as silent. A worker that was removed and listed again
+// while the record was being appended is barred from leases, too.
+func (m *Machine) appendSilent(expiry map[workload.Incarnation]time.Duration) {
+	record := ledger.SilentRecord(expiry)
+	m.appendRecord(record, func() {
+		m.ledger.Apply(record)
+		for incarnation, left := range expiry {
+			if w := m.workers[incarnation.Worker]; w != nil && w.Incarnation == incarnation && w.bar == leasesAllowed {
+				w.bar, w.recordedLeft = leasesBarred, left
+			}
+		}
+	})
 }
 
 // silentForLong reports whether a worker has answered nothing in this epoch, or nothing
@@ -78,8 +97,8 @@
 	return w.silent && m.now-w.clockAt >= silenceRecordDelay
 }
 
-// endSilence records that a worker was heard again, or is not needed any longer. Leases
-// are granted to it once the record is in the log.
+// endSilence records that a worker was heard again. Leases are granted to it once the
+// record is in the log.
 func (m *Machine) endSilence(w *worker) {
 	if w.bar != leasesBarred {
 		return
@@ -98,15 +117,14 @@
 
 // inheritSilence bars a worker from leases if a previous owner recorded it as silent.
 func (m *Machine) inheritSilence(w *worker) {
-	w.bar, w.silenceRecorded = leasesAllowed, false
+	w.bar = leasesAllowed
 	silence, silent := m.ledger.Silence(w.Incarnation)
-	if !silent {
-		return
+	if silent {
+		w.bar, w.recordedLeft = leasesBarred, silence.Expiry
 	}
-	w.bar, w.inheritedExpireAt = leasesBarred, m.now+m.remaining(silence)
 }
 
-// remaining returns the time until the leases of a silent worker have expired by its
+// remaining returns the time until the leases of a silent worker have expired by a
 // record. A record of this epoch counts as new.
 func (m *Machine) remaining(s ledger.Silence) time.Duration {
 	if s.NextEpoch == 0 || m.config.EpochAge == nil {
@@ -118,11 +136,11 @@
 // predecessorExpiry returns the time after which every lease that previous owners granted
 // to a worker has expired.
 func (m *Machine) predecessorExpiry(worker workload.Incarnation) time.Duration {
-	silence, ok := m.ledger.Silence(worker)
-	if !ok {
-		return m.config.PredecessorExpiry
+	expiry := m.config.PredecessorExpiry
+	for _, silence := range m.ledger.Silences(worker) {
+		expiry = min(expiry, m.remaining(silence))
 	}
-	return min(m.config.PredecessorExpiry, m.remaining(silence))
+	return expiry
 }
 
 // predecessorResigned shortens the wait for the leases that previous owners granted.
@@ -134,7 +152,9 @@
 		}
 		w.predecessorsExpireAt = min(w.predecessorsExpireAt, m.now+expiry)
 	}
-	m.recordSole()
+	if ev.Sole {
+		m.recordSole()
+	}
 }
 
 // recordSole records that no previous owner can grant leases any more.
@@ -147,15 +167,28 @@
 	owner.Sole = true
 	record := ledger.OpenedRecord(owner)
 	m.appendRecord(record, func() { m.ledger.Apply(record) })
-	m.forgetSilences()
 }
 
-// forgetSilences removes recorded silences of workers that are neither listed nor have
-// runs.
+// forgetSilences removes recorded silences of workers that are not known and on which the
+// log has no open run. Until its task is placed again, an open run of a worker whose leases
+// have expired needs the record: a successor would wait for them.
 func (m *Machine) forgetSilences() {
+	silent := m.ledger.SilentWorkers()
+	if len(silent) == 0 || m.now-m.silencesForgottenAt < silenceForgetInterval || m.logStalled() {
+		return
+	}
+	m.silencesForgottenAt = m.now
+	needed := make(map[workload.Incarnation]bool)
+	for _, e := range m.ledger.Live() {
+		forEachTaskOf(e, func(t *ledger.Task) {
+			if t.Open && !t.Done {
+				needed[t.PlacedOn] = true
+			}
+		})
+	}
 	var unknown []workload.Incarnation
-	for _, incarnation := range m.ledger.SilentWorkers() {
-		if w := m.workers[incarnation.Worker]; w == nil || w.Incarnation != incarnation {
+	for _, incarnation := range silent {
+		if w := m.workers[incarnation.Worker]; !needed[incarnation] && (w == nil || w.Incarnation != incarnation) {
 			unknown = append(unknown, incarnation)
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -31,12 +31,9 @@
 	silent bool
 	// bar says whether the worker may be granted leases.
 	bar leaseBar
-	// silenceRecorded: this owner recorded the worker as silent, with recordedLeft until
-	// its leases have expired. Otherwise they have by the record of a previous owner at
-	// inheritedExpireAt.
-	silenceRecorded   bool
-	recordedLeft      time.Duration
-	inheritedExpireAt time.Duration
+	// recordedLeft is the time until the worker's leases have expired in the newest
+	// record of its silence.
+	recordedLeft time.Duration
 	// silentAt is when it became silent.
 	silentAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
@@ -242,3 +239,9 @@
 func (w *worker) needsHeartbeat() bool {
 	return len(w.runs) > 0 || w.hasUnknownRuns || w.ackedCursor < w.cursor
 }
+
+// isUnusableUntilHeard reports whether only an answer to a heartbeat lets runs be placed on
+// a listed worker.
+func (w *worker) isUnusableUntilHeard() bool {
+	return w.listed && (w.silent || w.bar == leasesBarred)
+}
