--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -22,6 +22,8 @@
 	dispatch.TaskWaiting:   logevent.TaskWaiting,
 	dispatch.TaskReleased:  logevent.TaskReleased,
 	dispatch.LeasesAwaited: logevent.LeasesAwaited,
+	dispatch.TaskGivenUp:   logevent.TaskGivenUp,
+	dispatch.WorkerCrashed: logevent.WorkerCrashed,
 }
 
 // logDecision logs a decision of a cell's owner and updates the metrics.
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -52,6 +52,10 @@
 	// workers have expired. Worker is the one whose leases expire last, Age its silence, or 0
 	// if it has not answered this owner.
 	LeasesAwaited
+	// WorkerCrashed: a worker's incarnation ended in a crash. Reason names the suspects.
+	WorkerCrashed
+	// TaskGivenUp: so many workers have crashed under a task that it is not run again.
+	TaskGivenUp
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -59,5 +63,5 @@
 func (k DecisionKind) String() string {
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
-		"task released", "leases awaited"}[k]
+		"task released", "leases awaited", "worker crashed", "task given up"}[k]
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -273,6 +273,10 @@
 	}
 	s.after(s.delay(5), func() {
 		answer, ok := do()
+		if !ok && s.crashes.reset {
+			s.after(s.delay(5), func() { answered(nil, true) })
+			return
+		}
 		if !ok || lost {
 			s.after(timeout, func() { answered(nil, true) })
 			return
@@ -316,6 +320,7 @@
 	answer := w.start(s.now, o.epoch, a, r)
 	if len(w.runs) > before {
 		s.checkStart(a.Run, sent)
+		s.crashes.started(s, w, a.Run.Task)
 		s.checkCapacity(w, a.Run, sent)
 	}
 	return answer, true
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,6 +37,8 @@
 	silenceRecorded   bool
 	recordedLeft      time.Duration
 	inheritedExpireAt time.Duration
+	// silentAt is when it became silent.
+	silentAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
 	heartbeatInFlight bool
 	nextHeartbeatAt   time.Duration
@@ -75,7 +77,9 @@
 	latencyCPU    int64
 	// hasUnknownRuns: the last report lists runs that this owner does not have.
 	hasUnknownRuns bool
-	history        runHistory
+	// isolated is the number of isolated runs.
+	isolated int64
+	history  runHistory
 }
 
 func newWorker(info workload.Worker) *worker {
@@ -125,6 +129,9 @@
 
 func (w *worker) adjustReserved(r *run, sign int64) {
 	w.runsVersion++
+	if r.isolated {
+		w.isolated += sign
+	}
 	request := reservation(r.step)
 	if r.step.BestEffort {
 		w.bestEffortCPU += sign * r.step.Request.MilliCPU
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -34,6 +34,8 @@
 	TaskWaiting          Number = 843
 	TaskReleased         Number = 844
 	LeasesAwaited        Number = 845
+	TaskGivenUp          Number = 846
+	WorkerCrashed        Number = 847
 	LinesDropped         Number = 851
 )
 
@@ -68,5 +70,7 @@
 	{TaskWaiting, "TaskWaiting", zapcore.WarnLevel, "long-running task has no run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason counts the workers by why they do not take the task. Add capacity if they are full; report it if the task fits or is overtaken."},
 	{TaskReleased, "TaskReleased", zapcore.WarnLevel, "tasks are given to another cell, because the workers of their own are full", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "None; the owner of the other cell logs the placement. If it recurs, use fewer cells or add capacity."},
 	{LeasesAwaited, "LeasesAwaited", zapcore.WarnLevel, "tasks of silent workers are not started elsewhere until their leases have expired", []string{"worker", "age", "reason", "epoch", "cell"}, "Check the workers and the network. The reason says how long the wait goes on and whether a previous owner granted the lease."},
+	{TaskGivenUp, "TaskGivenUp", zapcore.WarnLevel, "a task is not run again, because workers crashed under it", []string{"task", "run", "worker", "reason", "epoch", "cell"}, "Correct the task and submit it again. Event 847 names the crashes."},
+	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash is evidence against a task, see event 846. If crashes recur that are not, check the worker."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
 }
