--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -21,6 +21,7 @@
 var warnings = map[dispatch.DecisionKind]logevent.Number{
 	dispatch.TaskWaiting:   logevent.TaskWaiting,
 	dispatch.TaskReleased:  logevent.TaskReleased,
+	dispatch.LeasesAwaited: logevent.LeasesAwaited,
 	dispatch.TaskGivenUp:   logevent.TaskGivenUp,
 	dispatch.WorkerCrashed: logevent.WorkerCrashed,
 }
--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -44,6 +44,20 @@
 	return page, err
 }
 
+func (l *cutLog) Values(ctx context.Context) (map[string][]byte, error) {
+	if l.isCut() {
+		return nil, errors.New("cut off")
+	}
+	return l.fakeLog.Values(ctx)
+}
+
+func (l *cutLog) Put(ctx context.Context, key string, value []byte) error {
+	if l.isCut() {
+		return errors.New("cut off")
+	}
+	return l.fakeLog.Put(ctx, key, value)
+}
+
 func (l *cutLog) isCut() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -167,6 +181,9 @@
 	return call(ctx, p, p.Coordinator.FreeCapacity, q)
 }
 
+// clusterLease is the duration of the leases that the owners of a cluster grant.
+const clusterLease = 5 * time.Second
+
 // cluster runs several nodes that call each other and own cells independently, in the
 // virtual time of package synctest.
 type cluster struct {
@@ -215,12 +232,13 @@
 func (c *cluster) addNode(vm string, cells int) {
 	c.logs[vm] = &cutLog{fakeLog: c.log}
 	p := c.platform(cellMember{c.group, vm})
-	p.Log, p.Directory = c.logs[vm], c.directory
+	p.Log, p.Owners, p.Directory = c.logs[vm], c.logs[vm], c.directory
+	p.WorkerClient = linkedWorkers{c.workers, func(worker string) bool { return c.linkIsCut(vm, worker) }}
 	startedAt := time.Now()
 	c.nodes[vm] = coordinator.NewNode(coordinator.Config{
 		SuspendClock: func() time.Duration { return time.Since(startedAt) },
 		VM:           vm, PeerAddress: vm, Cells: cells,
-		Dispatch: dispatch.Config{Lease: 5 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2, StopTime: 100 * time.Millisecond},
+		Dispatch: dispatch.Config{Lease: clusterLease, HandoverLease: 2 * clusterLease, HeartbeatWait: time.Second, RemoteFactor: 2, StopTime: 100 * time.Millisecond},
 	}, p, nil, coordinator.NewMetrics())
 }
 
@@ -236,7 +254,7 @@
 	c.cutLinks[[2]string{from, to}] = cut
 }
 
-// cutStore cuts a node off from the log and the group, or ends that.
+// cutStore cuts a node off from the log, the owners and the group, or ends that.
 func (c *cluster) cutStore(vm string, cut bool) {
 	c.log.update(func() { c.logs[vm].cut = cut })
 	c.group.mu.Lock()
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -12,6 +12,7 @@
 
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/logevent"
 )
 
@@ -19,6 +20,7 @@
 type ownership struct {
 	*cell
 	epoch              int64
+	previousEpoch      int64
 	machine            *dispatch.Machine
 	events             chan any
 	writer             *cellWriter
@@ -26,6 +28,8 @@
 	cancel             context.CancelFunc
 	lastSnapshot       snapshotMark
 	snapshotInProgress atomic.Bool
+	// proofSentAt is when a proof of the epoch was last appended.
+	proofSentAt time.Duration
 	// suspended is the time for which the VM has been suspended, as the event loop last
 	// saw it. cancelling are the guests whose cancellation is being appended.
 	suspended  time.Duration
@@ -66,9 +70,11 @@
 	if len(c.node.cells) > 1 {
 		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
 	}
-	config.PredecessorExpiry = c.predecessorLeaseExpiry(previous)
+	config.PredecessorExpiry = c.predecessorLeaseExpiry()
+	config.AuthorityDuration = authorityDuration
+	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
-		cell: c, epoch: epoch, cancel: cancel,
+		cell: c, epoch: epoch, previousEpoch: previous.Epoch, cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan any, maxQueuedEvents),
@@ -85,12 +91,13 @@
 	o.wg.Go(func() { o.requestResignation(ctx, previous) })
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
-	if reason == assignmentEnded && o.node.hasAuthority() {
+	if reason == assignmentEnded && o.hasAuthority() {
 		o.handOver(ctx)
 	}
 	cancel()
 	c.node.workers.unsubscribe(o)
 	o.wg.Wait()
+	o.keepLeases(reason)
 	c.owning.Store(false)
 	c.node.logger.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
 		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began))
@@ -108,11 +115,13 @@
 		epoch = max(c.generation.Load(), c.ledger().Owner().Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
 		record := ledger.OpenedRecord(owner)
+		c.firstEpoch.CompareAndSwap(0, epoch)
 		data, err := ledger.Encode(record)
 		if err != nil {
 			return 0, previous, err
 		}
 		call, cancel := context.WithTimeout(ctx, logTimeout)
+		sent := c.node.authorityNow()
 		end, err := c.node.platform.Log.Append(call, c.cellStream(), [][]byte{data}, &Fence{Epoch: epoch, Sequence: 1, ExpectedEnd: c.cellNext})
 		cancel()
 		c.node.metrics.countLogCall(err)
@@ -124,6 +133,7 @@
 		if err != nil {
 			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
 		}
+		c.authority.proven(sent)
 		c.ledger().Apply(record)
 		c.cellNext = end
 		c.node.owners.update(c.number, owner)
@@ -135,6 +145,9 @@
 // assignmentEnded is the reason for the end of an ownership that the node gives up.
 const assignmentEnded = "assignment ended"
 
+// panicked is the reason for the end of an ownership whose state may be inconsistent.
+const panicked = "panic"
+
 // guardedEventLoop runs eventLoop. A panic there ends the ownership, not the process:
 // the node goes on serving callers, and the cell's state is read again from the log
 // by its next owner.
@@ -143,7 +156,7 @@
 		if v := recover(); v != nil {
 			o.reportPanic(v)
 			o.resetState()
-			reason = "panic"
+			reason = panicked
 		}
 	}()
 	return o.eventLoop(ctx)
@@ -169,6 +182,7 @@
 			if o.resignedEpoch.Load() >= o.epoch {
 				return "resigned"
 			}
+			o.proveEpoch()
 			o.wg.Go(func() { o.verifyEpoch(ctx) })
 		case answer := <-o.refreshRequests:
 			answer <- refreshResult{intakeNext: o.intakeNext}
@@ -186,12 +200,24 @@
 			o.handleEvent(ctx, ev)
 		case now := <-tick.C:
 			o.step(ctx, dispatch.Tick{Now: now})
+			o.proveEpoch()
 			o.sweep()
 			o.saveSnapshot(ctx)
 		}
 	}
 }
 
+// proveEpoch appends a record without effect if a newer epoch may have been opened since
+// the joins of this node were interrupted.
+func (o *ownership) proveEpoch() {
+	now := o.node.monotonicNow()
+	if !o.authority.needsProof() || now-o.proofSentAt < proofInterval {
+		return
+	}
+	o.proofSentAt = now
+	o.writer.enqueue(dispatch.Append{Records: []*ledgerpb.Record{ledger.OpenedRecord(o.ledger().Owner())}})
+}
+
 // verifyEpoch ends the ownership if another node has opened a newer epoch. Without runs
 // or records, an owner that was cut off and is assigned the cell again would not notice.
 func (o *ownership) verifyEpoch(ctx context.Context) {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -23,6 +23,10 @@
 		return "data centre is evacuated"
 	case r.worker.silent:
 		return "worker is silent"
+	case r.worker.bar != leasesAllowed:
+		return "worker is recorded as silent"
+	case !r.worker.reserved.Fits(r.worker.Capacity):
+		return "runs exceed the worker's capacity"
 	case m.unconfirmed(r.entry):
 		return "submission is not confirmed by its own cell"
 	}
@@ -44,6 +48,7 @@
 		reason := m.startBlocker(r)
 		if r.stopRequested || reason != "" || r.worker.Incarnation != incarnation || !m.gangRecorded(r) {
 			m.emitDecision(RunRefused, r.id, r.worker.ID(), reason, 0)
+			m.stopGang(r)
 			m.removeRun(r)
 			return
 		}
@@ -52,7 +57,6 @@
 }
 
 // gangRecorded reports whether all members of a run's gang still have their run.
-// If not, it stops the other members.
 func (m *Machine) gangRecorded(r *run) bool {
 	if !r.step.Gang {
 		return true
@@ -63,11 +67,7 @@
 			members++
 		}
 	}
-	if members == r.step.Tasks {
-		return true
-	}
-	m.stopGang(r)
-	return false
+	return members == r.step.Tasks
 }
 
 func (m *Machine) sendStart(r *run) {
@@ -141,13 +141,11 @@
 		w.pausedUntil = m.now + m.noRoomPause(w)
 	}
 	m.emitDecision(RunRefused, r.id, w.ID(), answer.String(), m.now-w.clockAt)
+	m.stopGang(r)
 	if r.unanswered && answer != WrongWorker {
 		m.stopRun(r, "an earlier copy of the start may still be carried out")
 		return
 	}
-	if r.step.Gang {
-		m.stopGang(r)
-	}
 	m.removeRun(r)
 }
 
@@ -218,8 +216,8 @@
 	}
 	for _, r := range w.runList {
 		switch {
-		case r.phase == starting && !r.commandInFlight && !r.inherited && r.unanswered && !m.unconfirmed(r.entry):
-			m.sendStart(r)
+		case r.phase == starting && !r.commandInFlight && !r.inherited && r.unanswered:
+			m.repeatStart(r)
 		case r.phase == stopping && r.unanswered && r.commandInFlight:
 			r.unanswered = false
 			m.sendStop(r)
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -13,11 +13,15 @@
 const (
 	// survivalTime is the time, on the worker's clock, after which a run that was started
 	// is not suspected of a crash any more.
-	survivalTime = 500 * time.Millisecond
+	survivalTime = 300 * time.Millisecond
 	// outageMargin covers the delays with which outages that begin together are seen.
 	outageMargin = 100 * time.Millisecond
 	// minOutage is the silence from which it counts as an outage.
 	minOutage = 1500 * time.Millisecond
+	// unexplainedLimit is the number of outages without suspects within unexplainedTime
+	// from which workers are taken to go away for reasons of their own.
+	unexplainedLimit = 2
+	unexplainedTime  = 10 * time.Second
 	// outageMemory is the time for which outages are remembered.
 	outageMemory = time.Minute
 )
@@ -116,8 +120,13 @@
 	m.attribute(o, "another worker is listed at the address")
 }
 
-// noteSilence remembers the outage of a worker that answers again.
+// noteSilence remembers the outage of a worker that answers again, and clears the runs that
+// were suspected because its leases expired.
 func (m *Machine) noteSilence(w *worker) {
+	if lost, ok := m.crashes.lost[w.Address]; ok && lost.incarnation == w.Incarnation {
+		delete(m.crashes.lost, w.Address)
+		m.clearSuspects(lost.suspects)
+	}
 	if w.clockAt > 0 && m.now-w.clockAt >= minOutage {
 		m.remember(w.outageOf(m.now))
 	}
@@ -172,8 +181,12 @@
 			return "worker " + w.ID() + " has been silent since then"
 		}
 	}
+	unexplained := 0
 	for i := range m.crashes.outages {
 		old := &m.crashes.outages[i]
+		if len(old.suspects) == 0 && m.now-old.seenAt <= unexplainedTime {
+			unexplained++
+		}
 		switch {
 		case old.isolated || old.incarnation == o.incarnation:
 		case old.overlaps(o):
@@ -182,6 +195,9 @@
 			return "the worker was away before without a suspect"
 		}
 	}
+	if unexplained >= unexplainedLimit {
+		return "workers go away without suspects"
+	}
 	return ""
 }
 
@@ -261,6 +277,27 @@
 	m.appendRecord(record, func() { m.ledger.Apply(record) })
 }
 
+// clearSuspects clears tasks whose runs have not crashed their worker. A gang may still
+// have crashed the worker of another member.
+func (m *Machine) clearSuspects(suspects []workload.RunID) {
+	for _, s := range suspects {
+		e := m.ledger.Find(s.Task.Submission)
+		if e == nil || e.State().Final() || e.Steps[s.Task.Step].Gang {
+			continue
+		}
+		record := ledger.SurvivedRecord(s)
+		m.appendRecord(record, func() {
+			m.ledger.Apply(record)
+			r := m.active[s.Task]
+			if r != nil && r.isolated && r.worker.runs[r.id] == r && !e.CrashRecordOf(r.task).Suspect {
+				r.isolated = false
+				r.worker.isolated--
+			}
+			m.planNeeded = true
+		})
+	}
+}
+
 // gangSurvived reports whether all members of a run's gang have survived.
 func (m *Machine) gangSurvived(r *run) bool {
 	survived := 0
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -29,6 +29,14 @@
 	predecessorsExpireAt time.Duration
 	// silent: the last heartbeat failed.
 	silent bool
+	// bar says whether the worker may be granted leases.
+	bar leaseBar
+	// silenceRecorded: this owner recorded the worker as silent, with recordedLeft until
+	// its leases have expired. Otherwise they have by the record of a previous owner at
+	// inheritedExpireAt.
+	silenceRecorded   bool
+	recordedLeft      time.Duration
+	inheritedExpireAt time.Duration
 	// silentAt is when it became silent.
 	silentAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
@@ -69,7 +77,9 @@
 	latencyCPU    int64
 	// isolated is the number of isolated runs.
 	isolated int64
-	history  runHistory
+	// hasUnknownRuns: the last report lists runs that this owner does not have.
+	hasUnknownRuns bool
+	history        runHistory
 }
 
 func newWorker(info workload.Worker) *worker {
@@ -227,7 +237,8 @@
 	return sum
 }
 
-// needsHeartbeat reports whether the worker has runs or ends to be acknowledged.
+// needsHeartbeat reports whether the worker has runs, also unknown ones, or ends to be
+// acknowledged.
 func (w *worker) needsHeartbeat() bool {
-	return len(w.runs) > 0 || w.ackedCursor < w.cursor
+	return len(w.runs) > 0 || w.hasUnknownRuns || w.ackedCursor < w.cursor
 }
