--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -42,6 +42,8 @@
 	w.Incarnation, w.listed = incarnation, false
 	m.inheritSilence(w)
 	for _, r := range unreported {
+		// The crash of the old incarnation has been attributed.
+		r.isolated, r.survived = false, true
 		w.addRun(r)
 		r.stopRequested = true
 		m.sendStop(r)
