coordinator: a restarted owner that owns its cell again knows that its old leases are old

Change: an answer to a resignation also names the address of the owner before, and whether it was sole. TestOwnerThatWasRestartedKnowsThatItsLeasesAreOld fails without it (no run 10.3 s after the worker fell silent).

--- a/coordinator/leasebounds_test.go
+++ b/coordinator/leasebounds_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +140,36 @@
 	}
 	return owner.Sole
 }
+
+// Guards against an owner that was restarted, owns the cell again before its successor has
+// asked it, and waits as if its previous process could still grant leases.
+func TestOwnerThatWasRestartedKnowsThatItsLeasesAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 2)
+		defer s.close()
+		// The first owner records that it is the sole one.
+		time.Sleep(ownerAuthority)
+		s.silence()
+		s.restart("vm-0", "vm-1")
+		s.cutLink("vm-1", "vm-0", true)
+		s.group.assign(0, "vm-1")
+		time.Sleep(2 * time.Second)
+		s.group.assign(0, "vm-0")
+		s.waitForRestart(dispatch.LeaseExpiryBound(2*clusterLease) + maxTakeoverTime - 2*time.Second)
+	})
+}
+
+// restart ends the process of the first VM and starts another one.
+func (s *silentWorkerTest) restart(vm, other string) {
+	s.stops[0]()
+	s.addNode(vm, 1)
+	s.nodes[vm].SetPeer(other, remotePeer{s.nodes[other], func() bool { return s.linkIsCut(vm, other) }})
+	s.nodes[other].SetPeer(vm, remotePeer{s.nodes[vm], func() bool { return s.linkIsCut(other, vm) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		s.nodes[vm].Run(ctx)
+		close(done)
+	}()
+	s.stops[0] = func() { cancel(); <-done }
+}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -19,8 +19,9 @@
 // ownership is one epoch of a cell at this node.
 type ownership struct {
 	*cell
-	epoch              int64
-	previousEpoch      int64
+	epoch int64
+	// previous is the owner of the epoch before.
+	previous           ledger.Owner
 	machine            *dispatch.Machine
 	events             chan any
 	writer             *cellWriter
@@ -74,7 +75,7 @@
 	config.AuthorityDuration = authorityDuration
 	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
-		cell: c, epoch: epoch, previousEpoch: previous.Epoch, cancel: cancel,
+		cell: c, epoch: epoch, previous: previous, cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan any, maxQueuedEvents),
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -104,7 +104,7 @@
 
 // keepLeases keeps the leases at the end of the ownership for its successor.
 func (o *ownership) keepLeases(reason string) {
-	g := &grantedLeases{epoch: o.epoch, previousEpoch: o.previousEpoch, endedAt: o.node.monotonicNow(), known: reason != panicked}
+	g := &grantedLeases{epoch: o.epoch, previous: o.previous, endedAt: o.node.monotonicNow(), known: reason != panicked}
 	if g.known {
 		g.expiry = o.machine.Leases(g.endedAt)
 	}
