Test an owner that is stopped while the store is away and a worker is silent (known red)

Trace: frontend-maadi-2 owns the cell, its workers of one data centre fall silent at 31 s, the store goes away, the owner is stopped and its process ends at 40.3 s; the next owners can only count the longest lease from that end, to 51.3 s.

Not load or chance: the test fails in virtual time. Not fixed: the wait is bounded, but what the stopped owner knew is lost with its process.

--- a/coordinator/leasebounds_test.go
+++ b/coordinator/leasebounds_test.go
@@ -173,3 +173,25 @@
 	}()
 	s.stops[0] = func() { cancel(); <-done }
 }
+
+// Guards against a wait for leases that expired long ago, because the owner that granted
+// them was stopped while the store was away and could tell nobody that the worker was
+// silent.
+func TestStopWhileTheStoreIsAwayDoesNotProlongTheWaitForASilentWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 2)
+		defer s.close()
+		time.Sleep(ownerAuthority)
+		s.silence()
+		s.cutStore("vm-0", true)
+		s.cutStore("vm-1", true)
+		time.Sleep(clusterLease)
+		s.restart("vm-0", "vm-1")
+		s.cutStore("vm-0", true)
+		time.Sleep(time.Second)
+		s.cutStore("vm-0", false)
+		s.cutStore("vm-1", false)
+		s.group.assign(0, "vm-1")
+		s.waitForRestart(s.leaseEnd() + maxRestartDelay)
+	})
+}
