coordinator: nodes await the end of an ownership, and learn which leases remain

Cause: the stopped owner could record nothing, and nobody asked it before its process ended. Ruled out: recording silences with other nodes while the store is away (it would bar workers from leases until the store is back), and a push at the stop (an owner doesn't know the other nodes' addresses).

Change: each node that can own cells keeps a call waiting at each cell's owner. It is answered at the end of the ownership with the leases that remain. Nodes pass that on to the process at the owner's address and to the next owner.

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -67,6 +67,10 @@
 	authority cellAuthority
 	// lastLeases are the leases at the end of this node's last ownership.
 	lastLeases atomic.Pointer[grantedLeases]
+	// ended is closed at the end of the ownership that owning reports.
+	ended atomic.Pointer[chan struct{}]
+	// knownEnd is the newest end of another node's ownership that this node was told of.
+	knownEnd atomic.Pointer[ownershipEnd]
 	// recentlyAccepted maps the ids of submissions that this node accepted, but
 	// has not yet read from the intake, to the time of acceptance.
 	recentlyAccepted sync.Map
--- a/coordinator/grantedleases.go
+++ b/coordinator/grantedleases.go
@@ -44,6 +44,8 @@
 				OwnExpiryMs: ceilMillis(max(0, last.endedAt+expiry.Own-now)),
 			})
 		}
+	case c.knownEndOf(epoch) != nil:
+		return c.knownEndOf(epoch)
 	case c.precedesProcess(epoch):
 		answer.Restarted, answer.ProcessAgeMs = true, now.Milliseconds()
 	}
--- a/coordinator/leasebounds_test.go
+++ b/coordinator/leasebounds_test.go
@@ -195,3 +195,47 @@
 		s.waitForRestart(s.leaseEnd() + maxRestartDelay)
 	})
 }
+
+// Guards against the same wait if the process that replaces the stopped owner owns the cell
+// itself: the other nodes were told at the stop which leases remained, and pass it on.
+func TestReplacedProcessLearnsWhichLeasesRemained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 2)
+		defer s.close()
+		time.Sleep(ownerAuthority)
+		s.silence()
+		s.stopWhileTheStoreIsAway(clusterLease)
+		s.group.assign(0, "vm-0")
+		s.waitForRestart(s.leaseEnd() + maxRestartDelay)
+	})
+}
+
+// Guards against a wait that each stop of an owner without the store begins anew.
+func TestStopsWhileTheStoreIsAwayDoNotProlongTheWaitForASilentWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 2)
+		defer s.close()
+		time.Sleep(ownerAuthority)
+		s.silence()
+		silentAt, limit := time.Now(), s.leaseEnd()+maxRestartDelay
+		for range 3 {
+			s.stopWhileTheStoreIsAway(500 * time.Millisecond)
+			s.group.assign(0, "vm-0")
+			time.Sleep(500 * time.Millisecond)
+		}
+		s.waitForRestart(limit - time.Since(silentAt))
+	})
+}
+
+// stopWhileTheStoreIsAway replaces the process of the first VM after the store has been
+// away for a while.
+func (s *silentWorkerTest) stopWhileTheStoreIsAway(away time.Duration) {
+	s.cutStore("vm-0", true)
+	s.cutStore("vm-1", true)
+	time.Sleep(away)
+	s.restart("vm-0", "vm-1")
+	s.cutStore("vm-0", true)
+	time.Sleep(time.Second)
+	s.cutStore("vm-0", false)
+	s.cutStore("vm-1", false)
+}
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -60,6 +60,10 @@
 	// handOverTimeout is the time for which an owner that gives a cell up waits for the
 	// workers whose leases it extends.
 	handOverTimeout = 300 * time.Millisecond
+	// endWait is how long a call that waits for the end of an ownership stays open,
+	// endWatchInterval the least time between two such calls of a node.
+	endWait          = 5 * time.Second
+	endWatchInterval = 400 * time.Millisecond
 	// resignTimeout is the timeout of a resignation request to a previous owner.
 	resignTimeout = 500 * time.Millisecond
 	// lookupRetryDelay is the delay before a cell's owner is queried again.
--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -177,6 +177,10 @@
 	return call(ctx, p, p.Coordinator.Resign, q)
 }
 
+func (p remotePeer) AwaitEnd(ctx context.Context, q *coordpb.AwaitEndRequest) (*coordpb.AwaitEndAnswer, error) {
+	return call(ctx, p, p.Coordinator.AwaitEnd, q)
+}
+
 func (p remotePeer) FreeCapacity(ctx context.Context, q *coordpb.FreeCapacityRequest) (*coordpb.FreeCapacityAnswer, error) {
 	return call(ctx, p, p.Coordinator.FreeCapacity, q)
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -83,6 +83,8 @@
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
 	c.intakeReadAt.Store(int64(began))
+	ended := make(chan struct{})
+	c.ended.Store(&ended)
 	c.owning.Store(true)
 	// The event loop changes intakeNext, so it is read before the goroutine starts.
 	intakeFrom := c.intakeNext
@@ -100,6 +102,7 @@
 	o.wg.Wait()
 	o.keepLeases(reason)
 	c.owning.Store(false)
+	close(ended)
 	c.node.logger.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
 		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began))
 }
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -43,11 +43,16 @@
 	wg.Wait()
 }
 
-// requestResignation requests the previous owner to end its ownership. An answer
-// of a new process at its address counts too: the previous process has then ended.
+// requestResignation requests the previous owner to end its ownership, unless this node
+// knows that it has ended and which leases remained. An answer of a new process at its
+// address counts too: the previous process has then ended.
 func (o *ownership) requestResignation(ctx context.Context, previous ledger.Owner) {
+	if answer := o.knownEndOf(previous.Epoch); answer != nil {
+		o.postResigned(ctx, previous, answer)
+		return
+	}
 	if previous.VM == o.node.config.VM && previous.PeerAddress == o.node.config.PeerAddress {
-		o.postResigned(ctx, previous, o.resignAnswer(previous.Epoch))
+		o.postEnd(ctx, previous, o.resignAnswer(previous.Epoch))
 		return
 	}
 	if previous.PeerAddress == "" {
@@ -59,13 +64,25 @@
 		cancel()
 		if err == nil && answer.Resigned {
 			o.node.logger.Log(logevent.FormerOwnerResigned, zap.String("vm", previous.VM), zap.Int64("epoch", previous.Epoch))
-			o.postResigned(ctx, previous, answer)
+			o.postEnd(ctx, previous, answer)
 			return
 		}
 		sleep(ctx, retryDelay(attempt))
 	}
 }
 
+// postEnd passes on what is known of the end of the previous ownership. If the answer
+// doesn't say which leases remained, another node may.
+func (o *ownership) postEnd(ctx context.Context, previous ledger.Owner, answer *coordpb.ResignAnswer) {
+	o.postResigned(ctx, previous, answer)
+	if answer.LeasesKnown {
+		return
+	}
+	if known := o.awaitKnownEnd(ctx, previous.Epoch); known != nil {
+		o.postResigned(ctx, previous, known)
+	}
+}
+
 // Resign handles a request of another node to end this node's ownership of a cell
 // in all epochs up to the given one. It answers when the ownership has ended or
 // ctx is done.
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -36,6 +36,7 @@
 	LeasesAwaited        Number = 845
 	TaskGivenUp          Number = 846
 	WorkerCrashed        Number = 847
+	OwnershipEndLearned  Number = 848
 	LinesDropped         Number = 851
 )
 
@@ -72,5 +73,6 @@
 	{LeasesAwaited, "LeasesAwaited", zapcore.WarnLevel, "tasks of silent workers are not started elsewhere until their leases have expired", []string{"worker", "age", "reason", "epoch", "cell"}, "Check the workers and the network. The reason says how long the wait goes on and whether a previous owner granted the lease."},
 	{TaskGivenUp, "TaskGivenUp", zapcore.WarnLevel, "a task is not run again, because workers crashed under it", []string{"task", "run", "worker", "reason", "epoch", "cell"}, "Correct the task and submit it again. Event 847 names the crashes."},
 	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash is evidence against a task, see event 846. If crashes recur that are not, check the worker."},
+	{OwnershipEndLearned, "OwnershipEndLearned", zapcore.InfoLevel, "told which leases remained at the end of an ownership", []string{"cell", "epoch", "leases"}, "None."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
 }
