--- /dev/null
+++ b/dispatch/largeload_test.go
@@ -0,0 +1,76 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// Arrivals of the largest deployment, a second and worker.
+const (
+	largeSignInRate    = 13.8 / 890
+	largeMealClaimRate = 24.3 / 890
+)
+
+// newLargeLoad returns a simulation in which long-running tasks request most of the CPU, as on
+// the largest deployment, and are running.
+func newLargeLoad(seed uint64, workers int) *loadSim {
+	l := newLoadSim(seed, workers)
+	l.run(2 * time.Second)
+	for range workers * 173 / 890 {
+		l.submit(l.largeOfficeSync())
+		l.run(20 * time.Millisecond)
+	}
+	l.run(5 * time.Second)
+	return l
+}
+
+// play lets the batches arrive at a multiple of their usual rates.
+func (l *loadSim) play(d time.Duration, times float64) {
+	until := l.now + d
+	n := float64(len(l.workers)) * times
+	l.scheduleArrivals(n*largeSignInRate, until, l.largeSignIn)
+	l.scheduleArrivals(n*largeMealClaimRate, until, l.largeMealClaim)
+	l.run(d)
+}
+
+func (l *loadSim) largeSignIn() *workload.Submission {
+	steps := 1 + l.random.IntN(2)
+	return l.batch("sign-in", steps, int(l.drawSkewed(9.4, 0.8, 56)), l.drawSkewed(20000, 0.45, 60000), l.drawSkewed(800, 0.5, 2000), 0)
+}
+
+func (l *loadSim) largeMealClaim() *workload.Submission {
+	return l.batch("meal-claim", 2, int(l.drawSkewed(39, 0.6, 160)), l.drawSkewed(7000, 0.3, 14000), l.drawSkewed(1700, 0.5, 4300), 2)
+}
+
+func (l *loadSim) largeOfficeSync() *workload.Submission {
+	s := l.batch("office-sync", 1, int(l.drawSkewed(24, 0.4, 48)), l.drawSkewed(13000, 0.25, 20000), 500, 0)
+	s.Steps[0].LongRunning, s.Steps[0].LatencyTarget = true, 50*time.Millisecond
+	s.Steps[0].Image = fmt.Sprintf("office-sync-%d", l.serial%16)
+	if l.serial%2 == 0 {
+		s.Steps[0].MaxPerWorker = 2
+	}
+	return s
+}
+
+// BenchmarkOwnerOfLargeDeployment measures the CPU time of one owner's decisions for a second
+// of the largest deployment's load, with all of its workers and with half of them.
+func BenchmarkOwnerOfLargeDeployment(b *testing.B) {
+	for _, workers := range []int{445, 890} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				l := newLargeLoad(1, workers)
+				l.stepTime, l.starts, l.heartbeats = 0, 0, 0
+				l.play(15*time.Second, 1.3)
+				b.ReportMetric(l.stepTime.Seconds()/15, "cores")
+				b.ReportMetric(float64(l.starts)/15, "starts/s")
+				b.ReportMetric(float64(l.heartbeats)/15, "holds/s")
+				b.ReportMetric(l.shareWithin("sign-in", 1), "sign-in-in-time")
+				b.ReportMetric(l.shareWithin("meal-claim", 1), "meal-claim-in-time")
+				b.ReportMetric(float64(len(l.submittedAt)), "waiting")
+			}
+		})
+	}
+}
