scheduler: a returning data centre ramps with the time since its return; summaries protect attempts as configured

Callers saw moved tasks land on a returning data centre at a fifth of its weight for as long as it returned: the ramp used the age of the summary, which is always new.

--- a/bench/faults.go
+++ b/bench/faults.go
@@ -84,7 +84,7 @@
 		for _, t := range c.pending {
 			pending = append(pending, t.schedulerTask())
 		}
-		list = append(list, scheduler.Summarize(sim.now, c.snapshot(sim), pending))
+		list = append(list, scheduler.Summarize(sim.now, c.snapshot(sim), pending, scheduler.DefaultConfig().NearlyDone))
 	}
 	sim.summaries = list
 }
--- a/entry/cellsnapshot.go
+++ b/entry/cellsnapshot.go
@@ -203,7 +203,7 @@
 	if err != nil {
 		return scheduler.CellSummary{Cell: r.cell, At: now}
 	}
-	return scheduler.Summarize(now, s, r.pendingTasks(now, d, list))
+	return r.policy.Summarize(now, s, r.pendingTasks(now, d, list))
 }
 
 // trackRunningAttempts records when each attempt was first seen running and
--- a/entry/summary.go
+++ b/entry/summary.go
@@ -97,6 +97,7 @@
 		PendingMemoryMib:     v.summary.Pending.MemoryMiB,
 		PendingAccelerators:  v.summary.Pending.Accelerators,
 		Phase:                int32(v.summary.Phase),
+		PhaseAgeMs:           v.summary.PhaseAge.Milliseconds(),
 		Accepting:            v.accepting,
 	}
 	for _, r := range n.feed.store.View().List(api.KindService) {
@@ -192,6 +193,7 @@
 	s := scheduler.CellSummary{
 		Cell:     scheduler.CellID{DataCentre: c.DataCentre, Index: int(c.Cell)},
 		Phase:    scheduler.Phase(c.Phase),
+		PhaseAge: time.Duration(c.PhaseAgeMs) * time.Millisecond,
 		Free:     hostapi.Resources{MilliCPU: c.FreeMilliCpu, MemoryMiB: c.FreeMemoryMib, Accelerators: c.FreeAccelerators},
 		Largest:  hostapi.Resources{MilliCPU: c.LargestMilliCpu, MemoryMiB: c.LargestMemoryMib, Accelerators: c.LargestAccelerators},
 		Capacity: hostapi.Resources{MilliCPU: c.CapacityMilliCpu, MemoryMiB: c.CapacityMemoryMib, Accelerators: c.CapacityAccelerators},
--- a/scheduler/cellchoice.go
+++ b/scheduler/cellchoice.go
@@ -92,7 +92,7 @@
 		weight *= otherDataCentreFactor
 	}
 	if summary.Phase == Returning {
-		weight *= min(1, max(0, float64(now-summary.At)/float64(p.config.RampTime)+0.2))
+		weight *= min(1, rampStart+(1-rampStart)*float64(summary.PhaseAge)/float64(p.config.RampTime))
 	}
 	if request.service && p.config.Rules.Has(RuleSpread) {
 		weight /= float64(1 + summary.Replicas[request.job] + sent.jobs[request.job])
