quarantine: success ends a job's parking, and the names are bounded

Completed left the job parked, so that the quarantine of one of its workers took a parked version off a count that had been reset: -1, and the next versions went without a trial. dropIdleNames dropped nothing if every name had a failure.

--- a/scheduler/quarantine/tracker.go
+++ b/scheduler/quarantine/tracker.go
@@ -62,9 +62,7 @@
 	name := jobName(job)
 	n := t.names[name]
 	if n == nil {
-		if len(t.names) >= maxNames {
-			t.dropIdleNames()
-		}
+		t.limitNames()
 		n = &nameRecord{failed: map[string]time.Duration{}}
 		t.names[name] = n
 	}
@@ -76,7 +74,7 @@
 func (t *Tracker) Completed(worker, job string) {
 	delete(t.workers, worker)
 	j := t.ensureJob(job)
-	j.succeeded = true
+	j.succeeded, j.parked = true, false
 	t.names[jobName(job)] = &nameRecord{failed: map[string]time.Duration{}, succeeded: true}
 	clear(j.failed)
 }
