dedup: an answer that can't be kept evicts no other; peers take the newest fingerprint

setAnswer evicted all answers of its table and then dropped the new one, if other tables used the memory. AcknowledgeIntent kept the fingerprint of a withdrawn intent, so that a successor rejected the request that had run. Both tests failed before.

--- a/dedup/memorybudget.go
+++ b/dedup/memorybudget.go
@@ -28,3 +28,8 @@
 	}
 	return true
 }
+
+// hasRoom reports whether the limit leaves room for so many bytes of answers.
+func (m *memoryBudget) hasRoom(bytes int64) bool {
+	return m.answerBytes.Load()+bytes <= m.limits.MaxAnswers
+}
--- a/dedup/replica.go
+++ b/dedup/replica.go
@@ -30,6 +30,8 @@
 	if e.done != nil || e.state != MayHaveRun {
 		return result.Errorf(result.OutcomeUnknown, "request id ran here under an earlier term")
 	}
+	// The home may have withdrawn an earlier intent for the id.
+	e.fingerprint = in.Fingerprint
 	t.keepUntil(e, now+t.memory.limits.MaxRequest+t.memory.limits.Retention)
 	return nil
 }
--- a/dedup/table.go
+++ b/dedup/table.go
@@ -122,6 +122,10 @@
 		e.state = AnswerNotKept
 		return
 	}
+	if !t.memory.hasRoom(a.size()) && !t.memory.hasRoom(a.size()-t.keptBytes()) {
+		e.state = AnswerNotKept
+		return
+	}
 	for !t.memory.reserveAnswer(a.size()) {
 		oldest := t.keptAnswers.Front()
 		if oldest == nil {
@@ -137,6 +141,15 @@
 	e.answerElement = t.keptAnswers.PushBack(e)
 }
 
+// keptBytes returns the bytes of the answers that the table keeps.
+func (t *Table) keptBytes() int64 {
+	sum := int64(0)
+	for element := t.keptAnswers.Front(); element != nil; element = element.Next() {
+		sum += element.Value.(*entry).answer.size()
+	}
+	return sum
+}
+
 func (t *Table) dropAnswer(e *entry) {
 	if e.answerElement == nil {
 		return
--- a/dedup/table_test.go
+++ b/dedup/table_test.go
@@ -301,3 +301,41 @@
 		is.Equal(result.CodeOf(err, result.OK), result.NotRunBadRequest)
 	}
 }
+
+// Guards against an answer that evicts all others of its table and is then not kept itself,
+// because other tables use the rest of the memory.
+func TestAnswerThatCannotBeKeptEvictsNoOther(t *testing.T) {
+	is := is.New(t)
+	limits := DefaultLimits()
+	limits.MaxAnswers = 100
+	store := NewStore(limits)
+	store.SetBinding(NewBinding(map[string]int{"giza": 4}))
+	table := func(cell int) *Table {
+		t := store.Table(Cell{DataCentre: "giza", Number: cell})
+		t.TakeOver(0, Takeover{Term: 10, Until: lease})
+		return t
+	}
+	finish := func(t *Table, id string, size int) {
+		run := t.Begin(0, testID(id), 1).Run
+		is.Equal(run.CheckSend(0), result.OK)
+		run.FinishAnswered(0, &Answer{Body: make([]byte, size)})
+	}
+	other, own := table(0), table(1)
+	finish(other, "other", 60)
+	finish(own, "kept", 20)
+	finish(own, "large", 50)
+	is.Equal(own.Begin(0, testID("large"), 1).Code, result.AnswerNotKept)
+	is.True(own.Begin(0, testID("kept"), 1).Answer != nil)
+}
+
+// Guards against a peer that keeps the fingerprint of a withdrawn request: after a takeover
+// it would reject the request that ran under the same id as a different one.
+func TestPeerTakesTheFingerprintOfTheNewestIntent(t *testing.T) {
+	is := is.New(t)
+	peer := testStore().Table(testCell)
+	is.NoErr(peer.AcknowledgeIntent(0, Intent{Cell: testCell, Term: 10, ID: "a", Fingerprint: 1}))
+	is.NoErr(peer.AcknowledgeIntent(0, Intent{Cell: testCell, Term: 10, ID: "a", Fingerprint: 2}))
+	peer.TakeOver(0, Takeover{Term: 11, Previous: 10, Until: lease})
+	is.Equal(peer.Begin(0, testID("a"), 2).Code, result.OutcomeUnknown)
+	is.Equal(peer.Begin(0, testID("a"), 1).Code, result.NotRunBadRequest)
+}
