--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -168,12 +168,28 @@
 		case q := <-r.lines:
 			lost += 1 + q.droppedBefore
 		case <-r.closeRequested:
-			r.onDropped(lost+uint64(len(r.lines)), cause)
+			r.onDropped(lost+r.discardQueued(), cause)
 			return
 		}
 	}
 }
 
+// discardQueued empties the queue and returns the number of lines that were lost, those
+// dropped before and after the queued lines included.
+func (r *Recorder) discardQueued() uint64 {
+	lost := uint64(0)
+	for {
+		select {
+		case q := <-r.lines:
+			lost += 1 + q.droppedBefore
+		default:
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return lost + r.dropped
+		}
+	}
+}
+
 // Close writes the queued lines and closes the writer. It returns the context's
 // error if the writer does not finish in time; the writing goroutine then keeps
 // running.
--- a/trace/recorder_test.go
+++ b/trace/recorder_test.go
@@ -102,3 +102,25 @@
 	r.Event(1, "x", freshness.Tick{})
 	is.NoErr(r.Close(context.Background()))
 }
+
+// Guards against a count of lost lines that leaves out the gaps before queued lines and the
+// lines dropped last.
+func TestLinesLostWithTheWriterAreCounted(t *testing.T) {
+	is := is.New(t)
+	opened, refused := make(chan struct{}), errors.New("refused")
+	var lost uint64
+	r := NewRecorder(func() (io.WriteCloser, error) { <-opened; return nil, refused }, 1, func(lines uint64, _ error) { lost += lines })
+	for range 3 {
+		r.Event(1, "x", freshness.Tick{}) // the first is queued
+	}
+	<-r.lines
+	r.Event(1, "x", freshness.Tick{}) // queued behind a gap of two
+	r.Event(1, "x", freshness.Tick{}) // dropped
+	r.mu.Lock()
+	r.closing = true
+	close(r.closeRequested)
+	r.mu.Unlock()
+	close(opened)
+	<-r.done
+	is.Equal(lost, uint64(4))
+}
