checker: a planned stop ends when the VM is started again

A request that the new process lost was reported as cut off by the earlier stop. A try that was sent to the stopped process still counts, also if that is reported after the restart.

--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -129,6 +129,12 @@
 			workerSeen(0, "w1"), {Type: checker.ServerLeaving, Worker: "w1"}, runStarted(6*second, "r", 1)}},
 		{"request cut off by a stop", checker.GracefulStop, []checker.Event{
 			requestSent(0, "r", 1), {At: 1, Type: checker.StopRequested, VM: "e1"}, requestAnswered(2, "r", 1, checker.NoAnswer, "", false)}},
+		{"request cut off by a stop that has finished", checker.GracefulStop, []checker.Event{
+			requestSent(0, "r", 1), {At: 1, Type: checker.StopRequested, VM: "e1"}, {At: 2, Type: checker.StopFinished, VM: "e1"},
+			requestAnswered(3, "r", 1, checker.NoAnswer, "", false)}},
+		{"request cut off by a stop is reported after the restart", checker.GracefulStop, []checker.Event{
+			requestSent(0, "r", 1), {At: 1, Type: checker.StopRequested, VM: "e1"}, {At: 2, Type: checker.StopFinished, VM: "e1"},
+			{At: 3, Type: checker.VMStarted, VM: "e1"}, requestAnswered(4, "r", 1, checker.NoAnswer, "", false)}},
 		{"stop with exit code 3", checker.GracefulStop, []checker.Event{
 			{At: 1, Type: checker.StopRequested, VM: "e1"}, {At: 2, Type: checker.StopFinished, VM: "e1", ExitCode: 3}}},
 		{"configuration version decreases", checker.ConfigurationConvergence, []checker.Event{
@@ -154,6 +160,18 @@
 	}
 }
 
+// Guards against a checker that reports a request which a VM lost after a planned stop, when
+// it had been started again, as cut off by that stop.
+func TestStopEndsWithTheProcess(t *testing.T) {
+	is := is.New(t)
+	violations, err := checker.Check([]checker.Event{
+		{Type: checker.VMStarted, VM: "e1"}, {At: 1, Type: checker.StopRequested, VM: "e1"}, {At: 2, Type: checker.StopFinished, VM: "e1"},
+		{At: 3, Type: checker.VMStarted, VM: "e1"}, requestSent(4, "r", 1), requestAnswered(5, "r", 1, checker.NoAnswer, "", false),
+	}, checker.DefaultBounds())
+	is.NoErr(err)
+	is.Equal(len(violations), 0)
+}
+
 // Guards against a history that changes when it is written and read back, and
 // against events without a type.
 func TestHistoryRoundTrip(t *testing.T) {
