entry: a failed deletion of a finished job is retried; refusals and records that aren't queued say what they are

jobcleanup forgot when a job finished although its deletion had failed, and waited the whole retention again (test failed before: no such state). Refusals of renewals, stops, throttles and forgotten attempts were logged as rejected starts, without the task: event 308. AppendUnresolved said that an append is retried where nothing was queued: 703 is RecordNotQueued now.

--- a/entry/cellactions.go
+++ b/entry/cellactions.go
@@ -24,7 +24,7 @@
 		r.sendCommand(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) { r.startAttempt(ctx, agent, a) })
 	case tasks.Renew:
 		r.sendCommand(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) {
-			r.logRefusal(a.Worker, agent.Renew(ctx, a.Command, a.Renewals))
+			r.logRefusal(a.Worker, "renew", hostapi.AttemptID{}, agent.Renew(ctx, a.Command, a.Renewals))
 		})
 	case tasks.Checkpoint:
 		r.sendCommand(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) { r.checkpointAttempt(ctx, agent, a) })
@@ -32,7 +32,7 @@
 		r.sendCommand(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) { r.stopAttempt(ctx, agent, a) })
 	case tasks.Forget:
 		r.sendCommand(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) {
-			r.logRefusal(a.Worker, agent.Forget(ctx, a.Command, a.ID))
+			r.logRefusal(a.Worker, "forget", a.ID, agent.Forget(ctx, a.Command, a.ID))
 		})
 	case tasks.OfferMove:
 		go r.host.offerMove(r.ctx, a)
@@ -98,7 +98,8 @@
 		return
 	}
 	if err != nil {
-		r.logRefusal(a.Worker, err)
+		r.log.Log(logevent.StartRejected, zap.String("task", a.Start.ID.Task), zap.Int64("attempt", a.Start.ID.Attempt),
+			zap.String("worker", a.Worker), zap.String("reason", err.Error()))
 	}
 	r.sendEvent(tasks.StartAnswered{Worker: a.Worker, ID: a.Start.ID, Refused: err != nil})
 }
@@ -114,19 +115,20 @@
 func (r *cellRunner) stopAttempt(ctx context.Context, agent hostapi.WorkerAgent, a tasks.Stop) {
 	report, err := agent.Stop(ctx, a.Command, a.ID)
 	if err != nil {
-		r.logRefusal(a.Worker, err)
+		r.logRefusal(a.Worker, "stop", a.ID, err)
 		return
 	}
 	r.sendEvent(tasks.StopAnswered{Worker: a.Worker, Boot: a.Command.Boot, Report: report})
 }
 
-// logRefusal logs that a worker refused a command. Failures to reach the
+// logRefusal logs that a worker refused a command other than a start. Failures to reach the
 // worker are not logged per command, because observations report them.
-func (r *cellRunner) logRefusal(worker string, err error) {
+func (r *cellRunner) logRefusal(worker, command string, id hostapi.AttemptID, err error) {
 	if err == nil || !isRefusal(err) {
 		return
 	}
-	r.log.Log(logevent.StartRejected, zap.String("worker", worker), zap.String("reason", err.Error()))
+	r.log.Log(logevent.CommandRejected, zap.String("command", command), zap.String("task", id.Task), zap.Int64("attempt", id.Attempt),
+		zap.String("worker", worker), zap.String("reason", err.Error()))
 }
 
 // isRefusal reports whether the worker answered that a command had no effect.
--- a/entry/cellplan.go
+++ b/entry/cellplan.go
@@ -92,7 +92,7 @@
 	r.throttleShares[a.ID] = a.Share
 	r.log.Log(logevent.TaskThrottled, zap.String("task", a.ID.Task), zap.Int64("attempt", a.ID.Attempt), zap.String("worker", a.Worker), zap.Float64("share", a.Share), zap.String("reason", a.Reason))
 	r.sendCommand(a.Worker, func(ctx context.Context, agent hostapi.WorkerAgent) {
-		r.logRefusal(a.Worker, agent.Throttle(ctx, command, a.ID, a.Share))
+		r.logRefusal(a.Worker, "throttle", a.ID, agent.Throttle(ctx, command, a.ID, a.Share))
 	})
 }
 
--- a/entry/cellstream.go
+++ b/entry/cellstream.go
@@ -76,7 +76,7 @@
 		_, err = r.writer.Submit(item)
 	}
 	if err != nil {
-		r.log.Log(logevent.AppendUnresolved, zap.String("stream", r.follower.stream), zap.Error(err))
+		r.log.Log(logevent.RecordNotQueued, zap.String("stream", r.follower.stream), zap.Error(err))
 	}
 }
 
--- a/entry/claimsrunner.go
+++ b/entry/claimsrunner.go
@@ -211,7 +211,7 @@
 		_, err = r.writer.Submit(item)
 	}
 	if err != nil {
-		r.log.Log(logevent.AppendUnresolved, zap.String("stream", r.follower.stream), zap.Error(err))
+		r.log.Log(logevent.RecordNotQueued, zap.String("stream", r.follower.stream), zap.Error(err))
 	}
 }
 
--- a/entry/jobcleanup.go
+++ b/entry/jobcleanup.go
@@ -58,17 +58,25 @@
 			delete(c.finishedAt, key)
 			continue
 		}
-		since, known := c.finishedAt[key]
-		switch {
-		case !known:
-			c.finishedAt[key] = now
-		case now-since >= c.node.settings.Times.FinishedJobs:
-			c.deleteJob(ctx, job)
-			delete(c.finishedAt, key)
+		if c.due(key, now, c.node.settings.Times.FinishedJobs) && c.deleteJob(ctx, job) {
+			c.deleted(key)
 		}
 	}
 }
 
+// due records that a job is finished, and reports whether it has been for the retention.
+func (c *jobCleanup) due(job jobVersion, now, retention time.Duration) bool {
+	since, known := c.finishedAt[job]
+	if !known {
+		c.finishedAt[job] = now
+		return false
+	}
+	return now-since >= retention
+}
+
+// deleted forgets a job that was deleted or changed.
+func (c *jobCleanup) deleted(job jobVersion) { delete(c.finishedAt, job) }
+
 // nextBatch returns the next jobs in the order of their names, starting over
 // after the last one.
 func (c *jobCleanup) nextBatch() []api.Resource {
@@ -94,8 +102,9 @@
 	return job.Job.Cancelled || s.Completed+s.Failed >= job.Job.Tasks
 }
 
-// deleteJob deletes a job unless it was changed meanwhile.
-func (c *jobCleanup) deleteJob(ctx context.Context, job api.Resource) {
+// deleteJob deletes a job unless it was changed meanwhile. It returns false if the outcome
+// is not known, so that the next step that checks the job tries again.
+func (c *jobCleanup) deleteJob(ctx context.Context, job api.Resource) bool {
 	op := resources.Operation{
 		ID:           fmt.Sprintf("cleanup-%s-%d", job.Name, job.Version),
 		Verb:         resources.VerbDelete,
@@ -103,6 +112,7 @@
 		Name:         job.Name,
 		Precondition: resources.Precondition{Version: job.Version},
 	}
-	// If this fails, a later step retries it.
-	_, _ = (&submitter{feed: c.node.feed, wait: c.node.settings.Times.WriteWait}).Submit(ctx, op)
+	// The submitter logs a failure.
+	_, err := (&submitter{feed: c.node.feed, wait: c.node.settings.Times.WriteWait}).Submit(ctx, op)
+	return err == nil
 }
--- a/entry/jobcleanup_test.go
+++ b/entry/jobcleanup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -21,3 +22,16 @@
 	is.True(!jobFinished(cancelled, api.Status{Running: 1}))
 	is.True(!jobFinished(job, api.Status{Completed: 3, UnknownCells: 1}))
 }
+
+// Guards against a job that is kept for the whole retention again after its deletion failed.
+func TestFailedDeletionIsRetriedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newJobCleanup(nil)
+	job := jobVersion{"import", 7}
+	is.True(!c.due(job, time.Minute, time.Hour))
+	is.True(!c.due(job, 30*time.Minute, time.Hour))
+	is.True(c.due(job, 61*time.Minute, time.Hour))
+	is.True(c.due(job, 62*time.Minute, time.Hour)) // the deletion failed
+	c.deleted(job)
+	is.True(!c.due(job, 63*time.Minute, time.Hour))
+}
