--- a/coordinator/ownercache.go
+++ b/coordinator/ownercache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -74,7 +75,10 @@
 			continue
 		}
 		record, err := ledger.Decode(value)
-		if err != nil || record.Opened == nil {
+		if err == nil && record.Opened == nil {
+			err = errors.New("record does not name an owner")
+		}
+		if err != nil {
 			o.node.logError(logevent.BadLedgerRecord, err, zap.String("key", key))
 			continue
 		}
--- a/coordinator/transfer.go
+++ b/coordinator/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -134,7 +135,7 @@
 func (o *ownership) transfer(ctx context.Context, a dispatch.Transfer) {
 	target := o.node.cell(int32(a.Cell))
 	if target == nil {
-		o.node.logger.Log(logevent.BadLedgerRecord, zap.Int("cell", o.number), zap.Int("released_to", a.Cell))
+		o.node.logger.Log(logevent.BadLedgerRecord, zap.Int("cell", o.number), zap.Error(fmt.Errorf("task is released to cell %d, which does not exist", a.Cell)))
 		return
 	}
 	data := mustEncode(a.Record)
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -67,7 +67,7 @@
 		for _, r := range a.Records {
 			data, err := ledger.Encode(r)
 			if err != nil {
-				w.ownership.node.logError(logevent.BadLedgerRecord, err)
+				w.ownership.node.logError(logevent.BadLedgerRecord, err, zap.Int("cell", w.ownership.number))
 				w.ownership.cancel()
 				return nil, nil
 			}
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	if adopted {
-		n.events.Log(logevent.RecordsPulled, zap.String("peer", p.client.Address.VM), zap.Int64("to", response.Head))
+		n.events.Log(logevent.RecordsPulled, zap.String("peer", p.client.Address.VM), zap.Int64("from", known), zap.Int64("to", response.Head))
 	}
 	return adopted
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -42,11 +42,11 @@
 	case proxy.EventFinished:
 		n.recordFinishedRequest(e)
 	case proxy.EventProgressTimeout:
-		n.events.Log(logevent.ProgressTimeout, zap.String("service", e.Service), zap.String("server", e.Target))
+		n.events.Log(logevent.ProgressTimeout, zap.String("service", e.Service), zap.String("worker", e.Target))
 	case proxy.EventTruncated:
-		n.events.Log(logevent.ResponseTruncated, zap.String("service", e.Service), zap.String("server", e.Target))
+		n.events.Log(logevent.ResponseTruncated, zap.String("service", e.Service), zap.String("worker", e.Target))
 	case proxy.EventLeaving:
-		n.events.Log(logevent.ServerLeaving, zap.String("server", e.Target), zap.String("source", "server"))
+		n.events.Log(logevent.ServerLeaving, zap.String("worker", e.Target), zap.String("source", "server"))
 	}
 }
 
@@ -71,7 +71,7 @@
 	switch code {
 	case result.OK:
 	case result.OutcomeUnknown:
-		n.events.Log(logevent.OutcomeUnknown, zap.String("service", e.Service), zap.Duration("took", e.Duration))
+		n.events.Log(logevent.OutcomeUnknown, zap.String("service", e.Service), zap.Duration("duration", e.Duration))
 	default:
 		n.events.Log(logevent.RequestRejected, zap.String("service", e.Service), zap.Int("code", e.Code))
 	}
--- a/entry/recordlog.go
+++ b/entry/recordlog.go
@@ -17,7 +17,7 @@
 		r.log.Log(logevent.TaskPlaced, zap.String("task", p.Task), zap.Int64("attempt", p.Attempt), zap.String("worker", p.Worker))
 	case rec.Ended != nil:
 		e := rec.Ended
-		r.log.Log(logevent.TaskEnded, zap.String("task", e.Task), zap.Int64("attempt", e.Attempt), zap.String("state", e.Outcome.String()), zap.String("message", e.Message))
+		r.log.Log(logevent.TaskEnded, zap.String("task", e.Task), zap.Int64("attempt", e.Attempt), zap.String("state", e.Outcome.String()), zap.String("reason", e.Message))
 	case rec.Moved != nil:
 		m := rec.Moved
 		r.log.Log(logevent.TaskMoved, zap.String("task", m.Task), zap.Int64("attempt", m.Attempt), zap.String("to", m.To.String()), zap.Int64("moveNumber", m.Move))
@@ -34,7 +34,7 @@
 		return
 	}
 	r.loggedParked[job] = true
-	r.log.Log(logevent.JobParked, zap.String("job", job), zap.String("message", u.Reason))
+	r.log.Log(logevent.JobParked, zap.String("job", job), zap.String("reason", u.Reason))
 }
 
 // checkCapacity logs a worker whose running attempts exceed the capacity that it
--- a/logevent/platform.go
+++ b/logevent/platform.go
@@ -6,7 +6,7 @@
 const (
 	LogUnavailable    Number = 701
 	LogAvailable      Number = 702
-	AppendUnresolved  Number = 703
+	RecordNotQueued   Number = 703
 	VMListStale       Number = 704
 	VMListRead        Number = 705
 	WorkerUnreachable Number = 706
@@ -19,7 +19,7 @@
 var platformEvents = []Info{
 	{LogUnavailable, "LogUnavailable", zapcore.ErrorLevel, "log cannot be reached", []string{"stream", "error"}, "Check the log; running tasks and requests continue."},
 	{LogAvailable, "LogAvailable", zapcore.InfoLevel, "log can be reached again", []string{"stream", "duration"}, "None."},
-	{AppendUnresolved, "AppendUnresolved", zapcore.WarnLevel, "append got no response and is retried", []string{"stream", "record", "error"}, "None."},
+	{RecordNotQueued, "RecordNotQueued", zapcore.WarnLevel, "record was not queued for the log and is not retried", []string{"stream", "error"}, "Check the connection to the log. The state machine appends another record when it still needs one."},
 	{VMListStale, "VMListStale", zapcore.WarnLevel, "VM list has not been read for too long", []string{"age", "error"}, "Check the VM list."},
 	{VMListRead, "VMListRead", zapcore.InfoLevel, "VM list can be read again", []string{"duration"}, "None."},
 	{WorkerUnreachable, "WorkerUnreachable", zapcore.WarnLevel, "worker agent does not answer", []string{"worker", "error"}, "Check the worker."},
--- a/logevent/requests.go
+++ b/logevent/requests.go
@@ -13,8 +13,8 @@
 
 var requestEvents = []Info{
 	{RequestRejected, "RequestRejected", zapcore.DebugLevel, "request rejected before it ran", []string{"service", "code", "reason"}, "None."},
-	{OutcomeUnknown, "OutcomeUnknown", zapcore.WarnLevel, "outcome of a non-idempotent request is unknown", []string{"service", "requestId", "reason"}, "The caller can retry with the same request id."},
-	{ProgressTimeout, "ProgressTimeout", zapcore.InfoLevel, "connection closed because no byte arrived in time", []string{"service", "worker", "phase"}, "None; if it recurs on one worker, check its network."},
-	{ResponseTruncated, "ResponseTruncated", zapcore.WarnLevel, "backend server ended a response early", []string{"service", "worker", "bytes", "expected"}, "Check the backend server."},
-	{ServerLeaving, "ServerLeaving", zapcore.InfoLevel, "backend server is leaving and receives no new work", []string{"worker", "boot", "source"}, "None."},
+	{OutcomeUnknown, "OutcomeUnknown", zapcore.WarnLevel, "outcome of a non-idempotent request is unknown", []string{"service", "duration"}, "The caller can retry with the same request id."},
+	{ProgressTimeout, "ProgressTimeout", zapcore.InfoLevel, "connection closed because no byte arrived in time", []string{"service", "worker"}, "None; if it recurs on one worker, check its network."},
+	{ResponseTruncated, "ResponseTruncated", zapcore.WarnLevel, "backend server ended a response early", []string{"service", "worker"}, "Check the backend server."},
+	{ServerLeaving, "ServerLeaving", zapcore.InfoLevel, "backend server is leaving and receives no new work", []string{"worker", "source"}, "None."},
 }
--- a/logevent/resources.go
+++ b/logevent/resources.go
@@ -21,7 +21,7 @@
 	{OperationRefused, "OperationRefused", zapcore.InfoLevel, "operation had no effect", []string{"operation", "verb", "kind", "resource", "code", "reason"}, "None; the operator received the reason."},
 	{OperationUnknown, "OperationUnknown", zapcore.WarnLevel, "operation was sent to the log and not read back in time", []string{"operation", "verb", "kind", "resource"}, "The operator can retry with the same operation id."},
 	{SnapshotWritten, "SnapshotWritten", zapcore.InfoLevel, "snapshot appended to the log", []string{"stream", "offset", "chunks", "bytes"}, "None."},
-	{SnapshotIgnored, "SnapshotIgnored", zapcore.WarnLevel, "snapshot is incomplete or damaged and was ignored", []string{"stream", "offset", "reason"}, "None; an older snapshot is used."},
+	{SnapshotIgnored, "SnapshotIgnored", zapcore.WarnLevel, "snapshot is incomplete or damaged and was ignored", []string{"stream", "offset", "error"}, "None; an older snapshot is used."},
 	{SnapshotAdopted, "SnapshotAdopted", zapcore.InfoLevel, "snapshot adopted", []string{"stream", "offset", "source"}, "None."},
 	{RecordUndecodable, "RecordUndecodable", zapcore.ErrorLevel, "record cannot be decoded and was skipped", []string{"stream", "offset", "error"}, "Check that all entry VMs run the same version."},
 	{DataCentreTakenOut, "DataCentreTakenOut", zapcore.WarnLevel, "data centre is out of service", []string{"dataCentre", "version"}, "None."},
