command: explain shows events 827, 828 and 848; settings: mistakes have one order

The order in which maps are ranged over shows nowhere else in settings and coordinator: the dump sorts, notices and queries go to all.

--- a/command/explain.go
+++ b/command/explain.go
@@ -11,11 +11,20 @@
 	"strings"
 
 	"github.com/spf13/cobra"
+
+	"github.com/cactusreel/cactusreel/logevent"
 )
 
 // maxLogLineBytes bounds the length of a line in a log file.
 const maxLogLineBytes = 1 << 20
 
+// Numbers of the events about ownership and the store.
+const (
+	firstOwnershipEvent = float64(logevent.EpochOpened)
+	lastStoreEvent      = float64(logevent.SnapshotFailed)
+	ownershipEndEvent   = float64(logevent.OwnershipEndLearned)
+)
+
 func newExplain() *cobra.Command {
 	return &cobra.Command{
 		Use:   "explain ID FILE...",
@@ -90,7 +99,7 @@
 			continue
 		}
 		event, _ := fields["event"].(float64)
-		isOwnershipOrStore := event >= 811 && event <= 826
+		isOwnershipOrStore := event >= firstOwnershipEvent && event <= lastStoreEvent || event == ownershipEndEvent
 		if fields["id"] != id && !isOwnershipOrStore {
 			continue
 		}
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -122,6 +124,7 @@
 		s.Limits.Cells = cellCount(s.Limits.StoreWrites, s.Limits.StorePartitions)
 	}
 	if mistakes := append(s.check(name), negativeTimes(name, file)...); len(mistakes) > 0 {
+		slices.SortStableFunc(mistakes, func(a, b Mistake) int { return cmp.Or(cmp.Compare(a.Section, b.Section), cmp.Compare(a.Key, b.Key)) })
 		return s, mistakes
 	}
 	return s, nil
--- a/settings/coordinator_test.go
+++ b/settings/coordinator_test.go
@@ -80,3 +80,15 @@
 		}
 	}
 }
+
+// Guards against mistakes whose order changes from one check to the next.
+func TestMistakesAreInOneOrder(t *testing.T) {
+	is := is.New(t)
+	text := strings.NewReplacer("callers = 10.1.0.13:8161", "callers = a", "readiness = 10.1.0.13:8167", "readiness = b",
+		"peers = 10.1.0.13:7720", "peers = c").Replace(renderTemplate(t))
+	_, first := settings.ParseCoordinator("coordinator.ini", []byte(text))
+	for range 30 {
+		_, err := settings.ParseCoordinator("coordinator.ini", []byte(text))
+		is.Equal(err.Error(), first.Error())
+	}
+}
