--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -91,7 +92,7 @@
 	if c == nil {
 		return &coordpb.ResignAnswer{}, nil
 	}
-	c.resignedEpoch.Store(max(c.resignedEpoch.Load(), q.Epoch))
+	raise(&c.resignedEpoch, q.Epoch)
 	signal(c.wake)
 	for c.owning.Load() && c.newestEpoch.Load() <= q.Epoch {
 		if !sleep(ctx, 5*time.Millisecond) {
@@ -101,6 +102,16 @@
 	return c.resignAnswer(q.Epoch), nil
 }
 
+// raise sets a value to at least the given one.
+func raise(value *atomic.Int64, least int64) {
+	for {
+		current := value.Load()
+		if current >= least || value.CompareAndSwap(current, least) {
+			return
+		}
+	}
+}
+
 // postResigned passes on what the previous owner, or the process that is now at its
 // address, says of the leases that workers may hold.
 func (o *ownership) postResigned(ctx context.Context, previous ledger.Owner, answer *coordpb.ResignAnswer) {
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -47,7 +47,8 @@
 }
 
 // Snapshot returns the state as a list of parts, each of which fits into a log
-// record. The messages share no mutable state with the ledger.
+// record. The messages share with the ledger only messages that are never changed: the
+// interference model, which a newer record replaces, and those of submissions.
 func (l *Ledger) Snapshot(at Offsets) []*ledgerpb.Snapshot {
 	w := &snapshotWriter{}
 	first := w.partFor(proto.Size(l.interferenceModel))
