soak: delays are injected, and a process that isn't ready fails the run

The proxies had a delay that no fault set; waitUnblocked always returned true; waitReady went on silently. Regression seeds keep their faults.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -124,3 +125,13 @@
 	}
 	p.start()
 }
+
+// isReady reports whether the process says that it can accept submissions.
+func (p *process) isReady() bool {
+	response, err := http.Get("http://" + p.readinessAddress + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -56,10 +56,8 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !p.waitUnblocked(blocked) {
-			return
-		}
 		if n > 0 {
+			p.waitUnblocked(blocked)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -71,15 +69,15 @@
 }
 
 // waitUnblocked waits until the direction is not blocked, and then for the delay
-// of the proxy. It always returns true.
-func (p *proxy) waitUnblocked(blocked func() bool) bool {
+// of the proxy.
+func (p *proxy) waitUnblocked(blocked func() bool) {
 	for {
 		p.mu.Lock()
 		isBlocked, delay, changed := blocked(), p.delay, p.changed
 		p.mu.Unlock()
 		if !isBlocked {
 			time.Sleep(delay)
-			return true
+			return
 		}
 		<-changed
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,8 +52,10 @@
 	accepted      map[string]bool
 	refused       map[string]bool
 	cancelled     map[string]bool
-	stop          chan struct{}
-	goroutines    sync.WaitGroup
+	// faultKinds is the number of kinds of faults that injectFault chooses from.
+	faultKinds int
+	stop       chan struct{}
+	goroutines sync.WaitGroup
 }
 
 // Checks the guarantees of coordinators under process, network and store faults:
@@ -69,20 +71,27 @@
 	for seed, cause := range regressionSeeds {
 		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
 			t.Log(cause)
-			runSeed(t, binary, seed)
+			runSeed(t, binary, seed, firstFaultKinds)
 		})
 	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed, allFaultKinds) })
 	}
 }
 
-func runSeed(t *testing.T, binary string, seed uint64) {
+// firstFaultKinds is the number of kinds of faults when the regression seeds were recorded:
+// with another number a seed has other faults. allFaultKinds adds delays.
+const (
+	firstFaultKinds = 11
+	allFaultKinds   = 12
+)
+
+func runSeed(t *testing.T, binary string, seed uint64, faultKinds int) {
 	s := &seedRun{
 		t: t, random: rand.New(rand.NewPCG(seed, 4)),
 		store: platformtest.NewStore(seed), history: platformtest.NewHistory(),
 		accepted: make(map[string]bool), refused: make(map[string]bool), cancelled: make(map[string]bool),
-		stop: make(chan struct{}),
+		stop: make(chan struct{}), faultKinds: faultKinds,
 	}
 	defer s.cleanUp()
 	s.setUp(binary, seed)
@@ -172,17 +181,19 @@
 	}
 }
 
+// waitReady waits until all processes are ready, and fails the test if one is not in time.
 func (s *seedRun) waitReady() {
 	for _, p := range s.processes {
+		ready := false
 		for range 500 {
-			if response, err := http.Get("http://" + p.readinessAddress + "/-/readyz"); err == nil {
-				_ = response.Body.Close()
-				if response.StatusCode == http.StatusOK {
-					break
-				}
+			if ready = p.isReady(); ready {
+				break
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
+		if !ready {
+			s.t.Fatalf("process at %s is not ready 10 s after its start", p.readinessAddress)
+		}
 	}
 }
 
@@ -192,7 +203,7 @@
 	worker := s.random.IntN(len(s.workers))
 	workerProxy := s.workerProxies[worker]
 	duration := time.Duration(200+s.random.IntN(3500)) * time.Millisecond
-	switch s.random.IntN(11) {
+	switch s.random.IntN(s.faultKinds) {
 	case 0:
 		s.runFault(func() { p.kill(); time.Sleep(duration / 4); p.start() })
 	case 1:
@@ -243,6 +254,14 @@
 			time.Sleep(duration)
 			s.store.SetFault(platformtest.Fault{})
 		})
+	case 11:
+		s.runFault(func() {
+			p.storeProxy.update(func() { p.storeProxy.delay = duration / 20 })
+			workerProxy.update(func() { workerProxy.delay = duration / 20 })
+			time.Sleep(duration)
+			p.storeProxy.clearFaults()
+			workerProxy.clearFaults()
+		})
 	}
 }
 
