coordinator: an owner replaces a late publication of its predecessor

Duties beside a hand-over that are not orders: the write that publishes a cell's owner is retried, and one that was delayed took effect after the successor's. Nodes that had not seen the newer owner asked the wrong one until the next epoch (503 or old states). An owner looks every 5 s whether it is still published (test failed before).

--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -21,6 +21,8 @@
 	assignmentValidity = 1500 * time.Millisecond
 	// ownersReadInterval is the minimum time between reads of the cells' owners.
 	ownersReadInterval = 300 * time.Millisecond
+	// publicationCheckInterval is how often an owner looks whether it is still published.
+	publicationCheckInterval = 5 * time.Second
 	// ownersLearnDelay is the time from a new generation of the group until the owners are
 	// read: two joins, after which new owners have usually opened their epochs.
 	ownersLearnDelay = 2 * joinInterval
--- a/coordinator/ownercache.go
+++ b/coordinator/ownercache.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"strconv"
@@ -86,18 +87,44 @@
 	}
 }
 
-// publishOwner writes the cell's owner into Platform.Owners. It retries until it
-// succeeds or ctx is done.
+// publishOwner keeps the cell's owner in Platform.Owners until ctx is done. A write of a
+// previous owner that was delayed may take effect after its own, so it looks at intervals
+// whether the value is still there.
 func (o *ownership) publishOwner(ctx context.Context, owner ledger.Owner) {
 	data := mustEncode(ledger.OpenedRecord(owner))
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		call, cancel := context.WithTimeout(ctx, logTimeout)
-		err := o.node.platform.Owners.Put(call, strconv.Itoa(o.number), data)
-		cancel()
-		o.node.metrics.countLogCall(err)
-		if err == nil {
-			return
+		if o.publishOnce(ctx, data) != nil {
+			sleep(ctx, retryDelay(attempt))
+			continue
+		}
+		attempt = 0
+		for sleep(ctx, publicationCheckInterval) && !o.publicationReplaced(ctx, data) {
 		}
-		sleep(ctx, retryDelay(attempt))
 	}
 }
+
+func (o *ownership) publishOnce(ctx context.Context, data []byte) error {
+	call, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	err := o.node.platform.Owners.Put(call, strconv.Itoa(o.number), data)
+	o.node.metrics.countLogCall(err)
+	return err
+}
+
+// publicationReplaced reports whether another value than data is published for the cell. A
+// newer owner's value is left: this ownership is about to end.
+func (o *ownership) publicationReplaced(ctx context.Context, data []byte) bool {
+	call, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	values, err := o.node.platform.Owners.Values(call)
+	o.node.metrics.countLogCall(err)
+	if err != nil {
+		return false
+	}
+	value := values[strconv.Itoa(o.number)]
+	if bytes.Equal(value, data) {
+		return false
+	}
+	record, err := ledger.Decode(value)
+	return err != nil || record.Opened == nil || record.Opened.Epoch < o.epoch
+}
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/coordinator"
+	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -177,3 +179,26 @@
 		}
 	})
 }
+
+// Guards against an owner that other nodes can't find: a publication of its predecessor was
+// delayed and took effect after its own.
+func TestOwnerReplacesALatePublicationOfItsPredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startCluster(1, newFakeWorkers("*", "w1"), "vm-0", "vm-1")
+		defer c.close()
+		published := func() []byte {
+			values, err := c.log.Values(context.Background())
+			is.NoErr(err)
+			return values["0"]
+		}
+		late := published()
+		c.group.assign(0, "vm-1")
+		time.Sleep(2 * time.Second)
+		is.NoErr(c.log.Put(context.Background(), "0", late))
+		time.Sleep(6 * time.Second)
+		record, err := ledger.Decode(published())
+		is.NoErr(err)
+		is.Equal(record.Opened.Vm, "vm-1")
+	})
+}
--- a/dispatch/inherit_test.go
+++ b/dispatch/inherit_test.go
@@ -71,3 +71,29 @@
 	h.advance(20 * time.Millisecond)
 	is.Equal(h.count(stopOf("former")), 1)
 }
+
+// Guards against a worker that has left the list and is used after a takeover, because the
+// log names it and its answers still arrive.
+func TestWorkerThatHasLeftIsNotUsedAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{
+		ID: "old", Queue: "q", Steps: []workload.Step{plainStep}, Policy: workload.Policy{Service: "register", MaxAttempts: 3},
+	}))
+	run := workload.RunID{Task: workload.TaskID{Submission: "old"}, Run: 1}
+	h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2}, h.ledger, h.now, time.Now())
+	h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
+	h.listWorker(workload.Worker{})
+	h.report()
+	h.handle(dispatch.WorkersListed{})
+	h.submit("new", plainStep)
+	for range 20 {
+		h.advance(300 * time.Millisecond)
+		h.report()
+	}
+	is.Equal(h.count(startOf("new")), 0)
+	h.listWorker(workload.Worker{})
+	h.advance(300 * time.Millisecond)
+	is.Equal(h.count(startOf("new")), 1)
+}
