--- a/coordinator/transport.go
+++ b/coordinator/transport.go
@@ -21,10 +21,9 @@
 	tcpUserTimeout = 18
 )
 
-// NewTransport returns an HTTP/1.1 transport that keeps up to maxIdle
-// idle connections to each host and closes silent ones.
-func NewTransport(maxIdle int) *http.Transport {
-	dialer := &net.Dialer{
+// NewDialer returns a dialer whose connections are closed when the peer falls silent.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: 2 * silenceTimeout, Interval: silenceTimeout, Count: 2,
@@ -40,8 +39,13 @@
 			return sockoptErr
 		},
 	}
+}
+
+// NewTransport returns an HTTP/1.1 transport that keeps up to maxIdle
+// idle connections to each host and closes silent ones.
+func NewTransport(maxIdle int) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         NewDialer().DialContext,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
