dispatch, coordinator: planning rounds cost less and leave time for other events

Cause, from the owners' state each second: after the loss of a data centre 230 long-running tasks of 64 steps wait; each round then took 23 ms, rounds took 0.9 s of each second, events waited 0.5 s in the queue, and appends 0.6 s.

A round sorted all workers for each waiting long-running step, counted runs by ranging over maps, and evaluated steps with a limit per worker although no worker had room for one task. Workers keep the sums now, the closest ones are selected without sorting, and such requests are recorded as unplaceable. A step that takes over 2 ms is followed by a pause in which no round runs, so that planning takes a third of the owner's time at most; event 849 and a metric say so. Decisions are the same.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -27,7 +27,10 @@
 		o.suspended = suspended
 		o.step(ctx, dispatch.Resumed{})
 	}
-	for _, action := range o.machine.Step(o.node.monotonicNow(), ev) {
+	began := o.node.monotonicNow()
+	actions := o.machine.Step(began, ev)
+	o.pacePlanning(o.node.monotonicNow() - began)
+	for _, action := range actions {
 		o.execute(ctx, action)
 	}
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -59,6 +59,8 @@
 
 func (m *Metrics) countLookup(err error) { m.count("owner_lookups", "outcome", outcomeLabel(err)) }
 
+func (m *Metrics) observePlanDelay(d time.Duration) { m.observeDuration("plan_delay_microseconds", d) }
+
 func (m *Metrics) observeAppend(d time.Duration) { m.observeDuration("append_microseconds", d) }
 
 func (m *Metrics) observeSubmission(err error, d time.Duration) {
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -35,7 +35,9 @@
 	// saw it. cancelling are the guests whose cancellation is being appended.
 	suspended  time.Duration
 	cancelling sync.Map
-	wg         sync.WaitGroup
+	// saturationReportedAt is when long planning rounds were last reported.
+	saturationReportedAt time.Duration
+	wg                   sync.WaitGroup
 }
 
 // intakePageRead reports a page of the intake that tailIntake read.
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -1,8 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
+	"container/heap"
 
 	"github.com/cactusreel/cactusreel/workload"
 )
@@ -20,28 +19,64 @@
 	if missing <= 0 || failed.covers(ws) {
 		return workers
 	}
-	held := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
-		return !suits(ws, step, w) || !w.hasRoomInTime(step)
-	})
+	held := closestToRoom(ws, step, workers, missing)
 	if len(held) == 0 {
 		failed.add(ws)
 		return workers
 	}
-	slices.SortStableFunc(held, func(a, b *worker) int { return cmp.Compare(a.shortfall(step), b.shortfall(step)) })
-	held = held[:min(missing, len(held))]
-	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return slices.Contains(held, w) })
+	return without(workers, held)
+}
+
+// closestToRoom returns up to n of the workers that could take a task of a step once the
+// runs that end by themselves have ended: those that lack the least capacity. A round looks
+// for them for each long-running step that waits, hundreds of them after the loss of a data
+// centre, so the workers are not sorted.
+func closestToRoom(ws *waitingStep, step *workload.Step, workers []*worker, n int) []*worker {
+	var closest shortfalls
+	if n <= 0 {
+		return nil
+	}
+	for i, w := range workers {
+		if !w.hasRoomInTime(step) || !suits(ws, step, w) {
+			continue
+		}
+		c := shortfall{worker: w, share: w.shortfall(step), index: i}
+		switch {
+		case len(closest) < n:
+			heap.Push(&closest, c)
+		case closest[0].exceeds(c):
+			closest[0] = c
+			heap.Fix(&closest, 0)
+		}
+	}
+	out := make([]*worker, len(closest))
+	for i := range closest {
+		out[i] = closest[i].worker
+	}
+	return out
+}
+
+// without returns the workers without those that are held.
+func without(workers, held []*worker) []*worker {
+	for _, w := range held {
+		w.held = true
+	}
+	left := make([]*worker, 0, len(workers)-len(held))
+	for _, w := range workers {
+		if !w.held {
+			left = append(left, w)
+		}
+	}
+	for _, w := range held {
+		w.held = false
+	}
+	return left
 }
 
 // hasRoomInTime reports whether a worker has the capacity for a task of a step once the
 // runs that end by themselves have ended.
 func (w *worker) hasRoomInTime(step *workload.Step) bool {
-	sum := reservation(step)
-	for _, r := range w.runList {
-		if r.step.LongRunning {
-			sum = sum.Add(reservation(r.step))
-		}
-	}
-	return sum.Fits(w.Capacity)
+	return reservation(step).Add(w.longRunning).Fits(w.Capacity)
 }
 
 // shortfall returns what a worker lacks for a task of a step, as the largest fraction of
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cactusreel/cactusreel/ledger"
@@ -110,10 +109,7 @@
 		return workers
 	}
 	step := &ws.entry.Steps[ws.stepIndex]
-	kept := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !suits(ws, step, w) || !w.hasRoomInTime(step) })
-	slices.SortStableFunc(kept, func(a, b *worker) int { return cmp.Compare(a.shortfall(step), b.shortfall(step)) })
-	kept = kept[:min(missing, len(kept), len(workers)/2)]
-	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return slices.Contains(kept, w) })
+	return without(workers, closestToRoom(ws, step, workers, min(missing, len(workers)/2)))
 }
 
 // collateral returns what the crash of a worker would cost, as a penalty.
--- a/dispatch/largeload_test.go
+++ b/dispatch/largeload_test.go
@@ -74,3 +74,34 @@
 		})
 	}
 }
+
+// newCrowdedLoad returns a simulation in which more long-running tasks wait for capacity than
+// the workers have, as after the loss of a data centre.
+func newCrowdedLoad(seed uint64, workers int) *loadSim {
+	l := newLoadSim(seed, workers)
+	l.run(2 * time.Second)
+	for requested := int64(0); requested < l.totalCPU()*11/10; {
+		s := l.largeOfficeSync()
+		requested += int64(s.Steps[0].Tasks) * s.Steps[0].Request.MilliCPU
+		l.submit(s)
+		l.run(20 * time.Millisecond)
+	}
+	return l
+}
+
+// BenchmarkOwnerOfCrowdedDeployment measures the same while long-running tasks wait, with what
+// a planning round then takes.
+func BenchmarkOwnerOfCrowdedDeployment(b *testing.B) {
+	for _, workers := range []int{445, 890} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				l := newCrowdedLoad(1, workers)
+				l.stepTime, l.longestStep = 0, 0
+				l.play(5*time.Second, 1)
+				b.ReportMetric(l.stepTime.Seconds()/5, "cores")
+				b.ReportMetric(float64(l.longestStep.Microseconds())/1000, "longest-step-ms")
+				b.ReportMetric(float64(len(l.submittedAt)), "waiting")
+			}
+		})
+	}
+}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -41,6 +41,8 @@
 	waits map[workload.TaskID]time.Duration
 	// stepTime is the real time spent in the machine's steps.
 	stepTime time.Duration
+	// longestStep is the longest real time of one step.
+	longestStep time.Duration
 }
 
 type loadWorker struct {
@@ -110,7 +112,9 @@
 func (l *loadSim) step(ev dispatch.Event) {
 	began := time.Now()
 	actions := l.machine.Step(l.now, ev)
-	l.stepTime += time.Since(began)
+	took := time.Since(began)
+	l.stepTime += took
+	l.longestStep = max(l.longestStep, took)
 	for _, action := range actions {
 		switch a := action.(type) {
 		case dispatch.Append:
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -52,7 +52,9 @@
 	// plannedAt is the time of the last planning round.
 	plannedAt  time.Duration
 	planNeeded bool
-	model      interferenceModel
+	// planFrom is the time before which no planning round runs.
+	planFrom time.Duration
+	model    interferenceModel
 	// longWaits are the steps with tasks that had no run at longWaitsAt, among them
 	// longRunningWaits.
 	longWaits        map[*ledger.Step]*longWait
@@ -225,7 +227,7 @@
 	m.now = max(m.now, now)
 	m.actions = nil
 	m.handle(ev)
-	if m.planNeeded && m.now-m.plannedAt >= planInterval {
+	if m.planNeeded && m.now-m.plannedAt >= planInterval && m.now >= m.planFrom {
 		m.plannedAt = m.now
 		m.plan()
 	}
@@ -233,6 +235,10 @@
 	return m.actions
 }
 
+// DelayPlanning puts the next planning round off, because the last one took long. Reports,
+// acknowledgements and renewals of leases would wait behind rounds that follow one another.
+func (m *Machine) DelayPlanning(until time.Duration) { m.planFrom = until }
+
 func (m *Machine) handle(ev Event) {
 	switch ev := ev.(type) {
 	case EntryChanged:
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -75,3 +75,16 @@
 	is.True(l.shareWithin("meal-claim", 1) >= 0.5)
 	is.Equal(len(l.submittedAt), 0)
 }
+
+// Guards against a planning round that runs although it was put off, or is lost.
+func TestDelayedPlanningRunsLater(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.machine.DelayPlanning(h.now + 100*time.Millisecond)
+	h.submit("waits", plainStep)
+	h.advance(50 * time.Millisecond)
+	is.Equal(h.count(startOf("waits")), 0)
+	h.advance(50 * time.Millisecond)
+	is.Equal(h.count(startOf("waits")), 1)
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -62,7 +62,13 @@
 		return 0
 	}
 	n := m.placeTasks(ws, tasks, c.workers)
-	if n == 0 {
+	step := &ws.entry.Steps[ws.stepIndex]
+	switch {
+	case n > 0:
+	case step.MaxPerWorker > 0 && !step.Gang && !slices.ContainsFunc(c.workers, func(w *worker) bool { return w.hasRoom(step) }):
+		// It is not the limit that keeps the step from a worker.
+		c.failed.addRequest(ws)
+	default:
 		c.failed.add(ws)
 	}
 	return n
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -28,13 +28,18 @@
 
 // fits reports whether a worker can take a task of a step now.
 func (m *Machine) fits(ws *waitingStep, step *workload.Step, w *worker) bool {
-	// A sum with the request of a malformed query could overflow.
-	if !suits(ws, step, w) || !reservation(step).Fits(w.Capacity.Sub(w.reserved)) {
+	if !w.hasRoom(step) || !suits(ws, step, w) {
 		return false
 	}
 	return !step.BestEffort || m.fitsColocated(ws, step, w)
 }
 
+// hasRoom reports whether a worker has the capacity for a task of a step, apart from the CPU
+// of best-effort tasks. A sum with the request of a malformed query could overflow.
+func (w *worker) hasRoom(step *workload.Step) bool {
+	return reservation(step).Fits(w.Capacity.Sub(w.reserved))
+}
+
 // suits reports whether a worker may run a task of a step, apart from its capacity.
 func suits(ws *waitingStep, step *workload.Step, w *worker) bool {
 	if w.Service != ws.entry.Policy.Service || !w.HasLabel(step.Label) {
@@ -69,20 +74,13 @@
 // runs and then gave them up.
 func (r *run) exceedsMaxPerWorker() bool {
 	limit := r.step.MaxPerWorker
-	task := r.id.Task
-	return limit > 0 && r.worker.countRuns(&waitingStep{entry: r.entry, occurrence: task.Occurrence, stepIndex: task.Step}) > limit
+	return limit > 0 && r.worker.limitedRuns[r.stepKey()] > limit
 }
 
-// countRuns counts the runs of a step's occurrence on a worker.
+// countRuns counts the runs of a step's occurrence on a worker. The step has a limit per
+// worker.
 func (w *worker) countRuns(ws *waitingStep) int {
-	n := 0
-	for _, r := range w.runs {
-		task := r.id.Task
-		if task.Submission == ws.entry.ID && task.Step == ws.stepIndex && task.Occurrence == ws.occurrence {
-			n++
-		}
-	}
-	return n
+	return w.limitedRuns[stepKey{submission: ws.entry.ID, occurrence: ws.occurrence, step: ws.stepIndex}]
 }
 
 // score returns the placement score of a worker for a task of a step. Higher is
--- a/dispatch/unplaceable.go
+++ b/dispatch/unplaceable.go
@@ -44,6 +44,12 @@
 	if step.Gang || step.MaxPerWorker > 0 {
 		return
 	}
+	u.addRequest(ws)
+}
+
+// addRequest records a step for one task of which no worker has room.
+func (u unplaceable) addRequest(ws *waitingStep) {
+	step := &ws.entry.Steps[ws.stepIndex]
 	key := constraintsOf(ws, step)
 	if failed, ok := u[key]; !ok || step.Request.Fits(failed) {
 		u[key] = step.Request
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -72,6 +72,12 @@
 	reserved      hostapi.Resources
 	bestEffortCPU int64
 	latencyCPU    int64
+	// longRunning is the part of reserved that belongs to long-running runs.
+	longRunning hostapi.Resources
+	// limitedRuns counts the runs of each step with a limit per worker.
+	limitedRuns map[stepKey]int
+	// held: a planning round holds the worker for a task.
+	held bool
 	// hasUnknownRuns: the last report lists runs that this owner does not have.
 	hasUnknownRuns bool
 	// isolated is the number of isolated runs.
@@ -80,7 +86,7 @@
 }
 
 func newWorker(info workload.Worker) *worker {
-	return &worker{Worker: info, runs: make(map[workload.RunID]*run)}
+	return &worker{Worker: info, runs: make(map[workload.RunID]*run), limitedRuns: make(map[stepKey]int)}
 }
 
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Address: w.Address} }
@@ -136,9 +142,40 @@
 	if r.step.LatencyTarget > 0 {
 		w.latencyCPU += sign * request.MilliCPU
 	}
-	w.reserved.MilliCPU += sign * request.MilliCPU
-	w.reserved.MemoryMiB += sign * request.MemoryMiB
-	w.reserved.Accelerators += sign * request.Accelerators
+	if r.step.LongRunning {
+		w.longRunning = addTimes(w.longRunning, request, sign)
+	}
+	if r.step.MaxPerWorker > 0 {
+		w.countLimited(r.stepKey(), int(sign))
+	}
+	w.reserved = addTimes(w.reserved, request, sign)
+}
+
+// addTimes returns sum with a request added or, with a sign of -1, subtracted.
+func addTimes(sum, request hostapi.Resources, sign int64) hostapi.Resources {
+	sum.MilliCPU += sign * request.MilliCPU
+	sum.MemoryMiB += sign * request.MemoryMiB
+	sum.Accelerators += sign * request.Accelerators
+	return sum
+}
+
+// stepKey identifies a step of an occurrence of a submission.
+type stepKey struct {
+	submission       string
+	occurrence, step int
+}
+
+func (r *run) stepKey() stepKey {
+	task := r.id.Task
+	return stepKey{submission: task.Submission, occurrence: task.Occurrence, step: task.Step}
+}
+
+// countLimited changes the number of runs of a step with a limit per worker.
+func (w *worker) countLimited(key stepKey, change int) {
+	w.limitedRuns[key] += change
+	if w.limitedRuns[key] == 0 {
+		delete(w.limitedRuns, key)
+	}
 }
 
 // addEnd adds an end that the worker lists for the first time.
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -37,6 +37,7 @@
 	TaskGivenUp          Number = 846
 	WorkerCrashed        Number = 847
 	OwnershipEndLearned  Number = 848
+	OwnerSaturated       Number = 849
 	LinesDropped         Number = 851
 )
 
@@ -74,5 +75,6 @@
 	{TaskGivenUp, "TaskGivenUp", zapcore.WarnLevel, "a task is not run again, because workers crashed under it", []string{"task", "run", "worker", "reason", "epoch", "cell"}, "Correct the task and submit it again. Event 847 names the crashes."},
 	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash is evidence against a task, see event 846. If crashes recur that are not, check the worker."},
 	{OwnershipEndLearned, "OwnershipEndLearned", zapcore.InfoLevel, "told which leases remained at the end of an ownership", []string{"cell", "epoch", "leases"}, "None."},
+	{OwnerSaturated, "OwnerSaturated", zapcore.WarnLevel, "planning takes longer than the owner has time for; work is placed less often", []string{"cell", "epoch", "duration"}, "If it recurs, use VMs with more CPU or more cells."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
 }
