--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -45,7 +45,7 @@
 func (n *Node) Dump(ctx context.Context) Dump {
 	d := Dump{
 		VM: n.config.VM, DataCentre: n.config.DataCentre, Ready: n.Ready(), Reserve: n.config.Reserve,
-		StoreAgeMillis: (n.monotonicNow() - time.Duration(n.lastStoreResponse.Load())).Milliseconds(),
+		StoreAgeMillis: n.StoreSilence().Milliseconds(),
 		JoinAgeMillis:  n.joinAge().Milliseconds(),
 	}
 	if declared := n.declarations.Load(); declared != nil {
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -84,7 +84,7 @@
 	if n.stopping.Load() || d == nil || d.Manifest == nil {
 		return false
 	}
-	return n.monotonicNow()-time.Duration(n.lastStoreResponse.Load()) < maxStoreSilence
+	return n.StoreSilence() < maxStoreSilence
 }
 
 // Manifest returns the newest manifest, or nil if none has been read.
@@ -103,6 +103,11 @@
 	return n.cells[int(h.Sum32()%uint32(len(n.cells)))]
 }
 
+// StoreSilence returns the time since the store last responded to the node.
+func (n *Node) StoreSilence() time.Duration {
+	return n.monotonicNow() - time.Duration(n.lastStoreResponse.Load())
+}
+
 // recordStoreResponse records the time of a response of the store.
 func (n *Node) recordStoreResponse() { n.lastStoreResponse.Store(int64(n.monotonicNow())) }
 
