--- a/dispatch/largeload_test.go
+++ b/dispatch/largeload_test.go
@@ -5,6 +5,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -14,6 +18,10 @@
 	largeMealClaimRate = 24.3 / 890
 )
 
+// largeSizes are the numbers of workers of one cell of the largest deployment, of all of it,
+// and of the planned size.
+var largeSizes = []int{445, 890, 7900}
+
 // newLargeLoad returns a simulation in which long-running tasks request most of the CPU, as on
 // the largest deployment, and are running.
 func newLargeLoad(seed uint64, workers int) *loadSim {
@@ -56,9 +64,10 @@
 }
 
 // BenchmarkOwnerOfLargeDeployment measures the CPU time of one owner's decisions for a second
-// of the largest deployment's load, with all of its workers and with half of them.
+// of the largest deployment's load, with all of its workers, with half of them, and with those
+// of the planned size.
 func BenchmarkOwnerOfLargeDeployment(b *testing.B) {
-	for _, workers := range []int{445, 890} {
+	for _, workers := range largeSizes {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			for b.Loop() {
 				l := newLargeLoad(1, workers)
@@ -92,7 +101,7 @@
 // BenchmarkOwnerOfCrowdedDeployment measures the same while long-running tasks wait, with what
 // a planning round then takes.
 func BenchmarkOwnerOfCrowdedDeployment(b *testing.B) {
-	for _, workers := range []int{445, 890} {
+	for _, workers := range largeSizes[:2] {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			for b.Loop() {
 				l := newCrowdedLoad(1, workers)
@@ -126,3 +135,60 @@
 		t.Errorf("%v of decisions in 2 s while long-running tasks wait, %v while none does", crowded, usual)
 	}
 }
+
+// BenchmarkTakeoverOfLargeDeployment measures the parts of a takeover that are not I/O, with the
+// live work of the largest deployment: the snapshot's decoding and application, the new
+// owner's machine, and its first planning round.
+func BenchmarkTakeoverOfLargeDeployment(b *testing.B) {
+	for _, workers := range []int{445, 890} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			l := newLargeLoad(1, workers)
+			l.play(15*time.Second, 1.3)
+			var data [][]byte
+			size := 0
+			for _, part := range l.ledger.Snapshot(ledger.Offsets{}) {
+				encoded, err := proto.Marshal(part)
+				if err != nil {
+					b.Fatal(err)
+				}
+				data, size = append(data, encoded), size+len(encoded)
+			}
+			var read, opened, planned time.Duration
+			n := 0
+			for b.Loop() {
+				n++
+				began := time.Now()
+				parts, err := ledger.DecodeSnapshot(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				successor := *l
+				successor.ledger = ledger.New()
+				successor.ledger.ApplySnapshot(parts)
+				read += time.Since(began)
+				began = time.Now()
+				successor.machine = dispatch.New(dispatch.Config{
+					Epoch: 2, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2, StopTime: 200 * time.Millisecond,
+				}, successor.ledger, l.now, l.wall())
+				opened += time.Since(began)
+				began = time.Now()
+				successor.machine.Step(l.now, dispatch.WorkersListed{Workers: l.listed()})
+				successor.machine.Step(l.now+20*time.Millisecond, dispatch.Tick{Now: l.wall()})
+				planned += time.Since(began)
+			}
+			b.ReportMetric(float64(size)/1000, "snapshot-kB")
+			b.ReportMetric(read.Seconds()*1000/float64(n), "read-ms")
+			b.ReportMetric(opened.Seconds()*1000/float64(n), "open-ms")
+			b.ReportMetric(planned.Seconds()*1000/float64(n), "first-round-ms")
+		})
+	}
+}
+
+// listed returns the list of all workers.
+func (l *loadSim) listed() []workload.Worker {
+	var list []workload.Worker
+	for _, w := range l.workers {
+		list = append(list, w.info)
+	}
+	return list
+}
