coordinator, ledger: a cancellation holds for a submission that is appended after it

What callers saw: a task could run although DELETE had been answered with 410. The store may carry an append out seconds after the node gave up waiting for it, and callers repeat a POST that had no answer. A cancellation in between found no submission, was answered with "no such submission", and left no trace; the submission that arrived then ran.

Cause: Cancel appended nothing for an unknown id, and the ledger ignored a cancellation without an entry.

Change: Cancel records the cancellation of an unknown id before it answers 410, and answers 503 or 504 if it can't. A submission or transfer of that id is final at once. GET still answers 410 until the submission arrives.

Ruled out: an accepted submission is always found, because "no such submission" needs the intake read to its true end; a duplicate of a known cancelled submission has no effect.

--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -46,17 +46,21 @@
 
 // Cancel cancels a submission. It returns nil if the cancellation is stored or
 // the submission is already final, and ErrNoSubmission if there is no such
-// submission.
+// submission. The cancellation is stored then, too: an append of the submission that has
+// no answer yet may still be carried out.
 func (n *Node) Cancel(ctx context.Context, id string) error {
 	state, err := n.State(ctx, id)
-	if err != nil {
+	if err != nil && !errors.Is(err, ErrNoSubmission) {
 		return err
 	}
 	if state.Final() {
 		return nil
 	}
-	err = n.cellOf(id).intakeWriter.append(ctx, encodeCancelled(id))
-	n.logger.Log(logevent.SubmissionCancelled, zap.String("id", id), zap.Error(err))
+	appendErr := n.cellOf(id).intakeWriter.append(ctx, encodeCancelled(id))
+	n.logger.Log(logevent.SubmissionCancelled, zap.String("id", id), zap.Error(appendErr))
+	if appendErr != nil {
+		return appendErr
+	}
 	return err
 }
 
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -41,6 +41,8 @@
 	hiddenRecords int
 	// rejectTransfers makes appends of transferred tasks fail without effect.
 	rejectTransfers bool
+	// rejectCancellations does the same to cancellations.
+	rejectCancellations bool
 }
 
 func newFakeLog() *fakeLog {
@@ -74,7 +76,7 @@
 	if l.appendErr != nil && !l.appliesBeforeErr {
 		return 0, l.appendErr
 	}
-	if l.rejectTransfers && slices.ContainsFunc(records, isTransfer) {
+	if l.rejectTransfers && slices.ContainsFunc(records, isTransfer) || l.rejectCancellations && slices.ContainsFunc(records, isCancellation) {
 		return 0, coordinator.ErrNoEffect
 	}
 	if f != nil {
@@ -97,6 +99,11 @@
 	return err == nil && r.Transferred != nil
 }
 
+func isCancellation(data []byte) bool {
+	r, err := ledger.Decode(data)
+	return err == nil && r.Cancelled != nil
+}
+
 // Put and Values implement coordinator.KeyValueStore.
 func (l *fakeLog) Put(_ context.Context, key string, value []byte) error {
 	l.update(func() { l.values[key] = value })
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -75,9 +75,10 @@
 	maxStoreSilence = 2500 * time.Millisecond
 	// maxQueuedEvents is the capacity of an owner's event queue.
 	maxQueuedEvents = 4096
-	// finalRetention is how long final submissions stay in memory. Callers may
-	// query them for 2 minutes, and a late duplicate of a request arrives within
-	// seconds.
+	// finalRetention is how long final submissions, and cancellations of unknown ids,
+	// stay in memory. Callers may query submissions for 2 minutes, and a late
+	// duplicate of a request arrives within seconds. The log keeps records for a
+	// shorter time, so its readers agree on what a cancellation precedes.
 	finalRetention = 10 * time.Minute
 	// sweepInterval is how often final submissions are removed.
 	sweepInterval = 10 * time.Second
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -268,8 +268,7 @@
 // applyNotification applies the record of a notification. A record that is not
 // the next one of the intake is also applied at once: records of different
 // submissions are independent of each other, and the record is applied again in
-// order when it is read from the intake. Until then, a cancellation of an unknown
-// submission has no effect.
+// order when it is read from the intake.
 func (o *ownership) applyNotification(ctx context.Context, n notification) {
 	if n.offset < o.intakeNext {
 		return
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -31,10 +31,9 @@
 	// contain entries that have become final; Live removes them.
 	liveOrder []*Entry
 	owner     Owner
-	// newlyFinal lists the ids of entries that became final since the last sweep,
-	// finalEntries the entries that became final before it.
-	newlyFinal   []string
-	finalEntries []finalEntry
+	// finalEntries are the ids of the entries that are final.
+	finalEntries agingIDs
+	earlyCancels earlyCancels
 	// interferenceModel is the interference model that an owner recorded last, or
 	// nil.
 	interferenceModel *ledgerpb.Learned
@@ -44,7 +43,10 @@
 
 // New returns the ledger of two empty streams.
 func New() *Ledger {
-	return &Ledger{live: make(map[string]*Entry), silences: make(map[workload.Incarnation][]Silence)}
+	return &Ledger{
+		live: make(map[string]*Entry), earlyCancels: newEarlyCancels(),
+		silences: make(map[workload.Incarnation][]Silence),
+	}
 }
 
 // Owner returns the owner that opened the newest epoch.
@@ -143,17 +145,28 @@
 	return l.addEntry(s)
 }
 
+// addEntry adds an entry. It is final at once if the cancellation came first.
 func (l *Ledger) addEntry(s workload.Submission) *Entry {
 	e := newEntry(s)
-	l.entries.Store(s.ID, e)
 	l.live[s.ID] = e
 	l.liveOrder = append(l.liveOrder, e)
+	if l.earlyCancels.take(s.ID) {
+		e.cancelled = true
+		l.updateState(e)
+	}
+	l.entries.Store(s.ID, e)
 	return e
 }
 
+// applyCancelled cancels a submission. A cancellation of an unknown id holds for a
+// submission that arrives later.
 func (l *Ledger) applyCancelled(id string) *Entry {
 	e := l.Find(id)
-	if e == nil || e.State().Final() {
+	if e == nil {
+		l.earlyCancels.add(id)
+		return nil
+	}
+	if e.State().Final() {
 		return e
 	}
 	e.cancelled = true
@@ -296,6 +309,6 @@
 	e.updateState()
 	if _, live := l.live[e.ID]; live && e.State().Final() {
 		delete(l.live, e.ID)
-		l.newlyFinal = append(l.newlyFinal, e.ID)
+		l.finalEntries.add(e.ID)
 	}
 }
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -70,6 +70,7 @@
 		}
 		return true
 	})
+	l.earlyCancels.appendTo(w)
 	for i, p := range w.parts {
 		p.Part, p.Parts = int32(i), int32(len(w.parts))
 		p.CellNext, p.IntakeNext = at.Cell, at.Intake
@@ -136,6 +137,10 @@
 // read, it is added with only its id and state.
 func (l *Ledger) applySettled(s *ledgerpb.Settled) {
 	state := workload.State(s.State)
+	if state == workload.Unknown {
+		l.applyCancelled(s.Id)
+		return
+	}
 	if !state.Final() {
 		return
 	}
