dispatch, ledger: a successor reaches the runs of cancelled submissions on unlisted workers

What callers saw: a task could run on for the rest of its lease, up to 10 s, after the cancellation of its submission was acknowledged, if the cell was taken over while the task's worker was not in the list of workers: one that shuts down and works on for seconds, or that lost its entry.

Cause: the log named a run's worker, but not its address, so that the successor could send neither a stop nor a heartbeat until the worker was listed. The stop of an inherited run of a final submission also waited for the worker's first report: another round trip, or seconds if the first heartbeat was lost.

An inherited worker is asked, and its runs are stopped, under this address until the list tells it; nothing is placed on it. The first tick of a successor sends the stops of inherited final runs. Where another worker answers at a recorded address, the runs are given up, but this is no crash: the worker may have left.

Ruled out: on listed workers all of this worked without the change, because a successor asks each of them, which fences older commands, and stops what it doesn't know.

--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -31,7 +31,7 @@
 		return
 	}
 	o.lastSnapshot = snapshotMark{at: now, offsets: offsets}
-	parts := o.ledger().Snapshot(offsets)
+	parts := o.ledger().SnapshotWith(offsets, o.machine.StoppingRuns())
 	o.wg.Go(func() {
 		defer o.snapshotInProgress.Store(false)
 		o.writeSnapshot(ctx, parts)
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -37,7 +37,7 @@
 // is in the log.
 func (m *Machine) recordRun(r *run) {
 	m.emitDecision(RunPlaced, r.id, r.worker.ID(), r.step.Image, m.now-r.worker.clockAt)
-	record := ledger.PlacedRecord(r.id, r.worker.Incarnation)
+	record := ledger.PlacedAtRecord(r.id, r.worker.Incarnation, r.worker.Address)
 	incarnation := r.worker.Incarnation
 	m.appendRecord(record, func() {
 		first := r.entry.State() == workload.Queued
@@ -175,7 +175,7 @@
 func (m *Machine) sendStop(r *run) {
 	r.phase, r.commandInFlight = stopping, true
 	r.confirmedAt = m.now
-	if r.worker.Address == "" {
+	if r.worker.address() == "" {
 		r.unanswered = true
 		return
 	}
@@ -211,7 +211,7 @@
 
 // retryCommands retries commands that were not answered and sends deferred ones.
 func (m *Machine) retryCommands(w *worker) {
-	if w.silent || w.Address == "" {
+	if w.silent || w.address() == "" {
 		return
 	}
 	for _, r := range w.runList {
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -10,7 +10,7 @@
 	m.now = max(m.now, now)
 	var out []Heartbeat
 	for _, w := range m.sorted {
-		if len(w.runs) == 0 || !w.reported || w.silent || w.bar != leasesAllowed || w.Address == "" || w.clock == 0 {
+		if len(w.runs) == 0 || !w.reported || w.silent || w.bar != leasesAllowed || w.address() == "" || w.clock == 0 {
 			continue
 		}
 		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: w.extendLease(m.now, lease)})
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -10,7 +10,7 @@
 // heartbeatIfDue sends a heartbeat if one is due to a worker that has runs or ends
 // to acknowledge, or that is not known to answer.
 func (m *Machine) heartbeatIfDue(w *worker) {
-	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" {
+	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.address() == "" {
 		return
 	}
 	if w.reported && !w.needsHeartbeat() && !w.isUnusableUntilHeard() {
@@ -93,7 +93,10 @@
 	case Fenced:
 		m.emit(StepDown{Worker: w.ID()})
 	case WrongWorker:
-		m.workerCrashed(w, "another worker answers at the address")
+		if w.Address != "" {
+			// One that this owner has not seen listed may have left before.
+			m.workerCrashed(w, "another worker answers at the address")
+		}
 		m.abandonRuns(w, "another worker answers at the address")
 		w.listed = false
 		w.ackedCursor = w.cursor
--- /dev/null
+++ b/dispatch/inherit.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// inheritRuns takes over the runs that previous owners placed and whose end is not in the
+// log. Those of final submissions take capacity until they have been stopped.
+func (m *Machine) inheritRuns() {
+	for _, e := range m.ledger.Live() {
+		m.inheritRunsOf(e, false)
+	}
+	for _, e := range m.ledger.Abandoned() {
+		m.inheritRunsOf(e, true)
+	}
+	m.inheritIsolation()
+}
+
+// inheritRunsOf takes over the runs of an entry. final: they must be stopped.
+func (m *Machine) inheritRunsOf(e *ledger.Entry, final bool) {
+	forEachTaskOf(e, func(t *ledger.Task) {
+		if t.Done || !t.Open {
+			return
+		}
+		w := m.inheritWorker(t.PlacedOn)
+		if w == nil {
+			return
+		}
+		if t.PlacedAt != "" {
+			w.recordedAddress = t.PlacedAt
+		}
+		r := m.newRun(e, t, t.Run, w)
+		r.phase, r.inherited, r.stopRequested = starting, true, final
+		if final {
+			// The next tick sends the stop, as one that had no answer.
+			r.phase, r.commandInFlight, r.unanswered = stopping, true, true
+		}
+	})
+}
+
+// StoppingRuns returns the runs of cancelled and failed submissions that may be active.
+func (m *Machine) StoppingRuns() []workload.RunID {
+	var out []workload.RunID
+	for _, w := range m.sorted {
+		for _, r := range w.runList {
+			if state := r.entry.State(); state == workload.Cancelled || state == workload.Failed {
+				out = append(out, r.id)
+			}
+		}
+	}
+	return out
+}
+
+// forEachTaskOf calls f for the tasks of an entry whose state has been allocated.
+func forEachTaskOf(e *ledger.Entry, f func(t *ledger.Task)) {
+	for number := range e.OccurrenceCount() {
+		if !e.HasOccurrence(number) {
+			continue
+		}
+		o := e.Occurrence(number)
+		for s := range o.Steps {
+			for i := range o.Steps[s].Tasks {
+				f(&o.Steps[s].Tasks[i])
+			}
+		}
+	}
+}
+
+// inheritWorker returns the worker of an inherited run, or nil if a run on a newer
+// incarnation of the worker shows that this incarnation has ended.
+func (m *Machine) inheritWorker(incarnation workload.Incarnation) *worker {
+	w := m.workers[incarnation.Worker]
+	switch {
+	case w == nil:
+		w = m.addWorker(workload.Worker{Incarnation: incarnation})
+	case incarnation.StartMillis < w.StartMillis:
+		return nil
+	case incarnation.StartMillis > w.StartMillis:
+		m.workerRestarted(w, incarnation)
+	}
+	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
+	return w
+}
--- a/dispatch/inheritfinal_test.go
+++ b/dispatch/inheritfinal_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
@@ -101,3 +102,91 @@
 	_, ok := a.(dispatch.Heartbeat)
 	return ok
 }
+
+// unlistedSuccessor returns a harness whose worker, which is not listed, runs a task of a
+// submission that the previous owner started it for, and which was cancelled.
+func unlistedSuccessor(t *testing.T) *harness {
+	h := newHarness(t)
+	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "former", Queue: "q", Steps: []workload.Step{plainStep}}))
+	run := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
+	h.ledger.Apply(ledger.PlacedAtRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, "address"))
+	h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
+	return h
+}
+
+// takeOverUnlisted replaces the owner by one that does not find any worker listed.
+func (h *harness) takeOverUnlisted() {
+	h.actions = nil
+	h.machine = dispatch.New(dispatch.Config{
+		Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2, PredecessorExpiry: time.Minute, StopTime: stopTime,
+	}, h.ledger, h.now, time.Now())
+	h.handle(dispatch.WorkersListed{})
+	h.advance(20 * time.Millisecond)
+}
+
+func stopAt(address string) func(dispatch.Action) bool {
+	return func(a dispatch.Action) bool {
+		s, ok := a.(dispatch.Stop)
+		return ok && s.Address == address
+	}
+}
+
+// Guards against a run that nobody stops because its worker, which works on, is not listed
+// when the successor takes over: one that shuts down, or that lost its entry.
+func TestSuccessorStopsRunsOnUnlistedWorkers(t *testing.T) {
+	t.Run("cancelled before", func(t *testing.T) {
+		is := is.New(t)
+		h := unlistedSuccessor(t)
+		h.ledger.Apply(ledger.CancelledRecord("former"))
+		h.takeOverUnlisted()
+		is.Equal(h.count(stopAt("address")), 1)
+		h.handle(dispatch.StopAnswered{Worker: "w", Run: workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}, Answer: dispatch.NoAnswer})
+		h.advance(20 * time.Millisecond)
+		is.Equal(h.count(stopAt("address")), 2)
+	})
+	t.Run("cancelled after", func(t *testing.T) {
+		is := is.New(t)
+		h := unlistedSuccessor(t)
+		h.takeOverUnlisted()
+		is.Equal(h.count(isHeartbeat), 1)
+		h.handle(dispatch.EntryChanged{Entry: h.ledger.Apply(ledger.CancelledRecord("former"))})
+		is.Equal(h.count(stopAt("address")), 1)
+	})
+}
+
+// Guards against a successor that starts from a snapshot and doesn't know the runs of
+// cancelled submissions that its predecessor had not stopped yet.
+func TestSuccessorFromASnapshotStopsRunsOfCancelledSubmissions(t *testing.T) {
+	is := is.New(t)
+	h := unlistedSuccessor(t)
+	h.ledger.Apply(ledger.CancelledRecord("former"))
+	h.takeOverUnlisted()
+	for range 2 {
+		var data [][]byte
+		for _, p := range h.ledger.SnapshotWith(ledger.Offsets{}, h.machine.StoppingRuns()) {
+			part, err := proto.Marshal(p)
+			is.NoErr(err)
+			data = append(data, part)
+		}
+		parts, err := ledger.DecodeSnapshot(data)
+		is.NoErr(err)
+		h.ledger = ledger.New()
+		h.ledger.ApplySnapshot(parts)
+		is.Equal(h.ledger.Find("former").State(), workload.Cancelled)
+		h.takeOverUnlisted()
+		is.Equal(h.count(stopAt("address")), 1)
+	}
+	// The snapshot of an owner that has stopped the run doesn't have it.
+	h.handle(dispatch.StopAnswered{Worker: "w", Run: workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}, Answer: dispatch.Done})
+	clear(h.active)
+	h.advance(2 * stopTime)
+	h.report()
+	is.Equal(len(h.machine.StoppingRuns()), 0)
+}
+
+// Guards against a stop that waits for the first report of its worker after a takeover.
+func TestSuccessorStopsFinalRunsAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := successor(t)
+	is.Equal(h.count(stopOf("former")), 2)
+}
--- a/dispatch/leasewait.go
+++ b/dispatch/leasewait.go
@@ -19,7 +19,7 @@
 	var last *worker
 	workers, unlisted, runs := 0, 0, 0
 	for _, w := range m.sorted {
-		if len(w.runs) == 0 || !w.silent && w.Address != "" || w.leasesExpired(m.now) {
+		if len(w.runs) == 0 || !w.silent && w.address() != "" || w.leasesExpired(m.now) {
 			continue
 		}
 		workers++
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -103,62 +103,6 @@
 	return m
 }
 
-// inheritRuns takes over the runs that previous owners placed and whose end is not in the
-// log. Those of final submissions take capacity until they have been stopped.
-func (m *Machine) inheritRuns() {
-	for _, e := range m.ledger.Live() {
-		m.inheritRunsOf(e, false)
-	}
-	for _, e := range m.ledger.Abandoned() {
-		m.inheritRunsOf(e, true)
-	}
-	m.inheritIsolation()
-}
-
-// inheritRunsOf takes over the runs of an entry. final: they must be stopped.
-func (m *Machine) inheritRunsOf(e *ledger.Entry, final bool) {
-	forEachTaskOf(e, func(t *ledger.Task) {
-		if t.Done || !t.Open {
-			return
-		}
-		if w := m.inheritWorker(t.PlacedOn); w != nil {
-			r := m.newRun(e, t, t.Run, w)
-			r.phase, r.inherited, r.stopRequested = starting, true, final
-		}
-	})
-}
-
-// forEachTaskOf calls f for the tasks of an entry whose state has been allocated.
-func forEachTaskOf(e *ledger.Entry, f func(t *ledger.Task)) {
-	for number := range e.OccurrenceCount() {
-		if !e.HasOccurrence(number) {
-			continue
-		}
-		o := e.Occurrence(number)
-		for s := range o.Steps {
-			for i := range o.Steps[s].Tasks {
-				f(&o.Steps[s].Tasks[i])
-			}
-		}
-	}
-}
-
-// inheritWorker returns the worker of an inherited run, or nil if a run on a newer
-// incarnation of the worker shows that this incarnation has ended.
-func (m *Machine) inheritWorker(incarnation workload.Incarnation) *worker {
-	w := m.workers[incarnation.Worker]
-	switch {
-	case w == nil:
-		w = m.addWorker(workload.Worker{Incarnation: incarnation})
-	case incarnation.StartMillis < w.StartMillis:
-		return nil
-	case incarnation.StartMillis > w.StartMillis:
-		m.workerRestarted(w, incarnation)
-	}
-	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
-	return w
-}
-
 func (m *Machine) addWorker(info workload.Worker) *worker {
 	w := newWorker(info)
 	m.inheritSilence(w)
@@ -347,7 +291,7 @@
 		m.planNeeded = true
 	}
 	for _, w := range m.sorted {
-		if (w.silent || w.Address == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
+		if (w.silent || w.address() == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
 			m.workerLost(w)
 			m.recordExpiry(w)
 			m.abandonRuns(w, "lease has expired")
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -95,14 +95,7 @@
 	for ; o.cellNext < len(s.log); o.cellNext++ {
 		o.apply(s.log[o.cellNext])
 	}
-	config := dispatch.Config{
-		Epoch: s.epoch, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2,
-		PredecessorExpiry: simPredecessorExpiry,
-	}
-	if s.cells != nil {
-		config.CellOf = func(id string) int { return s.cells.home[id].number }
-	}
-	o.machine = dispatch.New(config, o.ledger, s.now, time.UnixMilli(s.now.Milliseconds()))
+	o.machine = dispatch.New(s.config(), o.ledger, s.now, time.UnixMilli(s.now.Milliseconds()))
 	for _, previous := range s.owners {
 		previous.retired = true
 	}
@@ -129,7 +122,7 @@
 func (s *sim) list(o *simOwner) {
 	var list []workload.Worker
 	for i := range len(s.workers) {
-		if w := s.workers[fmt.Sprintf("w%d", i)]; w.up {
+		if w := s.workers[fmt.Sprintf("w%d", i)]; w.up && !w.unlisted {
 			list = append(list, w.info)
 		}
 	}
@@ -328,7 +321,7 @@
 
 // newRun returns a run of a batch, or of a long-running task that fails at times.
 func (s *sim) newRun(id workload.RunID) *simRun {
-	r := &simRun{id: id, request: hostapi.Resources{MilliCPU: 4000}, outcome: workload.Succeeded,
+	r := &simRun{id: id, request: hostapi.Resources{MilliCPU: 4000}, outcome: workload.Succeeded, startedAt: s.now,
 		endsAt: s.now + time.Duration(300+s.random.IntN(1500))*time.Millisecond}
 	switch {
 	case s.cells.isLongRunning(id.Task.Submission):
--- a/dispatch/simcells_test.go
+++ b/dispatch/simcells_test.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
@@ -29,6 +30,10 @@
 	longest time.Duration
 	// moves is the number of transfers of each task, without copies.
 	moves map[workload.TaskID]int64
+	// endless: long-running runs do not fail by themselves.
+	endless bool
+	// lease is the duration of leases if it is not simLease.
+	lease time.Duration
 }
 
 // newSimCells returns cells with the given numbers of workers.
@@ -84,6 +89,8 @@
 // faults go on, and half of the runs not at all after that.
 func (c *simCells) timeToFailure() time.Duration {
 	switch {
+	case c.endless:
+		return time.Hour
 	case c.cells[0].faulty:
 		return 300*time.Millisecond + c.randomTime(4*time.Second)
 	case c.random.IntN(2) == 0:
@@ -177,11 +184,27 @@
 	}
 }
 
+// config returns the settings of the newest epoch.
+func (s *sim) config() dispatch.Config {
+	config := dispatch.Config{
+		Epoch: s.epoch, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2,
+		PredecessorExpiry: simPredecessorExpiry,
+	}
+	if s.cells == nil {
+		return config
+	}
+	config.CellOf = func(id string) int { return s.cells.home[id].number }
+	if s.cells.lease > 0 {
+		config.Lease, config.PredecessorExpiry = s.cells.lease, 2*s.cells.lease+time.Second
+	}
+	return config
+}
+
 // saveSnapshots makes the owner save a snapshot from time to time.
 func (s *sim) saveSnapshots() {
 	if o := s.owner(); !o.frozen && !o.missed {
 		s.snapshot = nil
-		for _, p := range o.ledger.Snapshot(ledger.Offsets{Cell: int64(o.cellNext), Intake: int64(o.intakeNext)}) {
+		for _, p := range o.ledger.SnapshotWith(ledger.Offsets{Cell: int64(o.cellNext), Intake: int64(o.intakeNext)}, o.machine.StoppingRuns()) {
 			data, err := proto.Marshal(p)
 			if err != nil {
 				s.t.Fatal(err)
--- a/dispatch/simworker_test.go
+++ b/dispatch/simworker_test.go
@@ -14,10 +14,12 @@
 // commands of lower epochs, superseded runs, passed deadlines and starts without
 // free capacity, and it kills all runs when its lease expires.
 type simWorker struct {
-	info           workload.Worker
-	up             bool
-	partitioned    bool
-	removed        bool
+	info        workload.Worker
+	up          bool
+	partitioned bool
+	removed     bool
+	// unlisted: the list lacks the worker, which works on.
+	unlisted       bool
 	clockZero      time.Duration
 	epoch          int64
 	deadline       time.Duration
@@ -40,7 +42,9 @@
 	key     string
 	request hostapi.Resources
 	endsAt  time.Duration
-	outcome workload.Outcome
+	// startedAt is when the worker started the run.
+	startedAt time.Duration
+	outcome   workload.Outcome
 }
 
 func newSimWorker(id string, milliCPU int64) *simWorker {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -11,6 +11,9 @@
 // worker is the owner's view of the current incarnation of a worker.
 type worker struct {
 	workload.Worker
+	// recordedAddress is the address under which a previous owner placed a run on this
+	// incarnation, until the list tells the address.
+	recordedAddress string
 	// listed: the current list contains this incarnation.
 	listed bool
 	// reported: the incarnation has answered a heartbeat of this epoch, so it
@@ -89,7 +92,15 @@
 	return &worker{Worker: info, runs: make(map[workload.RunID]*run), limitedRuns: make(map[stepKey]int)}
 }
 
-func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Address: w.Address} }
+func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Address: w.address()} }
+
+// address returns the address for commands, or "" if it is not known.
+func (w *worker) address() string {
+	if w.Address == "" {
+		return w.recordedAddress
+	}
+	return w.Address
+}
 
 // addRun adds a run and reserves its resource request.
 func (w *worker) addRun(r *run) {
--- a/ledger/convert.go
+++ b/ledger/convert.go
@@ -24,6 +24,13 @@
 	return &ledgerpb.Record{Placed: &ledgerpb.Placed{Task: taskMessage(run.Task), Run: run.Run, Worker: on.Worker, Born: on.StartMillis}}
 }
 
+// PlacedAtRecord returns the record of a run's placement on a worker with a known address.
+func PlacedAtRecord(run workload.RunID, on workload.Incarnation, address string) *ledgerpb.Record {
+	r := PlacedRecord(run, on)
+	r.Placed.Address = address
+	return r
+}
+
 // EndedRecord returns the record of a run's end. It must be in the log before the
 // end is acknowledged to the worker.
 func EndedRecord(run workload.RunID, outcome workload.Outcome, checkpoint string) *ledgerpb.Record {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -182,7 +182,7 @@
 	if p.Run > t.Run {
 		t.Run = p.Run
 		if !t.Done {
-			t.Open, t.PlacedOn = true, workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}
+			t.Open, t.PlacedOn, t.PlacedAt = true, workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}, p.Address
 		}
 	}
 	e.started = true
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -13,14 +13,19 @@
 // messages, each with the whole submission and a part of its tasks.
 func (e *Entry) retainedMessages() []*ledgerpb.Retained {
 	var tasks []*ledgerpb.TaskState
-	for number, o := range e.occurrences {
+	for _, o := range e.occurrences {
 		if o == nil {
 			continue
 		}
 		for s := range o.Steps {
-			tasks = appendTaskStates(tasks, o.Steps[s].Tasks, number)
+			tasks = appendTaskStates(tasks, o.Steps[s].Tasks)
 		}
 	}
+	return e.messagesWith(tasks)
+}
+
+// messagesWith returns the entry with the states of some of its tasks.
+func (e *Entry) messagesWith(tasks []*ledgerpb.TaskState) []*ledgerpb.Retained {
 	submitted := submittedMessage(&e.Submission)
 	var out []*ledgerpb.Retained
 	for len(tasks) > 0 || out == nil {
@@ -31,26 +36,29 @@
 	return out
 }
 
-func appendTaskStates(out []*ledgerpb.TaskState, tasks []Task, occurrence int) []*ledgerpb.TaskState {
+func appendTaskStates(out []*ledgerpb.TaskState, tasks []Task) []*ledgerpb.TaskState {
 	for i := range tasks {
-		t := &tasks[i]
-		if t.Run == 0 && !t.Done && t.Transfer == 0 {
-			continue
-		}
-		state := &ledgerpb.TaskState{
-			Occurrence: int32(occurrence), Step: int32(t.ID.Step), Index: int32(t.ID.Index),
-			Done: t.Done, Run: t.Run, Failures: int32(t.Failures), Checkpoint: t.Checkpoint,
-			Transfer: t.Transfer, Away: t.Away, ReleasedTo: int32(t.ReleasedTo),
-			Suspect: t.Suspect, Evidence: int32(t.Evidence), CrashRun: t.CrashRun,
-		}
-		if t.Open {
-			state.Worker, state.Born = t.PlacedOn.Worker, t.PlacedOn.StartMillis
+		if t := &tasks[i]; t.Run > 0 || t.Done || t.Transfer > 0 {
+			out = append(out, t.message())
 		}
-		out = append(out, state)
 	}
 	return out
 }
 
+// message returns the state of the task.
+func (t *Task) message() *ledgerpb.TaskState {
+	state := &ledgerpb.TaskState{
+		Occurrence: int32(t.ID.Occurrence), Step: int32(t.ID.Step), Index: int32(t.ID.Index),
+		Done: t.Done, Run: t.Run, Failures: int32(t.Failures), Checkpoint: t.Checkpoint,
+		Transfer: t.Transfer, Away: t.Away, ReleasedTo: int32(t.ReleasedTo),
+		Suspect: t.Suspect, Evidence: int32(t.Evidence), CrashRun: t.CrashRun,
+	}
+	if t.Open {
+		state.Worker, state.Born, state.Address = t.PlacedOn.Worker, t.PlacedOn.StartMillis, t.PlacedAt
+	}
+	return state
+}
+
 // applyRetained merges the state of an entry from a snapshot. An entry whose later
 // records have already been applied is at least as new and is not set back.
 func (l *Ledger) applyRetained(r *ledgerpb.Retained) {
@@ -87,6 +95,7 @@
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
 		t.Open = state.Worker != ""
 		t.PlacedOn = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}
+		t.PlacedAt = state.Address
 	}
 	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun)
 	if state.Done && e.guest {
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -49,7 +49,11 @@
 // Snapshot returns the state as a list of parts, each of which fits into a log
 // record. The messages share with the ledger only messages that are never changed: the
 // interference model, which a newer record replaces, and those of submissions.
-func (l *Ledger) Snapshot(at Offsets) []*ledgerpb.Snapshot {
+func (l *Ledger) Snapshot(at Offsets) []*ledgerpb.Snapshot { return l.SnapshotWith(at, nil) }
+
+// SnapshotWith returns a snapshot that also has the open runs of final submissions which
+// are still being stopped: a successor may have to stop them.
+func (l *Ledger) SnapshotWith(at Offsets, stopping []workload.RunID) []*ledgerpb.Snapshot {
 	w := &snapshotWriter{}
 	first := w.partFor(proto.Size(l.interferenceModel))
 	first.Owner, first.Learned = OpenedRecord(l.owner).Opened, l.interferenceModel
@@ -63,8 +67,9 @@
 			p.Live = append(p.Live, r)
 		}
 	}
+	retained := l.retainStopping(w, stopping)
 	l.entries.Range(func(_, value any) bool {
-		if e := value.(*Entry); e.State().Final() {
+		if e := value.(*Entry); e.State().Final() && !retained[e.ID] {
 			p := w.partFor(settledBytes)
 			p.Settled = append(p.Settled, &ledgerpb.Settled{Id: e.ID, State: int32(e.State())})
 		}
@@ -78,6 +83,30 @@
 	return w.parts
 }
 
+// retainStopping adds the final entries with open runs that are being stopped, and returns
+// their ids. The runs of an entry follow each other.
+func (l *Ledger) retainStopping(w *snapshotWriter, stopping []workload.RunID) map[string]bool {
+	tasks := make(map[string][]*ledgerpb.TaskState)
+	retained := make(map[string]bool)
+	for _, id := range stopping {
+		e := l.Find(id.Task.Submission)
+		if e == nil || e.State() != workload.Cancelled && e.State() != workload.Failed {
+			continue
+		}
+		if t := e.Task(id.Task); t != nil && t.Open && t.Run == id.Run {
+			tasks[e.ID] = append(tasks[e.ID], t.message())
+		}
+	}
+	for id, states := range tasks {
+		retained[id] = true
+		for _, r := range l.Find(id).messagesWith(states) {
+			p := w.partFor(proto.Size(r))
+			p.Live = append(p.Live, r)
+		}
+	}
+	return retained
+}
+
 // DecodeSnapshot parses the parts of a snapshot. Surplus parts of an older, longer
 // snapshot may follow. It returns ErrIncompleteSnapshot if the parts do not belong
 // together.
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -14,6 +14,8 @@
 	Open bool
 	// PlacedOn is the worker incarnation on which Run was placed.
 	PlacedOn workload.Incarnation
+	// PlacedAt is the address of that worker, or "" if it is not recorded.
+	PlacedAt string
 	// Failures is the number of runs that ended with Errored.
 	Failures int
 	// Checkpoint is the newest recorded checkpoint, or "" if there is none.
@@ -38,4 +40,4 @@
 }
 
 // closeRun marks the end of the task's run as recorded.
-func (t *Task) closeRun() { t.Open, t.PlacedOn = false, workload.Incarnation{} }
+func (t *Task) closeRun() { t.Open, t.PlacedOn, t.PlacedAt = false, workload.Incarnation{}, "" }
