dispatch, ledger: a successor reaches the worker of an open run that is not listed

Callers saw a task that crashes each worker that starts it started six times (BUDGET), with all that ran on these workers, where planned stops moved the cell from owner to owner every few seconds.

Cause: the log names the worker of an open run, not its address. A crashed worker leaves the list within seconds, and the previous owner, if it saw the crash, reports no lease of it. If the record of the crash was not in the log by then, the successor knew an incarnation without address and lease: its runs were "lost, lease has expired" in the first tick, no suspect was recorded, and no evidence counted. An inherited worker that is not listed has no known capacity and adds nothing to the interference model.

The tests of other packages pass "" as the address of a placement, as in records of earlier versions; what they check is unchanged.

--- a/dispatch/blockedstart_test.go
+++ b/dispatch/blockedstart_test.go
@@ -137,7 +137,7 @@
 	}))
 	for index := range 2 {
 		run := workload.RunID{Task: workload.TaskID{Submission: "former", Index: index}, Run: 1}
-		h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+		h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, ""))
 	}
 	first := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
 	h.active[first] = workload.ActiveRun{RunID: first, ProgressPercent: 10}
--- a/dispatch/colocation.go
+++ b/dispatch/colocation.go
@@ -49,7 +49,7 @@
 // observeInterference updates the interference model from a worker's report and
 // stops best-effort runs that interfere too much.
 func (m *Machine) observeInterference(w *worker) {
-	if len(w.latencyRuns) == 0 {
+	if len(w.latencyRuns) == 0 || w.Capacity.MilliCPU == 0 {
 		return
 	}
 	shares := w.bestEffortShares(m.now)
@@ -60,9 +60,13 @@
 	}
 }
 
-// cpuShare returns the fraction of its worker's CPU that a run requests.
+// cpuShare returns the fraction of its worker's CPU that a run requests. The capacity of an
+// inherited worker that is not listed is not known; its runs count as taking none of it.
 func (r *run) cpuShare() float64 {
-	return float64(r.step.Request.MilliCPU) / max(float64(r.worker.Capacity.MilliCPU), 1)
+	if r.worker.Capacity.MilliCPU == 0 {
+		return 0
+	}
+	return float64(r.step.Request.MilliCPU) / float64(r.worker.Capacity.MilliCPU)
 }
 
 // observeRun updates the interference model and the own utilisation of a run with a
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -37,7 +37,7 @@
 // is in the log.
 func (m *Machine) recordRun(r *run) {
 	m.emitDecision(RunPlaced, r.id, r.worker.ID(), r.step.Image, m.now-r.worker.clockAt)
-	record := ledger.PlacedRecord(r.id, r.worker.Incarnation)
+	record := ledger.PlacedRecord(r.id, r.worker.Incarnation, r.worker.Address)
 	incarnation := r.worker.Incarnation
 	m.appendRecord(record, func() {
 		first := r.entry.State() == workload.Queued
--- /dev/null
+++ b/dispatch/crashhandovers_test.go
@@ -0,0 +1,106 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// handOver replaces the owner by a planned hand-over: the successor is told the leases that
+// workers still hold. Records whose append was not carried out are lost.
+func (s *sim) handOver() {
+	leases := make(map[workload.Incarnation]time.Duration)
+	for worker, expiry := range s.owner().machine.Leases(s.now) {
+		leases[worker] = expiry.All
+	}
+	s.step(s.openEpoch(), dispatch.PredecessorResigned{Sole: true, Leases: leases})
+}
+
+// handOverOften hands over in series for a time, at intervals between 0.3 s and 4 s.
+func (s *sim) handOverOften(last time.Duration) {
+	for at := time.Duration(0); at < last; at += 300*time.Millisecond + time.Duration(s.random.IntN(3700))*time.Millisecond {
+		s.after(at, s.handOver)
+	}
+}
+
+// runDeadlyHandOvers runs healthy submissions beside tasks that crash their workers, with
+// hand-overs in series, and checks what becomes of them.
+func runDeadlyHandOvers(t *testing.T, seed uint64, change func(s *sim)) {
+	s := newSim(t, seed, 12)
+	s.crashes.newIDs, s.crashes.reset = true, true
+	s.crashes.crashes = func(id workload.TaskID) bool { return id.Submission[:1] == "d" && id.Index == 0 }
+	change(s)
+	s.submitOften(30)
+	for i := range 3 {
+		s.after(time.Duration(1000+s.random.IntN(9000))*time.Millisecond, func() {
+			s.appendIntake(ledger.SubmittedRecord(simSubmission(fmt.Sprintf("d%d", i), 1+s.random.IntN(4))))
+		})
+	}
+	s.handOverOften(60 * time.Second)
+	s.run(s.now + 240*time.Second)
+	s.expectCompleted(30)
+	for i := range 3 {
+		s.expectState(fmt.Sprintf("d%d", i), workload.Failed)
+	}
+	for id, n := range s.crashes.workers {
+		if n < 2 {
+			t.Errorf("%v was given up after %d crashes", id, n)
+		}
+	}
+}
+
+// Guards against evidence of a crash that planned hand-overs in series lose while the log
+// is slow, so that most records of a crash are in flight at a hand-over.
+func TestTaskThatCrashesItsWorkersIsGivenUpOverHandOversWithASlowLog(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runDeadlyHandOvers(t, seed, func(s *sim) { s.logDelay = 500 * time.Millisecond })
+		})
+	}
+}
+
+// Guards against a successor that knows no address of a worker which another one has
+// replaced, and so forgets the crash.
+func TestSuccessorFindsACrashOfAWorkerThatIsNotListed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("deadly", plainStep)
+	is.Equal(h.count(startOf("deadly")), 1)
+	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2, PredecessorExpiry: time.Minute}, h.ledger, h.now, time.Now())
+	h.handle(dispatch.WorkersListed{Workers: []workload.Worker{{Incarnation: workload.Incarnation{Worker: "next", StartMillis: 2}, Address: "w", Service: "register"}}})
+	h.handle(dispatch.PredecessorResigned{Sole: true})
+	h.advance(20 * time.Millisecond)
+	h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.WrongWorker})
+	is.True(slices.ContainsFunc(h.appendedRecords(), func(r *ledgerpb.Record) bool {
+		return r.Crashed != nil && r.Crashed.Worker == "w" && len(r.Crashed.Suspects) == 1
+	}))
+}
+
+// Guards against a successor that stops the runs of its predecessor, because it asks a
+// worker for them before it has read the list.
+func TestInheritedRunIsResumedOnceTheListIsRead(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{
+		ID: "old", Queue: "q", Steps: []workload.Step{plainStep}, Policy: workload.Policy{Service: "register", MaxAttempts: 3},
+	}))
+	run := workload.RunID{Task: workload.TaskID{Submission: "old"}, Run: 1}
+	h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, "w"))
+	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2, PredecessorExpiry: time.Minute}, h.ledger, h.now, time.Now())
+	h.advance(300 * time.Millisecond)
+	is.Equal(h.count(func(a dispatch.Action) bool { _, ok := a.(dispatch.Heartbeat); return ok }), 0)
+	h.listWorker(workload.Worker{})
+	h.advance(300 * time.Millisecond)
+	h.report()
+	is.Equal(h.count(stopOf("old")), 0)
+	is.Equal(h.count(startOf("old")), 1)
+}
--- a/dispatch/guest_test.go
+++ b/dispatch/guest_test.go
@@ -76,7 +76,7 @@
 	is := is.New(t)
 	h := newHarness(t)
 	h.ledger.Apply(guestTransfer("guest", longRunningStep()))
-	h.ledger.Apply(ledger.PlacedRecord(workload.RunID{Task: workload.TaskID{Submission: "guest"}, Run: 1}, workload.Incarnation{Worker: "w", StartMillis: 1}))
+	h.ledger.Apply(ledger.PlacedRecord(workload.RunID{Task: workload.TaskID{Submission: "guest"}, Run: 1}, workload.Incarnation{Worker: "w", StartMillis: 1}, ""))
 	h.machine = dispatch.New(transferConfig, h.ledger, h.now, time.Now())
 	h.listWorker(workload.Worker{})
 	for range 4 {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -10,7 +10,7 @@
 // heartbeatIfDue sends a heartbeat if one is due to a worker that has runs or ends
 // to acknowledge, or that is not known to answer.
 func (m *Machine) heartbeatIfDue(w *worker) {
-	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" {
+	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" || !m.listRead {
 		return
 	}
 	if w.reported && !w.needsHeartbeat() && !w.isUnusableUntilHeard() {
--- a/dispatch/inherit_test.go
+++ b/dispatch/inherit_test.go
@@ -25,7 +25,7 @@
 	incarnation := workload.Incarnation{Worker: "w", StartMillis: 1}
 	for index := range 2 {
 		task := workload.TaskID{Submission: "apart", Index: index}
-		h.ledger.Apply(ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, incarnation))
+		h.ledger.Apply(ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, incarnation, ""))
 	}
 	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2}, h.ledger, h.now, time.Now())
 	second := workload.RunID{Task: workload.TaskID{Submission: "apart", Index: 1}, Run: 1}
@@ -62,7 +62,7 @@
 	h := newHarness(t)
 	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "former", Queue: "q", Steps: []workload.Step{plainStep}}))
 	run := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
-	h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+	h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, ""))
 	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2, PredecessorExpiry: time.Minute}, h.ledger, h.now, time.Now())
 	h.handle(dispatch.EntryChanged{Entry: h.ledger.Apply(ledger.CancelledRecord("former"))})
 	h.advance(20 * time.Millisecond)
@@ -81,7 +81,7 @@
 		ID: "old", Queue: "q", Steps: []workload.Step{plainStep}, Policy: workload.Policy{Service: "register", MaxAttempts: 3},
 	}))
 	run := workload.RunID{Task: workload.TaskID{Submission: "old"}, Run: 1}
-	h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+	h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, ""))
 	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2}, h.ledger, h.now, time.Now())
 	h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
 	h.listWorker(workload.Worker{})
--- a/dispatch/inheritfinal_test.go
+++ b/dispatch/inheritfinal_test.go
@@ -24,7 +24,7 @@
 	}))
 	for index := range 2 {
 		run := workload.RunID{Task: workload.TaskID{Submission: "former", Index: index}, Run: 1}
-		h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+		h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, ""))
 		h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
 	}
 	h.ledger.Apply(ledger.CancelledRecord("former"))
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -21,6 +21,9 @@
 	wall      time.Time
 	actions   []Action
 	workers   map[string]*worker
+	// listRead: the list of workers has been read in this epoch. Until then nothing is
+	// known of an inherited worker but its address.
+	listRead bool
 	// sorted lists the workers in ascending order of id.
 	sorted []*worker
 	active map[workload.TaskID]*run
@@ -121,7 +124,7 @@
 		if t.Done || !t.Open {
 			return
 		}
-		if w := m.inheritWorker(t.PlacedOn); w != nil {
+		if w := m.inheritWorker(t.PlacedOn, t.PlacedAt); w != nil {
 			r := m.newRun(e, t, t.Run, w)
 			r.phase, r.inherited, r.stopRequested = starting, true, final
 		}
@@ -144,8 +147,9 @@
 }
 
 // inheritWorker returns the worker of an inherited run, or nil if a run on a newer
-// incarnation of the worker shows that this incarnation has ended.
-func (m *Machine) inheritWorker(incarnation workload.Incarnation) *worker {
+// incarnation of the worker shows that this incarnation has ended. The recorded address
+// reaches a worker that is not listed any more: a crash of it must be seen to count.
+func (m *Machine) inheritWorker(incarnation workload.Incarnation, address string) *worker {
 	w := m.workers[incarnation.Worker]
 	switch {
 	case w == nil:
@@ -155,6 +159,9 @@
 	case incarnation.StartMillis > w.StartMillis:
 		m.workerRestarted(w, incarnation)
 	}
+	if address != "" {
+		w.Address = address
+	}
 	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
 	return w
 }
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -81,7 +81,7 @@
 	h := newHarness(t)
 	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "lasting", Queue: "q", Steps: []workload.Step{plainStep}}))
 	run := workload.RunID{Task: workload.TaskID{Submission: "lasting"}, Run: 1}
-	h.ledger.Apply(ledger.PlacedRecord(run, silentIncarnation))
+	h.ledger.Apply(ledger.PlacedRecord(run, silentIncarnation, ""))
 	h.ledger.Apply(ledger.SilentRecord(map[workload.Incarnation]time.Duration{silentIncarnation: 9 * time.Second}))
 	h.ledger.Apply(ledger.OpenedRecord(ledger.Owner{Epoch: 2, VM: "b"}))
 	h.ledger.Apply(ledger.OpenedRecord(ledger.Owner{Epoch: 3, VM: "c"}))
--- a/dispatch/silencebounds_test.go
+++ b/dispatch/silencebounds_test.go
@@ -29,7 +29,7 @@
 // placeOnSilentWorker puts a task into the log that runs on the silent worker.
 func (h *harness) placeOnSilentWorker() {
 	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "lasting", Queue: "q", Steps: []workload.Step{plainStep}, Policy: workload.Policy{Service: "register"}}))
-	h.ledger.Apply(ledger.PlacedRecord(workload.RunID{Task: workload.TaskID{Submission: "lasting"}, Run: 1}, silentIncarnation))
+	h.ledger.Apply(ledger.PlacedRecord(workload.RunID{Task: workload.TaskID{Submission: "lasting"}, Run: 1}, silentIncarnation, ""))
 }
 
 // advanceInSteps lets time pass with a tick every 100 ms.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -35,6 +35,8 @@
 	faulty bool
 	// logDownUntil is the time until which the log answers no appends.
 	logDownUntil time.Duration
+	// logDelay is added to the time of each append.
+	logDelay time.Duration
 	// removed is the number of workers that were removed permanently.
 	removed int
 	// cells are the cells that this one is coupled with by transfers, or nil; number is
@@ -177,7 +179,7 @@
 		if s.faulty {
 			delay = s.delay(300)
 		}
-		delay = max(delay, s.logDownUntil-s.now)
+		delay = max(delay+s.logDelay, s.logDownUntil-s.now)
 		s.after(max(delay, o.appendedAt-s.now), func() { s.append(o, a) })
 		o.appendedAt = max(o.appendedAt, s.now+delay)
 	case dispatch.Start:
@@ -186,15 +188,15 @@
 			ev := dispatch.StartAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.NoAnswer}
 			if !lost {
 				ev.Answer = answer.(dispatch.Answer)
-				ev.Clock = s.workers[a.Worker].clock(s.now)
+				ev.Clock = s.workers[a.Address].clock(s.now)
 			}
 			s.step(o, ev)
 		})
 	case dispatch.Stop:
 		s.sendCommand(func() (any, bool) {
-			w := s.workers[a.Worker]
-			if !w.up || w.partitioned || w.info.Incarnation != a.Incarnation {
-				return nil, false
+			w, answers := s.at(a.Target)
+			if !answers || w == nil {
+				return dispatch.WrongWorker, answers
 			}
 			return w.stop(o.epoch, a), true
 		}, func(answer any, lost bool) {
@@ -223,9 +225,9 @@
 func (s *sim) heartbeat(o *simOwner, a dispatch.Heartbeat) {
 	sent := s.now
 	s.sendCommand(func() (any, bool) {
-		w := s.workers[a.Worker]
-		if !w.up || w.partitioned || w.info.Incarnation != a.Incarnation {
-			return nil, false
+		w, answers := s.at(a.Target)
+		if !answers || w == nil {
+			return heartbeatResult{answer: dispatch.WrongWorker}, answers
 		}
 		s.recordAcknowledged(w, a.Cursor, o.epoch)
 		report, answer := w.heartbeat(s.now, o.epoch, a)
@@ -305,9 +307,9 @@
 
 // start carries out a start command that was sent at a time.
 func (s *sim) start(o *simOwner, a dispatch.Start, sent time.Duration) (any, bool) {
-	w := s.workers[a.Worker]
-	if !w.up || w.partitioned || w.info.Incarnation != a.Incarnation {
-		return nil, false
+	w, answers := s.at(a.Target)
+	if !answers || w == nil {
+		return dispatch.WrongWorker, answers
 	}
 	if !s.placementRecorded(a.Run) {
 		s.t.Fatalf("%v: start of %v without a record", s.now, a.Run)
--- a/dispatch/simcrashes_test.go
+++ b/dispatch/simcrashes_test.go
@@ -24,6 +24,11 @@
 	// reset: a call that a worker doesn't answer fails at once, as if its host refused
 	// the connection.
 	reset bool
+	// newIDs: a worker that starts again has another id, and says so if a command is meant
+	// for the one before.
+	newIDs bool
+	// downTime is the time after which a crashed worker is back.
+	downTime time.Duration
 	// workers counts the workers that have crashed under each task.
 	workers map[workload.TaskID]int
 	// startsAfter counts the starts of each task after three workers have crashed under
@@ -32,7 +37,7 @@
 }
 
 func newSimCrashes() simCrashes {
-	return simCrashes{workers: make(map[workload.TaskID]int), startsAfter: make(map[workload.TaskID]int)}
+	return simCrashes{downTime: simCrashTime, workers: make(map[workload.TaskID]int), startsAfter: make(map[workload.TaskID]int)}
 }
 
 // started crashes a worker that has started a task if the task does so.
@@ -55,8 +60,8 @@
 	})
 }
 
-// crash ends a worker's incarnation; the next one begins after simCrashTime.
+// crash ends a worker's incarnation; the next one begins after downTime.
 func (s *sim) crash(w *simWorker) {
 	w.up = false
-	s.after(simCrashTime, func() { s.reboot(w) })
+	s.after(s.crashes.downTime, func() { s.reboot(w) })
 }
--- a/dispatch/simfaults_test.go
+++ b/dispatch/simfaults_test.go
@@ -41,6 +41,9 @@
 func (s *sim) reboot(w *simWorker) {
 	if !w.removed {
 		w.reboot(s.now)
+		if s.crashes.newIDs {
+			w.info.Worker = fmt.Sprintf("%s-%d", w.info.Address, w.info.StartMillis)
+		}
 	}
 }
 
--- a/dispatch/simworker_test.go
+++ b/dispatch/simworker_test.go
@@ -104,6 +104,19 @@
 	w.ends = append(w.ends, workload.EndedRun{RunID: r.id, Sequence: w.sequence, Outcome: outcome})
 }
 
+// at returns the worker that a command reaches, or nil if another incarnation answers at
+// the address, and whether there is an answer.
+func (s *sim) at(target dispatch.Target) (w *simWorker, answers bool) {
+	w = s.workers[target.Address]
+	switch {
+	case !w.up || w.partitioned:
+		return nil, false
+	case w.info.Incarnation == target.Incarnation:
+		return w, true
+	}
+	return nil, s.crashes.newIDs
+}
+
 // reboot begins a new incarnation without any state of the previous one.
 func (w *simWorker) reboot(now time.Duration) {
 	w.info.StartMillis++
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -23,7 +23,7 @@
 	for _, w := range m.sorted {
 		w.listed = w.listed && present[w.ID()]
 	}
-	m.planNeeded = true
+	m.planNeeded, m.listRead = true, true
 }
 
 // workerRestarted switches to a new incarnation of a worker: no run of the old one
--- a/ledger/convert.go
+++ b/ledger/convert.go
@@ -18,10 +18,12 @@
 	return &ledgerpb.Record{Cancelled: &ledgerpb.Cancelled{Id: id}}
 }
 
-// PlacedRecord returns the record of a run's placement. It must be in the log
-// before the run is started.
-func PlacedRecord(run workload.RunID, on workload.Incarnation) *ledgerpb.Record {
-	return &ledgerpb.Record{Placed: &ledgerpb.Placed{Task: taskMessage(run.Task), Run: run.Run, Worker: on.Worker, Born: on.StartMillis}}
+// PlacedRecord returns the record of a run's placement on a worker at an address. It must
+// be in the log before the run is started.
+func PlacedRecord(run workload.RunID, on workload.Incarnation, address string) *ledgerpb.Record {
+	return &ledgerpb.Record{Placed: &ledgerpb.Placed{
+		Task: taskMessage(run.Task), Run: run.Run, Worker: on.Worker, Born: on.StartMillis, Address: address,
+	}}
 }
 
 // EndedRecord returns the record of a run's end. It must be in the log before the
--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -13,7 +13,7 @@
 // crashUnder applies a run of a task on a worker and the worker's crash.
 func crashUnder(l *ledger.Ledger, run workload.RunID, evidence int) {
 	on := workload.Incarnation{Worker: "w", StartMillis: run.Run}
-	l.Apply(ledger.PlacedRecord(run, on))
+	l.Apply(ledger.PlacedRecord(run, on, ""))
 	for range 2 { // A record that is applied again has no effect.
 		l.Apply(ledger.CrashedRecord(on, []workload.RunID{run}, evidence))
 	}
@@ -66,7 +66,7 @@
 		crashUnder(l, run, ledger.StrongEvidence)
 		survivor := run
 		survivor.Run++
-		l.Apply(ledger.PlacedRecord(survivor, workload.Incarnation{Worker: "w2"}))
+		l.Apply(ledger.PlacedRecord(survivor, workload.Incarnation{Worker: "w2"}, ""))
 		l.Apply(ledger.SurvivedRecord(survivor))
 		l.Apply(ledger.CrashedRecord(workload.Incarnation{Worker: "w"}, []workload.RunID{run}, ledger.StrongEvidence))
 		is.Equal(l.Find("s1").Task(run.Task).CrashRecord, ledger.CrashRecord{CrashRun: survivor.Run})
@@ -87,3 +87,18 @@
 	}
 	is.Equal(l.Find("s1").State(), workload.Failed)
 }
+
+// Guards against a successor that can't reach the worker of an open run because a snapshot
+// loses the worker's address.
+func TestAddressOfAnOpenRunOutlastsASnapshot(t *testing.T) {
+	is := is.New(t)
+	task := workload.TaskID{Submission: "s1"}
+	l := ledger.New()
+	l.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "s1", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}))
+	l.Apply(ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, workload.Incarnation{Worker: "w", StartMillis: 1}, "127.0.0.1:80"))
+	restored := ledger.New()
+	restored.ApplySnapshot(l.Snapshot(ledger.Offsets{}))
+	is.Equal(restored.Find("s1").Task(task).PlacedAt, "127.0.0.1:80")
+	restored.Apply(ledger.EndedRecord(workload.RunID{Task: task, Run: 1}, workload.Stopped, ""))
+	is.Equal(restored.Find("s1").Task(task).PlacedAt, "")
+}
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -37,7 +37,7 @@
 	seed(f, cyclic)
 	seed(f, ledger.CancelledRecord("s"))
 	task := workload.TaskID{Submission: "s", Occurrence: -1, Step: 9, Index: -3}
-	seed(f, ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, workload.Incarnation{}))
+	seed(f, ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, workload.Incarnation{}, ""))
 	seed(f, ledger.EndedRecord(workload.RunID{Task: task, Run: 1}, workload.Succeeded, "c"))
 	e := ledger.New().Apply(ledger.SubmittedRecord(fuzzSubmission()))
 	seed(f, ledger.ReleasedRecord(e.Task(workload.TaskID{Submission: "s"}), -1, ""))
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -169,7 +169,8 @@
 	if p.Run > t.Run {
 		t.Run = p.Run
 		if !t.Done {
-			t.Open, t.PlacedOn = true, workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}
+			t.Open, t.PlacedAt = true, p.Address
+			t.PlacedOn = workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}
 		}
 	}
 	e.started = true
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -38,7 +38,7 @@
 var incarnation = workload.Incarnation{Worker: "w", StartMillis: 7}
 
 func placed(t workload.TaskID, number int64) *ledgerpb.Record {
-	return ledger.PlacedRecord(run(t, number), incarnation)
+	return ledger.PlacedRecord(run(t, number), incarnation, "")
 }
 
 func ended(t workload.TaskID, number int64, o workload.Outcome) *ledgerpb.Record {
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -44,7 +44,7 @@
 			Suspect: t.Suspect, Evidence: int32(t.Evidence), CrashRun: t.CrashRun,
 		}
 		if t.Open {
-			state.Worker, state.Born = t.PlacedOn.Worker, t.PlacedOn.StartMillis
+			state.Worker, state.Born, state.Address = t.PlacedOn.Worker, t.PlacedOn.StartMillis, t.PlacedAt
 		}
 		out = append(out, state)
 	}
@@ -86,7 +86,7 @@
 	if state.Run >= t.Run {
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
 		t.Open = state.Worker != ""
-		t.PlacedOn = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}
+		t.PlacedOn, t.PlacedAt = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}, state.Address
 	}
 	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun)
 	if state.Done && e.guest {
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -12,8 +12,10 @@
 	Run int64
 	// Open is true if Run has been placed and its end is not recorded.
 	Open bool
-	// PlacedOn is the worker incarnation on which Run was placed.
+	// PlacedOn is the worker incarnation on which Run was placed, PlacedAt its address, or
+	// "" if that is not known.
 	PlacedOn workload.Incarnation
+	PlacedAt string
 	// Failures is the number of runs that ended with Errored.
 	Failures int
 	// Checkpoint is the newest recorded checkpoint, or "" if there is none.
@@ -38,4 +40,4 @@
 }
 
 // closeRun marks the end of the task's run as recorded.
-func (t *Task) closeRun() { t.Open, t.PlacedOn = false, workload.Incarnation{} }
+func (t *Task) closeRun() { t.Open, t.PlacedOn, t.PlacedAt = false, workload.Incarnation{}, "" }
