--- a/dispatch/inherit.go
+++ b/dispatch/inherit.go
@@ -23,13 +23,10 @@
 		if t.Done || !t.Open {
 			return
 		}
-		w := m.inheritWorker(t.PlacedOn)
+		w := m.inheritWorker(t.PlacedOn, t.PlacedAt)
 		if w == nil {
 			return
 		}
-		if t.PlacedAt != "" {
-			w.recordedAddress = t.PlacedAt
-		}
 		r := m.newRun(e, t, t.Run, w)
 		r.phase, r.inherited, r.stopRequested = starting, true, final
 		if final {
@@ -68,8 +65,10 @@
 }
 
 // inheritWorker returns the worker of an inherited run, or nil if a run on a newer
-// incarnation of the worker shows that this incarnation has ended.
-func (m *Machine) inheritWorker(incarnation workload.Incarnation) *worker {
+// incarnation of the worker shows that this incarnation has ended. The recorded address
+// reaches a worker that is not listed any more: its runs must be stopped, and a crash of it
+// must be seen to count.
+func (m *Machine) inheritWorker(incarnation workload.Incarnation, address string) *worker {
 	w := m.workers[incarnation.Worker]
 	switch {
 	case w == nil:
@@ -79,6 +78,9 @@
 	case incarnation.StartMillis > w.StartMillis:
 		m.workerRestarted(w, incarnation)
 	}
+	if address != "" {
+		w.Address = address
+	}
 	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
 	return w
 }
--- a/dispatch/inheritfinal_test.go
+++ b/dispatch/inheritfinal_test.go
@@ -25,7 +25,7 @@
 	}))
 	for index := range 2 {
 		run := workload.RunID{Task: workload.TaskID{Submission: "former", Index: index}, Run: 1}
-		h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+		h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, ""))
 		h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
 	}
 	h.ledger.Apply(ledger.CancelledRecord("former"))
@@ -109,7 +109,7 @@
 	h := newHarness(t)
 	h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "former", Queue: "q", Steps: []workload.Step{plainStep}}))
 	run := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
-	h.ledger.Apply(ledger.PlacedAtRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, "address"))
+	h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, "address"))
 	h.active[run] = workload.ActiveRun{RunID: run, ProgressPercent: 10}
 	return h
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -21,6 +21,9 @@
 	wall      time.Time
 	actions   []Action
 	workers   map[string]*worker
+	// listRead: the list of workers has been read in this epoch. Until then nothing is
+	// known of an inherited worker but its address.
+	listRead bool
 	// sorted lists the workers in ascending order of id.
 	sorted []*worker
 	active map[workload.TaskID]*run
@@ -291,7 +294,7 @@
 		m.planNeeded = true
 	}
 	for _, w := range m.sorted {
-		if (w.silent || w.address() == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
+		if (w.silent || w.Address == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
 			m.workerLost(w)
 			m.recordExpiry(w)
 			m.abandonRuns(w, "lease has expired")
