--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -36,6 +36,10 @@
 	LogStart int64
 }
 
+// AtEnd reports whether the records of the page are the last ones of the log, as far as
+// the log's answer shows.
+func (p *Page) AtEnd() bool { return p.From+int64(len(p.Records)) == p.LogEnd }
+
 // Fence makes an append conditional and idempotent.
 type Fence struct {
 	// Epoch is the fencing token.
