dispatch, coordinator: an owner starts nothing by a view that is too old

Cause of the class: three views decide about starts, and none had an age beyond which it decides nothing. With reads that fail or get no answer, while appends and commands go on, the owner placed and started by what it had last seen, without limit. The intake's time of reading counted from the sending of any page, also of one that did not reach the end and was not applied yet.

Ruled out: handing the cell over (a node that the store refuses loses it through its joins; where only a part of the store is away, a successor reads no more), asking the node that acknowledged (the owner does not know of the cancellation).

Change: ViewRead carries the time at which a read that reached the end was sent, through the queue of events behind what was read. Planning, offers to other cells and each start (also repeated and inherited ones) wait while a view is older than what the deployment allows less 0.5 s: new settings drain_notice, evacuation_notice, cancel_notice, defaults 2, 5 and 3 s. Leases, ends and stops go on. Events 850 and 852 once for each expiry, metrics views_expired and view_age_microseconds. Reads follow the limits; one after a failure is repeated after 0.1 s and not delayed.

Evidence: with the limits off, as before, TestNoStartsByAViewThatCannotBeRead counts 72 to 80 starts after the bound in 10 s, now 0, for each view with refused and lost reads; the seven tests of dispatch/views_test.go fail; TestPartOfTheIntakeIsNoFreshView fails where any page counts. Costs: 0 expiries with answers that take 250 ms and with an idle log; one lost answer delays no start; 1.0 s at most from the end of an outage of 6.5 s to the first start (TestStartsGoOnSoonAfterAnOutage).

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -59,6 +59,10 @@
 		o.cancel()
 	case dispatch.Decision:
 		o.node.logDecision(o.number, o.epoch, a)
+	case dispatch.ViewExpired:
+		o.reportExpired(a)
+	case dispatch.ViewRenewed:
+		o.reportRenewed(a)
 	case dispatch.FindCapacity:
 		o.wg.Go(func() { o.findCapacity(ctx, a) })
 	case dispatch.Transfer:
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -38,6 +38,8 @@
 	unapplied [][]byte
 	// caughtUpAt is when both streams were last read to their ends.
 	caughtUpAt time.Duration
+	// intakeKnownAt is the time up to which the intake's records were applied then.
+	intakeKnownAt time.Duration
 	// generation is the generation of the group in which the cell is assigned to
 	// this node, or 0 if it is not.
 	generation atomic.Int64
@@ -54,8 +56,8 @@
 	lastSweep time.Duration
 	// owning reports whether this node owns the cell.
 	owning atomic.Bool
-	// intakeReadAt is when the owner sent its last read of the intake that was answered,
-	// in nanoseconds of the node's monotonic clock.
+	// intakeReadAt is when the owner sent its last read that reached the intake's end and
+	// has been applied, in nanoseconds of the node's monotonic clock.
 	intakeReadAt atomic.Int64
 	// newestEpoch is the newest epoch that this node opened, resignedEpoch the
 	// highest epoch that it was requested to end.
@@ -175,6 +177,7 @@
 	if err := c.readCellStream(ctx); err != nil {
 		return err
 	}
+	endRequestedAt := c.node.monotonicNow()
 	end, err := c.intakeEnd(ctx)
 	if err != nil {
 		return err
@@ -187,7 +190,7 @@
 	}
 	c.cellNext += int64(len(c.unapplied))
 	c.unapplied = nil
-	c.caughtUpAt = c.node.monotonicNow()
+	c.caughtUpAt, c.intakeKnownAt = c.node.monotonicNow(), endRequestedAt
 	c.node.owners.update(c.number, c.ledger().Owner())
 	return nil
 }
--- a/coordinator/declarations.go
+++ b/coordinator/declarations.go
@@ -14,6 +14,7 @@
 func (n *Node) followDeclarations(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
+		sent := n.monotonicNow()
 		d, err := n.platform.Declarations.Next(ctx)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
@@ -29,6 +30,10 @@
 		failing = false
 		n.recordStoreResponse()
 		n.applyDeclarations(d)
+		n.declarationsReadAt.Store(int64(sent))
+		for _, c := range n.cells {
+			c.signalEvacuation()
+		}
 	}
 }
 
@@ -43,8 +48,5 @@
 	}
 	if before == nil || !maps.Equal(before.Evacuated, d.Evacuated) {
 		n.logger.Log(logevent.EvacuationChanged, zap.Any("dataCentres", d.Evacuated))
-		for _, c := range n.cells {
-			c.signalEvacuation()
-		}
 	}
 }
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -29,8 +29,7 @@
 	// proofInterval is the minimum time between two appends that prove an epoch to be the
 	// newest.
 	proofInterval = 500 * time.Millisecond
-	// directoryReadInterval is the pause between reads of the list of workers. A
-	// draining worker must not be sent any starts after 2 s.
+	// directoryReadInterval is the longest pause between reads of the list of workers.
 	directoryReadInterval = 400 * time.Millisecond
 	// tickInterval is the interval of the dispatch machine's Tick events.
 	tickInterval = 20 * time.Millisecond
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -61,6 +61,12 @@
 
 func (m *Metrics) observePlanDelay(d time.Duration) { m.observeDuration("plan_delay_microseconds", d) }
 
+func (m *Metrics) countExpiredView(v dispatch.View) { m.count("views_expired", "view", v.String()) }
+
+func (m *Metrics) observeRenewedView(v dispatch.View, age time.Duration) {
+	m.observeDuration(metrics.Name("view_age_microseconds", "view", v.String()), age)
+}
+
 func (m *Metrics) observeAppend(d time.Duration) { m.observeDuration("append_microseconds", d) }
 
 func (m *Metrics) observeSubmission(err error, d time.Duration) {
--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -17,8 +17,10 @@
 type cutLog struct {
 	*fakeLog
 	cut bool
-	// readDelay is how late the answers to reads arrive.
-	readDelay time.Duration
+	// readDelay is how late the answers to reads arrive, intakeReads the fault of reads of
+	// the intake.
+	readDelay   time.Duration
+	intakeReads callFault
 }
 
 func (l *cutLog) Append(ctx context.Context, s coordinator.Stream, r [][]byte, f *coordinator.Fence) (int64, error) {
@@ -38,6 +40,11 @@
 	delay := l.readDelay
 	l.mu.Unlock()
 	time.Sleep(delay)
+	if s.Topic == "intake" {
+		if err := l.intakeReads.await(ctx); err != nil {
+			return coordinator.Page{}, err
+		}
+	}
 	if l.isCut() {
 		return coordinator.Page{}, errors.New("cut off")
 	}
@@ -120,12 +127,16 @@
 // drainingDirectory lists the workers, some of them as draining.
 type drainingDirectory struct {
 	fakeWorkers
+	fault    callFault
 	mu       sync.Mutex
 	draining map[string]bool
 }
 
 func (d *drainingDirectory) Workers(ctx context.Context) ([]workload.Worker, bool, error) {
 	list, _, err := d.fakeWorkers.Workers(ctx)
+	if err := d.fault.await(ctx); err != nil {
+		return nil, false, err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range list {
@@ -194,7 +205,9 @@
 	*harness
 	group     *cellGroup
 	directory *drainingDirectory
+	operators *fakeOperators
 	nodes     map[string]*coordinator.Node
+	metrics   map[string]*coordinator.Metrics
 	logs      map[string]*cutLog
 	mu        sync.Mutex
 	// cutLinks are the pairs of a caller and a callee whose calls have no answer.
@@ -206,7 +219,8 @@
 	c := &cluster{
 		harness: newHarness(), group: &cellGroup{owners: make([]string, cells), cut: make(map[string]bool)},
 		directory: &drainingDirectory{fakeWorkers: workers, draining: make(map[string]bool)},
-		nodes:     make(map[string]*coordinator.Node), logs: make(map[string]*cutLog), cutLinks: make(map[[2]string]bool),
+		operators: &fakeOperators{}, metrics: make(map[string]*coordinator.Metrics),
+		nodes: make(map[string]*coordinator.Node), logs: make(map[string]*cutLog), cutLinks: make(map[[2]string]bool),
 	}
 	c.workers = workers
 	for _, vm := range vms {
@@ -236,14 +250,15 @@
 func (c *cluster) addNode(vm string, cells int) {
 	c.logs[vm] = &cutLog{fakeLog: c.log}
 	p := c.platform(cellMember{c.group, vm})
-	p.Log, p.Owners, p.Directory = c.logs[vm], c.logs[vm], c.directory
+	p.Log, p.Owners, p.Directory, p.Declarations = c.logs[vm], c.logs[vm], c.directory, &operatorsReader{fakeOperators: c.operators}
+	c.metrics[vm] = coordinator.NewMetrics()
 	p.WorkerClient = linkedWorkers{c.workers, func(worker string) bool { return c.linkIsCut(vm, worker) }}
 	startedAt := time.Now()
 	c.nodes[vm] = coordinator.NewNode(coordinator.Config{
 		SuspendClock: func() time.Duration { return time.Since(startedAt) },
 		VM:           vm, PeerAddress: vm, Cells: cells,
-		Dispatch: dispatch.Config{Lease: clusterLease, HandoverLease: 2 * clusterLease, HeartbeatWait: time.Second, RemoteFactor: 2, StopTime: 100 * time.Millisecond},
-	}, p, nil, coordinator.NewMetrics())
+		Dispatch: dispatch.Config{Lease: clusterLease, HandoverLease: 2 * clusterLease, HeartbeatWait: time.Second, RemoteFactor: 2, StopTime: 100 * time.Millisecond, MaxViewAge: clusterViewAges},
+	}, p, nil, c.metrics[vm])
 }
 
 func (c *cluster) linkIsCut(from, to string) bool {
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -23,6 +23,9 @@
 	workers      *workerList
 	cells        []*cell
 	declarations atomic.Pointer[Declarations]
+	// declarationsReadAt is when the last read of the declarations that was answered was
+	// sent, in nanoseconds of the monotonic clock. It is stored after declarations.
+	declarationsReadAt atomic.Int64
 	// lastStoreResponse is when the store last responded, in nanoseconds since
 	// startedAt.
 	lastStoreResponse atomic.Int64
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -40,8 +40,12 @@
 	wg                   sync.WaitGroup
 }
 
-// intakePageRead reports a page of the intake that tailIntake read.
-type intakePageRead struct{ page Page }
+// intakePageRead reports a page of the intake that tailIntake read, possibly without
+// records. sentAt is when the read was sent.
+type intakePageRead struct {
+	page   Page
+	sentAt time.Duration
+}
 
 // batchAppended reports that a batch of records is in the log. appendIDs are the
 // IDs of its Append actions, end is the offset after the last record.
@@ -84,7 +88,7 @@
 	}
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
-	c.intakeReadAt.Store(int64(began))
+	c.intakeReadAt.Store(int64(c.intakeKnownAt))
 	ended := make(chan struct{})
 	c.ended.Store(&ended)
 	c.owning.Store(true)
@@ -173,7 +177,8 @@
 func (o *ownership) eventLoop(ctx context.Context) string {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	o.signalEvacuation()
+	o.intakeKnown(ctx, o.intakeKnownAt)
+	o.applyEvacuations(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -199,9 +204,7 @@
 		case n := <-o.notifications:
 			o.applyNotification(ctx, n)
 		case <-o.evacuation:
-			if d := o.node.declarations.Load(); d != nil {
-				o.step(ctx, dispatch.Evacuated{DataCentres: d.Evacuated})
-			}
+			o.applyEvacuations(ctx)
 		case ev := <-o.events:
 			o.handleEvent(ctx, ev)
 		case now := <-tick.C:
@@ -238,6 +241,9 @@
 	switch ev := ev.(type) {
 	case intakePageRead:
 		o.applyIntakePage(ctx, ev.page)
+		if ev.page.AtEnd() {
+			o.intakeKnown(ctx, ev.sentAt)
+		}
 	case batchAppended:
 		for _, id := range ev.appendIDs {
 			o.step(ctx, dispatch.Appended{ID: id})
@@ -288,32 +294,22 @@
 	}
 }
 
-// intakeWait returns the maximum time for which the log may delay its answer to a read
-// of the intake. Other cells rely on the owner's view of it, which may be twice as old.
-func (n *Node) intakeWait() time.Duration {
-	if len(n.cells) > 1 {
-		return sharedIntakeReadWait
-	}
-	return intakeReadWait
-}
-
 // tailIntake reads new records of the intake until ctx is done.
 func (o *ownership) tailIntake(ctx context.Context, from int64) {
-	for attempt := 1; ctx.Err() == nil; {
+	wait := o.node.intakeWait()
+	for ctx.Err() == nil {
 		sent := o.node.monotonicNow()
-		page, err := o.readPage(ctx, o.intakeStream(), from, intakePageRecords, o.node.intakeWait())
+		page, err := o.readPage(ctx, o.intakeStream(), from, intakePageRecords, wait)
 		switch {
 		case errors.Is(err, ErrExpired):
 			from = page.LogStart
 		case err != nil:
-			sleep(ctx, retryDelay(attempt))
-			attempt++
+			// Starts may wait for the next answer.
+			wait = 0
+			sleep(ctx, logRetryDelay)
 		default:
-			attempt = 1
-			if len(page.Records) > 0 {
-				o.post(ctx, intakePageRead{page: page})
-			}
-			o.intakeReadAt.Store(int64(sent))
+			wait = o.node.intakeWait()
+			o.post(ctx, intakePageRead{page: page, sentAt: sent})
 			from = page.From + int64(len(page.Records))
 		}
 	}
--- a/coordinator/workerlist.go
+++ b/coordinator/workerlist.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
+	"time"
 
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/logevent"
@@ -61,32 +63,44 @@
 			}
 			continue
 		}
+		sent := l.node.monotonicNow()
 		call, cancel := context.WithTimeout(ctx, logTimeout)
 		list, changed, err := l.node.platform.Directory.Workers(call)
 		cancel()
 		l.node.metrics.countLogCall(err)
-		if err == nil {
-			l.publish(list, changed)
-		} else if !failing && ctx.Err() == nil {
-			l.node.logError(logevent.DirectoryLost, err)
+		failing = l.logOutcome(ctx, failing, err)
+		if err != nil {
+			// Starts wait for the next answer.
+			sleep(ctx, min(l.node.directoryInterval(), logRetryDelay))
+			continue
 		}
-		failing = err != nil
-		sleep(ctx, directoryReadInterval)
+		l.publish(list, changed, sent)
+		sleep(ctx, l.node.directoryInterval())
+	}
+}
+
+// logOutcome logs the first of consecutive failed reads and returns whether this one
+// failed.
+func (l *workerList) logOutcome(ctx context.Context, failing bool, err error) bool {
+	if err != nil && !failing && ctx.Err() == nil {
+		l.node.logError(logevent.DirectoryLost, err)
 	}
+	return err != nil
 }
 
-// publish sends the list to the ownerships for which it is new.
-func (l *workerList) publish(list []workload.Worker, changed bool) {
+// publish sends the list to the ownerships for which it is new, and to all of them that
+// it was read. The read was sent at sent.
+func (l *workerList) publish(list []workload.Worker, changed bool, sent time.Duration) {
 	l.mu.Lock()
-	recipients := make(map[*ownership]context.Context, len(l.subscribers))
+	subscribers := maps.Clone(l.subscribers)
 	for o, s := range l.subscribers {
-		if changed || !s.delivered {
-			recipients[o] = s.ctx
-			l.subscribers[o] = subscription{ctx: s.ctx, delivered: true}
-		}
+		l.subscribers[o] = subscription{ctx: s.ctx, delivered: true}
 	}
 	l.mu.Unlock()
-	for o, ctx := range recipients {
-		o.post(ctx, dispatch.WorkersListed{Workers: l.node.workersOf(o.cell, list)})
+	for o, s := range subscribers {
+		if changed || !s.delivered {
+			o.post(s.ctx, dispatch.WorkersListed{Workers: l.node.workersOf(o.cell, list)})
+		}
+		o.post(s.ctx, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: sent})
 	}
 }
--- a/dispatch/blockedstart.go
+++ b/dispatch/blockedstart.go
@@ -10,11 +10,11 @@
 
 // stopBlocked stops a run that its worker does not list and whose start was not answered,
 // if the start must not be repeated. The run is stopped rather than removed because the
-// unanswered command may still be carried out. It waits while a guest is not confirmed or
-// the worker is still recorded as silent.
+// unanswered command may still be carried out. It waits while a guest is not confirmed,
+// the worker is still recorded as silent, or a view is too old.
 func (m *Machine) stopBlocked(r *run) {
 	reason := m.startBlocker(r)
-	if reason == "" || m.unconfirmed(r.entry) || r.worker.bar != leasesAllowed {
+	if reason == "" || reason == viewTooOld || m.unconfirmed(r.entry) || r.worker.bar != leasesAllowed {
 		return
 	}
 	m.stopGang(r)
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -29,6 +29,8 @@
 		return "runs exceed the worker's capacity"
 	case m.unconfirmed(r.entry):
 		return "submission is not confirmed by its own cell"
+	case m.viewExpired():
+		return viewTooOld
 	}
 	return ""
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -68,6 +68,9 @@
 	StopTime time.Duration
 	// StartEarly is how long before its due time an occurrence may start.
 	StartEarly time.Duration
+	// MaxViewAge is the age of each view beyond which no run is placed or started, counted
+	// from when its read was sent; 0 stands for no limit.
+	MaxViewAge ViewAges
 	// CellOf returns the cell of the submission with an id. It is nil if there is only
 	// one cell.
 	CellOf func(id string) int
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -339,8 +339,13 @@
 // worker does not list. It is stopped rather than removed because a delayed start
 // of the previous owner may still be carried out.
 func (m *Machine) resumeInherited(r *run) {
+	reason := m.startBlocker(r)
+	if reason == viewTooOld && !r.stopRequested {
+		// A later report decides, when the views have been read again.
+		return
+	}
 	r.inherited = false
-	if r.stopRequested || m.startBlocker(r) != "" || r.step.Gang || r.isolated || r.exceedsMaxPerWorker() {
+	if r.stopRequested || reason != "" || r.step.Gang || r.isolated || r.exceedsMaxPerWorker() {
 		m.stopRun(r, "start of a previous owner is not retried")
 		return
 	}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -32,6 +32,7 @@
 	// avoid is the worker on which a task last failed or stalled.
 	avoid     map[workload.TaskID]string
 	evacuated map[string]bool
+	views     views
 	// recordingEnds are the tasks without an active run whose end was listed by a
 	// worker and is not in the log yet.
 	recordingEnds map[workload.TaskID]bool
@@ -266,6 +267,9 @@
 		m.transfers.search = nil
 	case Resumed:
 		clear(m.transfers.confirmedAt)
+		m.voidViews()
+	case ViewRead:
+		m.viewRead(ev.View, ev.SentAt)
 	case GuestsConfirmed:
 		m.guestsConfirmed(ev)
 	case Tick:
@@ -362,6 +366,7 @@
 		m.retryCommands(w)
 		m.heartbeatIfDue(w)
 	}
+	m.reportExpiredViews()
 	m.recordSilences()
 	if m.now-m.createdAt >= m.config.AuthorityDuration {
 		m.recordSole()
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -11,7 +11,7 @@
 // plan runs a planning round: it places waiting tasks on workers.
 func (m *Machine) plan() {
 	m.planNeeded = false
-	if m.logStalled() {
+	if m.logStalled() || m.viewExpired() {
 		m.planNeeded = true
 		return
 	}
@@ -145,7 +145,7 @@
 }
 
 func (m *Machine) usable(w *worker) bool {
-	return w.listed && w.reported && !w.silent && w.bar == leasesAllowed && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil && w.isolated == 0
+	return !m.viewExpired() && w.listed && w.reported && !w.silent && w.bar == leasesAllowed && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil && w.isolated == 0
 }
 
 // placeTasks places waiting tasks of a step, as far as workers have free capacity, and
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -38,7 +38,9 @@
 	WorkerCrashed        Number = 847
 	OwnershipEndLearned  Number = 848
 	OwnerSaturated       Number = 849
+	ViewExpired          Number = 850
 	LinesDropped         Number = 851
+	ViewRenewed          Number = 852
 )
 
 var coordinatorEvents = []Info{
@@ -76,5 +78,7 @@
 	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash is evidence against a task, see event 846. If crashes recur that are not, check the worker."},
 	{OwnershipEndLearned, "OwnershipEndLearned", zapcore.InfoLevel, "told which leases remained at the end of an ownership", []string{"cell", "epoch", "leases"}, "None."},
 	{OwnerSaturated, "OwnerSaturated", zapcore.WarnLevel, "planning takes longer than the owner has time for; work is placed less often", []string{"cell", "epoch", "duration"}, "If it recurs, use VMs with more CPU or more cells."},
+	{ViewExpired, "ViewExpired", zapcore.WarnLevel, "a view is too old to decide about starts; the owner starts nothing until it is read again", []string{"cell", "epoch", "view", "age"}, "Check the connection to the platform's store. Without events 825 or 826 at the same time, check the CPU of the VM."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
+	{ViewRenewed, "ViewRenewed", zapcore.InfoLevel, "a view that was too old has been read again", []string{"cell", "epoch", "view", "age"}, "None."},
 }
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -57,6 +57,13 @@
 	Grace time.Duration `ini:"grace"`
 	// GroupTTLLeast is the minimum time to live that the store's groups accept.
 	GroupTTLLeast time.Duration `ini:"group_ttl_least"`
+	// DrainNotice is how long after a worker has reported that it drains it may still be
+	// sent starts.
+	DrainNotice time.Duration `ini:"drain_notice"`
+	// EvacuationNotice is the same after the evacuation of a data centre.
+	EvacuationNotice time.Duration `ini:"evacuation_notice"`
+	// CancelNotice is the same after the cancellation of a submission was acknowledged.
+	CancelNotice time.Duration `ini:"cancel_notice"`
 }
 
 // CoordinatorLimits holds the limits and rates of the deployment.
@@ -92,6 +99,7 @@
 		Times: CoordinatorTimes{
 			LeaseLimit: 6 * time.Second, StartEarly: 0, Stop: time.Second, Grace: 6 * time.Second,
 			GroupTTLLeast: time.Second,
+			DrainNotice:   2 * time.Second, EvacuationNotice: 5 * time.Second, CancelNotice: 3 * time.Second,
 		},
 		Limits: CoordinatorLimits{StoreWrites: 600, CPUShare: 1, MemoryMiB: 256, RemoteFactor: 2, StorePartitions: 24},
 		Log:    CoordinatorLog{Level: "info", LinesPerSecond: 400},
@@ -159,6 +167,10 @@
 	}
 }
 
+// minNotice is the shortest time within which the views of an owner are read again and a
+// start arrives.
+const minNotice = time.Second
+
 func (s *Coordinator) check(name string) Mistakes {
 	var mistakes Mistakes
 	addMistake := func(section, key, problem, accepted string) {
@@ -184,6 +196,13 @@
 	if s.Times.LeaseLimit < time.Second {
 		addMistake("times", "lease_limit", "has the value "+s.Times.LeaseLimit.String(), "1s or more")
 	}
+	for key, value := range map[string]time.Duration{
+		"drain_notice": s.Times.DrainNotice, "evacuation_notice": s.Times.EvacuationNotice, "cancel_notice": s.Times.CancelNotice,
+	} {
+		if value < minNotice {
+			addMistake("times", key, "has the value "+value.String(), minNotice.String()+" or more")
+		}
+	}
 	if s.Limits.MemoryMiB < minMemoryMiB {
 		addMistake("limits", "memory_mib", fmt.Sprintf("has the value %d", s.Limits.MemoryMiB), fmt.Sprintf("%d or more", minMemoryMiB))
 	}
@@ -205,7 +224,9 @@
 // defaults.
 func negativeTimes(name string, file *ini.File) Mistakes {
 	var mistakes Mistakes
-	for _, key := range []string{"lease_limit", "start_early", "stop", "grace", "group_ttl_least"} {
+	for _, key := range []string{
+		"lease_limit", "start_early", "stop", "grace", "group_ttl_least", "drain_notice", "evacuation_notice", "cancel_notice",
+	} {
 		if value := file.Section("times").Key(key).Value(); strings.HasPrefix(value, "-") {
 			mistakes = append(mistakes, Mistake{
 				File: name, Section: "times", Key: key, Problem: "has the value " + quoted(value), Accepted: "0s to " + maxCoordinatorTime.String(),
@@ -221,7 +242,8 @@
 	var mistakes Mistakes
 	for key, value := range map[string]time.Duration{
 		"lease_limit": s.Times.LeaseLimit, "start_early": s.Times.StartEarly, "stop": s.Times.Stop, "grace": s.Times.Grace,
-		"group_ttl_least": s.Times.GroupTTLLeast,
+		"group_ttl_least": s.Times.GroupTTLLeast, "drain_notice": s.Times.DrainNotice,
+		"evacuation_notice": s.Times.EvacuationNotice, "cancel_notice": s.Times.CancelNotice,
 	} {
 		if value > maxCoordinatorTime {
 			mistakes = append(mistakes, Mistake{
