dispatch, coordinator: report runs that outlast their submission, and how long events wait

Nothing told how long a cancellation takes to reach the last run of its submission, why a run is left, or since when the submission of a run that an owner doesn't know has been final.

- submission_cleared_microseconds{queue,state}: from the moment when the owner learns that a submission with runs is final until none is left.
- event_wait_microseconds{source}: wait of answers and notifications in an owner's queue.
Event 854 reports a wait of 0.5 s, at most each 5 s.
- Event 852, once a run: it is left 3 s after its submission became final, with phase and reason (no address, silent worker, no stop requested, stop without answer, ...).
- Event 853, once while reports list it: a run that the owner doesn't have, with the state of its submission and how long that has been final.

Events 852 and 853 are limited to five of each kind in half a second.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -24,6 +24,9 @@
 	dispatch.LeasesAwaited: logevent.LeasesAwaited,
 	dispatch.TaskGivenUp:   logevent.TaskGivenUp,
 	dispatch.WorkerCrashed: logevent.WorkerCrashed,
+
+	dispatch.FinalRunLeft:     logevent.FinalRunLeft,
+	dispatch.UnknownRunListed: logevent.UnknownRunListed,
 }
 
 // logDecision logs a decision of a cell's owner and updates the metrics.
@@ -33,6 +36,9 @@
 	case dispatch.SubmissionBegan:
 		n.metrics.observeDuration(metrics.Name("submission_first_start_microseconds", "queue", d.Queue), d.Elapsed)
 		return
+	case dispatch.SubmissionCleared:
+		n.metrics.observeDuration(metrics.Name("submission_cleared_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
+		return
 	case dispatch.SubmissionEnded:
 		n.metrics.observeDuration(metrics.Name("submission_end_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
 		if d.Elapsed > d.Objective {
--- a/coordinator/notification.go
+++ b/coordinator/notification.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
 )
@@ -10,6 +11,8 @@
 type notification struct {
 	offset int64
 	record []byte
+	// receivedAt is when the owner queued the notification.
+	receivedAt time.Duration
 }
 
 // notifyOwner notifies the cell's owner of a record, asynchronously.
@@ -39,6 +42,7 @@
 // is full, the notification is dropped: the owner reads the record from the intake
 // later.
 func (c *cell) queueNotification(n notification) {
+	n.receivedAt = c.node.monotonicNow()
 	select {
 	case c.notifications <- n:
 	default:
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -23,7 +23,7 @@
 	// previous is the owner of the epoch before.
 	previous           ledger.Owner
 	machine            *dispatch.Machine
-	events             chan any
+	events             chan queuedEvent
 	writer             *cellWriter
 	openedAt           time.Duration
 	cancel             context.CancelFunc
@@ -37,7 +37,9 @@
 	cancelling sync.Map
 	// saturationReportedAt is when long planning rounds were last reported.
 	saturationReportedAt time.Duration
-	wg                   sync.WaitGroup
+	// behindReportedAt is when a long wait of an event was last reported.
+	behindReportedAt time.Duration
+	wg               sync.WaitGroup
 }
 
 // intakePageRead reports a page of the intake that tailIntake read.
@@ -80,7 +82,7 @@
 		cell: c, epoch: epoch, previous: previous, cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
-		events: make(chan any, maxQueuedEvents),
+		events: make(chan queuedEvent, maxQueuedEvents),
 	}
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
@@ -197,13 +199,15 @@
 		case q := <-o.capacityRequests:
 			q.answer <- o.machine.FreeCapacity(q.demands)
 		case n := <-o.notifications:
+			o.observeWait("notifications", n.receivedAt)
 			o.applyNotification(ctx, n)
 		case <-o.evacuation:
 			if d := o.node.declarations.Load(); d != nil {
 				o.step(ctx, dispatch.Evacuated{DataCentres: d.Evacuated})
 			}
 		case ev := <-o.events:
-			o.handleEvent(ctx, ev)
+			o.observeWait("events", ev.postedAt)
+			o.handleEvent(ctx, ev.event)
 		case now := <-tick.C:
 			o.step(ctx, dispatch.Tick{Now: now})
 			o.proveEpoch()
@@ -283,7 +287,7 @@
 // post queues an event for eventLoop.
 func (o *ownership) post(ctx context.Context, ev any) {
 	select {
-	case o.events <- ev:
+	case o.events <- queuedEvent{event: ev, postedAt: o.node.monotonicNow()}:
 	case <-ctx.Done():
 	}
 }
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -56,6 +56,15 @@
 	WorkerCrashed
 	// TaskGivenUp: so many workers have crashed under a task that it is not run again.
 	TaskGivenUp
+	// SubmissionCleared: none of the runs that a cancelled or otherwise final submission had
+	// is left. Elapsed is the time since this owner learnt that it is final.
+	SubmissionCleared
+	// FinalRunLeft: a run is left although its submission has been final for the time in
+	// Age. Reason says why it has not been stopped.
+	FinalRunLeft
+	// UnknownRunListed: a worker lists a run that this owner does not have. Reason says what
+	// is known of its submission, Age for how long that has been final, or 0.
+	UnknownRunListed
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -63,5 +72,6 @@
 func (k DecisionKind) String() string {
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
-		"task released", "leases awaited", "worker crashed", "task given up"}[k]
+		"task released", "leases awaited", "worker crashed", "task given up",
+		"submission cleared", "final run left", "unknown run listed"}[k]
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -188,6 +188,7 @@
 	}
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
+	m.noteRunGone(r.entry)
 	if end.Outcome != workload.Succeeded {
 		m.stopGang(r)
 	}
@@ -261,12 +262,14 @@
 func (m *Machine) processActive(w *worker, ev HeartbeatAnswered, active []workload.ActiveRun) {
 	listed := make(map[workload.RunID]bool, len(active))
 	w.hasUnknownRuns = false
+	listedBefore := w.unknownRuns
+	w.unknownRuns = nil
 	for i := range active {
 		a := &active[i]
 		listed[a.RunID] = true
 		r := w.runs[a.RunID]
 		if r == nil {
-			m.stopUnknownRun(w, a.RunID)
+			m.stopUnknownRun(w, a.RunID, listedBefore[a.RunID])
 			continue
 		}
 		m.updateRun(r, a)
@@ -281,12 +284,16 @@
 // stopUnknownRun stops a run that this machine does not have on the worker: one
 // that a previous owner started for a submission that is final now, or one that
 // has been removed. What it requests is not known, so the worker is given no runs until it
-// has been stopped.
-func (m *Machine) stopUnknownRun(w *worker, id workload.RunID) {
+// has been stopped. listed: the previous report listed the run as well.
+func (m *Machine) stopUnknownRun(w *worker, id workload.RunID, listed bool) {
 	if current := m.active[id.Task]; current != nil && current.id == id && current.phase == ending {
 		return
 	}
 	w.hasUnknownRuns = true
+	w.addUnknownRun(id)
+	if !listed {
+		m.reportUnknownRun(w, id)
+	}
 	w.pausedUntil = max(w.pausedUntil, m.now+m.config.StopTime+stopMargin)
 	m.emitDecision(RunStopped, id, w.ID(), "run is not needed", 0)
 	m.emit(Stop{Target: w.target(), Run: id})
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -68,6 +68,7 @@
 	// soleRecorded: the record that no previous owner can grant leases was appended.
 	soleRecorded bool
 	crashes      crashes
+	excess       excessRuns
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -97,6 +98,7 @@
 		model:         newInterferenceModel(),
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
+		excess:        newExcessRuns(),
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
@@ -126,6 +128,9 @@
 			r.phase, r.inherited, r.stopRequested = starting, true, final
 		}
 	})
+	if final && m.hasRunsLeft(e.ID) {
+		m.noteFinal(e)
+	}
 }
 
 // forEachTaskOf calls f for the tasks of an entry whose state has been allocated.
@@ -208,6 +213,7 @@
 	} else {
 		m.byEntry[r.entry.ID] = remaining
 	}
+	m.noteRunGone(r.entry)
 	m.planNeeded = true
 }
 
@@ -333,6 +339,7 @@
 		m.checkNewGuest(e)
 		return
 	}
+	m.noteFinal(e)
 	m.reportReturnedEnd(e)
 	for _, r := range m.byEntry[e.ID] {
 		m.stopRun(r, "submission is "+e.State().String())
@@ -370,6 +377,7 @@
 	m.stopStalledRuns()
 	m.reportWaiting()
 	m.reportLeaseWaits()
+	m.reportFinalRuns()
 	if m.config.CellOf != nil {
 		m.transferWaiting()
 		m.checkGuests()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -23,6 +23,11 @@
 	ending
 )
 
+// String returns the phase's name in logs.
+func (p phase) String() string {
+	return [...]string{"none", "being recorded", "starting", "running", "stopping", "ending"}[p]
+}
+
 // run is one run of a task that may exist on a worker.
 type run struct {
 	id     workload.RunID
@@ -35,6 +40,8 @@
 	inherited bool
 	// stopRequested: the run must be stopped, or not started.
 	stopRequested bool
+	// excessReported: it was reported that the run outlasts its submission.
+	excessReported bool
 	// commandInFlight: a command for the run has no answer yet.
 	commandInFlight bool
 	// unanswered: a command for the run had no answer. It must be retried, and the
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -80,6 +80,8 @@
 	held bool
 	// hasUnknownRuns: the last report lists runs that this owner does not have.
 	hasUnknownRuns bool
+	// unknownRuns are these runs.
+	unknownRuns map[workload.RunID]bool
 	// isolated is the number of isolated runs.
 	isolated int64
 	history  runHistory
@@ -120,6 +122,14 @@
 	w.bestEffortRuns = slices.DeleteFunc(slices.Clone(w.bestEffortRuns), isRun)
 }
 
+// addUnknownRun adds a run that a report lists and this owner does not have.
+func (w *worker) addUnknownRun(id workload.RunID) {
+	if w.unknownRuns == nil {
+		w.unknownRuns = make(map[workload.RunID]bool)
+	}
+	w.unknownRuns[id] = true
+}
+
 // reservation returns what a run of a step takes of its worker's capacity: its request,
 // without the CPU if it is best-effort.
 func reservation(step *workload.Step) hostapi.Resources {
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -39,6 +39,9 @@
 	OwnershipEndLearned  Number = 848
 	OwnerSaturated       Number = 849
 	LinesDropped         Number = 851
+	FinalRunLeft         Number = 852
+	UnknownRunListed     Number = 853
+	OwnerBehind          Number = 854
 )
 
 var coordinatorEvents = []Info{
@@ -77,4 +80,7 @@
 	{OwnershipEndLearned, "OwnershipEndLearned", zapcore.InfoLevel, "told which leases remained at the end of an ownership", []string{"cell", "epoch", "leases"}, "None."},
 	{OwnerSaturated, "OwnerSaturated", zapcore.WarnLevel, "planning takes longer than the owner has time for; work is placed less often", []string{"cell", "epoch", "duration"}, "If it recurs, use VMs with more CPU or more cells."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
+	{FinalRunLeft, "FinalRunLeft", zapcore.WarnLevel, "a run is left although its submission is cancelled or otherwise final", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "The reason says why the run has not been stopped. Check the worker and the network to it; if no stop was requested, report it."},
+	{UnknownRunListed, "UnknownRunListed", zapcore.WarnLevel, "a worker lists a run that the owner does not have; the run is stopped", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "Expected after a takeover and after orders that arrive late. If it recurs for a run, check that worker."},
+	{OwnerBehind, "OwnerBehind", zapcore.WarnLevel, "events waited long in the owner's queue", []string{"cell", "epoch", "source", "duration"}, "If it recurs, use VMs with more CPU or more cells."},
 }
