coordinator, dispatch: waits of notifications count from the epoch's begin

A notification that was queued when the node's last ownership of the cell ended is read by its next one. Event 852 says how long ago a stop was confirmed: a confirmed stop may take 0.9 s, so a run in that phase is not overdue yet.

--- a/coordinator/eventwait.go
+++ b/coordinator/eventwait.go
@@ -24,14 +24,16 @@
 	postedAt time.Duration
 }
 
-// observeWait measures how long an event has waited for the event loop since a time.
+// observeWait measures how long an event has waited for the event loop since a time. What
+// was queued before the epoch waits from its begin.
 func (o *ownership) observeWait(source string, since time.Duration) {
 	now := o.node.monotonicNow()
-	wait := now - since
+	wait := now - max(since, o.openedAt)
 	o.node.metrics.observeDuration(metrics.Name("event_wait_microseconds", "source", source), wait)
-	if wait >= longEventWait && now-o.behindReportedAt >= behindReportInterval {
-		o.behindReportedAt = now
-		o.node.logger.Log(logevent.OwnerBehind, zap.Int("cell", o.number), zap.Int64("epoch", o.epoch),
-			zap.String("source", source), zap.Duration("duration", wait))
+	if wait < longEventWait || o.behindReportedAt > 0 && now-o.behindReportedAt < behindReportInterval {
+		return
 	}
+	o.behindReportedAt = now
+	o.node.logger.Log(logevent.OwnerBehind, zap.Int("cell", o.number), zap.Int64("epoch", o.epoch),
+		zap.String("source", source), zap.Duration("duration", wait))
 }
--- a/dispatch/finalruns.go
+++ b/dispatch/finalruns.go
@@ -107,14 +107,14 @@
 		}
 		r.excessReported = true
 		reports++
-		reason := fmt.Sprintf("submission is %v; run is %v: %s", r.entry.State(), r.phase, r.whyLeft())
+		reason := fmt.Sprintf("submission is %v; run is %v: %s", r.entry.State(), r.phase, r.whyLeft(m.now))
 		m.emitDecision(FinalRunLeft, r.id, r.worker.ID(), reason, age)
 	}
 	return reports
 }
 
 // whyLeft returns why a run that is not needed has not been stopped.
-func (r *run) whyLeft() string {
+func (r *run) whyLeft(now time.Duration) string {
 	switch {
 	case r.phase == recording:
 		return "its placement is not in the log"
@@ -131,7 +131,7 @@
 	case r.phase == stopping && r.commandInFlight:
 		return "stop is in flight"
 	case r.phase == stopping:
-		return "stop was confirmed, its end is not listed"
+		return fmt.Sprintf("stop was confirmed %v ago, its end is not listed", (now - r.confirmedAt).Round(time.Millisecond))
 	case r.commandInFlight:
 		return "start is in flight"
 	case r.unanswered:
