--- a/dispatch/inherit.go
+++ b/dispatch/inherit.go
@@ -34,6 +34,9 @@
 			r.phase, r.commandInFlight, r.unanswered = stopping, true, true
 		}
 	})
+	if final && m.hasRunsLeft(e.ID) {
+		m.noteFinal(e)
+	}
 }
 
 // StoppingRuns returns the runs of cancelled and failed submissions that may be active.
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -72,6 +72,7 @@
 	// soleRecorded: the record that no previous owner can grant leases was appended.
 	soleRecorded bool
 	crashes      crashes
+	excess       excessRuns
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -101,6 +102,7 @@
 		model:         newInterferenceModel(),
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
+		excess:        newExcessRuns(),
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
@@ -156,6 +158,7 @@
 	} else {
 		m.byEntry[r.entry.ID] = remaining
 	}
+	m.noteRunGone(r.entry)
 	m.planNeeded = true
 }
 
@@ -284,6 +287,7 @@
 		m.checkNewGuest(e)
 		return
 	}
+	m.noteFinal(e)
 	m.reportReturnedEnd(e)
 	for _, r := range m.byEntry[e.ID] {
 		m.stopRun(r, "submission is "+e.State().String())
@@ -322,6 +326,7 @@
 	m.stopStalledRuns()
 	m.reportWaiting()
 	m.reportLeaseWaits()
+	m.reportFinalRuns()
 	if m.config.CellOf != nil {
 		m.transferWaiting()
 		m.checkGuests()
--- a/dispatch/views_test.go
+++ b/dispatch/views_test.go
@@ -142,7 +142,7 @@
 				ID: "former", Queue: "q", Steps: []workload.Step{plainStep}, Policy: workload.Policy{Service: "register", MaxAttempts: 3},
 			}))
 			run := workload.RunID{Task: workload.TaskID{Submission: "former"}, Run: 1}
-			h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}))
+			h.ledger.Apply(ledger.PlacedRecord(run, workload.Incarnation{Worker: "w", StartMillis: 1}, ""))
 			h.restart(2)
 			h.listWorker(workload.Worker{})
 			h.readViews(h.now, others(view)...)
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -41,6 +41,9 @@
 	ViewExpired          Number = 850
 	LinesDropped         Number = 851
 	ViewRenewed          Number = 852
+	FinalRunLeft         Number = 853
+	UnknownRunListed     Number = 854
+	OwnerBehind          Number = 855
 )
 
 var coordinatorEvents = []Info{
@@ -81,4 +84,7 @@
 	{ViewExpired, "ViewExpired", zapcore.WarnLevel, "a view is too old to decide about starts; the owner starts nothing until it is read again", []string{"cell", "epoch", "view", "age"}, "Check the connection to the platform's store. Without events 825 or 826 at the same time, check the CPU of the VM."},
 	{LinesDropped, "LinesDropped", zapcore.WarnLevel, "log lines were dropped", []string{"lines"}, "Read the log faster, or raise lines_per_second."},
 	{ViewRenewed, "ViewRenewed", zapcore.InfoLevel, "a view that was too old has been read again", []string{"cell", "epoch", "view", "age"}, "None."},
+	{FinalRunLeft, "FinalRunLeft", zapcore.WarnLevel, "a run is left although its submission is cancelled or otherwise final", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "The reason says why the run has not been stopped. Check the worker and the network to it; if no stop was requested, report it."},
+	{UnknownRunListed, "UnknownRunListed", zapcore.WarnLevel, "a worker lists a run that the owner does not have; the run is stopped", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "Expected after a takeover and after orders that arrive late. If it recurs for a run, check that worker."},
+	{OwnerBehind, "OwnerBehind", zapcore.WarnLevel, "events waited long in the owner's queue", []string{"cell", "epoch", "source", "duration"}, "If it recurs, use VMs with more CPU or more cells."},
 }
