dispatch, coordinator: metrics and log figures of the share served by size

Operators could not see that the largest submissions of a queue are served less often than the rest: metrics and event 805 tell queues apart, not sizes.

An owner now classifies each submission by its work among the 128 newest submissions of its queue (largest tenth, fifth below it, other; 64 queues at most) and counts each once as in time, late (within three times its objective), failed or not served. Submissions that have not ended by then are reported when that time passes (event 806, with whether a run was started), not when they end, which may be never. The times to the first start and to the end are kept by size too.

Guests are counted by their own cell only. Submissions that pass the limit between the last check of an owner and the takeover by the next one are not counted.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -31,15 +31,23 @@
 	n.metrics.count("decisions", "kind", d.Kind.String())
 	switch d.Kind {
 	case dispatch.SubmissionBegan:
-		n.metrics.observeDuration(metrics.Name("submission_first_start_microseconds", "queue", d.Queue), d.Elapsed)
+		n.metrics.observeDuration(metrics.Name("submission_first_start_microseconds", "queue", d.Queue, "size", d.Size.String()), d.Elapsed)
+		return
+	case dispatch.SubmissionOverdue:
+		n.countServed(d)
+		n.logger.Log(logevent.SubmissionOverdue, zap.String("id", d.Run.Task.Submission), zap.String("queue", d.Queue),
+			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.Bool("started", d.Started),
+			zap.Int64("epoch", epoch), zap.Duration("age", d.Elapsed), zap.Duration("objective", d.Objective))
 		return
 	case dispatch.SubmissionEnded:
-		n.metrics.observeDuration(metrics.Name("submission_end_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
+		n.metrics.observeDuration(metrics.Name("submission_end_microseconds", "queue", d.Queue, "state", d.Reason, "size", d.Size.String()), d.Elapsed)
+		n.countServed(d)
 		if d.Elapsed > d.Objective {
 			n.metrics.count("submissions_late", "queue", d.Queue)
 		}
 		n.logger.Log(logevent.SubmissionEnded, zap.String("id", d.Run.Task.Submission), zap.String("queue", d.Queue),
-			zap.String("state", d.Reason), zap.Int64("epoch", epoch), zap.Duration("took", d.Elapsed), zap.Duration("objective", d.Objective))
+			zap.String("state", d.Reason), zap.Int64("epoch", epoch), zap.Duration("took", d.Elapsed), zap.Duration("objective", d.Objective),
+			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.String("served", d.Served.String()))
 		return
 	}
 	fields := []zap.Field{zap.String("decision", d.Kind.String()), zap.String("worker", d.Worker), zap.Int64("epoch", epoch)}
@@ -58,3 +66,10 @@
 	}
 	n.logger.Log(logevent.DispatchDecision, fields...)
 }
+
+// countServed counts a submission by its size and by how it was served.
+func (n *Node) countServed(d dispatch.Decision) {
+	if d.Served != dispatch.ServedBefore {
+		n.metrics.count("submissions_served", "queue", d.Queue, "size", d.Size.String(), "served", d.Served.String())
+	}
+}
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -15,12 +15,18 @@
 	Reason string
 	// Age is the age of the input on which the decision is based.
 	Age time.Duration
-	// Queue, Elapsed and Objective are set for a submission that began or ended.
+	// Queue, Elapsed and Objective are set for a submission that began, ended or is overdue.
 	// Elapsed is the time since its last occurrence was due, Objective the time
 	// within which that should complete.
 	Queue     string
 	Elapsed   time.Duration
 	Objective time.Duration
+	// Size, Work, in seconds of a core, and Started are set for the same submissions, Served
+	// for those that ended or are overdue. Started: a run has been recorded.
+	Size    SizeClass
+	Work    float64
+	Started bool
+	Served  Served
 }
 
 // DecisionKind is the kind of a decision.
@@ -56,6 +62,9 @@
 	WorkerCrashed
 	// TaskGivenUp: so many workers have crashed under a task that it is not run again.
 	TaskGivenUp
+	// SubmissionOverdue: the submission has not ended within lateFactor times its objective,
+	// and so is not served.
+	SubmissionOverdue
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -63,5 +72,6 @@
 func (k DecisionKind) String() string {
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
-		"task released", "leases awaited", "worker crashed", "task given up"}[k]
+		"task released", "leases awaited", "worker crashed", "task given up",
+		"submission overdue"}[k]
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -72,6 +72,9 @@
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
 	recordedObservations int
+	sizes                sizeSamples
+	// overdueAt is the wall-clock time of the last search for submissions that are not served.
+	overdueAt time.Time
 }
 
 type appendInFlight struct {
@@ -97,6 +100,11 @@
 		model:         newInterferenceModel(),
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
+		sizes:         make(sizeSamples),
+		overdueAt:     wall,
+	}
+	for _, e := range cellLedger.Live() {
+		m.recordSize(e)
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
@@ -279,14 +287,6 @@
 	m.emit(Decision{Kind: kind, Run: id, Worker: worker, Reason: reason, Age: age})
 }
 
-// emitSubmissionDecision emits a decision about a submission as a whole.
-func (m *Machine) emitSubmissionDecision(kind DecisionKind, e *ledger.Entry) {
-	m.emit(Decision{
-		Kind: kind, Run: workload.RunID{Task: workload.TaskID{Submission: e.ID}}, Reason: e.State().String(),
-		Queue: e.Queue, Elapsed: m.wall.Sub(e.DueAt(e.OccurrenceCount() - 1)), Objective: e.Objective(),
-	})
-}
-
 // appendRecord adds a record to the append that is emitted at the end of the step.
 // callback runs when the record is in the log.
 func (m *Machine) appendRecord(r *ledgerpb.Record, callback func()) {
@@ -330,6 +330,7 @@
 	}
 	m.planNeeded = true
 	if !e.State().Final() {
+		m.recordSize(e)
 		m.checkNewGuest(e)
 		return
 	}
@@ -369,6 +370,7 @@
 	m.forgetSilences()
 	m.stopStalledRuns()
 	m.reportWaiting()
+	m.reportOverdue()
 	m.reportLeaseWaits()
 	if m.config.CellOf != nil {
 		m.transferWaiting()
--- /dev/null
+++ b/dispatch/served.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// Served says how a submission was served. Each submission is counted once.
+type Served int
+
+// Ways in which submissions are served.
+const (
+	// ServedBefore: the submission was counted earlier, as NotServed.
+	ServedBefore Served = iota
+	// ServedInTime: it completed within its objective.
+	ServedInTime
+	// ServedLate: it completed within lateFactor times its objective.
+	ServedLate
+	// ServedFailed: it failed within that time.
+	ServedFailed
+	// NotServed: it had not ended by then.
+	NotServed
+)
+
+// String returns the name in metrics and logs.
+func (s Served) String() string {
+	return [...]string{"counted before", "in time", "late", "failed", "not served"}[s]
+}
+
+// overdueInterval is the time between two searches for submissions that are not served.
+const overdueInterval = 500 * time.Millisecond
+
+// emitSubmissionDecision emits a decision about a submission as a whole.
+func (m *Machine) emitSubmissionDecision(kind DecisionKind, e *ledger.Entry) {
+	d := Decision{
+		Kind: kind, Run: workload.RunID{Task: workload.TaskID{Submission: e.ID}}, Reason: e.State().String(),
+		Queue: e.Queue, Elapsed: m.wall.Sub(e.DueAt(e.OccurrenceCount() - 1)), Objective: e.Objective(),
+		Size: m.sizes.classOf(e.Queue, e.Work()), Work: e.Work(), Started: e.State() != workload.Queued,
+	}
+	switch kind {
+	case SubmissionEnded:
+		d.Served = m.servedAtEnd(e)
+	case SubmissionOverdue:
+		d.Served = NotServed
+	}
+	m.emit(d)
+}
+
+// recordSize adds a new submission to its queue's sample of sizes.
+func (m *Machine) recordSize(e *ledger.Entry) {
+	if !e.Guest() && e.State() == workload.Queued {
+		m.sizes.add(e.Queue, e.Work())
+	}
+}
+
+// uselessAt returns the wall-clock time from which on the last occurrence of a submission is
+// of no more use.
+func uselessAt(e *ledger.Entry) time.Time {
+	return e.DueAt(e.OccurrenceCount() - 1).Add(lateFactor * e.Objective())
+}
+
+// servedAtEnd says how a submission that has ended now was served.
+func (m *Machine) servedAtEnd(e *ledger.Entry) Served {
+	useless := uselessAt(e)
+	elapsed := m.wall.Sub(e.DueAt(e.OccurrenceCount() - 1))
+	switch {
+	case !useless.After(m.overdueAt):
+		return ServedBefore
+	case m.wall.After(useless):
+		return NotServed
+	case e.State() == workload.Failed:
+		return ServedFailed
+	case elapsed <= e.Objective():
+		return ServedInTime
+	}
+	return ServedLate
+}
+
+// reportOverdue emits a decision for each submission that has been of no more use since the
+// last search. Submissions with a long-running step never complete, and guests are reported
+// by their own cell.
+func (m *Machine) reportOverdue() {
+	since := m.overdueAt
+	if m.wall.Before(since) {
+		// The clock was set back.
+		m.overdueAt = m.wall
+	}
+	if m.wall.Sub(m.overdueAt) < overdueInterval {
+		return
+	}
+	m.overdueAt = m.wall
+	for _, e := range m.ledger.Live() {
+		if e.Guest() || e.State().Final() || hasLongRunningStep(e) {
+			continue
+		}
+		if at := uselessAt(e); at.After(since) && !at.After(m.wall) {
+			m.emitSubmissionDecision(SubmissionOverdue, e)
+		}
+	}
+}
+
+func hasLongRunningStep(e *ledger.Entry) bool {
+	for i := range e.Steps {
+		if e.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -9,6 +9,7 @@
 	SubmissionRepeated   Number = 803
 	SubmissionCancelled  Number = 804
 	SubmissionEnded      Number = 805
+	SubmissionOverdue    Number = 806
 	EpochOpened          Number = 811
 	EpochNotOpened       Number = 812
 	EpochEnded           Number = 813
@@ -46,7 +47,8 @@
 	{SubmissionRejected, "SubmissionRejected", zapcore.WarnLevel, "submission was not confirmed as stored", []string{"id", "queue", "duration", "error"}, "Check events 815 and 824 around the same time: the log did not answer."},
 	{SubmissionRepeated, "SubmissionRepeated", zapcore.InfoLevel, "submission was already stored", []string{"id", "queue"}, "None."},
 	{SubmissionCancelled, "SubmissionCancelled", zapcore.InfoLevel, "submission was cancelled", []string{"id", "cell", "error"}, "With an error: as for event 802."},
-	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission completed or failed", []string{"id", "queue", "state", "epoch", "took", "objective"}, "None."},
+	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission completed or failed", []string{"id", "queue", "state", "epoch", "took", "objective", "size", "work", "served"}, "None."},
+	{SubmissionOverdue, "SubmissionOverdue", zapcore.InfoLevel, "submission has not ended within three times its objective", []string{"id", "queue", "size", "work", "started", "epoch", "age", "objective"}, "None. If it is more frequent among the largest submissions of a queue, look at the workers' free CPU and memory against the tasks of these."},
 	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM became the owner of the cell", []string{"cell", "epoch", "live"}, "None."},
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "cell is assigned to this VM but its epoch could not be opened", []string{"cell", "error"}, "If it recurs, check the health of the log."},
 	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration"}, "None."},
