--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -77,6 +77,9 @@
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
 	recordedObservations int
+	sizes                sizeSamples
+	// overdueAt is the wall-clock time of the last search for submissions that are not served.
+	overdueAt time.Time
 }
 
 type appendInFlight struct {
@@ -103,6 +106,11 @@
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
 		excess:        newExcessRuns(),
+		sizes:         make(sizeSamples),
+		overdueAt:     wall,
+	}
+	for _, e := range cellLedger.Live() {
+		m.recordSize(e)
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
@@ -233,14 +241,6 @@
 	m.emit(Decision{Kind: kind, Run: id, Worker: worker, Reason: reason, Age: age})
 }
 
-// emitSubmissionDecision emits a decision about a submission as a whole.
-func (m *Machine) emitSubmissionDecision(kind DecisionKind, e *ledger.Entry) {
-	m.emit(Decision{
-		Kind: kind, Run: workload.RunID{Task: workload.TaskID{Submission: e.ID}}, Reason: e.State().String(),
-		Queue: e.Queue, Elapsed: m.wall.Sub(e.DueAt(e.OccurrenceCount() - 1)), Objective: e.Objective(),
-	})
-}
-
 // appendRecord adds a record to the append that is emitted at the end of the step.
 // callback runs when the record is in the log.
 func (m *Machine) appendRecord(r *ledgerpb.Record, callback func()) {
@@ -284,6 +284,7 @@
 	}
 	m.planNeeded = true
 	if !e.State().Final() {
+		m.recordSize(e)
 		m.checkNewGuest(e)
 		return
 	}
@@ -325,6 +326,7 @@
 	m.forgetSilences()
 	m.stopStalledRuns()
 	m.reportWaiting()
+	m.reportOverdue()
 	m.reportLeaseWaits()
 	m.reportFinalRuns()
 	if m.config.CellOf != nil {
