coordinator: an owner grants no lease that ends later than 6 s after its last join and a lease

Cause: where nobody can say which leases remain, a successor waits for all that the previous owner may have granted: 10 s of authority and a lease of 6 s, 16.4 s. That is the case if the owner is gone with its data centre and all other processes were replaced before a successor had recorded the silent workers (2 s).

Ruled out: counting from the last append of the dead owner (it may be cut off from the log and extend leases all the same, and nodes share no clock); a record of the lease horizon in the log (nobody knows how old it is after all processes were replaced); a shorter authority (it is needed for stops and ends during an outage of the store).

Change: authority stays 10 s, full leases are granted for 6 s of it, later ones end when the last full one does. Successors wait for 6 s and a lease.

Evidence: TestWaitAfterAllProcessesWereReplaced and the tightened bound of TestTakeoversFromDeadOwnersDoNotProlongTheWaitForASilentWorker fail with the former wait. Without the limit at the owner two existing tests see a task run twice. With 3 s in place of 6 s TestRunsOutlastAnOutageOfTheStore (9 s, leases of 5 s) fails. The wait falls from 17.5 to 13.4 s (leases of 7 s), or 16.4 to 12.3 s (6 s); runs outlast an outage of the store of 9 s in place of 13 s.

--- a/coordinator/cellauthority.go
+++ b/coordinator/cellauthority.go
@@ -63,3 +63,9 @@
 
 // hasAuthority reports whether the node may still send commands as the cell's owner.
 func (c *cell) hasAuthority() bool { return c.authority.age(c.node.authorityNow()) < authorityDuration }
+
+// leaseLimit returns the duration of the longest lease that the node may grant as the
+// cell's owner.
+func (c *cell) leaseLimit() time.Duration {
+	return max(0, leaseAuthority+c.node.config.Dispatch.Lease-c.authority.age(c.node.authorityNow()))
+}
--- a/coordinator/leasebounds_test.go
+++ b/coordinator/leasebounds_test.go
@@ -239,3 +239,64 @@
 	s.cutStore("vm-0", false)
 	s.cutStore("vm-1", false)
 }
+
+// Guards against a wait for leases that no owner can have granted, where nobody can say
+// which remain: the owner and its data centre are gone, and the processes of all other VMs
+// were replaced before the first successor had recorded anything.
+func TestWaitAfterAllProcessesWereReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 3)
+		defer s.close()
+		time.Sleep(ownerAuthority)
+		s.silence()
+		s.isolate("vm-0", 3)
+		time.Sleep(1500 * time.Millisecond)
+		s.group.assign(0, "vm-1")
+		time.Sleep(500 * time.Millisecond)
+		s.isolate("vm-1", 3)
+		s.startProcess("vm-3", "vm-0", "vm-1", "vm-2")
+		s.group.assign(0, "vm-3")
+		s.waitForRestart(dispatch.LeaseExpiryBound(fullLeases+clusterLease) + maxTakeoverTime)
+	})
+}
+
+// startProcess starts a process that knows nothing of the past and reaches no other one.
+func (s *silentWorkerTest) startProcess(vm string, others ...string) {
+	s.addNode(vm, 1)
+	for _, other := range others {
+		s.nodes[vm].SetPeer(other, remotePeer{s.nodes[other], func() bool { return true }})
+		s.nodes[other].SetPeer(vm, remotePeer{s.nodes[vm], func() bool { return true }})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		s.nodes[vm].Run(ctx)
+		close(done)
+	}()
+	s.stops = append(s.stops, func() { cancel(); <-done })
+}
+
+// Guards against runs that lapse while the store is away for seconds, because their owner
+// stops extending leases too soon.
+func TestRunsOutlastAnOutageOfTheStore(t *testing.T) {
+	for phase := range 8 {
+		phase := time.Duration(phase) * 130 * time.Millisecond
+		t.Run(phase.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startSilentWorkerTest(t, 2)
+				defer s.close()
+				time.Sleep(phase)
+				for _, vm := range []string{"vm-0", "vm-1"} {
+					s.cutStore(vm, true)
+				}
+				time.Sleep(9 * time.Second)
+				s.cutStore("vm-0", false)
+				s.cutStore("vm-1", false)
+				time.Sleep(5 * time.Second)
+				if starts, running := s.workers.starts(s.task), s.workers.countRunning(s.task.Submission); starts != 1 || running != 1 {
+					t.Fatalf("the task was started %d times and has %d runs", starts, running)
+				}
+			})
+		})
+	}
+}
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -12,9 +12,14 @@
 	// takes cells. A simultaneous restart of all other nodes takes about 2 s.
 	reserveCheckInterval = 1200 * time.Millisecond
 	reserveChecks        = 2
-	// authorityDuration is how long an owner continues to extend leases without a
+	// authorityDuration is how long an owner continues to send commands without a
 	// successful join. It bridges an outage of the store of several seconds.
 	authorityDuration = 10 * time.Second
+	// leaseAuthority is the part of it for which an owner grants full leases; later ones end
+	// when the last full one does. With a lease of 6 s, and 2 s until the next heartbeat,
+	// runs outlast an outage of 9 s. A successor that nobody can tell which leases remain
+	// waits for leaseAuthority and a lease.
+	leaseAuthority = 6 * time.Second
 	// assignmentValidity is how long after a join a node may try to open an epoch:
 	// the group's TTL, after which the cell may be assigned to another node. Further
 	// calls of a node that the store rejects would fail, and calls are counted.
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -78,7 +78,7 @@
 		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
 	}
 	config.PredecessorExpiry = c.predecessorLeaseExpiry()
-	config.AuthorityDuration = authorityDuration
+	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
 	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
 		cell: c, epoch: epoch, previous: previous, cancel: cancel,
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -15,12 +15,12 @@
 )
 
 // predecessorLeaseExpiry returns the time after which every lease that a previous
-// owner granted has expired, if nothing is heard from it: it may extend leases for
-// authorityDuration after the last join that assigned the cell to it, which is older than
-// the successor's epoch, and its last lease ends by then plus the duration of a lease. A
-// command that is still on its way carries no later end.
+// owner granted has expired, if nothing is heard from it: it grants full leases for
+// leaseAuthority after the last join that assigned the cell to it, which is older than the
+// successor's epoch, and none that ends later. A command that is still on its way carries
+// no later end.
 func (c *cell) predecessorLeaseExpiry() time.Duration {
-	return dispatch.LeaseExpiryBound(authorityDuration + c.node.config.Dispatch.Lease)
+	return dispatch.LeaseExpiryBound(leaseAuthority + c.node.config.Dispatch.Lease)
 }
 
 // grantedLeaseExpiry returns the time after which every lease that was granted
@@ -37,7 +37,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	// A successor that hears nothing from this owner expects no later leases.
-	lease := min(o.node.config.Dispatch.HandoverLease, authorityDuration-o.authority.age(o.node.authorityNow())+o.node.config.Dispatch.Lease)
+	lease := min(o.node.config.Dispatch.HandoverLease, o.leaseLimit())
 	for _, h := range o.machine.HandOver(o.node.monotonicNow(), lease) {
 		wg.Go(func() { o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h) })
 	}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -75,7 +75,7 @@
 func (m *Machine) sendStart(r *run) {
 	w := r.worker
 	if r.leaseDeadline == 0 {
-		r.leaseDeadline = w.leaseForStart(m.now, m.config.Lease)
+		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease())
 	}
 	r.phase, r.commandInFlight = starting, true
 	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.checkpoint, Deadline: r.leaseDeadline})
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -56,6 +56,9 @@
 	// AuthorityDuration is the time, from the creation of the machine, after which no
 	// previous owner can grant leases any more.
 	AuthorityDuration time.Duration
+	// LeaseLimit returns the duration of the longest lease that may be granted now. If it
+	// is nil, there is no limit.
+	LeaseLimit func() time.Duration
 	// EpochAge returns for how long, at least, an epoch has been open. If it is nil, or
 	// returns 0, nothing is known.
 	EpochAge func(epoch int64) time.Duration
@@ -78,3 +81,11 @@
 
 // longestLease returns the duration of the longest lease that an owner grants.
 func (c *Config) longestLease() time.Duration { return max(c.Lease, c.HandoverLease) }
+
+// grantableLease returns the duration of the lease that a heartbeat or a start grants now.
+func (c *Config) grantableLease() time.Duration {
+	if c.LeaseLimit == nil {
+		return c.Lease
+	}
+	return min(c.Lease, c.LeaseLimit())
+}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -28,7 +28,7 @@
 		// An unanswered heartbeat may have been carried out, so it must not renew the
 		// lease: the lease of a worker that has failed must expire.
 	default:
-		h.Deadline = w.extendLease(m.now, m.config.Lease)
+		h.Deadline = w.extendLease(m.now, m.config.grantableLease())
 		if w.lastEnd == w.cursor && !w.awaitsReport() {
 			h.Wait = m.heartbeatWait(w)
 		}
