dispatch, ledger: a lost run that is decided late counts, whoever owns the cell

A task that crashes its workers could be started more than five times if the leases of a worker expired before it was known whether the worker had crashed.

Cause: the owner kept the decision to be made in memory. A takeover forgot it; in one ownership, evidence of a run that was known only after a later run had counted was dropped; and nothing stopped further starts while several losses were undecided.

The record of the loss now says that its isolated suspects are undecided, with the worker's address. A task waits while its evidence, and 1 for each undecided run, would suffice to give it up, for a minute at most. Bound: five starts, over any number of hand-overs and takeovers (design.md 10.11, 7).

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -105,8 +106,60 @@
 	if o.address == "" || len(o.suspects) == 0 || w.Draining {
 		return
 	}
+	for _, other := range m.sorted {
+		if other.listed && other.Address == o.address && other.StartMillis > o.incarnation.StartMillis {
+			m.attribute(o, "another worker is listed at the address")
+			return
+		}
+	}
+	m.addLost(o)
+	if !o.isolated {
+		m.recordCrash(&o, 0)
+		return
+	}
+	m.recordSuspects(&o, ledger.LostRecord(o.incarnation, o.address, o.suspects), 0)
+}
+
+// addLost remembers a worker of which it is not known whether it crashed. Of two that were
+// at one address, the older one did.
+func (m *Machine) addLost(o outage) {
+	known, ok := m.crashes.lost[o.address]
+	if ok && known.incarnation != o.incarnation {
+		if o.incarnation.StartMillis < known.incarnation.StartMillis {
+			o, known = known, o
+		}
+		m.attribute(known, "another worker was at the address")
+	}
 	m.crashes.lost[o.address] = o
-	m.recordCrash(&o, 0)
+}
+
+// inheritLost takes over the lost runs of which no previous owner could tell whether they
+// crashed their workers.
+func (m *Machine) inheritLost() {
+	for _, e := range m.ledger.Live() {
+		if !e.EverSuspected() {
+			continue
+		}
+		forEachTaskOf(e, func(t *ledger.Task) {
+			for _, u := range t.Undecided {
+				suspect := workload.RunID{Task: t.ID, Run: u.Run}
+				m.addLost(outage{address: u.Address, seenAt: m.now, suspects: []workload.RunID{suspect}, isolated: true, incarnation: u.On})
+			}
+		})
+	}
+}
+
+// awaitsDecision reports whether a task must not be started until it is known whether its
+// lost runs crashed their workers: all of them together would suffice to give it up. After
+// outageMemory the wait ends, because a worker that is gone for good leaves it open.
+func (m *Machine) awaitsDecision(e *ledger.Entry, t *ledger.Task) bool {
+	if !e.CrashLimitPending(t) {
+		return false
+	}
+	return slices.ContainsFunc(e.CrashRecordOf(t).Undecided, func(u ledger.LostRun) bool {
+		o, ok := m.crashes.lost[u.Address]
+		return ok && o.incarnation == u.On && m.now-o.seenAt < outageMemory
+	})
 }
 
 // checkSuccessor attributes the crash of a lost worker when a new incarnation is listed
@@ -120,13 +173,17 @@
 	m.attribute(o, "another worker is listed at the address")
 }
 
-// noteSilence remembers the outage of a worker that answers again, and clears the runs that
-// were suspected because its leases expired.
-func (m *Machine) noteSilence(w *worker) {
+// clearLost clears the runs that were suspected because the leases of a worker expired
+// that has answered since.
+func (m *Machine) clearLost(w *worker) {
 	if lost, ok := m.crashes.lost[w.Address]; ok && lost.incarnation == w.Incarnation {
 		delete(m.crashes.lost, w.Address)
 		m.clearSuspects(lost.suspects)
 	}
+}
+
+// noteSilence remembers the outage of a worker that answers again.
+func (m *Machine) noteSilence(w *worker) {
 	if w.clockAt > 0 && m.now-w.clockAt >= minOutage {
 		m.remember(w.outageOf(m.now))
 	}
@@ -148,6 +205,9 @@
 		}
 	}
 	m.remember(o)
+	if lost, ok := m.crashes.lost[o.address]; ok && lost.incarnation == o.incarnation {
+		delete(m.crashes.lost, o.address)
+	}
 	first := workload.RunID{}
 	switch {
 	case len(o.suspects) == 0:
@@ -201,9 +261,14 @@
 	return ""
 }
 
-// recordCrash records the suspects of a crash. Their tasks are not placed before the
-// record is in the log.
+// recordCrash records the suspects of a crash.
 func (m *Machine) recordCrash(o *outage, evidence int) {
+	m.recordSuspects(o, ledger.CrashedRecord(o.incarnation, o.suspects, evidence), evidence)
+}
+
+// recordSuspects appends a record of suspects, whose tasks are not placed before it is in
+// the log.
+func (m *Machine) recordSuspects(o *outage, record *ledgerpb.Record, evidence int) {
 	var blocked []workload.TaskID
 	for _, s := range o.suspects {
 		if e := m.ledger.Find(s.Task.Submission); e != nil && !e.State().Final() && !m.recordingEnds[s.Task] {
@@ -212,7 +277,6 @@
 			blocked = append(blocked, s.Task)
 		}
 	}
-	record := ledger.CrashedRecord(o.incarnation, o.suspects, evidence)
 	m.appendRecord(record, func() {
 		m.ledger.Apply(record)
 		for _, id := range blocked {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -119,6 +119,7 @@
 	case report.Incarnation.StartMillis < w.StartMillis:
 		return
 	}
+	m.clearLost(w)
 	if w.silent {
 		m.noteSilence(w)
 		m.emitDecision(WorkerTrusted, workload.RunID{}, w.ID(), "answered a heartbeat", m.now-w.clockAt)
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -32,10 +32,11 @@
 	}
 }
 
-// suspectTasks returns the tasks of a step that wait and are suspected of a crash: all
-// members of a gang if it is.
+// suspectTasks returns the tasks of a step that wait, are suspected of a crash and may be
+// started now: all members of a gang if it is.
 func (m *Machine) suspectTasks(ws *waitingStep) []*ledger.Task {
-	return m.filterTasks(ws, true)
+	tasks := m.filterTasks(ws, true)
+	return slices.DeleteFunc(tasks, func(t *ledger.Task) bool { return m.awaitsDecision(ws.entry, t) })
 }
 
 // unsuspectedTasks returns the other tasks of a step that wait.
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -116,6 +116,7 @@
 		m.inheritRunsOf(e, true)
 	}
 	m.inheritIsolation()
+	m.inheritLost()
 }
 
 // inheritRunsOf takes over the runs of an entry. final: they must be stopped.
--- a/ledger/crash.go
+++ b/ledger/crash.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/workload"
 )
@@ -24,6 +26,30 @@
 	Evidence int
 	// CrashRun is the newest run that is cleared or adds to the evidence, or 0.
 	CrashRun int64
+	// Undecided are the runs that may still become evidence.
+	Undecided []LostRun
+}
+
+// LostRun is an isolated run of which it is not known whether its worker crashed, or was
+// only cut off until its leases had expired.
+type LostRun struct {
+	Run     int64
+	On      workload.Incarnation
+	Address string
+}
+
+// forget removes the undecided runs for which decided returns true. It reports whether
+// there were any.
+func (c *CrashRecord) forget(decided func(LostRun) bool) bool {
+	var left []LostRun
+	for _, u := range c.Undecided {
+		if !decided(u) {
+			left = append(left, u)
+		}
+	}
+	found := len(left) < len(c.Undecided)
+	c.Undecided = left
+	return found
 }
 
 // CrashedRecord returns the record of a worker's crash with the runs that may have
@@ -36,6 +62,14 @@
 	return &ledgerpb.Record{Crashed: r}
 }
 
+// LostRecord returns the record of isolated runs whose worker's leases have expired: it may
+// have crashed, or may only be cut off.
+func LostRecord(on workload.Incarnation, address string, suspects []workload.RunID) *ledgerpb.Record {
+	r := CrashedRecord(on, suspects, 0)
+	r.Crashed.Undecided, r.Crashed.Address = true, address
+	return r
+}
+
 // SurvivedRecord returns the record that clears a suspect.
 func SurvivedRecord(run workload.RunID) *ledgerpb.Record {
 	return &ledgerpb.Record{Survived: &ledgerpb.Survived{Task: taskMessage(run.Task), Run: run.Run}}
@@ -63,15 +97,30 @@
 		if first == nil {
 			first = e
 		}
+		if r.Undecided {
+			lost := LostRun{Run: s.Run, On: workload.Incarnation{Worker: r.Worker, StartMillis: r.Born}, Address: r.Address}
+			e.addUndecided(t, lost)
+		}
 		e.suspect(t, s.Run, int(r.Evidence))
 		l.updateState(e)
 	}
 	return first
 }
 
+func (e *Entry) addUndecided(t *Task, lost LostRun) {
+	c := e.CrashRecordOf(t)
+	if t.Done || t.Away || lost.Run <= c.CrashRun || slices.Contains(c.Undecided, lost) {
+		return
+	}
+	c.Undecided = append(slices.Clone(c.Undecided), lost)
+}
+
+// suspect counts the evidence of a run once: if it is newer than all that count, or if it
+// was undecided until now.
 func (e *Entry) suspect(t *Task, run int64, evidence int) {
 	c := e.CrashRecordOf(t)
-	if t.Done || t.Away || run <= c.CrashRun {
+	undecided := evidence > 0 && c.forget(func(u LostRun) bool { return u.Run == run })
+	if t.Done || t.Away || run <= c.CrashRun && !undecided {
 		return
 	}
 	c.Suspect, e.everSuspected = true, true
@@ -79,7 +128,7 @@
 		return
 	}
 	c.Evidence += evidence
-	c.CrashRun = run
+	c.CrashRun = max(c.CrashRun, run)
 	if !e.CrashLimitReached(t) {
 		return
 	}
@@ -102,12 +151,28 @@
 		return nil
 	}
 	c := e.CrashRecordOf(t)
-	if r.Run >= c.CrashRun && !e.CrashLimitReached(t) {
-		*c = CrashRecord{CrashRun: r.Run}
+	switch {
+	case e.CrashLimitReached(t):
+	case r.Run >= c.CrashRun:
+		c.forget(func(u LostRun) bool { return u.Run <= r.Run })
+		*c = CrashRecord{Suspect: len(c.Undecided) > 0, CrashRun: r.Run, Undecided: c.Undecided}
+	default:
+		c.forget(func(u LostRun) bool { return u.Run == r.Run })
 	}
 	return e
 }
 
+// CrashLimitPending reports whether a task would be given up if all its undecided runs had
+// crashed their workers.
+func (e *Entry) CrashLimitPending(t *Task) bool {
+	c := e.CrashRecordOf(t)
+	runs := make(map[int64]bool, len(c.Undecided))
+	for _, u := range c.Undecided {
+		runs[u.Run] = true
+	}
+	return c.Evidence+len(runs)*WeakEvidence >= conclusiveEvidence
+}
+
 // CrashLimitReached reports whether a task is given up because workers crashed under it.
 func (e *Entry) CrashLimitReached(t *Task) bool {
 	return e.CrashRecordOf(t).Evidence >= conclusiveEvidence
@@ -117,10 +182,23 @@
 func (e *Entry) hopeless(t *Task) bool { return e.attemptsExhausted(t) || e.CrashLimitReached(t) }
 
 // mergeCrashes takes over a crash record that is at least as new as the present one.
-func (e *Entry) mergeCrashes(t *Task, suspect bool, evidence int32, run int64) {
+func (e *Entry) mergeCrashes(t *Task, suspect bool, evidence int32, run int64, undecided []*ledgerpb.LostRun) {
 	if run < t.CrashRun {
 		return
 	}
 	t.CrashRecord = CrashRecord{Suspect: suspect || t.Suspect && run == t.CrashRun, Evidence: int(evidence), CrashRun: run}
+	for _, u := range undecided {
+		lost := LostRun{Run: u.Run, On: workload.Incarnation{Worker: u.Worker, StartMillis: u.Born}, Address: u.Address}
+		t.Undecided = append(t.Undecided, lost)
+	}
 	e.everSuspected = e.everSuspected || suspect
 }
+
+// undecidedMessages returns undecided runs for a snapshot.
+func undecidedMessages(undecided []LostRun) []*ledgerpb.LostRun {
+	var out []*ledgerpb.LostRun
+	for _, u := range undecided {
+		out = append(out, &ledgerpb.LostRun{Run: u.Run, Worker: u.On.Worker, Born: u.On.StartMillis, Address: u.Address})
+	}
+	return out
+}
--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -102,3 +102,67 @@
 	restored.Apply(ledger.EndedRecord(workload.RunID{Task: task, Run: 1}, workload.Stopped, ""))
 	is.Equal(restored.Find("s1").Task(task).PlacedAt, "")
 }
+
+// Guards against evidence of a lost run that does not count, or counts twice, because it is
+// known only after a later run, another owner or a snapshot.
+func TestLateEvidenceOfALostRunCountsOnce(t *testing.T) {
+	is := is.New(t)
+	task := workload.TaskID{Submission: "s1"}
+	l := ledger.New()
+	l.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "s1", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}))
+	crashUnder(l, workload.RunID{Task: task, Run: 1}, 0)
+	lost := workload.RunID{Task: task, Run: 2}
+	on := workload.Incarnation{Worker: "lost", StartMillis: 2}
+	l.Apply(ledger.PlacedRecord(lost, on, "127.0.0.1:80"))
+	for range 2 {
+		l.Apply(ledger.LostRecord(on, "127.0.0.1:80", []workload.RunID{lost}))
+	}
+	crashUnder(l, workload.RunID{Task: task, Run: 3}, ledger.WeakEvidence)
+	restored := ledger.New()
+	restored.ApplySnapshot(l.Snapshot(ledger.Offsets{}))
+	e := restored.Find("s1")
+	c := e.CrashRecordOf(e.Task(task))
+	is.Equal(c.Undecided, []ledger.LostRun{{Run: 2, On: on, Address: "127.0.0.1:80"}})
+	is.Equal(c.Evidence, ledger.WeakEvidence)
+	for range 2 {
+		restored.Apply(ledger.CrashedRecord(on, []workload.RunID{lost}, ledger.WeakEvidence))
+	}
+	is.Equal(*c, ledger.CrashRecord{Suspect: true, Evidence: 2 * ledger.WeakEvidence, CrashRun: 3})
+}
+
+// Guards against evidence of a lost run whose worker answered again, or which a later run
+// has outlasted.
+func TestLostRunThatIsClearedIsNoEvidence(t *testing.T) {
+	for _, survivor := range []int64{2, 3} {
+		is := is.New(t)
+		task := workload.TaskID{Submission: "s1"}
+		l := ledger.New()
+		l.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "s1", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}))
+		lost := workload.RunID{Task: task, Run: 2}
+		on := workload.Incarnation{Worker: "lost", StartMillis: 2}
+		l.Apply(ledger.PlacedRecord(lost, on, "127.0.0.1:80"))
+		l.Apply(ledger.LostRecord(on, "127.0.0.1:80", []workload.RunID{lost}))
+		l.Apply(ledger.PlacedRecord(workload.RunID{Task: task, Run: 3}, workload.Incarnation{Worker: "w"}, ""))
+		l.Apply(ledger.SurvivedRecord(workload.RunID{Task: task, Run: survivor}))
+		l.Apply(ledger.CrashedRecord(on, []workload.RunID{lost}, ledger.StrongEvidence))
+		is.Equal(l.Find("s1").Task(task).CrashRecord, ledger.CrashRecord{CrashRun: survivor})
+	}
+}
+
+// Guards against a task that is held without need, and one that is started although its
+// lost runs would suffice to give it up.
+func TestUndecidedRunsCountAsWeakEvidenceForTheLimit(t *testing.T) {
+	is := is.New(t)
+	task := workload.TaskID{Submission: "s1"}
+	l := ledger.New()
+	l.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "s1", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}))
+	crashUnder(l, workload.RunID{Task: task, Run: 1}, ledger.StrongEvidence)
+	e := l.Find("s1")
+	for number := int64(2); number <= 3; number++ {
+		is.Equal(e.CrashLimitPending(e.Task(task)), false)
+		run, on := workload.RunID{Task: task, Run: number}, workload.Incarnation{Worker: "w", StartMillis: number}
+		l.Apply(ledger.PlacedRecord(run, on, "a"))
+		l.Apply(ledger.LostRecord(on, "a", []workload.RunID{run}))
+	}
+	is.True(e.CrashLimitPending(e.Task(task)))
+}
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -42,6 +42,7 @@
 			Done: t.Done, Run: t.Run, Failures: int32(t.Failures), Checkpoint: t.Checkpoint,
 			Transfer: t.Transfer, Away: t.Away, ReleasedTo: int32(t.ReleasedTo),
 			Suspect: t.Suspect, Evidence: int32(t.Evidence), CrashRun: t.CrashRun,
+			Undecided: undecidedMessages(t.Undecided),
 		}
 		if t.Open {
 			state.Worker, state.Born, state.Address = t.PlacedOn.Worker, t.PlacedOn.StartMillis, t.PlacedAt
@@ -88,7 +89,7 @@
 		t.Open = state.Worker != ""
 		t.PlacedOn, t.PlacedAt = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}, state.Address
 	}
-	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun)
+	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun, state.Undecided)
 	if state.Done && e.guest {
 		t.Done = true
 	} else if state.Done {
--- a/ledger/transfer.go
+++ b/ledger/transfer.go
@@ -95,7 +95,7 @@
 		t.closeRun()
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
 	}
-	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun)
+	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun, nil)
 	switch {
 	case state.Done:
 		e.markDone(t)
