dispatch: a command that finds another worker doesn't clear the run

The first start of a task is not answered, because it crashes the worker. If its repeat, or a stop of the run, and not a heartbeat, is answered by the worker that comes next at the address, the run was removed at once. The heartbeat that found the crash then had no suspect, the task was started beside others again, and the crash did not count. It takes a host that hangs rather than refuses connections, and a new worker there within the time-out of a command.

Such a run now stays until the heartbeat, which is sent at once, shows the crash. A start that was sent only once is still taken back, since it reached nobody.

Evidence: TestCrashFoundByACommandHasItsSuspect failed before for both commands, now passes.

--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -24,10 +24,12 @@
 	sequence int64
 	// logStalled leaves appends unanswered, as if the log were unavailable.
 	logStalled bool
+	// startAnswer is the answer to each start.
+	startAnswer dispatch.Answer
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, ledger: ledger.New(), now: time.Minute, active: make(map[workload.RunID]workload.ActiveRun)}
+	h := &harness{t: t, ledger: ledger.New(), now: time.Minute, active: make(map[workload.RunID]workload.ActiveRun), startAnswer: dispatch.Done}
 	h.machine = dispatch.New(dispatch.Config{Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2}, h.ledger, h.now, time.Now())
 	h.listWorker(workload.Worker{})
 	return h
@@ -56,7 +58,7 @@
 			queue = append(queue, h.machine.Step(h.now, dispatch.Appended{ID: a.ID})...)
 		case dispatch.Start:
 			h.active[a.Run] = workload.ActiveRun{RunID: a.Run, ProgressPercent: 100}
-			queue = append(queue, h.machine.Step(h.now, dispatch.StartAnswered{Worker: "w", Run: a.Run, Answer: dispatch.Done, Clock: h.now})...)
+			queue = append(queue, h.machine.Step(h.now, dispatch.StartAnswered{Worker: "w", Run: a.Run, Answer: h.startAnswer, Clock: h.now})...)
 		}
 	}
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -134,6 +134,13 @@
 		m.emitDecision(RunRefused, r.id, w.ID(), answer.String(), 0)
 		m.stopRun(r, "run is superseded")
 		return
+	case WrongWorker:
+		w.nextHeartbeatAt = m.now
+		if r.unanswered {
+			// An earlier copy may have crashed the worker: the run stays a suspect until a
+			// heartbeat shows the crash.
+			return
+		}
 	case Unhealthy:
 		w.pausedUntil = m.now + unhealthyPause
 	case NoRoom:
@@ -142,7 +149,7 @@
 	}
 	m.emitDecision(RunRefused, r.id, w.ID(), answer.String(), m.now-w.clockAt)
 	m.stopGang(r)
-	if r.unanswered && answer != WrongWorker {
+	if r.unanswered {
 		m.stopRun(r, "an earlier copy of the start may still be carried out")
 		return
 	}
@@ -200,8 +207,8 @@
 		r.commandInFlight = true
 		w.nextHeartbeatAt = m.now
 	case WrongWorker:
-		m.keepCheckpoint(r)
-		m.removeRun(r)
+		// The run stays a suspect until a heartbeat shows the crash.
+		w.nextHeartbeatAt = m.now
 	default:
 		r.confirmedAt = m.now
 		r.unanswered = false
--- a/dispatch/crashhandovers_test.go
+++ b/dispatch/crashhandovers_test.go
@@ -178,3 +178,40 @@
 		})
 	}
 }
+
+// Guards against a crash without a suspect, because a repeated start or a stop, and not a
+// heartbeat, finds the worker that has replaced the crashed one.
+func TestCrashFoundByACommandHasItsSuspect(t *testing.T) {
+	run := workload.RunID{Task: workload.TaskID{Submission: "deadly"}, Run: 1}
+	for name, find := range map[string]func(h *harness){
+		"start": func(h *harness) {
+			h.startAnswer = dispatch.NoAnswer
+			h.submit("deadly", plainStep)
+			h.advance(20 * time.Millisecond)
+			h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.WrongWorker})
+		},
+		"stop": func(h *harness) {
+			h.submit("deadly", plainStep)
+			clear(h.active)
+			h.advance(20 * time.Millisecond)
+			h.report()
+			if h.count(stopOf("deadly")) != 1 {
+				t.Fatal("the run was not stopped")
+			}
+			h.handle(dispatch.StopAnswered{Worker: "w", Run: run, Answer: dispatch.WrongWorker})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.report()
+			find(h)
+			h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.WrongWorker})
+			found := slices.ContainsFunc(h.appendedRecords(), func(r *ledgerpb.Record) bool {
+				return r.Crashed != nil && r.Crashed.Suspects[0].Run == run.Run
+			})
+			if !found {
+				t.Error("no suspect was recorded")
+			}
+		})
+	}
+}
