--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -52,6 +52,7 @@
 		Done: t.Done, Run: t.Run, Failures: int32(t.Failures), Checkpoint: t.Checkpoint,
 		Transfer: t.Transfer, Away: t.Away, ReleasedTo: int32(t.ReleasedTo),
 		Suspect: t.Suspect, Evidence: int32(t.Evidence), CrashRun: t.CrashRun,
+		Undecided: undecidedMessages(t.Undecided),
 	}
 	if t.Open {
 		state.Worker, state.Born, state.Address = t.PlacedOn.Worker, t.PlacedOn.StartMillis, t.PlacedAt
@@ -97,7 +98,7 @@
 		t.PlacedOn = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}
 		t.PlacedAt = state.Address
 	}
-	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun)
+	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun, state.Undecided)
 	if state.Done && e.guest {
 		t.Done = true
 	} else if state.Done {
