dispatch: the late answer to a start is not taken for that of its stop

What callers saw: a task could run for the rest of its lease, 7 s and more, although its submission had been cancelled, and nobody knew of it.

Cause: the answer to a start marked the run as without a command in flight also when its stop had been sent meanwhile. A report that did not list the run, sent the worker's stop time after the stop, then counted as the end of the run, although neither command had been carried out. If the stop was lost and the start late, the run began on a worker that the owner had no reason to ask again. The stop's own time limit (0.7 s) usually came before that report (stop time and 0.1 s), so it took a short stop time or events that wait in the owner.

Change: once the stop has been sent, only its answer counts.

Ruled out: on the same worker life a carried out stop refuses a late start; a start of a previous owner is fenced by the successor's first heartbeat.

Evidence: TestLateAnswerToAStartDoesNotConfirmTheStop (both answers) failed before: the run was removed while its stop had no answer.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -103,7 +103,6 @@
 	if r == nil {
 		return
 	}
-	r.commandInFlight = false
 	if ev.Answer != NoAnswer && ev.Answer != WrongWorker {
 		w.updateClock(m.now, ev.Clock)
 	}
@@ -111,8 +110,10 @@
 		r.activeFrom = ev.Clock
 	}
 	if r.phase != starting {
+		// The command in flight, if there is one, is a stop.
 		return
 	}
+	r.commandInFlight = false
 	m.handleStartAnswer(r, ev.Answer)
 }
 
