dispatch: an unlisted worker with an unknown run is asked until the run's lease has expired

What callers saw: a run of a cancelled submission could go on until its lease expired.

Cause: an owner stops a run that it doesn't know each time a report lists it. One heartbeat without an answer made it forget that there is such a run; a worker that had left the list, for example while it shuts down, was then removed and never asked again.

Change: only a report says that no unknown run is left. A silent worker is given up when the leases that earlier owners, and this one, granted to it have expired.

Evidence: TestUnlistedWorkerWithUnknownRunIsAskedAgain failed before (no further heartbeat). TestUnlistedWorkerWithUnknownRunIsForgottenAfterItsLease passed before and after.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -87,7 +87,7 @@
 	if w == nil {
 		return
 	}
-	w.heartbeatInFlight, w.hasUnknownRuns = false, false
+	w.heartbeatInFlight = false
 	w.nextHeartbeatAt = m.now + heartbeatRetryDelay
 	switch ev.Answer {
 	case Fenced:
@@ -98,7 +98,7 @@
 			m.workerCrashed(w, "another worker answers at the address")
 		}
 		m.abandonRuns(w, "another worker answers at the address")
-		w.listed = false
+		w.listed, w.hasUnknownRuns = false, false
 		w.ackedCursor = w.cursor
 		return
 	}
@@ -290,6 +290,7 @@
 		return
 	}
 	w.hasUnknownRuns = true
+	w.unknownRunsExpireAt = m.now + LeaseExpiryBound(m.config.longestLease())
 	w.pausedUntil = max(w.pausedUntil, m.now+m.config.StopTime+stopMargin)
 	m.emitDecision(RunStopped, id, w.ID(), "run is not needed", 0)
 	m.emit(Stop{Target: w.target(), Run: id})
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -296,6 +296,7 @@
 			m.recordExpiry(w)
 			m.abandonRuns(w, "lease has expired")
 		}
+		w.forgetExpiredUnknownRuns(m.now)
 		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat() {
 			m.removeWorker(w)
 			continue
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -81,8 +81,11 @@
 	limitedRuns map[stepKey]int
 	// held: a planning round holds the worker for a task.
 	held bool
-	// hasUnknownRuns: the last report lists runs that this owner does not have.
-	hasUnknownRuns bool
+	// hasUnknownRuns: the last report lists runs that this owner does not have. Their
+	// leases, as far as previous owners granted them, have expired at
+	// unknownRunsExpireAt.
+	hasUnknownRuns      bool
+	unknownRunsExpireAt time.Duration
 	// isolated is the number of isolated runs.
 	isolated int64
 	history  runHistory
@@ -282,6 +285,14 @@
 	return sum
 }
 
+// forgetExpiredUnknownRuns gives unknown runs of a silent worker up when their leases have
+// expired.
+func (w *worker) forgetExpiredUnknownRuns(now time.Duration) {
+	if w.silent && now >= w.unknownRunsExpireAt && w.leasesExpired(now) {
+		w.hasUnknownRuns = false
+	}
+}
+
 // needsHeartbeat reports whether the worker has runs, also unknown ones, or ends to be
 // acknowledged.
 func (w *worker) needsHeartbeat() bool {
