dispatch: no lease is renewed for runs of final submissions only

What callers saw: a run of a cancelled submission could go on without limit, or for 10 s after a planned end of the ownership.

Cause: heartbeats renewed the lease of each worker with a run, also of one that had only runs to be stopped. If the worker answered heartbeats but carried out no stop (it refuses commands while it is unhealthy), its runs went on. An owner that gave the cell up extended such leases to 10 s.

Change: only runs of submissions that are not final count. A cancelled run that can't be stopped then ends with its lease, 7 s after the last renewal before the cancellation.

Cost: none; such a worker was already asked without a wait, because its report is awaited.

--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -4,13 +4,13 @@
 
 // HandOver returns the heartbeats of an owner that gives the cell up at time now of the
 // node's monotonic clock: they extend the leases of all workers with runs to a duration,
-// so that the runs outlast a takeover that has to wait for the store. Their answers are
-// not needed.
+// so that the runs outlast a takeover that has to wait for the store. Runs of final
+// submissions don't count. The answers are not needed.
 func (m *Machine) HandOver(now, lease time.Duration) []Heartbeat {
 	m.now = max(m.now, now)
 	var out []Heartbeat
 	for _, w := range m.sorted {
-		if len(w.runs) == 0 || !w.reported || w.silent || w.bar != leasesAllowed || w.address() == "" || w.clock == 0 {
+		if !w.hasLiveRuns() || !w.reported || w.silent || w.bar != leasesAllowed || w.address() == "" || w.clock == 0 {
 			continue
 		}
 		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: w.extendLease(m.now, lease)})
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -21,7 +21,8 @@
 	case !w.reported || w.clock == 0:
 		// The first heartbeat reads the worker's clock, without which no lease can be
 		// granted.
-	case len(w.runs) == 0:
+	case !w.hasLiveRuns():
+		// The lease of runs that are to be stopped must expire if no stop is carried out.
 	case w.bar != leasesAllowed:
 		// A successor may rely on the record of the worker's silence.
 	case w.silent:
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -285,6 +285,11 @@
 	return sum
 }
 
+// hasLiveRuns reports whether the worker has a run of a submission that is not final.
+func (w *worker) hasLiveRuns() bool {
+	return slices.ContainsFunc(w.runList, func(r *run) bool { return !r.entry.State().Final() })
+}
+
 // forgetExpiredUnknownRuns gives unknown runs of a silent worker up when their leases have
 // expired.
 func (w *worker) forgetExpiredUnknownRuns(now time.Duration) {
