dispatch: a stop is sent again while its worker goes on listing the run

What callers saw: nothing so far; found by reading. A run whose stop was answered, but not carried out, would go on without limit, and its lease be renewed beside other runs.

Cause: each answer to a stop but "no answer", "unhealthy" and "wrong worker" counts as carried out, also "rejected" (400, or 409 with an unknown reason). The owner then only waited for a report that doesn't list the run.

Change: a report that lists the run although the worker's stop time has passed since the answer makes the owner send the stop again, about once in the stop time.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -274,6 +274,9 @@
 			continue
 		}
 		m.updateRun(r, a)
+		if r.phase == stopping && r.stopShouldHaveEnded(ev.SentAt, m.config.StopTime) {
+			m.sendStop(r)
+		}
 	}
 	for _, r := range w.runList {
 		if !listed[r.id] {
@@ -332,7 +335,7 @@
 			m.stopRun(r, "worker does not list the run")
 		}
 	case stopping:
-		if sentAt > r.confirmedAt+m.config.StopTime+stopMargin && !r.commandInFlight {
+		if r.stopShouldHaveEnded(sentAt, m.config.StopTime) {
 			m.emitDecision(RunStopped, r.id, r.worker.ID(), "worker no longer lists the run", m.now-r.confirmedAt)
 			m.keepCheckpoint(r)
 			m.removeRun(r)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -23,6 +23,12 @@
 	ending
 )
 
+// stopShouldHaveEnded reports whether a report, whose heartbeat was sent at a time, shows
+// the worker as it is after the stop that it answered.
+func (r *run) stopShouldHaveEnded(sentAt, stopTime time.Duration) bool {
+	return !r.commandInFlight && sentAt > r.confirmedAt+stopTime+stopMargin
+}
+
 // run is one run of a task that may exist on a worker.
 type run struct {
 	id     workload.RunID
