dispatch: a restarted worker is asked as long as a late start may reach it

What callers saw: a run of a cancelled submission could begin seconds after its stop was confirmed, and go on until its lease expired.

Cause: a worker may restart with its id, and then remembers no stop. A start that had no answer may be carried out seconds later, by the new life as well, whose clock is behind the start's deadline. The owner gives such a run up when the old life confirms the stop. It asks the new life once; a start that is carried out after that began on a worker without runs, which nobody asked again.

Change: for 10 s after a start had no answer, a worker that restarted meanwhile, or did before, is asked every 0.5 s although it has no runs. A run that it lists is stopped as an unknown one.

Ruled out: starts of a previous owner, which the first heartbeat to the new life fences; another worker at the address, which answers 421.

Cost: 20 heartbeats at most for each unanswered start to such a worker.

Evidence: TestWorkerThatMayReceiveALateStartIsAskedAgain failed before (asked once).

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -99,6 +99,9 @@
 	if w == nil {
 		return
 	}
+	if ev.Answer == NoAnswer {
+		w.unansweredStartAt = m.now
+	}
 	r := w.runs[ev.Run]
 	if r == nil {
 		return
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -15,6 +15,12 @@
 	// more; best-effort tasks take seconds and have seconds of slack.
 	urgentHeartbeatInterval  = 30 * time.Millisecond
 	relaxedHeartbeatInterval = 120 * time.Millisecond
+	// lateCommandTime is the time after which a command without an answer is not carried
+	// out any more; the platform says that it may take seconds.
+	lateCommandTime = 10 * time.Second
+	// lateStartHeartbeatInterval is the interval of the heartbeats to a worker that may
+	// only receive a late start.
+	lateStartHeartbeatInterval = 500 * time.Millisecond
 	// heartbeatRetryDelay is the delay after a failed heartbeat.
 	heartbeatRetryDelay = 150 * time.Millisecond
 	// stopMargin is added to the time that a worker takes to stop a run. It covers
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -13,7 +13,7 @@
 	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.address() == "" {
 		return
 	}
-	if w.reported && !w.needsHeartbeat() && !w.isUnusableUntilHeard() {
+	if w.reported && !w.needsHeartbeat(m.now) && !w.isUnusableUntilHeard() {
 		return
 	}
 	h := Heartbeat{Target: w.target(), Cursor: w.cursor}
@@ -60,6 +60,9 @@
 // heartbeatInterval returns the pause between a report and the next heartbeat. It
 // is longer if only best-effort runs can end, so that a report lists several ends.
 func (w *worker) heartbeatInterval() time.Duration {
+	if !w.needsFrequentHeartbeats() {
+		return lateStartHeartbeatInterval
+	}
 	for _, r := range w.runList {
 		if !r.step.BestEffort && !r.step.LongRunning || r.phase != running {
 			return urgentHeartbeatInterval
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -297,7 +297,7 @@
 			m.abandonRuns(w, "lease has expired")
 		}
 		w.forgetExpiredUnknownRuns(m.now)
-		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat() {
+		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat(m.now) {
 			m.removeWorker(w)
 			continue
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -86,6 +86,11 @@
 	// unknownRunsExpireAt.
 	hasUnknownRuns      bool
 	unknownRunsExpireAt time.Duration
+	// restarted: this owner has seen an earlier incarnation with the same id.
+	restarted bool
+	// unansweredStartAt is when a start to the worker's id was last found to have no
+	// answer, or 0.
+	unansweredStartAt time.Duration
 	// isolated is the number of isolated runs.
 	isolated int64
 	history  runHistory
@@ -299,11 +304,21 @@
 }
 
 // needsHeartbeat reports whether the worker has runs, also unknown ones, or ends to be
-// acknowledged.
-func (w *worker) needsHeartbeat() bool {
+// acknowledged, or may start a run that this owner has given up.
+func (w *worker) needsHeartbeat(now time.Duration) bool {
+	return w.needsFrequentHeartbeats() || w.mayReceiveLateStart(now)
+}
+
+func (w *worker) needsFrequentHeartbeats() bool {
 	return len(w.runs) > 0 || w.hasUnknownRuns || w.ackedCursor < w.cursor
 }
 
+// mayReceiveLateStart reports whether a start without an answer may still be carried out by
+// another incarnation than it was sent to. That one knows nothing of the run's stop.
+func (w *worker) mayReceiveLateStart(now time.Duration) bool {
+	return w.restarted && w.unansweredStartAt > 0 && now-w.unansweredStartAt < lateCommandTime
+}
+
 // isUnusableUntilHeard reports whether only an answer to a heartbeat lets runs be placed on
 // a listed worker.
 func (w *worker) isUnusableUntilHeard() bool {
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -48,7 +48,7 @@
 		r.stopRequested = true
 		m.sendStop(r)
 	}
-	w.reported, w.silent, w.hasUnknownRuns = false, false, false
+	w.reported, w.silent, w.hasUnknownRuns, w.restarted = false, false, false, true
 	w.lastEnd, w.cursor, w.ackedCursor, w.unrecordedEnds = 0, 0, 0, nil
 	w.clock, w.clockAt, w.leasesExpireAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0, 0
 	w.history = runHistory{}
