--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -101,11 +101,13 @@
 	if w == nil {
 		return
 	}
+	if ev.Answer == NoAnswer {
+		w.unansweredStartAt = m.now
+	}
 	r := w.runs[ev.Run]
 	if r == nil {
 		return
 	}
-	r.commandInFlight = false
 	if ev.Answer != NoAnswer && ev.Answer != WrongWorker {
 		w.updateClock(m.now, ev.Clock)
 	}
@@ -113,8 +115,10 @@
 		r.activeFrom = ev.Clock
 	}
 	if r.phase != starting {
+		// The command in flight, if there is one, is a stop.
 		return
 	}
+	r.commandInFlight = false
 	m.handleStartAnswer(r, ev.Answer)
 }
 
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -13,7 +13,7 @@
 	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" || !m.listRead {
 		return
 	}
-	if w.reported && !w.needsHeartbeat() && !w.isUnusableUntilHeard() {
+	if w.reported && !w.needsHeartbeat(m.now) && !w.isUnusableUntilHeard() {
 		return
 	}
 	h := Heartbeat{Target: w.target(), Cursor: w.cursor}
@@ -21,7 +21,8 @@
 	case !w.reported || w.clock == 0:
 		// The first heartbeat reads the worker's clock, without which no lease can be
 		// granted.
-	case len(w.runs) == 0:
+	case !w.hasLiveRuns():
+		// The lease of runs that are to be stopped must expire if no stop is carried out.
 	case w.bar != leasesAllowed:
 		// A successor may rely on the record of the worker's silence.
 	case w.silent:
@@ -59,6 +60,9 @@
 // heartbeatInterval returns the pause between a report and the next heartbeat. It
 // is longer if only best-effort runs can end, so that a report lists several ends.
 func (w *worker) heartbeatInterval() time.Duration {
+	if !w.needsFrequentHeartbeats() {
+		return lateStartHeartbeatInterval
+	}
 	for _, r := range w.runList {
 		if !r.step.BestEffort && !r.step.LongRunning || r.phase != running {
 			return urgentHeartbeatInterval
@@ -79,7 +83,7 @@
 			return true
 		}
 	}
-	return w.hasUnknownRuns
+	return len(w.unknownRuns) > 0
 }
 
 func (m *Machine) heartbeatFailed(ev HeartbeatFailed) {
@@ -87,7 +91,7 @@
 	if w == nil {
 		return
 	}
-	w.heartbeatInFlight, w.hasUnknownRuns = false, false
+	w.heartbeatInFlight = false
 	w.nextHeartbeatAt = m.now + heartbeatRetryDelay
 	switch ev.Answer {
 	case Fenced:
@@ -95,7 +99,7 @@
 	case WrongWorker:
 		m.workerCrashed(w, "another worker answers at the address")
 		m.abandonRuns(w, "another worker answers at the address")
-		w.listed = false
+		w.listed, w.unknownRuns = false, nil
 		w.ackedCursor = w.cursor
 		return
 	}
@@ -262,7 +266,6 @@
 // it.
 func (m *Machine) processActive(w *worker, ev HeartbeatAnswered, active []workload.ActiveRun) {
 	listed := make(map[workload.RunID]bool, len(active))
-	w.hasUnknownRuns = false
 	listedBefore := w.unknownRuns
 	w.unknownRuns = nil
 	for i := range active {
@@ -274,6 +277,9 @@
 			continue
 		}
 		m.updateRun(r, a)
+		if r.phase == stopping && r.stopShouldHaveEnded(ev.SentAt, m.config.StopTime) {
+			m.sendStop(r)
+		}
 	}
 	for _, r := range w.runList {
 		if !listed[r.id] {
@@ -290,11 +296,11 @@
 	if current := m.active[id.Task]; current != nil && current.id == id && current.phase == ending {
 		return
 	}
-	w.hasUnknownRuns = true
 	w.addUnknownRun(id)
 	if !listed {
 		m.reportUnknownRun(w, id)
 	}
+	w.unknownRunsExpireAt = m.now + LeaseExpiryBound(m.config.longestLease())
 	w.pausedUntil = max(w.pausedUntil, m.now+m.config.StopTime+stopMargin)
 	m.emitDecision(RunStopped, id, w.ID(), "run is not needed", 0)
 	m.emit(Stop{Target: w.target(), Run: id})
@@ -335,7 +341,7 @@
 			m.stopRun(r, "worker does not list the run")
 		}
 	case stopping:
-		if sentAt > r.confirmedAt+m.config.StopTime+stopMargin && !r.commandInFlight {
+		if r.stopShouldHaveEnded(sentAt, m.config.StopTime) {
 			m.emitDecision(RunStopped, r.id, r.worker.ID(), "worker no longer lists the run", m.now-r.confirmedAt)
 			m.keepCheckpoint(r)
 			m.removeRun(r)
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -308,7 +308,8 @@
 			m.recordExpiry(w)
 			m.abandonRuns(w, "lease has expired")
 		}
-		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat() {
+		w.forgetExpiredUnknownRuns(m.now)
+		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat(m.now) {
 			m.removeWorker(w)
 			continue
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -78,10 +78,16 @@
 	limitedRuns map[stepKey]int
 	// held: a planning round holds the worker for a task.
 	held bool
-	// hasUnknownRuns: the last report lists runs that this owner does not have.
-	hasUnknownRuns bool
-	// unknownRuns are these runs.
-	unknownRuns map[workload.RunID]bool
+	// unknownRuns are the runs in the last report that this owner does not have. Their
+	// leases, as far as previous owners granted them, have expired at
+	// unknownRunsExpireAt.
+	unknownRuns         map[workload.RunID]bool
+	unknownRunsExpireAt time.Duration
+	// restarted: this owner has seen an earlier incarnation with the same id.
+	restarted bool
+	// unansweredStartAt is when a start to the worker's id was last found to have no
+	// answer, or 0.
+	unansweredStartAt time.Duration
 	// isolated is the number of isolated runs.
 	isolated int64
 	history  runHistory
@@ -281,10 +287,33 @@
 	return sum
 }
 
+// hasLiveRuns reports whether the worker has a run of a submission that is not final.
+func (w *worker) hasLiveRuns() bool {
+	return slices.ContainsFunc(w.runList, func(r *run) bool { return !r.entry.State().Final() })
+}
+
+// forgetExpiredUnknownRuns gives unknown runs of a silent worker up when their leases have
+// expired.
+func (w *worker) forgetExpiredUnknownRuns(now time.Duration) {
+	if w.silent && now >= w.unknownRunsExpireAt && w.leasesExpired(now) {
+		w.unknownRuns = nil
+	}
+}
+
 // needsHeartbeat reports whether the worker has runs, also unknown ones, or ends to be
-// acknowledged.
-func (w *worker) needsHeartbeat() bool {
-	return len(w.runs) > 0 || w.hasUnknownRuns || w.ackedCursor < w.cursor
+// acknowledged, or may start a run that this owner has given up.
+func (w *worker) needsHeartbeat(now time.Duration) bool {
+	return w.needsFrequentHeartbeats() || w.mayReceiveLateStart(now)
+}
+
+func (w *worker) needsFrequentHeartbeats() bool {
+	return len(w.runs) > 0 || len(w.unknownRuns) > 0 || w.ackedCursor < w.cursor
+}
+
+// mayReceiveLateStart reports whether a start without an answer may still be carried out by
+// another incarnation than it was sent to. That one knows nothing of the run's stop.
+func (w *worker) mayReceiveLateStart(now time.Duration) bool {
+	return w.restarted && w.unansweredStartAt > 0 && now-w.unansweredStartAt < lateCommandTime
 }
 
 // isUnusableUntilHeard reports whether only an answer to a heartbeat lets runs be placed on
