dispatch: a test of healthy tasks, crashes of a rack and hand-overs in series

Guards the other side of the bound of five starts: weak evidence of crashes that a successor only infers must not add up against healthy tasks.

--- a/dispatch/crashhandovers_test.go
+++ b/dispatch/crashhandovers_test.go
@@ -153,6 +153,30 @@
 	}
 }
 
+// Guards against giving up healthy tasks whose workers crash together, again and again, in
+// epochs that are too short to show that they went together.
+func TestHealthyTasksOutlastCrashesOfARackOverHandOvers(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(t, seed, 12)
+			s.crashes.newIDs, s.crashes.reset = true, seed%2 == 0
+			s.submitOften(60)
+			for i := range 5 {
+				s.after(time.Duration(1500+4000*i+s.random.IntN(1000))*time.Millisecond, func() {
+					for k := range 6 {
+						if w := s.workers[fmt.Sprintf("w%d", k)]; w.up {
+							s.crash(w)
+						}
+					}
+				})
+			}
+			s.handOverOften(30 * time.Second)
+			s.run(s.now + 120*time.Second)
+			s.expectCompleted(60)
+		})
+	}
+}
+
 // Guards against evidence against a task whose worker only did not answer for longer than
 // its lease, over hand-overs in series.
 func TestSilentWorkerIsNoCrashOverHandOvers(t *testing.T) {
