dispatch, ledger: a successor knows which runs had survived their starts

Callers would have seen requests served later after the loss of a data centre beside a takeover. Since a successor reaches the workers of open runs that are not listed, it also finds that these have crashed, and it suspected every run on them: hundreds of healthy tasks, which were then started in isolation, on a quarter of the workers at most.

Cause: that a run has outlasted its start was known to its owner only. A Placed record now has the order of the placement and the first placement on the worker that may not have survived when it was made; a successor suspects none before it. It is what the predecessor knew at its last placement there, so a run is suspect for longer at a takeover, never for less time. The code that takes runs over is in a file of its own.

Evidence: TestSuccessorSuspectsNoRunThatHadSurvived failed before (both runs suspected).

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -38,6 +38,7 @@
 func (m *Machine) recordRun(r *run) {
 	m.emitDecision(RunPlaced, r.id, r.worker.ID(), r.step.Image, m.now-r.worker.clockAt)
 	record := ledger.PlacedRecord(r.id, r.worker.Incarnation, r.worker.Address)
+	record.Placed.Order, record.Placed.FreshFrom = r.order, r.worker.firstFresh()
 	incarnation := r.worker.Incarnation
 	m.appendRecord(record, func() {
 		first := r.entry.State() == workload.Queued
--- a/dispatch/crashhandovers_test.go
+++ b/dispatch/crashhandovers_test.go
@@ -239,3 +239,28 @@
 		})
 	}
 }
+
+// Guards against a successor that suspects, and starts in isolation, runs which its
+// predecessor had seen survive: after the loss of a data centre these are hundreds.
+func TestSuccessorSuspectsNoRunThatHadSurvived(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("old", plainStep)
+	h.report()
+	h.advance(400 * time.Millisecond)
+	h.report()
+	h.submit("new", plainStep)
+	restored := ledger.New()
+	restored.ApplySnapshot(h.ledger.Snapshot(ledger.Offsets{}))
+	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2, PredecessorExpiry: time.Minute}, restored, h.now, time.Now())
+	h.handle(dispatch.WorkersListed{})
+	h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.WrongWorker})
+	var suspects []string
+	for _, r := range h.appendedRecords() {
+		for _, s := range r.GetCrashed().GetSuspects() {
+			suspects = append(suspects, s.Task.Submission)
+		}
+	}
+	is.Equal(suspects, []string{"new"})
+}
--- /dev/null
+++ b/dispatch/inherit.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// inheritRuns takes over the runs that previous owners placed and whose end is not in the
+// log. Those of final submissions take capacity until they have been stopped.
+func (m *Machine) inheritRuns() {
+	for _, e := range m.ledger.Live() {
+		m.inheritRunsOf(e, false)
+	}
+	for _, e := range m.ledger.Abandoned() {
+		m.inheritRunsOf(e, true)
+	}
+	m.inheritSurvival()
+	m.inheritLost()
+}
+
+// inheritRunsOf takes over the runs of an entry. final: they must be stopped.
+func (m *Machine) inheritRunsOf(e *ledger.Entry, final bool) {
+	forEachTaskOf(e, func(t *ledger.Task) {
+		if t.Done || !t.Open {
+			return
+		}
+		if w := m.inheritWorker(t.PlacedOn, t.PlacedAt); w != nil {
+			r := m.newRun(e, t, t.Run, w)
+			r.phase, r.inherited, r.stopRequested = starting, true, final
+			r.order = t.Order
+			w.freshFrom = max(w.freshFrom, t.FreshFrom)
+		}
+	})
+}
+
+// forEachTaskOf calls f for the tasks of an entry whose state has been allocated.
+func forEachTaskOf(e *ledger.Entry, f func(t *ledger.Task)) {
+	for number := range e.OccurrenceCount() {
+		if !e.HasOccurrence(number) {
+			continue
+		}
+		o := e.Occurrence(number)
+		for s := range o.Steps {
+			for i := range o.Steps[s].Tasks {
+				f(&o.Steps[s].Tasks[i])
+			}
+		}
+	}
+}
+
+// inheritWorker returns the worker of an inherited run, or nil if a run on a newer
+// incarnation of the worker shows that this incarnation has ended. The recorded address
+// reaches a worker that is not listed any more: a crash of it must be seen to count.
+func (m *Machine) inheritWorker(incarnation workload.Incarnation, address string) *worker {
+	w := m.workers[incarnation.Worker]
+	switch {
+	case w == nil:
+		w = m.addWorker(workload.Worker{Incarnation: incarnation})
+	case incarnation.StartMillis < w.StartMillis:
+		return nil
+	case incarnation.StartMillis > w.StartMillis:
+		m.workerRestarted(w, incarnation)
+	}
+	if address != "" {
+		w.Address = address
+	}
+	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
+	return w
+}
+
+// inheritSurvival clears the inherited runs that had survived when a previous owner placed
+// another one on their worker, and those beside an isolated one. A previous owner placed
+// that one when they had survived, and no other until its Survived record, which is not in
+// the log.
+func (m *Machine) inheritSurvival() {
+	for _, w := range m.sorted {
+		for _, r := range w.runList {
+			r.survived = !r.isolated && (w.isolated > 0 || r.order < w.freshFrom)
+		}
+	}
+}
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -21,17 +21,6 @@
 	crashedPenalty = 4.0
 )
 
-// inheritIsolation clears the inherited runs beside an isolated one. A previous owner
-// placed that one when they had survived, and no other until its Survived record, which
-// is not in the log.
-func (m *Machine) inheritIsolation() {
-	for _, w := range m.sorted {
-		for _, r := range w.runList {
-			r.survived = w.isolated > 0 && !r.isolated
-		}
-	}
-}
-
 // suspectTasks returns the tasks of a step that wait, are suspected of a crash and may be
 // started now: all members of a gang if it is.
 func (m *Machine) suspectTasks(ws *waitingStep) []*ledger.Task {
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -10,6 +10,10 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
+// placementBits is the number of bits, in the order of a placement, of its number in its
+// epoch.
+const placementBits = 32
+
 // Machine is the scheduling state machine of one cell during one epoch. It is not
 // safe for concurrent use.
 type Machine struct {
@@ -26,7 +30,9 @@
 	listRead bool
 	// sorted lists the workers in ascending order of id.
 	sorted []*worker
-	active map[workload.TaskID]*run
+	// placements counts the runs that were placed in this epoch.
+	placements int64
+	active     map[workload.TaskID]*run
 	// byEntry are the active runs of each submission.
 	byEntry map[string][]*run
 	// checkpoints are newer than those in the ledger. They come from runs whose end
@@ -106,67 +112,6 @@
 	return m
 }
 
-// inheritRuns takes over the runs that previous owners placed and whose end is not in the
-// log. Those of final submissions take capacity until they have been stopped.
-func (m *Machine) inheritRuns() {
-	for _, e := range m.ledger.Live() {
-		m.inheritRunsOf(e, false)
-	}
-	for _, e := range m.ledger.Abandoned() {
-		m.inheritRunsOf(e, true)
-	}
-	m.inheritIsolation()
-	m.inheritLost()
-}
-
-// inheritRunsOf takes over the runs of an entry. final: they must be stopped.
-func (m *Machine) inheritRunsOf(e *ledger.Entry, final bool) {
-	forEachTaskOf(e, func(t *ledger.Task) {
-		if t.Done || !t.Open {
-			return
-		}
-		if w := m.inheritWorker(t.PlacedOn, t.PlacedAt); w != nil {
-			r := m.newRun(e, t, t.Run, w)
-			r.phase, r.inherited, r.stopRequested = starting, true, final
-		}
-	})
-}
-
-// forEachTaskOf calls f for the tasks of an entry whose state has been allocated.
-func forEachTaskOf(e *ledger.Entry, f func(t *ledger.Task)) {
-	for number := range e.OccurrenceCount() {
-		if !e.HasOccurrence(number) {
-			continue
-		}
-		o := e.Occurrence(number)
-		for s := range o.Steps {
-			for i := range o.Steps[s].Tasks {
-				f(&o.Steps[s].Tasks[i])
-			}
-		}
-	}
-}
-
-// inheritWorker returns the worker of an inherited run, or nil if a run on a newer
-// incarnation of the worker shows that this incarnation has ended. The recorded address
-// reaches a worker that is not listed any more: a crash of it must be seen to count.
-func (m *Machine) inheritWorker(incarnation workload.Incarnation, address string) *worker {
-	w := m.workers[incarnation.Worker]
-	switch {
-	case w == nil:
-		w = m.addWorker(workload.Worker{Incarnation: incarnation})
-	case incarnation.StartMillis < w.StartMillis:
-		return nil
-	case incarnation.StartMillis > w.StartMillis:
-		m.workerRestarted(w, incarnation)
-	}
-	if address != "" {
-		w.Address = address
-	}
-	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
-	return w
-}
-
 func (m *Machine) addWorker(info workload.Worker) *worker {
 	w := newWorker(info)
 	m.inheritSilence(w)
@@ -184,8 +129,10 @@
 }
 
 func (m *Machine) newRun(e *ledger.Entry, t *ledger.Task, number int64, w *worker) *run {
+	m.placements++
 	r := &run{
 		id:    workload.RunID{Task: t.ID, Run: number},
+		order: m.config.Epoch<<placementBits + m.placements,
 		entry: e, task: t, step: &e.Steps[t.ID.Step], worker: w,
 		phase: recording, checkpoint: t.Checkpoint,
 		image:    m.model.idOf(e.Steps[t.ID.Step].Image),
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -25,7 +25,9 @@
 
 // run is one run of a task that may exist on a worker.
 type run struct {
-	id     workload.RunID
+	id workload.RunID
+	// order numbers the placements of the cell over all epochs.
+	order  int64
 	entry  *ledger.Entry
 	task   *ledger.Task
 	step   *workload.Step
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -82,7 +83,9 @@
 	hasUnknownRuns bool
 	// isolated is the number of isolated runs.
 	isolated int64
-	history  runHistory
+	// freshFrom is the order of the first inherited run that may not have survived.
+	freshFrom int64
+	history   runHistory
 }
 
 func newWorker(info workload.Worker) *worker {
@@ -120,6 +123,17 @@
 	w.bestEffortRuns = slices.DeleteFunc(slices.Clone(w.bestEffortRuns), isRun)
 }
 
+// firstFresh returns the order of the first run that may not have survived its start.
+func (w *worker) firstFresh() int64 {
+	first := int64(math.MaxInt64)
+	for _, r := range w.runList {
+		if !r.survived {
+			first = min(first, r.order)
+		}
+	}
+	return first
+}
+
 // reservation returns what a run of a step takes of its worker's capacity: its request,
 // without the CPU if it is best-effort.
 func reservation(step *workload.Step) hostapi.Resources {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -171,6 +171,7 @@
 		if !t.Done {
 			t.Open, t.PlacedAt = true, p.Address
 			t.PlacedOn = workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}
+			t.Order, t.FreshFrom = p.Order, p.FreshFrom
 		}
 	}
 	e.started = true
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -46,6 +46,7 @@
 		}
 		if t.Open {
 			state.Worker, state.Born, state.Address = t.PlacedOn.Worker, t.PlacedOn.StartMillis, t.PlacedAt
+			state.Order, state.FreshFrom = t.Order, t.FreshFrom
 		}
 		out = append(out, state)
 	}
@@ -88,6 +89,7 @@
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
 		t.Open = state.Worker != ""
 		t.PlacedOn, t.PlacedAt = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}, state.Address
+		t.Order, t.FreshFrom = state.Order, state.FreshFrom
 	}
 	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun, state.Undecided)
 	if state.Done && e.guest {
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -16,6 +16,9 @@
 	// "" if that is not known.
 	PlacedOn workload.Incarnation
 	PlacedAt string
+	// Order numbers the placements of the cell. When Run was placed, its worker had outlasted
+	// the starts of all runs there that were placed before FreshFrom.
+	Order, FreshFrom int64
 	// Failures is the number of runs that ended with Errored.
 	Failures int
 	// Checkpoint is the newest recorded checkpoint, or "" if there is none.
@@ -40,4 +43,7 @@
 }
 
 // closeRun marks the end of the task's run as recorded.
-func (t *Task) closeRun() { t.Open, t.PlacedOn, t.PlacedAt = false, workload.Incarnation{}, "" }
+func (t *Task) closeRun() {
+	t.Open, t.PlacedOn, t.PlacedAt = false, workload.Incarnation{}, ""
+	t.Order, t.FreshFrom = 0, 0
+}
