--- a/dispatch/crashhandovers_test.go
+++ b/dispatch/crashhandovers_test.go
@@ -153,6 +153,30 @@
 	}
 }
 
+// Guards against giving up healthy tasks whose workers crash together, again and again, in
+// epochs that are too short to show that they went together.
+func TestHealthyTasksOutlastCrashesOfARackOverHandOvers(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(t, seed, 12)
+			s.crashes.newIDs, s.crashes.reset = true, seed%2 == 0
+			s.submitOften(60)
+			for i := range 5 {
+				s.after(time.Duration(1500+4000*i+s.random.IntN(1000))*time.Millisecond, func() {
+					for k := range 6 {
+						if w := s.workers[fmt.Sprintf("w%d", k)]; w.up {
+							s.crash(w)
+						}
+					}
+				})
+			}
+			s.handOverOften(30 * time.Second)
+			s.run(s.now + 120*time.Second)
+			s.expectCompleted(60)
+		})
+	}
+}
+
 // Guards against evidence against a task whose worker only did not answer for longer than
 // its lease, over hand-overs in series.
 func TestSilentWorkerIsNoCrashOverHandOvers(t *testing.T) {
@@ -215,3 +239,28 @@
 		})
 	}
 }
+
+// Guards against a successor that suspects, and starts in isolation, runs which its
+// predecessor had seen survive: after the loss of a data centre these are hundreds.
+func TestSuccessorSuspectsNoRunThatHadSurvived(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("old", plainStep)
+	h.report()
+	h.advance(400 * time.Millisecond)
+	h.report()
+	h.submit("new", plainStep)
+	restored := ledger.New()
+	restored.ApplySnapshot(h.ledger.Snapshot(ledger.Offsets{}))
+	h.machine = dispatch.New(dispatch.Config{Epoch: 2, Lease: simLease, HeartbeatWait: time.Second, RemoteFactor: 2, PredecessorExpiry: time.Minute}, restored, h.now, time.Now())
+	h.handle(dispatch.WorkersListed{})
+	h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.WrongWorker})
+	var suspects []string
+	for _, r := range h.appendedRecords() {
+		for _, s := range r.GetCrashed().GetSuspects() {
+			suspects = append(suspects, s.Task.Submission)
+		}
+	}
+	is.Equal(suspects, []string{"new"})
+}
--- a/dispatch/inherit.go
+++ b/dispatch/inherit.go
@@ -14,7 +14,7 @@
 	for _, e := range m.ledger.Abandoned() {
 		m.inheritRunsOf(e, true)
 	}
-	m.inheritIsolation()
+	m.inheritSurvival()
 	m.inheritLost()
 }
 
@@ -30,6 +30,8 @@
 		}
 		r := m.newRun(e, t, t.Run, w)
 		r.phase, r.inherited, r.stopRequested = starting, true, final
+		r.order = t.Order
+		w.freshFrom = max(w.freshFrom, t.FreshFrom)
 		if final {
 			// The next tick sends the stop, as one that had no answer.
 			r.phase, r.commandInFlight, r.unanswered = stopping, true, true
@@ -88,3 +90,15 @@
 	w.predecessorsExpireAt = m.now + m.predecessorExpiry(incarnation)
 	return w
 }
+
+// inheritSurvival clears the inherited runs that had survived when a previous owner placed
+// another one on their worker, and those beside an isolated one. A previous owner placed
+// that one when they had survived, and no other until its Survived record, which is not in
+// the log.
+func (m *Machine) inheritSurvival() {
+	for _, w := range m.sorted {
+		for _, r := range w.runList {
+			r.survived = !r.isolated && (w.isolated > 0 || r.order < w.freshFrom)
+		}
+	}
+}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -10,6 +10,10 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
+// placementBits is the number of bits, in the order of a placement, of its number in its
+// epoch.
+const placementBits = 32
+
 // Machine is the scheduling state machine of one cell during one epoch. It is not
 // safe for concurrent use.
 type Machine struct {
@@ -26,7 +30,9 @@
 	listRead bool
 	// sorted lists the workers in ascending order of id.
 	sorted []*worker
-	active map[workload.TaskID]*run
+	// placements counts the runs that were placed in this epoch.
+	placements int64
+	active     map[workload.TaskID]*run
 	// byEntry are the active runs of each submission.
 	byEntry map[string][]*run
 	// checkpoints are newer than those in the ledger. They come from runs whose end
@@ -134,8 +140,10 @@
 }
 
 func (m *Machine) newRun(e *ledger.Entry, t *ledger.Task, number int64, w *worker) *run {
+	m.placements++
 	r := &run{
 		id:    workload.RunID{Task: t.ID, Run: number},
+		order: m.config.Epoch<<placementBits + m.placements,
 		entry: e, task: t, step: &e.Steps[t.ID.Step], worker: w,
 		phase: recording, checkpoint: t.Checkpoint,
 		image:    m.model.idOf(e.Steps[t.ID.Step].Image),
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -90,7 +91,9 @@
 	unansweredStartAt time.Duration
 	// isolated is the number of isolated runs.
 	isolated int64
-	history  runHistory
+	// freshFrom is the order of the first inherited run that may not have survived.
+	freshFrom int64
+	history   runHistory
 }
 
 func newWorker(info workload.Worker) *worker {
@@ -136,6 +139,17 @@
 	w.unknownRuns[id] = true
 }
 
+// firstFresh returns the order of the first run that may not have survived its start.
+func (w *worker) firstFresh() int64 {
+	first := int64(math.MaxInt64)
+	for _, r := range w.runList {
+		if !r.survived {
+			first = min(first, r.order)
+		}
+	}
+	return first
+}
+
 // reservation returns what a run of a step takes of its worker's capacity: its request,
 // without the CPU if it is best-effort.
 func reservation(step *workload.Step) hostapi.Resources {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -182,7 +182,9 @@
 	if p.Run > t.Run {
 		t.Run = p.Run
 		if !t.Done {
-			t.Open, t.PlacedOn, t.PlacedAt = true, workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}, p.Address
+			t.Open, t.PlacedAt = true, p.Address
+			t.PlacedOn = workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}
+			t.Order, t.FreshFrom = p.Order, p.FreshFrom
 		}
 	}
 	e.started = true
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -56,6 +56,7 @@
 	}
 	if t.Open {
 		state.Worker, state.Born, state.Address = t.PlacedOn.Worker, t.PlacedOn.StartMillis, t.PlacedAt
+		state.Order, state.FreshFrom = t.Order, t.FreshFrom
 	}
 	return state
 }
@@ -95,8 +96,8 @@
 	if state.Run >= t.Run {
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
 		t.Open = state.Worker != ""
-		t.PlacedOn = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}
-		t.PlacedAt = state.Address
+		t.PlacedOn, t.PlacedAt = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}, state.Address
+		t.Order, t.FreshFrom = state.Order, state.FreshFrom
 	}
 	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun, state.Undecided)
 	if state.Done && e.guest {
