dispatch: the largest submissions are placed first while they fall behind

Callers saw: in an overload, hardly any of the largest tenth of a queue's submissions were served (completed within three times their objective).

Cause: the order. By relative remaining work the largest come last, and while more work arrives than the workers can do their turn comes too late.

Ruled out as the main cause: small tasks that take the room. Workers held for finite steps in the unchanged order hardly helped. Width: of the largest sign-ins, about a fifth at most can't be served beside the long-running tasks at all.

Change: an owner counts, by queue, how many of the last submissions of all sizes and of the largest tenth were served. While the share of the largest is below 0.75 of that of all, they come first among the finite steps of their service and priority, within 0.4 of the CPU that these request, and workers are held for their tasks that fit nowhere, as for long-running ones. Those that can no longer be of use are left out. Event 807 names the queue and the shares. Best-effort work goes on on workers held for finite steps.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -33,6 +33,9 @@
 	case dispatch.SubmissionBegan:
 		n.metrics.observeDuration(metrics.Name("submission_first_start_microseconds", "queue", d.Queue, "size", d.Size.String()), d.Elapsed)
 		return
+	case dispatch.LargestFavoured:
+		n.logger.Log(logevent.LargestFavoured, zap.String("queue", d.Queue), zap.String("reason", d.Reason), zap.Int64("epoch", epoch), zap.Int("cell", cell))
+		return
 	case dispatch.SubmissionOverdue:
 		n.countServed(d)
 		n.logger.Log(logevent.SubmissionOverdue, zap.String("id", d.Run.Task.Submission), zap.String("queue", d.Queue),
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -65,6 +65,9 @@
 	// SubmissionOverdue: the submission has not ended within lateFactor times its objective,
 	// and so is not served.
 	SubmissionOverdue
+	// LargestFavoured: the largest submissions of a queue are placed first, because they are
+	// served less often than the others. Reason has the shares.
+	LargestFavoured
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -73,5 +76,5 @@
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
-		"submission overdue"}[k]
+		"submission overdue", "largest favoured"}[k]
 }
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -6,25 +6,24 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// holdWorkers returns the workers without those that it holds for the tasks of a
-// long-running step that fit nowhere yet: a worker for each task, first those that lack
-// the least capacity. For the rest of the planning round they get no finite work.
+// workersToHold returns the workers to hold for the tasks of a step that fit nowhere yet: a
+// worker for each task, first those that lack the least capacity. For the rest of the
+// planning round they get no smaller finite work.
 // Otherwise smaller requests would take each piece of capacity that becomes free, and a
 // large request would wait for as long as they arrive. The next round prefers the same
 // workers, because only their free capacity grows undisturbed. Requests for which there
 // is no such worker are recorded in failed.
-func (m *Machine) holdWorkers(ws *waitingStep, workers []*worker, failed unplaceable) []*worker {
+func (m *Machine) workersToHold(ws *waitingStep, workers []*worker, failed unplaceable) []*worker {
 	step := &ws.entry.Steps[ws.stepIndex]
 	missing := ws.state.Local() - m.occupied[ws.state]
 	if missing <= 0 || failed.covers(ws) {
-		return workers
+		return nil
 	}
 	held := closestToRoom(ws, step, workers, missing)
 	if len(held) == 0 {
 		failed.add(ws)
-		return workers
 	}
-	return without(workers, held)
+	return held
 }
 
 // closestToRoom returns up to n of the workers that could take a task of a step once the
@@ -58,10 +57,13 @@
 
 // without returns the workers without those that are held.
 func without(workers, held []*worker) []*worker {
+	if len(held) == 0 {
+		return workers
+	}
 	for _, w := range held {
 		w.held = true
 	}
-	left := make([]*worker, 0, len(workers)-len(held))
+	left := make([]*worker, 0, len(workers))
 	for _, w := range workers {
 		if !w.held {
 			left = append(left, w)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -34,7 +34,11 @@
 	submittedAt map[string]time.Duration
 	// lateness has the ratio of completion time to objective of each completed
 	// submission, by queue.
-	lateness   map[string][]float64
+	lateness map[string][]float64
+	// ended is called when a submission has become final, if it is set.
+	ended func(id string, took time.Duration)
+	// decisions counts the machine's decisions by kind.
+	decisions  map[dispatch.DecisionKind]int
 	starts     int
 	heartbeats int
 	// waits is the last result of waitingSince.
@@ -65,7 +69,7 @@
 func newLoadSim(seed uint64, workers int) *loadSim {
 	l := &loadSim{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, ledger: ledger.New(),
-		workers: make(map[string]*loadWorker), submittedAt: make(map[string]time.Duration), lateness: make(map[string][]float64),
+		workers: make(map[string]*loadWorker), submittedAt: make(map[string]time.Duration), lateness: make(map[string][]float64), decisions: make(map[dispatch.DecisionKind]int),
 	}
 	l.machine = dispatch.New(dispatch.Config{
 		Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2, StopTime: 200 * time.Millisecond,
@@ -125,6 +129,8 @@
 			l.after(loadNetworkDelay, func() { l.stop(a) })
 		case dispatch.Heartbeat:
 			l.after(loadNetworkDelay, func() { l.heartbeat(a) })
+		case dispatch.Decision:
+			l.decisions[a.Kind]++
 		}
 	}
 }
@@ -145,6 +151,9 @@
 		return
 	}
 	delete(l.submittedAt, id)
+	if l.ended != nil {
+		l.ended(id, l.now-at)
+	}
 	l.lateness[e.Queue] = append(l.lateness[e.Queue], float64(l.now-at)/float64(e.Objective()))
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -23,16 +23,25 @@
 	if len(workers) == 0 {
 		return
 	}
+	m.favourLargest(waiting)
 	workers, placed := m.placeSuspects(waiting, workers)
-	longRunning, finite := newCandidates(workers), newCandidates(workers)
-	failedHolds := make(unplaceable)
+	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
+	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for i := range waiting {
 		ws := &waiting[i]
-		if ws.entry.Steps[ws.stepIndex].LongRunning {
+		switch step := &ws.entry.Steps[ws.stepIndex]; {
+		case step.LongRunning:
 			placed += m.placeOn(longRunning, ws)
-			finite.workers = m.holdWorkers(ws, finite.workers, failedHolds)
-		} else {
+			held := m.workersToHold(ws, bestEffort.workers, failedHolds)
+			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
+		case step.BestEffort:
+			placed += m.placeOn(bestEffort, ws)
+		default:
 			placed += m.placeOn(finite, ws)
+			if ws.favoured {
+				// Best-effort tasks reserve no CPU, and go on there.
+				finite.workers = without(finite.workers, m.workersToHold(ws, finite.workers, failedFavoured))
+			}
 		}
 		if placed >= maxPlacements {
 			m.planNeeded = true
--- a/dispatch/served.go
+++ b/dispatch/served.go
@@ -45,6 +45,9 @@
 	case SubmissionOverdue:
 		d.Served = NotServed
 	}
+	if kind != SubmissionBegan && d.Served != ServedBefore {
+		m.sizes.countOutcome(d.Queue, d.Size, d.Served != NotServed)
+	}
 	m.emit(d)
 }
 
--- a/dispatch/sizeclass.go
+++ b/dispatch/sizeclass.go
@@ -1,5 +1,11 @@
 package dispatch
 
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
 // SizeClass classifies a submission by its work among the recent submissions of its queue.
 type SizeClass int
 
@@ -31,6 +37,14 @@
 	works [sizeSampleSize]float64
 	// added is the number of submissions that were added.
 	added int
+	// bounds are the greatest amounts of work below the largest tenth, and below the fifth
+	// after that, of the first boundsAt submissions.
+	bounds   [2]float64
+	boundsAt int
+	balance  sizeBalance
+	// reportedAt is when the queue was last reported to have favoured submissions, if it was.
+	reported   bool
+	reportedAt time.Duration
 }
 
 func (s *sizeSample) add(work float64) {
@@ -38,26 +52,22 @@
 	s.added++
 }
 
-// classOf returns the class of an amount of work. Submissions of equal work share the
-// middle of their ranks, so that a queue of equal submissions has no largest ones.
+// classOf returns the class of an amount of work. A queue of equal submissions has no
+// largest ones.
 func (s *sizeSample) classOf(work float64) SizeClass {
 	n := min(s.added, sizeSampleSize)
 	if n < minSizeSample {
 		return OtherSize
 	}
-	above := 0.0
-	for _, w := range s.works[:n] {
-		switch {
-		case w > work:
-			above++
-		case w == work:
-			above += 0.5
-		}
+	if s.boundsAt != s.added {
+		sorted := slices.Clone(s.works[:n])
+		slices.SortFunc(sorted, func(a, b float64) int { return cmp.Compare(b, a) })
+		s.bounds, s.boundsAt = [2]float64{sorted[n/10], sorted[3*n/10]}, s.added
 	}
-	switch share := above / float64(n); {
-	case share < 0.1:
+	switch {
+	case work > s.bounds[0]:
 		return LargestSize
-	case share < 0.3:
+	case work > s.bounds[1]:
 		return LargeSize
 	}
 	return OtherSize
@@ -84,3 +94,17 @@
 	}
 	return OtherSize
 }
+
+// countOutcome records whether a submission was served.
+func (s sizeSamples) countOutcome(queue string, class SizeClass, served bool) {
+	if sample := s[queue]; sample != nil {
+		sample.balance.add(class, served)
+	}
+}
+
+// favours reports whether a submission is one of the largest of a queue in which these fall
+// behind.
+func (s sizeSamples) favours(queue string, work float64) bool {
+	sample := s[queue]
+	return sample != nil && sample.balance.largestFallBehind() && sample.classOf(work) == LargestSize
+}
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -23,6 +23,9 @@
 	// due is the wall-clock time at which the objective is reached, in Unix
 	// nanoseconds.
 	due int64
+	// favoured: the submission is one of the largest of its queue, and its turn has come
+	// (favourLargest).
+	favoured bool
 	// suspect: the tasks to place are suspected of a crash.
 	suspect bool
 }
@@ -57,6 +60,10 @@
 // a greater weight, small submissions overtake a large one that is half done.
 const queueMeanWeight = 0.5
 
+// favouredRemaining is the relative remaining work of favoured steps: they come after
+// long-running ones and before the other finite steps.
+const favouredRemaining = 1e-9
+
 // remaining returns, for a step of an occurrence, the remaining work of the occurrence
 // relative to its whole work and the weighted mean of its queue, a value from 0 to 1, or
 // 0 if the step is long-running. The mean ranks small submissions before large ones, and
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -10,6 +10,7 @@
 	SubmissionCancelled  Number = 804
 	SubmissionEnded      Number = 805
 	SubmissionOverdue    Number = 806
+	LargestFavoured      Number = 807
 	EpochOpened          Number = 811
 	EpochNotOpened       Number = 812
 	EpochEnded           Number = 813
@@ -49,6 +50,7 @@
 	{SubmissionCancelled, "SubmissionCancelled", zapcore.InfoLevel, "submission was cancelled", []string{"id", "cell", "error"}, "With an error: as for event 802."},
 	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission completed or failed", []string{"id", "queue", "state", "epoch", "took", "objective", "size", "work", "served"}, "None."},
 	{SubmissionOverdue, "SubmissionOverdue", zapcore.InfoLevel, "submission has not ended within three times its objective", []string{"id", "queue", "size", "work", "started", "epoch", "age", "objective"}, "None. If it is more frequent among the largest submissions of a queue, look at the workers' free CPU and memory against the tasks of these."},
+	{LargestFavoured, "LargestFavoured", zapcore.WarnLevel, "largest submissions of a queue are placed first, because they are served less often than the others", []string{"queue", "reason", "epoch", "cell"}, "None; if it recurs, add workers with enough free CPU and memory for the largest tasks. Event 806 names the submissions."},
 	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM became the owner of the cell", []string{"cell", "epoch", "live"}, "None."},
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "cell is assigned to this VM but its epoch could not be opened", []string{"cell", "error"}, "If it recurs, check the health of the log."},
 	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration"}, "None."},
