dispatch: a successor reads the list before it asks workers at recorded addresses

Cause: since Placed has the worker's address, a successor asked inherited workers at its first tick. Their reports arrived before the list of workers did, and an inherited start on a worker that is not listed is given up.

Change: until the first list is read, only stops go to recorded addresses.

Evidence: TestSuccessorResumesStartsOnListedWorkers failed before (1 stop, no start).

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -13,6 +13,10 @@
 	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.address() == "" {
 		return
 	}
+	if w.Address == "" && !m.listRead {
+		// A report would decide on inherited starts, which are given up on unlisted workers.
+		return
+	}
 	if w.reported && !w.needsHeartbeat(m.now) && !w.isUnusableUntilHeard() {
 		return
 	}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -21,6 +21,8 @@
 	wall      time.Time
 	actions   []Action
 	workers   map[string]*worker
+	// listRead: this owner has read the list of workers.
+	listRead bool
 	// sorted lists the workers in ascending order of id.
 	sorted []*worker
 	active map[workload.TaskID]*run
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -4,6 +4,7 @@
 
 // workersListed applies the platform's current list of workers.
 func (m *Machine) workersListed(list []workload.Worker) {
+	m.listRead = true
 	present := make(map[string]bool, len(list))
 	for _, info := range list {
 		present[info.ID()] = true
