dispatch: an overloaded owner has fewer starts in flight

Cause: an owner that can't complete the starts of what it places sends them all the same, up to 200 a round, and repeats each one that had no answer in the next tick.

Ruled out: the owner's queue.

Unanswered starts are repeated within the limit. The dump has startsInFlight and startLimit.

Evidence: TestOverloadedOwnerSendsFewerStarts; without the limit in the planning round, all 500 starts of its second half are late.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -85,8 +85,9 @@
 	call, cancel := context.WithTimeout(ctx, commandTimeout)
 	answer, clock := o.node.platform.WorkerClient.Start(call, o.epoch, s)
 	cancel()
-	o.node.metrics.observeStart(answer, o.node.monotonicNow()-sent)
-	o.post(ctx, dispatch.StartAnswered{Worker: s.Worker, Run: s.Run, Answer: answer, Clock: clock})
+	took := o.node.monotonicNow() - sent
+	o.node.metrics.observeStart(answer, took)
+	o.post(ctx, dispatch.StartAnswered{Worker: s.Worker, Run: s.Run, Answer: answer, Clock: clock, Took: took})
 }
 
 func (o *ownership) stopRun(ctx context.Context, s dispatch.Stop) {
--- a/dispatch/blockedstart.go
+++ b/dispatch/blockedstart.go
@@ -1,9 +1,9 @@
 package dispatch
 
 // repeatStart sends the start of a run again that was not answered, unless the run must
-// not be started any more.
+// not be started any more or too many starts are in flight.
 func (m *Machine) repeatStart(r *run) {
-	if m.startBlocker(r) == "" {
+	if m.starts.room() > 0 && m.startBlocker(r) == "" {
 		m.sendStart(r)
 	}
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -39,7 +39,9 @@
 	m.emitDecision(RunPlaced, r.id, r.worker.ID(), r.step.Image, m.now-r.worker.clockAt)
 	record := ledger.PlacedRecord(r.id, r.worker.Incarnation)
 	incarnation := r.worker.Incarnation
+	m.starts.inFlight++
 	m.appendRecord(record, func() {
+		m.starts.inFlight--
 		first := r.entry.State() == workload.Queued
 		m.ledger.Apply(record)
 		if first {
@@ -76,6 +78,7 @@
 		r.leaseDeadline = w.leaseForStart(m.now, m.config.Lease)
 	}
 	r.phase, r.commandInFlight = starting, true
+	m.starts.inFlight++
 	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.checkpoint, Deadline: r.leaseDeadline})
 }
 
@@ -95,6 +98,8 @@
 }
 
 func (m *Machine) startAnswered(ev StartAnswered) {
+	m.starts.inFlight--
+	m.starts.answered(m.now, ev.Took, ev.Answer)
 	w := m.workers[ev.Worker]
 	if w == nil {
 		return
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -8,6 +8,10 @@
 	Queues  map[string]QueueDump `json:"queues"`
 	// AppendsInFlight is the number of unanswered appends.
 	AppendsInFlight int `json:"appendsInFlight"`
+	// StartsInFlight is the number of runs that are being recorded or whose start is
+	// unanswered, StartLimit the number up to which more are placed.
+	StartsInFlight int `json:"startsInFlight"`
+	StartLimit     int `json:"startLimit"`
 	// LongestSilenceMillis is the age of the oldest clock reading of a worker with
 	// runs, in milliseconds.
 	LongestSilenceMillis int64 `json:"longestSilenceMillis"`
@@ -31,15 +35,11 @@
 	LateSteps int `json:"lateSteps"`
 }
 
-var phaseNames = map[phase]string{
-	recording: "recording", starting: "starting", running: "running", stopping: "stopping", ending: "ending",
-}
-
 // Dump returns a summary of the current state.
 func (m *Machine) Dump() Dump {
 	d := Dump{
 		Epoch: m.config.Epoch, Runs: make(map[string]int), Queues: make(map[string]QueueDump),
-		AppendsInFlight: len(m.pending),
+		AppendsInFlight: len(m.pending), StartsInFlight: m.starts.inFlight, StartLimit: m.starts.limit,
 	}
 	d.Workers.Usable = len(m.usableWorkers())
 	for _, w := range m.sorted {
@@ -68,7 +68,7 @@
 	count(&d.Workers.Draining, w.Draining)
 	count(&d.Workers.Paused, m.now < w.pausedUntil)
 	for _, r := range w.runList {
-		d.Runs[phaseNames[r.phase]]++
+		d.Runs[r.phase.String()]++
 	}
 	if len(w.runs) > 0 {
 		d.LongestSilenceMillis = max(d.LongestSilenceMillis, (m.now - w.clockAt).Milliseconds())
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -43,6 +43,8 @@
 	Answer Answer
 	// Clock is the reading of the worker's clock, or 0 if the answer had none.
 	Clock time.Duration
+	// Took is the time from the command to its answer, or 0 if it is not known.
+	Took time.Duration
 }
 
 // StopAnswered is the answer to a Stop action.
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -69,6 +69,7 @@
 	soleRecorded bool
 	crashes      crashes
 	excess       excessRuns
+	starts       startLimit
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -99,6 +100,7 @@
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
 		excess:        newExcessRuns(),
+		starts:        newStartLimit(),
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,6 +15,11 @@
 		m.planNeeded = true
 		return
 	}
+	limit := min(maxPlacements, m.starts.room())
+	if limit <= 0 {
+		m.planNeeded = true
+		return
+	}
 	waiting := m.waitingSteps()
 	if len(waiting) == 0 {
 		return
@@ -29,12 +34,12 @@
 	for i := range waiting {
 		ws := &waiting[i]
 		if ws.entry.Steps[ws.stepIndex].LongRunning {
-			placed += m.placeOn(longRunning, ws)
+			placed += m.placeOn(longRunning, ws, limit-placed)
 			finite.workers = m.holdWorkers(ws, finite.workers, failedHolds)
 		} else {
-			placed += m.placeOn(finite, ws)
+			placed += m.placeOn(finite, ws, limit-placed)
 		}
-		if placed >= maxPlacements {
+		if placed >= limit {
 			m.planNeeded = true
 			return
 		}
@@ -52,8 +57,9 @@
 	return &candidates{workers: workers, failed: make(unplaceable)}
 }
 
-// placeOn places tasks of a step on the candidates and returns how many it placed.
-func (m *Machine) placeOn(c *candidates, ws *waitingStep) int {
+// placeOn places tasks of a step on the candidates and returns how many it placed: at most
+// limit, or one, or a gang as a whole.
+func (m *Machine) placeOn(c *candidates, ws *waitingStep, limit int) int {
 	if c.failed.covers(ws) {
 		return 0
 	}
@@ -61,8 +67,11 @@
 	if len(tasks) == 0 {
 		return 0
 	}
-	n := m.placeTasks(ws, tasks, c.workers)
 	step := &ws.entry.Steps[ws.stepIndex]
+	if !step.Gang {
+		tasks = tasks[:min(len(tasks), max(1, limit))]
+	}
+	n := m.placeTasks(ws, tasks, c.workers)
 	switch {
 	case n > 0:
 	case step.MaxPerWorker > 0 && !step.Gang && !slices.ContainsFunc(c.workers, func(w *worker) bool { return w.hasRoom(step) }):
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -23,9 +23,9 @@
 	ending
 )
 
-// String returns the phase's name in logs.
+// String returns the phase's name in logs and dumps.
 func (p phase) String() string {
-	return [...]string{"none", "being recorded", "starting", "running", "stopping", "ending"}[p]
+	return [...]string{"none", "recording", "starting", "running", "stopping", "ending"}[p]
 }
 
 // run is one run of a task that may exist on a worker.
