--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -42,7 +42,9 @@
 	record := ledger.PlacedRecord(r.id, r.worker.Incarnation, r.worker.Address)
 	record.Placed.Order, record.Placed.FreshFrom = r.order, r.worker.firstFresh()
 	incarnation := r.worker.Incarnation
+	m.starts.inFlight++
 	m.appendRecord(record, func() {
+		m.starts.inFlight--
 		first := r.entry.State() == workload.Queued
 		m.ledger.Apply(record)
 		if first {
@@ -79,6 +81,7 @@
 		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease())
 	}
 	r.phase, r.commandInFlight = starting, true
+	m.starts.inFlight++
 	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.checkpoint, Deadline: r.leaseDeadline})
 }
 
@@ -98,6 +101,8 @@
 }
 
 func (m *Machine) startAnswered(ev StartAnswered) {
+	m.starts.inFlight--
+	m.starts.answered(m.now, ev.Took, ev.Answer)
 	w := m.workers[ev.Worker]
 	if w == nil {
 		return
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -79,6 +79,7 @@
 	soleRecorded bool
 	crashes      crashes
 	excess       excessRuns
+	starts       startLimit
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -112,6 +113,7 @@
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
 		excess:        newExcessRuns(),
+		starts:        newStartLimit(),
 		sizes:         make(sizeSamples),
 		overdueAt:     wall,
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -23,9 +23,9 @@
 	ending
 )
 
-// String returns the phase's name in logs.
+// String returns the phase's name in logs and dumps.
 func (p phase) String() string {
-	return [...]string{"none", "being recorded", "starting", "running", "stopping", "ending"}[p]
+	return [...]string{"none", "recording", "starting", "running", "stopping", "ending"}[p]
 }
 
 // stopShouldHaveEnded reports whether a report, whose heartbeat was sent at a time, shows
