dispatch: a crash that a heartbeat shows after the leases have expired is evidence

Callers: a task that crashes its workers could be started more than five times, and take further workers down, where workers are listed for longer than their leases last, or have another one's id when they return.

Cause: the runs of a silent worker are abandoned when its leases expire, and their suspects are kept until another worker is at its address. If a heartbeat showed that (wrong worker, or a newer start time of the same id), and not the list, the crash was attributed without suspects and the kept ones were dropped. A successor that had not heard the worker did nothing at all. The decision never came, and the task did not wait for it either.

Change: workerCrashed attributes the suspects that were kept, unless the worker still has their runs.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -92,10 +92,21 @@
 // before the runs are abandoned. The list of workers may still contain an incarnation
 // whose end has been handled; this owner has not heard that one.
 func (m *Machine) workerCrashed(w *worker, reason string) {
-	if w.Draining || w.clockAt == 0 && len(w.runs) == 0 {
+	if w.Draining {
 		return
 	}
-	m.attribute(w.outageOf(m.now), reason)
+	o := w.outageOf(m.now)
+	if lost, ok := m.crashes.lost[w.Address]; ok && lost.incarnation == w.Incarnation && !slices.Contains(o.suspects, lost.suspects[0]) {
+		// The suspects of the crash were abandoned when the leases expired.
+		m.attribute(lost, reason)
+		if len(o.suspects) == 0 {
+			return
+		}
+	}
+	if w.clockAt == 0 && len(w.runs) == 0 {
+		return
+	}
+	m.attribute(o, reason)
 }
 
 // workerLost handles the expiry of a silent worker's leases: it may have crashed, or may
