dispatch: a task that waits for a decision about its crashes is not transferred

Callers: where several cells share the workers, a task that crashes its workers could be started more than five times.

Cause: a task whose evidence and undecided runs would suffice to give it up waits. After a second it counted as a task without capacity, and was released to another cell. Transferred has no undecided runs, so that cell started it at once.

Before the change the test fails: the task is released.

--- a/dispatch/lostcrash_test.go
+++ b/dispatch/lostcrash_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,3 +70,33 @@
 	is.Equal(len(c.Undecided), 0)
 	is.Equal(c.Evidence, ledger.WeakEvidence)
 }
+
+// Guards against a task that waits until it is known whether its workers crashed, and is
+// started by another cell, which knows nothing of these runs.
+func TestTaskThatAwaitsADecisionIsNotTransferred(t *testing.T) {
+	for name, step := range map[string]workload.Step{"finite": plainStep, "long-running": longRunningStep()} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			e := h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{
+				ID: "deadly", Queue: "q", Steps: []workload.Step{step}, Policy: workload.Policy{Service: "register", MaxAttempts: 9},
+			}))
+			task := workload.TaskID{Submission: "deadly"}
+			for number := range int64(4) {
+				run := workload.RunID{Task: task, Run: number + 1}
+				on := workload.Incarnation{Worker: fmt.Sprint("gone", number), StartMillis: 1}
+				h.ledger.Apply(ledger.PlacedRecord(run, on, on.Worker))
+				h.ledger.Apply(ledger.LostRecord(on, on.Worker, []workload.RunID{run}))
+			}
+			h.ledger.Apply(ledger.EndedRecord(workload.RunID{Task: task, Run: 4}, workload.Lapsed, ""))
+			is.True(e.CrashLimitPending(e.Task(task)))
+			h.machine = dispatch.New(transferConfig, h.ledger, h.now, time.Now())
+			h.listReadyWorker()
+			h.advanceInSteps(3 * time.Second)
+			h.handle(dispatch.CapacityFound{Cell: 2, Tasks: []int{1}})
+			h.advance(100 * time.Millisecond)
+			is.Equal(h.count(startOf("deadly")), 0)
+			is.Equal(h.countReleases(), 0)
+		})
+	}
+}
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -69,12 +69,15 @@
 }
 
 // transferableTasks returns the tasks of a step that have waited for transferDelay. A
-// gang is transferred as a whole.
+// gang is transferred as a whole. Transferred doesn't have the undecided runs for which a
+// task may wait, so the other cell would start it at once.
 func (m *Machine) transferableTasks(wait *longWait) []*ledger.Task {
 	if wait.waiting.entry.State().Final() {
 		return nil
 	}
-	tasks := m.waitingTasks(wait.waiting.state.Tasks)
+	tasks := slices.DeleteFunc(m.waitingTasks(wait.waiting.state.Tasks), func(t *ledger.Task) bool {
+		return wait.waiting.entry.EverSuspected() && m.awaitsDecision(wait.waiting.entry, t)
+	})
 	if wait.step.Gang {
 		if len(tasks) < wait.step.Tasks {
 			return nil
