coordinator: reads of an idle intake wait with each limit of its view

Callers: with a cancel_notice of 1 s to 1.1 s, which the settings accept, each owner reads its intake as fast as the store answers, and uses up the rate of reads that all nodes share.

Cause: the wait of a read is half the limit of the view less 0.3 s, which is 0 for a limit of 0.6 s or less.

Change: the wait is a quarter of the limit at least. With limits of 1.2 s and more it is what it was.

--- a/coordinator/views.go
+++ b/coordinator/views.go
@@ -22,7 +22,8 @@
 		wait = sharedIntakeReadWait
 	}
 	if limit := n.config.Dispatch.MaxViewAge[dispatch.Intake]; limit > 0 {
-		wait = min(wait, max(limit/2-slowAnswer, 0))
+		// Without a wait the reads of an idle intake would take up the store's rate.
+		wait = min(wait, max(limit/2-slowAnswer, limit/4))
 	}
 	return wait
 }
