dispatch: a gang is stopped if a repeated start finds another worker

Callers: the other members of a gang wait on their workers until the time-out of gangs, and take capacity that nothing else gets.

Cause: since a start that finds another worker leaves a run in place whose earlier start had no answer, it returned before the members were stopped. The heartbeat that shows the crash removes the run and stops none.

Before the change the test fails: no stop is sent to the other worker.

Change: the members are stopped before the return, as for other refusals.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -146,6 +146,7 @@
 		if r.unanswered {
 			// An earlier copy may have crashed the worker: the run stays a suspect until a
 			// heartbeat shows the crash.
+			m.stopGang(r)
 			return
 		}
 	case Unhealthy:
