dispatch, coordinator: a worker of another cell shows the crash of a lost one

Callers: a task that crashes its workers is held back for a minute after some starts, in place of being given up, if its workers are away for longer than their leases last and return with another id.

Cause: whether a lost worker crashed is decided when a newer one is listed at its address. Workers belong to cells by their ids, and an owner was told of those of its own cell only, so that with several cells most decisions never came.

Without the new field, or without its use, the tests fail: there is no evidence, and no owner knows the other workers.

Change: WorkersListed carries the list of all cells as well, uncopied, in which the addresses of lost workers are looked up.

--- a/coordinator/workerlist.go
+++ b/coordinator/workerlist.go
@@ -99,7 +99,7 @@
 	l.mu.Unlock()
 	for o, s := range subscribers {
 		if changed || !s.delivered {
-			o.post(s.ctx, dispatch.WorkersListed{Workers: l.node.workersOf(o.cell, list)})
+			o.post(s.ctx, dispatch.WorkersListed{Workers: l.node.workersOf(o.cell, list), All: list})
 		}
 		o.post(s.ctx, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: sent})
 	}
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -56,6 +56,8 @@
 	// lost are the workers whose leases have expired, by address. Whether they crashed
 	// is known when another incarnation is listed there.
 	lost map[string]outage
+	// listed are the workers of all cells.
+	listed []workload.Worker
 }
 
 func newCrashes() crashes { return crashes{lost: make(map[string]outage)} }
@@ -117,11 +119,9 @@
 	if o.address == "" || len(o.suspects) == 0 || w.Draining {
 		return
 	}
-	for _, other := range m.sorted {
-		if other.listed && other.Address == o.address && other.StartMillis > o.incarnation.StartMillis {
-			m.attribute(o, "another worker is listed at the address")
-			return
-		}
+	if m.hasSuccessor(&o) {
+		m.attribute(o, "another worker is listed at the address")
+		return
 	}
 	m.addLost(o)
 	if !o.isolated {
@@ -131,6 +131,15 @@
 	m.recordSuspects(&o, ledger.LostRecord(o.incarnation, o.address, o.suspects), 0)
 }
 
+// hasSuccessor reports whether a newer worker is listed at the address of an outage.
+func (m *Machine) hasSuccessor(o *outage) bool {
+	newer := func(w *workload.Worker) bool {
+		return w.Address == o.address && w.StartMillis > o.incarnation.StartMillis
+	}
+	return slices.ContainsFunc(m.sorted, func(w *worker) bool { return w.listed && newer(&w.Worker) }) ||
+		slices.ContainsFunc(m.crashes.listed, func(w workload.Worker) bool { return newer(&w) })
+}
+
 // addLost remembers a worker of which it is not known whether it crashed. Of two that were
 // at one address, the older one did.
 func (m *Machine) addLost(o outage) {
@@ -175,7 +184,7 @@
 
 // checkSuccessor attributes the crash of a lost worker when a new incarnation is listed
 // at its address.
-func (m *Machine) checkSuccessor(info workload.Worker) {
+func (m *Machine) checkSuccessor(info *workload.Worker) {
 	o, ok := m.crashes.lost[info.Address]
 	if !ok || info.StartMillis <= o.incarnation.StartMillis {
 		return
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -13,8 +13,9 @@
 // EntryChanged reports that a record of the intake changed an entry.
 type EntryChanged struct{ Entry *ledger.Entry }
 
-// WorkersListed is the current list of the cell's workers.
-type WorkersListed struct{ Workers []workload.Worker }
+// WorkersListed is the current list of the cell's workers. All are those of all cells, and
+// are not changed later: the successor of a crashed worker may belong to another cell.
+type WorkersListed struct{ Workers, All []workload.Worker }
 
 // Evacuated is the current set of evacuated data centres.
 type Evacuated struct{ DataCentres map[string]bool }
--- a/dispatch/lostcrash_test.go
+++ b/dispatch/lostcrash_test.go
@@ -100,3 +100,32 @@
 		})
 	}
 }
+
+// Guards against a crash that is never decided because the worker that has replaced the
+// crashed one belongs to another cell.
+func TestWorkerOfAnotherCellShowsTheCrashOfALostOne(t *testing.T) {
+	next := workload.Worker{Incarnation: workload.Incarnation{Worker: "next", StartMillis: 2}, Address: "w"}
+	lost := workload.RunID{Task: workload.TaskID{Submission: "deadly"}, Run: 2}
+	on := workload.Incarnation{Worker: "w", StartMillis: 1}
+	for name, recorded := range map[string]bool{"lost before": true, "lost after": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			e := h.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "deadly", Queue: "q", Steps: []workload.Step{plainStep}}))
+			former := workload.RunID{Task: lost.Task, Run: 1}
+			h.ledger.Apply(ledger.CrashedRecord(on, []workload.RunID{former}, 0))
+			h.ledger.Apply(ledger.PlacedRecord(lost, on, "w"))
+			if recorded {
+				h.ledger.Apply(ledger.LostRecord(on, "w", []workload.RunID{lost}))
+				h.ledger.Apply(ledger.PlacedRecord(workload.RunID{Task: lost.Task, Run: 3}, workload.Incarnation{Worker: "other"}, "other"))
+			}
+			h.takeOver(2)
+			h.handle(dispatch.WorkersListed{All: []workload.Worker{next}})
+			h.handle(dispatch.PredecessorResigned{Sole: true})
+			h.advance(20 * time.Millisecond)
+			h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.NoAnswer})
+			h.advance(20 * time.Millisecond)
+			is.Equal(e.CrashRecordOf(e.Task(lost.Task)).Evidence, ledger.WeakEvidence)
+		})
+	}
+}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -211,7 +211,7 @@
 	case EntryChanged:
 		m.entryChanged(ev.Entry)
 	case WorkersListed:
-		m.workersListed(ev.Workers)
+		m.workersListed(ev)
 	case Evacuated:
 		m.evacuated = ev.DataCentres
 		m.planNeeded = true
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -3,12 +3,18 @@
 import "github.com/cactusreel/cactusreel/workload"
 
 // workersListed applies the platform's current list of workers.
-func (m *Machine) workersListed(list []workload.Worker) {
-	present := make(map[string]bool, len(list))
-	for _, info := range list {
+func (m *Machine) workersListed(ev WorkersListed) {
+	m.crashes.listed = ev.All
+	if len(m.crashes.lost) > 0 {
+		for i := range ev.All {
+			m.checkSuccessor(&ev.All[i])
+		}
+	}
+	present := make(map[string]bool, len(ev.Workers))
+	for _, info := range ev.Workers {
 		present[info.ID()] = true
 		w := m.workers[info.ID()]
-		m.checkSuccessor(info)
+		m.checkSuccessor(&info)
 		if w == nil {
 			w = m.addWorker(info)
 		}
