dispatch: the confirmation of a guest is limited like a view of the intake

Callers: where cancel_notice is less than 3 s, a task that was transferred to another cell could be started up to 3 s after the cancellation of its submission was acknowledged.

Cause: the age of a confirmation by the submission's own cell had a fixed limit of 2.5 s. The limit of the intake's view follows the setting, but applies to submissions of the own cell only.

Before the change the test fails: a guest is started by a confirmation that is 2 s old, with a limit of 1.5 s.

Change: the lower one of both limits applies. Nothing changes with the default of 3 s and with longer ones.

--- a/dispatch/guest.go
+++ b/dispatch/guest.go
@@ -14,8 +14,7 @@
 	// guestCheckInterval is the time between two checks of the guests.
 	guestCheckInterval = 500 * time.Millisecond
 	// maxConfirmationAge is the time for which a guest whose own cell does not answer
-	// may still be started. Where the users allow the least, a cancelled task must not
-	// be started after 3 s.
+	// may still be started, if the limit of the age of an intake's view is not lower.
 	maxConfirmationAge = 2500 * time.Millisecond
 )
 
@@ -26,7 +25,11 @@
 		return false
 	}
 	at, known := m.transfers.confirmedAt[e.ID]
-	return !known || m.now-at > maxConfirmationAge
+	limit := maxConfirmationAge
+	if intake := m.config.MaxViewAge[Intake]; intake > 0 {
+		limit = min(limit, intake)
+	}
+	return !known || m.now-at > limit
 }
 
 // checkGuests requests the states of all guests from time to time.
