dispatch: a recorded address holds for its own incarnation only

Cause: an inherited worker kept the address of an earlier incarnation if the record of the newer one had none. Another worker that answers there looks like the end of the newer incarnation.

Change: inheritWorker drops the address with the incarnation. Without one the successor waits for the list, as for all records without addresses.

--- a/dispatch/inherit.go
+++ b/dispatch/inherit.go
@@ -83,6 +83,7 @@
 		return nil
 	case incarnation.StartMillis > w.StartMillis:
 		m.workerRestarted(w, incarnation)
+		w.Address = ""
 	}
 	if address != "" {
 		w.Address = address
