dispatch: a successor extends leases although the list can't be read

Callers: all tasks of a cell are stopped by their workers, and start anew later, if a takeover falls into an outage of the list of workers that lasts longer than their leases, while the log and the workers answer.

Cause: a new owner sends no heartbeat before it has read the list, without a bound, though Placed records have had the addresses since. The wait keeps it from stopping inherited runs of workers that count as not listed.

Change: heartbeats wait for the list for 1 s at most. What the list decides about, starts of the previous owner that the worker doesn't list, still waits for it. A worker that has answered is not recorded as silent meanwhile.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -21,6 +21,8 @@
 	// lateStartHeartbeatInterval is the interval of the heartbeats to a worker that may
 	// only receive a late start.
 	lateStartHeartbeatInterval = 500 * time.Millisecond
+	// listTime is the time in which a new owner reads the list of workers as a rule.
+	listTime = time.Second
 	// heartbeatRetryDelay is the delay after a failed heartbeat.
 	heartbeatRetryDelay = 150 * time.Millisecond
 	// stopMargin is added to the time that a worker takes to stop a run. It covers
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -10,7 +10,7 @@
 // heartbeatIfDue sends a heartbeat if one is due to a worker that has runs or ends
 // to acknowledge, or that is not known to answer.
 func (m *Machine) heartbeatIfDue(w *worker) {
-	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" || !m.listRead {
+	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" || m.awaitsList() {
 		return
 	}
 	if w.reported && !w.needsHeartbeat(m.now) && !w.isUnusableUntilHeard() {
@@ -38,6 +38,10 @@
 	m.emit(h)
 }
 
+// awaitsList reports whether heartbeats wait for the list of workers, without which an
+// inherited worker is not known to drain. Leases must be extended in time all the same.
+func (m *Machine) awaitsList() bool { return !m.listRead && m.now-m.createdAt < listTime }
+
 // heartbeatWait returns how long a worker may delay its report until a run ends.
 // Reports are more frequent where best-effort runs can push a task over its
 // latency target: the deployment allows the target to be missed for about 4 s,
@@ -354,8 +358,8 @@
 // of the previous owner may still be carried out.
 func (m *Machine) resumeInherited(r *run) {
 	reason := m.startBlocker(r)
-	if reason == viewTooOld && !r.stopRequested {
-		// A later report decides, when the views have been read again.
+	if (reason == viewTooOld || !m.listRead) && !r.stopRequested {
+		// A later report decides, when the views have been read.
 		return
 	}
 	r.inherited = false
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -89,7 +89,7 @@
 // for silenceRecordDelay.
 func (m *Machine) silentForLong(w *worker) bool {
 	switch {
-	case w.Address == "" || !m.listRead:
+	case w.Address == "" || !m.listRead && !w.reported:
 		return m.now-m.createdAt >= silenceRecordDelay
 	case !w.reported:
 		return w.silent
