--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -104,6 +104,9 @@
 	for _, r := range w.active {
 		r.timer.Stop()
 		w.record.gone(w.id, r.task, r.number)
+		if r.gang != nil {
+			go r.gang.memberEnded(r, "gone")
+		}
 	}
 	w.active = make(map[string]*run)
 	server := w.server
