--- a/review/_stand/record.go
+++ b/review/_stand/record.go
@@ -21,7 +21,6 @@
 	// failures counts the ends `failed` of each task, runsOf the starts.
 	failures map[string]int
 	runsOf   map[string]int
-	fenceOf  map[string]int64
 	// failedRuns are the run numbers of each step that ended `failed`.
 	failedRuns map[string]map[int64]bool
 	lastEnd    time.Time
@@ -46,7 +45,7 @@
 	}
 	return &record{
 		began: time.Now(), file: file, running: make(map[string]map[string]bool), done: make(map[string]doneEnd),
-		noted: make(map[string]bool), failures: make(map[string]int), runsOf: make(map[string]int), fenceOf: make(map[string]int64),
+		noted: make(map[string]bool), failures: make(map[string]int), runsOf: make(map[string]int),
 		failedRuns: make(map[string]map[int64]bool),
 	}, nil
 }
@@ -76,7 +75,6 @@
 	r.running[task][fmt.Sprintf("run %d on %s", number, on)] = true
 	r.starts = append(r.starts, startOf{task: task, number: number, on: on, at: time.Now()})
 	r.runsOf[task]++
-	r.fenceOf[on] = max(r.fenceOf[on], fence)
 }
 
 func (r *record) ended(on, task string, number int64, how string) {
