--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -6,11 +6,11 @@
 )
 
 var cases = map[string]reviewCase{
-	"many-ends":     {site: small, setUp: setUpManyEnds, play: playManyEnds},
-	"flapping":      {site: grown, setUp: setUpFlapping, play: playFlapping},
-	"hopeless-gang": {site: small, setUp: setUpHopelessGang, play: playHopelessGang},
-	"odd-entry":     {site: small, setUp: setUpOddEntry, play: playOddEntry},
-	"long-tasks":    {site: small, setUp: setUpLongTasks, play: playLongTasks},
+	"many-ends":      {site: small, setUp: setUpManyEnds, play: playManyEnds},
+	"repeated-crash": {site: small, setUp: setUpRepeatedCrash, play: playRepeatedCrash},
+	"hopeless-gang":  {site: small, setUp: setUpHopelessGang, play: playHopelessGang},
+	"odd-entry":      {site: small, setUp: setUpOddEntry, play: playOddEntry},
+	"long-tasks":     {site: small, setUp: setUpLongTasks, play: playLongTasks},
 }
 
 func (c *cluster) addWorkers(n int, kind func(i int) string) {
@@ -45,9 +45,9 @@
 	return outcome{breaks: c.record.twice()}
 }
 
-// flapping: the only worker of a kind goes down and up.
+// repeated-crash: the only worker of a kind crashes several times.
 
-func setUpFlapping(c *cluster) error {
+func setUpRepeatedCrash(c *cluster) error {
 	c.addWorkers(10, func(i int) string {
 		if i == 9 {
 			return "b"
@@ -57,25 +57,25 @@
 	return c.manifest(4)
 }
 
-func playFlapping(c *cluster, trouble bool) outcome {
+func playRepeatedCrash(c *cluster, trouble bool) outcome {
 	const (
-		period = 1400 * time.Millisecond
-		flaps  = 4
+		period  = 1400 * time.Millisecond
+		crashes = 4
 	)
-	flapping := c.workers[9]
+	crashing := c.workers[9]
 	phases := []map[string]any{{"count": 1, "cpu": 2000, "mem_mb": 1000, "est_runtime_ms": 3000, "requirements": "b"}}
 	if err := c.submit(firstID, 3*time.Second, phases); err != nil {
 		return outcome{err: err}
 	}
 	if trouble {
 		time.Sleep(500 * time.Millisecond)
-		for range flaps {
-			flapping.crash()
+		for range crashes {
+			crashing.crash()
 			time.Sleep(period / 2)
-			if err := flapping.boot(); err != nil {
+			if err := crashing.boot(); err != nil {
 				return outcome{err: err}
 			}
-			c.announce(flapping)
+			c.announce(crashing)
 			time.Sleep(period / 2)
 		}
 	}
@@ -99,7 +99,7 @@
 
 const (
 	hopelessID = "0000000000000bad"
-	// soundSubmissions makes the hopeless one less than a twentieth of all.
+	// soundSubmissions makes the hopeless or long one less than a twentieth of all.
 	soundSubmissions = 24
 	finish           = 14 * time.Second
 )
@@ -192,18 +192,20 @@
 		}})
 	}
 	var ids []string
-	for i := range 10 {
+	for i := range soundSubmissions {
 		ids = append(ids, fmt.Sprintf("%016x", 0xa0+i))
 		if err := submit(ids[i], 4, time.Second, "b"); err != nil {
 			return outcome{err: err}
 		}
-		time.Sleep(400 * time.Millisecond)
+		time.Sleep(125 * time.Millisecond)
 	}
+	work := time.Second
 	if trouble {
-		ids = append(ids, firstID)
-		if err := submit(firstID, longTasks, 300*time.Second, "b"); err != nil {
-			return outcome{err: err}
-		}
+		work = 300 * time.Second
+	}
+	ids = append(ids, firstID)
+	if err := submit(firstID, longTasks, work, "b"); err != nil {
+		return outcome{err: err}
 	}
 	c.record.add("the traffic ends")
 	time.Sleep(finish)
--- a/review/_stand/cluster.go
+++ b/review/_stand/cluster.go
@@ -37,11 +37,8 @@
 	cpuShare                                 float64
 }
 
-// The figures of nmrc-shared and nmrc-shared-grown.
-var (
-	small = site{drainMs: 2000, cancelMs: 3000, storeWrites: 600, memoryMB: 284, cpuShare: 0.4}
-	grown = site{drainMs: 3000, cancelMs: 4000, storeWrites: 1200, memoryMB: 536, cpuShare: 0.8}
-)
+// small has the figures of nmrc-shared.
+var small = site{drainMs: 2000, cancelMs: 3000, storeWrites: 600, memoryMB: 284, cpuShare: 0.4}
 
 // cluster is a small deployment on loopback.
 type cluster struct {
