dispatch: a gang that does not fit as a whole holds no workers

Callers: one long-running gang that is larger than its service stopped all other work there.

Cause: a planning round holds a worker for each long-running task that fits nowhere yet. It asked whether a worker could take one task, and not whether the gang could be placed as a whole; a hold had no bound in share or time. A limit per worker, a label that few workers have, an evacuated data centre and workers that leave led to the same, as did suspects of a crash that were set aside.

Ruled out: placements of a part of the gang (removed in the same round), and the record of requests that no worker can take (it leaves gangs out).

Change: a gang holds the fewest workers that can take all its tasks together, or none.

--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -58,7 +58,7 @@
 			queue = append(queue, h.machine.Step(h.now, dispatch.Appended{ID: a.ID})...)
 		case dispatch.Start:
 			h.active[a.Run] = workload.ActiveRun{RunID: a.Run, ProgressPercent: 100}
-			queue = append(queue, h.machine.Step(h.now, dispatch.StartAnswered{Worker: "w", Run: a.Run, Answer: h.startAnswer, Clock: h.now})...)
+			queue = append(queue, h.machine.Step(h.now, dispatch.StartAnswered{Worker: a.Worker, Run: a.Run, Answer: h.startAnswer, Clock: h.now})...)
 		}
 	}
 }
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -47,7 +47,7 @@
 // placeSuspects places suspect tasks in isolation. It returns the workers that are left
 // for other tasks in this planning round, and the number of placements. Workers are set
 // aside for the suspects that found none, so that no run is being started there soon.
-func (m *Machine) placeSuspects(waiting []waitingStep, workers []*worker) (left []*worker, placed int) {
+func (m *Machine) placeSuspects(round *heldWorkers, waiting []waitingStep, workers []*worker) (left []*worker, placed int) {
 	left = workers
 	limit, known := 0, false
 	for i := range waiting {
@@ -70,7 +70,9 @@
 		quiet := slices.DeleteFunc(slices.Clone(left), (*worker).hasFreshRuns)
 		n := m.placeTasks(&ws, tasks, quiet)
 		left = slices.DeleteFunc(slices.Clone(left), func(w *worker) bool { return w.isolated > 0 })
-		left = setAside(&ws, left, len(tasks)-n)
+		if n < len(tasks) {
+			left = without(left, m.hold(round, &ws, left, len(tasks)-n))
+		}
 		placed += n
 		limit -= len(tasks)
 	}
@@ -93,15 +95,6 @@
 	return slices.ContainsFunc(w.runList, func(r *run) bool { return !r.survived })
 }
 
-// setAside returns the workers without those that are kept for a number of suspects.
-func setAside(ws *waitingStep, workers []*worker, missing int) []*worker {
-	if missing <= 0 {
-		return workers
-	}
-	step := &ws.entry.Steps[ws.stepIndex]
-	return without(workers, closestToRoom(ws, step, workers, min(missing, len(workers)/2)))
-}
-
 // collateral returns what the crash of a worker would cost, as a penalty.
 func (m *Machine) collateral(w *worker) float64 {
 	sum := 0.0
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -78,8 +78,10 @@
 	// soleRecorded: the record that no previous owner can grant leases was appended.
 	soleRecorded bool
 	crashes      crashes
-	excess       excessRuns
-	starts       startLimit
+	// holds are the steps that hold workers, or did and wait still.
+	holds  map[*ledger.Step]*hold
+	excess excessRuns
+	starts startLimit
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -112,6 +114,7 @@
 		model:         newInterferenceModel(),
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
+		holds:         make(map[*ledger.Step]*hold),
 		excess:        newExcessRuns(),
 		starts:        newStartLimit(),
 		sizes:         make(sizeSamples),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -21,6 +21,7 @@
 		return
 	}
 	waiting := m.waitingSteps()
+	m.forgetHolds(waiting)
 	if len(waiting) == 0 {
 		return
 	}
@@ -29,7 +30,8 @@
 		return
 	}
 	m.favourLargest(waiting)
-	workers, placed := m.placeSuspects(waiting, workers)
+	round := newHeldWorkers(workers)
+	workers, placed := m.placeSuspects(round, waiting, workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for i := range waiting {
@@ -37,7 +39,7 @@
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
 			placed += m.placeOn(longRunning, ws, limit-placed)
-			held := m.workersToHold(ws, bestEffort.workers, failedHolds)
+			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
 			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
 		case step.BestEffort:
 			placed += m.placeOn(bestEffort, ws, limit-placed)
@@ -45,7 +47,7 @@
 			placed += m.placeOn(finite, ws, limit-placed)
 			if ws.favoured {
 				// Best-effort tasks reserve no CPU, and go on there.
-				finite.workers = without(finite.workers, m.workersToHold(ws, finite.workers, failedFavoured))
+				finite.workers = without(finite.workers, m.workersToHold(round, ws, finite.workers, failedFavoured))
 			}
 		}
 		if placed >= limit {
@@ -204,6 +206,9 @@
 	for _, r := range placed {
 		m.recordRun(r)
 	}
+	if len(placed) > 0 {
+		delete(m.holds, ws.state)
+	}
 	return len(placed)
 }
 
