dispatch: a gang that does not fit takes no capacity from other cells

Callers: while a gang that fits nowhere waited, the tasks of other cells got none of the free capacity that its cell had.

FreeCapacity reserves capacity for the cell's own waiting work first, for a gang also if only a part of it fits.

Before the change TestOffersDoNotCountGangThatDoesNotFit fails (room for fewer than the 64 tasks that fit).

Change: a gang takes all or nothing.

--- a/dispatch/holds_test.go
+++ b/dispatch/holds_test.go
@@ -170,3 +170,15 @@
 	h.submit("small", finiteStep(8, 10000))
 	is.Equal(h.count(startOf("small")), 6)
 }
+
+// Guards against capacity that counts as taken by a gang that doesn't fit: other cells would
+// get none of it.
+func TestOffersDoNotCountGangThatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	h := newTransferHarness(t)
+	h.listReadyWorker()
+	gang := lastingStep(2, 40000)
+	gang.Gang = true
+	h.submit("gang", gang)
+	is.Equal(h.machine.FreeCapacity([]dispatch.Demand{demand(64, plainStep)}), []int{64})
+}
--- a/dispatch/offers.go
+++ b/dispatch/offers.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
@@ -35,11 +37,16 @@
 	failed unplaceable
 }
 
-// take reserves capacity for up to a number of tasks of a step and returns for how many.
+// take reserves capacity for up to a number of tasks of a step and returns for how many. A
+// gang gets all or nothing.
 func (o *offers) take(ws *waitingStep, step *workload.Step, wanted int) int {
 	if o.failed.covers(ws) {
 		return 0
 	}
+	var before []hostapi.Resources
+	if step.Gang {
+		before = slices.Clone(o.taken)
+	}
 	n := 0
 	for i := range o.workers {
 		if n == wanted {
@@ -47,12 +54,25 @@
 		}
 		n += o.takeOn(i, ws, step, wanted-n)
 	}
-	if n < wanted {
-		o.failed.add(ws)
+	if n == wanted {
+		return n
+	}
+	if step.Gang {
+		o.restore(before)
+		return 0
 	}
+	o.failed.add(ws)
 	return n
 }
 
+// restore gives back what has been reserved since an earlier state of taken.
+func (o *offers) restore(before []hostapi.Resources) {
+	for i, w := range o.workers {
+		w.reserved = w.reserved.Sub(o.taken[i].Sub(before[i]))
+	}
+	o.taken = before
+}
+
 // takeOn reserves capacity on one worker. It takes one best-effort task, because each
 // changes the interference.
 func (o *offers) takeOn(i int, ws *waitingStep, step *workload.Step, wanted int) int {
