dispatch, platform: a run beyond the listed ends is not lost

Cause: a worker lists its ends 500 at a time until they are acknowledged, and they can't be acknowledged before they are recorded. processActive took a run in neither list for one that the worker had lost.

Ruled out: a cursor that passes unrecorded ends, and leases that lapsed.

Change: a report says whether its list of ends may be incomplete; nothing is concluded then from a run that isn't listed. The stand-ins of a worker keep the limit.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -285,6 +285,11 @@
 			m.sendStop(r)
 		}
 	}
+	if ev.Report.EndsIncomplete {
+		// A run that isn't listed may have ended. Its end is listed when the others have been
+		// recorded and acknowledged.
+		return
+	}
 	for _, r := range w.runList {
 		if !listed[r.id] {
 			m.handleUnlistedRun(r, ev.SentAt)
--- a/dispatch/heartbeat_test.go
+++ b/dispatch/heartbeat_test.go
@@ -55,3 +55,48 @@
 	is.Equal(h.count(decided(dispatch.SubmissionBegan)), 1)
 	is.Equal(h.count(decided(dispatch.SubmissionEnded)), 1)
 }
+
+// Guards against a run that ended without being listed, because a worker lists a limited
+// number of ends, and that counts as lost: its task would run a second time.
+func TestRunBeyondTheListedEndsIsKept(t *testing.T) {
+	for name, stopped := range map[string]bool{"running": false, "being stopped without progress": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.report()
+			h.submit("first", plainStep)
+			h.submit("second", plainStep)
+			h.logStalled = true
+			for id := range h.active {
+				h.active[id] = workload.ActiveRun{RunID: id, ProgressPercent: 10}
+			}
+			for i := 0; stopped && i < 20; i++ {
+				h.advance(100 * time.Millisecond)
+				h.report()
+			}
+			stops := h.count(stopOf("second"))
+			is.Equal(stops > 0, stopped)
+			clear(h.active)
+			first := workload.EndedRun{RunID: workload.RunID{Task: workload.TaskID{Submission: "first"}, Run: 1}, Sequence: 1, Outcome: workload.Succeeded}
+			second := workload.EndedRun{RunID: workload.RunID{Task: workload.TaskID{Submission: "second"}, Run: 1}, Sequence: 2, Outcome: workload.Succeeded}
+			for range 20 {
+				h.advance(200 * time.Millisecond)
+				h.handle(dispatch.HeartbeatAnswered{Worker: "w", SentAt: h.now, Report: workload.Report{
+					Incarnation: workload.Incarnation{Worker: "w", StartMillis: 1}, Clock: h.now, Ended: []workload.EndedRun{first}, EndsIncomplete: true,
+				}})
+			}
+			is.Equal(h.count(stopOf("second")), stops)
+			h.logStalled = false
+			for _, a := range h.actions {
+				if append, ok := a.(dispatch.Append); ok {
+					h.handle(dispatch.Appended{ID: append.ID})
+				}
+			}
+			h.report(second)
+			h.advance(time.Second)
+			h.report(second)
+			is.Equal(h.count(startOf("second")), 1)
+			is.Equal(h.ledger.Find("second").State(), workload.Completed)
+		})
+	}
+}
--- a/dispatch/simworker_test.go
+++ b/dispatch/simworker_test.go
@@ -10,6 +10,9 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
+// simListedEnds is the number of ends that a simulated worker lists at a time.
+const simListedEnds = 3
+
 // simWorker simulates a worker that follows the platform's rules: it refuses
 // commands of lower epochs, superseded runs, passed deadlines and starts without
 // free capacity, and it kills all runs when its lease expires.
@@ -181,7 +184,10 @@
 	w.deadline = max(w.deadline, h.Deadline)
 	w.cursor = max(w.cursor, h.Cursor)
 	w.ends = slices.DeleteFunc(w.ends, func(e workload.EndedRun) bool { return e.Sequence <= w.cursor })
-	report := workload.Report{Incarnation: w.info.Incarnation, Clock: w.clock(now), Ended: slices.Clone(w.ends)}
+	listed := w.ends[:min(len(w.ends), simListedEnds)]
+	report := workload.Report{
+		Incarnation: w.info.Incarnation, Clock: w.clock(now), Ended: slices.Clone(listed), EndsIncomplete: len(listed) == simListedEnds,
+	}
 	for _, r := range w.sorted() {
 		report.Active = append(report.Active, workload.ActiveRun{RunID: r.id, ProgressPercent: 50})
 	}
--- a/workload/run.go
+++ b/workload/run.go
@@ -65,4 +65,7 @@
 	// sequence is above the acknowledged cursor.
 	Active []ActiveRun
 	Ended  []EndedRun
+	// EndsIncomplete: the worker may have ends after the last of Ended, so a run in neither
+	// list may have ended.
+	EndsIncomplete bool
 }
