coordinator: a hand-over grants no long lease at once

Cause: a successor can't tell a killed process from one that had just handed the cell over, so it counted the longest lease of a hand-over.

Before the change the case "longer leases at a hand-over" of TestKilledOwnersDoNotProlongTheWaitForASilentWorker fails.

Change: an owner that hands a cell over extends the leases by the usual one each second until they last as long as before, while its process lives. The bound after the end of a process is the usual lease. The answers to successors are unchanged and name the end of the long lease.

--- a/coordinator/grantedleases.go
+++ b/coordinator/grantedleases.go
@@ -77,7 +77,7 @@
 		case ownPrevious:
 			out[worker] = min(out[worker], max(granted, own.left(worker, now)))
 		case restarted:
-			out[worker] = min(out[worker], max(granted, c.grantedLeaseExpiry()-now))
+			out[worker] = min(out[worker], max(granted, c.endedProcessLeaseExpiry()-now))
 		}
 	}
 	return out
--- /dev/null
+++ b/coordinator/handover.go
@@ -0,0 +1,58 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+)
+
+// handOverInterval is the time between two extensions of the leases after an ownership.
+const handOverInterval = time.Second
+
+// handOver extends the leases of the workers before the ownership ends, as far as they
+// answer within handOverTimeout, and goes on extending them in the background until they
+// last for the lease of a hand-over. No extension is longer than the usual lease: if the
+// process ends, a successor that knows of it waits for no longer one.
+func (o *ownership) handOver(parent context.Context) {
+	began := o.node.monotonicNow()
+	// A successor that hears nothing from this owner expects no later leases.
+	lease := min(o.node.config.Dispatch.HandoverLease, o.leaseLimit())
+	heartbeats := o.machine.HandOver(began, lease)
+	withhold := max(0, lease-o.node.config.Dispatch.Lease)
+	heartbeats = o.extendLeases(parent, heartbeats, withhold)
+	if withhold == 0 {
+		return
+	}
+	o.node.wg.Go(func() {
+		for withhold > 0 && len(heartbeats) > 0 && sleep(parent, handOverInterval) && o.newestEpoch.Load() == o.epoch {
+			withhold = max(0, lease-o.node.config.Dispatch.Lease-(o.node.monotonicNow()-began))
+			heartbeats = o.extendLeases(parent, heartbeats, withhold)
+		}
+	})
+}
+
+// extendLeases sends heartbeats whose leases end earlier by a duration. It returns those
+// whose workers have not refused them: such a worker has a new owner.
+func (o *ownership) extendLeases(ctx context.Context, heartbeats []dispatch.Heartbeat, earlier time.Duration) []dispatch.Heartbeat {
+	call, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	refused := make([]bool, len(heartbeats))
+	var wg sync.WaitGroup
+	for i, h := range heartbeats {
+		h.Deadline -= earlier
+		wg.Go(func() {
+			_, answer := o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h)
+			refused[i] = answer == dispatch.Fenced || answer == dispatch.WrongWorker
+		})
+	}
+	wg.Wait()
+	var left []dispatch.Heartbeat
+	for i, h := range heartbeats {
+		if !refused[i] {
+			left = append(left, h)
+		}
+	}
+	return left
+}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -103,7 +103,7 @@
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
 	if reason == assignmentEnded && o.hasAuthority() {
-		o.handOver(ctx)
+		o.handOver(parent)
 	}
 	cancel()
 	c.node.workers.unsubscribe(o)
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,24 +23,16 @@
 }
 
 // grantedLeaseExpiry returns the time after which every lease that was granted
-// until now has expired.
+// until now, or is granted at the end of an ownership, has expired.
 func (c *cell) grantedLeaseExpiry() time.Duration {
 	config := c.node.config.Dispatch
 	return dispatch.LeaseExpiryBound(max(config.Lease, config.HandoverLease)) + commandTimeout
 }
 
-// handOver extends the leases of the workers before the ownership ends, as far as they
-// answer within handOverTimeout.
-func (o *ownership) handOver(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
-	// A successor that hears nothing from this owner expects no later leases.
-	lease := min(o.node.config.Dispatch.HandoverLease, o.leaseLimit())
-	for _, h := range o.machine.HandOver(o.node.monotonicNow(), lease) {
-		wg.Go(func() { o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h) })
-	}
-	wg.Wait()
+// endedProcessLeaseExpiry returns the same for a process that has ended: it granted no lease
+// that lasts longer than the usual one.
+func (c *cell) endedProcessLeaseExpiry() time.Duration {
+	return dispatch.LeaseExpiryBound(c.node.config.Dispatch.Lease) + commandTimeout
 }
 
 // requestResignation requests the previous owner to end its ownership, unless this node
@@ -138,7 +129,7 @@
 	}
 	expiry := o.grantedLeaseExpiry()
 	if answer.Restarted {
-		expiry = max(0, expiry-time.Duration(answer.ProcessAgeMs)*time.Millisecond)
+		expiry = max(0, o.endedProcessLeaseExpiry()-time.Duration(answer.ProcessAgeMs)*time.Millisecond)
 	}
 	if !previous.Sole {
 		// An owner before the previous one may have gone on granting leases.
--- a/coordinator/silentworker_test.go
+++ b/coordinator/silentworker_test.go
@@ -159,16 +159,18 @@
 	const gap, storeAway = silentTakeoverInterval / 2, 4500 * time.Millisecond
 	bound := dispatch.LeaseExpiryBound(clusterLease) + maxTakeoverTime
 	for name, test := range map[string]struct {
-		kills            int
-		storeAway, limit time.Duration
+		kills                           int
+		handoverLease, storeAway, limit time.Duration
 	}{
-		"one owner":             {1, 0, bound},
-		"three owners":          {3, 0, bound + gap + time.Second},
-		"one owner, store away": {1, storeAway, max(bound, gap+storeAway+maxTakeoverTime)},
+		"one owner":             {1, clusterLease, 0, bound},
+		"three owners":          {3, clusterLease, 0, bound + gap + time.Second},
+		"one owner, store away": {1, clusterLease, storeAway, max(bound, gap+storeAway+maxTakeoverTime)},
+		// The owner hands nothing over.
+		"one owner, longer leases at a hand-over": {1, 2 * clusterLease, 0, bound},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := startSilentWorkerTestWith(t, clusterLease, test.kills+2)
+				s := startSilentWorkerTestWith(t, test.handoverLease, test.kills+2)
 				defer s.close()
 				time.Sleep(ownerAuthority)
 				s.silence()
@@ -190,6 +192,29 @@
 	}
 }
 
+// Guards against a task that runs twice: its owner hands the cell over, extends the lease of
+// a worker that its successor doesn't reach, and is killed at any moment after that.
+func TestOwnerKilledAfterItsHandOver(t *testing.T) {
+	for _, after := range []time.Duration{100 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startSilentWorkerTest(t, 2)
+				defer s.close()
+				time.Sleep(ownerAuthority)
+				s.cutLink("vm-1", s.silentID(), true)
+				s.cutPeers("vm-0", true, "vm-1")
+				// The call that waits for the end of the ownership times out.
+				time.Sleep(6 * time.Second)
+				s.group.assign(0, "vm-1")
+				time.Sleep(after)
+				s.kill("vm-0", s.stops[0])
+				s.cutPeers("vm-0", false, "vm-1")
+				s.waitForRestart(dispatch.LeaseExpiryBound(2*clusterLease) + maxTakeoverTime)
+			})
+		})
+	}
+}
+
 // maxTakeoverTime is the time within which a successor owns the cell and has placed what
 // waits.
 const maxTakeoverTime = 2 * time.Second
