--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -69,8 +69,9 @@
 // work.
 // Otherwise smaller requests would take each piece of capacity that becomes free, and a
 // large request would wait for as long as they arrive. The next round prefers the same
-// workers, because only their free capacity grows undisturbed. Requests for which there
-// is no such worker are recorded in failed.
+// workers, because only their free capacity grows undisturbed. A step that holds none, also
+// because its hold is paused, is recorded in failed: no larger request of its kind holds any
+// in this round, so that several steps don't take turns in holding the same workers.
 func (m *Machine) workersToHold(round *heldWorkers, ws *waitingStep, workers []*worker, failed unplaceable) []*worker {
 	missing := ws.state.Local() - m.occupied[ws.state]
 	if missing <= 0 || failed.covers(ws) {
