dispatch: an entry of another service is no restart of a worker

Cause: a later start time in the list of workers counts as a restart, without asking whether the entry can be the worker's.

Before the change TestEntryOfAnotherServiceIsNoRestart fails, for the owner that started the run and for its successor.

Change: an entry that names another service than the worker's earlier entries, or than its runs, names no worker: it gets no new runs, and those that it has go on under their leases.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -77,6 +77,8 @@
 	// LargestFavoured: the largest submissions of a queue are placed first, because they are
 	// served less often than the others. Reason has the shares.
 	LargestFavoured
+	// EntryIgnored: an entry in the list of workers can't be that of the worker with its id.
+	EntryIgnored
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -85,5 +87,6 @@
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
-		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured"}[k]
+		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
+		"entry ignored"}[k]
 }
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -12,8 +12,12 @@
 	}
 	present := make(map[string]bool, len(ev.Workers))
 	for _, info := range ev.Workers {
-		present[info.ID()] = true
 		w := m.workers[info.ID()]
+		if w != nil && !w.mayServe(info.Service) {
+			m.emitDecision(EntryIgnored, workload.RunID{}, w.ID(), "entry is of service "+info.Service, 0)
+			continue
+		}
+		present[info.ID()] = true
 		m.checkSuccessor(&info)
 		if w == nil {
 			w = m.addWorker(info)
@@ -32,6 +36,19 @@
 	m.planNeeded, m.listRead = true, true
 }
 
+// mayServe reports whether an entry of a service under the worker's id can be the worker's: its
+// incarnations are all of the service of its earlier entries and of the runs that it was given.
+// An entry of another writer says nothing of a restart.
+func (w *worker) mayServe(service string) bool {
+	switch {
+	case w.Service != "":
+		return w.Service == service
+	case len(w.runList) > 0:
+		return w.runList[0].entry.Policy.Service == service
+	}
+	return true
+}
+
 // workerRestarted switches to a new incarnation of a worker: no run of the old one
 // is active any more. A start that the old incarnation never reported may have
 // reached the new one, which has the same id; such a run is stopped there before
