ledger: a failed run of a gang counts once

Cause: applyGangEnd added a failure for each member that ended failed.

Change: when a member other than the first is placed, it keeps the failures of the gang before the run; a failure counts only while the first member's number is still that one.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -186,6 +186,9 @@
 			t.PlacedOn = workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}
 			t.Order, t.FreshFrom = p.Order, p.FreshFrom
 		}
+		if e.Steps[t.ID.Step].Gang {
+			noteGangPlaced(t, e.stepOf(t).Tasks)
+		}
 	}
 	e.started = true
 	l.updateState(e)
@@ -247,6 +250,21 @@
 	}
 }
 
+// noteGangPlaced keeps, on a member that is placed, the failures of its gang before the run:
+// gangFailed must count the run once, however many of its members fail.
+func noteGangPlaced(t *Task, members []Task) {
+	if t.ID.Index > 0 {
+		t.Failures = members[0].Failures
+	}
+}
+
+// gangFailed counts a failed run of a gang, unless another member of the run has failed.
+func gangFailed(members []Task) {
+	if len(members) == 1 || members[0].Failures == members[1].Failures {
+		members[0].Failures++
+	}
+}
+
 // applyGangEnd applies the end of a gang member's run. The success of one member
 // completes all members. A failed run counts as one failure of the gang, which is
 // kept on the first member.
@@ -272,7 +290,7 @@
 		}
 	}
 	if outcome == workload.Errored {
-		members[0].Failures++
+		gangFailed(members)
 		e.finishFailedGang(members)
 	}
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -111,6 +111,37 @@
 	is.Equal(e.State(), workload.Completed)
 }
 
+// Guards against a gang that is given up too early, because each member that fails in a run
+// counts as a failure of the gang, also after a snapshot between the two.
+func TestFailedGangRunCountsOnce(t *testing.T) {
+	for name, between := range map[string]func(*ledger.Ledger) *ledger.Ledger{
+		"one owner":              func(l *ledger.Ledger) *ledger.Ledger { return l },
+		"takeover by a snapshot": func(l *ledger.Ledger) *ledger.Ledger { return restoreSnapshot(is.New(t), l, ledger.Offsets{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := submission("s")
+			s.Steps = s.Steps[:1]
+			s.Steps[0].Gang, s.Steps[0].Tasks, s.Policy.MaxAttempts = true, 3, 3
+			l := ledger.New()
+			l.Apply(ledger.SubmittedRecord(s))
+			for number := int64(1); number <= 3; number++ {
+				for i := range 3 {
+					l.Apply(placed(task("s", 0, i), number))
+				}
+				for _, i := range []int{2, 0, 1} {
+					l.Apply(ended(task("s", 0, i), number, workload.Errored))
+					l = between(l)
+					is.Equal(l.Find("s").State() == workload.Failed, number == 3)
+					if number < 3 {
+						is.Equal(l.Find("s").Task(task("s", 0, 0)).Failures, int(number))
+					}
+				}
+			}
+		})
+	}
+}
+
 // Guards against a new owner that arrives at a different state because a repeated
 // read delivered records twice.
 func TestRepeatedRecordsChangeNothing(t *testing.T) {
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -19,7 +19,8 @@
 	// Order numbers the placements of the cell. When Run was placed, its worker had outlasted
 	// the starts of all runs there that were placed before FreshFrom.
 	Order, FreshFrom int64
-	// Failures is the number of runs that ended with Errored.
+	// Failures is the number of runs that ended with Errored. The first member of a gang has
+	// that of the gang; the others have what it was when their newest run was placed.
 	Failures int
 	// Checkpoint is the newest recorded checkpoint, or "" if there is none.
 	Checkpoint string
