ledger: a long-running gang that ends as done runs again

Cause: applyGangEnd completes all members with the success of one, also if the step is to last.

Before the change TestLongRunningGangThatEndsAsDoneRunsAgain fails.

Change: the end counts like any other, and the other members are stopped.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -198,7 +198,7 @@
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
 	m.noteRunGone(r.entry)
-	if end.Outcome != workload.Succeeded {
+	if end.Outcome != workload.Succeeded || r.step.LongRunning {
 		m.stopGang(r)
 	}
 	m.recordEnd(r.entry, end, func() {
--- a/dispatch/longrunning_test.go
+++ b/dispatch/longrunning_test.go
@@ -146,3 +146,28 @@
 	l.waits = waiting
 	return waiting
 }
+
+// Guards against a long-running gang that is not started again, and whose submission counts
+// as completed, after its members have ended as done.
+func TestLongRunningGangThatEndsAsDoneRunsAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	gang := lastingStep(2, 10000)
+	gang.Gang = true
+	h.submit("gang", gang)
+	is.Equal(h.count(startOf("gang")), 2)
+	var ends []workload.EndedRun
+	for i := range 2 {
+		run := workload.RunID{Task: workload.TaskID{Submission: "gang", Index: i}, Run: 1}
+		delete(h.active, run)
+		ends = append(ends, workload.EndedRun{RunID: run, Sequence: int64(i + 1), Outcome: workload.Succeeded})
+	}
+	// The second end is listed one report later.
+	h.report(ends[0])
+	h.advance(20 * time.Millisecond)
+	h.report(ends...)
+	h.advance(20 * time.Millisecond)
+	is.Equal(h.ledger.Find("gang").State(), workload.Running)
+	is.Equal(h.count(startOf("gang")), 4)
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -266,14 +266,14 @@
 }
 
 // applyGangEnd applies the end of a gang member's run. The success of one member
-// completes all members. A failed run counts as one failure of the gang, which is
+// completes all members, unless they are to last. A failed run counts as one failure of the gang, which is
 // kept on the first member.
 func (l *Ledger) applyGangEnd(e *Entry, t *Task, run int64, outcome workload.Outcome) {
 	if t.Away {
 		return
 	}
 	members := e.stepOf(t).Tasks
-	if outcome == workload.Succeeded {
+	if outcome == workload.Succeeded && !e.Steps[t.ID.Step].LongRunning {
 		for i := range members {
 			members[i].closeRun()
 			e.finish(&members[i], true)
