dispatch: a long task is not stalled between two percents

Cause: a run counted as stalled when its percent was the same for 1.5 s between two reports, whatever its estimate; a task of 300 s needs 3 s for a percent.

Before the change TestLongRunIsNotStalledBetweenTwoPercents fails, with a true estimate and with one that is 300 times too low.

--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -39,7 +39,9 @@
 	// was not reported.
 	checkpoints map[workload.TaskID]string
 	// avoid is the worker on which a task last failed or stalled.
-	avoid     map[workload.TaskID]string
+	avoid map[workload.TaskID]string
+	// stalls are the tasks with runs that have stalled.
+	stalls    map[workload.TaskID]stalls
 	evacuated map[string]bool
 	views     views
 	// recordingEnds are the tasks without an active run whose end was listed by a
@@ -106,6 +108,7 @@
 		byEntry:       make(map[string][]*run),
 		checkpoints:   make(map[workload.TaskID]string),
 		avoid:         make(map[workload.TaskID]string),
+		stalls:        make(map[workload.TaskID]stalls),
 		evacuated:     make(map[string]bool),
 		recordingEnds: make(map[workload.TaskID]bool),
 		releasing:     make(map[workload.TaskID]bool),
--- a/dispatch/stalled_test.go
+++ b/dispatch/stalled_test.go
@@ -73,3 +73,44 @@
 	is.Equal(h.count(startOf("still")), 1)
 	is.Equal(h.ledger.Find("still").State(), workload.Completed)
 }
+
+// Guards against a long task that is stopped over and over because its progress, in whole
+// percent, is the same in two reports: it would never end.
+func TestLongRunIsNotStalledBetweenTwoPercents(t *testing.T) {
+	for name, test := range map[string]struct {
+		estimate time.Duration
+		// stops is how often its runs may be stopped.
+		stops int
+	}{
+		// A percent takes 3 s: timeouts of 1.5 s and 3 s are too short for it, 6 s is not.
+		"estimated truly": {300 * time.Second, 0}, "estimated far too low": {time.Second, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.report()
+			step := plainStep
+			step.Estimate = test.estimate
+			h.submit("long", step)
+			began := make(map[workload.RunID]time.Duration)
+			for range 400 {
+				for id := range h.active {
+					if h.count(func(a dispatch.Action) bool { s, ok := a.(dispatch.Stop); return ok && s.Run == id }) > 0 {
+						delete(h.active, id)
+						h.sequence++
+						h.report(workload.EndedRun{RunID: id, Sequence: h.sequence, Outcome: workload.Stopped})
+						continue
+					}
+					if _, known := began[id]; !known {
+						began[id] = h.now
+					}
+					h.active[id] = workload.ActiveRun{RunID: id, ProgressPercent: int((h.now - began[id]) / (3 * time.Second))}
+				}
+				h.advance(100 * time.Millisecond)
+				h.report()
+			}
+			is.True(h.count(stopOf("long")) <= test.stops)
+			is.Equal(len(h.active), 1)
+		})
+	}
+}
