--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -40,11 +40,13 @@
 // incarnations are all of the service of its earlier entries and of the runs that it was given.
 // An entry of another writer says nothing of a restart.
 func (w *worker) mayServe(service string) bool {
-	switch {
-	case w.Service != "":
+	if w.Service != "" {
 		return w.Service == service
-	case len(w.runList) > 0:
-		return w.runList[0].entry.Policy.Service == service
+	}
+	for _, r := range w.runList {
+		if known := r.entry.Policy.Service; known != "" {
+			return known == service
+		}
 	}
 	return true
 }
