coordinator, ledger: tests of two faults that none caught

A caller whose time runs out while its submission is being stored must not be told that it has not run, and an Opened record of a lower epoch must change nothing. No product code changes.

--- a/coordinator/intakewriter_test.go
+++ b/coordinator/intakewriter_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -53,3 +54,23 @@
 		is.True(errors.Is(err, coordinator.ErrOutcomeUnknown))
 	})
 }
+
+// Guards against a caller whose time runs out while its submission is being stored, and who
+// is told that it has not run.
+func TestSubmissionOfACallerWhoLeavesHasAnUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness()
+		defer h.close()
+		a := h.startNode("a", nil)
+		time.Sleep(2 * time.Second)
+		h.log.update(func() { h.log.intakeTime = 500 * time.Millisecond })
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(200*time.Millisecond, cancel)
+		is.True(errors.Is(a.Submit(ctx, submission("s")), coordinator.ErrOutcomeUnknown))
+		// It is stored all the same.
+		time.Sleep(2 * time.Second)
+		_, err := a.State(timeoutContext(time.Second), "s")
+		is.NoErr(err)
+	})
+}
--- a/ledger/silence_test.go
+++ b/ledger/silence_test.go
@@ -49,3 +49,17 @@
 		is.True(!ok)
 	}
 }
+
+// Guards against a record of a former owner, read again or late, that takes the cell back in
+// the ledger and makes silences look newer than they are.
+func TestOpenedRecordOfALowerEpochChangesNothing(t *testing.T) {
+	is := is.New(t)
+	worker := workload.Incarnation{Worker: "w", StartMillis: 1}
+	l := ledger.New()
+	l.Apply(ledger.OpenedRecord(ledger.Owner{Epoch: 7, VM: "b"}))
+	l.Apply(ledger.SilentRecord(map[workload.Incarnation]time.Duration{worker: time.Second}))
+	l.Apply(ledger.OpenedRecord(ledger.Owner{Epoch: 3, VM: "a", Sole: true}))
+	is.Equal(l.Owner(), ledger.Owner{Epoch: 7, VM: "b"})
+	silence, _ := l.Silence(worker)
+	is.Equal(silence, ledger.Silence{Expiry: time.Second})
+}
