--- a/dispatch/simworker_test.go
+++ b/dispatch/simworker_test.go
@@ -37,6 +37,8 @@
 	// unguarded workers start what exceeds their capacity, which last shrank at shrunkAt.
 	unguarded bool
 	shrunkAt  time.Duration
+	// slow is the fraction by which the worker's clock is slow.
+	slow float64
 }
 
 type simRun struct {
@@ -61,7 +63,9 @@
 	}
 }
 
-func (w *simWorker) clock(now time.Duration) time.Duration { return now - w.clockZero + time.Second }
+func (w *simWorker) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now-w.clockZero)*(1-w.slow)) + time.Second
+}
 
 // advance ends the runs that are due, and kills all runs if the lease has expired.
 func (w *simWorker) advance(now time.Duration) {
