--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -24,7 +24,7 @@
 	courseWait = 2400 * time.Millisecond
 	// courseSlack is the time in which an owner finds a worker silent, places a task again and
 	// starts it.
-	courseSlack = 2 * time.Second
+	courseSlack = 1200 * time.Millisecond
 )
 
 // Names of events with which courses begin.
--- a/dispatch/courseworld_test.go
+++ b/dispatch/courseworld_test.go
@@ -408,8 +408,12 @@
 	if target.Address == c.workers[1].info.Address {
 		w = c.workers[1]
 	}
-	if deadline > 0 && w.info.Incarnation == target.Incarnation {
-		w.leaseEnd = max(w.leaseEnd, c.now+dispatch.LeaseExpiryBound(deadline-w.clock(c.now)))
+	if deadline > 0 {
+		lease := courseLease
+		if w.info.Incarnation == target.Incarnation {
+			lease = deadline - w.clock(c.now)
+		}
+		w.leaseEnd = max(w.leaseEnd, c.now+dispatch.LeaseExpiryBound(lease))
 	}
 	sent := c.now
 	carryOut := func() any {
