--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -73,6 +73,8 @@
 	ended atomic.Pointer[chan struct{}]
 	// knownEnd is the newest end of another node's ownership that this node was told of.
 	knownEnd atomic.Pointer[ownershipEnd]
+	// knownEnds are ends of runs that may not be in the log.
+	knownEnds knownEnds
 	// processEnds are the ends of other nodes' processes that owned the cell.
 	processEnds processEnds
 	// recentlyAccepted maps the ids of submissions that this node accepted, but
--- a/coordinator/grantedleases.go
+++ b/coordinator/grantedleases.go
@@ -32,6 +32,7 @@
 func (c *cell) resignAnswer(epoch int64) *coordpb.ResignAnswer {
 	answer := &coordpb.ResignAnswer{Resigned: true}
 	now := c.node.monotonicNow()
+	told := c.knownEndOf(epoch)
 	last := c.lastLeases.Load()
 	switch {
 	case last != nil && last.epoch == epoch && last.known:
@@ -44,11 +45,12 @@
 				OwnExpiryMs: ceilMillis(max(0, last.endedAt+expiry.Own-now)),
 			})
 		}
-	case c.knownEndOf(epoch) != nil:
-		return c.knownEndOf(epoch)
+	case told != nil:
+		answer = told
 	case c.precedesProcess(epoch):
 		answer.Restarted, answer.ProcessAgeMs = true, now.Milliseconds()
 	}
+	answer.Ends = c.knownEnds.messages(now)
 	return answer
 }
 
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -70,6 +70,9 @@
 	// endWatchInterval the least time between two such calls of a node.
 	endWait          = 5 * time.Second
 	endWatchInterval = 400 * time.Millisecond
+	// knownEndRetention is how long the end of a run that may not be in the log is passed on.
+	// All waits for leases are shorter.
+	knownEndRetention = time.Minute
 	// resignTimeout is the timeout of a resignation request to a previous owner.
 	resignTimeout = 500 * time.Millisecond
 	// lookupRetryDelay is the delay before a cell's owner is queried again.
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -29,6 +29,8 @@
 	cancel             context.CancelFunc
 	lastSnapshot       snapshotMark
 	snapshotInProgress atomic.Bool
+	// endsVersion is the version of the known ends that the machine was told.
+	endsVersion int64
 	// proofSentAt is when a proof of the epoch was last appended.
 	proofSentAt time.Duration
 	// suspended is the time for which the VM has been suspended, as the event loop last
@@ -212,6 +214,8 @@
 			o.observeWait("events", ev.postedAt)
 			o.handleEvent(ctx, ev.event)
 		case now := <-tick.C:
+			// A tick may find leases expired, so the machine must know of the ends before.
+			o.applyKnownEnds(ctx)
 			o.step(ctx, dispatch.Tick{Now: now})
 			o.proveEpoch()
 			o.sweep()
--- a/coordinator/ownershipend.go
+++ b/coordinator/ownershipend.go
@@ -43,6 +43,7 @@
 // what it knows. The first word on an epoch is kept: a later one has passed through other
 // nodes.
 func (c *cell) learnEnd(epoch int64, answer *coordpb.ResignAnswer) {
+	c.learnEnds(answer.GetEnds())
 	if answer == nil || !answer.LeasesKnown {
 		return
 	}
@@ -103,6 +104,8 @@
 	if passOn {
 		q.Ended = c.resignAnswer(q.KnownEpoch)
 	}
+	ends, version := c.knownEnds.untold(owner.Epoch, c.node.monotonicNow())
+	q.Ends = ends
 	call, cancel := context.WithTimeout(ctx, endWait+lookupTimeout)
 	defer cancel()
 	answer, err := c.node.peers.client(owner.PeerAddress).AwaitEnd(call, q)
@@ -110,6 +113,7 @@
 		c.noteCallFailed(owner, err)
 		return false
 	}
+	c.knownEnds.told(owner.Epoch, version)
 	c.learnEnd(answer.Epoch, answer.Ended)
 	return answer.Epoch < c.newestEnd()
 }
@@ -121,6 +125,7 @@
 	if c == nil {
 		return &coordpb.AwaitEndAnswer{}, nil
 	}
+	c.learnEnds(q.Ends)
 	c.learnEnd(q.KnownEpoch, q.Ended)
 	if c.newestEnd() >= q.KnownEpoch {
 		c.waitForEnd(ctx, min(endWait, time.Duration(q.WaitMs)*time.Millisecond))
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -121,8 +121,10 @@
 }
 
 // postResigned passes on what the previous owner, or the process that is now at its
-// address, says of the leases that workers may hold.
+// address, says of the leases that workers may hold, after the ends of runs: a task that is
+// done must not be started again because the leases of its worker have expired.
 func (o *ownership) postResigned(ctx context.Context, previous ledger.Owner, answer *coordpb.ResignAnswer) {
+	o.learnEnds(answer.Ends)
 	if answer.LeasesKnown {
 		o.post(ctx, dispatch.PredecessorResigned{Sole: previous.Sole, Leases: o.leasesOf(answer)})
 		return
@@ -138,11 +140,13 @@
 	o.post(ctx, dispatch.PredecessorResigned{Sole: previous.Sole, Expiry: expiry})
 }
 
-// keepLeases keeps the leases at the end of the ownership for its successor.
+// keepLeases keeps the leases, and the ends of runs that may not be in the log, at the end
+// of the ownership for its successors.
 func (o *ownership) keepLeases(reason string) {
 	g := &grantedLeases{epoch: o.epoch, previous: o.previous, endedAt: o.node.monotonicNow(), known: reason != panicked}
 	if g.known {
 		g.expiry = o.machine.Leases(g.endedAt)
+		o.knownEnds.add(g.endedAt, o.machine.UnrecordedEnds()...)
 	}
 	o.lastLeases.Store(g)
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -185,12 +185,24 @@
 			w.endRecorded(end.Sequence)
 		}
 	}
+	if u := m.unrecordedEnds[end.RunID]; u != nil {
+		// A previous owner saw the end, or the previous incarnation listed it.
+		u.callbacks = append(u.callbacks, advance)
+		return
+	}
 	r := w.runs[end.RunID]
 	if r == nil {
-		m.processUnknownEnd(end, advance)
+		m.processUnknownEnd(w, end, advance)
 		return
 	}
-	m.emitDecision(RunEnded, end.RunID, w.ID(), end.Outcome.String(), 0)
+	m.runEnded(r, end, "", advance)
+}
+
+// runEnded handles the end of a run that the machine has. recorded runs when the end is in
+// the log.
+func (m *Machine) runEnded(r *run, end *workload.EndedRun, source string, recorded func()) {
+	w := r.worker
+	m.emitDecision(RunEnded, end.RunID, w.ID(), source+end.Outcome.String(), 0)
 	m.updateHistory(w, r, end.Outcome)
 	if end.Outcome == workload.Errored && !r.step.Gang {
 		m.runSurvived(r)
@@ -201,8 +213,8 @@
 	if end.Outcome != workload.Succeeded || r.step.LongRunning {
 		m.stopGang(r)
 	}
-	m.recordEnd(r.entry, end, func() {
-		advance()
+	m.recordEnd(r.entry, w.Incarnation, end, func() {
+		recorded()
 		delete(m.checkpoints, end.Task)
 		m.removeRun(r)
 	})
@@ -212,7 +224,7 @@
 // processUnknownEnd handles the end of a run that this machine has removed or never
 // had. The end is recorded only if no newer run of the task has been placed and the
 // task has no run.
-func (m *Machine) processUnknownEnd(end *workload.EndedRun, advance func()) {
+func (m *Machine) processUnknownEnd(w *worker, end *workload.EndedRun, advance func()) {
 	e := m.ledger.Find(end.Task.Submission)
 	if e == nil || e.State().Final() {
 		advance()
@@ -223,36 +235,21 @@
 		advance()
 		return
 	}
+	m.recordUnknownEnd(e, w.Incarnation, end, advance)
+}
+
+// recordUnknownEnd records the end of a run that this machine does not have. The task is
+// not placed before the record is in the log.
+func (m *Machine) recordUnknownEnd(e *ledger.Entry, worker workload.Incarnation, end *workload.EndedRun, recorded func()) {
 	m.recordingEnds[end.Task] = true
 	m.addOccupied(e, end.Task, 1)
-	m.recordEnd(e, end, func() {
-		advance()
+	m.recordEnd(e, worker, end, func() {
+		recorded()
 		delete(m.recordingEnds, end.Task)
 		m.addOccupied(e, end.Task, -1)
 	})
 }
 
-// recordEnd appends the record of an end. callback runs when the record is in the
-// log.
-func (m *Machine) recordEnd(e *ledger.Entry, end *workload.EndedRun, callback func()) {
-	record := ledger.EndedRecord(end.RunID, end.Outcome, end.Checkpoint)
-	m.appendRecord(record, func() {
-		live := !e.State().Final()
-		m.ledger.Apply(record)
-		callback()
-		m.planNeeded = true
-		m.returnFinished(e, end.Task)
-		if !e.State().Final() {
-			return
-		}
-		if live {
-			m.emitSubmissionDecision(SubmissionEnded, e)
-			delete(m.transfers.released, e.ID)
-		}
-		m.entryChanged(e)
-	})
-}
-
 // stopGang stops the other members of a run's gang, if its step is one.
 func (m *Machine) stopGang(ended *run) {
 	if !ended.step.Gang {
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -47,6 +47,8 @@
 	// recordingEnds are the tasks without an active run whose end was listed by a
 	// worker and is not in the log yet.
 	recordingEnds map[workload.TaskID]bool
+	// unrecordedEnds are the ends whose records are not known to be in the log.
+	unrecordedEnds map[workload.RunID]*unrecordedEnd
 	// releasing are the tasks without an active run whose release to another cell is
 	// not in the log yet.
 	releasing map[workload.TaskID]bool
@@ -103,25 +105,26 @@
 func New(config Config, cellLedger *ledger.Ledger, now time.Duration, wall time.Time) *Machine {
 	m := &Machine{
 		config: config, ledger: cellLedger, now: now, createdAt: now, wall: wall,
-		workers:       make(map[string]*worker),
-		active:        make(map[workload.TaskID]*run),
-		byEntry:       make(map[string][]*run),
-		checkpoints:   make(map[workload.TaskID]string),
-		avoid:         make(map[workload.TaskID]string),
-		stalls:        make(map[workload.TaskID]stalls),
-		evacuated:     make(map[string]bool),
-		recordingEnds: make(map[workload.TaskID]bool),
-		releasing:     make(map[workload.TaskID]bool),
-		occupied:      make(map[*ledger.Step]int),
-		pending:       make(map[int64]appendInFlight),
-		model:         newInterferenceModel(),
-		transfers:     newTransfers(),
-		crashes:       newCrashes(),
-		holds:         make(map[*ledger.Step]*hold),
-		excess:        newExcessRuns(),
-		starts:        newStartLimit(),
-		sizes:         make(sizeSamples),
-		overdueAt:     wall,
+		workers:        make(map[string]*worker),
+		active:         make(map[workload.TaskID]*run),
+		byEntry:        make(map[string][]*run),
+		checkpoints:    make(map[workload.TaskID]string),
+		avoid:          make(map[workload.TaskID]string),
+		stalls:         make(map[workload.TaskID]stalls),
+		evacuated:      make(map[string]bool),
+		recordingEnds:  make(map[workload.TaskID]bool),
+		unrecordedEnds: make(map[workload.RunID]*unrecordedEnd),
+		releasing:      make(map[workload.TaskID]bool),
+		occupied:       make(map[*ledger.Step]int),
+		pending:        make(map[int64]appendInFlight),
+		model:          newInterferenceModel(),
+		transfers:      newTransfers(),
+		crashes:        newCrashes(),
+		holds:          make(map[*ledger.Step]*hold),
+		excess:         newExcessRuns(),
+		starts:         newStartLimit(),
+		sizes:          make(sizeSamples),
+		overdueAt:      wall,
 	}
 	for _, e := range cellLedger.Live() {
 		m.recordSize(e)
@@ -235,6 +238,8 @@
 		m.stopAnswered(ev)
 	case PredecessorResigned:
 		m.predecessorResigned(ev)
+	case EndsLearned:
+		m.endsLearned(ev.Ends)
 	case CapacityFound:
 		m.capacityFound(ev)
 	case SearchEnded:
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -102,11 +102,24 @@
 		previous.retired = true
 	}
 	s.owners = append(s.owners, o)
+	s.passOnEnds(o)
 	s.list(o)
 	s.tick(o)
 	return o
 }
 
+// passOnEnds tells a new owner the ends that the previous ones could not record: at once,
+// late, or not at all.
+func (s *sim) passOnEnds(o *simOwner) {
+	var ends []dispatch.KnownEnd
+	for _, previous := range s.owners[:len(s.owners)-1] {
+		ends = append(ends, previous.machine.UnrecordedEnds()...)
+	}
+	if len(ends) > 0 && s.epoch%3 > 0 {
+		s.after(time.Duration(s.epoch%3-1)*2*time.Second, func() { s.step(o, dispatch.EndsLearned{Ends: ends}) })
+	}
+}
+
 // apply applies a record of either stream.
 func (o *simOwner) apply(r *ledgerpb.Record) *ledger.Entry {
 	return o.ledger.Apply(proto.Clone(r).(*ledgerpb.Record))
