--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -27,8 +28,15 @@
 
 	dispatch.FinalRunLeft:     logevent.FinalRunLeft,
 	dispatch.UnknownRunListed: logevent.UnknownRunListed,
+
+	dispatch.InterruptionLong:  logevent.InterruptionLong,
+	dispatch.InterruptionEnded: logevent.InterruptionEnded,
 }
 
+// loggedInterruption is the shortest time without a run of a long-running task that is logged
+// when it ends.
+const loggedInterruption = 2 * time.Second
+
 // logDecision logs a decision of a cell's owner and updates the metrics.
 func (n *Node) logDecision(cell int, epoch int64, d dispatch.Decision) {
 	n.metrics.count("decisions", "kind", d.Kind.String())
@@ -45,6 +53,11 @@
 			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.Bool("started", d.Started),
 			zap.Int64("epoch", epoch), zap.Duration("age", d.Elapsed), zap.Duration("objective", d.Objective))
 		return
+	case dispatch.InterruptionEnded:
+		n.observeInterruption(d)
+		if d.Age < loggedInterruption {
+			return
+		}
 	case dispatch.SubmissionCleared:
 		n.metrics.observeDuration(metrics.Name("submission_cleared_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
 		return
@@ -76,6 +89,17 @@
 	n.logger.Log(logevent.DispatchDecision, fields...)
 }
 
+// observeInterruption updates the histograms of the times for which long-running tasks had no
+// run, and of what they waited for.
+func (n *Node) observeInterruption(d dispatch.Decision) {
+	n.metrics.observeDuration("interruption_microseconds", d.Age)
+	for wait, waited := range d.Waits {
+		if waited > 0 {
+			n.metrics.observeDuration(metrics.Name("interruption_wait_microseconds", "for", wait), waited)
+		}
+	}
+}
+
 // countServed counts a submission by its size and by how it was served.
 func (n *Node) countServed(d dispatch.Decision) {
 	if d.Served != dispatch.ServedBefore {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -93,6 +93,7 @@
 		r.startedAt, r.progressAt = m.now, m.now
 		r.worker.beginInterval(r, m.now)
 		m.emitDecision(RunStarted, r.id, r.worker.ID(), "", 0)
+		m.endInterruption(r)
 	}
 	if r.stopRequested {
 		m.sendStop(r)
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -27,6 +27,8 @@
 	Work    float64
 	Started bool
 	Served  Served
+	// Waits is set for InterruptionEnded: the times for which the task waited, by what for.
+	Waits map[string]time.Duration
 }
 
 // DecisionKind is the kind of a decision.
@@ -77,6 +79,13 @@
 	// LargestFavoured: the largest submissions of a queue are placed first, because they are
 	// served less often than the others. Reason has the shares.
 	LargestFavoured
+	// InterruptionLong: a long-running task has had no run for the time in Age, which is longer
+	// than it may last. Run and Worker are those of the last one; Reason says how that ended
+	// and what the task waits for.
+	InterruptionLong
+	// InterruptionEnded: a long-running task that had no run for the time in Age runs again. Reason
+	// says how the last run ended and what the task waited for.
+	InterruptionEnded
 	// EntryIgnored: an entry in the list of workers can't be that of the worker with its id.
 	EntryIgnored
 )
@@ -88,5 +97,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"entry ignored"}[k]
+		"interruption long", "interruption ended", "entry ignored"}[k]
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -195,6 +195,7 @@
 	if end.Outcome == workload.Errored && !r.step.Gang {
 		m.runSurvived(r)
 	}
+	m.beginInterruption(r, m.now, end.Outcome.String(), waitLog)
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
 	m.noteRunGone(r.entry)
@@ -353,6 +354,7 @@
 		if r.stopShouldHaveEnded(sentAt, m.config.StopTime) {
 			m.emitDecision(RunStopped, r.id, r.worker.ID(), "worker no longer lists the run", m.now-r.confirmedAt)
 			m.keepCheckpoint(r)
+			m.beginInterruption(r, r.reportedAt, "stopped, its end was not listed", waitStop)
 			m.removeRun(r)
 		}
 	}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -89,6 +89,9 @@
 	modelRecordedAt      time.Duration
 	recordedObservations int
 	sizes                sizeSamples
+	// interruptions are the long-running tasks whose last run has ended and that have no confirmed
+	// one.
+	interruptions map[workload.TaskID]*interruption
 	// overdueAt is the wall-clock time of the last search for submissions that are not served.
 	overdueAt time.Time
 }
@@ -122,12 +125,14 @@
 		starts:        newStartLimit(),
 		sizes:         make(sizeSamples),
 		overdueAt:     wall,
+		interruptions: make(map[workload.TaskID]*interruption),
 	}
 	for _, e := range cellLedger.Live() {
 		m.recordSize(e)
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
+	m.inheritInterruptions()
 	return m
 }
 
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -53,6 +53,7 @@
 		}
 	}
 	m.longWaits = waits
+	m.updateInterruptions()
 }
 
 // updateSince updates the waiting tasks of a step and returns the one that waits
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -92,6 +92,7 @@
 			r.stopRequested = true
 			continue
 		}
+		m.beginInterruption(r, w.clockAt, reason, w.lossWait())
 		m.removeRun(r)
 	}
 }
