--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -185,7 +185,7 @@
 			w.endRecorded(end.Sequence)
 		}
 	}
-	if u := m.unrecordedEnds[end.RunID]; u != nil {
+	if u := m.unrecorded[end.RunID]; u != nil {
 		// A previous owner saw the end, or the previous incarnation listed it.
 		u.callbacks = append(u.callbacks, advance)
 		return
@@ -207,6 +207,7 @@
 	if end.Outcome == workload.Errored && !r.step.Gang {
 		m.runSurvived(r)
 	}
+	m.beginInterruption(r, m.now, end.Outcome.String(), waitLog)
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
 	m.noteRunGone(r.entry)
@@ -350,6 +351,7 @@
 		if r.stopShouldHaveEnded(sentAt, m.config.StopTime) {
 			m.emitDecision(RunStopped, r.id, r.worker.ID(), "worker no longer lists the run", m.now-r.confirmedAt)
 			m.keepCheckpoint(r)
+			m.beginInterruption(r, r.reportedAt, "stopped, its end was not listed", waitStop)
 			m.removeRun(r)
 		}
 	}
--- a/dispatch/knownends.go
+++ b/dispatch/knownends.go
@@ -45,8 +45,8 @@
 		}
 		return 2
 	}
-	all := make([]*unrecordedEnd, 0, len(m.unrecordedEnds))
-	for _, u := range m.unrecordedEnds {
+	all := make([]*unrecordedEnd, 0, len(m.unrecorded))
+	for _, u := range m.unrecorded {
 		all = append(all, u)
 	}
 	slices.SortFunc(all, func(a, b *unrecordedEnd) int { return cmp.Compare(rank(a), rank(b)) })
@@ -69,7 +69,7 @@
 // endLearned records an end unless the log has it, another run of the task has been placed,
 // or the worker has reported the run to this owner.
 func (m *Machine) endLearned(end *KnownEnd) {
-	if end.Outcome < workload.Succeeded || end.Outcome > workload.MembersMissing || m.unrecordedEnds[end.Run] != nil {
+	if end.Outcome < workload.Succeeded || end.Outcome > workload.MembersMissing || m.unrecorded[end.Run] != nil {
 		return
 	}
 	e := m.ledger.Find(end.Run.Task.Submission)
@@ -83,6 +83,7 @@
 	ended := &workload.EndedRun{RunID: end.Run, Outcome: end.Outcome, Checkpoint: end.Checkpoint}
 	switch r := m.active[t.ID]; {
 	case r != nil && r.id == end.Run && r.inherited:
+		m.beginInterruption(r, r.reportedAt, "a previous owner saw it end: "+end.Outcome.String(), waitDetection)
 		m.runEnded(r, ended, "a previous owner saw it: ", func() {})
 	case r == nil && !e.State().Final() && !m.recordingEnds[t.ID] && !m.releasing[t.ID]:
 		m.recordUnknownEnd(e, end.Worker, ended, func() {})
@@ -95,10 +96,10 @@
 		KnownEnd:    KnownEnd{Worker: worker, Run: end.RunID, Outcome: end.Outcome, Checkpoint: end.Checkpoint},
 		longRunning: e.Steps[end.Task.Step].LongRunning, callbacks: []func(){callback},
 	}
-	m.unrecordedEnds[end.RunID] = u
+	m.unrecorded[end.RunID] = u
 	record := ledger.EndedRecord(end.RunID, end.Outcome, end.Checkpoint)
 	m.appendRecord(record, func() {
-		delete(m.unrecordedEnds, end.RunID)
+		delete(m.unrecorded, end.RunID)
 		live := !e.State().Final()
 		m.ledger.Apply(record)
 		for _, f := range u.callbacks {
