--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -25,6 +25,8 @@
 		// The lease of runs that are to be stopped must expire if no stop is carried out.
 	case w.bar != leasesAllowed:
 		// A successor may rely on the record of the worker's silence.
+	case w.gone:
+		// The worker must be heard first: a lease would have to be waited for.
 	case w.silent:
 		// An unanswered heartbeat may have been carried out, so it must not renew the
 		// lease: the lease of a worker that has failed must expire.
@@ -104,6 +106,7 @@
 		m.workerCrashed(w, "another worker answers at the address")
 		m.abandonRuns(w, "another worker answers at the address")
 		w.listed, w.unknownRuns = false, nil
+		w.gone, w.leaseDeadline = true, 0
 		w.ackedCursor = w.cursor
 		return
 	}
@@ -136,7 +139,7 @@
 	if !w.reported {
 		m.planNeeded = true
 	}
-	w.silent = false
+	w.silent, w.gone = false, false
 	m.endSilence(w)
 	w.updateClock(m.now, report.Clock)
 	w.ackedCursor = max(w.ackedCursor, min(w.cursor, m.acknowledgedCursor(ev, w)))
--- a/dispatch/knownends_test.go
+++ b/dispatch/knownends_test.go
@@ -156,3 +156,18 @@
 	is.Equal(h.count(startOf("lasting")), 0)
 	is.Equal(h.ledger.Find("lasting").State(), workload.Completed)
 }
+
+// Guards against a successor that waits for leases of a worker of which its predecessor knew
+// that it is gone: the log was away, so a run that had been placed there was still recorded.
+func TestLeasesOfAWorkerThatIsGoneAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("lasting", plainStep)
+	h.report()
+	h.logStalled = true
+	h.submit("waiting", plainStep)
+	h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.WrongWorker})
+	h.advance(time.Second)
+	is.Equal(len(h.machine.Leases(h.now)), 0)
+}
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -210,7 +210,7 @@
 	m.now = max(m.now, now)
 	out := make(map[workload.Incarnation]LeaseExpiry)
 	for _, w := range m.sorted {
-		if w.leaseExpiry() > m.now {
+		if w.leaseExpiry() > m.now && !w.gone {
 			out[w.Incarnation] = LeaseExpiry{All: w.leaseExpiry() - m.now, Own: max(0, w.leasesExpireAt-m.now)}
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -28,6 +28,9 @@
 	// predecessorsExpireAt is the equivalent of leasesExpireAt for the leases that
 	// previous owners granted.
 	predecessorsExpireAt time.Duration
+	// gone: another worker answers at the address. This one has not been heard since, nor
+	// been granted a lease.
+	gone bool
 	// silent: the last heartbeat failed.
 	silent bool
 	// bar says whether the worker may be granted leases.
@@ -255,6 +258,7 @@
 // trackLease updates leaseDeadline and leasesExpireAt for a lease that ends at end on
 // the worker's clock. At leasesExpireAt the clock has certainly passed end.
 func (w *worker) trackLease(end time.Duration) {
+	w.gone = false
 	w.leaseDeadline = max(w.leaseDeadline, end)
 	w.leasesExpireAt = max(w.leasesExpireAt, w.clockAt+LeaseExpiryBound(end-w.clock))
 }
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -73,7 +73,7 @@
 		r.stopRequested = true
 		m.sendStop(r)
 	}
-	w.reported, w.silent, w.restarted = false, false, true
+	w.reported, w.silent, w.gone, w.restarted = false, false, false, true
 	w.unknownRuns = nil
 	w.lastEnd, w.cursor, w.ackedCursor, w.unrecordedEnds = 0, 0, 0, nil
 	w.clock, w.clockAt, w.leasesExpireAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0, 0
