--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -63,6 +63,8 @@
 		o.reportExpired(a)
 	case dispatch.ViewRenewed:
 		o.reportRenewed(a)
+	case dispatch.WitnessesRecorded:
+		o.witnesses.recorded(a.Number)
 	case dispatch.FindCapacity:
 		o.wg.Go(func() { o.findCapacity(ctx, a) })
 	case dispatch.Transfer:
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -75,6 +75,11 @@
 	knownEnd atomic.Pointer[ownershipEnd]
 	// processEnds are the ends of other nodes' processes that owned the cell.
 	processEnds processEnds
+	// candidates can be witnesses of this node's ownership, witnesses are those that are.
+	candidates candidates
+	witnesses  atomic.Pointer[witnesses]
+	// confirmations are those of this process as a witness of other owners.
+	confirmations confirmations
 	// recentlyAccepted maps the ids of submissions that this node accepted, but
 	// has not yet read from the intake, to the time of acceptance.
 	recentlyAccepted sync.Map
@@ -96,6 +101,7 @@
 		evacuation:       make(chan struct{}, 1),
 	}
 	c.state.Store(ledger.New())
+	c.witnesses.Store(newWitnesses())
 	c.intakeWriter = newIntakeWriter(c)
 	return c
 }
--- a/coordinator/cellauthority.go
+++ b/coordinator/cellauthority.go
@@ -67,5 +67,15 @@
 // leaseLimit returns the duration of the longest lease that the node may grant as the
 // cell's owner.
 func (c *cell) leaseLimit() time.Duration {
+	return min(c.joinedLeaseLimit(), c.confirmedLeaseLimit())
+}
+
+// confirmedLeaseLimit returns the part of the limit that follows from the witnesses.
+func (c *cell) confirmedLeaseLimit() time.Duration {
+	return c.witnesses.Load().leaseLimit(c.node.authorityNow(), c.node.config.Dispatch.Lease)
+}
+
+// joinedLeaseLimit returns the part of the limit that follows from the joins.
+func (c *cell) joinedLeaseLimit() time.Duration {
 	return max(0, leaseAuthority+c.node.config.Dispatch.Lease-c.authority.age(c.node.authorityNow()))
 }
--- a/coordinator/export_test.go
+++ b/coordinator/export_test.go
@@ -7,3 +7,6 @@
 	n.peers.clients.Store(address, peer)
 	n.peers.reached.Store(address, true)
 }
+
+// Process returns the number that tells the node's process from others on its VM.
+func (n *Node) Process() int64 { return n.process }
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -14,21 +14,28 @@
 // handOver extends the leases of the workers before the ownership ends, as far as they
 // answer within handOverTimeout, and goes on extending them in the background until they
 // last for the lease of a hand-over. No extension is longer than the usual lease: if the
-// process ends, a successor that knows of it waits for no longer one.
-func (o *ownership) handOver(parent context.Context) {
+// process ends, a successor that knows of it waits for no longer one, and none is longer than
+// the witnesses allow. done is called at the end.
+func (o *ownership) handOver(parent context.Context, done func()) {
 	began := o.node.monotonicNow()
 	// A successor that hears nothing from this owner expects no later leases.
-	lease := min(o.node.config.Dispatch.HandoverLease, o.leaseLimit())
+	lease := min(o.node.config.Dispatch.HandoverLease, o.joinedLeaseLimit())
 	heartbeats := o.machine.HandOver(began, lease)
-	withhold := max(0, lease-o.node.config.Dispatch.Lease)
-	heartbeats = o.extendLeases(parent, heartbeats, withhold)
-	if withhold == 0 {
+	withhold := func() time.Duration {
+		grantable := min(o.node.config.Dispatch.Lease, o.witnesses.leaseLimit(o.node.authorityNow(), o.node.config.Dispatch.Lease))
+		return max(0, lease-grantable-(o.node.monotonicNow()-began))
+	}
+	withheld := withhold()
+	heartbeats = o.extendLeases(parent, heartbeats, withheld)
+	if withheld == 0 {
+		done()
 		return
 	}
 	o.node.wg.Go(func() {
-		for withhold > 0 && len(heartbeats) > 0 && sleep(parent, handOverInterval) && o.newestEpoch.Load() == o.epoch {
-			withhold = max(0, lease-o.node.config.Dispatch.Lease-(o.node.monotonicNow()-began))
-			heartbeats = o.extendLeases(parent, heartbeats, withhold)
+		defer done()
+		for withheld > 0 && len(heartbeats) > 0 && sleep(parent, handOverInterval) && o.newestEpoch.Load() == o.epoch && o.node.monotonicNow()-began < lease {
+			withheld = withhold()
+			heartbeats = o.extendLeases(parent, heartbeats, withheld)
 		}
 	})
 }
--- /dev/null
+++ b/coordinator/lostowner.go
@@ -0,0 +1,92 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusreel/cactusreel/coordinator/coordpb"
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/logevent"
+)
+
+// confirmedLeaseExpiry returns the time, from the last confirmation of an owner by a witness,
+// after which all leases that it granted have expired.
+func (c *cell) confirmedLeaseExpiry() time.Duration {
+	return dispatch.LeaseExpiryBound(confirmedDuration + c.node.config.Dispatch.Lease)
+}
+
+// askPreviousWitnesses asks the witnesses of the previous owner when they last confirmed it,
+// in case that owner can't be asked itself. Each time at which a majority had confirmed it is
+// at most the latest that any majority names, and none of them confirms it again.
+func (o *ownership) askPreviousWitnesses(ctx context.Context, previous ledger.Owner, named ledger.Witnesses) {
+	if len(named.All) == 0 {
+		return
+	}
+	var mu sync.Mutex
+	answers, last := 0, time.Duration(0)
+	for _, one := range named.All {
+		o.wg.Go(func() {
+			at, confirmed, answered := o.lastConfirmed(ctx, previous.Epoch, one)
+			if !answered {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if confirmed {
+				last = max(last, at)
+			}
+			answers++
+			if answers == named.Majority() && last > 0 {
+				o.postConfirmed(ctx, previous, last)
+			}
+		})
+	}
+}
+
+// lastConfirmed returns when a witness last confirmed the owner of an epoch, on this node's
+// monotonic clock. answered is false if it can't be asked while that could shorten a wait.
+func (o *ownership) lastConfirmed(ctx context.Context, epoch int64, one ledger.Witness) (at time.Duration, confirmed, answered bool) {
+	q := &coordpb.LastConfirmedRequest{Cell: int32(o.number), Epoch: epoch, Process: one.Process}
+	for attempt := 1; ctx.Err() == nil && o.node.monotonicNow()-o.openedAt < authorityDuration; attempt++ {
+		call, cancel := context.WithTimeout(ctx, confirmTimeout)
+		answer, err := o.callWitness(call, one, q)
+		cancel()
+		if err == nil {
+			age := time.Duration(answer.AgeMs) * time.Millisecond
+			return max(1, o.node.monotonicNow()-age), !answer.Never, true
+		}
+		sleep(ctx, retryDelay(attempt))
+	}
+	return 0, false, false
+}
+
+func (o *ownership) callWitness(ctx context.Context, one ledger.Witness, q *coordpb.LastConfirmedRequest) (*coordpb.LastConfirmedAnswer, error) {
+	if one.PeerAddress == o.node.config.PeerAddress {
+		return o.node.LastConfirmed(ctx, q)
+	}
+	return o.node.peers.client(one.PeerAddress).LastConfirmed(ctx, q)
+}
+
+// postConfirmed passes on which leases the previous owner can have granted if a majority of
+// its witnesses last confirmed it at a time.
+func (o *ownership) postConfirmed(ctx context.Context, previous ledger.Owner, last time.Duration) {
+	now := o.node.monotonicNow()
+	expiry := max(0, o.confirmedLeaseExpiry()-(now-last))
+	o.node.logger.Log(logevent.OwnerConfirmed, zap.Int("cell", o.number), zap.String("vm", previous.VM),
+		zap.Int64("epoch", previous.Epoch), zap.Duration("age", now-last))
+	// The previous owner may still send commands, with leases that end no later.
+	o.post(ctx, dispatch.PredecessorResigned{Expiry: o.withEarlierOwners(previous, expiry)})
+}
+
+// withEarlierOwners returns the time after which the leases of the previous owner, which
+// expire after a time, and those of owners before it have expired.
+func (o *ownership) withEarlierOwners(previous ledger.Owner, expiry time.Duration) time.Duration {
+	if previous.Sole {
+		return expiry
+	}
+	return max(expiry, o.predecessorLeaseExpiry()-o.node.owners.epochAge(o.number, previous.Epoch))
+}
--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -208,6 +208,14 @@
 	return call(ctx, p, p.Coordinator.AwaitEnd, q)
 }
 
+func (p remotePeer) ConfirmOwner(ctx context.Context, q *coordpb.ConfirmOwnerRequest) (*coordpb.ConfirmOwnerAnswer, error) {
+	return call(ctx, p, p.Coordinator.ConfirmOwner, q)
+}
+
+func (p remotePeer) LastConfirmed(ctx context.Context, q *coordpb.LastConfirmedRequest) (*coordpb.LastConfirmedAnswer, error) {
+	return call(ctx, p, p.Coordinator.LastConfirmed, q)
+}
+
 func (p remotePeer) FreeCapacity(ctx context.Context, q *coordpb.FreeCapacityRequest) (*coordpb.FreeCapacityAnswer, error) {
 	return call(ctx, p, p.Coordinator.FreeCapacity, q)
 }
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"hash/fnv"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,12 +41,14 @@
 	// that found no other owner.
 	checksWithoutOwner int
 	startedAt          time.Time
-	wg                 sync.WaitGroup
+	// process tells this process from others on its VM.
+	process int64
+	wg      sync.WaitGroup
 }
 
 // NewNode returns a node that has not started.
 func NewNode(config Config, platform Platform, logger *logevent.Logger, metrics *Metrics) *Node {
-	n := &Node{config: config, platform: platform, logger: logger, metrics: metrics, startedAt: time.Now()}
+	n := &Node{config: config, platform: platform, logger: logger, metrics: metrics, startedAt: time.Now(), process: 1 + rand.Int64N(math.MaxInt64)}
 	n.peers = newPeerClients()
 	n.owners = &ownerCache{node: n, owners: make(map[int]ledger.Owner), sightings: make(map[int]epochSightings)}
 	n.workers = newWorkerList(n)
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -22,6 +22,7 @@
 	epoch int64
 	// previous is the owner of the epoch before.
 	previous           ledger.Owner
+	witnesses          *witnesses
 	machine            *dispatch.Machine
 	events             chan queuedEvent
 	writer             *cellWriter
@@ -63,7 +64,7 @@
 		sleep(parent, logRetryDelay)
 		return
 	}
-	epoch, previous, err := c.openEpoch(parent)
+	epoch, previous, named, err := c.openEpoch(parent)
 	if err != nil {
 		if parent.Err() == nil {
 			c.node.logError(logevent.EpochNotOpened, err, zap.Int("cell", c.number))
@@ -79,11 +80,12 @@
 	if len(c.node.cells) > 1 {
 		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
 	}
+	c.witnesses.Store(newWitnesses())
 	config.PredecessorExpiry = c.predecessorLeaseExpiry()
 	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
 	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
-		cell: c, epoch: epoch, previous: previous, cancel: cancel,
+		cell: c, epoch: epoch, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan queuedEvent, maxQueuedEvents),
@@ -100,10 +102,16 @@
 	c.node.workers.subscribe(ctx, o)
 	o.wg.Go(func() { o.writer.run(ctx) })
 	o.wg.Go(func() { o.requestResignation(ctx, previous) })
+	o.askPreviousWitnesses(ctx, previous, named)
+	// A hand-over goes on after the ownership.
+	confirmed, endConfirmation := context.WithCancel(parent)
+	o.node.wg.Go(func() { o.askWitnesses(confirmed) })
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
 	if reason == assignmentEnded && o.hasAuthority() {
-		o.handOver(parent)
+		o.handOver(parent, endConfirmation)
+	} else {
+		endConfirmation()
 	}
 	cancel()
 	c.node.workers.unsubscribe(o)
@@ -118,19 +126,19 @@
 // openEpoch reads the streams and fences previous owners with an Opened record.
 // The record is appended only at the end that was read, so no unread record of a
 // previous owner can precede it.
-func (c *cell) openEpoch(ctx context.Context) (epoch int64, previous ledger.Owner, err error) {
+func (c *cell) openEpoch(ctx context.Context) (epoch int64, previous ledger.Owner, named ledger.Witnesses, err error) {
 	for attempt := 1; c.generation.Load() != 0; attempt++ {
 		if err := c.catchUp(ctx); err != nil {
-			return 0, previous, fmt.Errorf("read the streams: %w", err)
+			return 0, previous, named, fmt.Errorf("read the streams: %w", err)
 		}
-		previous = c.ledger().Owner()
+		previous, named = c.ledger().Owner(), c.ledger().Witnesses()
 		epoch = max(c.generation.Load(), c.ledger().Owner().Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
 		record := ledger.OpenedRecord(owner)
 		c.firstEpoch.CompareAndSwap(0, epoch)
 		data, err := ledger.Encode(record)
 		if err != nil {
-			return 0, previous, err
+			return 0, previous, named, err
 		}
 		call, cancel := context.WithTimeout(ctx, logTimeout)
 		sent := c.node.authorityNow()
@@ -143,15 +151,15 @@
 			continue
 		}
 		if err != nil {
-			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
+			return 0, previous, named, fmt.Errorf("append the Opened record: %w", err)
 		}
 		c.authority.proven(sent)
 		c.ledger().Apply(record)
 		c.cellNext = end
 		c.node.owners.update(c.number, owner)
-		return epoch, previous, nil
+		return epoch, previous, named, nil
 	}
-	return 0, previous, errors.New("cell is no longer assigned")
+	return 0, previous, named, errors.New("cell is no longer assigned")
 }
 
 // assignmentEnded is the reason for the end of an ownership that the node gives up.
--- a/coordinator/ownershipend.go
+++ b/coordinator/ownershipend.go
@@ -99,7 +99,8 @@
 // awaitEnd makes one call that waits for the end of an ownership. It tells what this node
 // knows of an end if passOn is set, and returns whether the next call has to.
 func (c *cell) awaitEnd(ctx context.Context, owner ledger.Owner, passOn bool) bool {
-	q := &coordpb.AwaitEndRequest{Cell: int32(c.number), WaitMs: endWait.Milliseconds(), KnownEpoch: c.newestEnd()}
+	q := &coordpb.AwaitEndRequest{Cell: int32(c.number), WaitMs: endWait.Milliseconds(), KnownEpoch: c.newestEnd(),
+		Vm: c.node.config.VM, DataCentre: c.node.config.DataCentre, PeerAddress: c.node.config.PeerAddress, Process: c.node.process}
 	if passOn {
 		q.Ended = c.resignAnswer(q.KnownEpoch)
 	}
@@ -121,6 +122,7 @@
 	if c == nil {
 		return &coordpb.AwaitEndAnswer{}, nil
 	}
+	c.noteCaller(q)
 	c.learnEnd(q.KnownEpoch, q.Ended)
 	if c.newestEnd() >= q.KnownEpoch {
 		c.waitForEnd(ctx, min(endWait, time.Duration(q.WaitMs)*time.Millisecond))
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -131,11 +131,7 @@
 	if answer.Restarted {
 		expiry = max(0, o.endedProcessLeaseExpiry()-time.Duration(answer.ProcessAgeMs)*time.Millisecond)
 	}
-	if !previous.Sole {
-		// An owner before the previous one may have gone on granting leases.
-		expiry = max(expiry, o.predecessorLeaseExpiry()-o.node.owners.epochAge(o.number, previous.Epoch))
-	}
-	o.post(ctx, dispatch.PredecessorResigned{Sole: previous.Sole, Expiry: expiry})
+	o.post(ctx, dispatch.PredecessorResigned{Sole: previous.Sole, Expiry: o.withEarlierOwners(previous, expiry)})
 }
 
 // keepLeases keeps the leases at the end of the ownership for its successor.
--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -63,6 +63,9 @@
 // the cell.
 type StepDown struct{ Worker string }
 
+// WitnessesRecorded reports that a record of this owner's witnesses is in the log.
+type WitnessesRecorded struct{ Number int64 }
+
 // FindCapacity requests a search for other cells with free capacity for waiting tasks.
 // It is answered by CapacityFound for each cell and then by SearchEnded.
 type FindCapacity struct{ Demands []Demand }
@@ -88,3 +91,5 @@
 func (FindCapacity) isAction() {}
 func (Transfer) isAction()     {}
 func (CheckGuests) isAction()  {}
+
+func (WitnessesRecorded) isAction() {}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -65,6 +65,10 @@
 	Leases map[workload.Incarnation]time.Duration
 }
 
+// WitnessesChosen requests that witnesses of this owner be recorded. It is answered by
+// WitnessesRecorded.
+type WitnessesChosen struct{ Witnesses ledger.Witnesses }
+
 // CapacityFound is a cell's answer to FindCapacity: how many tasks of each demand its
 // workers could take, all together.
 type CapacityFound struct {
@@ -99,6 +103,7 @@
 func (StopAnswered) isEvent()      {}
 func (Tick) isEvent()              {}
 
+func (WitnessesChosen) isEvent()     {}
 func (PredecessorResigned) isEvent() {}
 func (CapacityFound) isEvent()       {}
 func (SearchEnded) isEvent()         {}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -240,6 +240,8 @@
 		m.stopAnswered(ev)
 	case PredecessorResigned:
 		m.predecessorResigned(ev)
+	case WitnessesChosen:
+		m.recordWitnesses(ev.Witnesses)
 	case CapacityFound:
 		m.capacityFound(ev)
 	case SearchEnded:
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -169,6 +169,16 @@
 	m.appendRecord(record, func() { m.ledger.Apply(record) })
 }
 
+// recordWitnesses records the witnesses of this owner.
+func (m *Machine) recordWitnesses(w ledger.Witnesses) {
+	w.Epoch = m.config.Epoch
+	record := ledger.WitnessesRecord(w)
+	m.appendRecord(record, func() {
+		m.ledger.Apply(record)
+		m.emit(WitnessesRecorded{Number: w.Number})
+	})
+}
+
 // forgetSilences removes recorded silences of workers that are not known and on which the
 // log has no open run. Until its task is placed again, an open run of a worker whose leases
 // have expired needs the record: a successor would wait for them.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -39,6 +39,8 @@
 	interferenceModel *ledgerpb.Learned
 	// silences are the workers that did not answer an owner, and were not heard again.
 	silences map[workload.Incarnation][]Silence
+	// witnesses are those of the owner.
+	witnesses Witnesses
 }
 
 // New returns the ledger of two empty streams.
@@ -134,6 +136,8 @@
 		return l.applyCrashed(r.Crashed)
 	case r.Survived != nil:
 		return l.applySurvived(r.Survived)
+	case r.Witnesses != nil:
+		l.applyWitnesses(r.Witnesses)
 	}
 	return nil
 }
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -57,6 +57,7 @@
 	w := &snapshotWriter{}
 	first := w.partFor(proto.Size(l.interferenceModel))
 	first.Owner, first.Learned = OpenedRecord(l.owner).Opened, l.interferenceModel
+	first.Witnesses = l.witnesses.message()
 	for _, s := range l.silenceMessages() {
 		p := w.partFor(proto.Size(s))
 		p.Silent = append(p.Silent, s)
@@ -148,6 +149,9 @@
 			l.applyOpened(p.Owner)
 			clear(l.silences)
 		}
+		if p.Witnesses != nil {
+			l.applyWitnesses(p.Witnesses)
+		}
 		l.applySilent(&ledgerpb.Silent{Workers: p.Silent})
 		if p.Learned != nil {
 			l.interferenceModel = p.Learned
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -49,6 +49,7 @@
 	OwnerProcessEnded    Number = 856
 	InterruptionLong     Number = 857
 	InterruptionEnded    Number = 858
+	OwnerConfirmed       Number = 859
 )
 
 var coordinatorEvents = []Info{
@@ -97,4 +98,5 @@
 	{OwnerProcessEnded, "OwnerProcessEnded", zapcore.InfoLevel, "the process of the cell's owner has ended: its address refuses connections", []string{"cell", "vm", "epoch"}, "None; check why the process ended if it was not stopped."},
 	{InterruptionLong, "InterruptionLong", zapcore.WarnLevel, "long-running task has had no run for longer than it may", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "Run and worker are the last ones. The reason says how that run ended, what the task has waited for since, and what it waits for now."},
 	{InterruptionEnded, "InterruptionEnded", zapcore.WarnLevel, "long-running task runs again after a long time without a run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason says how the last run ended and for what the task has waited. For the lease of a worker: check the worker and the network."},
+	{OwnerConfirmed, "OwnerConfirmed", zapcore.InfoLevel, "a majority of the previous owner's witnesses said when they last confirmed it", []string{"cell", "vm", "epoch", "age"}, "None; check why the VM does not answer if it was not stopped."},
 }
