--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -47,6 +47,8 @@
 	// recordingEnds are the tasks without an active run whose end was listed by a
 	// worker and is not in the log yet.
 	recordingEnds map[workload.TaskID]bool
+	// unrecorded are the ends whose records are not known to be in the log.
+	unrecorded map[workload.RunID]*unrecordedEnd
 	// releasing are the tasks without an active run whose release to another cell is
 	// not in the log yet.
 	releasing map[workload.TaskID]bool
@@ -114,6 +116,7 @@
 		stalls:        make(map[workload.TaskID]stalls),
 		evacuated:     make(map[string]bool),
 		recordingEnds: make(map[workload.TaskID]bool),
+		unrecorded:    make(map[workload.RunID]*unrecordedEnd),
 		releasing:     make(map[workload.TaskID]bool),
 		occupied:      make(map[*ledger.Step]int),
 		pending:       make(map[int64]appendInFlight),
@@ -242,6 +245,8 @@
 		m.predecessorResigned(ev)
 	case WitnessesChosen:
 		m.recordWitnesses(ev.Witnesses)
+	case EndsLearned:
+		m.endsLearned(ev.Ends)
 	case CapacityFound:
 		m.capacityFound(ev)
 	case SearchEnded:
