--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -29,8 +29,12 @@
 }
 
 func newHarness(t *testing.T) *harness {
+	return newHarnessWithLease(t, simLease)
+}
+
+func newHarnessWithLease(t *testing.T, lease time.Duration) *harness {
 	h := &harness{t: t, ledger: ledger.New(), now: time.Minute, active: make(map[workload.RunID]workload.ActiveRun), startAnswer: dispatch.Done}
-	h.machine = dispatch.New(dispatch.Config{Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2}, h.ledger, h.now, time.Now())
+	h.machine = dispatch.New(dispatch.Config{Epoch: 1, Lease: lease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2}, h.ledger, h.now, time.Now())
 	h.listWorker(workload.Worker{})
 	return h
 }
@@ -38,7 +42,7 @@
 func (h *harness) listWorker(change workload.Worker) {
 	h.handle(dispatch.WorkersListed{Workers: []workload.Worker{{
 		Incarnation: workload.Incarnation{Worker: "w", StartMillis: 1}, Service: "register", Address: "w", DataCentre: "giza", Rack: "r1-1",
-		Capacity: hostapi.Resources{MilliCPU: 64000, MemoryMiB: 1 << 20}, Draining: change.Draining,
+		Capacity: hostapi.Resources{MilliCPU: 64000, MemoryMiB: 1 << 20}, Draining: change.Draining, Remaining: change.Remaining,
 	}}})
 }
 
