--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -33,15 +33,18 @@
 	})
 }
 
-// extendLeases sends heartbeats whose leases end earlier by a duration. It returns those
-// whose workers have not refused them: such a worker has a new owner.
+// extendLeases sends heartbeats whose leases end earlier by a duration, except those of draining
+// workers, which are short. It returns those whose workers have not refused them: such a worker
+// has a new owner.
 func (o *ownership) extendLeases(ctx context.Context, heartbeats []dispatch.Heartbeat, earlier time.Duration) []dispatch.Heartbeat {
 	call, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	refused := make([]bool, len(heartbeats))
 	var wg sync.WaitGroup
 	for i, h := range heartbeats {
-		h.Deadline -= earlier
+		if !h.Draining {
+			h.Deadline -= earlier
+		}
 		wg.Go(func() {
 			_, answer := o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h)
 			refused[i] = answer == dispatch.Fenced || answer == dispatch.WrongWorker
--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -31,6 +31,8 @@
 	Cursor int64
 	// Deadline is the end of the lease on the worker's clock; 0 does not renew it.
 	Deadline time.Duration
+	// Draining: the worker drains, and Deadline is not to be granted in steps.
+	Draining bool
 	// Wait is the maximum time for which the worker may delay its answer until a
 	// run ends.
 	Wait time.Duration
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -78,7 +78,7 @@
 func (m *Machine) sendStart(r *run) {
 	w := r.worker
 	if r.leaseDeadline == 0 {
-		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease())
+		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease(w))
 	}
 	r.phase, r.commandInFlight = starting, true
 	m.starts.inFlight++
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -40,6 +40,12 @@
 	// replanInterval is the time after which a planning round runs without a
 	// triggering event, because pauses end and schedules come due.
 	replanInterval = 200 * time.Millisecond
+	// drainingLease is the duration of the leases of a draining worker. Its runs end with it,
+	// so their tasks can run again when the lease has expired, and nothing that is missing
+	// from a list says that it has left. The lease outlasts two unanswered heartbeats in a row.
+	drainingLease = 4 * time.Second
+	// drainingHeartbeatWait limits the time between the heartbeats of a draining worker.
+	drainingHeartbeatWait = time.Second
 	// maxPlacements limits the placements of one planning round, so that a round
 	// does not delay the events that are queued behind it.
 	maxPlacements = 200
@@ -90,10 +96,19 @@
 // longestLease returns the duration of the longest lease that an owner grants.
 func (c *Config) longestLease() time.Duration { return max(c.Lease, c.HandoverLease) }
 
-// grantableLease returns the duration of the lease that a heartbeat or a start grants now.
-func (c *Config) grantableLease() time.Duration {
+// grantableLease returns the duration of the lease that a heartbeat or a start grants a worker now.
+func (c *Config) grantableLease(w *worker) time.Duration {
+	lease := w.limitLease(c.Lease)
 	if c.LeaseLimit == nil {
-		return c.Lease
+		return lease
 	}
-	return min(c.Lease, c.LeaseLimit())
+	return min(lease, c.LeaseLimit())
+}
+
+// limitLease returns the part of a lease that the worker may be granted.
+func (w *worker) limitLease(lease time.Duration) time.Duration {
+	if w.Draining {
+		return min(lease, drainingLease)
+	}
+	return lease
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -29,7 +29,7 @@
 		// An unanswered heartbeat may have been carried out, so it must not renew the
 		// lease: the lease of a worker that has failed must expire.
 	default:
-		h.Deadline = w.extendLease(m.now, m.config.grantableLease())
+		h.Deadline = w.extendLease(m.now, m.config.grantableLease(w))
 		if w.lastEnd == w.cursor && !w.awaitsReport() {
 			h.Wait = m.heartbeatWait(w)
 		}
@@ -47,18 +47,22 @@
 // latency target: the deployment allows the target to be missed for about 4 s,
 // of which a stop takes up to 1 s.
 func (m *Machine) heartbeatWait(w *worker) time.Duration {
+	wait := m.config.HeartbeatWait
+	if w.Draining {
+		wait = min(wait, drainingHeartbeatWait)
+	}
 	if len(w.bestEffortRuns) == 0 {
-		return m.config.HeartbeatWait
+		return wait
 	}
 	for _, s := range w.latencyRuns {
 		if s.overTargetSince > 0 {
-			return min(m.config.HeartbeatWait, overTargetHeartbeatWait)
+			return min(wait, overTargetHeartbeatWait)
 		}
 	}
 	if len(w.latencyRuns) > 0 {
-		return min(m.config.HeartbeatWait, sharedHeartbeatWait)
+		return min(wait, sharedHeartbeatWait)
 	}
-	return m.config.HeartbeatWait
+	return wait
 }
 
 // heartbeatInterval returns the pause between a report and the next heartbeat. It
