--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -73,7 +73,7 @@
 // because its hold is paused, is recorded in failed: no larger request of its kind holds any
 // in this round, so that several steps don't take turns in holding the same workers.
 func (m *Machine) workersToHold(round *heldWorkers, ws *waitingStep, workers []*worker, failed unplaceable) []*worker {
-	missing := ws.state.Local() - m.occupied[ws.state]
+	missing := m.missing(ws)
 	if missing <= 0 || failed.covers(ws) {
 		return nil
 	}
@@ -84,6 +84,14 @@
 	return held
 }
 
+// missing returns the number of tasks of a step that wait for a place.
+func (m *Machine) missing(ws *waitingStep) int {
+	if ws.leaving != nil {
+		return len(ws.leaving)
+	}
+	return ws.state.Local() - m.occupied[ws.state]
+}
+
 // hold holds workers for a number of tasks of a step, as far as the bounds of holds allow.
 func (m *Machine) hold(round *heldWorkers, ws *waitingStep, workers []*worker, missing int) []*worker {
 	step, room := &ws.entry.Steps[ws.stepIndex], round.room(ws, &ws.entry.Steps[ws.stepIndex])
--- /dev/null
+++ b/dispatch/leaving.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// leaveMargin is how long before a worker leaves the end of a stop there should be listed at
+// the latest: the command and the report that lists the end may be slow.
+const leaveMargin = 500 * time.Millisecond
+
+// moves reports whether a run is to be moved when its worker drains: it does not end by itself.
+func (r *run) moves() bool {
+	return r.step.LongRunning && r.phase == running && !r.stopRequested
+}
+
+// updateLeavesAt updates the time before which a draining worker does not leave. Its new entry
+// was written after the previous read of the list was sent. If that is not known, the worker may
+// leave at any time.
+func (m *Machine) updateLeavesAt(w *worker, info *workload.Worker) {
+	switch {
+	case !info.Draining:
+		w.leavesAt = 0
+	case info.Remaining > 0 && m.views.known[WorkerList] && (!w.Draining || info.Remaining != w.Remaining):
+		w.leavesAt = max(w.leavesAt, m.views.readAt[WorkerList]+info.Remaining)
+	}
+}
+
+// stopLeaving stops the long-running runs that are left on a draining worker when a stop can
+// only just be carried out and listed before the worker leaves. It saves their progress, and
+// their tasks need not wait for the worker's lease.
+func (m *Machine) stopLeaving(w *worker) {
+	if w.silent || m.now < w.leavesAt-m.config.StopTime-leaveMargin {
+		return
+	}
+	for _, r := range w.runList {
+		if r.moves() {
+			m.stopRun(r, "worker is about to leave")
+		}
+	}
+}
+
+// leavingSteps returns the steps with runs that are to be moved from draining workers. A worker
+// that does not answer can't be told to stop them.
+func (m *Machine) leavingSteps() []waitingStep {
+	var out []waitingStep
+	index := make(map[*ledger.Step]int)
+	for _, w := range m.sorted {
+		if !w.Draining || w.silent {
+			continue
+		}
+		for _, r := range w.runList {
+			if !r.moves() {
+				continue
+			}
+			task := r.id.Task
+			state := &r.entry.Occurrence(task.Occurrence).Steps[task.Step]
+			if _, known := index[state]; !known {
+				index[state] = len(out)
+				due := r.entry.DueAt(task.Occurrence)
+				out = append(out, waitingStep{
+					entry: r.entry, occurrence: task.Occurrence, stepIndex: task.Step, state: state, image: r.image,
+					priority: r.entry.Policy.Priority, timeliness: timelinessOf(r.entry, task.Step, m.wall.Sub(due)),
+					due: due.UnixNano() + int64(r.entry.Objective()),
+				})
+			}
+			ws := &out[index[state]]
+			ws.leaving = append(ws.leaving, r)
+		}
+	}
+	return out
+}
+
+// withLeaving adds steps with runs to move to those that wait, in order.
+func withLeaving(waiting, leaving []waitingStep) []waitingStep {
+	if len(leaving) == 0 {
+		return waiting
+	}
+	out := slices.Concat(waiting, leaving)
+	slices.SortStableFunc(out, compareUrgency)
+	return out
+}
+
+// moveRuns stops those runs of a step on draining workers for which the candidates have room,
+// and reserves it for their tasks. A gang is moved as a whole or not at all. It returns the
+// number of runs that are stopped.
+func (m *Machine) moveRuns(c *candidates, ws *waitingStep) int {
+	if c.failed.covers(ws) || !m.listFresh() {
+		return 0
+	}
+	step := &ws.entry.Steps[ws.stepIndex]
+	ranking := m.rankWorkers(ws, step, c.workers)
+	moved := 0
+	for _, r := range ws.leaving {
+		w := ranking.take("")
+		if w == nil {
+			break
+		}
+		r.reservePlace(w)
+		m.reinsert(ranking, ws, step, w)
+		moved++
+	}
+	if moved < len(ws.leaving) {
+		c.failed.add(ws)
+		if step.Gang {
+			for _, r := range ws.leaving[:moved] {
+				r.releasePlace()
+			}
+			return 0
+		}
+	}
+	for _, r := range ws.leaving[:moved] {
+		m.stopRun(r, "worker is draining")
+	}
+	ws.leaving = slices.Clone(ws.leaving[moved:])
+	return moved
+}
+
+// listFresh reports whether the list of workers was read so recently that the store is probably
+// available: a stopped run can't be replaced without it.
+func (m *Machine) listFresh() bool {
+	limit := m.config.MaxViewAge[WorkerList]
+	return limit == 0 || m.views.known[WorkerList] && m.viewAge(WorkerList) <= limit/2
+}
+
+// reservePlace reserves capacity on a worker for the run that will replace this one, until this
+// one has been removed.
+func (r *run) reservePlace(w *worker) {
+	r.place = w
+	w.adjustPlace(r.step, r.stepKey(), 1)
+}
+
+func (r *run) releasePlace() {
+	if r.place != nil {
+		r.place.adjustPlace(r.step, r.stepKey(), -1)
+		r.place = nil
+	}
+}
+
+func (w *worker) adjustPlace(step *workload.Step, key stepKey, sign int64) {
+	w.reserved = addTimes(w.reserved, reservation(step), sign)
+	if step.MaxPerWorker > 0 {
+		w.countLimited(key, int(sign))
+	}
+}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -174,6 +174,7 @@
 
 // removeRun removes a run that can no longer exist; its task may be placed again.
 func (m *Machine) removeRun(r *run) {
+	r.releasePlace()
 	r.worker.removeRun(r, m.now)
 	if m.active[r.id.Task] != r {
 		return
@@ -335,7 +336,7 @@
 			continue
 		}
 		if w.Draining {
-			m.stopLongRunning(w)
+			m.stopLeaving(w)
 		}
 		m.retryCommands(w)
 		m.heartbeatIfDue(w)
@@ -357,14 +358,3 @@
 	}
 	m.recordModel()
 }
-
-// stopLongRunning stops the long-running tasks of a draining worker, so that they
-// restart elsewhere at once instead of after its lease has expired. Other tasks
-// usually end before the worker shuts down.
-func (m *Machine) stopLongRunning(w *worker) {
-	for _, r := range w.runList {
-		if r.step.LongRunning && r.phase == running && !r.stopRequested {
-			m.stopRun(r, "worker is draining")
-		}
-	}
-}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,9 +20,9 @@
 		m.planNeeded = true
 		return
 	}
-	waiting := m.waitingSteps()
-	m.forgetHolds(waiting)
-	if len(waiting) == 0 {
+	waiting, leaving := m.waitingSteps(), m.leavingSteps()
+	m.forgetHolds(slices.Concat(waiting, leaving))
+	if len(waiting)+len(leaving) == 0 {
 		return
 	}
 	workers := m.usableWorkers()
@@ -32,13 +32,14 @@
 	m.favourLargest(waiting)
 	round := newHeldWorkers(workers)
 	workers, placed := m.placeSuspects(round, waiting, workers)
+	waiting = withLeaving(waiting, leaving)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for i := range waiting {
 		ws := &waiting[i]
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
-			placed += m.placeOn(longRunning, ws, limit-placed)
+			placed += m.placeLongRunning(longRunning, ws, limit-placed)
 			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
 			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
 		case step.BestEffort:
@@ -57,6 +58,15 @@
 	}
 }
 
+// placeLongRunning places tasks of a long-running step, or moves its runs from draining workers.
+// It returns the number of both.
+func (m *Machine) placeLongRunning(c *candidates, ws *waitingStep, limit int) int {
+	if len(ws.leaving) > 0 {
+		return m.moveRuns(c, ws)
+	}
+	return m.placeOn(c, ws, limit)
+}
+
 // candidates are the workers that a planning round may use for steps of one kind, with
 // the requests that none of them could take.
 type candidates struct {
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -26,6 +26,9 @@
 	// favoured: the submission is one of the largest of its queue, and its turn has come
 	// (favourLargest).
 	favoured bool
+	// leaving are the runs to move from draining workers. If there are any, the step has no
+	// tasks to place.
+	leaving []*run
 	// suspect: the tasks to place are suspected of a crash.
 	suspect bool
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -35,6 +35,8 @@
 	// recordedLeft is the time until the worker's leases have expired in the newest
 	// record of its silence.
 	recordedLeft time.Duration
+	// leavesAt is the time before which the worker does not leave if it drains, or 0.
+	leavesAt time.Duration
 	// silentAt is when it became silent.
 	silentAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -26,6 +26,7 @@
 			m.workerRestarted(w, info.Incarnation)
 		}
 		if w.Incarnation == info.Incarnation {
+			m.updateLeavesAt(w, &info)
 			w.Worker = info
 			w.listed = true
 		}
@@ -77,7 +78,7 @@
 	w.unknownRuns = nil
 	w.lastEnd, w.cursor, w.ackedCursor, w.unrecordedEnds = 0, 0, 0, nil
 	w.clock, w.clockAt, w.leasesExpireAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0, 0
-	w.history = runHistory{}
+	w.history, w.leavesAt = runHistory{}, 0
 	w.nextHeartbeatAt = m.now
 }
 
