--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -331,7 +331,7 @@
 			m.abandonRuns(w, "lease has expired")
 		}
 		w.forgetExpiredUnknownRuns(m.now)
-		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat(m.now) {
+		if !w.listed && !w.heartbeatInFlight && (!w.needsHeartbeat(m.now) || w.hasLeft(m.now)) {
 			m.removeWorker(w)
 			continue
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -326,6 +326,14 @@
 	return len(w.runs) > 0 || len(w.unknownRuns) > 0 || w.ackedCursor < w.cursor
 }
 
+// hasLeft reports whether a worker that is not listed and does not answer has nothing that an
+// owner needs: no run, and no end whose record is not in the log. If it answers again, it is
+// listed, and its ends are taken as those of a worker that a previous owner knew.
+func (w *worker) hasLeft(now time.Duration) bool {
+	return w.silent && len(w.runs) == 0 && len(w.unknownRuns) == 0 && len(w.unrecordedEnds) == 0 &&
+		w.leasesExpired(now) && !w.mayReceiveLateStart(now)
+}
+
 // mayReceiveLateStart reports whether a start without an answer may still be carried out by
 // another incarnation than it was sent to. That one knows nothing of the run's stop.
 func (w *worker) mayReceiveLateStart(now time.Duration) bool {
