--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -12,11 +12,20 @@
 // the latest: the command and the report that lists the end may be slow.
 const leaveMargin = 500 * time.Millisecond
 
-// moves reports whether a run is to be moved when its worker drains: it does not end by itself.
-func (r *run) moves() bool {
+// mayMove reports whether a run is one to be moved when its worker drains: it does not end by itself.
+func (r *run) mayMove() bool {
 	return r.step.LongRunning && r.phase == running && !r.stopRequested
 }
 
+// needsPlace reports whether the task of a run on a draining worker needs a place: of one that
+// is to be moved, is being stopped, or was placed by a previous owner.
+func (r *run) needsPlace() bool {
+	if !r.step.LongRunning || r.place != nil || r.entry.State().Final() {
+		return false
+	}
+	return r.mayMove() || r.phase == stopping || r.phase == starting && r.inherited
+}
+
 // updateLeavesAt updates the time before which a draining worker does not leave. Its new entry
 // was written after the previous read of the list was sent. If that is not known, the worker may
 // leave at any time.
@@ -29,21 +38,26 @@
 	}
 }
 
-// stopLeaving stops the long-running runs that are left on a draining worker when a stop can
-// only just be carried out and listed before the worker leaves. It saves their progress, and
-// their tasks need not wait for the worker's lease.
+// stopLeaving stops the long-running runs on a draining worker whose tasks have a place, and all
+// when a stop can only just be carried out and listed before the worker leaves. It saves their
+// progress, and their tasks need not wait for the worker's lease.
 func (m *Machine) stopLeaving(w *worker) {
-	if w.silent || m.now < w.leavesAt-m.config.StopTime-leaveMargin {
+	if w.silent {
 		return
 	}
+	leavesSoon := m.now >= w.leavesAt-m.config.StopTime-leaveMargin
 	for _, r := range w.runList {
-		if r.moves() {
+		switch {
+		case !r.mayMove():
+		case r.place != nil:
+			m.stopRun(r, "worker is draining")
+		case leavesSoon:
 			m.stopRun(r, "worker is about to leave")
 		}
 	}
 }
 
-// leavingSteps returns the steps with runs that are to be moved from draining workers. A worker
+// leavingSteps returns the steps with runs on draining workers whose tasks need a place. A worker
 // that does not answer can't be told to stop them.
 func (m *Machine) leavingSteps() []waitingStep {
 	var out []waitingStep
@@ -53,7 +67,7 @@
 			continue
 		}
 		for _, r := range w.runList {
-			if !r.moves() {
+			if !r.needsPlace() {
 				continue
 			}
 			task := r.id.Task
@@ -84,9 +98,9 @@
 	return out
 }
 
-// moveRuns stops those runs of a step on draining workers for which the candidates have room,
-// and reserves it for their tasks. A gang is moved as a whole or not at all. It returns the
-// number of runs that are stopped.
+// moveRuns reserves room on the candidates for the tasks of a step that leave draining workers, as
+// far as there is any, and stops their runs. A gang is moved as a whole or not at all. It returns
+// the number of tasks for which there is room.
 func (m *Machine) moveRuns(c *candidates, ws *waitingStep) int {
 	if c.failed.covers(ws) || !m.listFresh() {
 		return 0
@@ -113,7 +127,9 @@
 		}
 	}
 	for _, r := range ws.leaving[:moved] {
-		m.stopRun(r, "worker is draining")
+		if r.mayMove() {
+			m.stopRun(r, "worker is draining")
+		}
 	}
 	ws.leaving = slices.Clone(ws.leaving[moved:])
 	return moved
--- a/dispatch/moveruns_test.go
+++ b/dispatch/moveruns_test.go
@@ -90,6 +90,17 @@
 		is.Equal(h.count(startOf("lasting")), 11)
 		is.Equal(h.count(startOf("later")), 0)
 	})
+	t.Run("room only during the stop", func(t *testing.T) {
+		is := is.New(t)
+		h := drainingHarness(t, lastingTasks(1))
+		h.pass(drainsFor)
+		is.Equal(h.count(stopOf("lasting")), 1)
+		h.listOther(1)
+		h.submit("later", lastingBatch)
+		h.endStopped("lasting")
+		is.Equal(h.count(startOf("lasting")), 2)
+		is.Equal(h.count(startOf("later")), 0)
+	})
 	t.Run("log unavailable", func(t *testing.T) {
 		is := is.New(t)
 		h := drainingHarness(t, lastingTasks(1))
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -26,8 +26,8 @@
 	// favoured: the submission is one of the largest of its queue, and its turn has come
 	// (favourLargest).
 	favoured bool
-	// leaving are the runs to move from draining workers. If there are any, the step has no
-	// tasks to place.
+	// leaving are the runs on draining workers whose tasks need a place. If it isn't nil, the
+	// tasks that wait for a placement are those of another waitingStep.
 	leaving []*run
 	// suspect: the tasks to place are suspected of a crash.
 	suspect bool
