--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -35,6 +35,8 @@
 	// recordedLeft is the time until the worker's leases have expired in the newest
 	// record of its silence.
 	recordedLeft time.Duration
+	// leavesAt is the time before which the worker does not leave if it drains, or 0.
+	leavesAt time.Duration
 	// silentAt is when it became silent.
 	silentAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
@@ -324,6 +326,14 @@
 	return len(w.runs) > 0 || len(w.unknownRuns) > 0 || w.ackedCursor < w.cursor
 }
 
+// hasLeft reports whether a worker that is not listed and does not answer has nothing that an
+// owner needs: no run, and no end whose record is not in the log. If it answers again, it is
+// listed, and its ends are taken as those of a worker that a previous owner knew.
+func (w *worker) hasLeft(now time.Duration) bool {
+	return w.silent && len(w.runs) == 0 && len(w.unknownRuns) == 0 && len(w.unrecordedEnds) == 0 &&
+		w.leasesExpired(now) && !w.mayReceiveLateStart(now)
+}
+
 // mayReceiveLateStart reports whether a start without an answer may still be carried out by
 // another incarnation than it was sent to. That one knows nothing of the run's stop.
 func (w *worker) mayReceiveLateStart(now time.Duration) bool {
