--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -40,18 +40,16 @@
 	})
 }
 
-// extendLeases sends heartbeats whose leases end earlier by a duration, except those of draining
-// workers, which are short. It returns those whose workers have not refused them: such a worker
-// has a new owner.
+// extendLeases sends heartbeats whose leases end earlier by a duration, as far as they are not
+// shorter anyway. It returns those whose workers have not refused them: such a worker has a new
+// owner.
 func (o *ownership) extendLeases(ctx context.Context, heartbeats []dispatch.Heartbeat, earlier time.Duration) []dispatch.Heartbeat {
 	call, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	refused := make([]bool, len(heartbeats))
 	var wg sync.WaitGroup
 	for i, h := range heartbeats {
-		if !h.Draining {
-			h.Deadline -= earlier
-		}
+		h.Deadline -= max(0, earlier-h.Shorter)
 		wg.Go(func() {
 			_, answer := o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h)
 			refused[i] = answer == dispatch.Fenced || answer == dispatch.WrongWorker
--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -31,8 +31,9 @@
 	Cursor int64
 	// Deadline is the end of the lease on the worker's clock; 0 does not renew it.
 	Deadline time.Duration
-	// Draining: the worker drains, and Deadline is not to be granted in steps.
-	Draining bool
+	// Shorter is by how much the lease is shorter than the one that others are granted at the
+	// same time, because the worker drains.
+	Shorter time.Duration
 	// Wait is the maximum time for which the worker may delay its answer until a
 	// run ends.
 	Wait time.Duration
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -15,8 +15,8 @@
 		if !w.hasLiveRuns() || !w.reported || w.silent || w.bar != leasesAllowed || w.Address == "" || w.clock == 0 {
 			continue
 		}
-		deadline := w.extendLease(m.now, w.limitLease(lease))
-		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: deadline, Draining: w.Draining})
+		granted := w.limitLease(lease)
+		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: w.extendLease(m.now, granted), Shorter: lease - granted})
 	}
 	return out
 }
