--- a/coordinator/confirmations.go
+++ b/coordinator/confirmations.go
@@ -65,9 +65,9 @@
 func (n *Node) ConfirmOwner(_ context.Context, q *coordpb.ConfirmOwnerRequest) (*coordpb.ConfirmOwnerAnswer, error) {
 	c := n.cell(q.Cell)
 	if c == nil || q.Process != n.process {
-		return &coordpb.ConfirmOwnerAnswer{}, nil
+		return &coordpb.ConfirmOwnerAnswer{Leaving: true}, nil
 	}
-	return &coordpb.ConfirmOwnerAnswer{Confirmed: c.confirmations.confirm(q.Epoch, n.monotonicNow())}, nil
+	return &coordpb.ConfirmOwnerAnswer{Confirmed: c.confirmations.confirm(q.Epoch, n.monotonicNow()), Leaving: n.stopping.Load()}, nil
 }
 
 // LastConfirmed handles the call of an owner whose predecessor's witness this process, or an
--- a/coordinator/lostowner_test.go
+++ b/coordinator/lostowner_test.go
@@ -124,3 +124,27 @@
 	is.NoErr(err)
 	is.True(!answer.Confirmed)
 }
+
+// Guards against runs that lapse because the witnesses of their owner were stopped in turn
+// shortly before an outage of the store, in which no others can be recorded.
+func TestWitnessesThatAreStoppedAreReplacedBeforeTheyEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 9)
+		defer s.close()
+		time.Sleep(ownerAuthority)
+		for i := 1; i <= 5; i++ {
+			s.nodes[fmt.Sprintf("vm-%d", i)].Stop(t.Context())
+		}
+		time.Sleep(time.Second)
+		for i := 1; i <= 5; i++ {
+			s.kill(fmt.Sprintf("vm-%d", i), s.stops[i])
+		}
+		for vm := range s.nodes {
+			s.cutStore(vm, true)
+		}
+		time.Sleep(fullLeases - time.Second)
+		if left := s.leaseEnd(); left < clusterLease/2 {
+			t.Fatalf("the lease ends in %v", left)
+		}
+	})
+}
--- a/coordinator/witnesses.go
+++ b/coordinator/witnesses.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
@@ -28,8 +30,9 @@
 	// witnesses has confirmed it. Later ones end when the last full one does.
 	confirmedDuration = 700 * time.Millisecond
 	// witnessFailureTime is how long a witness may confirm nothing until another one
-	// replaces it.
-	witnessFailureTime = 2 * time.Second
+	// replaces it. One that is known to end is replaced at once: the store may be away
+	// when it has ended.
+	witnessFailureTime = time.Second
 	// witnessMemory is how long after its last call a node can be chosen as a witness.
 	witnessMemory = endWait + time.Second
 )
@@ -83,10 +86,12 @@
 	// confirmedAt is when the newest call that a process confirmed was sent, askedAt when
 	// it was first called, both on the authority clock.
 	confirmedAt, askedAt map[int64]time.Duration
+	// leaving are the processes that have ended or are being stopped.
+	leaving map[int64]bool
 }
 
 func newWitnesses() *witnesses {
-	return &witnesses{confirmedAt: make(map[int64]time.Duration), askedAt: make(map[int64]time.Duration)}
+	return &witnesses{confirmedAt: make(map[int64]time.Duration), askedAt: make(map[int64]time.Duration), leaving: make(map[int64]bool)}
 }
 
 // leaseLimit returns the duration of the longest lease that the owner may grant at a time.
@@ -166,8 +171,18 @@
 	w.confirmedAt[process] = max(w.confirmedAt[process], sent)
 }
 
-// failing reports whether a process that is called has confirmed nothing for a while.
+func (w *witnesses) noteLeaving(process int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving[process] = true
+}
+
+// failing reports whether a process is known to end, or was called and has confirmed nothing
+// for a while.
 func (w *witnesses) failing(process int64, now time.Duration) bool {
+	if w.leaving[process] {
+		return true
+	}
 	asked, ok := w.askedAt[process]
 	return ok && now-max(asked, w.confirmedAt[process]) > witnessFailureTime
 }
@@ -177,6 +192,10 @@
 func (w *witnesses) choose(all []candidate, now time.Duration) *ledger.Witnesses {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	maps.DeleteFunc(w.leaving, func(process int64, _ bool) bool {
+		_, asked := w.askedAt[process]
+		return !asked && !slices.ContainsFunc(all, func(one candidate) bool { return one.Process == process })
+	})
 	if len(w.sets) > 1 {
 		return nil
 	}
@@ -262,6 +281,9 @@
 	if err == nil && answer.Confirmed {
 		o.witnesses.confirmed(one.Process, sent)
 	}
+	if err == nil && answer.Leaving || errors.Is(err, syscall.ECONNREFUSED) {
+		o.witnesses.noteLeaving(one.Process)
+	}
 }
 
 // candidateList returns the processes that have called lately.
