--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -129,6 +129,7 @@
 		}
 	}
 	s.step(o, dispatch.WorkersListed{Workers: list})
+	s.step(o, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: s.now})
 	if !o.retired {
 		s.after(400*time.Millisecond, func() { s.list(o) })
 	}
@@ -328,6 +329,8 @@
 	switch {
 	case s.cells.isLongRunning(id.Task.Submission):
 		r.outcome, r.endsAt = workload.Errored, s.now+s.cells.timeToFailure()
+	case s.lasting[id.Task.Submission]:
+		r.endsAt = s.now + time.Hour
 	case s.random.IntN(20) == 0:
 		r.outcome = workload.Errored
 	}
--- a/dispatch/simworld_test.go
+++ b/dispatch/simworld_test.go
@@ -29,13 +29,15 @@
 	// cancelledAt is when the cancellation of a submission was in the log.
 	cancelledAt map[string]time.Duration
 	crashes     simCrashes
+	// lasting are the submissions whose tasks run until they are stopped.
+	lasting map[string]bool
 }
 
 func newSimWorld(t *testing.T, seed uint64) *simWorld {
 	return &simWorld{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Minute,
 		succeeded: make(map[workload.TaskID]bool), started: make(map[workload.TaskID]int64),
-		cancelledAt: make(map[string]time.Duration), crashes: newSimCrashes(),
+		cancelledAt: make(map[string]time.Duration), crashes: newSimCrashes(), lasting: make(map[string]bool),
 	}
 }
 
