--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -12,6 +12,11 @@
 // the latest: the command and the report that lists the end may be slow.
 const leaveMargin = 500 * time.Millisecond
 
+// moveAppendTimeout is the age of an unanswered append from which no run is moved. An append
+// usually takes some tens of milliseconds, and a run that is stopped when the store goes away can't
+// be replaced.
+const moveAppendTimeout = 250 * time.Millisecond
+
 // mayMove reports whether a run is one to be moved when its worker drains: it does not end by itself.
 func (r *run) mayMove() bool {
 	return r.step.LongRunning && r.phase == running && !r.stopRequested
@@ -102,7 +107,7 @@
 // far as there is any, and stops their runs. A gang is moved as a whole or not at all. It returns
 // the number of tasks for which there is room.
 func (m *Machine) moveRuns(c *candidates, ws *waitingStep) int {
-	if c.failed.covers(ws) || !m.listFresh() {
+	if c.failed.covers(ws) || !m.listFresh() || m.appendUnanswered(moveAppendTimeout) {
 		return 0
 	}
 	step := &ws.entry.Steps[ws.stepIndex]
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -290,9 +290,12 @@
 
 // logStalled reports whether an append has been unanswered for longer than
 // appendStallTimeout.
-func (m *Machine) logStalled() bool {
+func (m *Machine) logStalled() bool { return m.appendUnanswered(appendStallTimeout) }
+
+// appendUnanswered reports whether an append has been unanswered for longer than a time.
+func (m *Machine) appendUnanswered(limit time.Duration) bool {
 	for _, p := range m.pending {
-		if m.now-p.at > appendStallTimeout {
+		if m.now-p.at > limit {
 			return true
 		}
 	}
--- a/dispatch/moveruns_test.go
+++ b/dispatch/moveruns_test.go
@@ -109,9 +109,9 @@
 		ended := workload.RunID{Task: workload.TaskID{Submission: "batch"}, Run: 1}
 		delete(h.active, ended)
 		h.report(workload.EndedRun{RunID: ended, Sequence: 1, Outcome: workload.Succeeded})
-		h.pass(time.Second)
+		h.pass(300 * time.Millisecond)
 		h.listOther(1)
-		h.pass(500 * time.Millisecond)
+		h.pass(time.Second)
 		is.Equal(h.count(stopOf("lasting")), 0)
 	})
 	t.Run("gang", func(t *testing.T) {
