--- a/coordinator/knownends.go
+++ b/coordinator/knownends.go
@@ -39,20 +39,29 @@
 		k.since[end] = since
 		k.version++
 	}
-	k.forgetOldest(len(k.since) - dispatch.MaxKnownEnds)
+	k.forgetExcess(len(k.since) - dispatch.MaxKnownEnds)
 }
 
-// forgetOldest removes the ends that have been known for the longest time.
-func (k *knownEnds) forgetOldest(excess int) {
+// forgetExcess removes ends, those that have been known for the longest time first, those of
+// long-running tasks last.
+func (k *knownEnds) forgetExcess(excess int) {
 	if excess <= 0 {
 		return
 	}
-	oldest := make([]dispatch.KnownEnd, 0, len(k.since))
+	all := make([]dispatch.KnownEnd, 0, len(k.since))
 	for end := range k.since {
-		oldest = append(oldest, end)
+		all = append(all, end)
 	}
-	slices.SortFunc(oldest, func(a, b dispatch.KnownEnd) int { return cmp.Compare(k.since[a], k.since[b]) })
-	for _, end := range oldest[:excess] {
+	slices.SortFunc(all, func(a, b dispatch.KnownEnd) int {
+		switch {
+		case a.LongRunning == b.LongRunning:
+			return cmp.Compare(k.since[a], k.since[b])
+		case a.LongRunning:
+			return 1
+		}
+		return -1
+	})
+	for _, end := range all[:excess] {
 		delete(k.since, end)
 	}
 }
@@ -92,6 +101,7 @@
 			Worker: end.Worker.Worker, Born: end.Worker.StartMillis,
 			Submission: task.Submission, Occurrence: int32(task.Occurrence), Step: int32(task.Step), Index: int32(task.Index),
 			Run: end.Run.Run, Outcome: int32(end.Outcome), Checkpoint: end.Checkpoint, AgeMs: (now - since).Milliseconds(),
+			LongRunning: end.LongRunning,
 		})
 	}
 	return out
@@ -123,7 +133,7 @@
 		task := workload.TaskID{Submission: e.Submission, Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)}
 		c.knownEnds.add(now-time.Duration(e.AgeMs)*time.Millisecond, dispatch.KnownEnd{
 			Worker: workload.Incarnation{Worker: e.Worker, StartMillis: e.Born}, Run: workload.RunID{Task: task, Run: e.Run},
-			Outcome: workload.Outcome(e.Outcome), Checkpoint: e.Checkpoint,
+			Outcome: workload.Outcome(e.Outcome), Checkpoint: e.Checkpoint, LongRunning: e.LongRunning,
 		})
 	}
 }
--- a/dispatch/knownends.go
+++ b/dispatch/knownends.go
@@ -8,8 +8,9 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// MaxKnownEnds limits the ends that an owner passes on.
-const MaxKnownEnds = 512
+// MaxKnownEnds limits the ends that an owner passes on, in about 9 kB. An owner tells them to
+// every other node at the same time, and its successor waits for one of these answers.
+const MaxKnownEnds = 128
 
 // KnownEnd is the end of a run that its worker has listed to an owner. It holds for good,
 // whatever the worker answers later.
@@ -18,6 +19,8 @@
 	Run        workload.RunID
 	Outcome    workload.Outcome
 	Checkpoint string
+	// LongRunning: the run's task is long-running. Its end is the last to be left out.
+	LongRunning bool
 }
 
 // EndsLearned reports ends that previous owners knew and may not have recorded.
@@ -28,7 +31,6 @@
 // unrecordedEnd is a known end whose record is being appended to the log.
 type unrecordedEnd struct {
 	KnownEnd
-	longRunning bool
 	// callbacks run when the record is in the log.
 	callbacks []func()
 }
@@ -38,7 +40,7 @@
 func (m *Machine) UnrecordedEnds() []KnownEnd {
 	rank := func(u *unrecordedEnd) int {
 		switch {
-		case u.longRunning:
+		case u.LongRunning:
 			return 0
 		case u.Outcome == workload.Succeeded:
 			return 1
@@ -93,8 +95,11 @@
 // recordEnd appends the record of an end. callback runs when the record is in the log.
 func (m *Machine) recordEnd(e *ledger.Entry, worker workload.Incarnation, end *workload.EndedRun, callback func()) {
 	u := &unrecordedEnd{
-		KnownEnd:    KnownEnd{Worker: worker, Run: end.RunID, Outcome: end.Outcome, Checkpoint: end.Checkpoint},
-		longRunning: e.Steps[end.Task.Step].LongRunning, callbacks: []func(){callback},
+		KnownEnd: KnownEnd{
+			Worker: worker, Run: end.RunID, Outcome: end.Outcome, Checkpoint: end.Checkpoint,
+			LongRunning: e.Steps[end.Task.Step].LongRunning,
+		},
+		callbacks: []func(){callback},
 	}
 	m.unrecorded[end.RunID] = u
 	record := ledger.EndedRecord(end.RunID, end.Outcome, end.Checkpoint)
