--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -12,7 +12,7 @@
 	m.now = max(m.now, now)
 	var out []Heartbeat
 	for _, w := range m.sorted {
-		if !w.hasLiveRuns() || !w.reported || w.silent || w.bar != leasesAllowed || w.Address == "" || w.clock == 0 {
+		if !w.hasLiveRuns() || !w.reported || w.silent || w.gone || w.bar != leasesAllowed || w.Address == "" || w.clock == 0 {
 			continue
 		}
 		granted := w.limitLease(lease)
--- a/dispatch/knownends_test.go
+++ b/dispatch/knownends_test.go
@@ -169,5 +169,6 @@
 	h.submit("waiting", plainStep)
 	h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.WrongWorker})
 	h.advance(time.Second)
+	is.Equal(len(h.machine.HandOver(h.now, simLease)), 0)
 	is.Equal(len(h.machine.Leases(h.now)), 0)
 }
