--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -78,7 +78,7 @@
 func (m *Machine) sendStart(r *run) {
 	w := r.worker
 	if r.leaseDeadline == 0 {
-		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease())
+		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease(w))
 	}
 	r.phase, r.commandInFlight = starting, true
 	m.starts.inFlight++
@@ -93,6 +93,7 @@
 		r.startedAt, r.progressAt = m.now, m.now
 		r.worker.beginInterval(r, m.now)
 		m.emitDecision(RunStarted, r.id, r.worker.ID(), "", 0)
+		m.endInterruption(r)
 	}
 	if r.stopRequested {
 		m.sendStop(r)
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -47,6 +47,8 @@
 	// recordingEnds are the tasks without an active run whose end was listed by a
 	// worker and is not in the log yet.
 	recordingEnds map[workload.TaskID]bool
+	// unrecorded are the ends whose records are not known to be in the log.
+	unrecorded map[workload.RunID]*unrecordedEnd
 	// releasing are the tasks without an active run whose release to another cell is
 	// not in the log yet.
 	releasing map[workload.TaskID]bool
@@ -89,6 +91,9 @@
 	modelRecordedAt      time.Duration
 	recordedObservations int
 	sizes                sizeSamples
+	// interruptions are the long-running tasks whose last run has ended and that have no confirmed
+	// one.
+	interruptions map[workload.TaskID]*interruption
 	// overdueAt is the wall-clock time of the last search for submissions that are not served.
 	overdueAt time.Time
 }
@@ -111,6 +116,7 @@
 		stalls:        make(map[workload.TaskID]stalls),
 		evacuated:     make(map[string]bool),
 		recordingEnds: make(map[workload.TaskID]bool),
+		unrecorded:    make(map[workload.RunID]*unrecordedEnd),
 		releasing:     make(map[workload.TaskID]bool),
 		occupied:      make(map[*ledger.Step]int),
 		pending:       make(map[int64]appendInFlight),
@@ -122,12 +128,14 @@
 		starts:        newStartLimit(),
 		sizes:         make(sizeSamples),
 		overdueAt:     wall,
+		interruptions: make(map[workload.TaskID]*interruption),
 	}
 	for _, e := range cellLedger.Live() {
 		m.recordSize(e)
 	}
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
+	m.inheritInterruptions()
 	return m
 }
 
@@ -169,6 +177,7 @@
 
 // removeRun removes a run that can no longer exist; its task may be placed again.
 func (m *Machine) removeRun(r *run) {
+	r.releasePlace()
 	r.worker.removeRun(r, m.now)
 	if m.active[r.id.Task] != r {
 		return
@@ -235,6 +244,10 @@
 		m.stopAnswered(ev)
 	case PredecessorResigned:
 		m.predecessorResigned(ev)
+	case WitnessesChosen:
+		m.recordWitnesses(ev.Witnesses)
+	case EndsLearned:
+		m.endsLearned(ev.Ends)
 	case CapacityFound:
 		m.capacityFound(ev)
 	case SearchEnded:
@@ -284,9 +297,12 @@
 
 // logStalled reports whether an append has been unanswered for longer than
 // appendStallTimeout.
-func (m *Machine) logStalled() bool {
+func (m *Machine) logStalled() bool { return m.appendUnanswered(appendStallTimeout) }
+
+// appendUnanswered reports whether an append has been unanswered for longer than a time.
+func (m *Machine) appendUnanswered(limit time.Duration) bool {
 	for _, p := range m.pending {
-		if m.now-p.at > appendStallTimeout {
+		if m.now-p.at > limit {
 			return true
 		}
 	}
@@ -325,12 +341,12 @@
 			m.abandonRuns(w, "lease has expired")
 		}
 		w.forgetExpiredUnknownRuns(m.now)
-		if !w.listed && !w.heartbeatInFlight && !w.needsHeartbeat(m.now) {
+		if !w.listed && !w.heartbeatInFlight && (!w.needsHeartbeat(m.now) || w.hasLeft(m.now)) {
 			m.removeWorker(w)
 			continue
 		}
 		if w.Draining {
-			m.stopLongRunning(w)
+			m.stopLeaving(w)
 		}
 		m.retryCommands(w)
 		m.heartbeatIfDue(w)
@@ -352,14 +368,3 @@
 	}
 	m.recordModel()
 }
-
-// stopLongRunning stops the long-running tasks of a draining worker, so that they
-// restart elsewhere at once instead of after its lease has expired. Other tasks
-// usually end before the worker shuts down.
-func (m *Machine) stopLongRunning(w *worker) {
-	for _, r := range w.runList {
-		if r.step.LongRunning && r.phase == running && !r.stopRequested {
-			m.stopRun(r, "worker is draining")
-		}
-	}
-}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -102,11 +102,24 @@
 		previous.retired = true
 	}
 	s.owners = append(s.owners, o)
+	s.passOnEnds(o)
 	s.list(o)
 	s.tick(o)
 	return o
 }
 
+// passOnEnds tells a new owner the ends that the previous ones could not record: at once,
+// late, or not at all.
+func (s *sim) passOnEnds(o *simOwner) {
+	var ends []dispatch.KnownEnd
+	for _, previous := range s.owners[:len(s.owners)-1] {
+		ends = append(ends, previous.machine.UnrecordedEnds()...)
+	}
+	if len(ends) > 0 && s.epoch%3 > 0 {
+		s.after(time.Duration(s.epoch%3-1)*2*time.Second, func() { s.step(o, dispatch.EndsLearned{Ends: ends}) })
+	}
+}
+
 // apply applies a record of either stream.
 func (o *simOwner) apply(r *ledgerpb.Record) *ledger.Entry {
 	return o.ledger.Apply(proto.Clone(r).(*ledgerpb.Record))
@@ -129,6 +142,7 @@
 		}
 	}
 	s.step(o, dispatch.WorkersListed{Workers: list})
+	s.step(o, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: s.now})
 	if !o.retired {
 		s.after(400*time.Millisecond, func() { s.list(o) })
 	}
@@ -328,6 +342,8 @@
 	switch {
 	case s.cells.isLongRunning(id.Task.Submission):
 		r.outcome, r.endsAt = workload.Errored, s.now+s.cells.timeToFailure()
+	case s.lasting[id.Task.Submission]:
+		r.endsAt = s.now + time.Hour
 	case s.random.IntN(20) == 0:
 		r.outcome = workload.Errored
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -28,6 +28,9 @@
 	// predecessorsExpireAt is the equivalent of leasesExpireAt for the leases that
 	// previous owners granted.
 	predecessorsExpireAt time.Duration
+	// gone: another worker answers at the address. This one has not been heard since, nor
+	// been granted a lease.
+	gone bool
 	// silent: the last heartbeat failed.
 	silent bool
 	// bar says whether the worker may be granted leases.
@@ -35,6 +38,8 @@
 	// recordedLeft is the time until the worker's leases have expired in the newest
 	// record of its silence.
 	recordedLeft time.Duration
+	// leavesAt is the time before which the worker does not leave if it drains, or 0.
+	leavesAt time.Duration
 	// silentAt is when it became silent.
 	silentAt time.Duration
 	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
@@ -255,6 +260,7 @@
 // trackLease updates leaseDeadline and leasesExpireAt for a lease that ends at end on
 // the worker's clock. At leasesExpireAt the clock has certainly passed end.
 func (w *worker) trackLease(end time.Duration) {
+	w.gone = false
 	w.leaseDeadline = max(w.leaseDeadline, end)
 	w.leasesExpireAt = max(w.leasesExpireAt, w.clockAt+LeaseExpiryBound(end-w.clock))
 }
@@ -324,6 +330,14 @@
 	return len(w.runs) > 0 || len(w.unknownRuns) > 0 || w.ackedCursor < w.cursor
 }
 
+// hasLeft reports whether a worker that is not listed and does not answer has nothing that an
+// owner needs: no run, and no end whose record is not in the log. If it answers again, it is
+// listed, and its ends are taken as those of a worker that a previous owner knew.
+func (w *worker) hasLeft(now time.Duration) bool {
+	return w.silent && len(w.runs) == 0 && len(w.unknownRuns) == 0 && len(w.unrecordedEnds) == 0 &&
+		w.leasesExpired(now) && !w.mayReceiveLateStart(now)
+}
+
 // mayReceiveLateStart reports whether a start without an answer may still be carried out by
 // another incarnation than it was sent to. That one knows nothing of the run's stop.
 func (w *worker) mayReceiveLateStart(now time.Duration) bool {
