--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -116,6 +116,7 @@
 		m.emitDecision(WorkerSuspected, workload.RunID{}, w.ID(), ev.Answer.String(), m.now-w.clockAt)
 	}
 	w.silent = true
+	w.releasePlaces()
 }
 
 func (m *Machine) heartbeatAnswered(ev HeartbeatAnswered) {
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -161,6 +161,14 @@
 	}
 }
 
+// releasePlaces ends the reservations for the runs of a worker that does not answer: they may have
+// to be waited for until its lease expires.
+func (w *worker) releasePlaces() {
+	for _, r := range w.runList {
+		r.releasePlace()
+	}
+}
+
 func (w *worker) adjustPlace(step *workload.Step, key stepKey, sign int64) {
 	w.reserved = addTimes(w.reserved, reservation(step), sign)
 	if step.MaxPerWorker > 0 {
--- a/dispatch/moveruns_test.go
+++ b/dispatch/moveruns_test.go
@@ -101,6 +101,19 @@
 		is.Equal(h.count(startOf("lasting")), 2)
 		is.Equal(h.count(startOf("later")), 0)
 	})
+	t.Run("worker gone during the stop", func(t *testing.T) {
+		is := is.New(t)
+		h := drainingHarness(t, lastingTasks(1))
+		h.listOther(1)
+		h.pass(500 * time.Millisecond)
+		is.Equal(h.count(stopOf("lasting")), 1)
+		h.submit("later", lastingBatch)
+		is.Equal(h.count(startOf("later")), 0)
+		// The room is not kept while the lease of the worker is waited for.
+		h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.NoAnswer})
+		h.advance(500 * time.Millisecond)
+		is.Equal(h.count(startOf("later")), 1)
+	})
 	t.Run("log unavailable", func(t *testing.T) {
 		is := is.New(t)
 		h := drainingHarness(t, lastingTasks(1))
