--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -51,6 +51,8 @@
 
 type loadWorker struct {
 	info workload.Worker
+	// gone: the worker has failed without a word, and answers nothing.
+	gone bool
 	runs map[workload.RunID]*loadRun
 	ends []workload.EndedRun
 	seq  int64
@@ -210,6 +212,10 @@
 
 func (l *loadSim) heartbeat(h dispatch.Heartbeat) {
 	w := l.workers[h.Worker]
+	if w.gone {
+		l.after(loadNetworkDelay, func() { l.step(dispatch.HeartbeatFailed{Worker: h.Worker, Answer: dispatch.NoAnswer}) })
+		return
+	}
 	w.waiting, w.sentAt = &h, l.now-loadNetworkDelay
 	w.serial++
 	serial := w.serial
--- a/dispatch/longrunning_test.go
+++ b/dispatch/longrunning_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -101,13 +102,14 @@
 	})
 }
 
+// sortedWorkers returns the workers in ascending order of id.
+func (l *loadSim) sortedWorkers() []*loadWorker {
+	return slices.SortedFunc(maps.Values(l.workers), func(a, b *loadWorker) int { return cmpString(a.info.ID(), b.info.ID()) })
+}
+
 func (l *loadSim) failLongRunning() {
-	ids := make([]string, 0, len(l.workers))
-	for id := range l.workers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	w := l.workers[ids[l.random.IntN(len(ids))]]
+	workers := l.sortedWorkers()
+	w := workers[l.random.IntN(len(workers))]
 	for _, run := range sortedRuns(w.runs) {
 		if w.runs[run].step.LongRunning {
 			l.end(w, run, workload.Errored)
