--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/preemption"
 )
 
 const (
@@ -117,8 +118,7 @@
 }
 
 // selectVictims returns a cheap set of attempts on a worker whose preemption makes
-// need fit. It selects greedily by the least cost of stopping, and then drops the
-// attempts that turn out not to be needed.
+// need fit.
 func (r *Round) selectVictims(c Candidate, need hostapi.Resources, preemptible func(*Attempt) bool) (victimSet, bool) {
 	var eligible []*Attempt
 	for i := range c.Worker.Attempts {
@@ -132,22 +132,14 @@
 		costs[a] = r.policy.stopCost(r.Now, a)
 	}
 	slices.SortFunc(eligible, func(a, b *Attempt) int { return cmp.Compare(costs[a], costs[b]) })
-	free, taken := c.Free, 0
-	for taken < len(eligible) && !need.Fits(free) {
-		free = free.Add(eligible[taken].Reserved())
-		taken++
+	candidates := make([]preemption.Candidate, len(eligible))
+	for i, a := range eligible {
+		candidates[i] = preemption.Candidate{Frees: a.Reserved(), Cost: costs[a]}
 	}
-	if !need.Fits(free) {
-		return victimSet{}, false
+	selected, cost, ok := preemption.Select(c.Free, need, candidates)
+	set := victimSet{candidate: c, cost: cost}
+	for _, i := range selected {
+		set.victims = append(set.victims, eligible[i])
 	}
-	set := victimSet{candidate: c}
-	for _, a := range slices.Backward(eligible[:taken]) {
-		if without := free.Sub(a.Reserved()); need.Fits(without) {
-			free = without
-			continue
-		}
-		set.victims = append(set.victims, a)
-		set.cost += costs[a]
-	}
-	return set, len(set.victims) > 0
+	return set, ok && len(selected) > 0
 }
