--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -72,6 +72,9 @@
 			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.String("served", d.Served.String()))
 		return
 	}
+	if d.Kind == dispatch.RunDisplaced {
+		n.metrics.countDiscarded(d.Work)
+	}
 	fields := []zap.Field{zap.String("decision", d.Kind.String()), zap.String("worker", d.Worker), zap.Int64("epoch", epoch)}
 	if d.Run.Run > 0 {
 		fields = append(fields, zap.String("id", d.Run.Task.Submission), zap.String("task", TaskName(d.Run.Task)), zap.Int64("run", d.Run.Run))
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -74,6 +74,11 @@
 	m.observeDuration("submission_durable_microseconds", d)
 }
 
+// countDiscarded counts the work that a displaced run lost, in seconds of a core.
+func (m *Metrics) countDiscarded(work float64) {
+	gometrics.GetOrRegisterCounter("displaced_work_core_milliseconds", m.Registry).Inc(int64(1000 * work))
+}
+
 func (m *Metrics) observeStart(a dispatch.Answer, d time.Duration) {
 	m.count("starts", "answer", a.String())
 	m.observeDuration("start_microseconds", d)
--- /dev/null
+++ b/dispatch/claims.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// claimMargin is how much longer than a stop a claim lasts: the report of the stop arrives, and
+// is handled, within it.
+const claimMargin = time.Second
+
+// claim is the room on a worker that is kept for a task while runs there are being stopped.
+// Smaller requests would take it otherwise.
+type claim struct {
+	entry  *ledger.Entry
+	state  *ledger.Step
+	task   *ledger.Task
+	worker *worker
+	room   hostapi.Resources
+	// until is when the claim ends if the room hasn't become free.
+	until time.Duration
+}
+
+func (m *Machine) claim(ws *waitingStep, t *ledger.Task, w *worker, room hostapi.Resources) {
+	m.claims[t.ID] = &claim{entry: ws.entry, state: ws.state, task: t, worker: w, room: room, until: m.now + m.config.StopTime + claimMargin}
+	m.countDisplacement(ws.entry, t.ID)
+	w.claimed = w.claimed.Add(room)
+}
+
+func (m *Machine) endClaim(id workload.TaskID) {
+	c := m.claims[id]
+	c.worker.claimed = c.worker.claimed.Sub(c.room)
+	delete(m.claims, id)
+}
+
+// endClaims ends the claims that have lasted too long, whose task no longer waits or whose worker
+// can't be used any more.
+func (m *Machine) endClaims() {
+	for id, c := range maps.Clone(m.claims) {
+		waits := m.active[id] == nil && !c.task.Done && !c.task.Away && !c.entry.State().Final()
+		if !waits || m.now >= c.until || m.workers[c.worker.ID()] != c.worker || !m.usable(c.worker) {
+			m.endClaim(id)
+		}
+	}
+}
+
+// placeClaimed places the tasks of a step for which room has become free on the workers that
+// they claim, and returns how many.
+func (m *Machine) placeClaimed(ws *waitingStep) int {
+	if m.claimsOf(ws.state) == 0 {
+		return 0
+	}
+	placed := 0
+	for _, t := range m.unsuspectedTasks(ws) {
+		c := m.claims[t.ID]
+		if c == nil {
+			continue
+		}
+		w := c.worker
+		others := w.claimed.Sub(c.room)
+		if !c.room.Fits(w.Capacity.Sub(w.reserved).Sub(others)) || !suits(ws, &ws.entry.Steps[ws.stepIndex], w) {
+			continue
+		}
+		m.endClaim(t.ID)
+		m.recordRun(m.newRun(ws.entry, t, t.Run+1, w))
+		placed++
+	}
+	return placed
+}
+
+// unclaimedTasks returns the tasks of a step that wait, aren't suspected of a crash and claim no
+// worker.
+func (m *Machine) unclaimedTasks(ws *waitingStep) []*ledger.Task {
+	return slices.DeleteFunc(m.unsuspectedTasks(ws), func(t *ledger.Task) bool { return m.claims[t.ID] != nil })
+}
+
+// claimsOf returns how many tasks of a step claim a worker.
+func (m *Machine) claimsOf(state *ledger.Step) int {
+	n := 0
+	for _, c := range m.claims {
+		if c.state == state {
+			n++
+		}
+	}
+	return n
+}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -187,7 +187,11 @@
 	case recording, ending, stopping:
 		return
 	}
-	m.emitDecision(RunStopped, r.id, r.worker.ID(), reason, m.now-r.startedAt)
+	kind := RunStopped
+	if r.displaced {
+		kind = RunDisplaced
+	}
+	m.emit(Decision{Kind: kind, Run: r.id, Worker: r.worker.ID(), Reason: reason, Age: m.now - r.startedAt, Work: r.discarded})
 	m.sendStop(r)
 }
 
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -22,7 +22,8 @@
 	Elapsed   time.Duration
 	Objective time.Duration
 	// Size, Work, in seconds of a core, and Started are set for the same submissions, Served
-	// for those that ended or are overdue. Started: a run has been recorded.
+	// for those that ended or are overdue. Of a run that is stopped to make room, Work is the
+	// work that is lost. Started: a run has been recorded.
 	Size    SizeClass
 	Work    float64
 	Started bool
@@ -88,6 +89,9 @@
 	InterruptionEnded
 	// EntryIgnored: an entry in the list of workers can't be that of the worker with its id.
 	EntryIgnored
+	// RunDisplaced: a run is stopped to make room for a long-running task, which Reason names.
+	// Work is the work that is lost.
+	RunDisplaced
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -97,5 +101,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced"}[k]
 }
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -73,7 +73,7 @@
 // because its hold is paused, is recorded in failed: no larger request of its kind holds any
 // in this round, so that several steps don't take turns in holding the same workers.
 func (m *Machine) workersToHold(round *heldWorkers, ws *waitingStep, workers []*worker, failed unplaceable) []*worker {
-	missing := ws.state.Local() - m.occupied[ws.state]
+	missing := ws.state.Local() - m.occupied[ws.state] - m.claimsOf(ws.state)
 	if missing <= 0 || failed.covers(ws) {
 		return nil
 	}
@@ -167,7 +167,7 @@
 	if step.MaxPerWorker > 0 {
 		limit = min(limit, step.MaxPerWorker-w.countRuns(ws))
 	}
-	free, request, n := w.Capacity.Sub(w.longRunning), reservation(step), 0
+	free, request, n := w.Capacity.Sub(w.longRunning).Sub(w.claimed), reservation(step), 0
 	for n < limit && request.Fits(free) {
 		free = free.Sub(request)
 		n++
@@ -227,13 +227,13 @@
 // hasRoomInTime reports whether a worker has the capacity for a task of a step once the
 // runs that end by themselves have ended.
 func (w *worker) hasRoomInTime(step *workload.Step) bool {
-	return reservation(step).Add(w.longRunning).Fits(w.Capacity)
+	return reservation(step).Add(w.longRunning).Add(w.claimed).Fits(w.Capacity)
 }
 
 // shortfall returns what a worker lacks for a task of a step, as the largest fraction of
 // its capacity in any dimension.
 func (w *worker) shortfall(step *workload.Step) float64 {
-	over := w.reserved.Add(reservation(step)).Sub(w.Capacity)
+	over := w.reserved.Add(w.claimed).Add(reservation(step)).Sub(w.Capacity)
 	return max(fraction(over.MilliCPU, w.Capacity.MilliCPU), fraction(over.MemoryMiB, w.Capacity.MemoryMiB),
 		fraction(over.Accelerators, w.Capacity.Accelerators))
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -81,9 +81,14 @@
 	soleRecorded bool
 	crashes      crashes
 	// holds are the steps that hold workers, or did and wait still.
-	holds  map[*ledger.Step]*hold
-	excess excessRuns
-	starts startLimit
+	holds map[*ledger.Step]*hold
+	// claims are the tasks for which runs are being stopped. displacedAt is when runs to
+	// displace were last searched.
+	claims        map[workload.TaskID]*claim
+	displacements map[workload.TaskID]displacements
+	displacedAt   time.Duration
+	excess        excessRuns
+	starts        startLimit
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -121,6 +126,8 @@
 		transfers:     newTransfers(),
 		crashes:       newCrashes(),
 		holds:         make(map[*ledger.Step]*hold),
+		claims:        make(map[workload.TaskID]*claim),
+		displacements: make(map[workload.TaskID]displacements),
 		excess:        newExcessRuns(),
 		starts:        newStartLimit(),
 		sizes:         make(sizeSamples),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -22,6 +22,7 @@
 	}
 	waiting := m.waitingSteps()
 	m.forgetHolds(waiting)
+	m.endClaims()
 	if len(waiting) == 0 {
 		return
 	}
@@ -32,13 +33,16 @@
 	m.favourLargest(waiting)
 	round := newHeldWorkers(workers)
 	workers, placed := m.placeSuspects(round, waiting, workers)
+	displacement := m.newDisplacement(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for i := range waiting {
 		ws := &waiting[i]
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
+			placed += m.placeClaimed(ws)
 			placed += m.placeOn(longRunning, ws, limit-placed)
+			m.displaceFor(displacement, ws)
 			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
 			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
 		case step.BestEffort:
@@ -74,7 +78,7 @@
 	if c.failed.covers(ws) {
 		return 0
 	}
-	tasks := m.unsuspectedTasks(ws)
+	tasks := m.unclaimedTasks(ws)
 	if len(tasks) == 0 {
 		return 0
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -48,6 +48,10 @@
 	inherited bool
 	// stopRequested: the run must be stopped, or not started.
 	stopRequested bool
+	// displaced: the run is stopped to make room. discarded is the work that it loses, in seconds
+	// of a core.
+	displaced bool
+	discarded float64
 	// excessReported: it was reported that the run outlasts its submission.
 	excessReported bool
 	// commandInFlight: a command for the run has no answer yet.
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	tasks := slices.DeleteFunc(m.waitingTasks(wait.waiting.state.Tasks), func(t *ledger.Task) bool {
-		return wait.waiting.entry.EverSuspected() && m.awaitsDecision(wait.waiting.entry, t)
+		return m.claims[t.ID] != nil || wait.waiting.entry.EverSuspected() && m.awaitsDecision(wait.waiting.entry, t)
 	})
 	if wait.step.Gang {
 		if len(tasks) < wait.step.Tasks {
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -81,7 +81,7 @@
 	if step.BestEffort {
 		return
 	}
-	free := w.Capacity.Sub(w.reserved)
+	free := w.Capacity.Sub(w.reserved).Sub(w.claimed)
 	for _, wait := range m.longRunningWaits {
 		if wait.waiting.state != state && wait.service == w.Service && w.HasLabel(wait.step.Label) && wait.step.Request.Fits(free) {
 			wait.overtaken++
@@ -99,6 +99,9 @@
 	// heldByUnlisted are the workers counted in noCPU or noMemory that could take the
 	// task if only the runs that they list as active were reserved.
 	heldByUnlisted int
+	// roomInTime are the workers counted in noCPU or noMemory that could take the task if their
+	// finite runs ended.
+	roomInTime int
 	// mostFree is the most free CPU and memory of a usable worker.
 	mostFree hostapi.Resources
 }
@@ -107,7 +110,7 @@
 	step := &ws.entry.Steps[ws.stepIndex]
 	r := waitReasons{request: reservation(step)}
 	for _, w := range m.sorted {
-		free := w.Capacity.Sub(w.reserved)
+		free := w.Capacity.Sub(w.reserved).Sub(w.claimed)
 		if w.Service != ws.entry.Policy.Service || !w.HasLabel(step.Label) {
 			r.otherKind++
 			continue
@@ -128,8 +131,13 @@
 		default:
 			r.fits++
 		}
-		if !r.request.Fits(free) && r.request.Fits(free.Add(w.reservedByUnlisted())) {
-			r.heldByUnlisted++
+		if !r.request.Fits(free) {
+			if r.request.Fits(free.Add(w.reservedByUnlisted())) {
+				r.heldByUnlisted++
+			}
+			if w.hasRoomInTime(step) {
+				r.roomInTime++
+			}
 		}
 		r.mostFree.MilliCPU = max(r.mostFree.MilliCPU, free.MilliCPU)
 		r.mostFree.MemoryMiB = max(r.mostFree.MemoryMiB, free.MemoryMiB)
@@ -138,7 +146,7 @@
 }
 
 func (r waitReasons) String() string {
-	return fmt.Sprintf("requests %dm CPU and %d MiB, most free %dm and %d MiB; workers: %d unusable, %d of another kind, %d without CPU, %d without memory, %d with interference, %d at the limit per worker, %d fit; %d are full because of runs that they do not list as active",
+	return fmt.Sprintf("requests %dm CPU and %d MiB, most free %dm and %d MiB; workers: %d unusable, %d of another kind, %d without CPU, %d without memory, %d with interference, %d at the limit per worker, %d fit; %d are full because of runs that they do not list as active, %d because of finite runs",
 		r.request.MilliCPU, r.request.MemoryMiB, r.mostFree.MilliCPU, r.mostFree.MemoryMiB,
-		r.unusable, r.otherKind, r.noCPU, r.noMemory, r.interference, r.perWorkerLimit, r.fits, r.heldByUnlisted)
+		r.unusable, r.otherKind, r.noCPU, r.noMemory, r.interference, r.perWorkerLimit, r.fits, r.heldByUnlisted, r.roomInTime)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -75,6 +75,8 @@
 	latencyCPU    int64
 	// longRunning is the part of reserved that belongs to long-running runs.
 	longRunning hostapi.Resources
+	// claimed is the room that is kept for tasks while runs are being stopped for them.
+	claimed hostapi.Resources
 	// limitedRuns counts the runs of each step with a limit per worker.
 	limitedRuns map[stepKey]int
 	// held: a planning round holds the worker for a task.
