--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -31,6 +31,7 @@
 
 	dispatch.InterruptionLong:  logevent.InterruptionLong,
 	dispatch.InterruptionEnded: logevent.InterruptionEnded,
+	dispatch.RunDisplaced:      logevent.RunDisplaced,
 }
 
 // loggedInterruption is the shortest time without a run of a long-running task that is logged
@@ -72,10 +73,11 @@
 			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.String("served", d.Served.String()))
 		return
 	}
+	fields := []zap.Field{zap.String("decision", d.Kind.String()), zap.String("worker", d.Worker), zap.Int64("epoch", epoch)}
 	if d.Kind == dispatch.RunDisplaced {
 		n.metrics.countDiscarded(d.Work)
+		fields = append(fields, zap.Float64("work", d.Work))
 	}
-	fields := []zap.Field{zap.String("decision", d.Kind.String()), zap.String("worker", d.Worker), zap.Int64("epoch", epoch)}
 	if d.Run.Run > 0 {
 		fields = append(fields, zap.String("id", d.Run.Task.Submission), zap.String("task", TaskName(d.Run.Task)), zap.Int64("run", d.Run.Run))
 	}
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -49,6 +49,7 @@
 	OwnerProcessEnded    Number = 856
 	InterruptionLong     Number = 857
 	InterruptionEnded    Number = 858
+	RunDisplaced         Number = 864
 )
 
 var coordinatorEvents = []Info{
@@ -81,7 +82,7 @@
 	{SettingsReloaded, "SettingsReloaded", zapcore.InfoLevel, "settings file was checked; the settings of the start stay in effect", []string{"error"}, "Restart the process to apply changes. With an error: correct the file first."},
 	{DispatchDecision, "DispatchDecision", zapcore.InfoLevel, "dispatch decision on a run or a worker", []string{"decision", "task", "run", "worker", "reason", "age", "epoch"}, "None."},
 	{OrderUnanswered, "OrderUnanswered", zapcore.WarnLevel, "order to a worker got no usable response", []string{"worker", "order", "error"}, "None; if it recurs on one worker, check that worker."},
-	{TaskWaiting, "TaskWaiting", zapcore.WarnLevel, "long-running task has no run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason counts the workers by why they do not take the task. Add capacity if they are full; report it if the task fits or is overtaken."},
+	{TaskWaiting, "TaskWaiting", zapcore.WarnLevel, "long-running task has no run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason counts the workers by why they do not take the task, and says how many would have room without their finite runs: these are displaced. Add capacity if they are full; report it if the task fits or is overtaken."},
 	{TaskReleased, "TaskReleased", zapcore.WarnLevel, "tasks are given to another cell, because the workers of their own are full", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "None; the owner of the other cell logs the placement. If it recurs, use fewer cells or add capacity."},
 	{LeasesAwaited, "LeasesAwaited", zapcore.WarnLevel, "tasks of silent workers are not started elsewhere until their leases have expired", []string{"worker", "age", "reason", "epoch", "cell"}, "Check the workers and the network. The reason says how long the wait goes on and whether a previous owner granted the lease."},
 	{TaskGivenUp, "TaskGivenUp", zapcore.WarnLevel, "a task is not run again, because workers crashed under it", []string{"task", "run", "worker", "reason", "epoch", "cell"}, "Correct the task and submit it again. Event 847 names the crashes."},
@@ -97,4 +98,5 @@
 	{OwnerProcessEnded, "OwnerProcessEnded", zapcore.InfoLevel, "the process of the cell's owner has ended: its address refuses connections", []string{"cell", "vm", "epoch"}, "None; check why the process ended if it was not stopped."},
 	{InterruptionLong, "InterruptionLong", zapcore.WarnLevel, "long-running task has had no run for longer than it may", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "Run and worker are the last ones. The reason says how that run ended, what the task has waited for since, and what it waits for now."},
 	{InterruptionEnded, "InterruptionEnded", zapcore.WarnLevel, "long-running task runs again after a long time without a run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason says how the last run ended and for what the task has waited. For the lease of a worker: check the worker and the network."},
+	{RunDisplaced, "RunDisplaced", zapcore.WarnLevel, "run is stopped to make room for a long-running task", []string{"task", "run", "worker", "age", "work", "reason", "epoch", "cell"}, "The reason names the task that needs the room; work is what is lost, in seconds of a core. If it recurs, the workers are too few for the long-running tasks beside the finite ones: add capacity."},
 }
