--- a/dispatch/preemption_test.go
+++ b/dispatch/preemption_test.go
@@ -89,12 +89,11 @@
 // wait lets time pass while the worker reports its runs. Runs that are stopped end.
 func (h *harness) wait(d time.Duration) {
 	for until := h.now + d; h.now < until; {
-		stops := len(h.actions)
 		h.advance(100 * time.Millisecond)
-		h.reportProgress(1)
+		h.reportProgress(int(h.now/time.Second) % 2)
 		var ended []workload.EndedRun
-		for _, a := range h.actions[stops:] {
-			if s, ok := a.(dispatch.Stop); ok {
+		for _, a := range h.actions {
+			if s, ok := a.(dispatch.Stop); ok && h.active[s.Run].Run > 0 {
 				delete(h.active, s.Run)
 				h.sequence++
 				ended = append(ended, workload.EndedRun{RunID: s.Run, Sequence: h.sequence, Outcome: workload.Stopped})
@@ -152,6 +151,7 @@
 	load4.Estimate = time.Minute
 	h.submit("load", load4)
 	h.submit("service", lastingStep(1, 32000))
+	h.submit("later", lastingStep(1, 16000))
 	h.submit("small", stepOfSize(8, 8))
 	for h.count(stopOf("load")) == 0 && h.now < 62*time.Second {
 		h.reportProgress(10)
@@ -167,7 +167,7 @@
 			delete(h.active, d.Run)
 			h.report(workload.EndedRun{RunID: d.Run, Sequence: h.sequence, Outcome: workload.Stopped})
 			h.advance(20 * time.Millisecond)
-			is.Equal(h.count(startOf("small")), 0)
+			is.Equal(h.count(startOf("small"))+h.count(startOf("later")), 0)
 		}
 	}
 	is.Equal(h.count(startOf("service")), 1)
@@ -185,7 +185,7 @@
 	for i := range 6 {
 		id := fmt.Sprintf("service-%d", i)
 		h.submit(id, lastingStep(1, 16000))
-		h.wait(6 * time.Second)
+		h.wait(2 * time.Second)
 		h.handle(dispatch.EntryChanged{Entry: h.ledger.Apply(ledger.CancelledRecord(id))})
 		h.wait(time.Second)
 	}
