--- a/dispatch/displace.go
+++ b/dispatch/displace.go
@@ -77,7 +77,7 @@
 // their delay. Gangs are left out: room for one member is of no use.
 func (m *Machine) displaceFor(d *displacement, ws *waitingStep) {
 	step, wait := &ws.entry.Steps[ws.stepIndex], m.longWaits[ws.state]
-	if d == nil || d.left <= 0 || wait == nil || step.Gang || step.BestEffort || d.failed.covers(ws) {
+	if d == nil || d.left <= 0 || wait == nil || ws.leaving != nil || step.Gang || step.BestEffort || d.failed.covers(ws) {
 		return
 	}
 	for _, t := range m.unclaimedTasks(ws) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,10 +20,10 @@
 		m.planNeeded = true
 		return
 	}
-	waiting := m.waitingSteps()
-	m.forgetHolds(waiting)
+	waiting, leaving := m.waitingSteps(), m.leavingSteps()
+	m.forgetHolds(slices.Concat(waiting, leaving))
 	m.endClaims()
-	if len(waiting) == 0 {
+	if len(waiting)+len(leaving) == 0 {
 		return
 	}
 	workers := m.usableWorkers()
@@ -33,6 +33,7 @@
 	m.favourLargest(waiting)
 	round := newHeldWorkers(workers)
 	workers, placed := m.placeSuspects(round, waiting, workers)
+	waiting = withLeaving(waiting, leaving)
 	displacement := m.newDisplacement(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
@@ -40,8 +41,7 @@
 		ws := &waiting[i]
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
-			placed += m.placeClaimed(ws)
-			placed += m.placeOn(longRunning, ws, limit-placed)
+			placed += m.placeLongRunning(longRunning, ws, limit-placed)
 			m.displaceFor(displacement, ws)
 			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
 			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
@@ -61,6 +61,16 @@
 	}
 }
 
+// placeLongRunning places tasks of a long-running step, or moves its runs from draining workers.
+// It returns the number of both.
+func (m *Machine) placeLongRunning(c *candidates, ws *waitingStep, limit int) int {
+	if len(ws.leaving) > 0 {
+		return m.moveRuns(c, ws)
+	}
+	placed := m.placeClaimed(ws)
+	return placed + m.placeOn(c, ws, limit-placed)
+}
+
 // candidates are the workers that a planning round may use for steps of one kind, with
 // the requests that none of them could take.
 type candidates struct {
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -49,6 +49,7 @@
 	OwnerProcessEnded    Number = 856
 	InterruptionLong     Number = 857
 	InterruptionEnded    Number = 858
+	OwnerConfirmed       Number = 859
 	RunDisplaced         Number = 864
 )
 
@@ -98,5 +99,6 @@
 	{OwnerProcessEnded, "OwnerProcessEnded", zapcore.InfoLevel, "the process of the cell's owner has ended: its address refuses connections", []string{"cell", "vm", "epoch"}, "None; check why the process ended if it was not stopped."},
 	{InterruptionLong, "InterruptionLong", zapcore.WarnLevel, "long-running task has had no run for longer than it may", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "Run and worker are the last ones. The reason says how that run ended, what the task has waited for since, and what it waits for now."},
 	{InterruptionEnded, "InterruptionEnded", zapcore.WarnLevel, "long-running task runs again after a long time without a run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason says how the last run ended and for what the task has waited. For the lease of a worker: check the worker and the network."},
+	{OwnerConfirmed, "OwnerConfirmed", zapcore.InfoLevel, "a majority of the previous owner's witnesses said when they last confirmed it", []string{"cell", "vm", "epoch", "age"}, "None; check why the VM does not answer if it was not stopped."},
 	{RunDisplaced, "RunDisplaced", zapcore.WarnLevel, "run is stopped to make room for a long-running task", []string{"task", "run", "worker", "age", "work", "reason", "epoch", "cell"}, "The reason names the task that needs the room; work is what is lost, in seconds of a core. If it recurs, the workers are too few for the long-running tasks beside the finite ones: add capacity."},
 }
