--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -22,6 +22,7 @@
 	}
 	waiting, leaving := m.waitingSteps(), m.leavingSteps()
 	m.forgetHolds(slices.Concat(waiting, leaving))
+	m.endClaims()
 	if len(waiting)+len(leaving) == 0 {
 		return
 	}
@@ -33,6 +34,7 @@
 	round := newHeldWorkers(workers)
 	workers, placed := m.placeSuspects(round, waiting, workers)
 	waiting = withLeaving(waiting, leaving)
+	displacement := m.newDisplacement(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for i := range waiting {
@@ -40,6 +42,7 @@
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
 			placed += m.placeLongRunning(longRunning, ws, limit-placed)
+			m.displaceFor(displacement, ws)
 			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
 			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
 		case step.BestEffort:
@@ -64,7 +67,8 @@
 	if len(ws.leaving) > 0 {
 		return m.moveRuns(c, ws)
 	}
-	return m.placeOn(c, ws, limit)
+	placed := m.placeClaimed(ws)
+	return placed + m.placeOn(c, ws, limit-placed)
 }
 
 // candidates are the workers that a planning round may use for steps of one kind, with
@@ -84,7 +88,7 @@
 	if c.failed.covers(ws) {
 		return 0
 	}
-	tasks := m.unsuspectedTasks(ws)
+	tasks := m.unclaimedTasks(ws)
 	if len(tasks) == 0 {
 		return 0
 	}
