--- a/coordinator/ownershipend.go
+++ b/coordinator/ownershipend.go
@@ -43,6 +43,7 @@
 // what it knows. The first word on an epoch is kept: a later one has passed through other
 // nodes.
 func (c *cell) learnEnd(epoch int64, answer *coordpb.ResignAnswer) {
+	c.learnEnds(answer.GetEnds())
 	if answer == nil || !answer.LeasesKnown {
 		return
 	}
@@ -99,10 +100,13 @@
 // awaitEnd makes one call that waits for the end of an ownership. It tells what this node
 // knows of an end if passOn is set, and returns whether the next call has to.
 func (c *cell) awaitEnd(ctx context.Context, owner ledger.Owner, passOn bool) bool {
-	q := &coordpb.AwaitEndRequest{Cell: int32(c.number), WaitMs: endWait.Milliseconds(), KnownEpoch: c.newestEnd()}
+	q := &coordpb.AwaitEndRequest{Cell: int32(c.number), WaitMs: endWait.Milliseconds(), KnownEpoch: c.newestEnd(),
+		Vm: c.node.config.VM, DataCentre: c.node.config.DataCentre, PeerAddress: c.node.config.PeerAddress, Process: c.node.process}
 	if passOn {
 		q.Ended = c.resignAnswer(q.KnownEpoch)
 	}
+	ends, version := c.knownEnds.untold(owner.Epoch, c.node.monotonicNow())
+	q.Ends = ends
 	call, cancel := context.WithTimeout(ctx, endWait+lookupTimeout)
 	defer cancel()
 	answer, err := c.node.peers.client(owner.PeerAddress).AwaitEnd(call, q)
@@ -110,6 +114,7 @@
 		c.noteCallFailed(owner, err)
 		return false
 	}
+	c.knownEnds.told(owner.Epoch, version)
 	c.learnEnd(answer.Epoch, answer.Ended)
 	return answer.Epoch < c.newestEnd()
 }
@@ -121,6 +126,8 @@
 	if c == nil {
 		return &coordpb.AwaitEndAnswer{}, nil
 	}
+	c.noteCaller(q)
+	c.learnEnds(q.Ends)
 	c.learnEnd(q.KnownEpoch, q.Ended)
 	if c.newestEnd() >= q.KnownEpoch {
 		c.waitForEnd(ctx, min(endWait, time.Duration(q.WaitMs)*time.Millisecond))
--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -31,8 +31,9 @@
 	Cursor int64
 	// Deadline is the end of the lease on the worker's clock; 0 does not renew it.
 	Deadline time.Duration
-	// Draining: the worker drains, and Deadline is not to be granted in steps.
-	Draining bool
+	// Shorter is by how much the lease is shorter than the one that others are granted at the
+	// same time, because the worker drains.
+	Shorter time.Duration
 	// Wait is the maximum time for which the worker may delay its answer until a
 	// run ends.
 	Wait time.Duration
@@ -65,6 +66,9 @@
 // the cell.
 type StepDown struct{ Worker string }
 
+// WitnessesRecorded reports that a record of this owner's witnesses is in the log.
+type WitnessesRecorded struct{ Number int64 }
+
 // FindCapacity requests a search for other cells with free capacity for waiting tasks.
 // It is answered by CapacityFound for each cell and then by SearchEnded.
 type FindCapacity struct{ Demands []Demand }
@@ -90,3 +94,5 @@
 func (FindCapacity) isAction() {}
 func (Transfer) isAction()     {}
 func (CheckGuests) isAction()  {}
+
+func (WitnessesRecorded) isAction() {}
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -12,11 +12,11 @@
 	m.now = max(m.now, now)
 	var out []Heartbeat
 	for _, w := range m.sorted {
-		if !w.hasLiveRuns() || !w.reported || w.silent || w.bar != leasesAllowed || w.Address == "" || w.clock == 0 {
+		if !w.hasLiveRuns() || !w.reported || w.silent || w.gone || w.bar != leasesAllowed || w.Address == "" || w.clock == 0 {
 			continue
 		}
-		deadline := w.extendLease(m.now, w.limitLease(lease))
-		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: deadline, Draining: w.Draining})
+		granted := w.limitLease(lease)
+		out = append(out, Heartbeat{Target: w.target(), Cursor: w.cursor, Deadline: w.extendLease(m.now, granted), Shorter: lease - granted})
 	}
 	return out
 }
