--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -38,6 +38,7 @@
 	courseCutsEnd   = "the cuts end"
 	courseTakeover  = "takeover"
 	courseNoAnswers = "the store loses answers, or not any more"
+	courseEnd       = "run of s0 ends"
 )
 
 // courseEvent is something that the environment does. It reports whether it can happen.
@@ -158,7 +159,7 @@
 		return false
 	}
 	o.ended, o.endedAt, o.killed, o.lost = true, c.now, !lost, lost
-	o.node.seen = map[int64]time.Duration{o.epoch: c.now}
+	o.node.seen, o.node.ends = map[int64]time.Duration{o.epoch: c.now}, nil
 	return true
 }
 
@@ -194,7 +195,7 @@
 	owners := ""
 	var leases []map[workload.Incarnation]dispatch.LeaseExpiry
 	for o, n := c.owner, 0; o != nil && n < 3; o, n = o.previous, n+1 {
-		owners += fmt.Sprint("|", o.told, o.ended, o.killed, o.lost, o.node == c.owner.node, o.node.storeless, len(o.queue), o.unanswered, round(c.now-o.joinedAt), round(min(c.now-o.openedAt, courseAuthority)), o.previousSole)
+		owners += fmt.Sprint("|", o.told, o.ended, o.killed, o.lost, o.node == c.owner.node, o.node.storeless, len(o.node.ends), len(o.queue), o.unanswered, round(c.now-o.joinedAt), round(min(c.now-o.openedAt, courseAuthority)), o.previousSole)
 		if o.ended {
 			leases = append(leases, o.leases)
 			continue
@@ -373,6 +374,8 @@
 		{"owner without the store", []workload.Step{finite}, []string{courseStoreless}},
 		{"lease from an owner without the store", []workload.Step{lasting}, []string{courseSilent, courseTime, courseIsland, courseSilent}},
 		{"recorded silence taken over", []workload.Step{lasting}, []string{courseSilent, courseTime, courseStoreless, courseSilent, courseTakeover, courseCutsEnd}},
+		{"end that an owner could not record", []workload.Step{lasting}, []string{courseStoreless, courseEnd, courseSilent, courseTakeover}},
+		{"success that an owner could not record", []workload.Step{finite}, []string{courseStoreless, courseEnd, courseSilent, courseTakeover}},
 		{"placement without an answer", []workload.Step{lasting}, []string{courseCrash, courseOther, courseTime, courseTime, courseNoAnswers, courseOther}},
 	} {
 		t.Run(c.name, func(t *testing.T) { exploreCourses(t, *courseDepth, c.steps, c.first...) })
--- a/dispatch/courseworld_test.go
+++ b/dispatch/courseworld_test.go
@@ -65,6 +65,8 @@
 	cutFrom [2]bool
 	// seen are the times at which the process learned of epochs.
 	seen map[int64]time.Duration
+	// ends are the ends of runs that the process knows and that may not be in the log.
+	ends []dispatch.KnownEnd
 }
 
 // courseOwner is the owner of one epoch. It goes on until it learns of a newer one.
@@ -269,6 +271,7 @@
 	if o.previous == nil {
 		c.step(o, dispatch.PredecessorResigned{Sole: true})
 	}
+	c.step(o, dispatch.EndsLearned{Ends: slices.Clone(n.ends)})
 	c.ask(o)
 }
 
@@ -287,6 +290,7 @@
 func (c *courseWorld) end(o *courseOwner) {
 	if !o.ended {
 		o.ended, o.endedAt, o.leases = true, c.now, o.machine.Leases(c.now)
+		o.node.ends = append(o.node.ends, o.machine.UnrecordedEnds()...)
 		c.note("epoch %d ends", o.epoch)
 	}
 }
@@ -311,12 +315,19 @@
 		c.allowWait(o, answer.Expiry)
 	} else {
 		c.end(p)
+		if p.node != o.node {
+			o.node.ends = append(o.node.ends, p.node.ends...)
+		}
 		answer.Leases = make(map[workload.Incarnation]time.Duration)
 		for incarnation, expiry := range p.leases {
 			answer.Leases[incarnation] = max(0, p.endedAt+expiry.All-c.now)
 		}
 	}
-	c.after(2*time.Millisecond, func() { c.step(o, answer) })
+	ends := dispatch.EndsLearned{Ends: slices.Clone(o.node.ends)}
+	c.after(2*time.Millisecond, func() {
+		c.step(o, ends)
+		c.step(o, answer)
+	})
 }
 
 // allowWait notes how long an owner that was not told of the leases may wait for them. Of a
