--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -198,7 +198,7 @@
 	owners := ""
 	var leases []map[workload.Incarnation]dispatch.LeaseExpiry
 	for o, n := c.owner, 0; o != nil && n < 3; o, n = o.previous, n+1 {
-		owners += fmt.Sprint("|", o.told, o.ended, o.killed, o.lost, o.node == c.owner.node, o.node.storeless, len(o.queue), o.unanswered, len(o.node.ends) > 0, round(c.now-o.joinedAt), round(min(c.now-o.openedAt, courseAuthority)), o.previousSole)
+		owners += fmt.Sprint("|", o.told, o.ended, o.killed, o.lost, o.node == c.owner.node, o.node.storeless, len(o.queue), o.unanswered, len(o.node.ends) > 0, round(c.now-o.joinedAt), round(min(c.now-o.openedAt, courseAuthority)), o.previousSole, o.witnessed, o.chosen, round(c.now-o.confirmedAt))
 		if o.ended {
 			leases = append(leases, o.leases)
 			continue
--- a/dispatch/courseworld_test.go
+++ b/dispatch/courseworld_test.go
@@ -20,6 +20,7 @@
 	courseHandoverLease  = 5 * time.Second
 	courseLeaseAuthority = 3 * time.Second
 	courseAuthority      = 5 * time.Second
+	courseConfirmed      = 700 * time.Millisecond
 	courseTimeout        = 500 * time.Millisecond
 	// courseLatest is the age from which a call is not carried out any more.
 	courseLatest  = 9 * time.Second
@@ -80,6 +81,11 @@
 	// previousSole: no owner before the previous one could grant leases any more.
 	previousSole       bool
 	openedAt, joinedAt time.Duration
+	// confirmedAt is when the witnesses that the owner has chosen last confirmed it.
+	chosen      bool
+	confirmedAt time.Duration
+	// witnessed: the previous owner had recorded witnesses, which have not been asked.
+	witnessed bool
 	// told: the owner knows what became of the previous one. waits: waitUntil has been set.
 	told, waits bool
 	ended       bool
@@ -208,6 +214,9 @@
 		if o == c.owner && c.reachesStore(o.node) {
 			o.joinedAt = c.now
 		}
+		if !o.node.storeless {
+			o.confirmedAt = c.now
+		}
 		if c.now-o.joinedAt >= courseAuthority {
 			c.end(o)
 			continue
@@ -219,6 +228,10 @@
 			o.endsLearned = n
 			c.step(o, dispatch.EndsLearned{Ends: o.node.ends})
 		}
+		if !o.chosen && !o.node.storeless {
+			o.chosen = true
+			c.step(o, dispatch.WitnessesChosen{Witnesses: ledger.Witnesses{Number: 1, All: make([]ledger.Witness, 3)}})
+		}
 		c.step(o, dispatch.Tick{Now: time.UnixMilli(c.now.Milliseconds())})
 		c.pump(o)
 	}
@@ -264,6 +277,8 @@
 	}
 	if o.previous != nil {
 		o.epoch, o.previousSole = o.previous.epoch+1, o.ledger.Owner().Sole
+		witnesses := o.ledger.Witnesses()
+		o.witnessed = len(witnesses.All) > 0
 	}
 	opened := ledger.OpenedRecord(ledger.Owner{Epoch: o.epoch, VM: "a", PeerAddress: "a"})
 	c.log = append(c.log, opened)
@@ -272,8 +287,14 @@
 	o.machine = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: courseLease, HandoverLease: courseHandoverLease, HeartbeatWait: time.Second, RemoteFactor: 2,
 		PredecessorExpiry: coursePredecessorExpiry, AuthorityDuration: courseAuthority,
-		LeaseLimit: func() time.Duration { return max(0, courseLeaseAuthority+courseLease-(c.now-o.joinedAt)) },
-		EpochAge:   func(epoch int64) time.Duration { return n.age(epoch, c.now) },
+		LeaseLimit: func() time.Duration {
+			end := o.joinedAt + courseLeaseAuthority
+			if o.chosen {
+				end = min(end, o.confirmedAt+courseConfirmed)
+			}
+			return max(0, end+courseLease-c.now)
+		},
+		EpochAge: func(epoch int64) time.Duration { return n.age(epoch, c.now) },
 	}, o.ledger, c.now, time.UnixMilli(c.now.Milliseconds()))
 	c.note("epoch %d", o.epoch)
 	c.list(o)
@@ -310,16 +331,19 @@
 		return
 	}
 	if p.lost || p.node != o.node && (p.node.storeless || o.node.storeless) {
-		c.allowWait(o, coursePredecessorExpiry)
+		expiry := coursePredecessorExpiry
+		if o.witnessed && !o.node.storeless {
+			o.witnessed = false
+			expiry = c.withEarlierOwners(o, dispatch.LeaseExpiryBound(courseConfirmed+courseLease)-(c.now-p.confirmedAt))
+			c.after(2*time.Millisecond, func() { c.step(o, dispatch.PredecessorResigned{Expiry: expiry}) })
+		}
+		c.allowWait(o, expiry)
 		return
 	}
 	o.told = true
 	answer := dispatch.PredecessorResigned{Sole: o.previousSole}
 	if p.killed {
-		answer.Expiry = max(0, dispatch.LeaseExpiryBound(courseLease)+courseTimeout-(c.now-p.endedAt))
-		if !o.previousSole {
-			answer.Expiry = max(answer.Expiry, coursePredecessorExpiry-o.node.age(p.epoch, c.now))
-		}
+		answer.Expiry = c.withEarlierOwners(o, dispatch.LeaseExpiryBound(courseLease)+courseTimeout-(c.now-p.endedAt))
 		c.allowWait(o, answer.Expiry)
 	} else {
 		c.end(p)
@@ -334,6 +358,15 @@
 	c.after(2*time.Millisecond, func() { c.step(o, answer) })
 }
 
+// withEarlierOwners returns when the leases of the previous owner, which expire after a time,
+// and of those before it have expired.
+func (c *courseWorld) withEarlierOwners(o *courseOwner, expiry time.Duration) time.Duration {
+	if !o.previousSole {
+		expiry = max(expiry, coursePredecessorExpiry-o.node.age(o.previous.epoch, c.now))
+	}
+	return max(0, expiry)
+}
+
 // allowWait notes how long an owner that was not told of the leases may wait for them. Of a
 // worker that is recorded as silent it knows more: the wait goes on where the previous owner
 // left off, but for the time without an owner that reaches the store.
