--- a/dispatch/courseworld_test.go
+++ b/dispatch/courseworld_test.go
@@ -20,6 +20,7 @@
 	courseHandoverLease  = 5 * time.Second
 	courseLeaseAuthority = 3 * time.Second
 	courseAuthority      = 5 * time.Second
+	courseConfirmed      = 700 * time.Millisecond
 	courseTimeout        = 500 * time.Millisecond
 	// courseLatest is the age from which a call is not carried out any more.
 	courseLatest  = 9 * time.Second
@@ -50,8 +51,9 @@
 	index int
 	link  courseLink
 	held  []func()
-	// listedUntil is when the entry of a worker that is down expires.
-	listedUntil time.Duration
+	// listedUntil is when the entry of a worker that is down expires, leavesAt the earliest
+	// time at which a worker that drains leaves.
+	listedUntil, leavesAt time.Duration
 	// leaseEnd is when all leases that owners sent to the worker have expired for certain,
 	// waitUntil the latest time until which an owner that was not told of them waits.
 	leaseEnd, waitUntil time.Duration
@@ -63,10 +65,10 @@
 	storeless bool
 	// cutFrom are the workers that only this node does not reach.
 	cutFrom [2]bool
+	// ends are those that the process knows from owners that could not record them.
+	ends []dispatch.KnownEnd
 	// seen are the times at which the process learned of epochs.
 	seen map[int64]time.Duration
-	// ends are the ends of runs that the process knows and that may not be in the log.
-	ends []dispatch.KnownEnd
 }
 
 // courseOwner is the owner of one epoch. It goes on until it learns of a newer one.
@@ -79,6 +81,11 @@
 	// previousSole: no owner before the previous one could grant leases any more.
 	previousSole       bool
 	openedAt, joinedAt time.Duration
+	// confirmedAt is when the witnesses that the owner has chosen last confirmed it.
+	chosen      bool
+	confirmedAt time.Duration
+	// witnessed: the previous owner had recorded witnesses, which have not been asked.
+	witnessed bool
 	// told: the owner knows what became of the previous one. waits: waitUntil has been set.
 	told, waits bool
 	ended       bool
@@ -86,7 +93,9 @@
 	leases      map[workload.Incarnation]dispatch.LeaseExpiry
 	// killed: the process ended, and its node is up. lost: nobody can tell what became of it.
 	killed, lost bool
-	queue        []dispatch.Append
+	// endsLearned is the number of the node's ends that the machine was told.
+	endsLearned int
+	queue       []dispatch.Append
 	// unanswered is the number of appends at the head of queue that have taken effect.
 	unanswered int
 }
@@ -205,6 +214,9 @@
 		if o == c.owner && c.reachesStore(o.node) {
 			o.joinedAt = c.now
 		}
+		if !o.node.storeless {
+			o.confirmedAt = c.now
+		}
 		if c.now-o.joinedAt >= courseAuthority {
 			c.end(o)
 			continue
@@ -212,6 +224,14 @@
 		if c.reachesStore(o.node) && (c.now/courseTick)%4 == 0 {
 			c.list(o)
 		}
+		if n := len(o.node.ends); n > o.endsLearned {
+			o.endsLearned = n
+			c.step(o, dispatch.EndsLearned{Ends: o.node.ends})
+		}
+		if !o.chosen && !o.node.storeless {
+			o.chosen = true
+			c.step(o, dispatch.WitnessesChosen{Witnesses: ledger.Witnesses{Number: 1, All: make([]ledger.Witness, 3)}})
+		}
 		c.step(o, dispatch.Tick{Now: time.UnixMilli(c.now.Milliseconds())})
 		c.pump(o)
 	}
@@ -228,10 +248,12 @@
 	var list []workload.Worker
 	for _, w := range c.workers {
 		if w.up || c.now < w.listedUntil {
+			w.info.Remaining = max(0, w.leavesAt-c.now)
 			list = append(list, w.info)
 		}
 	}
 	c.step(o, dispatch.WorkersListed{Workers: list, All: list})
+	c.step(o, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: c.now})
 }
 
 // takeOver opens an epoch at a node that reaches the store, the other one if possible. It
@@ -255,6 +277,8 @@
 	}
 	if o.previous != nil {
 		o.epoch, o.previousSole = o.previous.epoch+1, o.ledger.Owner().Sole
+		witnesses := o.ledger.Witnesses()
+		o.witnessed = len(witnesses.All) > 0
 	}
 	opened := ledger.OpenedRecord(ledger.Owner{Epoch: o.epoch, VM: "a", PeerAddress: "a"})
 	c.log = append(c.log, opened)
@@ -263,15 +287,20 @@
 	o.machine = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: courseLease, HandoverLease: courseHandoverLease, HeartbeatWait: time.Second, RemoteFactor: 2,
 		PredecessorExpiry: coursePredecessorExpiry, AuthorityDuration: courseAuthority,
-		LeaseLimit: func() time.Duration { return max(0, courseLeaseAuthority+courseLease-(c.now-o.joinedAt)) },
-		EpochAge:   func(epoch int64) time.Duration { return n.age(epoch, c.now) },
+		LeaseLimit: func() time.Duration {
+			end := o.joinedAt + courseLeaseAuthority
+			if o.chosen {
+				end = min(end, o.confirmedAt+courseConfirmed)
+			}
+			return max(0, end+courseLease-c.now)
+		},
+		EpochAge: func(epoch int64) time.Duration { return n.age(epoch, c.now) },
 	}, o.ledger, c.now, time.UnixMilli(c.now.Milliseconds()))
 	c.note("epoch %d", o.epoch)
 	c.list(o)
 	if o.previous == nil {
 		c.step(o, dispatch.PredecessorResigned{Sole: true})
 	}
-	c.step(o, dispatch.EndsLearned{Ends: slices.Clone(n.ends)})
 	c.ask(o)
 }
 
@@ -302,16 +331,19 @@
 		return
 	}
 	if p.lost || p.node != o.node && (p.node.storeless || o.node.storeless) {
-		c.allowWait(o, coursePredecessorExpiry)
+		expiry := coursePredecessorExpiry
+		if o.witnessed && !o.node.storeless {
+			o.witnessed = false
+			expiry = c.withEarlierOwners(o, dispatch.LeaseExpiryBound(courseConfirmed+courseLease)-(c.now-p.confirmedAt))
+			c.after(2*time.Millisecond, func() { c.step(o, dispatch.PredecessorResigned{Expiry: expiry}) })
+		}
+		c.allowWait(o, expiry)
 		return
 	}
 	o.told = true
 	answer := dispatch.PredecessorResigned{Sole: o.previousSole}
 	if p.killed {
-		answer.Expiry = max(0, dispatch.LeaseExpiryBound(courseLease)+courseTimeout-(c.now-p.endedAt))
-		if !o.previousSole {
-			answer.Expiry = max(answer.Expiry, coursePredecessorExpiry-o.node.age(p.epoch, c.now))
-		}
+		answer.Expiry = c.withEarlierOwners(o, dispatch.LeaseExpiryBound(courseLease)+courseTimeout-(c.now-p.endedAt))
 		c.allowWait(o, answer.Expiry)
 	} else {
 		c.end(p)
@@ -323,11 +355,16 @@
 			answer.Leases[incarnation] = max(0, p.endedAt+expiry.All-c.now)
 		}
 	}
-	ends := dispatch.EndsLearned{Ends: slices.Clone(o.node.ends)}
-	c.after(2*time.Millisecond, func() {
-		c.step(o, ends)
-		c.step(o, answer)
-	})
+	c.after(2*time.Millisecond, func() { c.step(o, answer) })
+}
+
+// withEarlierOwners returns when the leases of the previous owner, which expire after a time,
+// and of those before it have expired.
+func (c *courseWorld) withEarlierOwners(o *courseOwner, expiry time.Duration) time.Duration {
+	if !o.previousSole {
+		expiry = max(expiry, coursePredecessorExpiry-o.node.age(o.previous.epoch, c.now))
+	}
+	return max(0, expiry)
 }
 
 // allowWait notes how long an owner that was not told of the leases may wait for them. Of a
@@ -357,7 +394,7 @@
 	for i, earlier := range []time.Duration{max(0, lease-courseLease), 0} {
 		c.after(time.Duration(i)*time.Second, func() {
 			for _, h := range heartbeats {
-				h.Deadline -= earlier
+				h.Deadline -= max(0, earlier-h.Shorter)
 				c.heartbeat(o, h)
 			}
 		})
