--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -47,7 +47,7 @@
 	SubmissionBegan
 	// SubmissionEnded: the submission's state has become completed or failed.
 	SubmissionEnded
-	// TaskWaiting: a long-running task has had no run for the time in Age. Reason
+	// TaskWaiting: a task has had no run for the time in Age, too long for its kind. Reason
 	// counts the workers by why they do not take it; Worker is the one on which it last
 	// failed.
 	TaskWaiting
--- a/dispatch/longwait.go
+++ b/dispatch/longwait.go
@@ -8,14 +8,15 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// longWait is a step with tasks that have no run: a long-running one, or any if there
-// are other cells.
+// longWait is a step with tasks that have no run.
 type longWait struct {
 	waiting waitingStep
 	service string
 	step    *workload.Step
 	// seenAt is when the step was first seen with such tasks.
 	seenAt time.Duration
+	// idleSince is when the step was last seen with a run or, before that, first seen.
+	idleSince time.Duration
 	// since is when each task of a long-running step was first seen without a run.
 	since map[workload.TaskID]time.Duration
 	// reportedAt is when the step was last reported or, before that, first seen.
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -51,10 +51,7 @@
 // fitsColocated reports whether a worker has unused CPU for a best-effort task and
 // the tasks there can keep their latency targets beside it.
 func (m *Machine) fitsColocated(ws *waitingStep, step *workload.Step, w *worker) bool {
-	if w.unusedCPU() < minUnusedShare*float64(step.Request.MilliCPU) {
-		return false
-	}
-	return len(w.latencyRuns) == 0 || m.headroom(w, ws.image, w.cpuShare(step)) >= 0
+	return m.colocationRefusal(ws.image, step, w) == colocatable
 }
 
 // cpuShare returns the fraction of the worker's CPU that a task requests.
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cactusreel/cactusreel/hostapi"
@@ -9,19 +11,61 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// Limits of the reports on long-running tasks that wait.
+// Limits of the reports on tasks that wait.
 const (
 	// waitReportDelay is how long a long-running task waits before it is reported, and
 	// the minimum time between two reports on its step.
 	waitReportDelay = 2 * time.Second
+	// bestEffortReportDelay and finiteReportDelay are the same for steps of best-effort
+	// and of other finite tasks none of which has had a run.
+	bestEffortReportDelay = 8 * time.Second
+	finiteReportDelay     = 30 * time.Second
 	// waitReportInterval is the time between two checks for such tasks.
 	waitReportInterval = 500 * time.Millisecond
-	// maxWaitReports limits the reports of one check.
-	maxWaitReports = 5
+	// maxWaitReports limits the reports of one check on long-running tasks;
+	// maxFiniteWaitReports limits those on best-effort and on other finite tasks, each.
+	maxWaitReports       = 5
+	maxFiniteWaitReports = 1
 )
 
-// reportWaiting emits a decision for each step with a long-running task that has had
-// no run for waitReportDelay, with the reasons for which the workers do not take it.
+// taskKind says which bound applies to the wait of a step's tasks.
+type taskKind int
+
+// Kinds of tasks.
+const (
+	longRunningTask taskKind = iota
+	bestEffortTask
+	finiteTask
+)
+
+func kindOf(step *workload.Step) taskKind {
+	switch {
+	case step.LongRunning:
+		return longRunningTask
+	case step.BestEffort:
+		return bestEffortTask
+	}
+	return finiteTask
+}
+
+// String returns the kind's name in logs.
+func (k taskKind) String() string {
+	return [...]string{"long-running", "best-effort", "finite"}[k]
+}
+
+// reportDelay returns how long tasks of a kind wait before they are reported.
+func (k taskKind) reportDelay() time.Duration {
+	return [...]time.Duration{waitReportDelay, bestEffortReportDelay, finiteReportDelay}[k]
+}
+
+// maxReports returns the limit of the reports of one check on tasks of a kind.
+func (k taskKind) maxReports() int {
+	return [...]int{maxWaitReports, maxFiniteWaitReports, maxFiniteWaitReports}[k]
+}
+
+// reportWaiting emits a decision for each step with a long-running task that has had no
+// run for its kind's delay, and for each other step of which no task has had one, with the
+// reasons for which the workers do not take it.
 func (m *Machine) reportWaiting() {
 	if m.now-m.longWaitsAt < waitReportInterval {
 		return
@@ -29,49 +73,57 @@
 	m.longWaitsAt = m.now
 	waits := make(map[*ledger.Step]*longWait)
 	m.longRunningWaits = m.longRunningWaits[:0]
-	reports := 0
+	var reports [finiteTask + 1]int
 	for _, ws := range m.waitingSteps() {
 		step := &ws.entry.Steps[ws.stepIndex]
-		if !step.LongRunning && m.config.CellOf == nil {
-			continue
-		}
-		wait := &longWait{waiting: ws, service: ws.entry.Policy.Service, step: step, seenAt: m.now, reportedAt: m.now}
+		wait := &longWait{waiting: ws, service: ws.entry.Policy.Service, step: step, seenAt: m.now, idleSince: m.now, reportedAt: m.now}
 		if known := m.longWaits[ws.state]; known != nil {
 			*wait = *known
 		}
 		waits[ws.state] = wait
-		if !step.LongRunning {
+		kind := kindOf(step)
+		since := wait.idleSince
+		if kind == longRunningTask {
+			m.longRunningWaits = append(m.longRunningWaits, wait)
+			since = m.updateSince(wait, &ws)
+		} else if m.occupied[ws.state] > 0 {
+			wait.idleSince = m.now
 			continue
 		}
-		m.longRunningWaits = append(m.longRunningWaits, wait)
-		longest := m.updateSince(wait, &ws)
-		if longest != nil && m.now-wait.since[longest.ID] >= waitReportDelay && m.now-wait.reportedAt >= waitReportDelay && reports < maxWaitReports {
-			reports++
-			reason := fmt.Sprintf("%d tasks wait, overtaken by %d runs; %v", len(wait.since), wait.overtaken, m.explainWait(&ws))
-			m.emitDecision(TaskWaiting, workload.RunID{Task: longest.ID, Run: longest.Run + 1}, m.avoid[longest.ID], reason, m.now-wait.since[longest.ID])
-			wait.reportedAt, wait.overtaken = m.now, 0
+		if delay := kind.reportDelay(); m.now-since >= delay && m.now-wait.reportedAt >= delay && reports[kind] < kind.maxReports() {
+			reports[kind]++
+			m.reportWait(wait, &ws, kind, since)
 		}
 	}
 	m.longWaits = waits
 }
 
-// updateSince updates the waiting tasks of a step and returns the one that waits
-// longest, or nil if none waits.
-func (m *Machine) updateSince(wait *longWait, ws *waitingStep) *ledger.Task {
+func (m *Machine) reportWait(wait *longWait, ws *waitingStep, kind taskKind, since time.Duration) {
+	tasks := m.waitingTasks(ws.state.Tasks)
+	if len(tasks) == 0 {
+		return
+	}
+	longest := slices.MinFunc(tasks, func(a, b *ledger.Task) int { return cmp.Compare(wait.since[a.ID], wait.since[b.ID]) })
+	reason := fmt.Sprintf("%d tasks wait, overtaken by %d runs; %v; a %v task", len(tasks), wait.overtaken, m.explainWait(ws), kind)
+	m.emitDecision(TaskWaiting, workload.RunID{Task: longest.ID, Run: longest.Run + 1}, m.avoid[longest.ID], reason, m.now-since)
+	wait.reportedAt, wait.overtaken = m.now, 0
+}
+
+// updateSince updates the waiting tasks of a step and returns since when the one that waits
+// longest has waited, or the present if none waits.
+func (m *Machine) updateSince(wait *longWait, ws *waitingStep) time.Duration {
 	since := make(map[workload.TaskID]time.Duration)
-	var longest *ledger.Task
+	oldest := m.now
 	for _, t := range m.waitingTasks(ws.state.Tasks) {
 		at, known := wait.since[t.ID]
 		if !known {
 			at = m.now
 		}
 		since[t.ID] = at
-		if longest == nil || at < since[longest.ID] {
-			longest = t
-		}
+		oldest = min(oldest, at)
 	}
 	wait.since = since
-	return longest
+	return oldest
 }
 
 // countOvertaking counts a run of another step that is about to be placed on a worker
@@ -95,6 +147,8 @@
 	// unusable workers are not listed, have not reported, or are silent, draining,
 	// evacuated or paused.
 	unusable, otherKind, noCPU, noMemory, interference, perWorkerLimit, fits int
+	// refusals counts the workers in interference by the reason.
+	refusals refusalCounts
 	// heldByUnlisted are the workers counted in noCPU or noMemory that could take the
 	// task if only the runs that they list as active were reserved.
 	heldByUnlisted int
@@ -122,6 +176,7 @@
 			r.noMemory++
 		case step.BestEffort && !m.fitsColocated(ws, step, w):
 			r.interference++
+			r.refusals[m.colocationRefusal(ws.image, step, w)]++
 		case !m.fits(ws, step, w):
 			r.perWorkerLimit++
 		default:
@@ -137,7 +192,7 @@
 }
 
 func (r waitReasons) String() string {
-	return fmt.Sprintf("requests %dm CPU and %d MiB, most free %dm and %d MiB; workers: %d unusable, %d of another kind, %d without CPU, %d without memory, %d with interference, %d at the limit per worker, %d fit; %d are full because of runs that they do not list as active",
+	return fmt.Sprintf("requests %dm CPU and %d MiB, most free %dm and %d MiB; workers: %d unusable, %d of another kind, %d without CPU, %d without memory, %d with interference (%v), %d at the limit per worker, %d fit; %d are full because of runs that they do not list as active",
 		r.request.MilliCPU, r.request.MemoryMiB, r.mostFree.MilliCPU, r.mostFree.MemoryMiB,
-		r.unusable, r.otherKind, r.noCPU, r.noMemory, r.interference, r.perWorkerLimit, r.fits, r.heldByUnlisted)
+		r.unusable, r.otherKind, r.noCPU, r.noMemory, r.interference, r.refusals, r.perWorkerLimit, r.fits, r.heldByUnlisted)
 }
--- a/dispatch/waitreport_test.go
+++ b/dispatch/waitreport_test.go
@@ -37,3 +37,29 @@
 	is.True(strings.Contains(reports[0].Reason, "1 without CPU"))
 	is.Equal(dispatch.TaskWaiting.String(), "task waiting")
 }
+
+// Guards against a best-effort task that waits without a trace of what the workers that
+// have room for it lack.
+func TestWaitingBestEffortTaskIsReported(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("watch", watchStep)
+	h.setTail("watch", 80*time.Millisecond)
+	h.advance(time.Second)
+	h.report()
+	h.submit("report", reportStep)
+	var reports []dispatch.Decision
+	for range 100 {
+		h.advance(100 * time.Millisecond)
+		h.report()
+	}
+	for _, a := range h.actions {
+		if d, ok := a.(dispatch.Decision); ok && d.Kind == dispatch.TaskWaiting {
+			reports = append(reports, d)
+		}
+	}
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].Run.Task.Submission, "report")
+	is.True(strings.Contains(reports[0].Reason, "1 with interference (0 without unused CPU, 1 with a task over its target"))
+}
