--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -52,8 +52,8 @@
 		o.wg.Go(func() { o.startRun(ctx, a) })
 	case dispatch.Stop:
 		o.wg.Go(func() { o.stopRun(ctx, a) })
-	case dispatch.Suspend:
-		o.wg.Go(func() { o.suspendRun(ctx, a) })
+	case dispatch.Pace:
+		o.wg.Go(func() { o.paceRun(ctx, a) })
 	case dispatch.StepDown:
 		o.node.logger.Log(logevent.EpochFenced, zap.Int64("epoch", o.epoch), zap.String("worker", a.Worker))
 		o.cancel()
@@ -101,10 +101,9 @@
 	o.post(ctx, dispatch.StopAnswered{Worker: s.Worker, Run: s.Run, Answer: answer})
 }
 
-// suspendRun sends a suspension. Its answer is not needed: the machine stops the run
-// as well.
-func (o *ownership) suspendRun(ctx context.Context, s dispatch.Suspend) {
+func (o *ownership) paceRun(ctx context.Context, p dispatch.Pace) {
 	call, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	o.node.platform.WorkerClient.Suspend(call, o.epoch, s)
+	answer := o.node.platform.WorkerClient.Pace(call, o.epoch, p)
+	cancel()
+	o.post(ctx, dispatch.PaceAnswered{Worker: p.Worker, Run: p.Run, Percent: p.Percent, Answer: answer})
 }
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -358,7 +358,7 @@
 	return dispatch.Done
 }
 
-func (f *fakeWorker) Suspend(_ context.Context, epoch int64, _ dispatch.Suspend) dispatch.Answer {
+func (f *fakeWorker) Pace(_ context.Context, epoch int64, _ dispatch.Pace) dispatch.Answer {
 	defer f.mu.Unlock()
 	if !f.lockForEpoch(epoch) {
 		return dispatch.Fenced
--- a/coordinator/linkedworkers_test.go
+++ b/coordinator/linkedworkers_test.go
@@ -46,9 +46,9 @@
 	return l.fakeWorkers.Stop(ctx, epoch, s)
 }
 
-func (l linkedWorkers) Suspend(ctx context.Context, epoch int64, s dispatch.Suspend) dispatch.Answer {
+func (l linkedWorkers) Pace(ctx context.Context, epoch int64, s dispatch.Pace) dispatch.Answer {
 	if !l.reaches(s.Worker) {
 		return dispatch.NoAnswer
 	}
-	return l.fakeWorkers.Suspend(ctx, epoch, s)
+	return l.fakeWorkers.Pace(ctx, epoch, s)
 }
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -19,8 +19,8 @@
 	Start(ctx context.Context, epoch int64, s dispatch.Start) (dispatch.Answer, time.Duration)
 	// Stop stops a run.
 	Stop(ctx context.Context, epoch int64, s dispatch.Stop) dispatch.Answer
-	// Suspend gives a run no CPU until it is stopped.
-	Suspend(ctx context.Context, epoch int64, s dispatch.Suspend) dispatch.Answer
+	// Pace gives a run a part of its CPU time.
+	Pace(ctx context.Context, epoch int64, p dispatch.Pace) dispatch.Answer
 }
 
 // WorkerDirectory lists the workers.
--- a/coordinator/transfer_test.go
+++ b/coordinator/transfer_test.go
@@ -45,8 +45,8 @@
 	return f[s.Worker].Stop(ctx, epoch, s)
 }
 
-func (f fakeWorkers) Suspend(ctx context.Context, epoch int64, s dispatch.Suspend) dispatch.Answer {
-	return f[s.Worker].Suspend(ctx, epoch, s)
+func (f fakeWorkers) Pace(ctx context.Context, epoch int64, s dispatch.Pace) dispatch.Answer {
+	return f[s.Worker].Pace(ctx, epoch, s)
 }
 
 // Workers implements coordinator.WorkerDirectory.
--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -52,11 +52,13 @@
 	Run workload.RunID
 }
 
-// Suspend commands a worker to give a run no CPU from now on. It takes effect in a
-// tenth of a second, a stop only after the worker's stop time.
-type Suspend struct {
+// Pace commands a worker to give a run a part of its CPU time from now on, in percent. It
+// takes effect in a tenth of a second, a stop only after the worker's stop time. It is
+// answered by PaceAnswered.
+type Pace struct {
 	Target
-	Run workload.RunID
+	Run     workload.RunID
+	Percent int
 }
 
 // StepDown reports that a worker has seen a higher epoch: the owner must give up
@@ -82,7 +84,7 @@
 func (Heartbeat) isAction()    {}
 func (Start) isAction()        {}
 func (Stop) isAction()         {}
-func (Suspend) isAction()      {}
+func (Pace) isAction()         {}
 func (StepDown) isAction()     {}
 func (Decision) isAction()     {}
 func (FindCapacity) isAction() {}
--- a/dispatch/colocation.go
+++ b/dispatch/colocation.go
@@ -119,8 +119,8 @@
 		}
 		excess -= max(effect, negligibleUtilisation)
 		w.interferenceStoppedAt = m.now
-		// A lost suspension needs no retry: the run is being stopped.
-		m.emit(Suspend{Target: w.target(), Run: worst.id})
+		// A lost order needs no retry: the run is being stopped.
+		m.emit(Pace{Target: w.target(), Run: worst.id})
 		m.stopRun(worst, "interferes with a task that is over its latency target")
 	}
 }
--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -151,7 +151,7 @@
 	}
 	is.True(h.now-over <= 3*time.Second)
 	// The stop takes up to a second: until then the run must not interfere.
-	is.Equal(h.count(func(a dispatch.Action) bool { _, ok := a.(dispatch.Suspend); return ok }), 1)
+	is.Equal(h.count(func(a dispatch.Action) bool { p, ok := a.(dispatch.Pace); return ok && p.Percent == 0 }), 1)
 }
 
 // Guards against reports of a shared worker that are too rare to detect a missed
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -55,6 +55,14 @@
 	Answer Answer
 }
 
+// PaceAnswered is the answer to a Pace action.
+type PaceAnswered struct {
+	Worker  string
+	Run     workload.RunID
+	Percent int
+	Answer  Answer
+}
+
 // PredecessorResigned reports that the previous owner grants no leases any more. All leases
 // that it and owners before it granted to a worker, or will grant, have expired after the
 // time in Leases, or after Expiry if the worker is not in it, counted from now.
@@ -97,6 +105,7 @@
 func (HeartbeatFailed) isEvent()   {}
 func (StartAnswered) isEvent()     {}
 func (StopAnswered) isEvent()      {}
+func (PaceAnswered) isEvent()      {}
 func (Tick) isEvent()              {}
 
 func (PredecessorResigned) isEvent() {}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -233,6 +233,8 @@
 		m.startAnswered(ev)
 	case StopAnswered:
 		m.stopAnswered(ev)
+	case PaceAnswered:
+		// Nothing depends on it: the run is stopped as well.
 	case PredecessorResigned:
 		m.predecessorResigned(ev)
 	case CapacityFound:
