--- a/dispatch/besteffortinterval.go
+++ b/dispatch/besteffortinterval.go
@@ -6,7 +6,7 @@
 // worker.
 type bestEffortInterval struct {
 	image imageID
-	// share is the run's share of the worker's CPU.
+	// share is the share of the worker's CPU by which the run interfered.
 	share float64
 	from  time.Duration
 	// to is 0 while the run is active.
@@ -39,7 +39,8 @@
 // beginInterval records that a best-effort run has become active on the worker.
 func (w *worker) beginInterval(r *run, now time.Duration) {
 	if r.step.BestEffort {
-		w.bestEffortHistory = append(w.bestEffortHistory, bestEffortInterval{image: r.image, share: r.cpuShare(), from: now})
+		w.bestEffortHistory = append(w.bestEffortHistory, bestEffortInterval{image: r.image, share: r.pressure(), from: now})
+		r.intervalFrom = now
 	}
 }
 
@@ -50,7 +51,7 @@
 	}
 	for i := range w.bestEffortHistory {
 		interval := &w.bestEffortHistory[i]
-		if interval.to == 0 && interval.image == r.image && interval.from == r.startedAt {
+		if interval.to == 0 && interval.image == r.image && interval.from == r.intervalFrom {
 			interval.to = now
 			return
 		}
--- a/dispatch/colocation.go
+++ b/dispatch/colocation.go
@@ -113,29 +113,34 @@
 		if worst == nil {
 			return
 		}
-		effect := worst.cpuShare() * m.model.interference(s.image, worst.image)
+		effect := worst.pressure() * m.model.interference(s.image, worst.image)
 		if effect < negligibleUtilisation && !urgent {
 			return
 		}
 		excess -= max(effect, negligibleUtilisation)
 		w.interferenceStoppedAt = m.now
+		if worst.paced {
+			m.setPace(worst, 0)
+			continue
+		}
 		// A lost order needs no retry: the run is being stopped.
 		m.emit(Pace{Target: w.target(), Run: worst.id})
+		m.noteInterrupted(worst)
 		m.stopRun(worst, "interferes with a task that is over its latency target")
 	}
 }
 
 // mostInterfering returns the active best-effort run that interferes most with a
-// run, or nil if there is none.
+// run, or nil if there is none. Paced runs come first, since no work is lost with them.
 func (m *Machine) mostInterfering(w *worker, s *run) *run {
 	var worst *run
 	most := 0.0
 	for _, f := range w.bestEffortRuns {
-		if f.phase != running || f.stopRequested {
+		if f.phase != running || f.stopRequested || f.paced && f.pace == 0 {
 			continue
 		}
-		effect := f.cpuShare() * m.model.interference(s.image, f.image)
-		if worst == nil || effect > most {
+		effect := f.pressure() * m.model.interference(s.image, f.image)
+		if worst == nil || f.paced && !worst.paced || f.paced == worst.paced && effect > most {
 			worst, most = f, effect
 		}
 	}
@@ -163,16 +168,10 @@
 
 // confounds reports whether a best-effort run of an image would be added beside
 // another one while the interference of either with a run is uncertain. A missed
-// target could then not be attributed to one of them.
+// target could then not be attributed to one of them. Paced runs give way.
 func (m *Machine) confounds(w *worker, s *run, bestEffortImage imageID) bool {
-	if len(w.bestEffortRuns) == 0 {
-		return false
-	}
-	if m.model.uncertain(s.image, bestEffortImage) {
-		return true
-	}
 	for _, f := range w.bestEffortRuns {
-		if m.model.uncertain(s.image, f.image) {
+		if !f.paced && (m.model.uncertain(s.image, bestEffortImage) || m.model.uncertain(s.image, f.image)) {
 			return true
 		}
 	}
@@ -180,7 +179,7 @@
 }
 
 // runHeadroom returns the utilisation that a run is expected to have left below its
-// latency target. The result is cached until the run's next report or the next
+// latency target beside the runs that are not paced. The result is cached until the run's next report or the next
 // change of the worker's runs.
 func (m *Machine) runHeadroom(w *worker, s *run) float64 {
 	if s.headroomVersion == w.runsVersion && s.headroomUtilisationAt == s.ownUtilisationAt && s.headroomVersion != 0 {
@@ -188,7 +187,10 @@
 	}
 	u := m.expectedUtilisation(s)
 	for _, f := range w.bestEffortRuns {
-		u += f.cpuShare() * m.model.interference(s.image, f.image)
+		// Paced runs give way.
+		if !f.paced {
+			u += f.cpuShare() * m.model.interference(s.image, f.image)
+		}
 	}
 	s.headroom = m.model.targetUtilisation(s.image, s.step.LatencyTarget) - utilisationMargin - u
 	s.headroomVersion, s.headroomUtilisationAt = w.runsVersion, s.ownUtilisationAt
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -92,6 +92,11 @@
 	if r.startedAt == 0 {
 		r.startedAt, r.progressAt = m.now, m.now
 		r.worker.beginInterval(r, m.now)
+		if r.paced {
+			m.sendPace(r)
+		} else if r.step.BestEffort {
+			m.controlPaces(r.worker)
+		}
 		m.emitDecision(RunStarted, r.id, r.worker.ID(), "", 0)
 	}
 	if r.stopRequested {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -149,6 +149,7 @@
 	m.processActive(w, ev, report.Active)
 	m.observeSurvival(w, report.Clock)
 	m.observeInterference(w)
+	m.controlPaces(w)
 	w.nextHeartbeatAt = m.now
 	if !first {
 		w.nextHeartbeatAt += w.heartbeatInterval()
@@ -319,6 +320,9 @@
 	if r.phase == starting {
 		m.confirmRun(r)
 	}
+	if r.inherited && 4*a.UsedMilliCPU < 3*r.step.Request.MilliCPU {
+		r.resumeFullPace()
+	}
 	r.inherited = false
 	if a.Checkpoint != "" && a.Checkpoint != r.checkpoint {
 		r.checkpoint = a.Checkpoint
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -72,6 +72,7 @@
 	longWaits        map[*ledger.Step]*longWait
 	longRunningWaits []*longWait
 	longWaitsAt      time.Duration
+	bestEffortWaits  map[*ledger.Step]*bestEffortWait
 	transfers        transfers
 	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
 	leaseWaitsReportedAt time.Duration
@@ -103,25 +104,26 @@
 func New(config Config, cellLedger *ledger.Ledger, now time.Duration, wall time.Time) *Machine {
 	m := &Machine{
 		config: config, ledger: cellLedger, now: now, createdAt: now, wall: wall,
-		workers:       make(map[string]*worker),
-		active:        make(map[workload.TaskID]*run),
-		byEntry:       make(map[string][]*run),
-		checkpoints:   make(map[workload.TaskID]string),
-		avoid:         make(map[workload.TaskID]string),
-		stalls:        make(map[workload.TaskID]stalls),
-		evacuated:     make(map[string]bool),
-		recordingEnds: make(map[workload.TaskID]bool),
-		releasing:     make(map[workload.TaskID]bool),
-		occupied:      make(map[*ledger.Step]int),
-		pending:       make(map[int64]appendInFlight),
-		model:         newInterferenceModel(),
-		transfers:     newTransfers(),
-		crashes:       newCrashes(),
-		holds:         make(map[*ledger.Step]*hold),
-		excess:        newExcessRuns(),
-		starts:        newStartLimit(),
-		sizes:         make(sizeSamples),
-		overdueAt:     wall,
+		workers:         make(map[string]*worker),
+		active:          make(map[workload.TaskID]*run),
+		byEntry:         make(map[string][]*run),
+		checkpoints:     make(map[workload.TaskID]string),
+		avoid:           make(map[workload.TaskID]string),
+		stalls:          make(map[workload.TaskID]stalls),
+		evacuated:       make(map[string]bool),
+		recordingEnds:   make(map[workload.TaskID]bool),
+		releasing:       make(map[workload.TaskID]bool),
+		occupied:        make(map[*ledger.Step]int),
+		pending:         make(map[int64]appendInFlight),
+		model:           newInterferenceModel(),
+		transfers:       newTransfers(),
+		crashes:         newCrashes(),
+		holds:           make(map[*ledger.Step]*hold),
+		excess:          newExcessRuns(),
+		starts:          newStartLimit(),
+		sizes:           make(sizeSamples),
+		overdueAt:       wall,
+		bestEffortWaits: make(map[*ledger.Step]*bestEffortWait),
 	}
 	for _, e := range cellLedger.Live() {
 		m.recordSize(e)
@@ -234,7 +236,7 @@
 	case StopAnswered:
 		m.stopAnswered(ev)
 	case PaceAnswered:
-		// Nothing depends on it: the run is stopped as well.
+		m.paceAnswered(ev)
 	case PredecessorResigned:
 		m.predecessorResigned(ev)
 	case CapacityFound:
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -33,6 +33,7 @@
 	round := newHeldWorkers(workers)
 	workers, placed := m.placeSuspects(round, waiting, workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
+	paced := newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for i := range waiting {
 		ws := &waiting[i]
@@ -42,7 +43,7 @@
 			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
 			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
 		case step.BestEffort:
-			placed += m.placeOn(bestEffort, ws, limit-placed)
+			placed += m.placeBestEffort(bestEffort, paced, ws, limit-placed)
 		default:
 			placed += m.placeOn(finite, ws, limit-placed)
 			if ws.favoured {
@@ -208,6 +209,7 @@
 	}
 	if len(placed) > 0 {
 		delete(m.holds, ws.state)
+		m.noteBestEffortPlaced(ws.state)
 	}
 	return len(placed)
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -92,6 +92,15 @@
 	overTargetSince time.Duration
 	// image is the id of the step's image.
 	image imageID
+	// paced: the run's pace is adapted to the tasks beside it. pace is its pace in percent,
+	// ordered at pacedAt; the run has been suspended since suspendedAt if it is 0.
+	// paceUnknown: the order may not have been carried out.
+	paced                bool
+	paceUnknown          bool
+	pace                 int
+	pacedAt, suspendedAt time.Duration
+	// intervalFrom is the beginning of the run's last entry in bestEffortHistory.
+	intervalFrom time.Duration
 	// headroom is the cached result of Machine.runHeadroom for the worker's
 	// runsVersion headroomVersion and the report at headroomUtilisationAt.
 	headroom              float64
--- a/dispatch/stalled.go
+++ b/dispatch/stalled.go
@@ -67,8 +67,12 @@
 }
 
 func (m *Machine) stalled(r *run) bool {
-	if r.phase != running || r.stopRequested || r.step.LongRunning || r.step.Gang || r.progressPercent >= 100 {
+	if r.phase != running || r.stopRequested || r.step.LongRunning || r.step.Gang || r.paced && r.pace == 0 || r.progressPercent >= 100 {
 		return false
 	}
-	return r.reportedAt-r.progressAt > m.stallTimeout(r)
+	timeout := m.stallTimeout(r)
+	if r.paced {
+		timeout = timeout * 100 / time.Duration(r.pace)
+	}
+	return r.reportedAt-r.progressAt > timeout
 }
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 	waitReportDelay = 2 * time.Second
 	// bestEffortReportDelay and finiteReportDelay are the same for steps of best-effort
 	// and of other finite tasks none of which has had a run.
-	bestEffortReportDelay = 8 * time.Second
+	bestEffortReportDelay = bestEffortWaitBound + 2*time.Second
 	finiteReportDelay     = 30 * time.Second
 	// waitReportInterval is the time between two checks for such tasks.
 	waitReportInterval = 500 * time.Millisecond
@@ -82,6 +83,9 @@
 		}
 		waits[ws.state] = wait
 		kind := kindOf(step)
+		if kind == bestEffortTask {
+			m.bestEffortWaitOf(ws.entry, ws.state)
+		}
 		since := wait.idleSince
 		if kind == longRunningTask {
 			m.longRunningWaits = append(m.longRunningWaits, wait)
@@ -96,6 +100,9 @@
 		}
 	}
 	m.longWaits = waits
+	maps.DeleteFunc(m.bestEffortWaits, func(_ *ledger.Step, w *bestEffortWait) bool {
+		return w.entry.State().Final() || m.ledger.Find(w.entry.ID) != w.entry
+	})
 }
 
 func (m *Machine) reportWait(wait *longWait, ws *waitingStep, kind taskKind, since time.Duration) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -65,6 +65,8 @@
 	// interferenceStoppedAt is when a best-effort run was last stopped because of a
 	// missed latency target.
 	interferenceStoppedAt time.Duration
+	// pacedPlacementAt is when a run that is paced was last placed on the worker.
+	pacedPlacementAt time.Duration
 	// runsVersion is incremented with each change of runs.
 	runsVersion int64
 	// reserved is the sum of the requests of all runs, without the CPU of best-effort
@@ -167,7 +169,7 @@
 	}
 	request := reservation(r.step)
 	if r.step.BestEffort {
-		w.bestEffortCPU += sign * r.step.Request.MilliCPU
+		w.bestEffortCPU += sign * r.bestEffortCPU()
 	}
 	if r.step.LatencyTarget > 0 {
 		w.latencyCPU += sign * request.MilliCPU
