--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -73,6 +73,10 @@
 	Leases map[workload.Incarnation]time.Duration
 }
 
+// WitnessesChosen requests that witnesses of this owner be recorded. It is answered by
+// WitnessesRecorded.
+type WitnessesChosen struct{ Witnesses ledger.Witnesses }
+
 // CapacityFound is a cell's answer to FindCapacity: how many tasks of each demand its
 // workers could take, all together.
 type CapacityFound struct {
@@ -108,6 +112,7 @@
 func (PaceAnswered) isEvent()      {}
 func (Tick) isEvent()              {}
 
+func (WitnessesChosen) isEvent()     {}
 func (PredecessorResigned) isEvent() {}
 func (CapacityFound) isEvent()       {}
 func (SearchEnded) isEvent()         {}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -25,11 +25,13 @@
 		// The lease of runs that are to be stopped must expire if no stop is carried out.
 	case w.bar != leasesAllowed:
 		// A successor may rely on the record of the worker's silence.
+	case w.gone:
+		// The worker must be heard first: a lease would have to be waited for.
 	case w.silent:
 		// An unanswered heartbeat may have been carried out, so it must not renew the
 		// lease: the lease of a worker that has failed must expire.
 	default:
-		h.Deadline = w.extendLease(m.now, m.config.grantableLease())
+		h.Deadline = w.extendLease(m.now, m.config.grantableLease(w))
 		if w.lastEnd == w.cursor && !w.awaitsReport() {
 			h.Wait = m.heartbeatWait(w)
 		}
@@ -47,18 +49,22 @@
 // latency target: the deployment allows the target to be missed for about 4 s,
 // of which a stop takes up to 1 s.
 func (m *Machine) heartbeatWait(w *worker) time.Duration {
+	wait := m.config.HeartbeatWait
+	if w.Draining {
+		wait = min(wait, drainingHeartbeatWait)
+	}
 	if len(w.bestEffortRuns) == 0 {
-		return m.config.HeartbeatWait
+		return wait
 	}
 	for _, s := range w.latencyRuns {
 		if s.overTargetSince > 0 {
-			return min(m.config.HeartbeatWait, overTargetHeartbeatWait)
+			return min(wait, overTargetHeartbeatWait)
 		}
 	}
 	if len(w.latencyRuns) > 0 {
-		return min(m.config.HeartbeatWait, sharedHeartbeatWait)
+		return min(wait, sharedHeartbeatWait)
 	}
-	return m.config.HeartbeatWait
+	return wait
 }
 
 // heartbeatInterval returns the pause between a report and the next heartbeat. It
@@ -104,6 +110,7 @@
 		m.workerCrashed(w, "another worker answers at the address")
 		m.abandonRuns(w, "another worker answers at the address")
 		w.listed, w.unknownRuns = false, nil
+		w.gone, w.leaseDeadline = true, 0
 		w.ackedCursor = w.cursor
 		return
 	}
@@ -136,7 +143,7 @@
 	if !w.reported {
 		m.planNeeded = true
 	}
-	w.silent = false
+	w.silent, w.gone = false, false
 	m.endSilence(w)
 	w.updateClock(m.now, report.Clock)
 	w.ackedCursor = max(w.ackedCursor, min(w.cursor, m.acknowledgedCursor(ev, w)))
@@ -186,24 +193,37 @@
 			w.endRecorded(end.Sequence)
 		}
 	}
+	if u := m.unrecorded[end.RunID]; u != nil {
+		// A previous owner saw the end, or the previous incarnation listed it.
+		u.callbacks = append(u.callbacks, advance)
+		return
+	}
 	r := w.runs[end.RunID]
 	if r == nil {
-		m.processUnknownEnd(end, advance)
+		m.processUnknownEnd(w, end, advance)
 		return
 	}
-	m.emitDecision(RunEnded, end.RunID, w.ID(), end.Outcome.String(), 0)
+	m.runEnded(r, end, "", advance)
+}
+
+// runEnded handles the end of a run that the machine has. recorded runs when the end is in
+// the log.
+func (m *Machine) runEnded(r *run, end *workload.EndedRun, source string, recorded func()) {
+	w := r.worker
+	m.emitDecision(RunEnded, end.RunID, w.ID(), source+end.Outcome.String(), 0)
 	m.updateHistory(w, r, end.Outcome)
 	if end.Outcome == workload.Errored && !r.step.Gang {
 		m.runSurvived(r)
 	}
+	m.beginInterruption(r, m.now, end.Outcome.String(), waitLog)
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
 	m.noteRunGone(r.entry)
 	if end.Outcome != workload.Succeeded || r.step.LongRunning {
 		m.stopGang(r)
 	}
-	m.recordEnd(r.entry, end, func() {
-		advance()
+	m.recordEnd(r.entry, w.Incarnation, end, func() {
+		recorded()
 		delete(m.checkpoints, end.Task)
 		m.removeRun(r)
 	})
@@ -213,7 +233,7 @@
 // processUnknownEnd handles the end of a run that this machine has removed or never
 // had. The end is recorded only if no newer run of the task has been placed and the
 // task has no run.
-func (m *Machine) processUnknownEnd(end *workload.EndedRun, advance func()) {
+func (m *Machine) processUnknownEnd(w *worker, end *workload.EndedRun, advance func()) {
 	e := m.ledger.Find(end.Task.Submission)
 	if e == nil || e.State().Final() {
 		advance()
@@ -224,36 +244,21 @@
 		advance()
 		return
 	}
+	m.recordUnknownEnd(e, w.Incarnation, end, advance)
+}
+
+// recordUnknownEnd records the end of a run that this machine does not have. The task is
+// not placed before the record is in the log.
+func (m *Machine) recordUnknownEnd(e *ledger.Entry, worker workload.Incarnation, end *workload.EndedRun, recorded func()) {
 	m.recordingEnds[end.Task] = true
 	m.addOccupied(e, end.Task, 1)
-	m.recordEnd(e, end, func() {
-		advance()
+	m.recordEnd(e, worker, end, func() {
+		recorded()
 		delete(m.recordingEnds, end.Task)
 		m.addOccupied(e, end.Task, -1)
 	})
 }
 
-// recordEnd appends the record of an end. callback runs when the record is in the
-// log.
-func (m *Machine) recordEnd(e *ledger.Entry, end *workload.EndedRun, callback func()) {
-	record := ledger.EndedRecord(end.RunID, end.Outcome, end.Checkpoint)
-	m.appendRecord(record, func() {
-		live := !e.State().Final()
-		m.ledger.Apply(record)
-		callback()
-		m.planNeeded = true
-		m.returnFinished(e, end.Task)
-		if !e.State().Final() {
-			return
-		}
-		if live {
-			m.emitSubmissionDecision(SubmissionEnded, e)
-			delete(m.transfers.released, e.ID)
-		}
-		m.entryChanged(e)
-	})
-}
-
 // stopGang stops the other members of a run's gang, if its step is one.
 func (m *Machine) stopGang(ended *run) {
 	if !ended.step.Gang {
@@ -357,6 +362,7 @@
 		if r.stopShouldHaveEnded(sentAt, m.config.StopTime) {
 			m.emitDecision(RunStopped, r.id, r.worker.ID(), "worker no longer lists the run", m.now-r.confirmedAt)
 			m.keepCheckpoint(r)
+			m.beginInterruption(r, r.reportedAt, "stopped, its end was not listed", waitStop)
 			m.removeRun(r)
 		}
 	}
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -103,6 +103,7 @@
 	maps.DeleteFunc(m.bestEffortWaits, func(_ *ledger.Step, w *bestEffortWait) bool {
 		return w.entry.State().Final() || m.ledger.Find(w.entry.ID) != w.entry
 	})
+	m.updateInterruptions()
 }
 
 func (m *Machine) reportWait(wait *longWait, ws *waitingStep, kind taskKind, since time.Duration) {
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -26,6 +26,7 @@
 			m.workerRestarted(w, info.Incarnation)
 		}
 		if w.Incarnation == info.Incarnation {
+			m.updateLeavesAt(w, &info)
 			w.Worker = info
 			w.listed = true
 		}
@@ -73,11 +74,11 @@
 		r.stopRequested = true
 		m.sendStop(r)
 	}
-	w.reported, w.silent, w.restarted = false, false, true
+	w.reported, w.silent, w.gone, w.restarted = false, false, false, true
 	w.unknownRuns = nil
 	w.lastEnd, w.cursor, w.ackedCursor, w.unrecordedEnds = 0, 0, 0, nil
 	w.clock, w.clockAt, w.leasesExpireAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0, 0
-	w.history = runHistory{}
+	w.history, w.leavesAt = runHistory{}, 0
 	w.nextHeartbeatAt = m.now
 }
 
@@ -92,6 +93,7 @@
 			r.stopRequested = true
 			continue
 		}
+		m.beginInterruption(r, w.clockAt, reason, w.lossWait())
 		m.removeRun(r)
 	}
 }
