--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -74,6 +74,7 @@
 	longWaits        map[*ledger.Step]*longWait
 	longRunningWaits []*longWait
 	longWaitsAt      time.Duration
+	bestEffortWaits  map[*ledger.Step]*bestEffortWait
 	transfers        transfers
 	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
 	leaseWaitsReportedAt time.Duration
@@ -115,29 +116,30 @@
 func New(config Config, cellLedger *ledger.Ledger, now time.Duration, wall time.Time) *Machine {
 	m := &Machine{
 		config: config, ledger: cellLedger, now: now, createdAt: now, wall: wall, soleFrom: now + config.AuthorityDuration,
-		workers:       make(map[string]*worker),
-		active:        make(map[workload.TaskID]*run),
-		byEntry:       make(map[string][]*run),
-		checkpoints:   make(map[workload.TaskID]string),
-		avoid:         make(map[workload.TaskID]string),
-		stalls:        make(map[workload.TaskID]stalls),
-		evacuated:     make(map[string]bool),
-		recordingEnds: make(map[workload.TaskID]bool),
-		unrecorded:    make(map[workload.RunID]*unrecordedEnd),
-		releasing:     make(map[workload.TaskID]bool),
-		occupied:      make(map[*ledger.Step]int),
-		pending:       make(map[int64]appendInFlight),
-		model:         newInterferenceModel(),
-		transfers:     newTransfers(),
-		crashes:       newCrashes(),
-		holds:         make(map[*ledger.Step]*hold),
-		claims:        make(map[workload.TaskID]*claim),
-		displacements: make(map[workload.TaskID]displacements),
-		excess:        newExcessRuns(),
-		starts:        newStartLimit(),
-		sizes:         make(sizeSamples),
-		overdueAt:     wall,
-		interruptions: make(map[workload.TaskID]*interruption),
+		workers:         make(map[string]*worker),
+		active:          make(map[workload.TaskID]*run),
+		byEntry:         make(map[string][]*run),
+		checkpoints:     make(map[workload.TaskID]string),
+		avoid:           make(map[workload.TaskID]string),
+		stalls:          make(map[workload.TaskID]stalls),
+		evacuated:       make(map[string]bool),
+		recordingEnds:   make(map[workload.TaskID]bool),
+		unrecorded:      make(map[workload.RunID]*unrecordedEnd),
+		releasing:       make(map[workload.TaskID]bool),
+		occupied:        make(map[*ledger.Step]int),
+		pending:         make(map[int64]appendInFlight),
+		model:           newInterferenceModel(),
+		transfers:       newTransfers(),
+		crashes:         newCrashes(),
+		holds:           make(map[*ledger.Step]*hold),
+		claims:          make(map[workload.TaskID]*claim),
+		displacements:   make(map[workload.TaskID]displacements),
+		excess:          newExcessRuns(),
+		starts:          newStartLimit(),
+		sizes:           make(sizeSamples),
+		overdueAt:       wall,
+		interruptions:   make(map[workload.TaskID]*interruption),
+		bestEffortWaits: make(map[*ledger.Step]*bestEffortWait),
 	}
 	for _, e := range cellLedger.Live() {
 		m.recordSize(e)
@@ -251,6 +253,8 @@
 		m.startAnswered(ev)
 	case StopAnswered:
 		m.stopAnswered(ev)
+	case PaceAnswered:
+		m.paceAnswered(ev)
 	case PredecessorResigned:
 		m.predecessorResigned(ev)
 	case WitnessesChosen:
