--- a/dispatch/displacementcost.go
+++ b/dispatch/displacementcost.go
@@ -16,8 +16,8 @@
 )
 
 // displaceable reports whether a run may be stopped for a long-running task of a priority.
-// Long-running runs never are, so no task displaces one that displaced it. max_unavailable
-// therefore needs no check: it counts long-running tasks only.
+// Long-running runs never are, so no task displaces one that displaced it, and the limit of
+// unavailable tasks, which long-running steps have, needs no check.
 func (m *Machine) displaceable(r *run, priority int) bool {
 	if r.step.LongRunning || r.phase != running || r.stopRequested || r.entry.Policy.Priority < priority {
 		return false
