--- a/dispatch/cancelschedules_test.go
+++ b/dispatch/cancelschedules_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/ledger"
 )
 
@@ -73,15 +74,15 @@
 	home.appendIntake(ledger.CancelledRecord(id))
 }
 
-func (s *sim) randomWorker() *simWorker {
+func (s *sim) randomWorker() *dispatchtest.Worker {
 	return s.workers[fmt.Sprintf("w%d", s.random.IntN(len(s.workers)))]
 }
 
 // unlistWorker takes a worker that works on off the list for some seconds.
 func (s *sim) unlistWorker() {
 	w := s.randomWorker()
-	w.unlisted = true
-	s.after(4*time.Second+s.randomTime(6*time.Second), func() { w.unlisted = false })
+	w.Unlisted = true
+	s.after(4*time.Second+s.randomTime(6*time.Second), func() { w.Unlisted = false })
 }
 
 // checkCancelled fails the test if a run of a cancelled submission is active too late. It
@@ -90,15 +91,15 @@
 	longest := time.Duration(0)
 	for _, s := range c.cells {
 		for id, w := range s.workers {
-			for run, r := range w.runs {
+			for run, r := range w.Runs {
 				at, cancelled := c.cancelledAt[run.Task.Submission]
-				if !cancelled || !w.up {
+				if !cancelled || !w.Up {
 					continue
 				}
-				since := c.now - max(at, r.startedAt)
+				since := c.now - max(at, r.StartedAt)
 				if longest = max(longest, since); since > maxRunAfterCancel {
 					c.t.Fatalf("%v: %v has run on %s of cell %d for %v after its cancellation at %v and its start at %v",
-						c.now, run, id, s.number, since, at, r.startedAt)
+						c.now, run, id, s.number, since, at, r.StartedAt)
 				}
 			}
 		}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -111,7 +111,7 @@
 			s.submitOften(60)
 			for range 40 {
 				s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() {
-					if w := s.workers[fmt.Sprintf("w%d", s.random.IntN(12))]; w.up {
+					if w := s.workers[fmt.Sprintf("w%d", s.random.IntN(12))]; w.Up {
 						s.crash(w)
 					}
 				})
@@ -131,8 +131,8 @@
 			for i := range 4 {
 				w := s.workers[fmt.Sprintf("w%d", i)]
 				at := time.Duration(1000+5000*i) * time.Millisecond
-				s.after(at, func() { w.partitioned = true })
-				s.after(at+time.Duration(1+i*3)*time.Second, func() { w.partitioned = false })
+				s.after(at, func() { w.Partitioned = true })
+				s.after(at+time.Duration(1+i*3)*time.Second, func() { w.Partitioned = false })
 			}
 			s.run(s.now + 60*time.Second)
 			s.expectCompleted(30)
--- a/dispatch/crashhandovers_test.go
+++ b/dispatch/crashhandovers_test.go
@@ -134,7 +134,7 @@
 			s.submitOften(60)
 			for range 30 {
 				s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() {
-					if w := s.workers[fmt.Sprintf("w%d", s.random.IntN(12))]; w.up {
+					if w := s.workers[fmt.Sprintf("w%d", s.random.IntN(12))]; w.Up {
 						s.crash(w)
 					}
 				})
@@ -142,8 +142,8 @@
 			for range 10 {
 				s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() {
 					w := s.workers[fmt.Sprintf("w%d", s.random.IntN(12))]
-					w.partitioned = true
-					s.after(time.Duration(500+s.random.IntN(8000))*time.Millisecond, func() { w.partitioned = false })
+					w.Partitioned = true
+					s.after(time.Duration(500+s.random.IntN(8000))*time.Millisecond, func() { w.Partitioned = false })
 				})
 			}
 			s.handOverOften(30 * time.Second)
@@ -164,7 +164,7 @@
 			for i := range 5 {
 				s.after(time.Duration(1500+4000*i+s.random.IntN(1000))*time.Millisecond, func() {
 					for k := range 6 {
-						if w := s.workers[fmt.Sprintf("w%d", k)]; w.up {
+						if w := s.workers[fmt.Sprintf("w%d", k)]; w.Up {
 							s.crash(w)
 						}
 					}
@@ -188,8 +188,8 @@
 			for i := range 8 {
 				w := s.workers[fmt.Sprintf("w%d", i%4)]
 				at := time.Duration(1000+3000*i) * time.Millisecond
-				s.after(at, func() { w.partitioned = true })
-				s.after(at+time.Duration(1+i)*time.Second, func() { w.partitioned = false })
+				s.after(at, func() { w.Partitioned = true })
+				s.after(at+time.Duration(1+i)*time.Second, func() { w.Partitioned = false })
 			}
 			s.handOverOften(40 * time.Second)
 			s.run(s.now + 120*time.Second)
--- /dev/null
+++ b/dispatch/dispatchtest/event.go
@@ -0,0 +1,178 @@
+package dispatchtest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+const (
+	// stepTime is the time that passes after an event, waitTime that of an event without
+	// any other effect.
+	stepTime = 400 * time.Millisecond
+	waitTime = 2400 * time.Millisecond
+	// drainTime is the time from the announcement of a worker to its end.
+	drainTime = 2 * time.Second
+)
+
+// Names of events with which courses can begin, of the first worker (w0), the other one (w1),
+// the owner and the store.
+const (
+	TimePasses     = "time passes"
+	WorkerSilent   = "w0 is silent, or not any more"
+	WorkerCrash    = "w0 crashes, or begins a new life"
+	OtherCrash     = "w1 crashes, or begins a new life"
+	OwnerStoreless = "the owner is cut off from the store and the other node"
+	OwnerIsland    = "the owner and w0 are cut off from all others"
+	RunEnds        = "run of s0 ends"
+	CutsEnd        = "the cuts end"
+	Takeover       = "takeover"
+	StoreNoAnswers = "the store loses answers, or not any more"
+)
+
+// event is something that the environment does. It reports whether it can happen.
+type event struct {
+	name string
+	do   func(c *World) bool
+}
+
+// allEvents returns the events of all courses, in an order that does not depend on the run.
+func allEvents() []event {
+	all := []event{{TimePasses, func(c *World) bool {
+		c.Run(waitTime - stepTime)
+		return true
+	}}}
+	add := func(name string, do func(c *World) bool) { all = append(all, event{name, do}) }
+	for i := range 2 {
+		for link, name := range map[linkState]string{linkCut: "is silent", linkMute: "loses answers", linkLate: "gets calls late"} {
+			add(fmt.Sprintf("w%d %s, or not any more", i, name), func(c *World) bool { return c.changeLink(c.workers[i], link) })
+		}
+		add(fmt.Sprintf("w%d crashes, or begins a new life", i), func(c *World) bool { return c.crash(c.workers[i]) })
+		add(fmt.Sprintf("w%d drains, or leaves", i), func(c *World) bool { return c.leave(c.workers[i]) })
+		add(fmt.Sprintf("the owner and w%d are cut off from all others", i), func(c *World) bool { return c.isolate(c.owner.node, i) })
+		add(fmt.Sprintf("run of s%d ends", i), func(c *World) bool { return c.endRun(i) })
+	}
+	add(OwnerStoreless, func(c *World) bool { return c.isolate(c.owner.node, -1) })
+	add(CutsEnd, (*World).endCuts)
+	for link, name := range map[linkState]string{linkCut: "is away", linkMute: "loses answers"} {
+		add("the store "+name+", or not any more", func(c *World) bool { return c.changeStore(link) })
+	}
+	add(Takeover, (*World).give)
+	add("the owner is killed", func(c *World) bool { return c.kill(false) })
+	add("the owner's VM loses power", func(c *World) bool { return c.kill(true) })
+	slices.SortStableFunc(all, func(a, b event) int { return strings.Compare(a.name, b.name) })
+	return all
+}
+
+func (c *World) changeLink(w *linkedWorker, link linkState) bool {
+	if !w.Up || w.link != linkOK && w.link != link {
+		return false
+	}
+	w.link ^= link
+	for _, do := range w.held {
+		c.after(stepTime+50*time.Millisecond, do)
+	}
+	w.held = nil
+	return true
+}
+
+func (c *World) crash(w *linkedWorker) bool {
+	if w.Up {
+		w.Up, w.listedUntil = false, c.Now+1500*time.Millisecond
+		return true
+	}
+	w.Reboot(c.Now)
+	w.Info.Worker, w.Info.Draining = fmt.Sprintf("w%d.%d", w.index, w.Info.StartMillis), false
+	w.link, w.held = linkOK, nil
+	return true
+}
+
+func (c *World) leave(w *linkedWorker) bool {
+	switch {
+	case !w.Up || w.Info.Draining && c.Now < w.leavesAt:
+		return false
+	case w.Info.Draining:
+		w.Up = false
+		return true
+	}
+	w.Info.Draining, w.leavesAt = true, c.Now+drainTime
+	return true
+}
+
+// isolate cuts a node off from the store and the other node. If worker is not negative, it
+// is on the node's side of the cut, and the other worker on the other side.
+func (c *World) isolate(n *node, worker int) bool {
+	if c.nodes[0].storeless || c.nodes[1].storeless || c.owner.ended {
+		return false
+	}
+	n.storeless = true
+	for _, other := range c.nodes {
+		if worker >= 0 {
+			other.cutFrom[worker], other.cutFrom[1-worker] = other != n, other == n
+		}
+	}
+	return true
+}
+
+func (c *World) endCuts() bool {
+	if !c.nodes[0].storeless && !c.nodes[1].storeless {
+		return false
+	}
+	for _, n := range c.nodes {
+		n.storeless, n.cutFrom = false, [2]bool{}
+	}
+	return true
+}
+
+func (c *World) changeStore(link linkState) bool {
+	if c.store != linkOK && c.store != link {
+		return false
+	}
+	c.store ^= link
+	return true
+}
+
+// give moves the cell. An owner that is cut off goes on.
+func (c *World) give() bool {
+	if c.store == linkCut || c.owner.ended {
+		return false
+	}
+	if !c.owner.node.storeless {
+		c.handOver()
+	}
+	return c.takeOver()
+}
+
+// kill ends the newest owner's process. lost: nobody can tell that it has ended.
+func (c *World) kill(lost bool) bool {
+	o := c.owner
+	if o.ended || o.node.storeless {
+		return false
+	}
+	o.ended, o.endedAt, o.killed, o.lost = true, c.Now, !lost, lost
+	o.node.seen, o.node.ends = map[int64]time.Duration{o.epoch: c.Now}, nil
+	return true
+}
+
+// endRun ends the run of a task: a finite one is done.
+func (c *World) endRun(i int) bool {
+	for _, w := range c.workers {
+		for _, r := range w.sorted() {
+			if !w.Up || i >= len(c.Tasks) || r.ID.Task != c.Tasks[i] {
+				continue
+			}
+			outcome := workload.Succeeded
+			if c.steps[i].LongRunning {
+				outcome = workload.Errored
+			}
+			w.end(r, outcome)
+			return true
+		}
+	}
+	return false
+}
+
+func (w *linkedWorker) usable() bool { return w.Up && w.link == linkOK && !w.Info.Draining }
--- a/dispatch/drainschedules_test.go
+++ b/dispatch/drainschedules_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
 )
@@ -44,7 +45,7 @@
 	ranAt := make(map[workload.TaskID]time.Duration)
 	s.runCells(began+3*drains*time.Second, []*sim{s}, func() {
 		for _, w := range s.workers {
-			for run := range w.runs {
+			for run := range w.Runs {
 				ranAt[run.Task] = s.now
 			}
 		}
@@ -59,21 +60,21 @@
 
 // drain makes a worker announce that it leaves in at least 3 s, leave, and come back as a new
 // incarnation.
-func (s *sim) drain(w *simWorker) {
-	if !w.up || w.info.Draining {
+func (s *sim) drain(w *dispatchtest.Worker) {
+	if !w.Up || w.Info.Draining {
 		return
 	}
-	w.info.Draining, w.info.Remaining = true, 3*time.Second
-	incarnation := w.info.Incarnation
+	w.Info.Draining, w.Info.Remaining = true, 3*time.Second
+	incarnation := w.Info.Incarnation
 	leaves := 3*time.Second + time.Duration(s.random.IntN(3000))*time.Millisecond
 	s.after(leaves, func() {
-		if w.info.Incarnation == incarnation {
-			w.up = false
+		if w.Info.Incarnation == incarnation {
+			w.Up = false
 		}
 	})
 	s.after(leaves+500*time.Millisecond+time.Duration(s.random.IntN(6000))*time.Millisecond, func() {
-		w.info.Draining, w.info.Remaining = false, 0
-		if !w.up {
+		w.Info.Draining, w.Info.Remaining = false, 0
+		if !w.Up {
 			s.reboot(w)
 		}
 	})
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
@@ -26,7 +27,7 @@
 type loadSim struct {
 	random      *rand.Rand
 	now         time.Duration
-	queue       events
+	queue       dispatchtest.Timers
 	serial      int
 	ledger      *ledger.Ledger
 	machine     *dispatch.Machine
@@ -97,15 +98,15 @@
 
 func (l *loadSim) after(d time.Duration, do func()) {
 	l.serial++
-	heap.Push(&l.queue, event{at: l.now + d, serial: l.serial, action: do})
+	heap.Push(&l.queue, dispatchtest.Timer{At: l.now + d, Serial: l.serial, Action: do})
 }
 
 func (l *loadSim) run(d time.Duration) {
 	until := l.now + d
-	for len(l.queue) > 0 && l.queue[0].at <= until {
-		ev := heap.Pop(&l.queue).(event)
-		l.now = ev.at
-		ev.action()
+	for len(l.queue) > 0 && l.queue[0].At <= until {
+		ev := heap.Pop(&l.queue).(dispatchtest.Timer)
+		l.now = ev.At
+		ev.Action()
 	}
 	l.now = until
 }
@@ -341,3 +342,10 @@
 	}
 	return float64(within) / float64(max(1, len(l.lateness[queue])))
 }
+
+func cmpString(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
--- a/dispatch/shrinkschedules_test.go
+++ b/dispatch/shrinkschedules_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
@@ -26,7 +27,7 @@
 	s := newSim(t, seed, 6)
 	for i := range 40 {
 		w := s.workers[fmt.Sprintf("w%d", i%6)]
-		w.unguarded = true
+		w.Unguarded = true
 		s.after(s.randomTime(25*time.Second), func() { s.resize(w, int64(s.random.IntN(5))*4000) })
 	}
 	const submissions = 60
@@ -63,21 +64,21 @@
 }
 
 // resize changes the CPU capacity of a worker.
-func (s *sim) resize(w *simWorker, milliCPU int64) {
-	if milliCPU < w.info.Capacity.MilliCPU {
-		w.shrunkAt = s.now
+func (s *sim) resize(w *dispatchtest.Worker, milliCPU int64) {
+	if milliCPU < w.Info.Capacity.MilliCPU {
+		w.ShrunkAt = s.now
 	}
-	w.info.Capacity.MilliCPU = milliCPU
+	w.Info.Capacity.MilliCPU = milliCPU
 }
 
 // checkCapacity fails the test if a run that a worker has started, by a command that was
 // sent at a time, exceeds a capacity that could be known then.
-func (s *sim) checkCapacity(w *simWorker, run workload.RunID, sent time.Duration) {
-	if !w.unguarded || (hostapi.Resources{}).Fits(w.free()) {
+func (s *sim) checkCapacity(w *dispatchtest.Worker, run workload.RunID, sent time.Duration) {
+	if !w.Unguarded || (hostapi.Resources{}).Fits(w.Free()) {
 		return
 	}
-	if sent-w.shrunkAt > maxListingDelay {
+	if sent-w.ShrunkAt > maxListingDelay {
 		s.t.Fatalf("%v: the start of %v, sent at %v, brings worker %s over its capacity of %v by %v",
-			s.now, run, sent, w.info.ID(), w.info.Capacity, hostapi.Resources{}.Sub(w.free()))
+			s.now, run, sent, w.Info.ID(), w.Info.Capacity, hostapi.Resources{}.Sub(w.Free()))
 	}
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/hostapi"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
@@ -30,7 +31,7 @@
 	log     []*ledgerpb.Record
 	epoch   int64
 	owners  []*simOwner
-	workers map[string]*simWorker
+	workers map[string]*dispatchtest.Worker
 	// faulty is true while answers are lost and commands are carried out late.
 	faulty bool
 	// logDownUntil is the time until which the log answers no appends.
@@ -73,10 +74,10 @@
 
 // newCellSim returns a cell without an owner.
 func newCellSim(world *simWorld, workers int) *sim {
-	s := &sim{simWorld: world, workers: make(map[string]*simWorker)}
+	s := &sim{simWorld: world, workers: make(map[string]*dispatchtest.Worker)}
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
-		s.workers[id] = newSimWorker(id, 16000)
+		s.workers[id] = dispatchtest.NewWorker(id, 16000)
 	}
 	return s
 }
@@ -137,8 +138,8 @@
 func (s *sim) list(o *simOwner) {
 	var list []workload.Worker
 	for i := range len(s.workers) {
-		if w := s.workers[fmt.Sprintf("w%d", i)]; w.up && !w.unlisted {
-			list = append(list, w.info)
+		if w := s.workers[fmt.Sprintf("w%d", i)]; w.Up && !w.Unlisted {
+			list = append(list, w.Info)
 		}
 	}
 	s.step(o, dispatch.WorkersListed{Workers: list})
@@ -195,7 +196,7 @@
 			ev := dispatch.StartAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.NoAnswer}
 			if !lost {
 				ev.Answer = answer.(dispatch.Answer)
-				ev.Clock = s.workers[a.Address].clock(s.now)
+				ev.Clock = s.workers[a.Address].Clock(s.now)
 			}
 			s.step(o, ev)
 		})
@@ -205,7 +206,7 @@
 			if !answers || w == nil {
 				return dispatch.WrongWorker, answers
 			}
-			return w.stop(o.epoch, a), true
+			return w.Stop(o.epoch, a), true
 		}, func(answer any, lost bool) {
 			ev := dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.NoAnswer}
 			if !lost {
@@ -237,7 +238,7 @@
 			return heartbeatResult{answer: dispatch.WrongWorker}, answers
 		}
 		s.recordAcknowledged(w, a.Cursor, o.epoch)
-		report, answer := w.heartbeat(s.now, o.epoch, a)
+		report, answer := w.Heartbeat(s.now, o.epoch, a)
 		return heartbeatResult{report, answer}, true
 	}, func(answer any, lost bool) {
 		if lost {
@@ -254,12 +255,12 @@
 }
 
 // recordAcknowledged records the successes that a cursor acknowledges.
-func (s *sim) recordAcknowledged(w *simWorker, cursor, epoch int64) {
-	if epoch < w.epoch {
+func (s *sim) recordAcknowledged(w *dispatchtest.Worker, cursor, epoch int64) {
+	if epoch < w.Epoch {
 		return
 	}
-	for _, e := range w.ends {
-		if e.Sequence <= cursor && e.Outcome == workload.Succeeded && !w.voided[e.Sequence] {
+	for _, e := range w.Ends {
+		if e.Sequence <= cursor && e.Outcome == workload.Succeeded && !w.Voided[e.Sequence] {
 			s.succeeded[e.Task] = true
 		}
 	}
@@ -322,12 +323,12 @@
 		s.t.Fatalf("%v: start of %v without a record", s.now, a.Run)
 	}
 	r := s.newRun(a.Run)
-	if s.faulty && s.random.IntN(8) == 0 && w.runs[a.Run] == nil {
+	if s.faulty && s.random.IntN(8) == 0 && w.Runs[a.Run] == nil {
 		return dispatch.NoRoom, true
 	}
-	before := len(w.runs)
-	answer := w.start(s.now, o.epoch, a, r)
-	if len(w.runs) > before {
+	before := len(w.Runs)
+	answer := w.Start(s.now, o.epoch, a, r)
+	if len(w.Runs) > before {
 		s.checkStart(a.Run, sent)
 		s.crashes.started(s, w, a.Run.Task)
 		s.checkCapacity(w, a.Run, sent)
@@ -336,16 +337,16 @@
 }
 
 // newRun returns a run of a batch, or of a long-running task that fails at times.
-func (s *sim) newRun(id workload.RunID) *simRun {
-	r := &simRun{id: id, request: hostapi.Resources{MilliCPU: 4000}, outcome: workload.Succeeded, startedAt: s.now,
-		endsAt: s.now + time.Duration(300+s.random.IntN(1500))*time.Millisecond}
+func (s *sim) newRun(id workload.RunID) *dispatchtest.Run {
+	r := &dispatchtest.Run{ID: id, Request: hostapi.Resources{MilliCPU: 4000}, Outcome: workload.Succeeded, StartedAt: s.now,
+		EndsAt: s.now + time.Duration(300+s.random.IntN(1500))*time.Millisecond}
 	switch {
 	case s.cells.isLongRunning(id.Task.Submission):
-		r.outcome, r.endsAt = workload.Errored, s.now+s.cells.timeToFailure()
+		r.Outcome, r.EndsAt = workload.Errored, s.now+s.cells.timeToFailure()
 	case s.lasting[id.Task.Submission]:
-		r.endsAt = s.now + time.Hour
+		r.EndsAt = s.now + time.Hour
 	case s.random.IntN(20) == 0:
-		r.outcome = workload.Errored
+		r.Outcome = workload.Errored
 	}
 	return r
 }
--- a/dispatch/simcells_test.go
+++ b/dispatch/simcells_test.go
@@ -104,10 +104,10 @@
 func (c *simCells) checkTasks() {
 	for _, s := range c.cells {
 		for _, w := range s.workers {
-			if !w.up {
+			if !w.Up {
 				continue
 			}
-			for run := range w.runs {
+			for run := range w.Runs {
 				c.checkRun(run)
 			}
 		}
--- a/dispatch/simcrashes_test.go
+++ b/dispatch/simcrashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -41,7 +42,7 @@
 }
 
 // started crashes a worker that has started a task if the task does so.
-func (c *simCrashes) started(s *sim, w *simWorker, id workload.TaskID) {
+func (c *simCrashes) started(s *sim, w *dispatchtest.Worker, id workload.TaskID) {
 	if c.crashes == nil || !c.crashes(id) {
 		return
 	}
@@ -51,9 +52,9 @@
 	if c.startsAfter[id] >= maxStartsAfterCrashes {
 		s.t.Fatalf("%v: %v was started %d times more after %d workers had crashed under it", s.now, id, c.startsAfter[id], c.workers[id])
 	}
-	incarnation := w.info.Incarnation
+	incarnation := w.Info.Incarnation
 	s.after(simCrashDelay, func() {
-		if w.up && w.info.Incarnation == incarnation {
+		if w.Up && w.Info.Incarnation == incarnation {
 			c.workers[id]++
 			s.crash(w)
 		}
@@ -61,7 +62,7 @@
 }
 
 // crash ends a worker's incarnation; the next one begins after downTime.
-func (s *sim) crash(w *simWorker) {
-	w.up = false
+func (s *sim) crash(w *dispatchtest.Worker) {
+	w.Up = false
 	s.after(s.crashes.downTime, func() { s.reboot(w) })
 }
--- a/dispatch/simfaults_test.go
+++ b/dispatch/simfaults_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 )
 
 // injectFault injects a random fault and schedules its end.
@@ -18,17 +21,17 @@
 			s.after(last-time.Millisecond, func() { s.openEpoch() })
 		}
 	case 0:
-		w.partitioned = true
-		s.after(last, func() { w.partitioned = false })
+		w.Partitioned = true
+		s.after(last, func() { w.Partitioned = false })
 	case 1:
-		w.up = false
+		w.Up = false
 		s.after(last, func() { s.reboot(w) })
 	case 2:
 		s.reboot(w)
 	case 4:
 		if s.removed < 2 {
 			s.removed++
-			w.up, w.removed = false, true
+			w.Up, w.Removed = false, true
 		}
 	case 3:
 		previous := s.owner()
@@ -38,11 +41,11 @@
 	}
 }
 
-func (s *sim) reboot(w *simWorker) {
-	if !w.removed {
-		w.reboot(s.now)
+func (s *sim) reboot(w *dispatchtest.Worker) {
+	if !w.Removed {
+		w.Reboot(s.now)
 		if s.crashes.newIDs {
-			w.info.Worker = fmt.Sprintf("%s-%d", w.info.Address, w.info.StartMillis)
+			w.Info.Worker = fmt.Sprintf("%s-%d", w.Info.Address, w.Info.StartMillis)
 		}
 	}
 }
@@ -50,9 +53,22 @@
 func (s *sim) endFaults() {
 	s.faulty = false
 	for _, w := range s.workers {
-		w.partitioned = false
-		if !w.up && !w.removed {
-			w.reboot(s.now)
+		w.Partitioned = false
+		if !w.Up && !w.Removed {
+			w.Reboot(s.now)
 		}
 	}
 }
+
+// at returns the worker that a command reaches, or nil if another incarnation answers at
+// the address, and whether there is an answer.
+func (s *sim) at(target dispatch.Target) (w *dispatchtest.Worker, answers bool) {
+	w = s.workers[target.Address]
+	switch {
+	case !w.Up || w.Partitioned:
+		return nil, false
+	case w.Info.Incarnation == target.Incarnation:
+		return w, true
+	}
+	return nil, s.crashes.newIDs
+}
--- a/dispatch/simworld_test.go
+++ b/dispatch/simworld_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -19,7 +20,7 @@
 	t      *testing.T
 	random *rand.Rand
 	now    time.Duration
-	queue  events
+	queue  dispatchtest.Timers
 	serial int
 	starts int
 	// succeeded are the tasks whose success was acknowledged to a worker.
@@ -43,20 +44,20 @@
 
 func (s *simWorld) after(d time.Duration, do func()) {
 	s.serial++
-	heap.Push(&s.queue, event{at: s.now + d, serial: s.serial, action: do})
+	heap.Push(&s.queue, dispatchtest.Timer{At: s.now + d, Serial: s.serial, Action: do})
 }
 
 // runCells carries out the events of cells. check is called after each event.
 func (s *simWorld) runCells(until time.Duration, cells []*sim, check func()) {
-	for len(s.queue) > 0 && s.queue[0].at <= until {
-		ev := heap.Pop(&s.queue).(event)
-		s.now = ev.at
+	for len(s.queue) > 0 && s.queue[0].At <= until {
+		ev := heap.Pop(&s.queue).(dispatchtest.Timer)
+		s.now = ev.At
 		for _, c := range cells {
 			for _, w := range c.workers {
-				w.advance(s.now)
+				w.Advance(s.now)
 			}
 		}
-		ev.action()
+		ev.Action()
 		s.checkActiveRuns(cells)
 		check()
 	}
@@ -68,10 +69,10 @@
 	seen := make(map[workload.TaskID]string)
 	for _, c := range cells {
 		for id, w := range c.workers {
-			if !w.up {
+			if !w.Up {
 				continue
 			}
-			for run := range w.runs {
+			for run := range w.Runs {
 				if other, ok := seen[run.Task]; ok {
 					s.t.Fatalf("%v: %v runs on %s of cell %d and on %s", s.now, run, id, c.number, other)
 				}
--- a/dispatch/transferschedules_test.go
+++ b/dispatch/transferschedules_test.go
@@ -94,7 +94,7 @@
 // the leases have expired.
 func (c *simCells) removeWorkers(s *sim) {
 	for _, w := range s.workers {
-		w.up, w.removed = false, true
+		w.Up, w.Removed = false, true
 	}
 	s.removed = len(s.workers)
 	c.settledAt = c.now + dispatch.LeaseExpiryBound(simLease)
