--- a/coordinator/witnesses.go
+++ b/coordinator/witnesses.go
@@ -80,8 +80,8 @@
 // had confirmed the owner.
 type witnesses struct {
 	mu sync.Mutex
-	// sets are those of which a record may be in the log; each limits the leases. The last
-	// is the newest, the others precede a record that is known to be in the log.
+	// sets are those of which a record may be the newest in the log, in the order of their
+	// records. Each limits the leases.
 	sets []ledger.Witnesses
 	// trial is the set to be recorded next, once all of it have confirmed the owner.
 	trial *ledger.Witnesses
