ledger, dispatch: a submission is pending until a worker has confirmed a run

Cause found by reading: a submission counted as begun from its first Placed record on. A start that the worker rejects for want of room, that an old view or a short lease blocks, or that has no answer, leaves it so for as long as it goes on waiting.

Change: the entry notes whether a run has been active on a worker; the owner sets it from answers and reports, a successor from the worker's first report or an end in the log. Until then runs that a previous owner placed count as active, so a takeover does not make running submissions pending. The state that the log determines is unchanged, and so is the order of work.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -53,6 +53,7 @@
 		first := r.entry.State() == workload.Queued
 		m.ledger.Apply(record)
 		if first {
+			r.entry.NoteNotActive()
 			m.emitSubmissionDecision(SubmissionBegan, r.entry)
 		}
 		reason := m.startBlocker(r)
@@ -94,6 +95,7 @@
 func (m *Machine) confirmRun(r *run) {
 	r.phase = running
 	r.confirmedAt = m.now
+	r.entry.NoteActive()
 	if r.startedAt == 0 {
 		r.startedAt, r.progressAt = m.now, m.now
 		r.worker.beginInterval(r, m.now)
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -381,6 +381,7 @@
 		return
 	}
 	r.inherited = false
+	r.entry.NoteRunNotFound()
 	if r.stopRequested || reason != "" || r.step.Gang || r.isolated || r.exceedsMaxPerWorker() {
 		m.stopRun(r, "start of a previous owner is not retried")
 		return
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/cactusreel/cactusreel/workload"
@@ -25,8 +26,20 @@
 	everSuspected bool
 	// state is the published state. Other goroutines read it.
 	state atomic.Int32
+	// activity is what this process knows of the submission's runs. Other goroutines read it.
+	activity atomic.Int32
 }
 
+// Values of Entry.activity.
+const (
+	// activityUnknown: runs that an earlier owner placed may have been active.
+	activityUnknown int32 = iota
+	// notActiveYet: no worker has confirmed a run.
+	notActiveYet
+	// hasBeenActive: a run has been active on a worker, or another cell has the task.
+	hasBeenActive
+)
+
 func newEntry(s workload.Submission) *Entry {
 	e := &Entry{Submission: s, occurrences: make([]*Occurrence, s.OccurrenceCount()), unfinished: s.OccurrenceCount()}
 	for i := range e.Steps {
@@ -39,6 +52,40 @@
 // State returns the state that callers see. It is safe for concurrent use.
 func (e *Entry) State() workload.State { return workload.State(e.state.Load()) }
 
+// NoteActive records that a run of the submission has been active on a worker.
+func (e *Entry) NoteActive() { e.activity.Store(hasBeenActive) }
+
+// NoteNotActive records that no run of the submission has been active as far as this
+// process knows. It has no effect after NoteActive.
+func (e *Entry) NoteNotActive() { e.activity.CompareAndSwap(activityUnknown, notActiveYet) }
+
+// NoteRunNotFound records that a run which an earlier owner placed is not active. Unless
+// another run has ended or is found, the submission has not been active.
+func (e *Entry) NoteRunNotFound() {
+	if e.activity.Load() != activityUnknown {
+		return
+	}
+	for _, o := range e.occurrences {
+		if o == nil {
+			continue
+		}
+		for i := range o.Steps {
+			if slices.ContainsFunc(o.Steps[i].Tasks, func(t Task) bool { return t.Run > 0 && !t.Open }) {
+				e.NoteActive()
+				return
+			}
+		}
+	}
+	e.NoteNotActive()
+}
+
+// pending reports whether no task of the submission is known to have started. A run that is
+// in the log may have been rejected, or not started yet.
+func (e *Entry) pending() bool {
+	state := e.State()
+	return state == workload.Queued || state == workload.Running && e.activity.Load() == notActiveYet
+}
+
 // Guest reports whether the submission belongs to another cell.
 func (e *Entry) Guest() bool { return e.guest }
 
--- a/ledger/index.go
+++ b/ledger/index.go
@@ -1,10 +1,6 @@
 package ledger
 
-import (
-	"sync"
-
-	"github.com/cactusreel/cactusreel/workload"
-)
+import "sync"
 
 // Index finds entries by id. It is safe for concurrent use.
 type Index struct {
@@ -20,14 +16,13 @@
 	return value.(*Entry)
 }
 
-// Pending returns the number of submissions of a queue that are in state Queued:
-// no run of their tasks has been placed. Those whose due time is still to come are
-// included.
+// Pending returns the number of submissions of a queue none of whose tasks is known to have
+// started. Those whose due time is still to come are included.
 func (x *Index) Pending(queue string) int {
 	pending := 0
 	x.entries.Range(func(_, value any) bool {
 		e := value.(*Entry)
-		if e.Queue == queue && e.State() == workload.Queued {
+		if e.Queue == queue && e.pending() {
 			pending++
 		}
 		return true
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -207,6 +207,7 @@
 	if r.Checkpoint != "" && r.Run >= t.Run {
 		t.Checkpoint = r.Checkpoint
 	}
+	e.NoteActive()
 	outcome := workload.Outcome(r.Outcome)
 	if e.Steps[t.ID.Step].Gang {
 		l.applyGangEnd(e, t, r.Run, outcome)
--- a/ledger/transfer.go
+++ b/ledger/transfer.go
@@ -48,6 +48,7 @@
 		return nil
 	}
 	e.started = true
+	e.NoteActive()
 	if r.Transfer <= t.Transfer || t.Done {
 		l.updateState(e)
 		return e
@@ -90,7 +91,10 @@
 func (e *Entry) takeOver(t *Task, state *ledgerpb.TransferredTask) {
 	t.Transfer = state.Transfer
 	e.stepOf(t).setAway(t, false)
-	e.started = e.started || state.Run > 0
+	if state.Run > 0 {
+		e.started = true
+		e.NoteActive()
+	}
 	if state.Run >= t.Run {
 		t.closeRun()
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
