coordinator: tests of what witnesses confirmed, and when

Three mutations passed all tests of ./coordinator: a witness that was replaced by another process answers LastConfirmed with "never"; a set is recorded once all of it have ever confirmed, though its majority's confirmation is old; a confirmation counts from its answer, not from its call. With each a lease outlasts what the successor learns.

--- a/coordinator/leasebounds_test.go
+++ b/coordinator/leasebounds_test.go
@@ -1,7 +1,6 @@
 package coordinator_test
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,13 +164,7 @@
 	s.addNode(vm, 1)
 	s.nodes[vm].SetPeer(other, remotePeer{Coordinator: s.nodes[other], isCut: func() bool { return s.linkIsCut(vm, other) }})
 	s.nodes[other].SetPeer(vm, remotePeer{Coordinator: s.nodes[vm], isCut: func() bool { return s.linkIsCut(other, vm) }})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		s.nodes[vm].Run(ctx)
-		close(done)
-	}()
-	s.stops[0] = func() { cancel(); <-done }
+	s.stops[0] = s.runNode(vm)
 }
 
 // Guards against a wait for leases that expired long ago, because the owner that granted
@@ -267,13 +260,7 @@
 		s.nodes[vm].SetPeer(other, remotePeer{Coordinator: s.nodes[other], isCut: func() bool { return true }})
 		s.nodes[other].SetPeer(vm, remotePeer{Coordinator: s.nodes[vm], isCut: func() bool { return true }})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		s.nodes[vm].Run(ctx)
-		close(done)
-	}()
-	s.stops = append(s.stops, func() { cancel(); <-done })
+	s.stops = append(s.stops, s.runNode(vm))
 }
 
 // Guards against runs that lapse while the store is away for seconds, because their owner
--- a/coordinator/lostowner_test.go
+++ b/coordinator/lostowner_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -125,6 +126,56 @@
 	is.True(!answer.Confirmed)
 }
 
+// Guards against a task that runs twice: the only witness that both a cut-off owner and its
+// successor reach is replaced by a process that doesn't know what the one before confirmed.
+func TestSuccessorCountsWhatAReplacedWitnessMayHaveConfirmed(t *testing.T) {
+	for _, after := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second} {
+		for _, takeover := range []time.Duration{0, time.Second, 4 * time.Second} {
+			t.Run(fmt.Sprintf("replaced after %v, takeover %v later", after, takeover), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					vms := []string{"vm-0", "vm-1", "vm-2", "vm-3"}
+					s := startSilentWorkerTest(t, len(vms))
+					defer s.close()
+					time.Sleep(ownerAuthority)
+					s.cutToAllBut("vm-0", vms...)
+					s.cutStore("vm-0", true)
+					s.cutPeers("vm-0", true, "vm-1")
+					s.cutPeers("vm-1", true, "vm-3")
+					time.Sleep(after)
+					s.replaceProcess("vm-2", 2, vms...)
+					time.Sleep(takeover)
+					s.group.assign(0, "vm-1")
+					s.waitForRestart(after + confirmedFor + dispatch.LeaseExpiryBound(clusterLease) + maxTakeoverTime)
+				})
+			})
+		}
+	}
+}
+
+// replaceProcess ends the process of a VM, whose number is n, and starts another one there.
+func (s *silentWorkerTest) replaceProcess(vm string, n int, vms ...string) {
+	s.stops[n]()
+	s.addNode(vm, 1)
+	for _, other := range vms {
+		if other != vm {
+			s.nodes[vm].SetPeer(other, s.peer(vm, other))
+			s.nodes[other].SetPeer(vm, s.peer(other, vm))
+		}
+	}
+	s.stops[n] = s.runNode(vm)
+}
+
+// runNode runs the node of a VM until the returned function is called.
+func (s *silentWorkerTest) runNode(vm string) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		s.nodes[vm].Run(ctx)
+		close(done)
+	}()
+	return func() { cancel(); <-done }
+}
+
 // Guards against runs that lapse because the witnesses of their owner were stopped in turn
 // shortly before an outage of the store, in which no others can be recorded.
 func TestWitnessesThatAreStoppedAreReplacedBeforeTheyEnd(t *testing.T) {
