--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -64,7 +64,7 @@
 	case dispatch.ViewRenewed:
 		o.reportRenewed(a)
 	case dispatch.WitnessesRecorded:
-		o.witnesses.recorded(a.Number)
+		o.witnesses.Recorded(a.Number)
 	case dispatch.FindCapacity:
 		o.wg.Go(func() { o.findCapacity(ctx, a) })
 	case dispatch.Transfer:
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -12,6 +12,7 @@
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/witness"
 )
 
 // Topics of the cells' streams; the partition is the cell's number.
@@ -79,9 +80,9 @@
 	processEnds processEnds
 	// candidates can be witnesses of this node's ownership, witnesses are those that are.
 	candidates candidates
-	witnesses  atomic.Pointer[witnesses]
+	witnesses  atomic.Pointer[witness.Owner]
 	// confirmations are those of this process as a witness of other owners.
-	confirmations confirmations
+	confirmations *witness.Confirmations
 	// recentlyAccepted maps the ids of submissions that this node accepted, but
 	// has not yet read from the intake, to the time of acceptance.
 	recentlyAccepted sync.Map
@@ -95,6 +96,7 @@
 func newCell(n *Node, number int) *cell {
 	c := &cell{
 		node: n, number: number,
+		confirmations:    witness.NewConfirmations(n.process, n.monotonicNow()),
 		wake:             make(chan struct{}, 1),
 		refreshRequests:  make(chan chan refreshResult),
 		dumpRequests:     make(chan chan dispatch.Dump),
@@ -103,7 +105,7 @@
 		evacuation:       make(chan struct{}, 1),
 	}
 	c.state.Store(ledger.New())
-	c.witnesses.Store(newWitnesses())
+	c.witnesses.Store(witness.NewOwner())
 	c.intakeWriter = newIntakeWriter(c)
 	return c
 }
--- a/coordinator/cellauthority.go
+++ b/coordinator/cellauthority.go
@@ -72,7 +72,7 @@
 
 // confirmedLeaseLimit returns the part of the limit that follows from the witnesses.
 func (c *cell) confirmedLeaseLimit() time.Duration {
-	return c.witnesses.Load().leaseLimit(c.node.authorityNow(), c.node.config.Dispatch.Lease)
+	return c.witnesses.Load().LeaseLimit(c.node.authorityNow(), c.node.config.Dispatch.Lease)
 }
 
 // joinedLeaseLimit returns the part of the limit that follows from the joins.
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -22,7 +22,7 @@
 	lease := min(o.node.config.Dispatch.HandoverLease, o.joinedLeaseLimit())
 	heartbeats := o.machine.HandOver(began, lease)
 	withhold := func() time.Duration {
-		grantable := min(o.node.config.Dispatch.Lease, o.witnesses.leaseLimit(o.node.authorityNow(), o.node.config.Dispatch.Lease))
+		grantable := min(o.node.config.Dispatch.Lease, o.witnesses.LeaseLimit(o.node.authorityNow(), o.node.config.Dispatch.Lease))
 		return max(0, lease-grantable-(o.node.monotonicNow()-began))
 	}
 	withheld := withhold()
--- a/coordinator/lostowner.go
+++ b/coordinator/lostowner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,57 +10,49 @@
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/witness"
 )
 
 // confirmedLeaseExpiry returns the time, from the last confirmation of an owner by a witness,
 // after which all leases that it granted have expired.
 func (c *cell) confirmedLeaseExpiry() time.Duration {
-	return dispatch.LeaseExpiryBound(confirmedDuration + c.node.config.Dispatch.Lease)
+	return dispatch.LeaseExpiryBound(witness.ConfirmedDuration + c.node.config.Dispatch.Lease)
 }
 
 // askPreviousWitnesses asks the witnesses of the previous owner when they last confirmed it,
-// in case that owner can't be asked itself. Each time at which a majority had confirmed it is
-// at most the latest that any majority names, and none of them confirms it again.
+// in case that owner can't be asked itself.
 func (o *ownership) askPreviousWitnesses(ctx context.Context, previous ledger.Owner, named ledger.Witnesses) {
 	if len(named.All) == 0 {
 		return
 	}
-	var mu sync.Mutex
-	answers, last := 0, time.Duration(0)
+	inquiry := witness.NewInquiry(named)
 	for _, one := range named.All {
 		o.wg.Go(func() {
-			at, confirmed, answered := o.lastConfirmed(ctx, previous.Epoch, one)
+			answer, answered := o.lastConfirmed(ctx, previous.Epoch, one)
 			if !answered {
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			if confirmed {
-				last = max(last, at)
-			}
-			answers++
-			if answers == named.Majority() && last > 0 {
+			if last, complete := inquiry.Answered(answer, o.node.monotonicNow()); complete {
 				o.postConfirmed(ctx, previous, last)
 			}
 		})
 	}
 }
 
-// lastConfirmed returns when a witness last confirmed the owner of an epoch, on this node's
-// monotonic clock. answered is false if it can't be asked while that could shorten a wait.
-func (o *ownership) lastConfirmed(ctx context.Context, epoch int64, one ledger.Witness) (at time.Duration, confirmed, answered bool) {
+// lastConfirmed asks a witness when it last confirmed the owner of an epoch. answered is false
+// if it can't be asked while that could shorten a wait.
+func (o *ownership) lastConfirmed(ctx context.Context, epoch int64, one ledger.Witness) (a witness.LastAnswer, answered bool) {
 	q := &coordpb.LastConfirmedRequest{Cell: int32(o.number), Epoch: epoch, Process: one.Process}
 	for attempt := 1; ctx.Err() == nil && o.node.monotonicNow()-o.openedAt < authorityDuration; attempt++ {
 		call, cancel := context.WithTimeout(ctx, resignTimeout)
 		answer, err := o.callWitness(call, one, q)
 		cancel()
 		if err == nil {
-			age := time.Duration(answer.AgeMs) * time.Millisecond
-			return max(1, o.node.monotonicNow()-age), !answer.Never, true
+			return witness.LastAnswer{Never: answer.Never, Age: time.Duration(answer.AgeMs) * time.Millisecond}, true
 		}
 		sleep(ctx, retryDelay(attempt))
 	}
-	return 0, false, false
+	return witness.LastAnswer{}, false
 }
 
 func (o *ownership) callWitness(ctx context.Context, one ledger.Witness, q *coordpb.LastConfirmedRequest) (*coordpb.LastConfirmedAnswer, error) {
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -14,6 +14,7 @@
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/witness"
 )
 
 // ownership is one epoch of a cell at this node.
@@ -22,7 +23,7 @@
 	epoch int64
 	// previous is the owner of the epoch before.
 	previous           ledger.Owner
-	witnesses          *witnesses
+	witnesses          *witness.Owner
 	machine            *dispatch.Machine
 	events             chan queuedEvent
 	writer             *cellWriter
@@ -82,7 +83,7 @@
 	if len(c.node.cells) > 1 {
 		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
 	}
-	c.witnesses.Store(newWitnesses())
+	c.witnesses.Store(witness.NewOwner())
 	config.PredecessorExpiry = c.predecessorLeaseExpiry()
 	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
 	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
--- a/coordinator/witnesses.go
+++ b/coordinator/witnesses.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"syscall"
@@ -14,35 +13,15 @@
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/witness"
 )
 
-// Limits of witnesses.
-const (
-	// maxWitnesses is the number of witnesses of an owner, minWitnesses the least for which
-	// the loss of one leaves a majority.
-	maxWitnesses = 5
-	minWitnesses = 3
-	// confirmInterval is the time between two calls to each witness, confirmTimeout the
-	// timeout of a call: late answers count from when the call was sent.
-	confirmInterval = 250 * time.Millisecond
-	confirmTimeout  = 2 * time.Second
-	// confirmedDuration is how long an owner grants full leases after a majority of its
-	// witnesses has confirmed it. Later ones end when the last full one does.
-	confirmedDuration = 700 * time.Millisecond
-	// witnessFailureTime is how long a witness may confirm nothing until another one
-	// replaces it. One that is known to end is replaced at once: the store may be away
-	// when it has ended.
-	witnessFailureTime = confirmTimeout + time.Second
-	// witnessRetryDelay is how long a process that failed is not chosen again.
-	witnessRetryDelay = 10 * time.Second
-	// witnessMemory is how long after its last call a node can be chosen as a witness.
-	witnessMemory = endWait + time.Second
-)
+// witnessMemory is how long after its last call a node can be chosen as a witness.
+const witnessMemory = endWait + time.Second
 
 // candidate is a process that can be a witness, as its calls tell.
 type candidate struct {
-	ledger.Witness
-	dataCentre string
+	witness.Candidate
 	// calledAt is when the process called last, on the node's monotonic clock.
 	calledAt time.Duration
 }
@@ -70,266 +49,55 @@
 		return known.PeerAddress == q.PeerAddress || now-known.calledAt > witnessMemory
 	})
 	c.candidates.all[q.Process] = candidate{
-		Witness:    ledger.Witness{VM: q.Vm, PeerAddress: q.PeerAddress, Process: q.Process},
-		dataCentre: q.DataCentre, calledAt: now,
-	}
-}
-
-// witnesses are the processes that witness that an owner is alive. Its successor asks them if
-// the owner does not answer: each lease was granted within confirmedDuration after a majority
-// had confirmed the owner.
-type witnesses struct {
-	mu sync.Mutex
-	// sets are those of which a record may be the newest in the log, in the order of their
-	// records. Each limits the leases.
-	sets []ledger.Witnesses
-	// trial is the set to be recorded next, once all of it have confirmed the owner.
-	trial *ledger.Witnesses
-	// confirmedAt is when the newest call that a process confirmed was sent, askedAt when
-	// it was first called, both on the authority clock.
-	confirmedAt, askedAt map[int64]time.Duration
-	// leaving are the processes that have ended or are being stopped, failedAt is when others
-	// were last found to fail.
-	leaving  map[int64]bool
-	failedAt map[int64]time.Duration
-}
-
-func newWitnesses() *witnesses {
-	return &witnesses{
-		confirmedAt: make(map[int64]time.Duration), askedAt: make(map[int64]time.Duration),
-		leaving: make(map[int64]bool), failedAt: make(map[int64]time.Duration),
-	}
-}
-
-// leaseLimit returns the duration of the longest lease that the owner may grant at a time.
-func (w *witnesses) leaseLimit(now, lease time.Duration) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	limit := time.Duration(math.MaxInt64)
-	for i := range w.sets {
-		if len(w.sets[i].All) == 0 {
-			continue
-		}
-		at, confirmed := w.majorityAt(&w.sets[i])
-		if !confirmed {
-			return 0
-		}
-		limit = min(limit, max(0, confirmedDuration+lease-(now-at)))
-	}
-	return limit
-}
-
-// majorityAt returns the time since which a majority of a set has confirmed the owner.
-func (w *witnesses) majorityAt(set *ledger.Witnesses) (time.Duration, bool) {
-	var at []time.Duration
-	for _, one := range set.All {
-		if confirmed, ok := w.confirmedAt[one.Process]; ok {
-			at = append(at, confirmed)
-		}
+		Candidate: witness.Candidate{
+			Witness:    ledger.Witness{VM: q.Vm, PeerAddress: q.PeerAddress, Process: q.Process},
+			DataCentre: q.DataCentre,
+		},
+		calledAt: now,
 	}
-	if len(at) < set.Majority() {
-		return 0, false
-	}
-	slices.SortFunc(at, func(a, b time.Duration) int { return cmp.Compare(b, a) })
-	return at[set.Majority()-1], true
-}
-
-// recorded notes that the record of the set with a number is in the log: earlier ones hold no
-// longer.
-func (w *witnesses) recorded(number int64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.sets = slices.DeleteFunc(w.sets, func(set ledger.Witnesses) bool { return set.Number < number })
-}
-
-// asked returns the processes to call, and forgets what others confirmed.
-func (w *witnesses) asked(now time.Duration) []ledger.Witness {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	sets := w.sets
-	if w.trial != nil {
-		sets = append(slices.Clone(sets), *w.trial)
-	}
-	askedAt, confirmedAt := make(map[int64]time.Duration), make(map[int64]time.Duration)
-	var out []ledger.Witness
-	for _, set := range sets {
-		for _, one := range set.All {
-			if _, added := askedAt[one.Process]; added {
-				continue
-			}
-			out = append(out, one)
-			askedAt[one.Process] = now
-			if since, known := w.askedAt[one.Process]; known {
-				askedAt[one.Process] = since
-			}
-			if at, confirmed := w.confirmedAt[one.Process]; confirmed {
-				confirmedAt[one.Process] = at
-			}
-		}
-	}
-	w.askedAt, w.confirmedAt = askedAt, confirmedAt
-	return out
-}
-
-// confirmed records that a process confirmed the owner in answer to a call.
-func (w *witnesses) confirmed(process int64, sent time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.confirmedAt[process] = max(w.confirmedAt[process], sent)
-}
-
-func (w *witnesses) noteLeaving(process int64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.leaving[process] = true
-}
-
-// failing reports whether a process is known to end, or was called and has confirmed nothing
-// for a while.
-func (w *witnesses) failing(process int64, now time.Duration) bool {
-	if w.leaving[process] {
-		return true
-	}
-	if asked, ok := w.askedAt[process]; ok && now-max(asked, w.confirmedAt[process]) > witnessFailureTime {
-		w.failedAt[process] = now
-	}
-	failed, ok := w.failedAt[process]
-	return ok && now-failed < witnessRetryDelay
-}
-
-// choose returns the set to be recorded next, or nil if there is none: the newest one will do,
-// its record is awaited, or the set on trial has not confirmed the owner yet. A set that has
-// lost its majority is followed by an empty one, which limits no leases.
-func (w *witnesses) choose(all []candidate, ownDataCentre string, now time.Duration) *ledger.Witnesses {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.forgetFailures(all, now)
-	if len(w.sets) > 1 {
-		return nil
-	}
-	var newest ledger.Witnesses
-	if len(w.sets) > 0 {
-		newest = w.sets[0]
-	}
-	if at, confirmed := w.majorityAt(&newest); len(newest.All) > 0 && (!confirmed || now-at > witnessFailureTime) {
-		w.trial = &ledger.Witnesses{Number: newest.Number + 1}
-	} else if w.trial == nil || slices.ContainsFunc(w.trial.All, func(one ledger.Witness) bool { return w.failing(one.Process, now) }) {
-		w.trial = w.replacement(&newest, all, ownDataCentre, now)
-	}
-	if w.trial == nil || !w.hasConfirmed(w.trial, now) {
-		return nil
-	}
-	chosen := w.trial
-	w.trial, w.sets = nil, append(w.sets, *chosen)
-	return chosen
-}
-
-// hasConfirmed reports whether all of a set have confirmed the owner, and a majority just now:
-// what the owner granted before the set is recorded must have been confirmed, too.
-func (w *witnesses) hasConfirmed(set *ledger.Witnesses, now time.Duration) bool {
-	if len(set.All) == 0 {
-		return true
-	}
-	if slices.ContainsFunc(set.All, func(one ledger.Witness) bool { return w.confirmedAt[one.Process] == 0 }) {
-		return false
-	}
-	at, confirmed := w.majorityAt(set)
-	return confirmed && now-at <= confirmedDuration
-}
-
-// forgetFailures forgets the processes that can't be chosen any more, or may be chosen again.
-func (w *witnesses) forgetFailures(all []candidate, now time.Duration) {
-	maps.DeleteFunc(w.failedAt, func(_ int64, at time.Duration) bool { return now-at >= witnessRetryDelay })
-	maps.DeleteFunc(w.leaving, func(process int64, _ bool) bool {
-		_, asked := w.askedAt[process]
-		return !asked && !slices.ContainsFunc(all, func(one candidate) bool { return one.Process == process })
-	})
-}
-
-// replacement returns the set that should replace the newest one, or nil if that will do.
-func (w *witnesses) replacement(newest *ledger.Witnesses, all []candidate, ownDataCentre string, now time.Duration) *ledger.Witnesses {
-	usable := slices.DeleteFunc(all, func(one candidate) bool { return w.failing(one.Process, now) })
-	chosen := spread(usable, ownDataCentre)
-	failing := slices.ContainsFunc(newest.All, func(one ledger.Witness) bool { return w.failing(one.Process, now) })
-	if len(chosen) <= len(newest.All) && !failing || len(chosen) == 0 && len(newest.All) == 0 {
-		return nil
-	}
-	return &ledger.Witnesses{Number: newest.Number + 1, All: chosen}
-}
-
-// spread chooses an odd number of candidates, at most maxWitnesses, spread over the data
-// centres, or none if there are fewer than minWitnesses. A minority is in the owner's own data
-// centre, which may be lost with it.
-func spread(all []candidate, ownDataCentre string) []ledger.Witness {
-	byDataCentre := make(map[string][]candidate)
-	for _, one := range all {
-		byDataCentre[one.dataCentre] = append(byDataCentre[one.dataCentre], one)
-	}
-	for _, inOne := range byDataCentre {
-		slices.SortFunc(inOne, func(a, b candidate) int { return cmp.Compare(a.VM, b.VM) })
-	}
-	if own := byDataCentre[ownDataCentre]; len(byDataCentre) > 1 {
-		byDataCentre[ownDataCentre] = own[:min(len(own), maxWitnesses/2)]
-	}
-	var out []ledger.Witness
-	for round := range maxWitnesses {
-		for _, name := range slices.Sorted(maps.Keys(byDataCentre)) {
-			if inOne := byDataCentre[name]; round < len(inOne) && len(out) < maxWitnesses {
-				out = append(out, inOne[round].Witness)
-			}
-		}
-	}
-	if len(out)%2 == 0 && len(out) > 0 {
-		out = out[:len(out)-1]
-	}
-	if len(out) < minWitnesses {
-		return nil
-	}
-	return out
 }
 
 // askWitnesses has the witnesses confirm this owner until ctx is done, and has them recorded
 // when they change.
 func (o *ownership) askWitnesses(ctx context.Context) {
 	for {
-		for _, one := range o.witnesses.asked(o.node.authorityNow()) {
-			o.node.wg.Go(func() { o.askWitness(ctx, one) })
+		for _, c := range o.witnesses.Calls(o.node.authorityNow()) {
+			o.node.wg.Go(func() { o.askWitness(ctx, c) })
 		}
-		if !sleep(ctx, confirmInterval) {
+		if !sleep(ctx, witness.CallInterval) {
 			return
 		}
-		if chosen := o.witnesses.choose(o.candidateList(), o.node.config.DataCentre, o.node.authorityNow()); chosen != nil {
+		if chosen := o.witnesses.Choose(o.candidateList(), o.node.config.DataCentre, o.node.authorityNow()); chosen != nil {
 			o.post(ctx, dispatch.WitnessesChosen{Witnesses: *chosen})
 		}
 	}
 }
 
-func (o *ownership) askWitness(ctx context.Context, one ledger.Witness) {
-	call, cancel := context.WithTimeout(ctx, confirmTimeout)
+func (o *ownership) askWitness(ctx context.Context, c witness.Call) {
+	call, cancel := context.WithTimeout(ctx, witness.CallTimeout)
 	defer cancel()
-	sent := o.node.authorityNow()
-	answer, err := o.node.peers.client(one.PeerAddress).ConfirmOwner(call, &coordpb.ConfirmOwnerRequest{
-		Cell: int32(o.number), Epoch: o.epoch, Process: one.Process,
+	answer, err := o.node.peers.client(c.Witness.PeerAddress).ConfirmOwner(call, &coordpb.ConfirmOwnerRequest{
+		Cell: int32(o.number), Epoch: o.epoch, Process: c.Witness.Process,
 	})
-	if err == nil && answer.Confirmed {
-		o.witnesses.confirmed(one.Process, sent)
-	}
-	if err == nil && answer.Leaving || errors.Is(err, syscall.ECONNREFUSED) {
-		o.witnesses.noteLeaving(one.Process)
+	switch {
+	case err == nil:
+		o.witnesses.Answered(c, witness.Answer{Confirmed: answer.Confirmed, Leaving: answer.Leaving})
+	case errors.Is(err, syscall.ECONNREFUSED):
+		o.witnesses.Answered(c, witness.Answer{Leaving: true})
 	}
 }
 
 // candidateList returns the processes that have called lately.
-func (c *cell) candidateList() []candidate {
+func (c *cell) candidateList() []witness.Candidate {
 	now := c.node.monotonicNow()
 	c.candidates.mu.Lock()
 	defer c.candidates.mu.Unlock()
-	var out []candidate
+	var out []witness.Candidate
 	for _, one := range c.candidates.all {
 		if now-one.calledAt <= witnessMemory {
-			out = append(out, one)
+			out = append(out, one.Candidate)
 		}
 	}
-	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.Process, b.Process) })
+	slices.SortFunc(out, func(a, b witness.Candidate) int { return cmp.Compare(a.Process, b.Process) })
 	return out
 }
