dispatch: courses with witnesses that are replaced, late or reached in turn

The modelled world had one time per owner at which "the witnesses" had last confirmed it, all at once and always at once, so no course could show a fault of theirs. Its owners now run package witness with three processes that can be witnesses, its successors ask these one by one, and a hand-over is limited by them as in the coordinator. They are played in four sets of their own, TestCoursesOfWitnesses, beside the events with which a successor depends on witnesses, so that the ten sets of before keep their events. The bound of a wait is counted by the world itself, from what processes confirmed and when new ones began, not from what the code concludes.

What stays a model: which calls arrive, and their order (a successor asks v0, v1, v2 in that order); that each process is a candidate at all times.

--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -78,11 +78,11 @@
 	}
 }
 
-// exploreCourses plays all courses that go on from a first one with up to depth events.
-func exploreCourses(t *testing.T, depth int, steps []workload.Step, first ...string) {
+// exploreCourses plays all courses of an explorer with up to depth events.
+func exploreCourses(t *testing.T, depth int, x *dispatchtest.Explorer) {
 	t.Helper()
 	began := time.Now()
-	broken := dispatchtest.NewExplorer(newCourseChecks, steps, first...).Explore(depth, func(l dispatchtest.Level) {
+	broken := x.Explore(depth, func(l dispatchtest.Level) {
 		t.Logf("up to %d events: %d states, %d courses, %v", l.Events, l.States, l.Courses, time.Since(began).Round(time.Millisecond))
 	})
 	if broken != nil {
@@ -113,6 +113,32 @@
 		{"recorded silence taken over", []workload.Step{lasting}, []string{dispatchtest.WorkerSilent, dispatchtest.TimePasses, dispatchtest.OwnerStoreless, dispatchtest.WorkerSilent, dispatchtest.Takeover, dispatchtest.CutsEnd}},
 		{"placement without an answer", []workload.Step{lasting}, []string{dispatchtest.WorkerCrash, dispatchtest.OtherCrash, dispatchtest.TimePasses, dispatchtest.TimePasses, dispatchtest.StoreNoAnswers, dispatchtest.OtherCrash}},
 	} {
-		t.Run(c.name, func(t *testing.T) { exploreCourses(t, *courseDepth, c.steps, c.first...) })
+		t.Run(c.name, func(t *testing.T) {
+			exploreCourses(t, *courseDepth, dispatchtest.NewExplorer(newCourseChecks, c.steps, c.first...))
+		})
+	}
+}
+
+// Guards against two runs of a task because witnesses are replaced, answer late, or are reached
+// in turn, beside owners that are cut off with a worker or lost.
+func TestCoursesOfWitnesses(t *testing.T) {
+	lasting := workload.Step{Tasks: 1, Request: dispatchtest.TaskRequest, Estimate: time.Hour, LongRunning: true}
+	for _, c := range []struct {
+		name  string
+		first []string
+	}{
+		{"any", nil},
+		{"owner and worker with a majority", []string{dispatchtest.OwnerOutpost, dispatchtest.TimePasses}},
+		{"late answers", []string{dispatchtest.WitnessesLate, dispatchtest.TimePasses, dispatchtest.OwnerIsland, dispatchtest.Takeover}},
+		{"first set confirmed in turn", []string{
+			dispatchtest.WitnessLinks, dispatchtest.Takeover, dispatchtest.WitnessesLate, dispatchtest.WitnessLinks,
+			dispatchtest.TimePasses, dispatchtest.OwnerIsland,
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// The first owner is recorded as the only one that can grant leases.
+			first := append([]string{dispatchtest.TimePasses}, c.first...)
+			exploreCourses(t, *courseDepth, dispatchtest.NewWitnessExplorer(newCourseChecks, []workload.Step{lasting}, first...))
+		})
 	}
 }
--- a/dispatch/dispatchtest/event.go
+++ b/dispatch/dispatchtest/event.go
@@ -31,6 +31,15 @@
 	CutsEnd        = "the cuts end"
 	Takeover       = "takeover"
 	StoreNoAnswers = "the store loses answers, or not any more"
+	PowerLoss      = "the owner's VM loses power"
+)
+
+// Names of events of the witnesses (v0, v1 and v2).
+const (
+	WitnessRestart = "a new process replaces v1"
+	WitnessesLate  = "answers of witnesses are late, or not any more"
+	WitnessLinks   = "owners reach only v0 and v1, then only v2, then all witnesses"
+	OwnerOutpost   = "the owner and w0 are cut off from all others but v1 and v2"
 )
 
 // event is something that the environment does. It reports whether it can happen.
@@ -39,8 +48,26 @@
 	do   func(c *World) bool
 }
 
-// allEvents returns the events of all courses, in an order that does not depend on the run.
-func allEvents() []event {
+// witnessEvents returns the events of courses that are about witnesses: those beside which a
+// successor depends on them.
+func witnessEvents() []event {
+	all := []event{
+		{WitnessRestart, func(c *World) bool { c.startWitness(1); return true }},
+		{WitnessesLate, func(c *World) bool { c.lateAnswers = !c.lateAnswers; return true }},
+		{WitnessLinks, func(c *World) bool { c.witnessLinks = (c.witnessLinks + 1) % linkStates; return true }},
+		{OwnerOutpost, (*World).cutOutpost},
+	}
+	for _, ev := range generalEvents() {
+		if slices.Contains([]string{TimePasses, WorkerSilent, OwnerStoreless, OwnerIsland, CutsEnd, Takeover, PowerLoss}, ev.name) {
+			all = append(all, ev)
+		}
+	}
+	return all
+}
+
+// generalEvents returns the events of all other courses, in an order that does not depend on
+// the run.
+func generalEvents() []event {
 	all := []event{{TimePasses, func(c *World) bool {
 		c.Run(waitTime - stepTime)
 		return true
@@ -62,7 +89,7 @@
 	}
 	add(Takeover, (*World).give)
 	add("the owner is killed", func(c *World) bool { return c.kill(false) })
-	add("the owner's VM loses power", func(c *World) bool { return c.kill(true) })
+	add(PowerLoss, func(c *World) bool { return c.kill(true) })
 	slices.SortStableFunc(all, func(a, b event) int { return strings.Compare(a.name, b.name) })
 	return all
 }
@@ -108,7 +135,7 @@
 	if c.nodes[0].storeless || c.nodes[1].storeless || c.owner.ended {
 		return false
 	}
-	n.storeless = true
+	n.storeless, n.witnessesCut = true, [witnessCount]bool{true, true, true}
 	for _, other := range c.nodes {
 		if worker >= 0 {
 			other.cutFrom[worker], other.cutFrom[1-worker] = other != n, other == n
@@ -117,12 +144,22 @@
 	return true
 }
 
+// cutOutpost cuts the owner and the first worker off from all others but a majority of the
+// witnesses, which the other node reaches, too.
+func (c *World) cutOutpost() bool {
+	if !c.isolate(c.owner.node, 0) {
+		return false
+	}
+	c.owner.node.witnessesCut = [witnessCount]bool{true}
+	return true
+}
+
 func (c *World) endCuts() bool {
 	if !c.nodes[0].storeless && !c.nodes[1].storeless {
 		return false
 	}
 	for _, n := range c.nodes {
-		n.storeless, n.cutFrom = false, [2]bool{}
+		n.storeless, n.cutFrom, n.witnessesCut = false, [2]bool{}, [witnessCount]bool{}
 	}
 	return true
 }
--- a/dispatch/dispatchtest/explorer.go
+++ b/dispatch/dispatchtest/explorer.go
@@ -30,7 +30,16 @@
 // NewExplorer returns an explorer of worlds with a submission of each step, each judged by
 // checks of its own. All courses begin with the events of some names.
 func NewExplorer(checks func() Checks, steps []workload.Step, first ...string) *Explorer {
-	x := &Explorer{steps: steps, checks: checks, events: allEvents(), seen: make(map[[sha256.Size]byte]bool)}
+	return newExplorer(checks, generalEvents(), steps, first)
+}
+
+// NewWitnessExplorer returns an explorer of the courses that are about witnesses.
+func NewWitnessExplorer(checks func() Checks, steps []workload.Step, first ...string) *Explorer {
+	return newExplorer(checks, witnessEvents(), steps, first)
+}
+
+func newExplorer(checks func() Checks, events []event, steps []workload.Step, first []string) *Explorer {
+	x := &Explorer{steps: steps, checks: checks, events: events, seen: make(map[[sha256.Size]byte]bool)}
 	for _, name := range first {
 		n := slices.IndexFunc(x.events, func(ev event) bool { return ev.name == name })
 		x.first = append(x.first, byte(n))
--- a/dispatch/dispatchtest/fingerprint.go
+++ b/dispatch/dispatchtest/fingerprint.go
@@ -25,7 +25,7 @@
 	owners := ""
 	var leases []map[workload.Incarnation]dispatch.LeaseExpiry
 	for o, n := c.owner, 0; o != nil && n < 3; o, n = o.previous, n+1 {
-		owners += fmt.Sprint("|", o.told, o.ended, o.killed, o.lost, o.node == c.owner.node, o.node.storeless, len(o.queue), o.unanswered, len(o.node.ends) > 0, round(c.Now-o.joinedAt), round(min(c.Now-o.openedAt, authority)), o.previousSole, o.witnessed, o.chosen, round(c.Now-o.confirmedAt))
+		owners += fmt.Sprint("|", o.told, o.ended, o.killed, o.lost, o.node == c.owner.node, o.node.storeless, len(o.queue), o.unanswered, len(o.node.ends) > 0, round(c.Now-o.joinedAt), round(min(c.Now-o.openedAt, authority)), o.previousSole, c.witnessState(o, round))
 		if o.ended {
 			leases = append(leases, o.leases)
 			continue
@@ -62,5 +62,18 @@
 		workers = append(workers, text)
 	}
 	slices.Sort(workers)
-	return fmt.Sprint(c.store, l.Owner().Sole, owners, workers)
+	return fmt.Sprint(c.store, c.witnessLinks, c.lateAnswers, l.Owner().Sole, owners, workers)
+}
+
+// witnessState describes what an owner knows of its witnesses, and of those of its predecessor.
+func (c *World) witnessState(o *owner, round func(time.Duration) int64) string {
+	limit := o.witnesses.LeaseLimit(c.Now, leaseDuration)
+	out := fmt.Sprint(o.called, o.handingOver, round(min(c.Now-o.confirmedAt, authority)), round(min(limit, 2*leaseDuration)), o.node.witnessesCut)
+	for _, w := range c.witnesses {
+		out += fmt.Sprint(w.process > witnessCount, round(min(c.Now-w.startedAt, authority)))
+	}
+	if o.inquiry != nil {
+		out += fmt.Sprint(o.inquiry.answered)
+	}
+	return out
 }
--- a/dispatch/dispatchtest/owner.go
+++ b/dispatch/dispatchtest/owner.go
@@ -6,6 +6,7 @@
 
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/witness"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -16,8 +17,9 @@
 type node struct {
 	index     int
 	storeless bool
-	// cutFrom are the workers that only this node does not reach.
-	cutFrom [2]bool
+	// cutFrom are the workers that only this node does not reach, witnessesCut the witnesses.
+	cutFrom      [2]bool
+	witnessesCut [witnessCount]bool
 	// ends are those that the process knows from owners that could not record them.
 	ends []dispatch.KnownEnd
 	// seen are the times at which the process learned of epochs.
@@ -34,11 +36,16 @@
 	// previousSole: no owner before the previous one could grant leases any more.
 	previousSole       bool
 	openedAt, joinedAt time.Duration
-	// confirmedAt is when the witnesses that the owner has chosen last confirmed it.
-	chosen      bool
+	// witnesses are the processes that confirm the owner, called those of the last round of
+	// calls.
+	witnesses *witness.Owner
+	called    [witnessCount]bool
+	// confirmedAt is when a process last confirmed the owner.
 	confirmedAt time.Duration
-	// witnessed: the previous owner had recorded witnesses, which have not been asked.
-	witnessed bool
+	// inquiry asks the witnesses of the previous owner, if it had recorded any.
+	inquiry *inquiry
+	// handingOver: leases are extended after the end of the ownership.
+	handingOver bool
 	// told: the owner knows what became of the previous one. waits: waitUntil has been set.
 	told, waits bool
 	ended       bool
@@ -68,14 +75,15 @@
 func (c *World) reachesStore(n *node) bool { return c.store != linkCut && !n.storeless }
 
 func (c *World) openEpoch(n *node) {
-	o := &owner{epoch: 1, node: n, ledger: ledger.New(), previous: c.owner, openedAt: c.Now, joinedAt: c.Now, told: c.owner == nil}
+	o := &owner{epoch: 1, node: n, ledger: ledger.New(), previous: c.owner, openedAt: c.Now, joinedAt: c.Now, told: c.owner == nil, witnesses: witness.NewOwner()}
 	for _, r := range c.log {
 		o.ledger.Apply(r)
 	}
 	if o.previous != nil {
 		o.epoch, o.previousSole = o.previous.epoch+1, o.ledger.Owner().Sole
-		witnesses := o.ledger.Witnesses()
-		o.witnessed = len(witnesses.All) > 0
+		if named := o.ledger.Witnesses(); len(named.All) > 0 {
+			o.inquiry = &inquiry{Inquiry: witness.NewInquiry(named), named: named}
+		}
 	}
 	opened := ledger.OpenedRecord(ledger.Owner{Epoch: o.epoch, VM: "a", PeerAddress: "a"})
 	c.log = append(c.log, opened)
@@ -85,11 +93,8 @@
 		Epoch: o.epoch, Lease: leaseDuration, HandoverLease: handoverLease, HeartbeatWait: time.Second, RemoteFactor: 2,
 		PredecessorExpiry: predecessorExpiry, AuthorityDuration: authority,
 		LeaseLimit: func() time.Duration {
-			end := o.joinedAt + leaseAuthority
-			if o.chosen {
-				end = min(end, o.confirmedAt+confirmedFor)
-			}
-			return max(0, end+leaseDuration-c.Now)
+			joined := max(0, o.joinedAt+leaseAuthority+leaseDuration-c.Now)
+			return min(joined, o.witnesses.LeaseLimit(c.Now, leaseDuration))
 		},
 		EpochAge: func(epoch int64) time.Duration { return n.age(epoch, c.Now) },
 	}, o.ledger, c.Now, time.UnixMilli(c.Now.Milliseconds()))
@@ -99,6 +104,7 @@
 		c.step(o, dispatch.PredecessorResigned{Sole: true})
 	}
 	c.ask(o)
+	c.callWitnesses(o)
 }
 
 // age returns for how long, at least, an epoch has been open.
@@ -129,10 +135,10 @@
 	}
 	if p.lost || p.node != o.node && (p.node.storeless || o.node.storeless) {
 		expiry := predecessorExpiry
-		if o.witnessed && !o.node.storeless {
-			o.witnessed = false
-			expiry = c.withEarlierOwners(o, dispatch.LeaseExpiryBound(confirmedFor+leaseDuration)-(c.Now-p.confirmedAt))
-			c.after(2*time.Millisecond, func() { c.step(o, dispatch.PredecessorResigned{Expiry: expiry}) })
+		if last, complete := c.askWitnesses(o); complete {
+			learned := c.withEarlierOwners(o, confirmedExpiry-(c.Now-last))
+			c.after(2*time.Millisecond, func() { c.step(o, dispatch.PredecessorResigned{Expiry: learned}) })
+			expiry = c.withEarlierOwners(o, confirmedExpiry-(c.Now-c.latestConfirmation(o)))
 		}
 		c.allowWait(o, expiry)
 		return
@@ -186,16 +192,22 @@
 func (c *World) handOver() {
 	o := c.owner
 	lease := min(handoverLease, leaseAuthority+leaseDuration-(c.Now-o.joinedAt))
-	heartbeats := o.machine.HandOver(c.Now, lease)
+	heartbeats, began := o.machine.HandOver(c.Now, lease), c.Now
 	c.end(o)
-	for i, earlier := range []time.Duration{max(0, lease-leaseDuration), 0} {
-		c.after(time.Duration(i)*time.Second, func() {
-			for _, h := range heartbeats {
-				h.Deadline -= max(0, earlier-h.Shorter)
-				c.heartbeat(o, h)
-			}
-		})
+	o.handingOver = true
+	var extend func()
+	extend = func() {
+		grantable := min(leaseDuration, o.witnesses.LeaseLimit(c.Now, leaseDuration))
+		withheld := max(0, lease-grantable-(c.Now-began))
+		for _, h := range heartbeats {
+			h.Deadline -= max(0, withheld-h.Shorter)
+			c.heartbeat(o, h)
+		}
+		if o.handingOver = withheld > 0 && c.Now+handOverInterval-began < lease; o.handingOver {
+			c.after(handOverInterval, extend)
+		}
 	}
+	extend()
 }
 
 func (c *World) step(o *owner, ev dispatch.Event) {
@@ -215,6 +227,8 @@
 			c.send(o, a.Target, 0, func(w *linkedWorker) any { return w.Stop(o.epoch, a) }, func(_ *linkedWorker, answer any) {
 				c.step(o, dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: answer.(dispatch.Answer)})
 			})
+		case dispatch.WitnessesRecorded:
+			o.witnesses.Recorded(a.Number)
 		case dispatch.StepDown:
 			c.end(o)
 		}
--- a/dispatch/dispatchtest/settle.go
+++ b/dispatch/dispatchtest/settle.go
@@ -12,6 +12,7 @@
 func (c *World) endFaults() {
 	c.endCuts()
 	c.store = linkOK
+	c.witnessLinks, c.lateAnswers = allWitnesses, false
 	for _, w := range c.workers {
 		if !c.workers[0].usable() && !c.workers[1].usable() {
 			c.changeLink(w, w.link)
--- a/dispatch/dispatchtest/world.go
+++ b/dispatch/dispatchtest/world.go
@@ -19,8 +19,9 @@
 	handoverLease  = 5 * time.Second
 	leaseAuthority = 3 * time.Second
 	authority      = 5 * time.Second
-	confirmedFor   = 700 * time.Millisecond
-	callTimeout    = 500 * time.Millisecond
+	// handOverInterval is the time between two extensions of the leases after an ownership.
+	handOverInterval = time.Second
+	callTimeout      = 500 * time.Millisecond
 	// latestCall is the age from which a call is not carried out any more.
 	latestCall = 9 * time.Second
 	// Tick is the time between two steps of the processes' clocks.
@@ -44,7 +45,7 @@
 	FaultsEnded(c *World)
 }
 
-// World is a cell with two nodes, two workers and a store in virtual time. Its
+// World is a cell with two nodes, two workers, three witnesses and a store in virtual time. Its
 // environment is as free as the platform's: calls are lost, late or carried out without an
 // answer, and an owner knows of its predecessors what it was told.
 type World struct {
@@ -66,6 +67,12 @@
 	nodes   [2]*node
 	workers [2]*linkedWorker
 	owner   *owner
+	// witnesses are processes that can witness for both nodes.
+	witnesses [witnessCount]*witnessProcess
+	// witnessLinks says which witnesses the owners reach. lateAnswers: answers of witnesses
+	// arrive late.
+	witnessLinks witnessLinks
+	lateAnswers  bool
 	// ownedAt is when an owner could last append records.
 	ownedAt time.Duration
 }
@@ -78,6 +85,9 @@
 		c.workers[i] = &linkedWorker{Worker: NewWorker(fmt.Sprintf("w%d", i), 16000), index: i}
 		c.workers[i].slow = 0.02
 	}
+	for i := range c.witnesses {
+		c.startWitness(i)
+	}
 	for i, step := range steps {
 		id := fmt.Sprintf("s%d", i)
 		c.Tasks = append(c.Tasks, workload.TaskID{Submission: id})
@@ -161,9 +171,6 @@
 		if o == c.owner && c.reachesStore(o.node) {
 			o.joinedAt = c.Now
 		}
-		if !o.node.storeless {
-			o.confirmedAt = c.Now
-		}
 		if c.Now-o.joinedAt >= authority {
 			c.end(o)
 			continue
@@ -175,10 +182,6 @@
 			o.endsLearned = n
 			c.step(o, dispatch.EndsLearned{Ends: o.node.ends})
 		}
-		if !o.chosen && !o.node.storeless {
-			o.chosen = true
-			c.step(o, dispatch.WitnessesChosen{Witnesses: ledger.Witnesses{Number: 1, All: make([]ledger.Witness, 3)}})
-		}
 		c.step(o, dispatch.Tick{Now: time.UnixMilli(c.Now.Milliseconds())})
 		c.pump(o)
 	}
--- a/witness/choice.go
+++ b/witness/choice.go
@@ -73,8 +73,11 @@
 // replacement returns the set that should replace the newest one, or nil if that will do.
 func (o *Owner) replacement(newest *ledger.Witnesses, all []Candidate, ownDataCentre string, now time.Duration) *ledger.Witnesses {
 	usable := slices.DeleteFunc(all, func(one Candidate) bool { return o.failing(one.Process, now) })
-	chosen := spread(usable, ownDataCentre)
 	failing := slices.ContainsFunc(newest.All, func(one ledger.Witness) bool { return o.failing(one.Process, now) })
+	if !failing && len(newest.All) >= min(len(usable), maxWitnesses) {
+		return nil
+	}
+	chosen := spread(usable, ownDataCentre)
 	if len(chosen) <= len(newest.All) && !failing || len(chosen) == 0 && len(newest.All) == 0 {
 		return nil
 	}
