dispatch: event 865, the room for long-running tasks that wait

Event 843 reports five steps at a time and the most free CPU of any worker. It doesn't say whether any of the waiting tasks fits a worker, or would after one run is moved, nor when the runs of a cancelled submission had ended: lines of single ends are dropped at 4,000 a second.

While a long-running task has waited for 2 s, one line each 0.5 s now counts the tasks that wait, the free CPU, the tasks that fit a worker, those that would after one long-running run is moved within the limit of unavailable tasks, and what ended and was placed since the last line.

The search for moves (movesearch.go) skips runs that are not at work, of gangs, of steps tied to a rack, and of steps of which as many tasks are away as max_unavailable allows.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -32,6 +32,7 @@
 	dispatch.InterruptionLong:  logevent.InterruptionLong,
 	dispatch.InterruptionEnded: logevent.InterruptionEnded,
 	dispatch.RunDisplaced:      logevent.RunDisplaced,
+	dispatch.RoomReported:      logevent.RoomReported,
 }
 
 // loggedInterruption is the shortest time without a run of a long-running task that is logged
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -92,6 +92,9 @@
 	// RunDisplaced: a run is stopped to make room for a long-running task, which Reason names.
 	// Work is the work that is lost.
 	RunDisplaced
+	// RoomReported: long-running tasks wait, the one in Run for the time in Age. Reason has what
+	// they request and what is free.
+	RoomReported
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -101,5 +104,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported"}[k]
 }
--- a/dispatch/finalruns.go
+++ b/dispatch/finalruns.go
@@ -65,6 +65,8 @@
 		return
 	}
 	f.cleared = true
+	m.roomChanges.cleared++
+	m.roomChanges.clearedIn = max(m.roomChanges.clearedIn, m.now-f.since)
 	m.emit(Decision{
 		Kind: SubmissionCleared, Run: workload.RunID{Task: workload.TaskID{Submission: e.ID}},
 		Reason: e.State().String(), Queue: e.Queue, Elapsed: m.now - f.since,
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -39,7 +39,9 @@
 	// ended is called when a submission has become final, if it is set.
 	ended func(id string, took time.Duration)
 	// decisions counts the machine's decisions by kind.
-	decisions  map[dispatch.DecisionKind]int
+	decisions map[dispatch.DecisionKind]int
+	// reasons has the reason of the last decision of each kind.
+	reasons    map[dispatch.DecisionKind]string
 	starts     int
 	heartbeats int
 	// waits is the last result of waitingSince.
@@ -73,6 +75,7 @@
 	l := &loadSim{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, ledger: ledger.New(),
 		workers: make(map[string]*loadWorker), submittedAt: make(map[string]time.Duration), lateness: make(map[string][]float64), decisions: make(map[dispatch.DecisionKind]int),
+		reasons: make(map[dispatch.DecisionKind]string),
 	}
 	l.machine = dispatch.New(dispatch.Config{
 		Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2, StopTime: 200 * time.Millisecond,
@@ -134,6 +137,7 @@
 			l.after(loadNetworkDelay, func() { l.heartbeat(a) })
 		case dispatch.Decision:
 			l.decisions[a.Kind]++
+			l.reasons[a.Kind] = a.Reason
 		}
 	}
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -74,6 +74,7 @@
 	longWaits        map[*ledger.Step]*longWait
 	longRunningWaits []*longWait
 	longWaitsAt      time.Duration
+	roomChanges      roomChanges
 	bestEffortWaits  map[*ledger.Step]*bestEffortWait
 	transfers        transfers
 	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
@@ -183,6 +184,9 @@
 	m.active[t.ID] = r
 	m.addOccupied(e, t.ID, 1)
 	m.byEntry[e.ID] = append(m.byEntry[e.ID], r)
+	if r.step.LongRunning {
+		m.roomChanges.started++
+	}
 	return r
 }
 
@@ -194,6 +198,10 @@
 		return
 	}
 	delete(m.active, r.id.Task)
+	if r.step.LongRunning {
+		m.roomChanges.ended++
+		m.roomChanges.freed += reservation(r.step).MilliCPU
+	}
 	m.addOccupied(r.entry, r.id.Task, -1)
 	// The slice is replaced because callers iterate over it while they remove runs.
 	remaining := slices.DeleteFunc(slices.Clone(m.byEntry[r.entry.ID]), func(other *run) bool { return other == r })
--- /dev/null
+++ b/dispatch/movesearch.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+)
+
+// runMove is a long-running run with another worker that has room for it.
+type runMove struct {
+	run *run
+	to  *worker
+}
+
+// moveSearch looks for long-running runs whose move to another worker makes room for a task. The
+// free room of many workers together may be large although no task fits any of them.
+type moveSearch struct {
+	machine *Machine
+	// room returns the room that counts as free on a worker.
+	room func(*worker) hostapi.Resources
+	// sources are the workers with runs that can be moved.
+	sources []moveSource
+	// targets are the workers in ascending order of their free CPU.
+	targets []*worker
+	// away counts the tasks of each step that are not at work.
+	away   map[*ledger.Step]int
+	failed unplaceable
+}
+
+// moveSource is a worker with its runs that can be moved. mostCPU is the most CPU, in thousandths of
+// a core, that is free there after one is.
+type moveSource struct {
+	worker  *worker
+	moves   []runMove
+	mostCPU int64
+}
+
+func (m *Machine) newMoveSearch(workers []*worker, room func(*worker) hostapi.Resources) *moveSearch {
+	s := &moveSearch{machine: m, room: room, away: make(map[*ledger.Step]int), failed: make(unplaceable)}
+	s.targets = slices.SortedStableFunc(slices.Values(workers), func(a, b *worker) int {
+		return cmp.Compare(room(a).MilliCPU, room(b).MilliCPU)
+	})
+	for _, w := range workers {
+		source := moveSource{worker: w}
+		for _, r := range w.runList {
+			if !s.mayBeMoved(r) {
+				continue
+			}
+			if to := s.target(r); to != nil {
+				source.moves = append(source.moves, runMove{run: r, to: to})
+				source.mostCPU = max(source.mostCPU, room(w).MilliCPU+reservation(r.step).MilliCPU)
+			}
+		}
+		if len(source.moves) > 0 {
+			s.sources = append(s.sources, source)
+		}
+	}
+	return s
+}
+
+// find returns the move that makes room for a task of a step and leaves the least CPU unused there.
+func (s *moveSearch) find(ws *waitingStep) (runMove, bool) {
+	step := &ws.entry.Steps[ws.stepIndex]
+	if step.Gang || step.BestEffort || s.failed.covers(ws) {
+		return runMove{}, false
+	}
+	request := reservation(step)
+	best, bestLeft := runMove{}, int64(0)
+	for _, source := range s.sources {
+		if source.mostCPU < request.MilliCPU || !suits(ws, step, source.worker) {
+			continue
+		}
+		free := s.room(source.worker)
+		for _, move := range source.moves {
+			after := free.Add(reservation(move.run.step))
+			if left := after.MilliCPU - request.MilliCPU; request.Fits(after) && (best.run == nil || left < bestLeft) {
+				best, bestLeft = move, left
+			}
+		}
+	}
+	if best.run == nil {
+		s.failed.add(ws)
+	}
+	return best, best.run != nil
+}
+
+// mayBeMoved reports whether a run may be stopped to be started elsewhere: it is at work, the data
+// and the other tasks of its step don't tie it to a rack, and not more tasks of its step than allowed
+// would be unavailable.
+func (s *moveSearch) mayBeMoved(r *run) bool {
+	step := r.step
+	if !r.mayMove() || !r.atWork() || r.place != nil || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() {
+		return false
+	}
+	state := &r.entry.Occurrence(r.id.Task.Occurrence).Steps[r.id.Task.Step]
+	away, known := s.away[state]
+	if !known {
+		away = s.machine.awayTasks(state)
+		s.away[state] = away
+	}
+	return step.MaxUnavailable == 0 || away < step.MaxUnavailable
+}
+
+// target returns the worker with the least free CPU among those with room for a run of another one,
+// or nil if there is none.
+func (s *moveSearch) target(r *run) *worker {
+	ws := waitingStep{entry: r.entry, occurrence: r.id.Task.Occurrence, stepIndex: r.id.Task.Step}
+	request := reservation(r.step)
+	first, _ := slices.BinarySearchFunc(s.targets, request.MilliCPU, func(w *worker, cpu int64) int {
+		return cmp.Compare(s.room(w).MilliCPU, cpu)
+	})
+	for _, w := range s.targets[first:] {
+		if w != r.worker && request.Fits(s.room(w)) && suits(&ws, r.step, w) {
+			return w
+		}
+	}
+	return nil
+}
+
+// atWork reports whether a long-running run is in service.
+func (r *run) atWork() bool {
+	return r.phase == running && !r.stopRequested && r.progressPercent >= 100 && !r.worker.silent
+}
+
+// awayTasks counts the tasks of a step that are not at work.
+func (m *Machine) awayTasks(state *ledger.Step) int {
+	away := 0
+	for i := range state.Tasks {
+		t := &state.Tasks[i]
+		if r := m.active[t.ID]; !t.Done && (r == nil || !r.atWork()) {
+			away++
+		}
+	}
+	return away
+}
+
+// free returns the capacity of a worker that no run reserves and no task claims.
+func (w *worker) free() hostapi.Resources { return w.Capacity.Sub(w.reserved).Sub(w.claimed) }
+
+// freeInTime returns the capacity that is free once the runs that end by themselves have ended.
+func (w *worker) freeInTime() hostapi.Resources {
+	return w.Capacity.Sub(w.longRunning).Sub(w.claimed)
+}
--- /dev/null
+++ b/dispatch/roomreport.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// roomChanges counts what made or took room since the last report on it.
+type roomChanges struct {
+	// ended and started count the long-running runs that have gone or were placed; freed is the
+	// CPU of the former, in thousandths of a core.
+	ended, started int
+	freed          int64
+	// cleared counts the cancelled or otherwise final submissions of which no run is left,
+	// clearedIn is the longest time that this took.
+	cleared   int
+	clearedIn time.Duration
+}
+
+// roomReport says how much room the long-running tasks that wait would need and have.
+type roomReport struct {
+	tasks, usable int
+	// requested, smallest, free and mostFree are CPU, in thousandths of a core: of all the
+	// tasks, of the one with the smallest request, free on all usable workers, and on the one
+	// with the most.
+	requested, smallest, free, mostFree int64
+	// fit are the tasks that fit a worker, fitByMove those that would after one long-running
+	// run is moved, fitByMoveInTime those that would if the finite runs had ended as well; move
+	// is an example of fitByMove.
+	fit, fitByMove, fitByMoveInTime int
+	move                            string
+	changes                         roomChanges
+}
+
+// reportRoom emits a decision with the room for the long-running tasks, if one has waited for
+// waitReportDelay.
+func (m *Machine) reportRoom() {
+	longest := time.Duration(0)
+	var oldest workload.TaskID
+	for _, wait := range m.longRunningWaits {
+		for _, t := range m.waitingTasks(wait.waiting.state.Tasks) {
+			if age := m.now - wait.waitingSince(t.ID, m.now); age > longest {
+				longest, oldest = age, t.ID
+			}
+		}
+	}
+	changes := m.roomChanges
+	m.roomChanges = roomChanges{}
+	if longest < waitReportDelay {
+		return
+	}
+	report := m.findRoom()
+	report.changes = changes
+	m.emitDecision(RoomReported, workload.RunID{Task: oldest, Run: 1}, "", report.String(), longest)
+}
+
+func (m *Machine) findRoom() roomReport {
+	var r roomReport
+	workers := m.usableWorkers()
+	r.usable = len(workers)
+	for _, w := range workers {
+		free := w.free()
+		r.free += free.MilliCPU
+		r.mostFree = max(r.mostFree, free.MilliCPU)
+	}
+	search, inTime := m.newMoveSearch(workers, (*worker).free), m.newMoveSearch(workers, (*worker).freeInTime)
+	for _, wait := range m.longRunningWaits {
+		ws, tasks := &wait.waiting, m.waitingTasks(wait.waiting.state.Tasks)
+		if len(tasks) == 0 {
+			continue
+		}
+		request := reservation(wait.step)
+		r.requested += int64(len(tasks)) * request.MilliCPU
+		if r.tasks == 0 || request.MilliCPU < r.smallest {
+			r.smallest = request.MilliCPU
+		}
+		r.tasks += len(tasks)
+		if slices.ContainsFunc(workers, func(w *worker) bool { return m.fits(ws, wait.step, w) }) {
+			r.fit += len(tasks)
+			continue
+		}
+		if move, ok := search.find(ws); ok {
+			r.fitByMove += len(tasks)
+			r.move = fmt.Sprintf("%dm from %s to %s for %dm", reservation(move.run.step).MilliCPU, move.run.worker.ID(), move.to.ID(), request.MilliCPU)
+		}
+		if _, ok := inTime.find(ws); ok {
+			r.fitByMoveInTime += len(tasks)
+		}
+	}
+	return r
+}
+
+func (r roomReport) String() string {
+	text := fmt.Sprintf("%d long-running tasks wait for %dm CPU, the smallest for %dm; %d usable workers have %dm free, one at most %dm; %d of the tasks fit a worker, %d after one run is moved",
+		r.tasks, r.requested, r.smallest, r.usable, r.free, r.mostFree, r.fit, r.fitByMove)
+	if r.move != "" {
+		text += " (" + r.move + ")"
+	}
+	c := r.changes
+	return text + fmt.Sprintf(", %d if finite runs are stopped as well; since the last report %d long-running runs ended (%dm) and %d were placed, %d submissions that are final were cleared in up to %v",
+		r.fitByMoveInTime, c.ended, c.freed, c.started, c.cleared, c.clearedIn.Round(time.Millisecond))
+}
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -100,6 +100,7 @@
 		}
 	}
 	m.longWaits = waits
+	m.reportRoom()
 	maps.DeleteFunc(m.bestEffortWaits, func(_ *ledger.Step, w *bestEffortWait) bool {
 		return w.entry.State().Final() || m.ledger.Find(w.entry.ID) != w.entry
 	})
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -51,6 +51,7 @@
 	InterruptionEnded    Number = 858
 	OwnerConfirmed       Number = 859
 	RunDisplaced         Number = 864
+	RoomReported         Number = 865
 )
 
 var coordinatorEvents = []Info{
@@ -101,4 +102,5 @@
 	{InterruptionEnded, "InterruptionEnded", zapcore.WarnLevel, "long-running task runs again after a long time without a run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason says how the last run ended and for what the task has waited. For the lease of a worker: check the worker and the network."},
 	{OwnerConfirmed, "OwnerConfirmed", zapcore.InfoLevel, "a majority of the previous owner's witnesses said when they last confirmed it", []string{"cell", "vm", "epoch", "age"}, "None; check why the VM does not answer if it was not stopped."},
 	{RunDisplaced, "RunDisplaced", zapcore.WarnLevel, "run is stopped to make room for a long-running task", []string{"task", "run", "worker", "age", "work", "reason", "epoch", "cell"}, "The reason names the task that needs the room; work is what is lost, in seconds of a core. If it recurs, the workers are too few for the long-running tasks beside the finite ones: add capacity."},
+	{RoomReported, "RoomReported", zapcore.WarnLevel, "long-running tasks wait for room", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The task is the one that has waited longest. Add capacity if none of the tasks fits; report it if tasks that fit a worker, also after one run is moved, go on waiting. At most two lines a second."},
 }
