dispatch: a long-running run moves where that makes room for another task

Cause: long-running tasks that no worker had room for, even without its finite runs, waited until long-running submissions were cancelled.

A waiting long-running task now has one long-running run moved, and finite runs displaced on both workers as far as they are in the way. Room for both tasks is claimed first. Limits: max_unavailable (a task that isn't at work counts), one move each 0.1 s from 1/32 of the workers, two moves of a task in an epoch, same or lower priority, no gangs, no steps tied to a rack, nothing while the list or the log is slow.

TestRunIsMovedToMakeRoomForLongRunningTask failed before in four of five cases. Without the check of max_unavailable, the limit of two moves or the claim for the moved task, TestRunIsNotMovedWhileOthersOfItsStepAreAway, TestTaskIsMovedAtMostTwice or TestPlaceOfMovedTaskIsKept fail.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -22,14 +22,30 @@
 	task   *ledger.Task
 	worker *worker
 	room   hostapi.Resources
+	// moved is the run that is stopped to be replaced on the worker, or nil.
+	moved *run
 	// until is when the claim ends if the room hasn't become free.
 	until time.Duration
 }
 
 func (m *Machine) claim(ws *waitingStep, t *ledger.Task, w *worker, room hostapi.Resources) {
-	m.claims[t.ID] = &claim{entry: ws.entry, state: ws.state, task: t, worker: w, room: room, until: m.now + m.config.StopTime + claimMargin}
+	m.addClaim(&claim{entry: ws.entry, state: ws.state, task: t, worker: w, room: room})
 	m.countDisplacement(ws.entry, t.ID)
-	w.claimed = w.claimed.Add(room)
+}
+
+// claimForMoved claims room on a worker for the task of a run that is stopped to be moved there.
+func (m *Machine) claimForMoved(r *run, to *worker) {
+	task := r.id.Task
+	m.addClaim(&claim{
+		entry: r.entry, state: &r.entry.Occurrence(task.Occurrence).Steps[task.Step], task: r.task, worker: to,
+		room: reservation(r.step), moved: r,
+	})
+}
+
+func (m *Machine) addClaim(c *claim) {
+	c.until = m.now + m.config.StopTime + claimMargin
+	m.claims[c.task.ID] = c
+	c.worker.claimed = c.worker.claimed.Add(c.room)
 }
 
 func (m *Machine) endClaim(id workload.TaskID) {
@@ -42,7 +58,8 @@
 // can't be used any more.
 func (m *Machine) endClaims() {
 	for id, c := range maps.Clone(m.claims) {
-		waits := m.active[id] == nil && !c.task.Done && !c.task.Away && !c.entry.State().Final()
+		active := m.active[id]
+		waits := (active == nil || active == c.moved) && !c.task.Done && !c.task.Away && !c.entry.State().Final()
 		if !waits || m.now >= c.until || m.workers[c.worker.ID()] != c.worker || !m.usable(c.worker) {
 			m.endClaim(id)
 		}
@@ -79,11 +96,11 @@
 	return slices.DeleteFunc(m.unsuspectedTasks(ws), func(t *ledger.Task) bool { return m.claims[t.ID] != nil })
 }
 
-// claimsOf returns how many tasks of a step claim a worker.
+// claimsOf returns how many waiting tasks of a step claim a worker.
 func (m *Machine) claimsOf(state *ledger.Step) int {
 	n := 0
-	for _, c := range m.claims {
-		if c.state == state {
+	for id, c := range m.claims {
+		if c.state == state && m.active[id] == nil {
 			n++
 		}
 	}
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -89,8 +89,8 @@
 	InterruptionEnded
 	// EntryIgnored: an entry in the list of workers can't be that of the worker with its id.
 	EntryIgnored
-	// RunDisplaced: a run is stopped to make room for a long-running task, which Reason names.
-	// Work is the work that is lost.
+	// RunDisplaced: a finite run is stopped, or a long-running one moved, to make room for a
+	// long-running task, which Reason names. Work is the work that is lost.
 	RunDisplaced
 	// RoomReported: long-running tasks wait, the one in Run for the time in Age. Reason has what
 	// they request and what is free.
--- a/dispatch/displace.go
+++ b/dispatch/displace.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -31,8 +30,8 @@
 	maxDisplacements = 2
 )
 
-// displacements counts how often runs were stopped for a long-running task, or how often a finite
-// one was displaced.
+// displacements counts how often runs were stopped for a long-running task or it was moved, or how
+// often a finite one was displaced.
 type displacements struct {
 	entry *ledger.Entry
 	count int
@@ -175,7 +174,7 @@
 
 // displace stops a run, with its gang, because its worker is needed for a task.
 func (m *Machine) displace(r *run, needed workload.TaskID) {
-	reason := fmt.Sprintf("makes room for long-running task %s.%d.%d.%d", needed.Submission, needed.Occurrence, needed.Step, needed.Index)
+	reason := "makes room for long-running task " + taskName(needed)
 	for _, member := range m.gangOf(r) {
 		if member.stopRequested {
 			continue
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -41,7 +41,9 @@
 	// decisions counts the machine's decisions by kind.
 	decisions map[dispatch.DecisionKind]int
 	// reasons has the reason of the last decision of each kind.
-	reasons    map[dispatch.DecisionKind]string
+	reasons map[dispatch.DecisionKind]string
+	// starting are long-running tasks that are not at work yet, however long they run.
+	starting   map[workload.TaskID]bool
 	starts     int
 	heartbeats int
 	// waits is the last result of waitingSince.
@@ -247,7 +249,10 @@
 	for _, id := range sortedRuns(w.runs) {
 		r := w.runs[id]
 		percent := 100
-		if !r.step.LongRunning {
+		switch {
+		case l.starting[id.Task]:
+			percent = 0
+		case !r.step.LongRunning:
 			percent = int(100 * float64(l.now-r.started) / float64(r.step.Estimate) / 1.3)
 		}
 		tail := time.Duration(0)
--- a/dispatch/movesearch.go
+++ b/dispatch/movesearch.go
@@ -8,10 +8,18 @@
 	"github.com/cactusreel/cactusreel/ledger"
 )
 
+// maxMovesFound limits the moves that a search compares for a task.
+const maxMovesFound = 8
+
 // runMove is a long-running run with another worker that has room for it.
 type runMove struct {
 	run *run
 	to  *worker
+	// free: both workers have the room without the end of a finite run.
+	free bool
+	// unused is the CPU, in thousandths of a core, that the task for which the run is moved leaves
+	// unused.
+	unused int64
 }
 
 // moveSearch looks for long-running runs whose move to another worker makes room for a task. The
@@ -20,7 +28,8 @@
 	machine *Machine
 	// room returns the room that counts as free on a worker.
 	room func(*worker) hostapi.Resources
-	// sources are the workers with runs that can be moved.
+	// sources are the workers with runs that can be moved. Workers on which tasks claim room are
+	// neither sources nor targets.
 	sources []moveSource
 	// targets are the workers in ascending order of their free CPU.
 	targets []*worker
@@ -39,10 +48,11 @@
 
 func (m *Machine) newMoveSearch(workers []*worker, room func(*worker) hostapi.Resources) *moveSearch {
 	s := &moveSearch{machine: m, room: room, away: make(map[*ledger.Step]int), failed: make(unplaceable)}
-	s.targets = slices.SortedStableFunc(slices.Values(workers), func(a, b *worker) int {
+	unclaimed := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return w.claimed != (hostapi.Resources{}) })
+	s.targets = slices.SortedStableFunc(slices.Values(unclaimed), func(a, b *worker) int {
 		return cmp.Compare(room(a).MilliCPU, room(b).MilliCPU)
 	})
-	for _, w := range workers {
+	for _, w := range unclaimed {
 		source := moveSource{worker: w}
 		for _, r := range w.runList {
 			if !s.mayBeMoved(r) {
@@ -60,30 +70,44 @@
 	return s
 }
 
-// find returns the move that makes room for a task of a step and leaves the least CPU unused there.
-func (s *moveSearch) find(ws *waitingStep) (runMove, bool) {
+// find returns the moves that make room for a task of a step, at most maxMovesFound: those first that
+// need no end of a finite run, then those that leave the least CPU unused on the worker.
+func (s *moveSearch) find(ws *waitingStep) []runMove {
 	step := &ws.entry.Steps[ws.stepIndex]
 	if step.Gang || step.BestEffort || s.failed.covers(ws) {
-		return runMove{}, false
+		return nil
 	}
 	request := reservation(step)
-	best, bestLeft := runMove{}, int64(0)
+	var moves []runMove
 	for _, source := range s.sources {
 		if source.mostCPU < request.MilliCPU || !suits(ws, step, source.worker) {
 			continue
 		}
 		free := s.room(source.worker)
 		for _, move := range source.moves {
-			after := free.Add(reservation(move.run.step))
-			if left := after.MilliCPU - request.MilliCPU; request.Fits(after) && (best.run == nil || left < bestLeft) {
-				best, bestLeft = move, left
+			if move.run.entry.Policy.Priority < ws.priority {
+				continue
+			}
+			if after := free.Add(reservation(move.run.step)); request.Fits(after) {
+				move.free = request.Fits(source.worker.free().Add(reservation(move.run.step))) && move.run.fitsFree(move.to)
+				move.unused = after.MilliCPU - request.MilliCPU
+				moves = append(moves, move)
 			}
 		}
 	}
-	if best.run == nil {
+	if len(moves) == 0 {
 		s.failed.add(ws)
 	}
-	return best, best.run != nil
+	slices.SortStableFunc(moves, func(a, b runMove) int {
+		switch {
+		case a.free && !b.free:
+			return -1
+		case b.free && !a.free:
+			return 1
+		}
+		return cmp.Compare(a.unused, b.unused)
+	})
+	return moves[:min(len(moves), maxMovesFound)]
 }
 
 // mayBeMoved reports whether a run may be stopped to be started elsewhere: it is at work, the data
@@ -91,7 +115,10 @@
 // would be unavailable.
 func (s *moveSearch) mayBeMoved(r *run) bool {
 	step := r.step
-	if !r.mayMove() || !r.atWork() || r.place != nil || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() {
+	if s.machine.displacements[r.id.Task].count >= maxDisplacements || r.isolated || r.place != nil {
+		return false
+	}
+	if !r.mayMove() || !r.atWork() || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() {
 		return false
 	}
 	state := &r.entry.Occurrence(r.id.Task.Occurrence).Steps[r.id.Task.Step]
@@ -119,6 +146,9 @@
 	return nil
 }
 
+// fitsFree reports whether a worker has the room for a run now.
+func (r *run) fitsFree(w *worker) bool { return reservation(r.step).Fits(w.free()) }
+
 // atWork reports whether a long-running run is in service.
 func (r *run) atWork() bool {
 	return r.phase == running && !r.stopRequested && r.progressPercent >= 100 && !r.worker.silent
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -34,7 +34,7 @@
 	round := newHeldWorkers(workers)
 	workers, placed := m.placeSuspects(round, waiting, workers)
 	waiting = withLeaving(waiting, leaving)
-	displacement := m.newDisplacement(workers)
+	displacement, repacking := m.newDisplacement(workers), m.newRepacking(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	paced := newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
@@ -44,6 +44,7 @@
 		case step.LongRunning:
 			placed += m.placeLongRunning(longRunning, ws, limit-placed)
 			m.displaceFor(displacement, ws)
+			m.repackFor(repacking, ws)
 			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
 			bestEffort.workers, finite.workers = without(bestEffort.workers, held), without(finite.workers, held)
 		case step.BestEffort:
--- /dev/null
+++ b/dispatch/repack.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/preemption"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// Bounds of moves, which make room for long-running tasks where the free room is spread over workers
+// none of which has enough. A moved task is away for as long as a stop and a start take.
+const (
+	// moveInterval is the least time between two searches for a run to move, fruitlessInterval that
+	// after a search that found none.
+	moveInterval      = 100 * time.Millisecond
+	fruitlessInterval = 500 * time.Millisecond
+	// movingShare is the part of the usable workers from which runs may be moved at a time, as a
+	// divisor.
+	movingShare = 32
+)
+
+// repacking is a search, in a planning round, for a run to move.
+type repacking struct {
+	workers []*worker
+	search  *moveSearch
+	// rooms are the workers with the runs that a task of a priority may displace.
+	rooms map[repackKey]roomyWorker
+	// done: a run is being moved; the search does not know the room that this takes.
+	done bool
+}
+
+type repackKey struct {
+	worker   *worker
+	priority int
+}
+
+// newRepacking returns a search on workers, or nil if the last one was too recent, enough runs are
+// being moved or a stopped run could not be replaced.
+func (m *Machine) newRepacking(workers []*worker) *repacking {
+	moving := 0
+	for _, c := range m.claims {
+		if c.moved != nil {
+			moving++
+		}
+	}
+	if m.now < m.nextMoveAt || moving >= max(1, len(workers)/movingShare) || !m.listFresh() || m.appendUnanswered(moveAppendTimeout) {
+		return nil
+	}
+	return &repacking{workers: workers, rooms: make(map[repackKey]roomyWorker)}
+}
+
+// repackFor moves one long-running run to another worker for a task of a long-running step that has
+// waited for its delay. Each move places a waiting task, the moved one keeps a place, and the moves
+// of a task are limited, so that no tasks take turns.
+func (m *Machine) repackFor(p *repacking, ws *waitingStep) {
+	step, wait := &ws.entry.Steps[ws.stepIndex], m.longWaits[ws.state]
+	if p == nil || p.done || wait == nil || ws.leaving != nil || step.Gang || step.BestEffort {
+		return
+	}
+	for _, t := range m.unclaimedTasks(ws) {
+		if m.now-wait.waitingSince(t.ID, m.now) >= m.displaceDelay(t) {
+			// The step's other tasks request the same.
+			p.done = m.moveFor(p, ws, step, t)
+			return
+		}
+	}
+}
+
+// moveFor moves the run that makes room for a task at the least cost, and displaces finite runs on
+// both workers as far as they are in the way. It reports whether it did.
+func (m *Machine) moveFor(p *repacking, ws *waitingStep, step *workload.Step, t *ledger.Task) bool {
+	if p.search == nil {
+		p.search = m.newMoveSearch(p.workers, (*worker).freeInTime)
+		m.nextMoveAt = m.now + fruitlessInterval
+	}
+	var best runMove
+	var victims []*run
+	bestCost := 0.0
+	for _, move := range p.search.find(ws) {
+		moved := reservation(move.run.step)
+		here, cost, ok := m.victimsOf(p, move.run.worker, ws.priority, moved, reservation(step))
+		if !ok {
+			continue
+		}
+		there, more, ok := m.victimsOf(p, move.to, ws.priority, hostapi.Resources{}, moved)
+		if ok && (best.run == nil || cost+more < bestCost) {
+			best, victims, bestCost = move, slices.Concat(here, there), cost+more
+		}
+	}
+	if best.run == nil {
+		return false
+	}
+	r := best.run
+	m.nextMoveAt = m.now + moveInterval
+	m.claim(ws, t, r.worker, reservation(step))
+	m.claimForMoved(r, best.to)
+	m.countDisplacement(r.entry, r.id.Task)
+	for _, victim := range victims {
+		m.displace(victim, t.ID)
+	}
+	r.displaced = true
+	m.stopRun(r, fmt.Sprintf("moves to %s and makes room for long-running task %s", best.to.ID(), taskName(t.ID)))
+	return true
+}
+
+// victimsOf returns the finite runs to displace on a worker, with their cost, so that a request fits
+// there once more room has become free.
+func (m *Machine) victimsOf(p *repacking, w *worker, priority int, more, request hostapi.Resources) ([]*run, float64, bool) {
+	key := repackKey{w, priority}
+	room, known := p.rooms[key]
+	if !known {
+		room = m.roomyWorkers([]*worker{w}, priority)[0]
+		p.rooms[key] = room
+	}
+	selected, cost, ok := preemption.Select(w.Capacity.Sub(w.reserved).Add(w.stoppingReserved()).Add(more), request, room.victims)
+	var victims []*run
+	for _, i := range selected {
+		victims = append(victims, room.runs[i])
+	}
+	return victims, cost, ok
+}
+
+// taskName returns the text form of a task id.
+func taskName(id workload.TaskID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", id.Submission, id.Occurrence, id.Step, id.Index)
+}
--- a/dispatch/roomreport.go
+++ b/dispatch/roomreport.go
@@ -82,11 +82,12 @@
 			r.fit += len(tasks)
 			continue
 		}
-		if move, ok := search.find(ws); ok {
+		if moves := search.find(ws); len(moves) > 0 {
+			move := moves[0]
 			r.fitByMove += len(tasks)
 			r.move = fmt.Sprintf("%dm from %s to %s for %dm", reservation(move.run.step).MilliCPU, move.run.worker.ID(), move.to.ID(), request.MilliCPU)
 		}
-		if _, ok := inTime.find(ws); ok {
+		if len(inTime.find(ws)) > 0 {
 			r.fitByMoveInTime += len(tasks)
 		}
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -48,7 +48,7 @@
 	inherited bool
 	// stopRequested: the run must be stopped, or not started.
 	stopRequested bool
-	// displaced: the run is stopped to make room. discarded is the work that it loses, in seconds
+	// displaced: the run is stopped, or moved, to make room. discarded is the work that it loses, in seconds
 	// of a core.
 	displaced bool
 	discarded float64
