dispatch: one search of moves for event 865, with the cheapest check first

Event 865 searched twice, with and without the room of finite runs. Most runs fit no other worker, which is cheaper to find out than whether they may be moved.

--- a/dispatch/movesearch.go
+++ b/dispatch/movesearch.go
@@ -22,16 +22,16 @@
 	unused int64
 }
 
-// moveSearch looks for long-running runs whose move to another worker makes room for a task. The
-// free room of many workers together may be large although no task fits any of them.
+// moveSearch looks for long-running runs whose move to another worker makes room for a task, if the
+// finite runs on both are stopped. The free room of many workers together may be large although no
+// task fits any of them.
 type moveSearch struct {
 	machine *Machine
-	// room returns the room that counts as free on a worker.
-	room func(*worker) hostapi.Resources
 	// sources are the workers with runs that can be moved. Workers on which tasks claim room are
 	// neither sources nor targets.
 	sources []moveSource
-	// targets are the workers in ascending order of their free CPU.
+	// targets are the workers in ascending order of the CPU that is free once their finite runs
+	// have ended.
 	targets []*worker
 	// away counts the tasks of each step that are not at work.
 	away   map[*ledger.Step]int
@@ -39,28 +39,26 @@
 }
 
 // moveSource is a worker with its runs that can be moved. mostCPU is the most CPU, in thousandths of
-// a core, that is free there after one is.
+// a core, that is free there after one is and the finite runs have ended.
 type moveSource struct {
 	worker  *worker
 	moves   []runMove
 	mostCPU int64
 }
 
-func (m *Machine) newMoveSearch(workers []*worker, room func(*worker) hostapi.Resources) *moveSearch {
-	s := &moveSearch{machine: m, room: room, away: make(map[*ledger.Step]int), failed: make(unplaceable)}
+func (m *Machine) newMoveSearch(workers []*worker) *moveSearch {
+	s := &moveSearch{machine: m, away: make(map[*ledger.Step]int), failed: make(unplaceable)}
 	unclaimed := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return w.claimed != (hostapi.Resources{}) })
 	s.targets = slices.SortedStableFunc(slices.Values(unclaimed), func(a, b *worker) int {
-		return cmp.Compare(room(a).MilliCPU, room(b).MilliCPU)
+		return cmp.Compare(a.freeInTime().MilliCPU, b.freeInTime().MilliCPU)
 	})
 	for _, w := range unclaimed {
 		source := moveSource{worker: w}
 		for _, r := range w.runList {
-			if !s.mayBeMoved(r) {
-				continue
-			}
-			if to := s.target(r); to != nil {
+			// Most runs fit no other worker; that is the cheaper check.
+			if to := s.target(r); to != nil && s.mayBeMoved(r) {
 				source.moves = append(source.moves, runMove{run: r, to: to})
-				source.mostCPU = max(source.mostCPU, room(w).MilliCPU+reservation(r.step).MilliCPU)
+				source.mostCPU = max(source.mostCPU, w.freeInTime().MilliCPU+reservation(r.step).MilliCPU)
 			}
 		}
 		if len(source.moves) > 0 {
@@ -83,7 +81,7 @@
 		if source.mostCPU < request.MilliCPU || !suits(ws, step, source.worker) {
 			continue
 		}
-		free := s.room(source.worker)
+		free := source.worker.freeInTime()
 		for _, move := range source.moves {
 			if move.run.entry.Policy.Priority < ws.priority {
 				continue
@@ -130,16 +128,19 @@
 	return step.MaxUnavailable == 0 || away < step.MaxUnavailable
 }
 
-// target returns the worker with the least free CPU among those with room for a run of another one,
+// target returns the worker with the least CPU to spare among those with room for a run of another one,
 // or nil if there is none.
 func (s *moveSearch) target(r *run) *worker {
-	ws := waitingStep{entry: r.entry, occurrence: r.id.Task.Occurrence, stepIndex: r.id.Task.Step}
 	request := reservation(r.step)
+	if !r.step.LongRunning || len(s.targets) == 0 || request.MilliCPU > s.targets[len(s.targets)-1].freeInTime().MilliCPU {
+		return nil
+	}
+	ws := waitingStep{entry: r.entry, occurrence: r.id.Task.Occurrence, stepIndex: r.id.Task.Step}
 	first, _ := slices.BinarySearchFunc(s.targets, request.MilliCPU, func(w *worker, cpu int64) int {
-		return cmp.Compare(s.room(w).MilliCPU, cpu)
+		return cmp.Compare(w.freeInTime().MilliCPU, cpu)
 	})
 	for _, w := range s.targets[first:] {
-		if w != r.worker && request.Fits(s.room(w)) && suits(&ws, r.step, w) {
+		if w != r.worker && request.Fits(w.freeInTime()) && suits(&ws, r.step, w) {
 			return w
 		}
 	}
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -74,7 +74,7 @@
 // both workers as far as they are in the way. It reports whether it did.
 func (m *Machine) moveFor(p *repacking, ws *waitingStep, step *workload.Step, t *ledger.Task) bool {
 	if p.search == nil {
-		p.search = m.newMoveSearch(p.workers, (*worker).freeInTime)
+		p.search = m.newMoveSearch(p.workers)
 		m.nextMoveAt = m.now + fruitlessInterval
 	}
 	var best runMove
--- a/dispatch/roomreport.go
+++ b/dispatch/roomreport.go
@@ -66,7 +66,7 @@
 		r.free += free.MilliCPU
 		r.mostFree = max(r.mostFree, free.MilliCPU)
 	}
-	search, inTime := m.newMoveSearch(workers, (*worker).free), m.newMoveSearch(workers, (*worker).freeInTime)
+	search := m.newMoveSearch(workers)
 	for _, wait := range m.longRunningWaits {
 		ws, tasks := &wait.waiting, m.waitingTasks(wait.waiting.state.Tasks)
 		if len(tasks) == 0 {
@@ -82,14 +82,15 @@
 			r.fit += len(tasks)
 			continue
 		}
-		if moves := search.find(ws); len(moves) > 0 {
-			move := moves[0]
+		moves := search.find(ws)
+		if len(moves) == 0 {
+			continue
+		}
+		r.fitByMoveInTime += len(tasks)
+		if move := moves[0]; move.free {
 			r.fitByMove += len(tasks)
 			r.move = fmt.Sprintf("%dm from %s to %s for %dm", reservation(move.run.step).MilliCPU, move.run.worker.ID(), move.to.ID(), request.MilliCPU)
 		}
-		if len(inTime.find(ws)) > 0 {
-			r.fitByMoveInTime += len(tasks)
-		}
 	}
 	return r
 }
