--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -18,6 +18,9 @@
 	// after a search that found none.
 	moveInterval      = 100 * time.Millisecond
 	fruitlessInterval = 500 * time.Millisecond
+	// newTaskDelay is how much longer a task waits that has not had a run: it is new work like
+	// other work of its priority, which pays for the room. Callers of an interrupted one wait.
+	newTaskDelay = 4 * time.Second
 	// movingShare is the part of the usable workers from which runs may be moved at a time, as a
 	// divisor.
 	movingShare = 32
@@ -62,7 +65,7 @@
 		return
 	}
 	for _, t := range m.unclaimedTasks(ws) {
-		if m.now-wait.waitingSince(t.ID, m.now) >= m.displaceDelay(t) {
+		if m.now-wait.waitingSince(t.ID, m.now) >= m.moveDelay(t) {
 			// The step's other tasks request the same.
 			p.done = m.moveFor(p, ws, step, t)
 			return
@@ -70,6 +73,15 @@
 	}
 }
 
+// moveDelay returns how long a task waits before a run is moved for it.
+func (m *Machine) moveDelay(t *ledger.Task) time.Duration {
+	delay := m.displaceDelay(t)
+	if t.Run == 0 {
+		delay += newTaskDelay
+	}
+	return delay
+}
+
 // moveFor moves the run that makes room for a task at the least cost, and displaces finite runs on
 // both workers as far as they are in the way. It reports whether it did.
 func (m *Machine) moveFor(p *repacking, ws *waitingStep, step *workload.Step, t *ledger.Task) bool {
