dispatch: a repeated crash of one worker under a task is weak evidence

Cause: a crash under an isolated start counted in full also if the task had been started on the same worker as before, because no other could run it. Such a crash can be the worker's own: only one of another worker tells the two apart. It counts 1 in place of 2 now, and 4 are needed as before, so the bound of five starts stays.

TestTaskThatCrashesItsOnlyWorkerIsGivenUp holds the bound of five starts.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -49,6 +49,13 @@
 	return o.heardAt <= other.seenAt+outageMargin && other.heardAt <= o.seenAt+outageMargin
 }
 
+// sharesTask reports whether a task, or a gang, is suspected of both outages.
+func (o *outage) sharesTask(other *outage) bool {
+	return slices.ContainsFunc(o.suspects, func(a workload.RunID) bool {
+		return slices.ContainsFunc(other.suspects, func(b workload.RunID) bool { return a.Task == b.Task })
+	})
+}
+
 // crashes is what an owner remembers of the outages of workers.
 type crashes struct {
 	// outages are those of the last outageMemory.
@@ -268,7 +275,11 @@
 			unexplained++
 		}
 		switch {
-		case old.isolated || old.incarnation == o.incarnation:
+		case old.incarnation == o.incarnation:
+		case old.address == o.address && old.sharesTask(o):
+			// The worker may crash by itself: only another one tells the two apart.
+			return "the worker crashed under the task before"
+		case old.isolated:
 		case old.overlaps(o):
 			return "worker " + old.incarnation.Worker + " was away at that time"
 		case old.address == o.address && len(old.suspects) == 0:
--- a/dispatch/simcrashes_test.go
+++ b/dispatch/simcrashes_test.go
@@ -28,6 +28,8 @@
 	// newIDs: a worker that starts again has another id, and says so if a command is meant
 	// for the one before.
 	newIDs bool
+	// crashDelay is the time from the start of such a task to the crash.
+	crashDelay time.Duration
 	// downTime is the time after which a crashed worker is back.
 	downTime time.Duration
 	// workers counts the workers that have crashed under each task.
@@ -38,7 +40,7 @@
 }
 
 func newSimCrashes() simCrashes {
-	return simCrashes{downTime: simCrashTime, workers: make(map[workload.TaskID]int), startsAfter: make(map[workload.TaskID]int)}
+	return simCrashes{crashDelay: simCrashDelay, downTime: simCrashTime, workers: make(map[workload.TaskID]int), startsAfter: make(map[workload.TaskID]int)}
 }
 
 // started crashes a worker that has started a task if the task does so.
@@ -53,7 +55,7 @@
 		s.t.Fatalf("%v: %v was started %d times more after %d workers had crashed under it", s.now, id, c.startsAfter[id], c.workers[id])
 	}
 	incarnation := w.Info.Incarnation
-	s.after(simCrashDelay, func() {
+	s.after(c.crashDelay, func() {
 		if w.Up && w.Info.Incarnation == incarnation {
 			c.workers[id]++
 			s.crash(w)
