--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -39,7 +39,11 @@
 	// ended is called when a submission has become final, if it is set.
 	ended func(id string, took time.Duration)
 	// decisions counts the machine's decisions by kind.
-	decisions  map[dispatch.DecisionKind]int
+	decisions map[dispatch.DecisionKind]int
+	// reasons has the reason of the last decision of each kind.
+	reasons map[dispatch.DecisionKind]string
+	// starting are long-running tasks that are not at work yet, however long they run.
+	starting   map[workload.TaskID]bool
 	starts     int
 	heartbeats int
 	// waits is the last result of waitingSince.
@@ -73,6 +77,7 @@
 	l := &loadSim{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Minute, ledger: ledger.New(),
 		workers: make(map[string]*loadWorker), submittedAt: make(map[string]time.Duration), lateness: make(map[string][]float64), decisions: make(map[dispatch.DecisionKind]int),
+		reasons: make(map[dispatch.DecisionKind]string),
 	}
 	l.machine = dispatch.New(dispatch.Config{
 		Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2, StopTime: 200 * time.Millisecond,
@@ -134,6 +139,7 @@
 			l.after(loadNetworkDelay, func() { l.heartbeat(a) })
 		case dispatch.Decision:
 			l.decisions[a.Kind]++
+			l.reasons[a.Kind] = a.Reason
 		}
 	}
 }
@@ -243,7 +249,10 @@
 	for _, id := range sortedRuns(w.runs) {
 		r := w.runs[id]
 		percent := 100
-		if !r.step.LongRunning {
+		switch {
+		case l.starting[id.Task]:
+			percent = 0
+		case !r.step.LongRunning:
 			percent = int(100 * float64(l.now-r.started) / float64(r.step.Estimate) / 1.3)
 		}
 		tail := time.Duration(0)
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -74,6 +74,7 @@
 	longWaits        map[*ledger.Step]*longWait
 	longRunningWaits []*longWait
 	longWaitsAt      time.Duration
+	roomChanges      roomChanges
 	bestEffortWaits  map[*ledger.Step]*bestEffortWait
 	transfers        transfers
 	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
@@ -92,8 +93,10 @@
 	claims        map[workload.TaskID]*claim
 	displacements map[workload.TaskID]displacements
 	displacedAt   time.Duration
-	excess        excessRuns
-	starts        startLimit
+	// nextMoveAt is the earliest time of the next search for a run to move.
+	nextMoveAt time.Duration
+	excess     excessRuns
+	starts     startLimit
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
@@ -183,6 +186,9 @@
 	m.active[t.ID] = r
 	m.addOccupied(e, t.ID, 1)
 	m.byEntry[e.ID] = append(m.byEntry[e.ID], r)
+	if r.step.LongRunning {
+		m.roomChanges.started++
+	}
 	return r
 }
 
@@ -194,6 +200,10 @@
 		return
 	}
 	delete(m.active, r.id.Task)
+	if r.step.LongRunning {
+		m.roomChanges.ended++
+		m.roomChanges.freed += reservation(r.step).MilliCPU
+	}
 	m.addOccupied(r.entry, r.id.Task, -1)
 	// The slice is replaced because callers iterate over it while they remove runs.
 	remaining := slices.DeleteFunc(slices.Clone(m.byEntry[r.entry.ID]), func(other *run) bool { return other == r })
--- /dev/null
+++ b/dispatch/movesearch.go
@@ -0,0 +1,176 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+)
+
+// maxMovesFound limits the moves that a search compares for a task.
+const maxMovesFound = 8
+
+// runMove is a long-running run with another worker that has room for it.
+type runMove struct {
+	run *run
+	to  *worker
+	// free: both workers have the room without the end of a finite run.
+	free bool
+	// unused is the CPU, in thousandths of a core, that the task for which the run is moved leaves
+	// unused.
+	unused int64
+}
+
+// moveSearch looks for long-running runs whose move to another worker makes room for a task, if the
+// finite runs on both are stopped. The free room of many workers together may be large although no
+// task fits any of them.
+type moveSearch struct {
+	machine *Machine
+	// sources are the workers with runs that can be moved. Workers on which tasks claim room are
+	// neither sources nor targets.
+	sources []moveSource
+	// targets are the workers in ascending order of the CPU that is free once their finite runs
+	// have ended.
+	targets []*worker
+	// away counts the tasks of each step that are not at work.
+	away   map[*ledger.Step]int
+	failed unplaceable
+}
+
+// moveSource is a worker with its runs that can be moved. mostCPU is the most CPU, in thousandths of
+// a core, that is free there after one is and the finite runs have ended.
+type moveSource struct {
+	worker  *worker
+	moves   []runMove
+	mostCPU int64
+}
+
+func (m *Machine) newMoveSearch(workers []*worker) *moveSearch {
+	s := &moveSearch{machine: m, away: make(map[*ledger.Step]int), failed: make(unplaceable)}
+	unclaimed := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return w.claimed != (hostapi.Resources{}) })
+	s.targets = slices.SortedStableFunc(slices.Values(unclaimed), func(a, b *worker) int {
+		return cmp.Compare(a.freeInTime().MilliCPU, b.freeInTime().MilliCPU)
+	})
+	for _, w := range unclaimed {
+		source := moveSource{worker: w}
+		for _, r := range w.runList {
+			// Most runs fit no other worker; that is the cheaper check.
+			if to := s.target(r); to != nil && s.mayBeMoved(r) {
+				source.moves = append(source.moves, runMove{run: r, to: to})
+				source.mostCPU = max(source.mostCPU, w.freeInTime().MilliCPU+reservation(r.step).MilliCPU)
+			}
+		}
+		if len(source.moves) > 0 {
+			s.sources = append(s.sources, source)
+		}
+	}
+	return s
+}
+
+// find returns the moves that make room for a task of a step, at most maxMovesFound: those first that
+// need no end of a finite run, then those that leave the least CPU unused on the worker.
+func (s *moveSearch) find(ws *waitingStep) []runMove {
+	step := &ws.entry.Steps[ws.stepIndex]
+	if step.Gang || step.BestEffort || s.failed.covers(ws) {
+		return nil
+	}
+	request := reservation(step)
+	var moves []runMove
+	for _, source := range s.sources {
+		if source.mostCPU < request.MilliCPU || !suits(ws, step, source.worker) {
+			continue
+		}
+		free := source.worker.freeInTime()
+		for _, move := range source.moves {
+			if move.run.entry.Policy.Priority < ws.priority {
+				continue
+			}
+			if after := free.Add(reservation(move.run.step)); request.Fits(after) {
+				move.free = request.Fits(source.worker.free().Add(reservation(move.run.step))) && move.run.fitsFree(move.to)
+				move.unused = after.MilliCPU - request.MilliCPU
+				moves = append(moves, move)
+			}
+		}
+	}
+	if len(moves) == 0 {
+		s.failed.add(ws)
+	}
+	slices.SortStableFunc(moves, func(a, b runMove) int {
+		switch {
+		case a.free && !b.free:
+			return -1
+		case b.free && !a.free:
+			return 1
+		}
+		return cmp.Compare(a.unused, b.unused)
+	})
+	return moves[:min(len(moves), maxMovesFound)]
+}
+
+// mayBeMoved reports whether a run may be stopped to be started elsewhere: it is at work, the data
+// and the other tasks of its step don't tie it to a rack, and not more tasks of its step than allowed
+// would be unavailable.
+func (s *moveSearch) mayBeMoved(r *run) bool {
+	step := r.step
+	if s.machine.displacements[r.id.Task].count >= maxDisplacements || r.isolated || r.place != nil {
+		return false
+	}
+	if !r.mayMove() || !r.atWork() || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() {
+		return false
+	}
+	state := &r.entry.Occurrence(r.id.Task.Occurrence).Steps[r.id.Task.Step]
+	away, known := s.away[state]
+	if !known {
+		away = s.machine.awayTasks(state)
+		s.away[state] = away
+	}
+	return step.MaxUnavailable == 0 || away < step.MaxUnavailable
+}
+
+// target returns the worker with the least CPU to spare among those with room for a run of another one,
+// or nil if there is none.
+func (s *moveSearch) target(r *run) *worker {
+	request := reservation(r.step)
+	if !r.step.LongRunning || len(s.targets) == 0 || request.MilliCPU > s.targets[len(s.targets)-1].freeInTime().MilliCPU {
+		return nil
+	}
+	ws := waitingStep{entry: r.entry, occurrence: r.id.Task.Occurrence, stepIndex: r.id.Task.Step}
+	first, _ := slices.BinarySearchFunc(s.targets, request.MilliCPU, func(w *worker, cpu int64) int {
+		return cmp.Compare(w.freeInTime().MilliCPU, cpu)
+	})
+	for _, w := range s.targets[first:] {
+		if w != r.worker && request.Fits(w.freeInTime()) && suits(&ws, r.step, w) {
+			return w
+		}
+	}
+	return nil
+}
+
+// fitsFree reports whether a worker has the room for a run now.
+func (r *run) fitsFree(w *worker) bool { return reservation(r.step).Fits(w.free()) }
+
+// atWork reports whether a long-running run is in service.
+func (r *run) atWork() bool {
+	return r.phase == running && !r.stopRequested && r.progressPercent >= 100 && !r.worker.silent
+}
+
+// awayTasks counts the tasks of a step that are not at work.
+func (m *Machine) awayTasks(state *ledger.Step) int {
+	away := 0
+	for i := range state.Tasks {
+		t := &state.Tasks[i]
+		if r := m.active[t.ID]; !t.Done && (r == nil || !r.atWork()) {
+			away++
+		}
+	}
+	return away
+}
+
+// free returns the capacity of a worker that no run reserves and no task claims.
+func (w *worker) free() hostapi.Resources { return w.Capacity.Sub(w.reserved).Sub(w.claimed) }
+
+// freeInTime returns the capacity that is free once the runs that end by themselves have ended.
+func (w *worker) freeInTime() hostapi.Resources {
+	return w.Capacity.Sub(w.longRunning).Sub(w.claimed)
+}
