dispatch: the test of the cost of planning goes by processor time

Cause: the real time of a step includes the time in which other processes have the processor.

Change: the processor time of the thread. Limit, seeds and load are the same.

--- a/dispatch/largeload_test.go
+++ b/dispatch/largeload_test.go
@@ -121,9 +121,9 @@
 // so it may be three times as high.
 func TestWaitingLongRunningTasksAddLittleToTheCostOfPlanning(t *testing.T) {
 	cost := func(l *loadSim) time.Duration {
-		l.stepTime = 0
+		l.stepCPU = 0
 		l.play(2*time.Second, 1)
-		return l.stepTime
+		return l.stepCPU
 	}
 	crowded, usual := time.Hour, time.Hour
 	for seed := range uint64(3) {
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -4,9 +4,12 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/hostapi"
@@ -48,8 +51,8 @@
 	heartbeats int
 	// waits is the last result of waitingSince.
 	waits map[workload.TaskID]time.Duration
-	// stepTime is the real time spent in the machine's steps.
-	stepTime time.Duration
+	// stepTime is the real time spent in the machine's steps, stepCPU the processor time.
+	stepTime, stepCPU time.Duration
 	// longestStep is the longest real time of one step.
 	longestStep time.Duration
 }
@@ -121,10 +124,23 @@
 	l.after(20*time.Millisecond, l.tick)
 }
 
+// threadCPU returns the processor time of the calling thread. Unlike real time it does not grow
+// while other processes use the processor.
+func threadCPU() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
+		panic(err)
+	}
+	return time.Duration(t.Nano())
+}
+
 func (l *loadSim) step(ev dispatch.Event) {
-	began := time.Now()
+	runtime.LockOSThread()
+	began, cpu := time.Now(), threadCPU()
 	actions := l.machine.Step(l.now, ev)
 	took := time.Since(began)
+	l.stepCPU += threadCPU() - cpu
+	runtime.UnlockOSThread()
 	l.stepTime += took
 	l.longestStep = max(l.longestStep, took)
 	for _, action := range actions {
