dispatch: tests in parallel, cheaper simulation and planning

The tests of ./dispatch took 250 to 340 s with the race detector, of a limit of 8 minutes: they ran one after the other, on one core. Profiles (race detector, five slowest tests): a third of the time in planning rounds, half of that in waitingSteps, which grew slices of a large struct and sorted the structs themselves; a tenth in the checks and the clock of the simulation, which went over all runs at each event.

- The tests that play simulations, and their seeds, are parallel.
They share nothing but constants and flags.
The four plays of TestLargestSubmissionsAreServedUnderOverload run side by side.
The only test that measures real time (the cost of planning) stays serial, so it runs before all parallel ones.
- checkActiveRuns checks after events with a start: only a start adds an active run, since a worker that comes back has none.
- Worker.Advance sorts runs only if one is due or the lease has expired.
- Waiting steps are passed by pointer, and compareUrgency stops at the first difference.
Same order, same decisions.

By itself: 291 s before (256 s of processor time, load 10 to 26), 121 s after (167 s, load 22 to 25), on 1.4 cores on average. With more cores it is shorter; that was not measured.

Same tests and checks: 539 names of tests and subtests in both runs (go test -json), same results, all passed but the known TestFailedLongRunningTasksRunAgainUnderOverload/0; the logged figures of the plays (starts, transfers, states, shares) are the same for all seeds. With a mutation (leases expire 4 s early), the same 137 of the tests of schedules and crashes fail before and after, each at the same simulated time, 32 of them by checkActiveRuns.

./coordinator (67 and 60 s at this load, 31 s of processor time, GOMAXPROCS=1) was profiled too: no function of the tests takes over 3%, and the time is spread over event loops, timers and the race detector's own work. Left as it is.

--- a/dispatch/cancelschedules_test.go
+++ b/dispatch/cancelschedules_test.go
@@ -35,8 +35,12 @@
 // from snapshots, lost and late commands, workers that leave the list or restart with the
 // same id, records out of order.
 func TestSchedulesOfCancellations(t *testing.T) {
+	t.Parallel()
 	for seed := *cancelFirst; seed < *cancelFirst+*cancelSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runCancelSchedule(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runCancelSchedule(t, seed)
+		})
 	}
 }
 
--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -94,6 +94,7 @@
 // than the bound, on any course of takeovers, silent, crashing and leaving workers, late calls,
 // lost answers and outages of the store.
 func TestCoursesOfTakeoversLeasesAndEnds(t *testing.T) {
+	t.Parallel()
 	finite := workload.Step{Tasks: 1, Request: dispatchtest.TaskRequest, Estimate: time.Hour}
 	lasting := finite
 	lasting.LongRunning = true
@@ -113,6 +114,9 @@
 		{"recorded silence taken over", []workload.Step{lasting}, []string{dispatchtest.WorkerSilent, dispatchtest.TimePasses, dispatchtest.OwnerStoreless, dispatchtest.WorkerSilent, dispatchtest.Takeover, dispatchtest.CutsEnd}},
 		{"placement without an answer", []workload.Step{lasting}, []string{dispatchtest.WorkerCrash, dispatchtest.OtherCrash, dispatchtest.TimePasses, dispatchtest.TimePasses, dispatchtest.StoreNoAnswers, dispatchtest.OtherCrash}},
 	} {
-		t.Run(c.name, func(t *testing.T) { exploreCourses(t, *courseDepth, c.steps, c.first...) })
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			exploreCourses(t, *courseDepth, c.steps, c.first...)
+		})
 	}
 }
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -15,8 +15,10 @@
 // Guards against a task that crashes worker after worker, and against giving up the
 // tasks that shared these workers.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 12)
 			s.crashes.crashes = func(id workload.TaskID) bool {
 				return len(id.Submission) > 6 && id.Submission[:6] == "deadly" && id.Step == 0 && id.Index == 0
@@ -61,8 +63,10 @@
 
 // Guards against a count of crashes that a takeover forgets.
 func TestTaskThatCrashesItsWorkersIsGivenUpDespiteTakeovers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 12)
 			s.crashes.crashes = func(id workload.TaskID) bool { return id.Submission == "deadly" && id.Index == 0 }
 			for i := range 20 {
@@ -86,8 +90,10 @@
 // Guards against giving up healthy tasks because the workers of a rack crash again and
 // again while many tasks are being started there.
 func TestHealthyTasksOutlastCrashesOfARack(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 12)
 			s.submitOften(60)
 			for i := range 4 {
@@ -105,8 +111,10 @@
 
 // Guards against giving up healthy tasks because single workers crash at any time.
 func TestHealthyTasksOutlastCrashesOfSingleWorkers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 12)
 			s.submitOften(60)
 			for range 40 {
@@ -124,8 +132,10 @@
 
 // Guards against counting a worker that was only cut off as crashed.
 func TestSilentWorkerIsNoCrash(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 4)
 			s.submitOften(30)
 			for i := range 4 {
@@ -147,8 +157,10 @@
 
 // Guards against a gang, or a long-running task, that crashes its workers without end.
 func TestGangAndLongRunningTaskThatCrashWorkersAreGivenUp(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			cells := newSimCells(t, seed, 12)
 			s := cells.cells[0]
 			s.crashes = newSimCrashes()
--- a/dispatch/crashhandovers_test.go
+++ b/dispatch/crashhandovers_test.go
@@ -60,16 +60,22 @@
 // Guards against evidence of a crash that planned hand-overs in series lose: the task would
 // be started more than five times.
 func TestTaskThatCrashesItsWorkersIsGivenUpOverHandOvers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runDeadlyHandOvers(t, seed, func(*sim) {}) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runDeadlyHandOvers(t, seed, func(*sim) {})
+		})
 	}
 }
 
 // Guards against evidence that is lost because leases expire before it is known whether the
 // worker crashed, and hand-overs come between the two.
 func TestTaskThatCrashesItsWorkersIsGivenUpAlthoughTheyReturnLate(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runDeadlyHandOvers(t, seed, func(s *sim) { s.crashes.downTime = simLease + 3*time.Second })
 		})
 	}
@@ -78,8 +84,10 @@
 // Guards against evidence of a crash that planned hand-overs in series lose while the log
 // is slow, so that most records of a crash are in flight at a hand-over.
 func TestTaskThatCrashesItsWorkersIsGivenUpOverHandOversWithASlowLog(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runDeadlyHandOvers(t, seed, func(s *sim) { s.logDelay = 500 * time.Millisecond })
 		})
 	}
@@ -126,8 +134,10 @@
 // Guards against giving up healthy tasks whose workers crash, or are only silent, while
 // planned hand-overs in series keep any owner from seeing much of it.
 func TestHealthyTasksOutlastCrashesAndSilenceOverHandOvers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 12)
 			s.crashes.newIDs, s.crashes.reset = true, seed%2 == 0
 			s.crashes.downTime = time.Duration(1+seed%8) * time.Second
@@ -156,8 +166,10 @@
 // Guards against giving up healthy tasks whose workers crash together, again and again, in
 // epochs that are too short to show that they went together.
 func TestHealthyTasksOutlastCrashesOfARackOverHandOvers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 12)
 			s.crashes.newIDs, s.crashes.reset = true, seed%2 == 0
 			s.submitOften(60)
@@ -180,8 +192,10 @@
 // Guards against evidence against a task whose worker only did not answer for longer than
 // its lease, over hand-overs in series.
 func TestSilentWorkerIsNoCrashOverHandOvers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 4)
 			s.crashes.newIDs = true
 			s.submitOften(30)
--- a/dispatch/dispatchtest/worker.go
+++ b/dispatch/dispatchtest/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
+// noEnd is later than the end of any run.
+const noEnd = time.Duration(math.MaxInt64)
+
 // listedEnds is the number of ends that a simulated worker lists at a time.
 const listedEnds = 3
 
@@ -23,11 +27,13 @@
 	Partitioned bool
 	Removed     bool
 	// Unlisted: the list lacks the worker, which works on.
-	Unlisted       bool
-	clockZero      time.Duration
-	Epoch          int64
-	deadline       time.Duration
-	Runs           map[workload.RunID]*Run
+	Unlisted  bool
+	clockZero time.Duration
+	Epoch     int64
+	deadline  time.Duration
+	Runs      map[workload.RunID]*Run
+	// earliestEnd is a time before which no run ends by itself.
+	earliestEnd    time.Duration
 	highestRefused map[workload.TaskID]int64
 	Ends           []workload.EndedRun
 	// Voided are the ends that were not acknowledged before the lease expired: by
@@ -83,12 +89,18 @@
 			w.Voided[e.Sequence] = true
 		}
 	}
+	if !lapsed && now < w.earliestEnd {
+		return
+	}
+	w.earliestEnd = noEnd
 	for _, r := range w.sorted() {
 		switch {
 		case lapsed:
 			w.end(r, workload.Lapsed)
 		case now >= r.EndsAt:
 			w.end(r, r.Outcome)
+		default:
+			w.earliestEnd = min(w.earliestEnd, r.EndsAt)
 		}
 	}
 }
@@ -153,6 +165,7 @@
 	}
 	w.deadline = max(w.deadline, s.Deadline)
 	w.Runs[s.Run] = r
+	w.earliestEnd = min(w.earliestEnd, r.EndsAt)
 	return dispatch.Done
 }
 
--- a/dispatch/drainschedules_test.go
+++ b/dispatch/drainschedules_test.go
@@ -15,8 +15,12 @@
 // than for the lease of a draining worker, while workers drain, leave and come back, at first
 // beside random faults.
 func TestSchedulesOfDrainingWorkers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runDrains(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runDrains(t, seed)
+		})
 	}
 }
 
--- a/dispatch/favoured.go
+++ b/dispatch/favoured.go
@@ -28,10 +28,9 @@
 // behind, before the other finite steps of their service and priority, as far as
 // favouredShare allows. By relative remaining work they come last, and while more work
 // arrives than the workers can do, never. Those that can no longer be of use are left out.
-func (m *Machine) favourLargest(waiting []waitingStep) {
+func (m *Machine) favourLargest(waiting []*waitingStep) {
 	var largest []*waitingStep
-	for i := range waiting {
-		ws := &waiting[i]
+	for _, ws := range waiting {
 		if ws.timeliness != veryLate && !ws.entry.Steps[ws.stepIndex].LongRunning && m.sizes.favours(ws.entry.Queue, ws.entry.Work()) {
 			largest = append(largest, ws)
 		}
--- a/dispatch/favoured_test.go
+++ b/dispatch/favoured_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 )
@@ -14,11 +15,20 @@
 // because smaller ones are placed first and take the room that becomes free. Long-running
 // tasks request most of the CPU, and sign-ins arrive faster than the rest can serve.
 func TestLargestSubmissionsAreServedUnderOverload(t *testing.T) {
+	t.Parallel()
 	var largest, all float64
 	seeds := []uint64{1, 2, 3, 4}
-	for _, seed := range seeds {
-		queues, _ := sizeLoad{seed: seed, workers: 60, longRunning: 0.88, times: 2, duration: 40 * time.Second}.play()
-		shares := sharesWithin(queues["sign-in"], 3)
+	served := make([]sizeShares, len(seeds))
+	var plays sync.WaitGroup
+	for i, seed := range seeds {
+		plays.Go(func() {
+			queues, _ := sizeLoad{seed: seed, workers: 60, longRunning: 0.88, times: 2, duration: 40 * time.Second}.play()
+			served[i] = sharesWithin(queues["sign-in"], 3)
+		})
+	}
+	plays.Wait()
+	for i, seed := range seeds {
+		shares := served[i]
 		t.Logf("seed %d: served %v", seed, shares)
 		largest, all = largest+shares.largest, all+shares.all
 	}
@@ -31,6 +41,7 @@
 // Guards against smaller submissions that wait for larger ones although these are served as
 // often.
 func TestLargestSubmissionsAreNotFavouredWithoutNeed(t *testing.T) {
+	t.Parallel()
 	queues, favoured := sizeLoad{seed: 1, workers: 60, longRunning: 0.8, times: 1.5, duration: 20 * time.Second}.play()
 	for name, arrivals := range queues {
 		t.Logf("%s: served %v", name, sharesWithin(arrivals, 3))
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -128,13 +128,13 @@
 }
 
 // forgetHolds forgets the holds of steps that don't wait any more.
-func (m *Machine) forgetHolds(waiting []waitingStep) {
+func (m *Machine) forgetHolds(waiting []*waitingStep) {
 	if len(m.holds) == 0 {
 		return
 	}
 	waits := make(map[*ledger.Step]bool, len(waiting))
-	for i := range waiting {
-		waits[waiting[i].state] = true
+	for _, ws := range waiting {
+		waits[ws.state] = true
 	}
 	maps.DeleteFunc(m.holds, func(state *ledger.Step, _ *hold) bool { return !waits[state] })
 }
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -47,18 +47,18 @@
 // placeSuspects places suspect tasks in isolation. It returns the workers that are left
 // for other tasks in this planning round, and the number of placements. Workers are set
 // aside for the suspects that found none, so that no run is being started there soon.
-func (m *Machine) placeSuspects(round *heldWorkers, waiting []waitingStep, workers []*worker) (left []*worker, placed int) {
+func (m *Machine) placeSuspects(round *heldWorkers, waiting []*waitingStep, workers []*worker) (left []*worker, placed int) {
 	left = workers
 	limit, known := 0, false
-	for i := range waiting {
-		tasks := m.suspectTasks(&waiting[i])
+	for _, waits := range waiting {
+		tasks := m.suspectTasks(waits)
 		if len(tasks) == 0 {
 			continue
 		}
 		if !known {
 			limit, known = max(1, len(workers)/isolatedShare)-m.isolatedWorkers(), true
 		}
-		ws := waiting[i]
+		ws := *waits
 		ws.suspect = true
 		step := &ws.entry.Steps[ws.stepIndex]
 		if !step.LongRunning && !step.Gang {
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -72,8 +72,8 @@
 
 // leavingSteps returns the steps with runs on draining workers whose tasks need a place. A worker
 // that does not answer can't be told to stop them.
-func (m *Machine) leavingSteps() []waitingStep {
-	var out []waitingStep
+func (m *Machine) leavingSteps() []*waitingStep {
+	var out []*waitingStep
 	index := make(map[*ledger.Step]int)
 	for _, w := range m.sorted {
 		if !w.Draining || w.silent {
@@ -88,13 +88,13 @@
 			if _, known := index[state]; !known {
 				index[state] = len(out)
 				due := r.entry.DueAt(task.Occurrence)
-				out = append(out, waitingStep{
+				out = append(out, &waitingStep{
 					entry: r.entry, occurrence: task.Occurrence, stepIndex: task.Step, state: state, image: r.image,
 					priority: r.entry.Policy.Priority, timeliness: timelinessOf(r.entry, task.Step, m.wall.Sub(due)),
 					due: due.UnixNano() + int64(r.entry.Objective()),
 				})
 			}
-			ws := &out[index[state]]
+			ws := out[index[state]]
 			ws.leaving = append(ws.leaving, r)
 		}
 	}
@@ -102,7 +102,7 @@
 }
 
 // withLeaving adds steps with runs to move to those that wait, in order.
-func withLeaving(waiting, leaving []waitingStep) []waitingStep {
+func withLeaving(waiting, leaving []*waitingStep) []*waitingStep {
 	if len(leaving) == 0 {
 		return waiting
 	}
--- a/dispatch/longrunning_test.go
+++ b/dispatch/longrunning_test.go
@@ -21,16 +21,24 @@
 // priority. Long-running tasks reserve five sixths of the CPU and fail at times; the
 // batches arrive at twice the rate that the rest can serve.
 func TestFailedLongRunningTasksRunAgainUnderOverload(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLongRunningOverload(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runLongRunningOverload(t, seed)
+		})
 	}
 }
 
 // Guards against long-running tasks that have no run for longer than the users allow,
 // under the load of TestFailedLongRunningTasksRunAgainUnderOverload.
 func TestLongRunningTasksRunAgainInTimeUnderOverload(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { overloadLongRunning(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			overloadLongRunning(t, seed)
+		})
 	}
 }
 
--- a/dispatch/offers.go
+++ b/dispatch/offers.go
@@ -15,7 +15,7 @@
 	o.taken = make([]hostapi.Resources, len(o.workers))
 	defer o.release()
 	for _, ws := range m.waitingSteps() {
-		o.take(&ws, &ws.entry.Steps[ws.stepIndex], ws.state.Local()-m.occupied[ws.state])
+		o.take(ws, &ws.entry.Steps[ws.stepIndex], ws.state.Local()-m.occupied[ws.state])
 	}
 	tasks := make([]int, len(demands))
 	for i, d := range demands {
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -17,6 +17,7 @@
 // can be on time. Those that still can must be placed first: in order of due time
 // alone, hardly any is on time.
 func TestOverloadPlacesTimelyWorkFirst(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := newLoadSim(3, 30)
 	l.run(2 * time.Second)
@@ -66,6 +67,7 @@
 // for 20 s at about twice the rate that the workers can serve, so that half of the
 // submissions can be on time. In order of due time only a quarter is.
 func TestOverloadCompletesMostBatches(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := newLoadSim(5, 30)
 	l.run(2 * time.Second)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -38,8 +38,7 @@
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	paced := newCandidates(workers)
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
-	for i := range waiting {
-		ws := &waiting[i]
+	for _, ws := range waiting {
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
 			placed += m.placeLongRunning(longRunning, ws, limit-placed)
@@ -111,8 +110,8 @@
 
 // waitingSteps returns the due steps that have tasks to place, the most urgent
 // first.
-func (m *Machine) waitingSteps() []waitingStep {
-	var out []waitingStep
+func (m *Machine) waitingSteps() []*waitingStep {
+	var out []*waitingStep
 	live := m.ledger.Live()
 	index := newWorkIndex(live)
 	for _, e := range live {
@@ -131,7 +130,7 @@
 	return out
 }
 
-func (m *Machine) waitingStepsOf(out []waitingStep, e *ledger.Entry, number int, due time.Time, index workIndex) []waitingStep {
+func (m *Machine) waitingStepsOf(out []*waitingStep, e *ledger.Entry, number int, due time.Time, index workIndex) []*waitingStep {
 	o := e.Occurrence(number)
 	if o.Done() {
 		return out
@@ -146,7 +145,7 @@
 		if !e.Guest() && !o.Ready(e.Steps, s) {
 			continue
 		}
-		out = append(out, waitingStep{
+		out = append(out, &waitingStep{
 			entry: e, occurrence: number, stepIndex: s, state: state, image: m.model.idOf(e.Steps[s].Image),
 			priority: e.Policy.Priority, timeliness: timelinessOf(e, s, m.wall.Sub(due)),
 			remaining: index.remaining(e, o, s), due: due.UnixNano() + int64(e.Objective()),
--- a/dispatch/shrinkschedules_test.go
+++ b/dispatch/shrinkschedules_test.go
@@ -18,8 +18,12 @@
 // Guards against starts that exceed the capacity of workers that accept every start, while
 // their capacities shrink and grow, under the faults of TestSchedulesOfOwnersAndWorkers.
 func TestSchedulesOfShrinkingWorkers(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(50); seed < 100; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runShrinkSchedule(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runShrinkSchedule(t, seed)
+		})
 	}
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -376,8 +376,12 @@
 // delayed commands, partitioned and restarted workers, and owners that freeze and are
 // replaced.
 func TestSchedulesOfOwnersAndWorkers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSchedule(t, seed)
+		})
 	}
 }
 
--- a/dispatch/simworld_test.go
+++ b/dispatch/simworld_test.go
@@ -23,6 +23,8 @@
 	queue  dispatchtest.Timers
 	serial int
 	starts int
+	// checkedStarts is the number of starts at the last check of the active runs.
+	checkedStarts int
 	// succeeded are the tasks whose success was acknowledged to a worker.
 	succeeded map[workload.TaskID]bool
 	// started has the newest run of each task that was started.
@@ -64,8 +66,13 @@
 	s.now = until
 }
 
-// checkActiveRuns fails the test if two runs of a task are active at a time.
+// checkActiveRuns fails the test if two runs of a task are active at a time. Only a start adds
+// an active run, so after other events there is nothing new to check.
 func (s *simWorld) checkActiveRuns(cells []*sim) {
+	if s.starts == s.checkedStarts {
+		return
+	}
+	s.checkedStarts = s.starts
 	seen := make(map[workload.TaskID]string)
 	for _, c := range cells {
 		for id, w := range c.workers {
--- a/dispatch/transferschedules_test.go
+++ b/dispatch/transferschedules_test.go
@@ -40,14 +40,21 @@
 // starts after its submission was cancelled, when transfers meet lost and repeated
 // appends, late commands, records out of order, and owners that freeze and are replaced.
 func TestSchedulesOfTransfers(t *testing.T) {
+	t.Parallel()
 	for seed := *transferFirst; seed < *transferFirst+*transferSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTransferSchedule(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runTransferSchedule(t, seed)
+		})
 	}
 }
 
 // Guards against a successor that starts a run of a guest, which the previous owner
 // recorded, although the guest may have been cancelled seconds ago.
-func TestSuccessorStartsConfirmedGuestsOnly(t *testing.T) { runTransferSchedule(t, 110) }
+func TestSuccessorStartsConfirmedGuestsOnly(t *testing.T) {
+	t.Parallel()
+	runTransferSchedule(t, 110)
+}
 
 func runTransferSchedule(t *testing.T, seed uint64) {
 	c := newSimCells(t, seed, 2, 5, 5)
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -39,9 +39,16 @@
 // for a submission that has begun counts in its favour. Long-running steps precede them
 // in the order of their due times: their remaining work never decreases, so that the
 // work which keeps arriving would overtake them without end.
-func compareUrgency(a, b waitingStep) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.timeliness, b.timeliness),
-		cmp.Compare(a.remaining, b.remaining), cmp.Compare(a.due, b.due))
+func compareUrgency(a, b *waitingStep) int {
+	switch {
+	case a.priority != b.priority:
+		return cmp.Compare(a.priority, b.priority)
+	case a.timeliness != b.timeliness:
+		return cmp.Compare(a.timeliness, b.timeliness)
+	case a.remaining != b.remaining:
+		return cmp.Compare(a.remaining, b.remaining)
+	}
+	return cmp.Compare(a.due, b.due)
 }
 
 // workIndex has the mean work of the live submissions of each queue.
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -77,7 +77,7 @@
 	var reports [finiteTask + 1]int
 	for _, ws := range m.waitingSteps() {
 		step := &ws.entry.Steps[ws.stepIndex]
-		wait := &longWait{waiting: ws, service: ws.entry.Policy.Service, step: step, seenAt: m.now, idleSince: m.now, reportedAt: m.now}
+		wait := &longWait{waiting: *ws, service: ws.entry.Policy.Service, step: step, seenAt: m.now, idleSince: m.now, reportedAt: m.now}
 		if known := m.longWaits[ws.state]; known != nil {
 			*wait = *known
 		}
@@ -89,14 +89,14 @@
 		since := wait.idleSince
 		if kind == longRunningTask {
 			m.longRunningWaits = append(m.longRunningWaits, wait)
-			since = m.updateSince(wait, &ws)
+			since = m.updateSince(wait, ws)
 		} else if m.occupied[ws.state] > 0 {
 			wait.idleSince = m.now
 			continue
 		}
 		if delay := kind.reportDelay(); m.now-since >= delay && m.now-wait.reportedAt >= delay && reports[kind] < kind.maxReports() {
 			reports[kind]++
-			m.reportWait(wait, &ws, kind, since)
+			m.reportWait(wait, ws, kind, since)
 		}
 	}
 	m.longWaits = waits
