--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -94,6 +94,7 @@
 // than the bound, on any course of takeovers, silent, crashing and leaving workers, late calls,
 // lost answers and outages of the store.
 func TestCoursesOfTakeoversLeasesAndEnds(t *testing.T) {
+	t.Parallel()
 	finite := workload.Step{Tasks: 1, Request: dispatchtest.TaskRequest, Estimate: time.Hour}
 	lasting := finite
 	lasting.LongRunning = true
@@ -114,6 +115,7 @@
 		{"placement without an answer", []workload.Step{lasting}, []string{dispatchtest.WorkerCrash, dispatchtest.OtherCrash, dispatchtest.TimePasses, dispatchtest.TimePasses, dispatchtest.StoreNoAnswers, dispatchtest.OtherCrash}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			exploreCourses(t, *courseDepth, dispatchtest.NewExplorer(newCourseChecks, c.steps, c.first...))
 		})
 	}
@@ -122,6 +124,7 @@
 // Guards against two runs of a task because witnesses are replaced, answer late, or are reached
 // in turn, beside owners that are cut off with a worker or lost.
 func TestCoursesOfWitnesses(t *testing.T) {
+	t.Parallel()
 	lasting := workload.Step{Tasks: 1, Request: dispatchtest.TaskRequest, Estimate: time.Hour, LongRunning: true}
 	for _, c := range []struct {
 		name  string
@@ -136,6 +139,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			// The first owner is recorded as the only one that can grant leases.
 			first := append([]string{dispatchtest.TimePasses}, c.first...)
 			exploreCourses(t, *courseDepth, dispatchtest.NewWitnessExplorer(newCourseChecks, []workload.Step{lasting}, first...))
