dispatch: a move is checked again when it is chosen

Cause: a planning round searches for moves once, when the first waiting long-running task may have one. Steps that come after it in the same round displace finite runs and claim their room, and stop runs on draining workers. What the search had found was not checked against that: only the free room of the source was read anew, not claims on the target, and the number of a step's tasks that are away was kept.

- A run was moved to a worker whose room another task had claimed in the round; the claims exceeded what becomes free there, so that the moved task, or the other one, had no place once it was stopped.
- A run of a step with max_unavailable 1 was moved in the round in which one of its runs was stopped on a draining worker.

Now workers with claims are passed over when moves are compared, and the limits of a run are checked again before it is chosen. Ruled out: room that runs placed in the same round take, since victimsOf reads what is reserved.

--- a/dispatch/movesearch.go
+++ b/dispatch/movesearch.go
@@ -78,16 +78,18 @@
 	request := reservation(step)
 	var moves []runMove
 	for _, source := range s.sources {
-		if source.mostCPU < request.MilliCPU || !suits(ws, step, source.worker) {
+		w := source.worker
+		// Since the search began, tasks that come first may have claimed room.
+		if source.mostCPU < request.MilliCPU || w.claimed != (hostapi.Resources{}) || !suits(ws, step, w) {
 			continue
 		}
-		free := source.worker.freeInTime()
+		free := w.freeInTime()
 		for _, move := range source.moves {
-			if move.run.entry.Policy.Priority < ws.priority {
+			if move.run.entry.Policy.Priority < ws.priority || move.to.claimed != (hostapi.Resources{}) {
 				continue
 			}
 			if after := free.Add(reservation(move.run.step)); request.Fits(after) {
-				move.free = request.Fits(source.worker.free().Add(reservation(move.run.step))) && move.run.fitsFree(move.to)
+				move.free = request.Fits(w.free().Add(reservation(move.run.step))) && move.run.fitsFree(move.to)
 				move.unused = after.MilliCPU - request.MilliCPU
 				moves = append(moves, move)
 			}
@@ -128,6 +130,13 @@
 	return step.MaxUnavailable == 0 || away < step.MaxUnavailable
 }
 
+// mayStillBeMoved reports whether a run that was found may be moved: since the search began, other
+// runs of its step may have been stopped.
+func (s *moveSearch) mayStillBeMoved(r *run) bool {
+	clear(s.away)
+	return s.mayBeMoved(r)
+}
+
 // target returns the worker with the least CPU to spare among those with room for a run of another one,
 // or nil if there is none.
 func (s *moveSearch) target(r *run) *worker {
--- /dev/null
+++ b/dispatch/movesearch_test.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// moveFixture is a machine whose workers have 64 cores each, and runs that are at work.
+type moveFixture struct {
+	*Machine
+	workers map[string]*worker
+}
+
+func newMoveFixture(names ...string) *moveFixture {
+	f := &moveFixture{
+		Machine: New(Config{Epoch: 1, Lease: 5 * time.Second, StopTime: 200 * time.Millisecond}, ledger.New(), time.Minute, time.UnixMilli(0)),
+		workers: make(map[string]*worker),
+	}
+	f.longWaits = make(map[*ledger.Step]*longWait)
+	for _, name := range names {
+		w := f.addWorker(workload.Worker{
+			Incarnation: workload.Incarnation{Worker: name, StartMillis: 1}, Address: name, Service: "register",
+			Capacity: hostapi.Resources{MilliCPU: 64000, MemoryMiB: 1000},
+		})
+		w.listed, w.reported = true, true
+		f.workers[name] = w
+	}
+	return f
+}
+
+// submit adds a submission of one step.
+func (f *moveFixture) submit(id string, priority int, step workload.Step) *ledger.Entry {
+	step.Request.MemoryMiB, step.Estimate = 10, max(step.Estimate, time.Minute)
+	return f.ledger.Apply(ledger.SubmittedRecord(&workload.Submission{
+		ID: id, Queue: "q", Steps: []workload.Step{step},
+		Policy: workload.Policy{Service: "register", MaxAttempts: 3, SlackFactor: 3, Priority: priority},
+	}))
+}
+
+// wait adds a long-running submission of one task that has waited for long enough for a move. It
+// is due after the other submissions of its priority.
+func (f *moveFixture) wait(id string, priority int, milliCPU int64) {
+	e := f.submit(id, priority, workload.Step{Tasks: 1, LongRunning: true, Estimate: time.Hour, Request: hostapi.Resources{MilliCPU: milliCPU}})
+	task := workload.TaskID{Submission: id}
+	f.longWaits[&e.Occurrence(0).Steps[0]] = &longWait{step: &e.Steps[0], since: map[workload.TaskID]time.Duration{task: 0}}
+}
+
+// work places the tasks of a submission on workers, where they are at work.
+func (f *moveFixture) work(e *ledger.Entry, on ...string) {
+	for i, name := range on {
+		r := f.newRun(e, &e.Occurrence(0).Steps[0].Tasks[i], 1, f.workers[name])
+		r.phase, r.progressPercent = running, 100
+	}
+}
+
+// stoppingRuns returns the runs of a submission that are being stopped.
+func (f *moveFixture) stoppingRuns(submission string) (out []*run) {
+	for _, r := range f.byEntry[submission] {
+		if r.stopRequested {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Guards against a run that is moved to room which another task has claimed earlier in the same
+// planning round: its task would have no place.
+func TestRunIsNotMovedToClaimedRoom(t *testing.T) {
+	is := is.New(t)
+	f := newMoveFixture("a", "b")
+	lasting := func(tasks int, milliCPU int64) workload.Step {
+		return workload.Step{Tasks: tasks, LongRunning: true, Request: hostapi.Resources{MilliCPU: milliCPU}}
+	}
+	f.work(f.submit("large", 1, lasting(2, 40000)), "a", "b")
+	f.work(f.submit("small", 1, lasting(2, 10000)), "a", "b")
+	f.work(f.submit("finite", 1, workload.Step{Tasks: 2, Request: hostapi.Resources{MilliCPU: 14000}}), "a", "b")
+	f.wait("nowhere", 0, 60000)
+	f.wait("displaces", 0, 14000)
+	f.wait("moves", 1, 24000)
+	f.plan()
+	for _, w := range f.workers {
+		left := w.Capacity.Sub(w.reserved).Add(w.stoppingReserved())
+		is.True(w.claimed.Fits(left)) // the room that is claimed becomes free
+	}
+	is.Equal(len(f.stoppingRuns("finite")), 1)
+	is.Equal(len(f.stoppingRuns("small")), 0)
+}
+
+// Guards against a run that is moved although, earlier in the same planning round, as many runs of
+// its step as may be unavailable were stopped on draining workers.
+func TestRunIsNotMovedBesideOneThatLeavesADrainingWorker(t *testing.T) {
+	is := is.New(t)
+	f := newMoveFixture("a", "b", "c", "d")
+	f.workers["d"].Draining = true
+	lasting := func(tasks int, milliCPU int64) workload.Step {
+		return workload.Step{Tasks: tasks, LongRunning: true, MaxUnavailable: 1, Request: hostapi.Resources{MilliCPU: milliCPU}}
+	}
+	f.work(f.submit("large", 1, lasting(3, 40000)), "a", "b", "c")
+	f.work(f.submit("small", 1, lasting(3, 10000)), "a", "b", "d")
+	f.work(f.submit("tiny", 1, lasting(1, 12000)), "c")
+	f.wait("nowhere", 0, 60000)
+	f.wait("moves", 1, 24000)
+	f.plan()
+	is.Equal(len(f.stoppingRuns("small")), 1)
+	is.Equal(f.stoppingRuns("small")[0].worker.ID(), "d")
+}
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -93,6 +93,9 @@
 	var victims []*run
 	bestCost := 0.0
 	for _, move := range p.search.find(ws) {
+		if !p.search.mayStillBeMoved(move.run) {
+			continue
+		}
 		moved := reservation(move.run.step)
 		here, cost, ok := m.victimsOf(p, move.run.worker, ws.priority, moved, reservation(step))
 		if !ok {
