dispatch: a guest that its own cell has not confirmed is not moved

Cause: moves checked whether a run may be stopped, not whether its task may be started again. A moved guest would wait without a run, and its claim ends after the time of a stop and 1 s. Found by reading; not seen in a play.

Ruled out: the other reasons for which a start is blocked. Views, the log and the length of leases are checked before a planning round; draining, evacuated, silent and paused workers are not usable.

--- a/dispatch/movesearch.go
+++ b/dispatch/movesearch.go
@@ -111,14 +111,14 @@
 }
 
 // mayBeMoved reports whether a run may be stopped to be started elsewhere: it is at work, the data
-// and the other tasks of its step don't tie it to a rack, and not more tasks of its step than allowed
-// would be unavailable.
+// and the other tasks of its step don't tie it to a rack, not more tasks of its step than allowed
+// would be unavailable, and its task may be started again.
 func (s *moveSearch) mayBeMoved(r *run) bool {
 	step := r.step
 	if s.machine.displacements[r.id.Task].count >= maxDisplacements || r.isolated || r.place != nil {
 		return false
 	}
-	if !r.mayMove() || !r.atWork() || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() {
+	if !r.mayMove() || !r.atWork() || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() || s.machine.unconfirmed(r.entry) {
 		return false
 	}
 	state := &r.entry.Occurrence(r.id.Task.Occurrence).Steps[r.id.Task.Step]
--- a/dispatch/movesearch_test.go
+++ b/dispatch/movesearch_test.go
@@ -59,6 +59,11 @@
 	}
 }
 
+// mayMove reports whether a search finds that a task may be moved.
+func (f *moveFixture) mayMove(e *ledger.Entry) bool {
+	return f.newMoveSearch(f.usableWorkers()).mayBeMoved(f.active[workload.TaskID{Submission: e.ID}])
+}
+
 // stoppingRuns returns the runs of a submission that are being stopped.
 func (f *moveFixture) stoppingRuns(submission string) (out []*run) {
 	for _, r := range f.byEntry[submission] {
@@ -110,3 +115,23 @@
 	is.Equal(len(f.stoppingRuns("small")), 1)
 	is.Equal(f.stoppingRuns("small")[0].worker.ID(), "d")
 }
+
+// Guards against a guest that is moved although its own cell has not confirmed it lately: its task
+// would not be started again.
+func TestUnconfirmedGuestIsNotMoved(t *testing.T) {
+	is := is.New(t)
+	f, home := newMoveFixture("a", "b"), ledger.New()
+	e := home.Apply(ledger.SubmittedRecord(&workload.Submission{
+		ID: "guest", Queue: "q", Policy: workload.Policy{Service: "register"},
+		Steps: []workload.Step{{Tasks: 1, LongRunning: true, Request: hostapi.Resources{MilliCPU: 10000}}},
+	}))
+	task := e.Task(workload.TaskID{Submission: "guest"})
+	home.Apply(ledger.ReleasedRecord(task, 1, ""))
+	guest := f.ledger.Apply(ledger.TransferredRecord(e, task))
+	f.work(guest, "a")
+	is.True(!f.mayMove(guest))
+	f.transfers.confirmedAt["guest"] = f.now
+	is.True(f.mayMove(guest))
+	f.now += maxConfirmationAge + time.Millisecond
+	is.True(!f.mayMove(guest))
+}
