--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		for i := range o.Steps {
-			if slices.ContainsFunc(o.Steps[i].Tasks, func(t Task) bool { return t.Run > 0 && !t.Open }) {
+			if slices.ContainsFunc(o.Steps[i].Tasks, e.hasBegun) {
 				e.NoteActive()
 				return
 			}
@@ -79,6 +79,12 @@
 	e.NoteNotActive()
 }
 
+// hasBegun reports whether the state of a task, which may come from a snapshot, shows that a run
+// of it has been active or that another cell has had it.
+func (e *Entry) hasBegun(t Task) bool {
+	return t.Run > 0 && !t.Open || t.Failures > 0 || t.Checkpoint != "" || !e.guest && t.Transfer > 0
+}
+
 // pending reports whether no task of the submission is known to have started. A run that is
 // in the log may have been rejected, or not started yet.
 func (e *Entry) pending() bool {
