scripts: test.sh passes over the listed tests only, and fails if it can't list packages

Seen with a fake module of two packages: - A known failure of one package hid a test of the same name in another: -skip goes by the name. That test failed, and the verdict was "All other tests passed", exit 0. No name in KNOWN-RED.txt is in two packages today. - If go list failed, no tests were run and the verdict was the same: the status of a process substitution is lost. make test builds first, so that it needs a call of the script by itself. - An entry of a test that doesn't exist "passed this time"; one of a package that doesn't exist "failed again, as listed".

A listed test must now be in its package and in no other one, which costs no further run of go test, and a failure of go list ends the script.

With the present KNOWN-RED.txt and go test replaced by a program that prints its arguments, the calls are the same as before.

--- /dev/null
+++ b/scripts/doc.go
@@ -0,0 +1,2 @@
+// Package scripts has tests of the scripts in its directory.
+package scripts
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -55,7 +55,24 @@
   exit 1
 fi
 
-mapfile -t packages < <("$go" list -f '{{.Dir}}' ./... | sed "s|^$PWD|.|")
+directories=$("$go" list -f '{{.Dir}}' ./...)
+mapfile -t packages < <(sed "s|^$PWD|.|" <<<"$directories")
+# -skip goes by the name alone, so a listed test must be in its package and in no other.
+if [ -n "$known" ]; then
+  while read -r test package; do
+    found=()
+    for directory in "${packages[@]}"; do
+      if grep -qs "^func $test(" "$directory"/*_test.go; then
+        found+=("$directory")
+      fi
+    done
+    if [ "${found[*]}" != "$package" ]; then
+      echo "KNOWN-RED.txt: $test is listed for $package, but found in: ${found[*]:-no package}" >&2
+      exit 1
+    fi
+  done <<<"$known"
+fi
+
 skip=()
 if [ -n "$known" ]; then
   skip=(-skip "^($(cut -d' ' -f1 <<<"$known" | paste -sd'|'))\$")
