dispatch: a move displaces finite runs of a lower priority only

Moves displaced urgent finite runs of the long-running tasks' own priority on two workers at a time.

Event 865 also names the task's next run, in place of run 1.

--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -82,8 +82,9 @@
 	return delay
 }
 
-// moveFor moves the run that makes room for a task at the least cost, and displaces finite runs on
-// both workers as far as they are in the way. It reports whether it did.
+// moveFor moves the run that makes room for a task at the least cost, and displaces finite runs of a
+// lower priority on both workers as far as they are in the way: a move takes room on two workers, so
+// it would cost urgent work twice as much as displacing on one. It reports whether it did.
 func (m *Machine) moveFor(p *repacking, ws *waitingStep, step *workload.Step, t *ledger.Task) bool {
 	if p.search == nil {
 		p.search = m.newMoveSearch(p.workers)
@@ -94,11 +95,11 @@
 	bestCost := 0.0
 	for _, move := range p.search.find(ws) {
 		moved := reservation(move.run.step)
-		here, cost, ok := m.victimsOf(p, move.run.worker, ws.priority, moved, reservation(step))
+		here, cost, ok := m.victimsOf(p, move.run.worker, ws.priority+1, moved, reservation(step))
 		if !ok {
 			continue
 		}
-		there, more, ok := m.victimsOf(p, move.to, ws.priority, hostapi.Resources{}, moved)
+		there, more, ok := m.victimsOf(p, move.to, ws.priority+1, hostapi.Resources{}, moved)
 		if ok && (best.run == nil || cost+more < bestCost) {
 			best, victims, bestCost = move, slices.Concat(here, there), cost+more
 		}
--- a/dispatch/roomreport.go
+++ b/dispatch/roomreport.go
@@ -39,11 +39,11 @@
 // waitReportDelay.
 func (m *Machine) reportRoom() {
 	longest := time.Duration(0)
-	var oldest workload.TaskID
+	var oldest workload.RunID
 	for _, wait := range m.longRunningWaits {
 		for _, t := range m.waitingTasks(wait.waiting.state.Tasks) {
 			if age := m.now - wait.waitingSince(t.ID, m.now); age > longest {
-				longest, oldest = age, t.ID
+				longest, oldest = age, workload.RunID{Task: t.ID, Run: t.Run + 1}
 			}
 		}
 	}
@@ -54,7 +54,7 @@
 	}
 	report := m.findRoom()
 	report.changes = changes
-	m.emitDecision(RoomReported, workload.RunID{Task: oldest, Run: 1}, "", report.String(), longest)
+	m.emitDecision(RoomReported, oldest, "", report.String(), longest)
 }
 
 func (m *Machine) findRoom() roomReport {
