--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,56 +14,19 @@
 
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/dedup"
+	"github.com/cactusreel/cactusreel/pipenet"
 	"github.com/cactusreel/cactusreel/proxy"
 	"github.com/cactusreel/cactusreel/routing"
 	"github.com/cactusreel/cactusreel/settings"
 )
 
-// pipeListener accepts connections that are made by net.Pipe, so that tests run in
-// virtual time.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) dial(context.Context, string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case l.conns <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
-
 // servingNode is a node that owns one worker, whose backend server answers every
 // request after the same time.
 type servingNode struct {
 	*Node
 	server  *http.Server
 	backend *http.Server
-	callers *pipeListener
+	callers *pipenet.Listener
 }
 
 func newServingNode(t *testing.T, work time.Duration) *servingNode {
@@ -76,14 +38,14 @@
 		Services: []routing.ServiceEntry{{Name: "register", Spec: api.ServiceSpec{}}},
 		Workers:  []routing.WorkerEntry{{ID: "w0", Boot: "1", Address: "w0", Slots: 8, Services: []string{"register"}}},
 	})
-	s := &servingNode{Node: n, callers: newPipeListener()}
-	backends := newPipeListener()
+	s := &servingNode{Node: n, callers: pipenet.NewListener()}
+	backends := pipenet.NewListener()
 	s.backend = &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(work) })}
 	go func() { _ = s.backend.Serve(backends) }()
 	p, err := proxy.New(proxy.Config{
 		VM: "giza-1", Router: n.router, Store: dedup.NewStore(dedup.DefaultLimits()),
 		Directory: &directory{node: n}, Acknowledger: &acknowledger{node: n},
-		Now: n.clock, Random: rand.Uint64, Dial: backends.dial,
+		Now: n.clock, Random: rand.Uint64, Dial: func(ctx context.Context, address string) (net.Conn, error) { return backends.Dial(ctx, "tcp", address) },
 		Limits: proxy.Limits{MaxRequest: time.Minute, ProgressTimeout: time.Minute},
 	})
 	if err != nil {
@@ -96,8 +58,7 @@
 
 // get sends a request and returns an error if it gets no answer.
 func (s *servingNode) get() error {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return s.callers.dial(ctx, address) }
-	c := http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	c := http.Client{Transport: &http.Transport{DialContext: s.callers.Dial, DisableKeepAlives: true}}
 	response, err := c.Get("http://giza-1/s/register/x")
 	if err != nil {
 		return err
