dispatch: one rule for places reserved for runs on draining workers

releasePlaces (all places of a worker that falls silent) and releaseStalePlaces (each tick, all runs of all workers) had the same purpose and parts of the same condition. keepsPlace says when a place stays reserved; it is applied to the runs that have one, at each tick and when a worker falls silent, so a place that is stale for another reason is released then, too, up to a tick earlier than before. A tick no longer goes over all runs for it. That a place's worker is still known need not be asked: only workers that are not listed are forgotten.

Each of the six conditions, left out, fails a test. The three of the place's worker draining, silent or evacuated failed none before, with all tests but the long plays, nor did the one that goes; these three have a test now.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -121,7 +121,7 @@
 		m.emitDecision(WorkerSuspected, workload.RunID{}, w.ID(), ev.Answer.String(), m.now-w.clockAt)
 	}
 	w.silent = true
-	w.releasePlaces()
+	m.releasePlaces()
 }
 
 func (m *Machine) heartbeatAnswered(ev HeartbeatAnswered) {
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -126,7 +126,7 @@
 		if w == nil {
 			break
 		}
-		r.reservePlace(w)
+		m.reservePlace(r, w)
 		m.reinsert(ranking, ws, step, w)
 		moved++
 	}
@@ -134,7 +134,7 @@
 		c.failed.add(ws)
 		if step.Gang {
 			for _, r := range ws.leaving[:moved] {
-				r.releasePlace()
+				m.releasePlace(r)
 			}
 			return 0
 		}
@@ -156,33 +156,36 @@
 }
 
 // reservePlace reserves capacity on a worker for the run that will replace this one, until this
-// one has been removed.
-func (r *run) reservePlace(w *worker) {
+// one has been removed or keepsPlace does not hold any more.
+func (m *Machine) reservePlace(r *run, w *worker) {
 	r.place = w
+	m.withPlace[r] = true
 	w.adjustPlace(r.step, r.stepKey(), 1)
 }
 
-func (r *run) releasePlace() {
-	if r.place != nil {
-		r.place.adjustPlace(r.step, r.stepKey(), -1)
-		r.place = nil
+func (m *Machine) releasePlace(r *run) {
+	if r.place == nil {
+		return
 	}
+	r.place.adjustPlace(r.step, r.stepKey(), -1)
+	r.place = nil
+	delete(m.withPlace, r)
 }
 
-// releasePlaces ends the reservations for the runs of a worker that does not answer: they may have
-// to be waited for until its lease expires.
-func (w *worker) releasePlaces() {
-	for _, r := range w.runList {
-		r.releasePlace()
-	}
+// keepsPlace reports whether the place of a run stays reserved: its worker drains and answers, and
+// the worker of the place can be used. A run on a worker that does not answer may have to be waited
+// for until its lease expires.
+func (m *Machine) keepsPlace(r *run) bool {
+	p := r.place
+	return r.worker.Draining && !r.worker.silent &&
+		p.listed && !p.Draining && !p.silent && !m.evacuated[p.DataCentre]
 }
 
-// releaseStalePlaces releases the places for the runs of a worker that can't be used for them any
-// more, or that are not needed because the worker doesn't drain.
-func (m *Machine) releaseStalePlaces(w *worker) {
-	for _, r := range w.runList {
-		if p := r.place; p != nil && (!w.Draining || !p.listed || p.Draining || p.silent || m.evacuated[p.DataCentre] || m.workers[p.ID()] != p) {
-			r.releasePlace()
+// releasePlaces ends the reservations for which keepsPlace does not hold.
+func (m *Machine) releasePlaces() {
+	for r := range m.withPlace {
+		if !m.keepsPlace(r) {
+			m.releasePlace(r)
 		}
 	}
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -102,6 +102,8 @@
 	// interruptions are the long-running tasks whose last run has ended and that have no confirmed
 	// one.
 	interruptions map[workload.TaskID]*interruption
+	// withPlace are the runs for whose replacement capacity is reserved.
+	withPlace map[*run]bool
 	// overdueAt is the wall-clock time of the last search for submissions that are not served.
 	overdueAt time.Time
 }
@@ -139,6 +141,7 @@
 		sizes:           make(sizeSamples),
 		overdueAt:       wall,
 		interruptions:   make(map[workload.TaskID]*interruption),
+		withPlace:       make(map[*run]bool),
 		bestEffortWaits: make(map[*ledger.Step]*bestEffortWait),
 	}
 	for _, e := range cellLedger.Live() {
@@ -188,7 +191,7 @@
 
 // removeRun removes a run that can no longer exist; its task may be placed again.
 func (m *Machine) removeRun(r *run) {
-	r.releasePlace()
+	m.releasePlace(r)
 	r.worker.removeRun(r, m.now)
 	if m.active[r.id.Task] != r {
 		return
@@ -348,6 +351,7 @@
 	if m.now-m.plannedAt >= replanInterval {
 		m.planNeeded = true
 	}
+	m.releasePlaces()
 	for _, w := range m.sorted {
 		if (w.silent || w.Address == "") && w.leasesExpired(m.now) && len(w.runs) > 0 {
 			m.workerLost(w)
@@ -359,7 +363,6 @@
 			m.removeWorker(w)
 			continue
 		}
-		m.releaseStalePlaces(w)
 		if w.Draining {
 			m.stopLeaving(w)
 		}
--- a/dispatch/shortlease_test.go
+++ b/dispatch/shortlease_test.go
@@ -89,6 +89,35 @@
 	is.New(t).Equal(h.count(stopOf("lasting")), 0)
 }
 
+// Guards against a run that is stopped because it has a place on a worker that takes no runs any
+// more.
+func TestPlaceOnAWorkerThatTakesNoRunsStopsNoRun(t *testing.T) {
+	for name, change := range map[string]func(h *harness, x *workload.Worker){
+		"draining": func(_ *harness, x *workload.Worker) { x.Draining, x.Remaining = true, 2*drainsFor },
+		"silent": func(h *harness, _ *workload.Worker) {
+			h.handle(dispatch.HeartbeatFailed{Worker: "x", Answer: dispatch.NoAnswer})
+		},
+		"evacuated": func(h *harness, x *workload.Worker) {
+			x.DataCentre = "maadi"
+			h.handle(dispatch.Evacuated{DataCentres: map[string]bool{"maadi": true}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := inheritedDraining(t)
+			w, x := workerNamed("w", 64000), workerNamed("x", 4000)
+			w.Draining, w.Remaining = true, 2*drainsFor
+			change(h, &x)
+			h.handle(dispatch.WorkersListed{Workers: []workload.Worker{w, x}})
+			h.readList()
+			for range 2 {
+				h.report()
+				h.advance(20 * time.Millisecond)
+			}
+			is.New(t).Equal(h.count(stopOf("lasting")), 0)
+		})
+	}
+}
+
 // Guards against a place that stays reserved for a run whose worker does not drain any more.
 func TestPlaceIsReleasedWhenAWorkerStopsDraining(t *testing.T) {
 	h := inheritedDraining(t)
