--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -21,8 +21,6 @@
 	entries []rankedWorker
 	// rack is the rack on which a same-rack step already has a run, or "".
 	rack string
-	// packed: the step's tasks are packed (packsLongRunning).
-	packed bool
 	// takenIndex is the index of the worker that was taken last.
 	takenIndex int
 }
@@ -44,10 +42,9 @@
 
 func (m *Machine) rankWorkers(ws *waitingStep, step *workload.Step, workers []*worker) *ranking {
 	r := &ranking{entries: m.rankBuffer[:0], rack: m.assignedRack(ws, step)}
-	r.packed = step.LongRunning && packsLongRunning(ws, step, workers)
 	for i, w := range workers {
 		if m.fits(ws, step, w) {
-			r.entries = append(r.entries, rankedWorker{worker: w, score: m.score(ws, step, w, r), index: i})
+			r.entries = append(r.entries, rankedWorker{worker: w, score: m.score(ws, step, w, r.rack), index: i})
 		}
 	}
 	m.rankBuffer = r.entries
@@ -58,7 +55,7 @@
 // reinsert puts the worker that was taken last back if it can take another task.
 func (m *Machine) reinsert(r *ranking, ws *waitingStep, step *workload.Step, w *worker) {
 	if m.fits(ws, step, w) {
-		heap.Push(r, rankedWorker{worker: w, score: m.score(ws, step, w, r), index: r.takenIndex})
+		heap.Push(r, rankedWorker{worker: w, score: m.score(ws, step, w, r.rack), index: r.takenIndex})
 	}
 }
 
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -80,17 +80,14 @@
 	return w.limitedRuns[stepKey{submission: ws.entry.ID, occurrence: ws.occurrence, step: ws.stepIndex}]
 }
 
-// score returns the placement score of a worker for a task of a step in a ranking. Higher is
+// score returns the placement score of a worker for a task of a step. Higher is
 // better.
-func (m *Machine) score(ws *waitingStep, step *workload.Step, w *worker, r *ranking) float64 {
+func (m *Machine) score(ws *waitingStep, step *workload.Step, w *worker, rack string) float64 {
 	score := (w.unusedCPU() - float64(step.Request.MilliCPU)) / max(float64(w.Capacity.MilliCPU), 1)
-	if r.packed {
-		score = packingScore(step, w)
-	}
 	if step.DataRack != "" && step.DataRack != w.Rack {
 		score -= remotePenalty * (m.config.RemoteFactor - 1)
 	}
-	if r.rack != "" && r.rack != w.Rack {
+	if rack != "" && rack != w.Rack {
 		score -= remotePenalty * (m.config.RemoteFactor - 1)
 	}
 	if ws.suspect {
