dispatch: moves avoid workers on which tasks last failed

Cause: displacing finite runs counts a cost for the worker on which the task last failed or stalled; moves did not, neither for the task that gets room nor for the one that moves. A task that failed on a worker could have a run moved to be started on the same worker again, where another would do. Found by reading; not seen in a play. Both now cost what they do for displacing, so such a worker is still taken if there is no other move.

--- a/dispatch/movesearch_test.go
+++ b/dispatch/movesearch_test.go
@@ -135,3 +135,29 @@
 	f.now += maxConfirmationAge + time.Millisecond
 	is.True(!f.mayMove(guest))
 }
+
+// Guards against a run that is moved to the worker on which its task last failed, or a task that is
+// given room where it last failed, although another worker would do.
+func TestMovesAvoidWorkersOnWhichTasksFailed(t *testing.T) {
+	lasting := func(tasks int, milliCPU int64) workload.Step {
+		return workload.Step{Tasks: tasks, LongRunning: true, Request: hostapi.Resources{MilliCPU: milliCPU}}
+	}
+	for _, test := range []struct {
+		task     workload.TaskID
+		failedOn string
+		moved    string
+	}{
+		{workload.TaskID{Submission: "waits"}, "a", "b"}, {workload.TaskID{Submission: "waits"}, "b", "a"},
+		{workload.TaskID{Submission: "small"}, "b", "b"}, {workload.TaskID{Submission: "small", Index: 1}, "a", "a"},
+	} {
+		is := is.New(t)
+		f := newMoveFixture("a", "b")
+		f.work(f.submit("large", 1, lasting(2, 40000)), "a", "b")
+		f.work(f.submit("small", 1, lasting(2, 10000)), "a", "b")
+		f.wait("waits", 1, 24000)
+		f.avoid[test.task] = test.failedOn
+		f.plan()
+		is.Equal(len(f.stoppingRuns("small")), 1)
+		is.Equal(f.stoppingRuns("small")[0].worker.ID(), test.moved)
+	}
+}
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -102,8 +102,9 @@
 			continue
 		}
 		there, more, ok := m.victimsOf(p, move.to, ws.priority, hostapi.Resources{}, moved)
-		if ok && (best.run == nil || cost+more < bestCost) {
-			best, victims, bestCost = move, slices.Concat(here, there), cost+more
+		cost += more + m.avoidanceCost(t, move)
+		if ok && (best.run == nil || cost < bestCost) {
+			best, victims, bestCost = move, slices.Concat(here, there), cost
 		}
 	}
 	if best.run == nil {
@@ -122,6 +123,19 @@
 	return true
 }
 
+// avoidanceCost returns the cost of a move for a task if one of the two tasks last failed where it
+// would be placed.
+func (m *Machine) avoidanceCost(t *ledger.Task, move runMove) float64 {
+	cost := 0.0
+	if m.avoid[t.ID] == move.run.worker.ID() {
+		cost += avoidCost
+	}
+	if m.avoid[move.run.id.Task] == move.to.ID() {
+		cost += avoidCost
+	}
+	return cost
+}
+
 // victimsOf returns the finite runs to displace on a worker, with their cost, so that a request fits
 // there once more room has become free.
 func (m *Machine) victimsOf(p *repacking, w *worker, priority int, more, request hostapi.Resources) ([]*run, float64, bool) {
