dispatch: no run moves for a task that displacing finite runs would place

The code only asked whether the task had no claim yet after displacing, which is also so if that was not tried: the last search was less than 0.1 s ago, or other tasks took the eight claims of the round or the quarter of the workers. A long-running run was then interrupted without need; so also where runs that are being stopped make room for the task.

A move is now chosen only if no worker without claims has room once its displaceable finite runs, or those that are being stopped, have ended. Where finite runs can't be displaced (higher priority, twice already), runs are moved as before. The check is made only where a move was found, so at most every 0.1 s for few steps. Found by reading.

--- a/dispatch/movesearch_test.go
+++ b/dispatch/movesearch_test.go
@@ -161,3 +161,24 @@
 		is.Equal(f.stoppingRuns("small")[0].worker.ID(), test.moved)
 	}
 }
+
+// Guards against a run that is moved for a task that a worker could take without its finite runs,
+// in a round that displaces none because it follows another one closely.
+func TestRunIsNotMovedWhereFiniteRunsCanBeDisplaced(t *testing.T) {
+	is := is.New(t)
+	f := newMoveFixture("a", "b", "c")
+	lasting := func(tasks int, milliCPU int64) workload.Step {
+		return workload.Step{Tasks: tasks, LongRunning: true, Request: hostapi.Resources{MilliCPU: milliCPU}}
+	}
+	f.work(f.submit("large", 1, lasting(2, 40000)), "a", "b")
+	f.work(f.submit("small", 1, lasting(2, 10000)), "a", "b")
+	f.work(f.submit("finite", 1, workload.Step{Tasks: 1, Request: hostapi.Resources{MilliCPU: 60000}}), "c")
+	f.wait("waits", 1, 24000)
+	f.displacedAt = f.now
+	f.plan()
+	is.Equal(len(f.stoppingRuns("small")), 0)
+	f.now += displaceInterval
+	f.plan()
+	is.Equal(len(f.stoppingRuns("small")), 0)
+	is.Equal(len(f.stoppingRuns("finite")), 1)
+}
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -92,7 +92,11 @@
 	var best runMove
 	var victims []*run
 	bestCost := 0.0
-	for _, move := range p.search.find(ws) {
+	moves := p.search.find(ws)
+	if len(moves) == 0 || m.fitsAfterDisplacing(p, ws, step) {
+		return false
+	}
+	for _, move := range moves {
 		if !p.search.mayStillBeMoved(move.run) {
 			continue
 		}
@@ -123,6 +127,19 @@
 	return true
 }
 
+// fitsAfterDisplacing reports whether a worker could take a task of a step if finite runs there were
+// displaced, or those that are being stopped had ended. It is too soon for that, then, or other
+// tasks came first.
+func (m *Machine) fitsAfterDisplacing(p *repacking, ws *waitingStep, step *workload.Step) bool {
+	return slices.ContainsFunc(p.workers, func(w *worker) bool {
+		if w.claimed != (hostapi.Resources{}) || !w.hasRoomInTime(step) || !suits(ws, step, w) {
+			return false
+		}
+		_, _, ok := m.victimsOf(p, w, ws.priority, hostapi.Resources{}, reservation(step))
+		return ok
+	})
+}
+
 // avoidanceCost returns the cost of a move for a task if one of the two tasks last failed where it
 // would be placed.
 func (m *Machine) avoidanceCost(t *ledger.Task, move runMove) float64 {
