dispatch: after a takeover a listed run counts as at work once no stop can be under way

Cause: max_unavailable of moves counts the tasks of a step that are not at work. A successor counted a run as at work as soon as its worker listed it as active. A worker takes no order of the previous owner once it has answered the new one, so the run counts as at work from the time of a stop and its margin after the first report of it. The same time passes after a start by this owner.

Ruled out within one epoch: a run that was told to stop, its end until it is recorded, and the next start all count as away.

--- a/dispatch/movesearch.go
+++ b/dispatch/movesearch.go
@@ -118,7 +118,7 @@
 	if s.machine.displacements[r.id.Task].count >= maxDisplacements || r.isolated || r.place != nil {
 		return false
 	}
-	if !r.mayMove() || !r.atWork() || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() || s.machine.unconfirmed(r.entry) {
+	if !r.mayMove() || !s.machine.atWork(r) || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() || s.machine.unconfirmed(r.entry) {
 		return false
 	}
 	state := &r.entry.Occurrence(r.id.Task.Occurrence).Steps[r.id.Task.Step]
@@ -159,9 +159,11 @@
 // fitsFree reports whether a worker has the room for a run now.
 func (r *run) fitsFree(w *worker) bool { return reservation(r.step).Fits(w.free()) }
 
-// atWork reports whether a long-running run is in service.
-func (r *run) atWork() bool {
-	return r.phase == running && !r.stopRequested && r.progressPercent >= 100 && !r.worker.silent
+// atWork reports whether a long-running run is in service. One that a previous owner may have
+// stopped just before it lost the cell is listed as active until the stop has been carried out.
+func (m *Machine) atWork(r *run) bool {
+	return r.phase == running && !r.stopRequested && r.progressPercent >= 100 && !r.worker.silent &&
+		m.now-r.startedAt > m.config.StopTime+stopMargin
 }
 
 // awayTasks counts the tasks of a step that are not at work.
@@ -169,7 +171,7 @@
 	away := 0
 	for i := range state.Tasks {
 		t := &state.Tasks[i]
-		if r := m.active[t.ID]; !t.Done && (r == nil || !r.atWork()) {
+		if r := m.active[t.ID]; !t.Done && (r == nil || !m.atWork(r)) {
 			away++
 		}
 	}
--- a/dispatch/movesearch_test.go
+++ b/dispatch/movesearch_test.go
@@ -182,3 +182,21 @@
 	is.Equal(len(f.stoppingRuns("small")), 0)
 	is.Equal(len(f.stoppingRuns("finite")), 1)
 }
+
+// Guards against a run that is moved after a takeover while another one of its step, which its
+// worker lists as active, may be ending by an order of the previous owner.
+func TestRunIsNotMovedBesideOneThatAPreviousOwnerMayHaveStopped(t *testing.T) {
+	is := is.New(t)
+	f := newMoveFixture("a", "b")
+	small := f.submit("small", 1, workload.Step{Tasks: 2, LongRunning: true, MaxUnavailable: 1, Request: hostapi.Resources{MilliCPU: 10000}})
+	f.work(small, "a", "b")
+	is.True(f.mayMove(small))
+	other := f.active[workload.TaskID{Submission: "small", Index: 1}]
+	other.phase, other.inherited, other.progressPercent = starting, true, 0
+	is.True(!f.mayMove(small))
+	f.updateRun(other, &workload.ActiveRun{RunID: other.id, ProgressPercent: 100})
+	is.Equal(other.phase, running)
+	is.True(!f.mayMove(small))
+	f.now += f.config.StopTime + stopMargin + time.Millisecond
+	is.True(f.mayMove(small))
+}
