--- a/dispatch/movesearch_test.go
+++ b/dispatch/movesearch_test.go
@@ -135,3 +135,68 @@
 	f.now += maxConfirmationAge + time.Millisecond
 	is.True(!f.mayMove(guest))
 }
+
+// Guards against a run that is moved to the worker on which its task last failed, or a task that is
+// given room where it last failed, although another worker would do.
+func TestMovesAvoidWorkersOnWhichTasksFailed(t *testing.T) {
+	lasting := func(tasks int, milliCPU int64) workload.Step {
+		return workload.Step{Tasks: tasks, LongRunning: true, Request: hostapi.Resources{MilliCPU: milliCPU}}
+	}
+	for _, test := range []struct {
+		task     workload.TaskID
+		failedOn string
+		moved    string
+	}{
+		{workload.TaskID{Submission: "waits"}, "a", "b"}, {workload.TaskID{Submission: "waits"}, "b", "a"},
+		{workload.TaskID{Submission: "small"}, "b", "b"}, {workload.TaskID{Submission: "small", Index: 1}, "a", "a"},
+	} {
+		is := is.New(t)
+		f := newMoveFixture("a", "b")
+		f.work(f.submit("large", 1, lasting(2, 40000)), "a", "b")
+		f.work(f.submit("small", 1, lasting(2, 10000)), "a", "b")
+		f.wait("waits", 1, 24000)
+		f.avoid[test.task] = test.failedOn
+		f.plan()
+		is.Equal(len(f.stoppingRuns("small")), 1)
+		is.Equal(f.stoppingRuns("small")[0].worker.ID(), test.moved)
+	}
+}
+
+// Guards against a run that is moved for a task that a worker could take without its finite runs,
+// in a round that displaces none because it follows another one closely.
+func TestRunIsNotMovedWhereFiniteRunsCanBeDisplaced(t *testing.T) {
+	is := is.New(t)
+	f := newMoveFixture("a", "b", "c")
+	lasting := func(tasks int, milliCPU int64) workload.Step {
+		return workload.Step{Tasks: tasks, LongRunning: true, Request: hostapi.Resources{MilliCPU: milliCPU}}
+	}
+	f.work(f.submit("large", 1, lasting(2, 40000)), "a", "b")
+	f.work(f.submit("small", 1, lasting(2, 10000)), "a", "b")
+	f.work(f.submit("finite", 1, workload.Step{Tasks: 1, Request: hostapi.Resources{MilliCPU: 60000}}), "c")
+	f.wait("waits", 1, 24000)
+	f.displacedAt = f.now
+	f.plan()
+	is.Equal(len(f.stoppingRuns("small")), 0)
+	f.now += displaceInterval
+	f.plan()
+	is.Equal(len(f.stoppingRuns("small")), 0)
+	is.Equal(len(f.stoppingRuns("finite")), 1)
+}
+
+// Guards against a run that is moved after a takeover while another one of its step, which its
+// worker lists as active, may be ending by an order of the previous owner.
+func TestRunIsNotMovedBesideOneThatAPreviousOwnerMayHaveStopped(t *testing.T) {
+	is := is.New(t)
+	f := newMoveFixture("a", "b")
+	small := f.submit("small", 1, workload.Step{Tasks: 2, LongRunning: true, MaxUnavailable: 1, Request: hostapi.Resources{MilliCPU: 10000}})
+	f.work(small, "a", "b")
+	is.True(f.mayMove(small))
+	other := f.active[workload.TaskID{Submission: "small", Index: 1}]
+	other.phase, other.inherited, other.progressPercent = starting, true, 0
+	is.True(!f.mayMove(small))
+	f.updateRun(other, &workload.ActiveRun{RunID: other.id, ProgressPercent: 100})
+	is.Equal(other.phase, running)
+	is.True(!f.mayMove(small))
+	f.now += f.config.StopTime + stopMargin + time.Millisecond
+	is.True(f.mayMove(small))
+}
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -93,7 +93,11 @@
 	var best runMove
 	var victims []*run
 	bestCost := 0.0
-	for _, move := range p.search.find(ws) {
+	moves := p.search.find(ws)
+	if len(moves) == 0 || m.fitsAfterDisplacing(p, ws, step) {
+		return false
+	}
+	for _, move := range moves {
 		if !p.search.mayStillBeMoved(move.run) {
 			continue
 		}
@@ -103,8 +107,9 @@
 			continue
 		}
 		there, more, ok := m.victimsOf(p, move.to, ws.priority+1, hostapi.Resources{}, moved)
-		if ok && (best.run == nil || cost+more < bestCost) {
-			best, victims, bestCost = move, slices.Concat(here, there), cost+more
+		cost += more + m.avoidanceCost(t, move)
+		if ok && (best.run == nil || cost < bestCost) {
+			best, victims, bestCost = move, slices.Concat(here, there), cost
 		}
 	}
 	if best.run == nil {
@@ -123,6 +128,32 @@
 	return true
 }
 
+// fitsAfterDisplacing reports whether a worker could take a task of a step if finite runs there were
+// displaced, or those that are being stopped had ended. It is too soon for that, then, or other
+// tasks came first.
+func (m *Machine) fitsAfterDisplacing(p *repacking, ws *waitingStep, step *workload.Step) bool {
+	return slices.ContainsFunc(p.workers, func(w *worker) bool {
+		if w.claimed != (hostapi.Resources{}) || !w.hasRoomInTime(step) || !suits(ws, step, w) {
+			return false
+		}
+		_, _, ok := m.victimsOf(p, w, ws.priority, hostapi.Resources{}, reservation(step))
+		return ok
+	})
+}
+
+// avoidanceCost returns the cost of a move for a task if one of the two tasks last failed where it
+// would be placed.
+func (m *Machine) avoidanceCost(t *ledger.Task, move runMove) float64 {
+	cost := 0.0
+	if m.avoid[t.ID] == move.run.worker.ID() {
+		cost += avoidCost
+	}
+	if m.avoid[move.run.id.Task] == move.to.ID() {
+		cost += avoidCost
+	}
+	return cost
+}
+
 // victimsOf returns the finite runs to displace on a worker, with their cost, so that a request fits
 // there once more room has become free.
 func (m *Machine) victimsOf(p *repacking, w *worker, priority int, more, request hostapi.Resources) ([]*run, float64, bool) {
