dispatch: waits for a longer lease counted as such

While an owner may only grant leases that are too short for a start (leaseTooShort), events 857 and 858 and interruption_wait_microseconds counted the time of a long-running task without a run as a wait for a placement, or for the start if one had got no answer. An operator then looks for room that is there. It is "longer lease" now, in both cases.

The test failed before with "2s for placement". Each of the two conditions, left out, fails it. Nothing else reads these names.

--- a/dispatch/interruption.go
+++ b/dispatch/interruption.go
@@ -40,6 +40,8 @@
 	waitLog wait = "log"
 	// waitView: a view is too old to decide about a start.
 	waitView wait = "view"
+	// waitLongerLease: the owner may only grant leases that are too short for a start.
+	waitLongerLease wait = "longer lease"
 	// waitStartLimit: as many starts as the owner can carry are in flight.
 	waitStartLimit wait = "start limit"
 	// waitPlacement: no worker takes it.
@@ -152,6 +154,8 @@
 		return r.worker.lossWait()
 	case r.phase == stopping:
 		return waitStop
+	case m.startBlocker(r) == leaseTooShort:
+		return waitLongerLease
 	}
 	return waitStart
 }
@@ -174,6 +178,8 @@
 		return waitLog
 	case m.viewExpired():
 		return waitView
+	case m.config.grantable() < minStartLease:
+		return waitLongerLease
 	case m.starts.room() <= 0:
 		return waitStartLimit
 	}
--- a/dispatch/interruption_test.go
+++ b/dispatch/interruption_test.go
@@ -62,3 +62,39 @@
 	is.Equal(len(long), 1)
 	is.True(strings.Contains(long[0].Reason, "without a run since before the epoch"))
 }
+
+// Guards against interruptions that count as waits for a placement or a start while the owner
+// may only grant leases that are too short for one.
+func TestWaitForALongerLeaseIsReportedAsSuch(t *testing.T) {
+	const shortFor = 2 * time.Second
+	lasting := workload.RunID{Task: workload.TaskID{Submission: "lasting"}, Run: 1}
+	for name, unanswered := range map[string]bool{"placement": false, "start without an answer": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			limit := longLease
+			h := limitedHarness(t, &limit)
+			h.submit("lasting", lastingTasks(1))
+			h.report()
+			delete(h.active, lasting)
+			if unanswered {
+				h.startAnswer = dispatch.NoAnswer
+				h.report(workload.EndedRun{RunID: lasting, Sequence: 1, Outcome: workload.Errored})
+				h.advance(20 * time.Millisecond)
+				is.Equal(h.count(startOf("lasting")), 2)
+				clear(h.active)
+			}
+			limit = time.Second
+			h.startAnswer = dispatch.Done
+			if !unanswered {
+				h.report(workload.EndedRun{RunID: lasting, Sequence: 1, Outcome: workload.Errored})
+			}
+			h.advanceInSteps(shortFor)
+			is.Equal(len(h.decisions(dispatch.InterruptionEnded)), 0)
+			limit = longLease
+			h.pass(time.Second)
+			ended := h.decisions(dispatch.InterruptionEnded)
+			is.Equal(len(ended), 1)
+			is.True(ended[0].Waits["longer lease"] >= shortFor-200*time.Millisecond)
+		})
+	}
+}
