coordinator: one type for the previous owner and its witnesses

openEpoch returned the previous owner and its recorded witnesses as two of four values, which were passed on side by side. They are one predecessor now. The ledger's owner is read once for both the previous owner and the new epoch, as no record is applied in between. No change of behaviour.

--- a/coordinator/lostowner.go
+++ b/coordinator/lostowner.go
@@ -22,7 +22,8 @@
 // askPreviousWitnesses asks the witnesses of the previous owner when they last confirmed it,
 // in case that owner can't be asked itself. Each time at which a majority had confirmed it is
 // at most the latest that any majority names, and none of them confirms it again.
-func (o *ownership) askPreviousWitnesses(ctx context.Context, previous ledger.Owner, named ledger.Witnesses) {
+func (o *ownership) askPreviousWitnesses(ctx context.Context, previous predecessor) {
+	named := previous.witnesses
 	if len(named.All) == 0 {
 		return
 	}
@@ -41,7 +42,7 @@
 			}
 			answers++
 			if answers == named.Majority() && last > 0 {
-				o.postConfirmed(ctx, previous, last)
+				o.postConfirmed(ctx, previous.Owner, last)
 			}
 		})
 	}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -21,7 +21,7 @@
 	*cell
 	epoch int64
 	// previous is the owner of the epoch before.
-	previous           ledger.Owner
+	previous           predecessor
 	witnesses          *witnesses
 	machine            *dispatch.Machine
 	events             chan queuedEvent
@@ -66,7 +66,7 @@
 		sleep(parent, logRetryDelay)
 		return
 	}
-	epoch, previous, named, err := c.openEpoch(parent)
+	epoch, previous, err := c.openEpoch(parent)
 	if err != nil {
 		if parent.Err() == nil {
 			c.node.logError(logevent.EpochNotOpened, err, zap.Int("cell", c.number))
@@ -103,8 +103,8 @@
 	o.wg.Go(func() { o.tailIntake(ctx, intakeFrom) })
 	c.node.workers.subscribe(ctx, o)
 	o.wg.Go(func() { o.writer.run(ctx) })
-	o.wg.Go(func() { o.requestResignation(ctx, previous) })
-	o.askPreviousWitnesses(ctx, previous, named)
+	o.wg.Go(func() { o.requestResignation(ctx, previous.Owner) })
+	o.askPreviousWitnesses(ctx, previous)
 	// A hand-over goes on after the ownership.
 	confirmed, endConfirmation := context.WithCancel(parent)
 	o.node.wg.Go(func() { o.askWitnesses(confirmed) })
@@ -128,19 +128,19 @@
 // openEpoch reads the streams and fences previous owners with an Opened record.
 // The record is appended only at the end that was read, so no unread record of a
 // previous owner can precede it.
-func (c *cell) openEpoch(ctx context.Context) (epoch int64, previous ledger.Owner, named ledger.Witnesses, err error) {
+func (c *cell) openEpoch(ctx context.Context) (epoch int64, previous predecessor, err error) {
 	for attempt := 1; c.generation.Load() != 0; attempt++ {
 		if err := c.catchUp(ctx); err != nil {
-			return 0, previous, named, fmt.Errorf("read the streams: %w", err)
+			return 0, previous, fmt.Errorf("read the streams: %w", err)
 		}
-		previous, named = c.ledger().Owner(), c.ledger().Witnesses()
-		epoch = max(c.generation.Load(), c.ledger().Owner().Epoch+1)
+		previous = predecessor{c.ledger().Owner(), c.ledger().Witnesses()}
+		epoch = max(c.generation.Load(), previous.Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
 		record := ledger.OpenedRecord(owner)
 		c.firstEpoch.CompareAndSwap(0, epoch)
 		data, err := ledger.Encode(record)
 		if err != nil {
-			return 0, previous, named, err
+			return 0, previous, err
 		}
 		call, cancel := context.WithTimeout(ctx, logTimeout)
 		sent := c.node.authorityNow()
@@ -153,15 +153,15 @@
 			continue
 		}
 		if err != nil {
-			return 0, previous, named, fmt.Errorf("append the Opened record: %w", err)
+			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
 		}
 		c.authority.proven(sent)
 		c.ledger().Apply(record)
 		c.cellNext = end
 		c.node.owners.update(c.number, owner)
-		return epoch, previous, named, nil
+		return epoch, previous, nil
 	}
-	return 0, previous, named, errors.New("cell is no longer assigned")
+	return 0, previous, errors.New("cell is no longer assigned")
 }
 
 // assignmentEnded is the reason for the end of an ownership that the node gives up.
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -140,7 +140,7 @@
 // keepLeases keeps the leases, and the ends of runs that may not be in the log, at the end
 // of the ownership for its successors.
 func (o *ownership) keepLeases(reason string) {
-	g := &grantedLeases{epoch: o.epoch, previous: o.previous, endedAt: o.node.monotonicNow(), known: reason != panicked}
+	g := &grantedLeases{epoch: o.epoch, previous: o.previous.Owner, endedAt: o.node.monotonicNow(), known: reason != panicked}
 	if g.known {
 		g.expiry = o.machine.Leases(g.endedAt)
 		o.knownEnds.add(g.endedAt, o.machine.UnrecordedEnds()...)
