--- a/coordinator/lostowner.go
+++ b/coordinator/lostowner.go
@@ -21,7 +21,8 @@
 
 // askPreviousWitnesses asks the witnesses of the previous owner when they last confirmed it,
 // in case that owner can't be asked itself.
-func (o *ownership) askPreviousWitnesses(ctx context.Context, previous ledger.Owner, named ledger.Witnesses) {
+func (o *ownership) askPreviousWitnesses(ctx context.Context, previous predecessor) {
+	named := previous.witnesses
 	if len(named.All) == 0 {
 		return
 	}
@@ -33,7 +34,7 @@
 				return
 			}
 			if last, complete := inquiry.Answered(answer, o.node.monotonicNow()); complete {
-				o.postConfirmed(ctx, previous, last)
+				o.postConfirmed(ctx, previous.Owner, last)
 			}
 		})
 	}
