--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -243,6 +243,8 @@
 	endlessSubmission string
 	// silent: commands get no answer and have no effect.
 	silent bool
+	// holds: heartbeats are answered after the time that they allow.
+	holds bool
 	// activeListCalls is the number of calls to Workers in progress, maxListCalls
 	// its maximum.
 	activeListCalls int
@@ -314,6 +316,15 @@
 		return workload.Report{}, dispatch.Fenced
 	}
 	f.leaseEnd = max(f.leaseEnd, h.Deadline)
+	if f.holds && h.Wait > 0 {
+		f.mu.Unlock()
+		time.Sleep(h.Wait)
+		silent := f.isSilent()
+		f.lockForEpoch(epoch)
+		if silent {
+			return workload.Report{}, dispatch.NoAnswer
+		}
+	}
 	r := workload.Report{Incarnation: h.Incarnation, Clock: f.clock()}
 	for run := range f.runs {
 		r.Active = append(r.Active, workload.ActiveRun{RunID: run})
