dispatch: a worker that crashes under another member of a gang again is weak evidence

Cause: a repeated crash of one worker is weak evidence only if the same task is suspected of both. The members of a gang are one suspect (design.md 10.11), but are compared one by one, so a worker that crashed under some members of a gang, and later under others of it, counted as strong evidence against the gang. Two such crashes of a worker that crashes by itself would give a healthy gang up. Members of a gang are now taken as one. Other tasks of a step are still told apart. Each crash still counts 1 at least, so the bound of five starts holds. Found by reading.

Not covered: suspects that a successor inherited as undecided, since the gang is not kept with them; they count as before.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -51,8 +51,14 @@
 
 // sharesTask reports whether a task, or a gang, is suspected of both outages.
 func (o *outage) sharesTask(other *outage) bool {
+	gang := o.unit != nil && o.unit.step.Gang
 	return slices.ContainsFunc(o.suspects, func(a workload.RunID) bool {
-		return slices.ContainsFunc(other.suspects, func(b workload.RunID) bool { return a.Task == b.Task })
+		return slices.ContainsFunc(other.suspects, func(b workload.RunID) bool {
+			if gang {
+				b.Task.Index = a.Task.Index
+			}
+			return a.Task == b.Task
+		})
 	})
 }
 
@@ -276,7 +282,7 @@
 		}
 		switch {
 		case old.incarnation == o.incarnation:
-		case old.address == o.address && old.sharesTask(o):
+		case old.address == o.address && o.sharesTask(old):
 			// The worker may crash by itself: only another one tells the two apart.
 			return "the worker crashed under the task before"
 		case old.isolated:
