dispatch: the wait for a lease that is long enough has a name of its own

Cause: an owner that may grant no lease of 2 s plans nothing, but its interrupted tasks were said to wait for placement, in event 857 and in interruption_wait_microseconds, as if workers were full. The wait is now "short lease".

--- a/dispatch/interruption.go
+++ b/dispatch/interruption.go
@@ -42,6 +42,8 @@
 	waitView wait = "view"
 	// waitStartLimit: as many starts as the owner can carry are in flight.
 	waitStartLimit wait = "start limit"
+	// waitShortLease: the owner may grant no lease that is long enough for a start.
+	waitShortLease wait = "short lease"
 	// waitPlacement: no worker takes it.
 	waitPlacement wait = "placement"
 )
@@ -176,6 +178,8 @@
 		return waitView
 	case m.starts.room() <= 0:
 		return waitStartLimit
+	case m.config.grantable() < minStartLease:
+		return waitShortLease
 	}
 	return waitPlacement
 }
