dispatch: moves are found beside finite runs that can't be displaced

Cause: the search paired each run with one other worker, the one with the least room once all its finite runs have ended, and compared the eight moves that leave the least CPU unused. Whether the finite runs in the way may be displaced was only asked then. If they are of a higher priority, or have been displaced twice, the same moves failed in each search, and the task waited although another move displaced nothing, or only runs that can be displaced.

A run now goes to the worker with the least free room that has enough, and only without one to a worker whose finite runs would have to end. Moves that are not possible don't count among the eight that are compared. Left: where all room is behind finite runs, a run is still paired with one worker only.

--- a/dispatch/movesearch.go
+++ b/dispatch/movesearch.go
@@ -8,8 +8,8 @@
 	"github.com/cactusreel/cactusreel/ledger"
 )
 
-// maxMovesFound limits the moves that a search compares for a task.
-const maxMovesFound = 8
+// maxMovesCompared limits the possible moves for a task that are compared.
+const maxMovesCompared = 8
 
 // runMove is a long-running run with another worker that has room for it.
 type runMove struct {
@@ -30,9 +30,9 @@
 	// sources are the workers with runs that can be moved. Workers on which tasks claim room are
 	// neither sources nor targets.
 	sources []moveSource
-	// targets are the workers in ascending order of the CPU that is free once their finite runs
-	// have ended.
-	targets []*worker
+	// targets are the workers in ascending order of the free CPU, targetsInTime in that of the CPU
+	// that is free once their finite runs have ended.
+	targets, targetsInTime []*worker
 	// away counts the tasks of each step that are not at work.
 	away   map[*ledger.Step]int
 	failed unplaceable
@@ -49,9 +49,7 @@
 func (m *Machine) newMoveSearch(workers []*worker) *moveSearch {
 	s := &moveSearch{machine: m, away: make(map[*ledger.Step]int), failed: make(unplaceable)}
 	unclaimed := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return w.claimed != (hostapi.Resources{}) })
-	s.targets = slices.SortedStableFunc(slices.Values(unclaimed), func(a, b *worker) int {
-		return cmp.Compare(a.freeInTime().MilliCPU, b.freeInTime().MilliCPU)
-	})
+	s.targets, s.targetsInTime = sortByCPU(unclaimed, (*worker).free), sortByCPU(unclaimed, (*worker).freeInTime)
 	for _, w := range unclaimed {
 		source := moveSource{worker: w}
 		for _, r := range w.runList {
@@ -68,8 +66,8 @@
 	return s
 }
 
-// find returns the moves that make room for a task of a step, at most maxMovesFound: those first that
-// need no end of a finite run, then those that leave the least CPU unused on the worker.
+// find returns the moves that make room for a task of a step: those first that need no end of a finite
+// run, then those that leave the least CPU unused on the worker.
 func (s *moveSearch) find(ws *waitingStep) []runMove {
 	step := &ws.entry.Steps[ws.stepIndex]
 	if step.Gang || step.BestEffort || s.failed.covers(ws) {
@@ -107,7 +105,7 @@
 		}
 		return cmp.Compare(a.unused, b.unused)
 	})
-	return moves[:min(len(moves), maxMovesFound)]
+	return moves
 }
 
 // mayBeMoved reports whether a run may be stopped to be started elsewhere: it is at work, the data
@@ -137,19 +135,38 @@
 	return s.mayBeMoved(r)
 }
 
-// target returns the worker with the least CPU to spare among those with room for a run of another one,
-// or nil if there is none.
+// target returns a worker with room for a run of another one, or nil if there is none. One without
+// finite runs in the way comes first: those of a higher priority can't be stopped.
 func (s *moveSearch) target(r *run) *worker {
+	if !r.step.LongRunning {
+		return nil
+	}
+	if w := tightest(r, s.targets, (*worker).free); w != nil {
+		return w
+	}
+	return tightest(r, s.targetsInTime, (*worker).freeInTime)
+}
+
+// sortByCPU returns the workers in ascending order of the CPU of their room.
+func sortByCPU(workers []*worker, room func(*worker) hostapi.Resources) []*worker {
+	return slices.SortedStableFunc(slices.Values(workers), func(a, b *worker) int {
+		return cmp.Compare(room(a).MilliCPU, room(b).MilliCPU)
+	})
+}
+
+// tightest returns the first worker with room for a run of another one, or nil if there is none. The
+// workers are in ascending order of the CPU of their room.
+func tightest(r *run, workers []*worker, room func(*worker) hostapi.Resources) *worker {
 	request := reservation(r.step)
-	if !r.step.LongRunning || len(s.targets) == 0 || request.MilliCPU > s.targets[len(s.targets)-1].freeInTime().MilliCPU {
+	if len(workers) == 0 || request.MilliCPU > room(workers[len(workers)-1]).MilliCPU {
 		return nil
 	}
 	ws := waitingStep{entry: r.entry, occurrence: r.id.Task.Occurrence, stepIndex: r.id.Task.Step}
-	first, _ := slices.BinarySearchFunc(s.targets, request.MilliCPU, func(w *worker, cpu int64) int {
-		return cmp.Compare(w.freeInTime().MilliCPU, cpu)
+	first, _ := slices.BinarySearchFunc(workers, request.MilliCPU, func(w *worker, cpu int64) int {
+		return cmp.Compare(room(w).MilliCPU, cpu)
 	})
-	for _, w := range s.targets[first:] {
-		if w != r.worker && request.Fits(w.freeInTime()) && suits(&ws, r.step, w) {
+	for _, w := range workers[first:] {
+		if w != r.worker && request.Fits(room(w)) && suits(&ws, r.step, w) {
 			return w
 		}
 	}
--- a/dispatch/movesearch_test.go
+++ b/dispatch/movesearch_test.go
@@ -200,3 +200,39 @@
 	f.now += f.config.StopTime + stopMargin + time.Millisecond
 	is.True(f.mayMove(small))
 }
+
+// Guards against a task that waits because the moves that leave the least room unused would displace
+// finite runs of a higher priority, although another move displaces nothing, or only others.
+func TestMoveIsFoundBesideFiniteRunsThatStay(t *testing.T) {
+	lasting := func(milliCPU int64) workload.Step {
+		return workload.Step{Tasks: 1, LongRunning: true, Request: hostapi.Resources{MilliCPU: milliCPU}}
+	}
+	for name, test := range map[string]struct {
+		full, free []string
+		displaced  int
+	}{
+		"target": {full: []string{"a"}, free: []string{"x", "y"}},
+		"source": {full: []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}, free: []string{"x", "y"}},
+		"finite": {full: []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}, free: []string{"x", "y"}, displaced: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newMoveFixture(append(test.full, test.free...)...)
+			for _, w := range test.full {
+				f.work(f.submit("large-"+w, 1, lasting(40000)), w)
+				f.work(f.submit("small-"+w, 1, lasting(10000)), w)
+				f.work(f.submit("urgent-"+w, 0, workload.Step{Tasks: 1, Request: hostapi.Resources{MilliCPU: 14000}}), w)
+			}
+			f.work(f.submit("large-x", 1, lasting(39000)), "x")
+			f.work(f.submit("small-x", 1, lasting(10000)), "x")
+			f.work(f.submit("large-y", 1, lasting(49000)), "y")
+			if test.displaced > 0 {
+				f.work(f.submit("finite", 1, workload.Step{Tasks: 1, Request: hostapi.Resources{MilliCPU: 15000}}), "x")
+			}
+			f.wait("waits", 1, 24000)
+			f.plan()
+			is.Equal(len(f.stoppingRuns("small-x")), 1)
+			is.Equal(len(f.stoppingRuns("finite")), test.displaced)
+		})
+	}
+}
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -91,25 +91,28 @@
 	}
 	var best runMove
 	var victims []*run
-	bestCost := 0.0
+	bestCost, possible := 0.0, 0
 	moves := p.search.find(ws)
 	if len(moves) == 0 || m.fitsAfterDisplacing(p, ws, step) {
 		return false
 	}
 	for _, move := range moves {
-		if !p.search.mayStillBeMoved(move.run) {
-			continue
-		}
 		moved := reservation(move.run.step)
 		here, cost, ok := m.victimsOf(p, move.run.worker, ws.priority, moved, reservation(step))
 		if !ok {
 			continue
 		}
 		there, more, ok := m.victimsOf(p, move.to, ws.priority, hostapi.Resources{}, moved)
+		if !ok || !p.search.mayStillBeMoved(move.run) {
+			continue
+		}
 		cost += more + m.avoidanceCost(t, move)
-		if ok && (best.run == nil || cost < bestCost) {
+		if best.run == nil || cost < bestCost {
 			best, victims, bestCost = move, slices.Concat(here, there), cost
 		}
+		if possible++; possible == maxMovesCompared {
+			break
+		}
 	}
 	if best.run == nil {
 		return false
@@ -128,8 +131,8 @@
 }
 
 // fitsAfterDisplacing reports whether a worker could take a task of a step if finite runs there were
-// displaced, or those that are being stopped had ended. It is too soon for that, then, or other
-// tasks came first.
+// displaced, or those that are being stopped had ended. A later round then places the task without a
+// move.
 func (m *Machine) fitsAfterDisplacing(p *repacking, ws *waitingStep, step *workload.Step) bool {
 	return slices.ContainsFunc(p.workers, func(w *worker) bool {
 		if w.claimed != (hostapi.Resources{}) || !w.hasRoomInTime(step) || !suits(ws, step, w) {
