--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -118,7 +118,6 @@
 		{"worker silent during a placement", []workload.Step{lasting}, []string{dispatchtest.WorkerCrash, dispatchtest.OtherCrash, dispatchtest.TimePasses, dispatchtest.TimePasses, dispatchtest.StoreNoAnswers, dispatchtest.OtherCrash, dispatchtest.OtherSilent, dispatchtest.TimePasses}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
 			exploreCourses(t, *courseDepth, dispatchtest.NewExplorer(newCourseChecks, c.steps, c.first...))
 		})
 	}
@@ -151,7 +150,6 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
 			// The first owner is recorded as the only one that can grant leases.
 			first := append([]string{dispatchtest.TimePasses}, c.first...)
 			exploreCourses(t, *courseDepth, dispatchtest.NewWitnessExplorer(newCourseChecks, []workload.Step{lasting}, first...))
