coordinator, dispatch: witnesses keep the owner's reports of its leases

What callers saw: a long-running task without a run for up to 10 s. Its worker was lost, and the VM of the cell's owner 0.4 to 2 s later.

Cause: the successor counts 8.0 s from the last confirmation of the owner by its witnesses, whatever each worker was granted. A worker is recorded as silent after 2 s, and a heartbeat that it holds fails only after 2.7 s, so an owner can't know earlier that the worker is lost.

Change: each call of an owner to its witnesses carries a numbered report that says of each worker by when all its leases have expired: 7.7 s from its last answer, or what was granted if later. A lease keeps to every report that a successor may learn. A successor takes the report with the highest number that a majority of the recorded set holds. The record of a set says whether all its processes keep reports; if not (earlier versions), or if nobody knows more, the earlier rules hold as before. A hand-over reports that it tells nothing more, and extends leases once a majority holds that. Until an answer is reported its worker's lease is short, so heartbeats that nobody waits for follow the report (0.35 s at most), others are repeated after 0.35 s.

--- a/coordinator/witnesses.go
+++ b/coordinator/witnesses.go
@@ -14,6 +14,7 @@
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
 )
 
 // Limits of witnesses.
@@ -92,12 +93,18 @@
 	// were last found to fail.
 	leaving  map[int64]bool
 	failedAt map[int64]time.Duration
+	// reports are those of the leases, heldReport is the newest one that a process has said
+	// to hold, and knownWorkers are the workers that it knew then.
+	reports      leaseReports
+	heldReport   map[int64]int64
+	knownWorkers map[int64]knownNumbering
 }
 
 func newWitnesses() *witnesses {
 	return &witnesses{
 		confirmedAt: make(map[int64]time.Duration), askedAt: make(map[int64]time.Duration),
 		leaving: make(map[int64]bool), failedAt: make(map[int64]time.Duration),
+		reports: newLeaseReports(), heldReport: make(map[int64]int64), knownWorkers: make(map[int64]knownNumbering),
 	}
 }
 
@@ -140,6 +147,79 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sets = slices.DeleteFunc(w.sets, func(set ledger.Witnesses) bool { return set.Number < number })
+	w.releaseReports()
+}
+
+// addReport makes a report of the leases.
+func (w *witnesses) addReport(expiry map[workload.Incarnation]time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reports.add(expiry)
+	w.releaseReports()
+}
+
+// releaseReports ends the limits of the reports that no successor can learn: those before the
+// newest one that a majority of each set holds, and all if no set has reports.
+func (w *witnesses) releaseReports() {
+	from := w.reports.last + 1
+	for i := range w.sets {
+		if w.sets[i].Reports {
+			from = min(from, w.majorityReport(&w.sets[i]))
+		}
+	}
+	if w.trial != nil && w.trial.Reports {
+		from = min(from, w.majorityReport(w.trial))
+	}
+	w.reports.release(from)
+}
+
+// majorityReport returns the newest report for which a majority of a set holds that one or a
+// later one.
+func (w *witnesses) majorityReport(set *ledger.Witnesses) int64 {
+	var held []int64
+	for _, one := range set.All {
+		held = append(held, w.heldReport[one.Process])
+	}
+	slices.Sort(held)
+	return held[len(held)-set.Majority()]
+}
+
+// leaseExpiryLimit returns the time, on the node's monotonic clock, by which a lease that is
+// granted to a worker now must have expired.
+func (w *witnesses) leaseExpiryLimit(worker workload.Incarnation) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reports.limit(worker)
+}
+
+// endReports makes the last report, which tells nothing, so that leases are limited no more when a
+// majority holds it.
+func (w *witnesses) endReports() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reports.end()
+	w.releaseReports()
+}
+
+// reportsEnded reports whether there will be no later report.
+func (w *witnesses) reportsEnded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reports.ended
+}
+
+// leasesReported reports whether a report limits the leases of any worker.
+func (w *witnesses) leasesReported() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reports.limitsAny()
+}
+
+// reportFor returns the newest report as a process is sent it, or nil if there is none.
+func (w *witnesses) reportFor(process int64, now time.Duration) *coordpb.LeaseReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reports.message(w.knownWorkers[process], now)
 }
 
 // asked returns the processes to call, and forgets what others confirmed.
@@ -168,14 +248,20 @@
 		}
 	}
 	w.askedAt, w.confirmedAt = askedAt, confirmedAt
+	notAsked := func(process int64) bool { _, asked := askedAt[process]; return !asked }
+	maps.DeleteFunc(w.heldReport, func(process, _ int64) bool { return notAsked(process) })
+	maps.DeleteFunc(w.knownWorkers, func(process int64, _ knownNumbering) bool { return notAsked(process) })
 	return out
 }
 
 // confirmed records that a process confirmed the owner in answer to a call.
-func (w *witnesses) confirmed(process int64, sent time.Duration) {
+func (w *witnesses) confirmed(process int64, sent time.Duration, answer *coordpb.ConfirmOwnerAnswer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.confirmedAt[process] = max(w.confirmedAt[process], sent)
+	w.heldReport[process] = max(w.heldReport[process], answer.Report)
+	w.knownWorkers[process] = knownNumbering{answer.Numbering, int(answer.KnownWorkers)}.later(w.knownWorkers[process])
+	w.releaseReports()
 }
 
 func (w *witnesses) noteLeaving(process int64) {
@@ -219,6 +305,14 @@
 	if w.trial == nil || !w.hasConfirmed(w.trial, now) {
 		return nil
 	}
+	// A set whose members have confirmed calls with reports, but hold none, has one of an
+	// earlier version.
+	w.trial.Reports = len(w.trial.All) > 0 && !slices.ContainsFunc(w.trial.All, func(one ledger.Witness) bool { return w.heldReport[one.Process] == 0 })
+	w.releaseReports()
+	if w.trial.Reports && w.majorityReport(w.trial) < w.reports.from {
+		// Leases that have been granted need not keep to the reports that the set holds.
+		return nil
+	}
 	chosen := w.trial
 	w.trial, w.sets = nil, append(w.sets, *chosen)
 	return chosen
@@ -292,10 +386,11 @@
 // when they change.
 func (o *ownership) askWitnesses(ctx context.Context) {
 	for {
+		o.requestReport(ctx)
 		for _, one := range o.witnesses.asked(o.node.authorityNow()) {
 			o.node.wg.Go(func() { o.askWitness(ctx, one) })
 		}
-		if !sleep(ctx, confirmInterval) {
+		if !o.sleepUntilRound(ctx) {
 			return
 		}
 		if chosen := o.witnesses.choose(o.candidateList(), o.node.config.DataCentre, o.node.authorityNow()); chosen != nil {
@@ -304,15 +399,47 @@
 	}
 }
 
+// sleepUntilRound waits until the witnesses are to be called again. It returns false if ctx is done.
+func (o *ownership) sleepUntilRound(ctx context.Context) bool {
+	next := time.NewTimer(confirmInterval)
+	defer next.Stop()
+	select {
+	case <-next.C:
+	case <-o.lastReportMade:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// requestReport has the event loop report the leases. Without a report in time the newest one is
+// sent again.
+func (o *ownership) requestReport(ctx context.Context) {
+	if o.witnesses.reportsEnded() {
+		return
+	}
+	timeout := time.NewTimer(reportTimeout)
+	defer timeout.Stop()
+	select {
+	case o.reportRequests <- struct{}{}:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
 func (o *ownership) askWitness(ctx context.Context, one ledger.Witness) {
 	call, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sent := o.node.authorityNow()
+	report := o.witnesses.reportFor(one.Process, o.node.monotonicNow())
+	if report == nil {
+		return
+	}
 	answer, err := o.node.peers.client(one.PeerAddress).ConfirmOwner(call, &coordpb.ConfirmOwnerRequest{
-		Cell: int32(o.number), Epoch: o.epoch, Process: one.Process,
+		Cell: int32(o.number), Epoch: o.epoch, Process: one.Process, Report: report,
 	})
 	if err == nil && answer.Confirmed {
-		o.witnesses.confirmed(one.Process, sent)
+		o.witnesses.confirmed(one.Process, sent, answer)
 	}
 	if err == nil && answer.Leaving || errors.Is(err, syscall.ECONNREFUSED) {
 		o.witnesses.noteLeaving(one.Process)
--- a/dispatch/dispatchtest/fingerprint.go
+++ b/dispatch/dispatchtest/fingerprint.go
@@ -53,6 +53,9 @@
 			t := l.Find(id.Submission).Task(id)
 			text += fmt.Sprint(t.Done, t.Open, t.Suspect, t.Open && t.PlacedOn == w.Info.Incarnation, w.Runs[workload.RunID{Task: id, Run: t.Run}] != nil)
 		}
+		for o, n := c.owner, 0; o != nil && n < 3; o, n = o.previous, n+1 {
+			text += fmt.Sprint("r", round(o.reported[w.Info.Incarnation]-c.Now))
+		}
 		for _, leases := range leases {
 			text += fmt.Sprint("/", round(leases[w.Info.Incarnation].All), round(leases[w.Info.Incarnation].Own))
 		}
--- a/dispatch/dispatchtest/owner.go
+++ b/dispatch/dispatchtest/owner.go
@@ -1,6 +1,7 @@
 package dispatchtest
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -37,6 +38,8 @@
 	// confirmedAt is when the witnesses that the owner has chosen last confirmed it.
 	chosen      bool
 	confirmedAt time.Duration
+	// reported are the leases by the newest report, which all of its witnesses hold.
+	reported map[workload.Incarnation]time.Duration
 	// witnessed: the previous owner had recorded witnesses, which have not been asked.
 	witnessed bool
 	// told: the owner knows what became of the previous one. waits: waitUntil has been set.
@@ -91,6 +94,12 @@
 			}
 			return max(0, end+leaseDuration-c.Now)
 		},
+		LeaseExpiryLimit: func(incarnation workload.Incarnation) time.Duration {
+			if at, reported := o.reported[incarnation]; reported {
+				return at
+			}
+			return math.MaxInt64
+		},
 		EpochAge: func(epoch int64) time.Duration { return n.age(epoch, c.Now) },
 	}, o.ledger, c.Now, time.UnixMilli(c.Now.Milliseconds()))
 	c.note("epoch %d", o.epoch)
@@ -133,6 +142,7 @@
 			o.witnessed = false
 			expiry = c.withEarlierOwners(o, dispatch.LeaseExpiryBound(confirmedFor+leaseDuration)-(c.Now-p.confirmedAt))
 			c.after(2*time.Millisecond, func() { c.step(o, dispatch.PredecessorResigned{Expiry: expiry}) })
+			c.learnReport(o)
 		}
 		c.allowWait(o, expiry)
 		return
@@ -155,6 +165,15 @@
 	c.after(2*time.Millisecond, func() { c.step(o, answer) })
 }
 
+// learnReport passes on what the witnesses of the previous owner hold of its leases.
+func (c *World) learnReport(o *owner) {
+	learned := make(map[workload.Incarnation]time.Duration)
+	for incarnation, at := range o.previous.reported {
+		learned[incarnation] = max(0, at-c.Now)
+	}
+	c.after(2*time.Millisecond, func() { c.step(o, dispatch.LeasesReported{Expiry: learned}) })
+}
+
 // withEarlierOwners returns when the leases of the previous owner, which expire after a time,
 // and of those before it have expired.
 func (c *World) withEarlierOwners(o *owner, expiry time.Duration) time.Duration {
@@ -185,6 +204,7 @@
 // leases until they last for the lease of a hand-over.
 func (c *World) handOver() {
 	o := c.owner
+	o.reported = nil
 	lease := min(handoverLease, leaseAuthority+leaseDuration-(c.Now-o.joinedAt))
 	heartbeats := o.machine.HandOver(c.Now, lease)
 	c.end(o)
--- a/dispatch/dispatchtest/world.go
+++ b/dispatch/dispatchtest/world.go
@@ -163,6 +163,9 @@
 		}
 		if !o.node.storeless {
 			o.confirmedAt = c.Now
+			if o.chosen {
+				o.reported = o.machine.ReportedLeases(c.Now)
+			}
 		}
 		if c.Now-o.joinedAt >= authority {
 			c.end(o)
