--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -17,8 +17,8 @@
 // be replaced.
 const moveAppendTimeout = 250 * time.Millisecond
 
-// mayMove reports whether a run is one to be moved when its worker drains: it does not end by itself.
-func (r *run) mayMove() bool {
+// isMovable reports whether a run goes on until it is stopped, so that its task can be moved.
+func (r *run) isMovable() bool {
 	return r.step.LongRunning && r.phase == running && !r.stopRequested
 }
 
@@ -28,7 +28,7 @@
 	if !r.step.LongRunning || r.place != nil || r.entry.State().Final() {
 		return false
 	}
-	return r.mayMove() || r.phase == stopping || r.phase == starting && r.inherited
+	return r.isMovable() || r.phase == stopping || r.phase == starting && r.inherited
 }
 
 // updateLeavesAt updates the time before which a draining worker does not leave. Its new entry
@@ -61,7 +61,7 @@
 	leavesSoon := m.now >= w.leavesAt-m.config.StopTime-leaveMargin
 	for _, r := range w.runList {
 		switch {
-		case !r.mayMove():
+		case !r.isMovable():
 		case r.place != nil:
 			m.stopRun(r, "worker is draining")
 		case leavesSoon:
@@ -111,10 +111,10 @@
 	return out
 }
 
-// moveRuns reserves room on the candidates for the tasks of a step that leave draining workers, as
+// moveLeaving reserves room on the candidates for the tasks of a step that leave draining workers, as
 // far as there is any, and stops their runs. A gang is moved as a whole or not at all. It returns
 // the number of tasks for which there is room.
-func (m *Machine) moveRuns(c *candidates, ws *waitingStep) int {
+func (m *Machine) moveLeaving(c *candidates, ws *waitingStep) int {
 	if c.failed.covers(ws) || !m.listFresh() || m.appendUnanswered(moveAppendTimeout) {
 		return 0
 	}
@@ -140,7 +140,7 @@
 		}
 	}
 	for _, r := range ws.leaving[:moved] {
-		if r.mayMove() {
+		if r.isMovable() {
 			m.stopRun(r, "worker is draining")
 		}
 	}
--- a/dispatch/movesearch.go
+++ b/dispatch/movesearch.go
@@ -54,7 +54,7 @@
 		source := moveSource{worker: w}
 		for _, r := range w.runList {
 			// Most runs fit no other worker; that is the cheaper check.
-			if to := s.target(r); to != nil && s.mayBeMoved(r) {
+			if to := s.target(r); to != nil && s.canMove(r) {
 				source.moves = append(source.moves, runMove{run: r, to: to})
 				source.mostCPU = max(source.mostCPU, w.freeInTime().MilliCPU+reservation(r.step).MilliCPU)
 			}
@@ -108,15 +108,15 @@
 	return moves
 }
 
-// mayBeMoved reports whether a run may be stopped to be started elsewhere: it is at work, the data
+// canMove reports whether a run may be stopped to be started elsewhere: it is at work, the data
 // and the other tasks of its step don't tie it to a rack, not more tasks of its step than allowed
 // would be unavailable, and its task may be started again.
-func (s *moveSearch) mayBeMoved(r *run) bool {
+func (s *moveSearch) canMove(r *run) bool {
 	step := r.step
 	if s.machine.displacements[r.id.Task].count >= maxDisplacements || r.isolated || r.place != nil {
 		return false
 	}
-	if !r.mayMove() || !s.machine.atWork(r) || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() || s.machine.unconfirmed(r.entry) {
+	if !r.isMovable() || !s.machine.atWork(r) || step.Gang || step.BestEffort || step.SameRack || step.DataRack != "" || r.entry.State().Final() || s.machine.unconfirmed(r.entry) {
 		return false
 	}
 	state := &r.entry.Occurrence(r.id.Task.Occurrence).Steps[r.id.Task.Step]
@@ -128,11 +128,11 @@
 	return step.MaxUnavailable == 0 || away < step.MaxUnavailable
 }
 
-// mayStillBeMoved reports whether a run that was found may be moved: since the search began, other
+// canStillMove reports whether a run that was found may be moved: since the search began, other
 // runs of its step may have been stopped.
-func (s *moveSearch) mayStillBeMoved(r *run) bool {
+func (s *moveSearch) canStillMove(r *run) bool {
 	clear(s.away)
-	return s.mayBeMoved(r)
+	return s.canMove(r)
 }
 
 // target returns a worker with room for a run of another one, or nil if there is none. One without
--- a/dispatch/movesearch_test.go
+++ b/dispatch/movesearch_test.go
@@ -59,9 +59,9 @@
 	}
 }
 
-// mayMove reports whether a search finds that a task may be moved.
-func (f *moveFixture) mayMove(e *ledger.Entry) bool {
-	return f.newMoveSearch(f.usableWorkers()).mayBeMoved(f.active[workload.TaskID{Submission: e.ID}])
+// canMove reports whether a search finds that a task may be moved.
+func (f *moveFixture) canMove(e *ledger.Entry) bool {
+	return f.newMoveSearch(f.usableWorkers()).canMove(f.active[workload.TaskID{Submission: e.ID}])
 }
 
 // stoppingRuns returns the runs of a submission that are being stopped.
@@ -129,11 +129,11 @@
 	home.Apply(ledger.ReleasedRecord(task, 1, ""))
 	guest := f.ledger.Apply(ledger.TransferredRecord(e, task))
 	f.work(guest, "a")
-	is.True(!f.mayMove(guest))
+	is.True(!f.canMove(guest))
 	f.transfers.confirmedAt["guest"] = f.now
-	is.True(f.mayMove(guest))
+	is.True(f.canMove(guest))
 	f.now += maxConfirmationAge + time.Millisecond
-	is.True(!f.mayMove(guest))
+	is.True(!f.canMove(guest))
 }
 
 // Guards against a run that is moved to the worker on which its task last failed, or a task that is
@@ -190,15 +190,15 @@
 	f := newMoveFixture("a", "b")
 	small := f.submit("small", 1, workload.Step{Tasks: 2, LongRunning: true, MaxUnavailable: 1, Request: hostapi.Resources{MilliCPU: 10000}})
 	f.work(small, "a", "b")
-	is.True(f.mayMove(small))
+	is.True(f.canMove(small))
 	other := f.active[workload.TaskID{Submission: "small", Index: 1}]
 	other.phase, other.inherited, other.progressPercent = starting, true, 0
-	is.True(!f.mayMove(small))
+	is.True(!f.canMove(small))
 	f.updateRun(other, &workload.ActiveRun{RunID: other.id, ProgressPercent: 100})
 	is.Equal(other.phase, running)
-	is.True(!f.mayMove(small))
+	is.True(!f.canMove(small))
 	f.now += f.config.StopTime + stopMargin + time.Millisecond
-	is.True(f.mayMove(small))
+	is.True(f.canMove(small))
 }
 
 // Guards against a task that waits because the moves that leave the least room unused would displace
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -66,7 +66,7 @@
 // It returns the number of both.
 func (m *Machine) placeLongRunning(c *candidates, ws *waitingStep, limit int) int {
 	if len(ws.leaving) > 0 {
-		return m.moveRuns(c, ws)
+		return m.moveLeaving(c, ws)
 	}
 	placed := m.placeClaimed(ws)
 	return placed + m.placeOn(c, ws, limit-placed)
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -67,7 +67,7 @@
 	for _, t := range m.unclaimedTasks(ws) {
 		if m.now-wait.waitingSince(t.ID, m.now) >= m.moveDelay(t) {
 			// The step's other tasks request the same.
-			p.done = m.moveFor(p, ws, step, t)
+			p.done = m.moveOneFor(p, ws, step, t)
 			return
 		}
 	}
@@ -82,10 +82,10 @@
 	return delay
 }
 
-// moveFor moves the run that makes room for a task at the least cost, and displaces finite runs of a
+// moveOneFor moves the run that makes room for a task at the least cost, and displaces finite runs of a
 // lower priority on both workers as far as they are in the way: a move takes room on two workers, so
 // it would cost urgent work twice as much as displacing on one. It reports whether it did.
-func (m *Machine) moveFor(p *repacking, ws *waitingStep, step *workload.Step, t *ledger.Task) bool {
+func (m *Machine) moveOneFor(p *repacking, ws *waitingStep, step *workload.Step, t *ledger.Task) bool {
 	if p.search == nil {
 		p.search = m.newMoveSearch(p.workers)
 		m.nextMoveAt = m.now + fruitlessInterval
@@ -104,7 +104,7 @@
 			continue
 		}
 		there, more, ok := m.victimsOf(p, move.to, ws.priority+1, hostapi.Resources{}, moved)
-		if !ok || !p.search.mayStillBeMoved(move.run) {
+		if !ok || !p.search.canStillMove(move.run) {
 			continue
 		}
 		cost += more + m.avoidanceCost(t, move)
