dispatch, workload: one text form of a task id, and one name for free room

No change of behaviour:

- dispatch had its own copy of coordinator.TaskName, because it can't import that package.
Both become workload.TaskID.Name, beside the type.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,14 +8,8 @@
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/metrics"
-	"github.com/cactusreel/cactusreel/workload"
 )
 
-// TaskName returns the text form of a task id: submission.occurrence.step.index.
-func TaskName(id workload.TaskID) string {
-	return fmt.Sprintf("%s.%d.%d.%d", id.Submission, id.Occurrence, id.Step, id.Index)
-}
-
 // warnings are the decisions that are logged as warnings, so that the lines of other
 // decisions cannot displace them.
 var warnings = map[dispatch.DecisionKind]logevent.Number{
@@ -80,7 +73,7 @@
 		fields = append(fields, zap.Float64("work", d.Work))
 	}
 	if d.Run.Run > 0 {
-		fields = append(fields, zap.String("id", d.Run.Task.Submission), zap.String("task", TaskName(d.Run.Task)), zap.Int64("run", d.Run.Run))
+		fields = append(fields, zap.String("id", d.Run.Task.Submission), zap.String("task", d.Run.Task.Name()), zap.Int64("run", d.Run.Run))
 	}
 	if d.Reason != "" {
 		fields = append(fields, zap.String("reason", d.Reason))
--- a/dispatch/displace.go
+++ b/dispatch/displace.go
@@ -174,7 +174,7 @@
 
 // displace stops a run, with its gang, because its worker is needed for a task.
 func (m *Machine) displace(r *run, needed workload.TaskID) {
-	reason := "makes room for long-running task " + taskName(needed)
+	reason := "makes room for long-running task " + needed.Name()
 	for _, member := range m.gangOf(r) {
 		if member.stopRequested {
 			continue
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -175,7 +175,7 @@
 	if step.MaxPerWorker > 0 {
 		limit = min(limit, step.MaxPerWorker-w.countRuns(ws))
 	}
-	free, request, n := w.Capacity.Sub(w.longRunning).Sub(w.claimed), reservation(step), 0
+	free, request, n := w.freeInTime(), reservation(step), 0
 	for n < limit && request.Fits(free) {
 		free = free.Sub(request)
 		n++
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -127,7 +127,7 @@
 		m.displace(victim, t.ID)
 	}
 	r.displaced = true
-	m.stopRun(r, fmt.Sprintf("moves to %s and makes room for long-running task %s", best.to.ID(), taskName(t.ID)))
+	m.stopRun(r, fmt.Sprintf("moves to %s and makes room for long-running task %s", best.to.ID(), t.ID.Name()))
 	return true
 }
 
@@ -173,8 +173,3 @@
 	}
 	return victims, cost, ok
 }
-
-// taskName returns the text form of a task id.
-func taskName(id workload.TaskID) string {
-	return fmt.Sprintf("%s.%d.%d.%d", id.Submission, id.Occurrence, id.Step, id.Index)
-}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -37,7 +37,7 @@
 // hasRoom reports whether a worker has the capacity for a task of a step, apart from the CPU
 // of best-effort tasks. A sum with the request of a malformed query could overflow.
 func (w *worker) hasRoom(step *workload.Step) bool {
-	return reservation(step).Fits(w.Capacity.Sub(w.reserved).Sub(w.claimed))
+	return reservation(step).Fits(w.free())
 }
 
 // suits reports whether a worker may run a task of a step, apart from its capacity.
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -141,7 +141,7 @@
 	if step.BestEffort {
 		return
 	}
-	free := w.Capacity.Sub(w.reserved).Sub(w.claimed)
+	free := w.free()
 	for _, wait := range m.longRunningWaits {
 		if wait.waiting.state != state && wait.service == w.Service && w.HasLabel(wait.step.Label) && wait.step.Request.Fits(free) {
 			wait.overtaken++
@@ -172,7 +172,7 @@
 	step := &ws.entry.Steps[ws.stepIndex]
 	r := waitReasons{request: reservation(step)}
 	for _, w := range m.sorted {
-		free := w.Capacity.Sub(w.reserved).Sub(w.claimed)
+		free := w.free()
 		if w.Service != ws.entry.Policy.Service || !w.HasLabel(step.Label) {
 			r.otherKind++
 			continue
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -353,3 +353,11 @@
 func (w *worker) isUnusableUntilHeard() bool {
 	return w.listed && (w.silent || w.bar == leasesBarred)
 }
+
+// free returns the capacity of a worker that no run reserves and no task claims.
+func (w *worker) free() hostapi.Resources { return w.Capacity.Sub(w.reserved).Sub(w.claimed) }
+
+// freeInTime returns the capacity that is free once the runs that end by themselves have ended.
+func (w *worker) freeInTime() hostapi.Resources {
+	return w.Capacity.Sub(w.longRunning).Sub(w.claimed)
+}
--- a/workload/task.go
+++ b/workload/task.go
@@ -1,5 +1,7 @@
 package workload
 
+import "fmt"
+
 // TaskID identifies one task of a submission.
 type TaskID struct {
 	Submission string
@@ -9,3 +11,8 @@
 	Step       int
 	Index      int
 }
+
+// Name returns the text form of the id: submission.occurrence.step.index.
+func (id TaskID) Name() string {
+	return fmt.Sprintf("%s.%d.%d.%d", id.Submission, id.Occurrence, id.Step, id.Index)
+}
