dispatch, logevent: events and a histogram of missed latency targets beside best-effort runs

The logs say which runs were placed and stopped, but not for how long a task was over its target by its worker's reports, how far apart these were, or how many of them in between said otherwise.

Change: events 868 (over the target beside best-effort runs for 2 s) and 869 (its end) with the number and spacing of the reports, those within the target, and what was placed, started, paced and stopped beside it meanwhile; histogram target_missed_microseconds of all misses. A miss ends when the reports have been within the target for 1 s, so single rough ones do not hide it. No decision changes.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -26,12 +26,18 @@
 	dispatch.InterruptionEnded: logevent.InterruptionEnded,
 	dispatch.RunDisplaced:      logevent.RunDisplaced,
 	dispatch.RoomReported:      logevent.RoomReported,
+	dispatch.TargetMissed:      logevent.TargetMissed,
+	dispatch.TargetMissEnded:   logevent.TargetMissEnded,
 }
 
 // loggedInterruption is the shortest time without a run of a long-running task that is logged
 // when it ends.
 const loggedInterruption = 2 * time.Second
 
+// loggedTargetMiss is the shortest time over a latency target beside best-effort runs that is
+// logged when it ends.
+const loggedTargetMiss = 2 * time.Second
+
 // logDecision logs a decision of a cell's owner and updates the metrics.
 func (n *Node) logDecision(cell int, epoch int64, d dispatch.Decision) {
 	n.metrics.count("decisions", "kind", d.Kind.String())
@@ -53,6 +59,11 @@
 		if d.Age < loggedInterruption {
 			return
 		}
+	case dispatch.TargetMissEnded:
+		n.metrics.observeDuration("target_missed_microseconds", d.Age)
+		if d.Age < loggedTargetMiss {
+			return
+		}
 	case dispatch.SubmissionCleared:
 		n.metrics.observeDuration(metrics.Name("submission_cleared_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
 		return
--- a/dispatch/colocation.go
+++ b/dispatch/colocation.go
@@ -89,6 +89,7 @@
 	}
 	s.ownUtilisation += utilisationSmoothing * (own - s.ownUtilisation)
 	s.ownUtilisationAt = m.now
+	m.observeTargetMiss(w, s)
 	if s.tailLatency <= s.step.LatencyTarget {
 		s.overTargetSince = 0
 		return
@@ -126,6 +127,7 @@
 		// A lost order needs no retry: the run is being stopped.
 		m.emit(Pace{Target: w.target(), Run: worst.id})
 		m.noteInterrupted(worst)
+		w.bestEffortChanges.stopped++
 		m.stopRun(worst, "interferes with a task that is over its latency target")
 	}
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -43,6 +43,9 @@
 // recordRun appends the Placed record of a run and starts the run when the record
 // is in the log.
 func (m *Machine) recordRun(r *run) {
+	if r.step.BestEffort {
+		r.worker.bestEffortChanges.placed++
+	}
 	m.emitDecision(RunPlaced, r.id, r.worker.ID(), r.step.Image, m.now-r.worker.clockAt)
 	record := ledger.PlacedRecord(r.id, r.worker.Incarnation, r.worker.Address)
 	record.Placed.Order, record.Placed.FreshFrom = r.order, r.worker.firstFresh()
@@ -99,6 +102,9 @@
 	if r.startedAt == 0 {
 		r.startedAt, r.progressAt = m.now, m.now
 		r.worker.beginInterval(r, m.now)
+		if r.step.BestEffort {
+			r.worker.bestEffortChanges.started++
+		}
 		if r.paced {
 			m.sendPace(r)
 		} else if r.step.BestEffort {
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -95,6 +95,12 @@
 	// RoomReported: long-running tasks wait, the one in Run for the time in Age. Reason has what
 	// they request and what is free.
 	RoomReported
+	// TargetMissed: a task has been over its latency target beside best-effort runs for the time
+	// in Age, by its worker's reports. Reason counts these and what happened to the runs.
+	TargetMissed
+	// TargetMissEnded: a task that was so for the time in Age is within its target again, or has
+	// no run any more. Reason is that of TargetMissed.
+	TargetMissEnded
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -104,5 +110,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended"}[k]
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -219,6 +219,7 @@
 		m.runSurvived(r)
 	}
 	m.beginInterruption(r, m.now, end.Outcome.String(), waitLog)
+	m.endTargetMiss(r)
 	w.removeRun(r, m.now)
 	r.phase, r.inherited = ending, false
 	m.noteRunGone(r.entry)
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -198,6 +198,7 @@
 // removeRun removes a run that can no longer exist; its task may be placed again.
 func (m *Machine) removeRun(r *run) {
 	m.releasePlace(r)
+	m.endTargetMiss(r)
 	r.worker.removeRun(r, m.now)
 	if m.active[r.id.Task] != r {
 		return
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -132,6 +132,9 @@
 	if r.pace == 0 {
 		r.progressAt = m.now
 	}
+	if percent < r.pace {
+		r.worker.bestEffortChanges.paced++
+	}
 	r.changePace(percent)
 	r.worker.beginInterval(r, m.now)
 	m.sendPace(r)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -94,6 +94,8 @@
 	// overTargetSince is the time of the first report in a row with a tail latency
 	// over the target; 0 if the last report was not over it.
 	overTargetSince time.Duration
+	// targetMiss is the time over the target beside best-effort runs that has not ended, or nil.
+	targetMiss *targetMiss
 	// place is the worker on which capacity is reserved for the run's replacement, or nil.
 	place *worker
 	// image is the id of the step's image.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -67,6 +67,8 @@
 	// bestEffortHistory has the intervals of best-effort runs that overlap the
 	// measurement window.
 	bestEffortHistory []bestEffortInterval
+	// bestEffortChanges counts what happened to the best-effort runs of this epoch.
+	bestEffortChanges bestEffortChanges
 	// interferenceStoppedAt is when a best-effort run was last stopped because of a
 	// missed latency target.
 	interferenceStoppedAt time.Duration
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -52,6 +52,8 @@
 	OwnerConfirmed       Number = 859
 	RunDisplaced         Number = 864
 	RoomReported         Number = 865
+	TargetMissed         Number = 868
+	TargetMissEnded      Number = 869
 )
 
 var coordinatorEvents = []Info{
@@ -103,4 +105,6 @@
 	{OwnerConfirmed, "OwnerConfirmed", zapcore.InfoLevel, "a majority of the previous owner's witnesses said when they last confirmed it", []string{"cell", "vm", "epoch", "age"}, "None; check why the VM does not answer if it was not stopped."},
 	{RunDisplaced, "RunDisplaced", zapcore.WarnLevel, "run is stopped to make room for a long-running task", []string{"task", "run", "worker", "age", "work", "reason", "epoch", "cell"}, "The reason names the task that needs the room, and the new worker if a long-running run is moved; work is what is lost, in seconds of a core. If it recurs, the workers are too few for the long-running tasks beside the finite ones: add capacity."},
 	{RoomReported, "RoomReported", zapcore.WarnLevel, "long-running tasks wait for room", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The task is the one that has waited longest. Add capacity if none of the tasks fits; report it if tasks that fit a worker, also after one run is moved, go on waiting. At most two lines a second."},
+	{TargetMissed, "TargetMissed", zapcore.WarnLevel, "task has been over its latency target beside best-effort runs for 2 s", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "One line for each time that it is so; event 869 ends it, when the reports have been within the target for 1 s. The reason has the last tail latency, the reports, and what was placed, paced and stopped beside the task meanwhile. If the reports are far apart, check the CPU of the owner's VM and the network to the worker."},
+	{TargetMissEnded, "TargetMissEnded", zapcore.WarnLevel, "task that was over its latency target beside best-effort runs for 2 s or more is within it again, or has ended", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "As for event 868; the age is the time between the first and the last report over the target."},
 }
