dispatch, coordinator, logevent: what submissions that aren't served spent their time on

What operators saw: events 805 and 806 can't say which sizes of a queue are served too rarely and what they waited for.

An owner now observes every 100 ms what each finite submission spends its time on (dispatch/timeuse.go): it runs, starts, runs again after a failed, lost or stopped run, or a task waits: for room that long-running tasks have, for room that finite runs occupy, for workers that are held, for its turn. Events 805 and 806 have the times, the metrics submissions_not_served and submission_time_milliseconds count them by queue and size, and event 866 sums up an epoch every 5 s. Summaries don't count against the limit of lines (TestSummariesAreNotDroppedInAFlood).

It counts by size what became of no more use before it. It can't tell which of these the previous owner had counted, nor which completed ones were in time: the log has no times of ends. What a submission spent its time on before the takeover counts as unknown.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,11 +43,14 @@
 	case dispatch.LargestFavoured:
 		n.logger.Log(logevent.LargestFavoured, zap.String("queue", d.Queue), zap.String("reason", d.Reason), zap.Int64("epoch", epoch), zap.Int("cell", cell))
 		return
+	case dispatch.ServingReported:
+		n.logger.Log(logevent.ServingReported, zap.Int("cell", cell), zap.Int64("epoch", epoch), zap.String("reason", d.Reason))
+		return
 	case dispatch.SubmissionOverdue:
 		n.countServed(d)
 		n.logger.Log(logevent.SubmissionOverdue, zap.String("id", d.Run.Task.Submission), zap.String("queue", d.Queue),
 			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.Bool("started", d.Started),
-			zap.Int64("epoch", epoch), zap.Duration("age", d.Elapsed), zap.Duration("objective", d.Objective))
+			zap.Int64("epoch", epoch), zap.Duration("age", d.Elapsed), zap.Duration("objective", d.Objective), zap.String("times", d.Times.String()))
 		return
 	case dispatch.InterruptionEnded:
 		n.observeInterruption(d)
@@ -64,7 +68,8 @@
 		}
 		n.logger.Log(logevent.SubmissionEnded, zap.String("id", d.Run.Task.Submission), zap.String("queue", d.Queue),
 			zap.String("state", d.Reason), zap.Int64("epoch", epoch), zap.Duration("took", d.Elapsed), zap.Duration("objective", d.Objective),
-			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.String("served", d.Served.String()))
+			zap.String("size", d.Size.String()), zap.Float64("work", d.Work), zap.String("served", d.Served.String()),
+			zap.String("times", d.Times.String()))
 		return
 	}
 	fields := []zap.Field{zap.String("decision", d.Kind.String()), zap.String("worker", d.Worker), zap.Int64("epoch", epoch)}
@@ -99,9 +104,20 @@
 	}
 }
 
-// countServed counts a submission by its size and by how it was served.
+// countServed counts a submission by its size and by how it was served, with what it spent its
+// time on.
 func (n *Node) countServed(d dispatch.Decision) {
-	if d.Served != dispatch.ServedBefore {
-		n.metrics.count("submissions_served", "queue", d.Queue, "size", d.Size.String(), "served", d.Served.String())
+	if d.Served == dispatch.ServedBefore {
+		return
+	}
+	size := d.Size.String()
+	n.metrics.count("submissions_served", "queue", d.Queue, "size", size, "served", d.Served.String())
+	if d.Served == dispatch.NotServed {
+		n.metrics.count("submissions_not_served", "queue", d.Queue, "size", size, "started", strconv.FormatBool(d.Started), "for", d.Times.Most().String())
+	}
+	for use, spent := range d.Times {
+		if spent > 0 {
+			n.metrics.countSpent(metrics.Name("submission_time_milliseconds", "queue", d.Queue, "size", size, "served", d.Served.String(), "for", dispatch.TimeUse(use).String()), spent)
+		}
 	}
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -83,3 +83,8 @@
 	m.count("starts", "answer", a.String())
 	m.observeDuration("start_microseconds", d)
 }
+
+// countSpent adds a duration to a counter in milliseconds.
+func (m *Metrics) countSpent(name string, d time.Duration) {
+	gometrics.GetOrRegisterCounter(name, m.Registry).Inc(d.Milliseconds())
+}
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -28,6 +28,9 @@
 	Work    float64
 	Started bool
 	Served  Served
+	// Times is set for a submission that ended or is overdue: what its time was spent on, as far
+	// as this owner has observed it.
+	Times TimeUses
 	// Waits is set for InterruptionEnded: the times for which the task waited, by what for.
 	Waits map[string]time.Duration
 }
@@ -95,6 +98,9 @@
 	// RoomReported: long-running tasks wait, the one in Run for the time in Age. Reason has what
 	// they request and what is free.
 	RoomReported
+	// ServingReported: some submissions were late or not served since the last report. Reason
+	// counts the submissions of each queue by size and by how they were served, in this epoch.
+	ServingReported
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -104,5 +110,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "serving reported"}[k]
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -109,6 +109,10 @@
 	withPlace map[*run]bool
 	// overdueAt is the wall-clock time of the last search for submissions that are not served.
 	overdueAt time.Time
+	times     timeAccounts
+	serving   servingReport
+	// held are the workers that the last planning round held.
+	held []*worker
 }
 
 type appendInFlight struct {
@@ -143,13 +147,13 @@
 		starts:          newStartLimit(),
 		sizes:           make(sizeSamples),
 		overdueAt:       wall,
+		times:           timeAccounts{uses: make(map[*ledger.Entry]*TimeUses), at: now},
+		serving:         newServingReport(now),
 		interruptions:   make(map[workload.TaskID]*interruption),
 		withPlace:       make(map[*run]bool),
 		bestEffortWaits: make(map[*ledger.Step]*bestEffortWait),
 	}
-	for _, e := range cellLedger.Live() {
-		m.recordSize(e)
-	}
+	m.restoreSizes()
 	m.model.restore(cellLedger.InterferenceModel())
 	m.inheritRuns()
 	m.inheritInterruptions()
@@ -385,7 +389,9 @@
 	m.forgetSilences()
 	m.stopStalledRuns()
 	m.reportWaiting()
+	m.observeTimeUses()
 	m.reportOverdue()
+	m.reportServing()
 	m.reportLeaseWaits()
 	m.reportFinalRuns()
 	if m.config.CellOf != nil {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -32,6 +32,7 @@
 	}
 	m.favourLargest(waiting)
 	round := newHeldWorkers(workers)
+	defer func() { m.held = round.held }()
 	workers, placed := m.placeSuspects(round, waiting, workers)
 	waiting = withLeaving(waiting, leaving)
 	displacement, repacking := m.newDisplacement(workers), m.newRepacking(workers)
--- a/dispatch/served.go
+++ b/dispatch/served.go
@@ -47,10 +47,31 @@
 	}
 	if kind != SubmissionBegan && d.Served != ServedBefore {
 		m.sizes.countOutcome(d.Queue, d.Size, d.Served != NotServed)
+		if uses := m.times.uses[e]; uses != nil {
+			d.Times = *uses
+			delete(m.times.uses, e)
+		}
+		m.serving.add(&d)
 	}
 	m.emit(d)
 }
 
+// restoreSizes adds the submissions in the ledger to the samples of their queues, in order of
+// acceptance, and counts those that became useless before this epoch. A ledger that was read from
+// a snapshot doesn't have the sizes of the submissions that had ended by then.
+func (m *Machine) restoreSizes() {
+	for _, e := range m.ledger.Known() {
+		if !e.Guest() {
+			m.sizes.add(e.Queue, e.Work())
+		}
+	}
+	for _, e := range m.ledger.Live() {
+		if !e.Guest() && !hasLongRunningStep(e) && !uselessAt(e).After(m.overdueAt) {
+			m.serving.addInherited(e.Queue, m.sizes.classOf(e.Queue, e.Work()))
+		}
+	}
+}
+
 // recordSize adds a new submission to its queue's sample of sizes.
 func (m *Machine) recordSize(e *ledger.Entry) {
 	if !e.Guest() && e.State() == workload.Queued {
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -52,6 +52,7 @@
 	OwnerConfirmed       Number = 859
 	RunDisplaced         Number = 864
 	RoomReported         Number = 865
+	ServingReported      Number = 866
 )
 
 var coordinatorEvents = []Info{
@@ -59,8 +60,8 @@
 	{SubmissionRejected, "SubmissionRejected", zapcore.WarnLevel, "submission was not confirmed as stored", []string{"id", "queue", "duration", "error"}, "Check events 815 and 824 around the same time: the log did not answer."},
 	{SubmissionRepeated, "SubmissionRepeated", zapcore.InfoLevel, "submission was already stored", []string{"id", "queue"}, "None."},
 	{SubmissionCancelled, "SubmissionCancelled", zapcore.InfoLevel, "submission was cancelled", []string{"id", "cell", "error"}, "With an error: as for event 802."},
-	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission completed or failed", []string{"id", "queue", "state", "epoch", "took", "objective", "size", "work", "served"}, "None."},
-	{SubmissionOverdue, "SubmissionOverdue", zapcore.InfoLevel, "submission has not ended within three times its objective", []string{"id", "queue", "size", "work", "started", "epoch", "age", "objective"}, "None. If it is more frequent among the largest submissions of a queue, look at the workers' free CPU and memory against the tasks of these."},
+	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission completed or failed", []string{"id", "queue", "state", "epoch", "took", "objective", "size", "work", "served", "times"}, "None."},
+	{SubmissionOverdue, "SubmissionOverdue", zapcore.InfoLevel, "submission has not ended within three times its objective", []string{"id", "queue", "size", "work", "started", "epoch", "age", "objective", "times"}, "None. If it is more frequent among the largest submissions of a queue, look at the workers' free CPU and memory against the tasks of these."},
 	{LargestFavoured, "LargestFavoured", zapcore.WarnLevel, "largest submissions of a queue are placed first, because they are served less often than the others", []string{"queue", "reason", "epoch", "cell"}, "None; if it recurs, add workers with enough free CPU and memory for the largest tasks. Event 806 names the submissions."},
 	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM became the owner of the cell", []string{"cell", "epoch", "live"}, "None."},
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "cell is assigned to this VM but its epoch could not be opened", []string{"cell", "error"}, "If it recurs, check the health of the log."},
@@ -103,4 +104,5 @@
 	{OwnerConfirmed, "OwnerConfirmed", zapcore.InfoLevel, "a majority of the previous owner's witnesses said when they last confirmed it", []string{"cell", "vm", "epoch", "age"}, "None; check why the VM does not answer if it was not stopped."},
 	{RunDisplaced, "RunDisplaced", zapcore.WarnLevel, "run is stopped to make room for a long-running task", []string{"task", "run", "worker", "age", "work", "reason", "epoch", "cell"}, "The reason names the task that needs the room, and the new worker if a long-running run is moved; work is what is lost, in seconds of a core. If it recurs, the workers are too few for the long-running tasks beside the finite ones: add capacity."},
 	{RoomReported, "RoomReported", zapcore.WarnLevel, "long-running tasks wait for room", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The task is the one that has waited longest. Add capacity if none of the tasks fits; report it if tasks that fit a worker, also after one run is moved, go on waiting. At most two lines a second."},
+	{ServingReported, "ServingReported", zapcore.WarnLevel, "submissions of this epoch by queue, size and how they were served", []string{"cell", "epoch", "reason"}, "None. Of those not served it says how many never started and what most of their time went into (docs/OPERATIONS.md): with `no room` or `little room`, workers with more CPU for the largest tasks are missing; with `occupied` or `order`, more workers."},
 }
--- a/logevent/info.go
+++ b/logevent/info.go
@@ -20,6 +20,9 @@
 	Action string
 }
 
+// summaries are the events that sum up others. The rate limit of lines doesn't apply to them.
+var summaries = map[Number]bool{ServingReported: true}
+
 // areas lists the events of each area.
 var areas = [][]Info{
 	processEvents,
--- a/logevent/logger.go
+++ b/logevent/logger.go
@@ -8,6 +8,9 @@
 	"go.uber.org/zap/zapcore"
 )
 
+// summaryLogger is the name under which summaries are checked; it is not written.
+const summaryLogger = "summary"
+
 // Logger writes events. It is safe for concurrent use. A nil Logger writes
 // nothing.
 type Logger struct {
@@ -22,7 +25,7 @@
 		return nil, fmt.Errorf("log level %q; accepted: debug, info, warn or error", level)
 	}
 	config := zap.NewProductionEncoderConfig()
-	config.TimeKey, config.MessageKey = "time", "message"
+	config.TimeKey, config.MessageKey, config.NameKey = "time", "message", zapcore.OmitKey
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
 	sink := zapcore.Lock(zapcore.AddSync(w))
@@ -49,7 +52,11 @@
 	if !ok {
 		info = Info{Number: n, Name: "Unknown", Level: zapcore.ErrorLevel, Message: "event is not in the table"}
 	}
-	entry := l.zap.Check(info.Level, info.Message)
+	logger := l.zap
+	if summaries[n] {
+		logger = logger.Named(summaryLogger)
+	}
+	entry := logger.Check(info.Level, info.Message)
 	if entry == nil {
 		return
 	}
--- a/logevent/rate_limited_writer.go
+++ b/logevent/rate_limited_writer.go
@@ -17,6 +17,8 @@
 	// flushInterval batches lines into one write, because each write costs CPU
 	// time.
 	flushInterval = 100 * time.Millisecond
+	// maxSummaries limits the summaries in a second, which don't count as other lines.
+	maxSummaries = 10
 )
 
 // RateLimitedWriter is a writer whose Write does not wait for the underlying
@@ -28,6 +30,7 @@
 	queue         bytes.Buffer
 	dropped       int64
 	windowLines   int
+	summaries     int
 	windowStart   time.Time
 	linesPerSec   int
 	wake          chan struct{}
@@ -44,23 +47,25 @@
 	return r
 }
 
-// admit reports whether a line of this level may be written, and counts it as
-// written or dropped.
-func (r *RateLimitedWriter) admit(level zapcore.Level) bool {
+// admit reports whether a line may be written, and counts it as written or dropped.
+func (r *RateLimitedWriter) admit(e zapcore.Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now := time.Now(); now.Sub(r.windowStart) >= time.Second {
-		r.windowStart, r.windowLines = now, 0
+		r.windowStart, r.windowLines, r.summaries = now, 0, 0
 	}
-	limit := r.linesPerSec
-	if level < zapcore.WarnLevel {
+	lines, limit := &r.windowLines, r.linesPerSec
+	switch {
+	case e.LoggerName == summaryLogger:
+		lines, limit = &r.summaries, maxSummaries
+	case e.Level < zapcore.WarnLevel:
 		limit = r.linesPerSec / 2
 	}
-	if r.windowLines >= limit || r.queue.Len() >= maxQueuedBytes {
+	if *lines >= limit || r.queue.Len() >= maxQueuedBytes {
 		r.dropped++
 		return false
 	}
-	r.windowLines++
+	*lines++
 	return true
 }
 
@@ -128,7 +133,7 @@
 }
 
 func (c rateLimitedCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if !c.Enabled(e.Level) || !c.writer.admit(e.Level) {
+	if !c.Enabled(e.Level) || !c.writer.admit(e) {
 		return checked
 	}
 	return checked.AddCore(e, c)
--- a/logevent/rate_limited_writer_test.go
+++ b/logevent/rate_limited_writer_test.go
@@ -47,3 +47,23 @@
 		is.Equal(strings.Count(w.out.String(), "SubmissionAccepted"), 50)
 	})
 }
+
+// Guards against a flood of warnings that causes the summaries of an owner to be dropped.
+func TestSummariesAreNotDroppedInAFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &blockedWriter{release: make(chan struct{})}
+		limited := logevent.NewRateLimitedWriter(w, 100)
+		events, err := logevent.NewRateLimited(limited, "info")
+		is.NoErr(err)
+		for range 1000 {
+			events.Log(logevent.SubmissionRejected)
+		}
+		events.Log(logevent.ServingReported)
+		close(w.release)
+		limited.Close()
+		is.Equal(strings.Count(w.out.String(), "SubmissionRejected"), 100)
+		is.Equal(strings.Count(w.out.String(), "ServingReported"), 1)
+		is.True(!strings.Contains(w.out.String(), "logger"))
+	})
+}
