--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -28,6 +28,9 @@
 	Work    float64
 	Started bool
 	Served  Served
+	// Times is set for a submission that ended or is overdue: what its time was spent on, as far
+	// as this owner has observed it.
+	Times TimeUses
 	// Waits is set for InterruptionEnded: the times for which the task waited, by what for.
 	Waits map[string]time.Duration
 }
@@ -101,6 +104,9 @@
 	// TargetMissEnded: a task that was so for the time in Age is within its target again, or has
 	// no run any more. Reason is that of TargetMissed.
 	TargetMissEnded
+	// ServingReported: some submissions were late or not served since the last report. Reason
+	// counts the submissions of each queue by size and by how they were served, in this epoch.
+	ServingReported
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -110,5 +116,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported"}[k]
 }
