dispatch: what submissions spend time on is observed four times a second

TestWaitingLongRunningTasksAddLittleToTheCostOfPlanning failed in two of six runs after the observation came in, beside other work (load about 30): 46 ms with waiting tasks, 15.2 ms without, three times being the limit. Check and bound are unchanged.

--- a/dispatch/timeuse.go
+++ b/dispatch/timeuse.go
@@ -75,7 +75,7 @@
 }
 
 // timeUseInterval is the time between two observations of what submissions spend time on.
-const timeUseInterval = 100 * time.Millisecond
+const timeUseInterval = 250 * time.Millisecond
 
 // timeAccounts have the time uses of the submissions that haven't been counted as served or not.
 type timeAccounts struct {
