dispatch: what holds room that tasks wait for, and for how long

At such moments workers had room that no run used and that the owner counted as taken. Event 843 gave one sum of it, so the hypotheses (end not learned, start being recorded or sent, repeated command, claim) could not be told apart; and the wait "for start" of event 858 began at the last sample, up to 0.5 s before the placement.

- Metric room_wait_microseconds, whole and by holder: from the stop of a run, or from when its end was learned, to the confirmed start of the next long-running run there, if its task waited meanwhile.
- Event 865 gives the same for the time since the last report: number, longest, and the mean by holder.
- Event 843 says of the workers that are full because of room that no active run uses what holds it (stop, end to be listed, record, start, repeated command, claim).
- Event 858 and interruption_wait_microseconds change with the task's state, not with the sample.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -53,6 +53,9 @@
 		if d.Age < loggedInterruption {
 			return
 		}
+	case dispatch.RoomFilled:
+		n.observeRoomFilled(d)
+		return
 	case dispatch.SubmissionCleared:
 		n.metrics.observeDuration(metrics.Name("submission_cleared_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
 		return
@@ -99,6 +102,15 @@
 	}
 }
 
+// observeRoomFilled updates the histograms of the times for which room that a task waited for was
+// held, and by what.
+func (n *Node) observeRoomFilled(d dispatch.Decision) {
+	n.metrics.observeDuration("room_wait_microseconds", d.Age)
+	for holder, held := range d.Waits {
+		n.metrics.observeDuration(metrics.Name("room_wait_microseconds", "for", holder), held)
+	}
+}
+
 // countServed counts a submission by its size and by how it was served.
 func (n *Node) countServed(d dispatch.Decision) {
 	if d.Served != dispatch.ServedBefore {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -86,6 +86,10 @@
 	if r.leaseDeadline == 0 {
 		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease(w))
 	}
+	m.noteWait(r.id.Task)
+	if r.filling != nil {
+		r.filling.hold(m.now, heldByStart)
+	}
 	r.phase, r.commandInFlight = starting, true
 	m.starts.inFlight++
 	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.checkpoint, Deadline: r.leaseDeadline})
@@ -106,6 +110,7 @@
 		}
 		m.emitDecision(RunStarted, r.id, r.worker.ID(), "", 0)
 		m.endInterruption(r)
+		m.endFilling(r)
 	}
 	if r.stopRequested {
 		m.sendStop(r)
@@ -150,6 +155,9 @@
 	case NoAnswer:
 		r.unanswered = true
 		w.nextHeartbeatAt = m.now
+		if r.filling != nil {
+			r.filling.hold(m.now, heldByRepeat)
+		}
 		return
 	case Fenced:
 		m.emit(StepDown{Worker: w.ID()})
@@ -210,6 +218,10 @@
 // sendStop sends the stop command of a run. While the worker's address is not
 // known, because the worker has not been listed yet, the command is deferred.
 func (m *Machine) sendStop(r *run) {
+	m.noteWait(r.id.Task)
+	if r.stopSentAt == 0 {
+		r.stopSentAt = m.now
+	}
 	r.phase, r.commandInFlight = stopping, true
 	r.confirmedAt = m.now
 	if r.worker.Address == "" {
@@ -233,7 +245,7 @@
 	case Fenced:
 		m.emit(StepDown{Worker: w.ID()})
 	case NoAnswer, Unhealthy:
-		r.unanswered = true
+		r.unanswered, r.unansweredStop = true, true
 		r.commandInFlight = true
 		w.nextHeartbeatAt = m.now
 	case WrongWorker:
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -28,7 +28,8 @@
 	Work    float64
 	Started bool
 	Served  Served
-	// Waits is set for InterruptionEnded: the times for which the task waited, by what for.
+	// Waits is set for InterruptionEnded, the times for which the task waited, by what for, and
+	// for RoomFilled, the times for which the room was held, by what.
 	Waits map[string]time.Duration
 }
 
@@ -95,6 +96,9 @@
 	// RoomReported: long-running tasks wait, the one in Run for the time in Age. Reason has what
 	// they request and what is free.
 	RoomReported
+	// RoomFilled: a long-running run has started in room that became free while its task waited.
+	// Age is the time from the stop of the last run there, or from when its end was learned.
+	RoomFilled
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -104,5 +108,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "room filled"}[k]
 }
--- a/dispatch/interruption.go
+++ b/dispatch/interruption.go
@@ -138,6 +138,13 @@
 	})
 }
 
+// noteWait adds the time since the last check to what a task waits for, before that changes.
+func (m *Machine) noteWait(id workload.TaskID) {
+	if o := m.interruptions[id]; o != nil {
+		m.updateInterruption(id, o)
+	}
+}
+
 func (m *Machine) updateInterruption(id workload.TaskID, o *interruption) {
 	o.waits[m.waitOf(id)] += m.now - o.checkedAt
 	o.checkedAt = m.now
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -45,6 +45,14 @@
 	decisions map[dispatch.DecisionKind]int
 	// reasons has the reason of the last decision of each kind.
 	reasons map[dispatch.DecisionKind]string
+	// filled are the decisions on room that was awaited, interrupted those on interruptions that have
+	// ended.
+	filled, interrupted []dispatch.Decision
+	// lastPlaced is the worker of the last placement.
+	lastPlaced string
+	// rejected counts the starts that found no room. lostStops: stops have no effect and no answer.
+	rejected  int
+	lostStops bool
 	// starting are long-running tasks that are not at work yet, however long they run.
 	starting   map[workload.TaskID]bool
 	starts     int
@@ -156,6 +164,14 @@
 		case dispatch.Decision:
 			l.decisions[a.Kind]++
 			l.reasons[a.Kind] = a.Reason
+			switch a.Kind {
+			case dispatch.RunPlaced:
+				l.lastPlaced = a.Worker
+			case dispatch.RoomFilled:
+				l.filled = append(l.filled, a)
+			case dispatch.InterruptionEnded:
+				l.interrupted = append(l.interrupted, a)
+			}
 		}
 	}
 }
@@ -189,6 +205,7 @@
 	step := &l.ledger.Find(a.Run.Task.Submission).Steps[a.Run.Task.Step]
 	if !l.fits(w, step) {
 		answer = dispatch.NoRoom
+		l.rejected++
 	} else {
 		w.runs[a.Run] = &loadRun{step: step, started: l.now}
 		if !step.LongRunning {
@@ -201,7 +218,8 @@
 	})
 }
 
-func (l *loadSim) fits(w *loadWorker, step *workload.Step) bool {
+// used returns what the runs on a worker reserve.
+func (w *loadWorker) used() hostapi.Resources {
 	var used hostapi.Resources
 	for _, r := range w.runs {
 		request := r.step.Request
@@ -210,14 +228,22 @@
 		}
 		used = used.Add(request)
 	}
+	return used
+}
+
+func (l *loadSim) fits(w *loadWorker, step *workload.Step) bool {
 	request := step.Request
 	if step.BestEffort {
 		request.MilliCPU = 0
 	}
-	return used.Add(request).Fits(w.info.Capacity)
+	return w.used().Add(request).Fits(w.info.Capacity)
 }
 
 func (l *loadSim) stop(a dispatch.Stop) {
+	if l.lostStops {
+		l.after(startTimeout, func() { l.step(dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.NoAnswer}) })
+		return
+	}
 	w := l.workers[a.Worker]
 	l.after(100*time.Millisecond, func() { l.end(w, a.Run, workload.Stopped) })
 	l.after(loadNetworkDelay, func() { l.step(dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.Done}) })
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -185,6 +185,8 @@
 	if newer := m.checkpoints[t.ID]; newer != "" {
 		r.checkpoint = newer
 	}
+	m.noteWait(t.ID)
+	m.fillRoom(r)
 	w.addRun(r)
 	m.active[t.ID] = r
 	m.addOccupied(e, t.ID, 1)
@@ -202,6 +204,7 @@
 	if m.active[r.id.Task] != r {
 		return
 	}
+	m.noteWait(r.id.Task)
 	delete(m.active, r.id.Task)
 	if r.step.LongRunning {
 		m.roomChanges.ended++
--- a/dispatch/repack_test.go
+++ b/dispatch/repack_test.go
@@ -139,8 +139,13 @@
 	}
 }
 
-func (l *loadSim) cancel(id string) {
+// cancelNow cancels a submission.
+func (l *loadSim) cancelNow(id string) {
 	l.step(dispatch.EntryChanged{Entry: l.ledger.Apply(ledger.CancelledRecord(id))})
+}
+
+func (l *loadSim) cancel(id string) {
+	l.cancelNow(id)
 	l.run(500 * time.Millisecond)
 }
 
--- a/dispatch/roomreport.go
+++ b/dispatch/roomreport.go
@@ -18,6 +18,11 @@
 	// clearedIn is the longest time that this took.
 	cleared   int
 	clearedIn time.Duration
+	// filled counts the pieces of room that became free while the task waited that got them,
+	// filledIn is the longest time that this took, held for how long they were held in all.
+	filled   int
+	filledIn time.Duration
+	held     [holderCount]time.Duration
 }
 
 // roomReport says how much room the long-running tasks that wait would need and have.
@@ -102,6 +107,6 @@
 		text += " (" + r.move + ")"
 	}
 	c := r.changes
-	return text + fmt.Sprintf(", %d if finite runs are stopped as well; since the last report %d long-running runs ended (%dm) and %d were placed, %d submissions that are final were cleared in up to %v",
-		r.fitByMoveInTime, c.ended, c.freed, c.started, c.cleared, c.clearedIn.Round(time.Millisecond))
+	return text + fmt.Sprintf(", %d if finite runs are stopped as well; since the last report %d long-running runs ended (%dm) and %d were placed, %d submissions that are final were cleared in up to %v; %s",
+		r.fitByMoveInTime, c.ended, c.freed, c.started, c.cleared, c.clearedIn.Round(time.Millisecond), c.describeFilled())
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -65,6 +65,11 @@
 	// confirmedAt is when the start was confirmed; in phase stopping, when the stop
 	// was sent or confirmed.
 	confirmedAt time.Duration
+	// stopSentAt is when the first stop was sent. unansweredStop: a stop had no answer.
+	stopSentAt     time.Duration
+	unansweredStop bool
+	// filling measures how long the room that the run takes was on its way to it, or is nil.
+	filling *filling
 	// startedAt is when the start was first confirmed.
 	startedAt time.Duration
 	// activeFrom is a reading of the worker's clock at which the run was active, the first
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -158,9 +158,9 @@
 	unusable, otherKind, noCPU, noMemory, interference, perWorkerLimit, fits int
 	// refusals counts the workers in interference by the reason.
 	refusals refusalCounts
-	// heldByUnlisted are the workers counted in noCPU or noMemory that could take the
-	// task if only the runs that they list as active were reserved.
-	heldByUnlisted int
+	// held are the workers counted in noCPU or noMemory that could take the task if only the
+	// runs that they list as active were reserved.
+	held heldCounts
 	// roomInTime are the workers counted in noCPU or noMemory that could take the task if their
 	// finite runs ended.
 	roomInTime int
@@ -195,9 +195,7 @@
 			r.fits++
 		}
 		if !r.request.Fits(free) {
-			if r.request.Fits(free.Add(w.reservedByUnlisted())) {
-				r.heldByUnlisted++
-			}
+			r.held.add(w, free, r.request)
 			if w.hasRoomInTime(step) {
 				r.roomInTime++
 			}
@@ -209,7 +207,7 @@
 }
 
 func (r waitReasons) String() string {
-	return fmt.Sprintf("requests %dm CPU and %d MiB, most free %dm and %d MiB; workers: %d unusable, %d of another kind, %d without CPU, %d without memory, %d with interference (%v), %d at the limit per worker, %d fit; %d are full because of runs that they do not list as active, %d because of finite runs",
+	return fmt.Sprintf("requests %dm CPU and %d MiB, most free %dm and %d MiB; workers: %d unusable, %d of another kind, %d without CPU, %d without memory, %d with interference (%v), %d at the limit per worker, %d fit; %v are full because of room that no active run uses, %d because of finite runs",
 		r.request.MilliCPU, r.request.MemoryMiB, r.mostFree.MilliCPU, r.mostFree.MemoryMiB,
-		r.unusable, r.otherKind, r.noCPU, r.noMemory, r.interference, r.refusals, r.perWorkerLimit, r.fits, r.heldByUnlisted, r.roomInTime)
+		r.unusable, r.otherKind, r.noCPU, r.noMemory, r.interference, r.refusals, r.perWorkerLimit, r.fits, r.held, r.roomInTime)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -72,6 +72,8 @@
 	interferenceStoppedAt time.Duration
 	// pacedPlacementAt is when a run that is paced was last placed on the worker.
 	pacedPlacementAt time.Duration
+	// vacancy is the room that a run left last.
+	vacancy vacancy
 	// runsVersion is incremented with each change of runs.
 	runsVersion int64
 	// reserved is the sum of the requests of all runs, without the CPU of best-effort
@@ -130,6 +132,9 @@
 		return
 	}
 	delete(w.runs, r.id)
+	if r.phase > starting {
+		w.vacancy = r.vacated(now)
+	}
 	w.adjustReserved(r, -1)
 	w.endInterval(r, now)
 	isRun := func(other *run) bool { return other == r }
@@ -299,18 +304,6 @@
 	return out
 }
 
-// reservedByUnlisted returns the part of reserved that belongs to runs which the worker
-// does not list as active: runs that are being recorded, started or stopped.
-func (w *worker) reservedByUnlisted() hostapi.Resources {
-	var sum hostapi.Resources
-	for _, r := range w.runList {
-		if r.phase != running {
-			sum = sum.Add(reservation(r.step))
-		}
-	}
-	return sum
-}
-
 // hasLiveRuns reports whether the worker has a run of a submission that is not final.
 func (w *worker) hasLiveRuns() bool {
 	return slices.ContainsFunc(w.runList, func(r *run) bool { return !r.entry.State().Final() })
