dispatch: heartbeats wait for the ends of runs that are being stopped

Cause: while a run was being stopped, or all runs of a worker belonged to final submissions, heartbeats didn't wait for an end: the worker was asked again every 30 ms and a tick, so an end was learned up to 50 ms late and each stop cost several looks at its worker. Ruled out: a report that shows a stop to be without effect is not put off: a heartbeat waits at most until the end must have been listed (time of a stop and its margin, from its answer), and not at all for a stop that had no answer, inherited or unknown runs.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -23,6 +23,7 @@
 		// granted.
 	case !w.hasLiveRuns():
 		// The lease of runs that are to be stopped must expire if no stop is carried out.
+		h.Wait = m.endWait(w)
 	case w.bar != leasesAllowed:
 		// A successor may rely on the record of the worker's silence.
 	case w.gone:
@@ -33,10 +34,8 @@
 	default:
 		lease := m.config.grantableLease(w)
 		h.Deadline = w.extendLease(m.now, lease)
-		if w.lastEnd == w.cursor && !w.awaitsReport() {
-			// The next heartbeat must be in time to extend a lease that is short.
-			h.Wait = min(m.heartbeatWait(w), (lease / 2).Truncate(time.Millisecond))
-		}
+		// The next heartbeat must be in time to extend a lease that is short.
+		h.Wait = min(m.endWait(w), (lease / 2).Truncate(time.Millisecond))
 	}
 	w.heartbeatInFlight = true
 	m.emit(h)
@@ -69,6 +68,26 @@
 	return wait
 }
 
+// endWait returns how long a worker may delay its report until a run ends: not at all if it lists ends
+// that are not acknowledged or if the state of a run depends on the next report, and no longer than
+// until a report shows whether a stop has been carried out.
+func (m *Machine) endWait(w *worker) time.Duration {
+	if w.lastEnd != w.cursor || len(w.unknownRuns) > 0 {
+		return 0
+	}
+	wait := m.heartbeatWait(w)
+	for _, r := range w.runList {
+		switch {
+		case r.inherited || r.phase == stopping && r.unansweredStop:
+			return 0
+		case r.phase == stopping:
+			conclusive := r.confirmedAt + m.config.StopTime + stopMargin
+			wait = min(wait, conclusive-m.now)
+		}
+	}
+	return max(0, (wait + time.Millisecond - 1).Truncate(time.Millisecond))
+}
+
 // heartbeatInterval returns the pause between a report and the next heartbeat. It
 // is longer if only best-effort runs can end, so that a report lists several ends.
 func (w *worker) heartbeatInterval() time.Duration {
@@ -88,16 +107,6 @@
 	return relaxedHeartbeatInterval
 }
 
-// awaitsReport reports whether the state of a run depends on the next report.
-func (w *worker) awaitsReport() bool {
-	for _, r := range w.runList {
-		if r.inherited || r.phase == stopping {
-			return true
-		}
-	}
-	return len(w.unknownRuns) > 0
-}
-
 func (m *Machine) heartbeatFailed(ev HeartbeatFailed) {
 	w := m.workers[ev.Worker]
 	if w == nil {
