dispatch: a worker takes runs again as soon as a suspect has survived there

Cause: a suspect has survived after 0.3 s, but only a report shows it, and the heartbeat after its start waits for an end for up to 2 s. Change: such a heartbeat waits at most until the worker's clock, 2% slow at worst, has passed the 0.3 s. Evidence: TestWorkerTakesRunsAsSoonAsASuspectHasSurvived fails without the change (seen).

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -300,6 +300,17 @@
 	}
 }
 
+// untilSurvived returns the time until the worker of a run has outlasted its start by survivalTime for
+// certain, even if its clock runs as slowly as clockDrift allows.
+func (r *run) untilSurvived(now time.Duration) time.Duration {
+	left := survivalTime
+	if w := r.worker; r.activeFrom > 0 {
+		left -= w.clock - r.activeFrom
+		return time.Duration(float64(left)/(1-clockDrift)) - (now - w.clockAt)
+	}
+	return left
+}
+
 // runSurvived records that a run is not suspect, and clears its task.
 func (m *Machine) runSurvived(r *run) {
 	r.survived = true
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -83,6 +83,8 @@
 		case r.phase == stopping:
 			conclusive := r.confirmedAt + m.config.StopTime + stopMargin
 			wait = min(wait, conclusive-m.now)
+		case r.isolated:
+			wait = min(wait, r.untilSurvived(m.now))
 		}
 	}
 	return max(0, (wait + time.Millisecond - 1).Truncate(time.Millisecond))
