--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -32,6 +32,8 @@
 	// as this owner has observed it.
 	Times TimeUses
 	// Waits is set for InterruptionEnded: the times for which the task waited, by what for.
+	// Waits is set for InterruptionEnded, the times for which the task waited, by what for, and
+	// for RoomFilled, the times for which the room was held, by what.
 	Waits map[string]time.Duration
 }
 
@@ -107,6 +109,9 @@
 	// ServingReported: some submissions were late or not served since the last report. Reason
 	// counts the submissions of each queue by size and by how they were served, in this epoch.
 	ServingReported
+	// RoomFilled: a long-running run has started in room that became free while its task waited.
+	// Age is the time from the stop of the last run there, or from when its end was learned.
+	RoomFilled
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -116,5 +121,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported", "room filled"}[k]
 }
