soak, e2e, scripts, standin: a port is held from its choice on

Cause, as far as it can be known: the soak asked the kernel for a free port, closed the socket and let the process listen on it later. Any socket that the kernel gives a port meanwhile can get the same one, such as the proxies and stand-ins of the same test and of other processes. That it happened in the users' run isn't proved, since the log is lost; a slow process is not ruled out.

Change: - Package loopback: an IP address of 127.64.0.0/10 of one's own, whose guard port is bound as long as it is held. The guard is in the network namespace, so it holds between users and between Go and shell. Ports begin at 10000, below those that the kernel chooses (32768 on), and one that a listener on all addresses has is left out. SO_REUSEADDR would let another socket bind. - soak and e2e hold an address for each process, TestRecordedTraceReplays for its node. e2e derived addresses from the process id modulo 200 before. - scripts/demo.sh and capacity-processes.sh chose a base port at random; their stand-in now listens on the guard port of an address of its own, and takes another one if that is held (scripts/loopback.sh, tested). - The stand-in closed a listener and bound its port again when a fault took an endpoint down. It keeps a second socket bound from the start. - The soak prints whether a process runs or how it exited, and the last 40 lines of its log, for each failure; e2e prints the state beside the tail it had, the demo the ends of its logs.

Left: a program that binds a number of its own choice between 10000 and 32767 on all addresses, between the choice and the start; review/_stand, which has the same fault, is unchanged as before.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/cactusreel/cactusreel/api"
 	"github.com/cactusreel/cactusreel/checker"
 	"github.com/cactusreel/cactusreel/client"
+	"github.com/cactusreel/cactusreel/loopback"
 	"github.com/cactusreel/cactusreel/standin"
 )
 
@@ -93,14 +93,12 @@
 func startCluster(t *testing.T, l layout) *cluster {
 	t.Helper()
 	c := &cluster{t: t, started: time.Now(), timeSettings: l.timeSettings}
-	number := clusterCount.Add(1)
 	for i, dc := range l.dataCentres {
 		for n := range l.entryVMs[i] {
-			c.entries = append(c.entries, &entryVM{name: fmt.Sprintf("%s-%d", dc, n+1), dataCentre: dc, callerAddress: vmAddress(number, len(c.entries), callerPort), peerAddress: vmAddress(number, len(c.entries), peerPort)})
+			c.entries = append(c.entries, newEntryVM(t, dc, n+1))
 		}
 	}
-	for i, vm := range c.entries {
-		vm.remotePeerAddress = vmAddress(number, i, remotePeerPort)
+	for _, vm := range c.entries {
 		c.proxies = append(c.proxies, newProxy(t, vm.remotePeerAddress, vm.peerAddress))
 	}
 	c.startStandin(l)
@@ -117,23 +115,24 @@
 	return c
 }
 
-// clusterCount is the number of clusters that this process has started.
-var clusterCount atomic.Int64
-
-// vmAddress returns an address of an entry VM. Each cluster has loopback addresses
-// of its own, because a free port of 127.0.0.1 can be taken by the stand-in or by
-// an outgoing connection before the VM listens on it.
-func vmAddress(cluster int64, vm, port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%200, cluster%250, vm+1, port)
+// newEntryVM returns an entry VM with a loopback address of its own, which is held until
+// the test has ended.
+func newEntryVM(t *testing.T, dataCentre string, number int) *entryVM {
+	t.Helper()
+	host, err := loopback.Hold()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = host.Close() })
+	vm := &entryVM{name: fmt.Sprintf("%s-%d", dataCentre, number), dataCentre: dataCentre}
+	for _, address := range []*string{&vm.callerAddress, &vm.peerAddress, &vm.remotePeerAddress} {
+		if *address, err = host.Address(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return vm
 }
 
-// Ports of each entry VM.
-const (
-	callerPort     = 8080
-	peerPort       = 7070
-	remotePeerPort = 7071
-)
-
 func (c *cluster) startStandin(l layout) {
 	c.t.Helper()
 	args := []string{"--workers", fmt.Sprint(l.workers), "--list-lag", "500ms"}
@@ -189,16 +188,24 @@
 	if err := vm.process.Start(); err != nil {
 		c.t.Fatal(err)
 	}
-	process, exited := vm.process, make(chan int, 1)
+	process, exited, ended := vm.process, make(chan int, 1), make(chan struct{})
 	vm.exited = exited
 	go func() {
 		_ = process.Wait()
 		exited <- process.ProcessState.ExitCode()
+		close(ended)
 	}()
 	c.t.Cleanup(func() {
+		state := "runs"
+		select {
+		case <-ended:
+			state = process.ProcessState.String()
+		default:
+		}
 		_ = process.Process.Kill()
 		c.checkRaces(vm, log.Name())
 		if c.t.Failed() {
+			c.t.Logf("process %d of %s: %s; its log ends with:", process.Process.Pid, vm.name, state)
 			c.printTail(vm, log.Name())
 		}
 		_ = log.Close()
--- a/entry/tracing_test.go
+++ b/entry/tracing_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/logevent"
+	"github.com/cactusreel/cactusreel/loopback"
 	"github.com/cactusreel/cactusreel/replay"
 	"github.com/cactusreel/cactusreel/settings"
 )
@@ -27,6 +27,13 @@
 	platform := httptest.NewServer(nil)
 	defer platform.Close()
 	target := filepath.Join(t.TempDir(), "trace.jsonl")
+	host, err := loopback.Hold()
+	is.NoErr(err)
+	defer func() { is.NoErr(host.Close()) }()
+	callers, err := host.Address()
+	is.NoErr(err)
+	peers, err := host.Address()
+	is.NoErr(err)
 	s, err := settings.Parse("test.ini", fmt.Appendf(nil, `[vm]
 id = giza-1
 data_centre = giza
@@ -40,7 +47,7 @@
 balancer_delay = 0s
 [logging]
 trace = %s
-`, freeAddress(t), freeAddress(t), platform.URL, platform.URL, target))
+`, callers, peers, platform.URL, platform.URL, target))
 	is.NoErr(err)
 	events, err := logevent.New(io.Discard, "info")
 	is.NoErr(err)
@@ -85,13 +92,3 @@
 	is.NoErr(stdin.Close())
 	is.NoErr(c.Wait())
 }
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/scripts/capacity-processes.sh
+++ b/scripts/capacity-processes.sh
@@ -8,6 +8,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+. scripts/loopback.sh
+
 period=${1:-60}
 cactusreel=${CACTUSREEL:-bin/cactusreel}
 work_dir=$(mktemp -d)
@@ -30,8 +32,7 @@
   exit 1
 }
 
-# A random base port avoids conflicts with another run on the same machine.
-base=$((15000 + RANDOM % 15000))
+base=10000
 vms=(giza-1 giza-2 giza-3 heliopolis-1 heliopolis-2 maadi-1 maadi-2)
 caller_port() { echo $((base + $1)); }
 peer_port() { echo $((base + 50 + $1)); }
@@ -47,7 +48,7 @@
   local i
   echo "[peers.$1]"
   for i in "${!vms[@]}"; do
-    [ "${vms[$i]%-*}" = "$1" ] && echo "${vms[$i]} = 127.0.0.1:$(peer_port "$i")"
+    [ "${vms[$i]%-*}" = "$1" ] && echo "${vms[$i]} = $ip:$(peer_port "$i")"
   done
   return 0
 }
@@ -57,7 +58,7 @@
   local vm=${vms[$1]} dc=${vms[$1]%-*}
   {
     printf '[vm]\nid = %s\ndata_centre = %s\n' "$vm" "$dc"
-    printf '[listen]\ncallers = 127.0.0.1:%s\npeers = 127.0.0.1:%s\n' "$(caller_port "$1")" "$(peer_port "$1")"
+    printf '[listen]\ncallers = %s\npeers = %s\n' "$ip:$(caller_port "$1")" "$ip:$(peer_port "$1")"
     printf '[platform]\nlog_url = http://%s\nvm_list_url = http://%s\n' "$(address log "$dc")" "$(address vms "$dc")"
     peers_section giza
     peers_section heliopolis
@@ -123,17 +124,17 @@
 # jobs_running succeeds if the first job has at least 20 running tasks.
 jobs_running() {
   local n
-  n=$(curl -s -m 5 "http://127.0.0.1:$(caller_port 0)/v1/jobs/import-1" | sed -n 's/.*"running": *\([0-9]*\).*/\1/p')
+  n=$(curl -s -m 5 "http://$ip:$(caller_port 0)/v1/jobs/import-1" | sed -n 's/.*"running": *\([0-9]*\).*/\1/p')
   [ "${n:-0}" -ge 20 ]
 }
 
 entry_flags=()
 for i in "${!vms[@]}"; do
-  entry_flags+=(--entry "${vms[$i]%-*}/${vms[$i]}=127.0.0.1:$(peer_port "$i")")
+  entry_flags+=(--entry "${vms[$i]%-*}/${vms[$i]}=IP:$(peer_port "$i")")
 done
-bin/standin --data-centres giza,heliopolis,maadi --workers 22 --racks 2 "${entry_flags[@]}" >"$work_dir/standin.log" 2>&1 &
-pids+=($!)
-retry 20 grep -q '"admin"' "$work_dir/standin.log" || fail "the stand-in did not start"
+start_standin "$work_dir/standin.log" --data-centres giza,heliopolis,maadi --workers 22 --racks 2 "${entry_flags[@]}" ||
+  fail "the stand-in did not start"
+pids+=("$standin_pid")
 entries=()
 for i in "${!vms[@]}"; do
   settings "$i"
@@ -141,8 +142,8 @@
   pids+=($!)
   entries+=($!)
 done
-export CACTUSREEL_SERVERS="http://127.0.0.1:$(caller_port 0)"
-retry 20 curl -sf "http://127.0.0.1:$(caller_port 0)/readyz" || fail "the first entry VM is not ready"
+export CACTUSREEL_SERVERS="http://$ip:$(caller_port 0)"
+retry 20 curl -sf "http://$ip:$(caller_port 0)/readyz" || fail "the first entry VM is not ready"
 data_centres | "$cactusreel" apply -f - >/dev/null
 sleep 15
 measure "At rest: 66 workers, 12 cells, no work"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,13 +5,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+. scripts/loopback.sh
+
 work_dir=$(mktemp -d)
 pids=()
 
-# A random base port avoids conflicts with another run on the same machine.
-base=$((20000 + RANDOM % 12000)) # below the port range of outgoing connections
-callers=("$base" "$((base + 1))" "$((base + 2))")
-peers=("$((base + 3))" "$((base + 4))" "$((base + 5))")
+callers=(10000 10001 10002)
+peers=(10003 10004 10005)
 # cleanup stops the processes that this script has started, by process id.
 cleanup() {
   for pid in "${pids[@]}"; do
@@ -22,6 +22,7 @@
 trap cleanup EXIT
 
 fail() {
+  tail -n 20 "$work_dir"/*.log >&2 || true
   echo "demo: $*; logs are in $work_dir" >&2
   exit 1
 }
@@ -40,8 +41,8 @@
 data_centre = $2
 
 [listen]
-callers = 127.0.0.1:$3
-peers = 127.0.0.1:$4
+callers = $ip:$3
+peers = $ip:$4
 
 [platform]
 log_url = http://$(address log "$2")
@@ -51,11 +52,11 @@
 level = info
 
 [peers.giza]
-giza-1 = 127.0.0.1:${peers[0]}
-giza-2 = 127.0.0.1:${peers[1]}
+giza-1 = $ip:${peers[0]}
+giza-2 = $ip:${peers[1]}
 
 [peers.maadi]
-maadi-1 = 127.0.0.1:${peers[2]}
+maadi-1 = $ip:${peers[2]}
 
 [times]
 balancer_delay = 300ms
@@ -88,7 +89,7 @@
   local ok=0 port code
   for i in $(seq 1 "$1"); do
     port=${callers[$((i % 3))]}
-    code=$(curl -s -m 8 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$port/s/register/child/$i?work=5ms&size=100") || true
+    code=$(curl -s -m 8 -o /dev/null -w '%{http_code}' "http://$ip:$port/s/register/child/$i?work=5ms&size=100") || true
     [ "$code" = 200 ] && ok=$((ok + 1))
   done
   echo "$ok"
@@ -102,11 +103,10 @@
   bin/cactusreel get jobs
 }
 
-bin/standin --data-centres giza,maadi --workers 6 --racks 2 \
-  --entry giza/giza-1=127.0.0.1:${peers[0]} --entry giza/giza-2=127.0.0.1:${peers[1]} \
-  --entry maadi/maadi-1=127.0.0.1:${peers[2]} >"$work_dir/standin.log" 2>&1 &
-pids+=($!)
-retry 10 grep -q '"admin"' "$work_dir/standin.log" || fail "the stand-in did not start"
+start_standin "$work_dir/standin.log" --data-centres giza,maadi --workers 6 --racks 2 \
+  --entry giza/giza-1="IP:${peers[0]}" --entry giza/giza-2="IP:${peers[1]}" \
+  --entry maadi/maadi-1="IP:${peers[2]}" || fail "the stand-in did not start"
+pids+=("$standin_pid")
 
 settings giza-1 giza "${callers[0]}" "${peers[0]}"
 settings giza-2 giza "${callers[1]}" "${peers[1]}"
@@ -117,9 +117,9 @@
   pids+=($!)
   entries+=($!)
 done
-export CACTUSREEL_SERVERS="http://127.0.0.1:${callers[0]},http://127.0.0.1:${callers[1]},http://127.0.0.1:${callers[2]}"
+export CACTUSREEL_SERVERS="http://$ip:${callers[0]},http://$ip:${callers[1]},http://$ip:${callers[2]}"
 for port in "${callers[@]}"; do
-  retry 10 curl -sf "http://127.0.0.1:$port/readyz" || fail "the entry VM at port $port is not ready"
+  retry 10 curl -sf "http://$ip:$port/readyz" || fail "the entry VM at port $port is not ready"
 done
 for pid in "${pids[@]}"; do
   kill -0 "$pid" || fail "a process has ended; is a port in use?"
@@ -132,9 +132,9 @@
 
 before=$(requests 30)
 echo "--- sign-in (POST, at most once) and its repeat with the same request id at another entry VM"
-id=$(curl -s -m 5 -X POST "http://127.0.0.1:${callers[0]}/v1/request-ids" | sed 's/.*"id": *"\([^"]*\)".*/\1/')
-first=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' "http://127.0.0.1:${callers[0]}/s/register/sign-in")
-again=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' "http://127.0.0.1:${callers[2]}/s/register/sign-in")
+id=$(curl -s -m 5 -X POST "http://$ip:${callers[0]}/v1/request-ids" | sed 's/.*"id": *"\([^"]*\)".*/\1/')
+first=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' "http://$ip:${callers[0]}/s/register/sign-in")
+again=$(curl -s -m 8 -X POST -H "Cactusreel-Request-Id: $id" -d 'child=17' "http://$ip:${callers[2]}/s/register/sign-in")
 echo "first answer: $first, repeat: $again"
 
 echo "--- take maadi out"
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -1,8 +1,8 @@
 package soak_test
 
 import (
+	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cactusreel/cactusreel/loopback"
 )
 
 // process is a coordinator process with its settings and its proxy to the store.
@@ -27,25 +29,19 @@
 	starts           int
 }
 
-// freeAddress returns a loopback address that is not in use. Nothing reserves it
-// for the caller.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func newProcess(t *testing.T, binary, name, storeAddress string) *process {
 	p := &process{t: t, name: name, binary: binary, dir: t.TempDir()}
 	var err error
 	if p.storeProxy, err = newProxy(storeAddress); err != nil {
 		t.Fatal(err)
 	}
+	host, err := loopback.Hold()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = host.Close() })
 	for _, address := range []*string{&p.callerAddress, &p.readinessAddress, &p.peerAddress} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = host.Address(); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -135,3 +131,23 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// reportedLines is the number of lines of a process's log that a failed test prints.
+const reportedLines = 40
+
+// report returns whether the process runs, or how it exited, and the end of its log.
+func (p *process) report() string {
+	state := "was not started"
+	if p.running() {
+		state = "runs"
+	} else if p.exited != nil {
+		state = "has exited: " + p.command.ProcessState.String()
+	}
+	data, err := os.ReadFile(p.logPath())
+	if err != nil {
+		return fmt.Sprintf("%s %s; its log can't be read: %v", p.name, state, err)
+	}
+	lines := bytes.Split(bytes.TrimSpace(data), []byte("\n"))
+	return fmt.Sprintf("%s at %s %s, start %d; its log ends with:\n%s", p.name, p.readinessAddress, state, p.starts,
+		bytes.Join(lines[max(0, len(lines)-reportedLines):], []byte("\n")))
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -191,7 +191,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		if !ready {
-			s.t.Fatalf("process at %s is not ready 10 s after its start", p.readinessAddress)
+			s.t.Fatalf("process at %s is not ready 10 s after its start: %s", p.readinessAddress, p.report())
 		}
 	}
 }
@@ -300,9 +300,12 @@
 	return answer.State == "completed" || answer.State == "cancelled" && s.cancelled[id]
 }
 
-// cleanUp kills the processes, and keeps their logs if the test has failed.
+// cleanUp kills the processes, and prints and keeps their logs if the test has failed.
 func (s *seedRun) cleanUp() {
 	for _, p := range s.processes {
+		if s.t.Failed() {
+			s.t.Log(p.report())
+		}
 		p.kill()
 		if s.t.Failed() && *logDir != "" {
 			data, err := os.ReadFile(p.logPath())
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -44,7 +44,8 @@
 	refusedConns int64
 	serveErr     error
 	closed       bool
-	// reserved holds the port while the endpoint is down.
+	// reserved holds the port until the endpoint is closed, so that it stays that of
+	// the endpoint when the listener is closed.
 	reserved *reservedPort
 }
 
@@ -67,11 +68,29 @@
 
 // listen starts serving at address. Port 0 selects a free port.
 func (e *endpoint) listen(address string) error {
-	listener, err := net.Listen("tcp", address)
+	port, err := reservePort(address)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", e.targets[0], err)
 	}
-	e.address = listener.Addr().String()
+	e.address = port.address
+	return e.listenAt(port)
+}
+
+// listenAt starts serving at a reserved port, and reserves it once more.
+func (e *endpoint) listenAt(port *reservedPort) error {
+	next, err := reservePort(port.address)
+	if err != nil {
+		port.close()
+		return fmt.Errorf("reserve the address of %s: %w", e.targets[0], err)
+	}
+	listener, err := port.startListening()
+	if err != nil {
+		next.close()
+		return fmt.Errorf("listen for %s: %w", e.targets[0], err)
+	}
+	e.mu.Lock()
+	e.reserved = next
+	e.mu.Unlock()
 	e.serve(listener)
 	return nil
 }
@@ -105,31 +124,15 @@
 		return nil
 	}
 	if down {
-		return e.closeAndReserve()
+		e.closeListener()
+		e.closeConns(false)
+		return nil
 	}
 	e.mu.Lock()
 	reserved := e.reserved
 	e.reserved = nil
 	e.mu.Unlock()
-	listener, err := reserved.startListening()
-	if err != nil {
-		return fmt.Errorf("listen again for %s: %w", e.targets[0], err)
-	}
-	e.serve(listener)
-	return nil
-}
-
-func (e *endpoint) closeAndReserve() error {
-	e.closeListener()
-	e.closeConns(false)
-	reserved, err := reservePort(e.address)
-	if err != nil {
-		return fmt.Errorf("reserve the address of %s: %w", e.targets[0], err)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.reserved = reserved
-	return nil
+	return e.listenAt(reserved)
 }
 
 // freeze freezes all open connections.
--- a/standin/reservedport.go
+++ b/standin/reservedport.go
@@ -8,16 +8,19 @@
 	"syscall"
 )
 
-// listenBacklog is the length of the kernel's accept queue.
-const listenBacklog = 128
+// listenBacklog is the maximum length of the accept queue, which the kernel reduces to
+// its own limit.
+const listenBacklog = 4096
 
 // reservedPort is a socket that is bound but does not listen. Connections to it
 // are refused, and no other process can get the port.
 type reservedPort struct {
 	fd int
+	// address is the IP address and port.
+	address string
 }
 
-// reservePort binds an IPv4 address and port.
+// reservePort binds an IPv4 address and port. Port 0 selects a free port.
 func reservePort(address string) (*reservedPort, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -42,6 +45,17 @@
 		reserved.close()
 		return nil, os.NewSyscallError("bind", err)
 	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		reserved.close()
+		return nil, os.NewSyscallError("getsockname", err)
+	}
+	name, ok := bound.(*syscall.SockaddrInet4)
+	if !ok {
+		reserved.close()
+		return nil, fmt.Errorf("%s is bound to an address of another kind", address)
+	}
+	reserved.address = netip.AddrPortFrom(parsed.Addr(), uint16(name.Port)).String()
 	return reserved, nil
 }
 
