--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -120,10 +120,13 @@
 	return nil
 }
 
-func (l *fakeLog) Load(_ context.Context, cell int) ([][]byte, error) {
+func (l *fakeLog) Load(_ context.Context, cell int) ([][][]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.snapshots[cell], nil
+	if l.snapshots[cell] == nil {
+		return nil, nil
+	}
+	return [][][]byte{l.snapshots[cell]}, nil
 }
 
 func (l *fakeLog) End(ctx context.Context, s coordinator.Stream) (int64, error) {
--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -65,15 +65,15 @@
 	Read(ctx context.Context, s Stream, from int64, limit int, wait time.Duration) (Page, error)
 }
 
-// SnapshotStore keeps the newest snapshot of each cell without expiry. While a
-// snapshot is being written, its parts may be mixed with those of the previous
-// one.
+// SnapshotStore keeps the newest snapshot of each cell without expiry. A complete snapshot
+// stays until a newer one is complete, also if its writer ends while it saves.
 type SnapshotStore interface {
 	// Save replaces the snapshot of a cell. After an error the outcome is unknown.
 	Save(ctx context.Context, cell int, parts [][]byte) error
-	// Load returns the parts of a cell in order. Parts of an older, longer
-	// snapshot may follow.
-	Load(ctx context.Context, cell int) ([][]byte, error)
+	// Load returns the snapshots of a cell, each with its parts in order. Beside the
+	// newest complete one there may be incomplete and older ones, and parts of an older,
+	// longer one may follow those of a snapshot.
+	Load(ctx context.Context, cell int) ([][][]byte, error)
 }
 
 // KeyValueStore keeps the newest value of each key without expiry.
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -58,30 +59,50 @@
 	}
 }
 
-// loadSnapshot applies the newest snapshot if it covers more records of the cell
-// stream than were read. Without a snapshot, all records that the log still has
-// are read.
+// loadSnapshot applies the newest complete snapshot if it covers more records of the cell
+// stream than were read. Without a snapshot, all records that the log still has are read.
 func (c *cell) loadSnapshot(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	data, err := c.node.platform.Snapshots.Load(call, c.number)
-	c.node.metrics.countLogCall(err)
-	if err != nil {
-		c.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", c.number))
-		return
+	parts, err := c.readSnapshot(call)
+	if errors.Is(err, ledger.ErrIncompleteSnapshot) {
+		// It may have been replaced between two pages of the read.
+		parts, err = c.readSnapshot(call)
 	}
-	if len(data) == 0 {
-		return
-	}
-	parts, err := ledger.DecodeSnapshot(data)
 	if err != nil {
 		c.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", c.number))
-		return
 	}
-	if parts[0].CellNext <= c.cellNext+int64(len(c.unapplied)) {
+	if parts == nil || parts[0].CellNext <= c.cellNext+int64(len(c.unapplied)) {
 		return
 	}
 	at := c.ledger().ApplySnapshot(parts)
 	c.cellNext, c.unapplied = at.Cell, nil
 	c.intakeNext = max(c.intakeNext, at.Intake)
 }
+
+func (c *cell) readSnapshot(ctx context.Context) ([]*ledgerpb.Snapshot, error) {
+	data, err := c.node.platform.Snapshots.Load(ctx, c.number)
+	c.node.metrics.countLogCall(err)
+	if err != nil {
+		return nil, err
+	}
+	return newestSnapshot(data)
+}
+
+// newestSnapshot returns the complete snapshot that covers the most records of the cell
+// stream. If none is complete, it returns nil, and an error if there are incomplete ones.
+func newestSnapshot(snapshots [][][]byte) (newest []*ledgerpb.Snapshot, err error) {
+	for _, data := range snapshots {
+		parts, decodeErr := ledger.DecodeSnapshot(data)
+		switch {
+		case decodeErr != nil:
+			err = decodeErr
+		case newest == nil || parts[0].CellNext > newest[0].CellNext:
+			newest = parts
+		}
+	}
+	if newest != nil {
+		return newest, nil
+	}
+	return nil, err
+}
