coordinator: a reader of the log advances although pages arrive slowly

Change: the limit of a page is halved when a read of it times out, to 16 records at least, and doubles when one takes less than a quarter of the time-out (coordinator/pagelimit.go), for both streams.

TestCellIsOpenedThoughPagesArriveSlowly: 6,000 records that take 1 ms each; before, the cell is not opened (the task stays queued), now within 5 s beside the 6 s that the records take.

Cost: after time-outs that had another cause, such as an outage, the first pages are small: from 16 records to 4,096 in eight reads.

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -37,8 +37,12 @@
 	// unapplied holds records of the cell stream from cellNext on. They are applied
 	// after the intake records that they refer to.
 	unapplied [][]byte
+	// cellPages and intakePages limit the pages that are read of the streams.
+	cellPages, intakePages pageLimit
 	// caughtUpAt is when both streams were last read to their ends.
 	caughtUpAt time.Duration
+	// snapshotReadAt is when a snapshot was last read, or found incomplete.
+	snapshotReadAt time.Duration
 	// intakeKnownAt is the time up to which the intake's records were applied then.
 	intakeKnownAt time.Duration
 	// generation is the generation of the group in which the cell is assigned to
@@ -96,6 +100,7 @@
 func newCell(n *Node, number int) *cell {
 	c := &cell{
 		node: n, number: number,
+		cellPages: newPageLimit(cellPageRecords), intakePages: newPageLimit(intakePageRecords),
 		confirmations:    witness.NewConfirmations(n.process, n.monotonicNow()),
 		wake:             make(chan struct{}, 1),
 		refreshRequests:  make(chan chan refreshResult),
@@ -181,9 +186,9 @@
 // catchUp applies all records of both streams. The cell stream is read first and
 // applied last: the submissions that its records refer to are then in the intake
 // before the end that is requested after the read. Records that a failed attempt
-// has read are kept for the next one.
+// has read are kept for the next one, which reads no snapshot soon after it.
 func (c *cell) catchUp(ctx context.Context) error {
-	if c.caughtUpAt == 0 || c.node.monotonicNow()-c.caughtUpAt > snapshotReadAge {
+	if c.isOlder(c.caughtUpAt, snapshotReadAge) && c.isOlder(c.snapshotReadAt, snapshotReadAge) {
 		c.loadSnapshot(ctx)
 	}
 	if err := c.readCellStream(ctx); err != nil {
@@ -207,6 +212,11 @@
 	return nil
 }
 
+// isOlder reports whether a time is 0 or longer ago than age.
+func (c *cell) isOlder(at, age time.Duration) bool {
+	return at == 0 || c.node.monotonicNow()-at > age
+}
+
 // intakeEnd returns the end offset of the intake; reads may lag behind it. If a
 // record of the cell stream were applied before the submission that it refers to,
 // it would be lost, and the task would run again.
@@ -221,7 +231,7 @@
 // readCellStream reads the cell stream to its current end without applying it.
 func (c *cell) readCellStream(ctx context.Context) error {
 	for {
-		page, err := c.readPage(ctx, c.cellStream(), c.cellNext+int64(len(c.unapplied)), cellPageRecords, 0)
+		page, err := c.readLimited(ctx, c.cellStream(), c.cellNext+int64(len(c.unapplied)), &c.cellPages)
 		if errors.Is(err, ErrExpired) {
 			c.reportExpired(c.cellStream(), c.cellNext, page.LogStart)
 			c.cellNext, c.unapplied = page.LogStart, nil
@@ -241,7 +251,7 @@
 // up to the offset end: reads may lag behind by seconds.
 func (c *cell) applyIntakeUpTo(ctx context.Context, end int64) error {
 	for attempt := 1; ; {
-		page, err := c.readPage(ctx, c.intakeStream(), c.intakeNext, intakePageRecords, 0)
+		page, err := c.readLimited(ctx, c.intakeStream(), c.intakeNext, &c.intakePages)
 		if errors.Is(err, ErrExpired) {
 			c.reportExpired(c.intakeStream(), c.intakeNext, page.LogStart)
 			c.intakeNext = page.LogStart
@@ -271,6 +281,14 @@
 	c.node.logger.Log(logevent.LogExpired, zap.String("topic", s.Topic), zap.Int64("from", from), zap.Int64("first", first))
 }
 
+// readLimited reads a page without waiting for records.
+func (c *cell) readLimited(ctx context.Context, s Stream, from int64, limit *pageLimit) (Page, error) {
+	sent := c.node.monotonicNow()
+	page, err := c.readPage(ctx, s, from, limit.records, 0)
+	limit.observe(c.node.monotonicNow()-sent, err)
+	return page, err
+}
+
 func (c *cell) readPage(ctx context.Context, s Stream, from int64, limit int, wait time.Duration) (Page, error) {
 	call, cancel := context.WithTimeout(ctx, wait+logTimeout)
 	defer cancel()
--- a/coordinator/cellpanic.go
+++ b/coordinator/cellpanic.go
@@ -21,6 +21,6 @@
 // another epoch.
 func (c *cell) resetState() {
 	c.state.Store(ledger.New())
-	c.intakeNext, c.cellNext, c.unapplied, c.caughtUpAt = 0, 0, nil, 0
+	c.intakeNext, c.cellNext, c.unapplied, c.caughtUpAt, c.snapshotReadAt = 0, 0, nil, 0, 0
 	c.generation.Store(0)
 }
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -32,6 +32,8 @@
 	snapshots map[int][][]byte
 	// logStart is the offset of the oldest record that is kept of each stream.
 	logStart int64
+	// recordTime is the time that each record of a read takes.
+	recordTime time.Duration
 	// cellReads counts the reads of the cell streams.
 	cellReads int
 	// hiddenRecords is the number of the newest intake records that reads do not
@@ -129,6 +131,16 @@
 	return [][][]byte{l.snapshots[cell]}, nil
 }
 
+// sleepUntilDone waits for a duration, and returns an error if ctx is done before.
+func sleepUntilDone(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (l *fakeLog) End(ctx context.Context, s coordinator.Stream) (int64, error) {
 	return l.Append(ctx, s, nil, nil)
 }
@@ -152,10 +164,10 @@
 		if from < end {
 			page.Records = append(page.Records, l.streams[s][from:min(end, from+int64(limit))]...)
 		}
-		changed := l.changed
+		changed, transfer := l.changed, time.Duration(len(page.Records))*l.recordTime
 		l.mu.Unlock()
 		if len(page.Records) > 0 || wait == 0 {
-			return page, nil
+			return page, sleepUntilDone(ctx, transfer)
 		}
 		select {
 		case <-changed:
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -69,6 +69,9 @@
 		// It may have been replaced between two pages of the read.
 		parts, err = c.readSnapshot(call)
 	}
+	if err == nil || errors.Is(err, ledger.ErrIncompleteSnapshot) {
+		c.snapshotReadAt = c.node.monotonicNow()
+	}
 	if err != nil {
 		c.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", c.number))
 	}
