--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -31,7 +31,6 @@
 	// Times is set for a submission that ended or is overdue: what its time was spent on, as far
 	// as this owner has observed it.
 	Times TimeUses
-	// Waits is set for InterruptionEnded: the times for which the task waited, by what for.
 	// Waits is set for InterruptionEnded, the times for which the task waited, by what for, and
 	// for RoomFilled, the times for which the room was held, by what.
 	Waits map[string]time.Duration
