dispatch: room of stopped runs gets its next run recorded while they stop

The record is the largest part that isn't physical. Change: a planning round also places long-running tasks, in the usual order, in room that is being cleared, and records their runs; each is started when the ends are listed that its room depends on. Claims of displaced runs use the same. What is being stopped still counts, so no start comes early; what blocks a start is checked when it is sent. A run that can't start within the time of a stop and 0.5 s, whose stop has no answer, or whose worker can't be used is withdrawn. More urgent finite tasks keep the room. Gangs, suspects of a crash, best-effort and finite tasks are not placed ahead: finite ones find room that ends by itself elsewhere sooner. What is left: two network delays (11 ms), records of room that ends by itself, isolated starts and paused workers.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -31,6 +31,8 @@
 func (m *Machine) claim(ws *waitingStep, t *ledger.Task, w *worker, room hostapi.Resources) {
 	m.addClaim(&claim{entry: ws.entry, state: ws.state, task: t, worker: w, room: room})
 	m.countDisplacement(ws.entry, t.ID)
+	// The next round records the task's run ahead.
+	m.planNeeded = true
 }
 
 // claimForMoved claims room on a worker for the task of a run that is stopped to be moved there.
@@ -67,7 +69,7 @@
 }
 
 // placeClaimed places the tasks of a step for which room has become free on the workers that
-// they claim, and returns how many.
+// they claim, or will be free when the runs that are being stopped have ended, and returns how many.
 func (m *Machine) placeClaimed(ws *waitingStep) int {
 	if m.claimsOf(ws.state) == 0 {
 		return 0
@@ -79,12 +81,16 @@
 			continue
 		}
 		w := c.worker
-		others := w.claimed.Sub(c.room)
-		if !c.room.Fits(w.Capacity.Sub(w.reserved).Sub(others)) || !suits(ws, &ws.entry.Steps[ws.stepIndex], w) {
+		free := w.free().Add(c.room)
+		if !c.room.Fits(free.Add(m.roomSoon(w))) || !suits(ws, &ws.entry.Steps[ws.stepIndex], w) {
 			continue
 		}
 		m.endClaim(t.ID)
-		m.recordRun(m.newRun(ws.entry, t, t.Run+1, w))
+		if r := m.newRun(ws.entry, t, t.Run+1, w); c.room.Fits(free) {
+			m.recordRun(r)
+		} else {
+			m.recordAhead(r)
+		}
 		placed++
 	}
 	return placed
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -25,8 +25,8 @@
 		return "worker is silent"
 	case r.worker.bar != leasesAllowed:
 		return "worker is recorded as silent"
-	case !r.worker.reserved.Fits(r.worker.Capacity):
-		return "runs exceed the worker's capacity"
+	case r.exceedsCapacity():
+		return roomTaken
 	case m.unconfirmed(r.entry):
 		return "submission is not confirmed by its own cell"
 	case m.viewExpired():
@@ -56,6 +56,12 @@
 			r.entry.NoteNotActive()
 			m.emitSubmissionDecision(SubmissionBegan, r.entry)
 		}
+		if r.ahead && !r.stopRequested && r.worker.Incarnation == incarnation {
+			m.noteWait(r.id.Task)
+			r.phase = recorded
+			m.startRecorded(r.worker)
+			return
+		}
 		reason := m.startBlocker(r)
 		if r.stopRequested || reason != "" || r.worker.Incarnation != incarnation || !m.gangRecorded(r) {
 			m.emitDecision(RunRefused, r.id, r.worker.ID(), reason, 0)
@@ -206,6 +212,9 @@
 	switch r.phase {
 	case recording, ending, stopping:
 		return
+	case recorded:
+		m.withdraw(r, reason)
+		return
 	}
 	kind := RunStopped
 	if r.displaced {
@@ -255,6 +264,7 @@
 		r.confirmedAt = m.now
 		r.unanswered = false
 		w.nextHeartbeatAt = min(w.nextHeartbeatAt, m.now+urgentHeartbeatInterval)
+		m.watchClearing(w)
 	}
 }
 
--- a/dispatch/finalruns.go
+++ b/dispatch/finalruns.go
@@ -120,6 +120,8 @@
 	switch {
 	case r.phase == recording:
 		return "its placement is not in the log"
+	case r.phase == recorded:
+		return "its room is not free"
 	case r.worker.Address == "":
 		return "worker has no known address"
 	case r.worker.silent:
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -168,6 +168,7 @@
 	w.reported = true
 	m.processEnds(w, report.Ended)
 	m.processActive(w, ev, report.Active)
+	m.startRecorded(w)
 	m.observeSurvival(w, report.Clock)
 	m.observeInterference(w)
 	m.controlPaces(w)
@@ -175,6 +176,7 @@
 	if !first {
 		w.nextHeartbeatAt += w.heartbeatInterval()
 	}
+	m.watchClearing(w)
 }
 
 // acknowledgedCursor returns the cursor that the worker has applied, which is below
--- a/dispatch/interruption.go
+++ b/dispatch/interruption.go
@@ -34,6 +34,8 @@
 	waitDetection wait = "end of the last run to be learned"
 	// waitStop: its last run is being stopped.
 	waitStop wait = "stop of the last run"
+	// waitRoom: its next run is recorded, and the last ones on the worker are being stopped.
+	waitRoom wait = "room"
 	// waitStart: a start of it has not been confirmed.
 	waitStart wait = "start"
 	// waitLog: a record of it is not in the log, or the log is unavailable.
@@ -153,6 +155,8 @@
 // waitOf returns what a task that has no confirmed run waits for.
 func (m *Machine) waitOf(id workload.TaskID) wait {
 	switch r := m.active[id]; {
+	case r != nil && r.ahead:
+		return waitRoom
 	case m.recordingEnds[id] || m.releasing[id] || r != nil && (r.phase == recording || r.phase == ending):
 		return waitLog
 	case r == nil:
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -186,7 +186,7 @@
 		r.checkpoint = newer
 	}
 	m.noteWait(t.ID)
-	m.fillRoom(r)
+	m.fillRoom(r, heldByPlan, heldByRecord)
 	w.addRun(r)
 	m.active[t.ID] = r
 	m.addOccupied(e, t.ID, 1)
@@ -380,6 +380,7 @@
 			m.stopLeaving(w)
 		}
 		m.retryCommands(w)
+		m.startRecorded(w)
 		m.heartbeatIfDue(w)
 	}
 	m.reportExpiredViews()
--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -49,7 +49,7 @@
 		o.seenAt = w.silentAt
 	}
 	for _, r := range w.runList {
-		if r.survived || r.phase == recording {
+		if r.survived || r.phase == recording || r.phase == recorded {
 			continue
 		}
 		switch {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -36,12 +36,13 @@
 	waiting = withLeaving(waiting, leaving)
 	displacement, repacking := m.newDisplacement(workers), m.newRepacking(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
-	paced := newCandidates(workers)
+	paced, clearing := newCandidates(workers), newCandidates(m.clearingWorkers(workers))
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for _, ws := range waiting {
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
 			placed += m.placeLongRunning(longRunning, ws, limit-placed)
+			placed += m.placeAhead(clearing, ws, limit-placed)
 			m.displaceFor(displacement, ws)
 			m.repackFor(repacking, ws)
 			held := m.workersToHold(round, ws, bestEffort.workers, failedHolds)
@@ -50,6 +51,7 @@
 			placed += m.placeBestEffort(bestEffort, paced, ws, limit-placed)
 		default:
 			placed += m.placeOn(finite, ws, limit-placed)
+			m.leaveRoom(clearing, ws)
 			if ws.favoured {
 				// Best-effort tasks reserve no CPU, and go on there.
 				finite.workers = without(finite.workers, m.workersToHold(round, ws, finite.workers, failedFavoured))
--- a/dispatch/roomwait.go
+++ b/dispatch/roomwait.go
@@ -73,13 +73,14 @@
 }
 
 // fillRoom begins to measure how long the room that a long-running run takes has been on its way
-// to it, if its task has waited since before the room became free.
-func (m *Machine) fillRoom(r *run) {
+// to it, if its task has waited since before the room became free. last has held it since the end of
+// the last run there was learned, next holds it from now on.
+func (m *Machine) fillRoom(r *run, last, next holder) {
 	v, since := r.worker.vacancy, m.waitingFrom(r)
 	if !r.step.LongRunning || v.at == 0 || since >= v.at {
 		return
 	}
-	f := &filling{since: v.at, holder: heldByPlan, changedAt: v.at}
+	f := &filling{since: v.at, holder: last, changedAt: v.at}
 	if v.stopAt > 0 {
 		f.since = max(since, v.stopAt)
 		answered := max(f.since, v.stopAnsweredAt)
@@ -90,7 +91,7 @@
 			f.waits[heldByStop] = answered - f.since
 		}
 	}
-	f.hold(m.now, heldByRecord)
+	f.hold(m.now, next)
 	r.filling = f
 }
 
@@ -142,6 +143,9 @@
 // holds returns what holds the room of a run that its worker does not list as active.
 func (r *run) holds() holder {
 	switch {
+	case r.ahead:
+		// The runs that are being stopped hold the room.
+		return heldByEnd
 	case r.unanswered:
 		return heldByRepeat
 	case r.phase == recording:
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -13,6 +13,9 @@
 const (
 	// recording: the Placed record is being appended to the log.
 	recording phase = iota + 1
+	// recorded: the Placed record is in the log, and the start waits for room that is being
+	// cleared.
+	recorded
 	// starting: the start command was sent and is not confirmed.
 	starting
 	// running: the worker confirmed the run.
@@ -25,7 +28,7 @@
 
 // String returns the phase's name in logs and dumps.
 func (p phase) String() string {
-	return [...]string{"none", "recording", "starting", "running", "stopping", "ending"}[p]
+	return [...]string{"none", "recording", "recorded", "starting", "running", "stopping", "ending"}[p]
 }
 
 // stopShouldHaveEnded reports whether a report, whose heartbeat was sent at a time, shows
@@ -48,6 +51,10 @@
 	inherited bool
 	// stopRequested: the run must be stopped, or not started.
 	stopRequested bool
+	// ahead: the run's placement is recorded ahead, and it is not started before runs that are
+	// being stopped have ended. If they haven't by aheadUntil, it is withdrawn.
+	ahead      bool
+	aheadUntil time.Duration
 	// displaced: the run is stopped, or moved, to make room. discarded is the work that it loses, in seconds
 	// of a core.
 	displaced bool
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -84,6 +84,9 @@
 	latencyCPU    int64
 	// longRunning is the part of reserved that belongs to long-running runs.
 	longRunning hostapi.Resources
+	// ahead is the part of reserved that belongs to runs recorded ahead, which wait until other
+	// runs have ended.
+	ahead hostapi.Resources
 	// claimed is the room that is kept for tasks while runs are being stopped for them.
 	claimed hostapi.Resources
 	// limitedRuns counts the runs of each step with a limit per worker.
@@ -180,6 +183,9 @@
 		w.isolated += sign
 	}
 	request := reservation(r.step)
+	if r.ahead {
+		w.ahead = addTimes(w.ahead, request, sign)
+	}
 	if r.step.BestEffort {
 		w.bestEffortCPU += sign * r.bestEffortCPU()
 	}
@@ -304,9 +310,9 @@
 	return out
 }
 
-// hasLiveRuns reports whether the worker has a run of a submission that is not final.
+// hasLiveRuns reports whether the worker may have a run of a submission that is not final.
 func (w *worker) hasLiveRuns() bool {
-	return slices.ContainsFunc(w.runList, func(r *run) bool { return !r.entry.State().Final() })
+	return slices.ContainsFunc(w.runList, func(r *run) bool { return !r.ahead && !r.entry.State().Final() })
 }
 
 // forgetExpiredUnknownRuns gives unknown runs of a silent worker up when their leases have
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -85,6 +85,10 @@
 // abandonRuns removes the runs of a worker on which they can no longer be active.
 func (m *Machine) abandonRuns(w *worker, reason string) {
 	for _, r := range w.runList {
+		if r.phase == recorded {
+			m.withdraw(r, reason)
+			continue
+		}
 		m.emitDecision(RunLost, r.id, w.ID(), reason, m.now-w.clockAt)
 		if r.checkpoint != "" {
 			m.checkpoints[r.id.Task] = r.checkpoint
