dispatch/dispatchtest: courses of runs that are recorded ahead

The explorer's workers stopped runs at once and had room for all tasks, so no course had a run that is recorded and waits for room. Workers can now take a time to stop, during which a run is listed neither as active nor as ended, tasks can request different amounts, and TestCoursesOfRunsRecordedAhead plays all courses that begin with the cancellation of two submissions which fill both workers: takeovers, silent, crashing and leaving workers, late calls and lost answers while the next runs wait. A start that finds no room breaks any course. The test fails if recorded runs are started before their room is free (seen).

--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -25,6 +25,8 @@
 type courseChecks struct {
 	started map[workload.TaskID]int64
 	acked   map[workload.TaskID]bool
+	// slack is added to the bound of FaultsEnded.
+	slack time.Duration
 }
 
 func newCourseChecks() dispatchtest.Checks {
@@ -57,8 +59,8 @@
 }
 
 // FaultsEnded finds a task without a run after the bound.
-func (*courseChecks) FaultsEnded(c *dispatchtest.World) {
-	slack := courseSlack + time.Duration(len(c.Tasks)-1)*courseIsolation
+func (k *courseChecks) FaultsEnded(c *dispatchtest.World) {
+	slack := courseSlack + k.slack + time.Duration(len(c.Tasks)-1)*courseIsolation
 	for began := c.Now; c.Problem == ""; c.Run(dispatchtest.Tick) {
 		waiting, bound := false, began
 		for _, id := range c.Tasks {
@@ -156,3 +158,31 @@
 		})
 	}
 }
+
+// Guards against two runs of a task, a start without room and a task that waits for longer than the
+// bound, where its run is recorded while the runs that are in its way are being stopped.
+func TestCoursesOfRunsRecordedAhead(t *testing.T) {
+	t.Parallel()
+	const stopTime = 600 * time.Millisecond
+	whole := workload.Step{Tasks: 1, Request: dispatchtest.TaskRequest, Estimate: time.Hour, LongRunning: true}
+	whole.Request.MilliCPU *= 4
+	half := whole
+	half.Request.MilliCPU /= 2
+	checks := func() dispatchtest.Checks {
+		k := newCourseChecks().(*courseChecks)
+		// A run that can't start is withdrawn after the time of a stop and 0.5 s.
+		k.slack = 2*stopTime + 500*time.Millisecond
+		return k
+	}
+	for _, c := range []struct {
+		name  string
+		steps []workload.Step
+	}{
+		{"one", []workload.Step{whole, whole, half}},
+		{"two", []workload.Step{whole, whole, half, half}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			exploreCourses(t, *courseDepth, dispatchtest.NewStopExplorer(checks, stopTime, c.steps))
+		})
+	}
+}
--- a/dispatch/dispatchtest/call.go
+++ b/dispatch/dispatchtest/call.go
@@ -113,7 +113,10 @@
 func (c *World) start(o *owner, a dispatch.Start) {
 	c.send(o, a.Target, a.Deadline, func(w *linkedWorker) any {
 		had := w.Runs[a.Run] != nil
-		answer := w.Start(c.Now, o.epoch, a, &Run{ID: a.Run, Request: TaskRequest, StartedAt: c.Now, EndsAt: c.Now + endless})
+		answer := w.Start(c.Now, o.epoch, a, &Run{ID: a.Run, Request: c.requests[a.Run.Task.Submission], StartedAt: c.Now, EndsAt: c.Now + endless})
+		if answer == dispatch.NoRoom {
+			c.Fail("run %d of %s finds no room on %s", a.Run.Run, a.Run.Task.Submission, w.Info.Worker)
+		}
 		if answer == dispatch.Done && !had {
 			c.note("run %d of %s starts on %s", a.Run.Run, a.Run.Task.Submission, w.Info.Worker)
 			c.checks.Started(c, a.Run)
--- a/dispatch/dispatchtest/event.go
+++ b/dispatch/dispatchtest/event.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -34,6 +36,7 @@
 	StoreNoAnswers = "the store loses answers, or not any more"
 	PowerLoss      = "the owner's VM loses power"
 	OwnerKilled    = "the owner is killed"
+	firstCancelled = "s0 and s1 are cancelled"
 )
 
 // Names of events of the witnesses (v0, v1 and v2).
@@ -199,6 +202,20 @@
 }
 
 // endRun ends the run of a task: a finite one is done.
+// cancelFirst cancels the first two submissions. Only the other ones are judged from then on.
+func (c *World) cancelFirst() bool {
+	if len(c.Tasks) < 3 || !c.reachesStore(c.owner.node) || c.owner.ended {
+		return false
+	}
+	for _, id := range c.Tasks[:2] {
+		record := ledger.CancelledRecord(id.Submission)
+		c.log = append(c.log, record)
+		c.step(c.owner, dispatch.EntryChanged{Entry: c.owner.ledger.Apply(record)})
+	}
+	c.Tasks, c.steps = c.Tasks[2:], c.steps[2:]
+	return true
+}
+
 func (c *World) endRun(i int) bool {
 	for _, w := range c.workers {
 		for _, r := range w.sorted() {
--- a/dispatch/dispatchtest/explorer.go
+++ b/dispatch/dispatchtest/explorer.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"slices"
+	"time"
 
 	"github.com/cactusreel/cactusreel/workload"
 )
@@ -21,6 +22,8 @@
 	// checks returns the checks of one world.
 	checks func() Checks
 	events []event
+	// stopTime is how long stops take in the worlds.
+	stopTime time.Duration
 	// first is the course with which all others begin.
 	first   []byte
 	courses int
@@ -38,6 +41,15 @@
 	return newExplorer(checks, witnessEvents(), steps, first)
 }
 
+// NewStopExplorer returns an explorer of the courses that begin with the cancellation of the first two
+// submissions, whose runs take a time to stop.
+func NewStopExplorer(checks func() Checks, stopTime time.Duration, steps []workload.Step, first ...string) *Explorer {
+	cancel := event{firstCancelled, (*World).cancelFirst}
+	x := newExplorer(checks, append([]event{cancel}, generalEvents()...), steps, append([]string{firstCancelled}, first...))
+	x.stopTime = stopTime
+	return x
+}
+
 func newExplorer(checks func() Checks, events []event, steps []workload.Step, first []string) *Explorer {
 	x := &Explorer{steps: steps, checks: checks, events: events, seen: make(map[[sha256.Size]byte]bool)}
 	for _, name := range first {
@@ -101,7 +113,7 @@
 // play plays a course from the beginning, because a machine can't be copied. It returns nil if
 // an event of the course is not possible.
 func (x *Explorer) play(course []byte) *World {
-	c := NewWorld(x.checks(), x.steps...)
+	c := newWorld(x.checks(), x.stopTime, x.steps)
 	for _, n := range course {
 		c.note("%s", x.events[n].name)
 		if !x.events[n].do(c) {
--- a/dispatch/dispatchtest/owner.go
+++ b/dispatch/dispatchtest/owner.go
@@ -94,7 +94,7 @@
 	c.owner = o
 	o.machine = dispatch.New(dispatch.Config{
 		Epoch: o.epoch, Lease: leaseDuration, HandoverLease: handoverLease, HeartbeatWait: time.Second, RemoteFactor: 2,
-		PredecessorExpiry: predecessorExpiry, AuthorityDuration: authority,
+		PredecessorExpiry: predecessorExpiry, AuthorityDuration: authority, StopTime: c.stopTime,
 		LeaseLimit: func() time.Duration {
 			joined := max(0, o.joinedAt+leaseAuthority+leaseDuration-c.Now)
 			return min(joined, o.witnesses.LeaseLimit(c.Now, leaseDuration))
--- a/dispatch/dispatchtest/worker.go
+++ b/dispatch/dispatchtest/worker.go
@@ -44,6 +44,10 @@
 	// Unguarded workers start what exceeds their capacity, which last shrank at ShrunkAt.
 	Unguarded bool
 	ShrunkAt  time.Duration
+	// StopTime is how long a stop takes, during which a run is neither active nor ended.
+	StopTime time.Duration
+	// now is the time of the last call of Advance.
+	now time.Duration
 	// slow is the fraction by which the worker's clock is slow.
 	slow float64
 }
@@ -58,6 +62,8 @@
 	// StartedAt is when the worker started the run.
 	StartedAt time.Duration
 	Outcome   workload.Outcome
+	// stopping: a stop of the run is under way.
+	stopping bool
 }
 
 // NewWorker returns a worker that is up, with a capacity of some thousandths of a core.
@@ -79,6 +85,7 @@
 
 // Advance ends the runs that are due, and kills all runs if the lease has expired.
 func (w *Worker) Advance(now time.Duration) {
+	w.now = now
 	if !w.Up {
 		return
 	}
@@ -175,8 +182,13 @@
 		return dispatch.Fenced
 	}
 	w.highestRefused[s.Run.Task] = max(w.highestRefused[s.Run.Task], s.Run.Run)
-	if r := w.Runs[s.Run]; r != nil {
+	switch r := w.Runs[s.Run]; {
+	case r == nil || r.stopping:
+	case w.StopTime == 0:
 		w.end(r, workload.Stopped)
+	default:
+		r.stopping, r.Outcome, r.EndsAt = true, workload.Stopped, w.now+w.StopTime
+		w.earliestEnd = min(w.earliestEnd, r.EndsAt)
 	}
 	return dispatch.Done
 }
@@ -195,6 +207,9 @@
 		Incarnation: w.Info.Incarnation, Clock: w.Clock(now), Ended: slices.Clone(listed), EndsIncomplete: len(listed) == listedEnds,
 	}
 	for _, r := range w.sorted() {
+		if r.stopping {
+			continue
+		}
 		report.Active = append(report.Active, workload.ActiveRun{RunID: r.ID, ProgressPercent: 50})
 	}
 	return report, dispatch.Done
--- a/dispatch/dispatchtest/world.go
+++ b/dispatch/dispatchtest/world.go
@@ -73,17 +73,22 @@
 	// arrive late.
 	witnessLinks witnessLinks
 	lateAnswers  bool
+	// stopTime is how long stops take. requests are what the tasks of each submission request.
+	stopTime time.Duration
+	requests map[string]hostapi.Resources
 	// ownedAt is when an owner could last append records.
 	ownedAt time.Duration
 }
 
 // NewWorld returns a world with a submission of each step, a while after its first owner began.
-func NewWorld(checks Checks, steps ...workload.Step) *World {
-	c := &World{Now: time.Minute, steps: steps, checks: checks}
+func NewWorld(checks Checks, steps ...workload.Step) *World { return newWorld(checks, 0, steps) }
+
+func newWorld(checks Checks, stopTime time.Duration, steps []workload.Step) *World {
+	c := &World{Now: time.Minute, steps: steps, checks: checks, stopTime: stopTime, requests: make(map[string]hostapi.Resources)}
 	for i := range c.nodes {
 		c.nodes[i] = &node{index: i, seen: make(map[int64]time.Duration)}
 		c.workers[i] = &linkedWorker{Worker: NewWorker(fmt.Sprintf("w%d", i), 16000), index: i}
-		c.workers[i].slow = 0.02
+		c.workers[i].slow, c.workers[i].StopTime = 0.02, stopTime
 	}
 	for i := range c.witnesses {
 		c.startWitness(i)
@@ -91,6 +96,7 @@
 	for i, step := range steps {
 		id := fmt.Sprintf("s%d", i)
 		c.Tasks = append(c.Tasks, workload.TaskID{Submission: id})
+		c.requests[id] = step.Request
 		c.log = append(c.log, ledger.SubmittedRecord(&workload.Submission{
 			ID: id, Queue: "q", Steps: []workload.Step{step}, Policy: workload.Policy{Service: "register", MaxAttempts: 50, SlackFactor: 1.5},
 		}))
