dispatch: heartbeats to silent workers and to those without runs don't wait for an end

That also holds where no run is being stopped: (a) a worker that is silent and has no runs stays unusable for up to 2 s after it can be reached again; (b) the heartbeat that acknowledges the last end of a worker waits there, so that the first report on a run that is started meanwhile is late, also one that shows that an isolated start has survived. Cause: the branch for workers without live runs comes before the one for silent workers, and a worker without runs has no live ones. Change: endWait is 0 for a silent worker and for one without runs, as before.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -68,11 +68,11 @@
 	return wait
 }
 
-// endWait returns how long a worker may delay its report until a run ends: not at all if it lists ends
-// that are not acknowledged or if the state of a run depends on the next report, and no longer than
-// until a report shows whether a stop has been carried out.
+// endWait returns how long a worker may delay its report until a run ends: not at all if it is silent,
+// has no runs or lists ends that are not acknowledged, or if the state of a run depends on the next
+// report, and no longer than until a report shows whether a stop has been carried out.
 func (m *Machine) endWait(w *worker) time.Duration {
-	if w.lastEnd != w.cursor || len(w.unknownRuns) > 0 {
+	if w.silent || len(w.runList) == 0 || w.lastEnd != w.cursor || len(w.unknownRuns) > 0 {
 		return 0
 	}
 	wait := m.heartbeatWait(w)
