coordinator: an owner reads its intake though pages arrive slowly

Callers: while pages of 256 submissions take longer than a read may, an owner with a backlog in its intake learns of none of them, and states that need the intake are not available ("the log is unavailable"): a wait without a bound, as each read asks for the same page. Change: it uses a pageLimit as well. Evidence: TestOwnerReadsItsIntakeThoughPagesArriveSlowly (300 records of 10 ms each) fails without the change (seen) and passes with it, 3 of 3 with the race detector. Cost: after an outage longer than some seconds the first pages of an owner are small: 16, 32, 64, ...

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -312,10 +312,11 @@
 
 // tailIntake reads new records of the intake until ctx is done.
 func (o *ownership) tailIntake(ctx context.Context, from int64) {
-	wait := o.node.intakeWait()
+	wait, limit := o.node.intakeWait(), newPageLimit(intakePageRecords)
 	for ctx.Err() == nil {
 		sent := o.node.monotonicNow()
-		page, err := o.readPage(ctx, o.intakeStream(), from, intakePageRecords, wait)
+		page, err := o.readPage(ctx, o.intakeStream(), from, limit.records, wait)
+		limit.observe(o.node.monotonicNow()-sent, err)
 		switch {
 		case errors.Is(err, ErrExpired):
 			from = page.LogStart
