--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -118,8 +118,6 @@
 	}
 }
 
-// countServed counts a submission by its size and by how it was served, with what it spent its
-// time on.
 // observeRoomFilled updates the histograms of the times for which room that a task waited for was
 // held, and by what.
 func (n *Node) observeRoomFilled(d dispatch.Decision) {
@@ -129,7 +127,8 @@
 	}
 }
 
-// countServed counts a submission by its size and by how it was served.
+// countServed counts a submission by its size and by how it was served, with what it spent its
+// time on.
 func (n *Node) countServed(d dispatch.Decision) {
 	if d.Served == dispatch.ServedBefore {
 		return
