soak: workers that stay away, and that drain and leave; two faults at a time

Two more kinds of seeded faults: a worker is cut off for 6.2 s to 9.7 s, longer than its lease of 5 s, with its entry removed or not, and comes back as the same incarnation; and a worker drains for 1.1 s to 2.8 s, leaves with all that runs on it, and is replaced under its id after a pause. The regression seed keeps its kinds of faults and one fault at a time. Checks and bounds are unchanged; a seed other than the regression has other faults than before, as each time a kind was added.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,7 +4,8 @@
 // The processes are built from the source tree and run on loopback with a
 // stand-in platform in the test process. A proxy between each coordinator and the
 // store, and in front of each worker, resets connections or blocks one or both
-// directions. Processes are killed, paused, stopped and started by signals. The
+// directions. Processes are killed, paused, stopped and started by signals. Workers
+// crash, stay away for longer than their leases, or drain and leave. The
 // test signals only processes that it has started, by their ids.
 //
 // `go test ./soak` runs the regression seeds and one short seed;
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -13,27 +12,27 @@
 func (s *seedRun) injectFault() {
 	p := s.processes[s.random.IntN(len(s.processes))]
 	worker := s.random.IntN(len(s.workers))
-	workerProxy := s.workerProxies[worker]
+	workerProxy, workerName := s.workerProxies[worker], s.workers[worker].ID
 	duration := time.Duration(200+s.random.IntN(3500)) * time.Millisecond
 	switch s.random.IntN(s.faultKinds) {
 	case 0:
-		s.runFault(func() { p.kill(); time.Sleep(duration / 4); p.start() })
+		s.runFault(func() { p.kill(); time.Sleep(duration / 4); p.start() }, p.name)
 	case 1:
-		s.runFault(func() { p.signal(syscall.SIGSTOP); time.Sleep(duration); p.signal(syscall.SIGCONT) })
+		s.runFault(func() { p.signal(syscall.SIGSTOP); time.Sleep(duration); p.signal(syscall.SIGCONT) }, p.name)
 	case 2:
-		s.runFault(p.restartGracefully)
+		s.runFault(p.restartGracefully, p.name)
 	case 3:
 		s.runFault(func() {
 			p.storeProxy.update(func() { p.storeProxy.blockRequests, p.storeProxy.blockResponses = true, true })
 			time.Sleep(duration)
 			p.storeProxy.clearFaults()
-		})
+		}, p.name)
 	case 4:
 		s.runFault(func() {
 			p.storeProxy.update(func() { p.storeProxy.blockResponses = true })
 			time.Sleep(duration)
 			p.storeProxy.clearFaults()
-		})
+		}, p.name)
 	case 5:
 		p.storeProxy.reset()
 		workerProxy.reset()
@@ -42,30 +41,32 @@
 			workerProxy.update(func() { workerProxy.blockRequests = true })
 			time.Sleep(duration)
 			workerProxy.clearFaults()
-		})
+		}, workerName)
 	case 7:
 		s.runFault(func() {
 			workerProxy.update(func() { workerProxy.blockResponses = true })
 			time.Sleep(duration)
 			workerProxy.clearFaults()
-		})
+		}, workerName)
 	case 8:
 		// A restart closes the connections of the old incarnation, so that no
 		// delayed command reaches the new one.
-		workerProxy.reset()
-		s.workers[worker].Restart()
+		if s.workerStates[worker].isUp() {
+			workerProxy.reset()
+			s.workers[worker].Restart()
+		}
 	case 9:
 		s.runFault(func() {
 			s.store.SetFault(platformtest.Fault{LostResponseShare: 0.3, Delay: 20 * time.Millisecond})
 			time.Sleep(duration)
 			s.store.SetFault(platformtest.Fault{})
-		})
+		}, "store")
 	case 10:
 		s.runFault(func() {
 			s.store.SetFault(platformtest.Fault{Status: http.StatusServiceUnavailable})
 			time.Sleep(duration)
 			s.store.SetFault(platformtest.Fault{})
-		})
+		}, "store")
 	case 11:
 		s.runFault(func() {
 			p.storeProxy.update(func() { p.storeProxy.delay = duration / 20 })
@@ -73,28 +74,31 @@
 			time.Sleep(duration)
 			p.storeProxy.clearFaults()
 			workerProxy.clearFaults()
-		})
+		}, p.name, workerName)
+	case 12:
+		away := 6*time.Second + duration
+		removed := s.random.IntN(2) == 0
+		s.runFault(func() { s.stayAway(worker, away, removed) }, workerName)
+	case 13:
+		s.runFault(func() { s.drainAndLeave(worker, time.Second+duration/2, duration) }, workerName)
 	}
 }
 
-// faultInProgress admits one lasting fault at a time; runFault skips a fault while
-// another one is in progress. Otherwise concurrent faults of one process could
-// undo each other's signals.
-var faultInProgress sync.Mutex
-
-func (s *seedRun) runFault(fault func()) {
+// runFault runs a lasting fault of some targets: processes, workers and the store. It skips
+// the fault while one of the targets has another one, because concurrent faults of one target
+// could undo each other, or while as many faults as the seed allows are in progress.
+func (s *seedRun) runFault(fault func(), targets ...string) {
 	s.goroutines.Go(func() {
-		if !faultInProgress.TryLock() {
+		if !s.faults.begin(targets) {
 			return
 		}
-		defer faultInProgress.Unlock()
+		defer s.faults.end(targets)
 		fault()
 	})
 }
 
 func (s *seedRun) clearFaults() {
-	faultInProgress.Lock()
-	defer faultInProgress.Unlock()
+	s.faults.closeAndWait()
 	s.store.SetFault(platformtest.Fault{})
 	for _, p := range s.processes {
 		p.storeProxy.clearFaults()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,6 +46,7 @@
 	history       *platformtest.History
 	workers       []*platformtest.Worker
 	workerProxies []*proxy
+	workerStates  []*workerState
 	processes     []*process
 	mu            sync.Mutex
 	accepted      map[string]bool
@@ -53,6 +54,7 @@
 	cancelled     map[string]bool
 	// faultKinds is the number of kinds of faults that injectFault chooses from.
 	faultKinds int
+	faults     *faultLimit
 	stop       chan struct{}
 	goroutines sync.WaitGroup
 }
@@ -70,27 +72,29 @@
 	for seed, cause := range regressionSeeds {
 		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
 			t.Log(cause)
-			runSeed(t, binary, seed, firstFaultKinds)
+			runSeed(t, binary, seed, firstFaultKinds, 1)
 		})
 	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed, allFaultKinds) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed, allFaultKinds, 2) })
 	}
 }
 
 // firstFaultKinds is the number of kinds of faults when the regression seeds were recorded:
-// with another number a seed has other faults. allFaultKinds adds delays.
+// with another number a seed has other faults. allFaultKinds adds delays, and workers that stay
+// away, or drain and leave.
 const (
 	firstFaultKinds = 11
-	allFaultKinds   = 12
+	allFaultKinds   = 14
 )
 
-func runSeed(t *testing.T, binary string, seed uint64, faultKinds int) {
+// runSeed runs a seed with up to overlapping lasting faults at a time.
+func runSeed(t *testing.T, binary string, seed uint64, faultKinds, overlapping int) {
 	s := &seedRun{
 		t: t, random: rand.New(rand.NewPCG(seed, 4)),
 		store: platformtest.NewStore(seed), history: platformtest.NewHistory(),
 		accepted: make(map[string]bool), refused: make(map[string]bool), cancelled: make(map[string]bool),
-		stop: make(chan struct{}), faultKinds: faultKinds,
+		stop: make(chan struct{}), faultKinds: faultKinds, faults: newFaultLimit(overlapping),
 	}
 	defer s.cleanUp()
 	s.setUp(binary, seed)
@@ -137,7 +141,7 @@
 		p, err := newProxy(strings.TrimPrefix(server.URL, "http://"))
 		s.must(err)
 		s.t.Cleanup(p.close)
-		s.workers, s.workerProxies = append(s.workers, w), append(s.workerProxies, p)
+		s.workers, s.workerProxies, s.workerStates = append(s.workers, w), append(s.workerProxies, p), append(s.workerStates, new(workerState))
 		s.announceWorker(i)
 	}
 	server := httptest.NewServer(s.store)
@@ -157,12 +161,23 @@
 	}
 }
 
-// announceWorker writes the entry of a worker to the store.
+// announceWorker writes the entry of a worker to the store, or removes it.
 func (s *seedRun) announceWorker(i int) {
-	s.must(s.store.Put("keyed.servers", s.workers[i].ID, map[string]any{
+	state := s.workerStates[i]
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if state.removed {
+		s.must(s.store.Put("keyed.servers", s.workers[i].ID, nil))
+		return
+	}
+	entry := map[string]any{
 		"service": "svc", "address": s.workerProxies[i].address(), "zone": "giza", "state": "ready", "born": s.workers[i].StartMillis(),
 		"capacity": map[string]any{"cpu": 8000, "mem_mb": 8000}, "labels": []string{"a", "r1-1"},
-	}))
+	}
+	if !state.leavesAt.IsZero() {
+		entry["state"], entry["remaining_ms"] = "draining", max(0, time.Until(state.leavesAt).Milliseconds())
+	}
+	s.must(s.store.Put("keyed.servers", s.workers[i].ID, entry))
 }
 
 // repeatAnnouncements writes the entries of all workers periodically, so that
