--- a/coordinator/earlyloss_test.go
+++ b/coordinator/earlyloss_test.go
@@ -34,3 +34,29 @@
 		}
 	}
 }
+
+// Guards against a wait that the time without an owner prolongs: the second owner never heard the
+// worker, and its record of the silence doesn't say how long before the takeover it was made.
+func TestOwnersLostAfterAWorkerThatTheSecondNeverHeard(t *testing.T) {
+	const findsItSilent = 1500 * time.Millisecond
+	for _, after := range []time.Duration{1800 * time.Millisecond, 2 * time.Second, 2200 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const vms = 8
+				s := startSilentWorkerTest(t, vms)
+				defer s.close()
+				time.Sleep(ownerAuthority)
+				s.silence()
+				time.Sleep(800 * time.Millisecond)
+				s.isolate("vm-0", vms)
+				time.Sleep(silentTakeoverInterval / 2)
+				s.group.assign(0, "vm-1")
+				time.Sleep(after)
+				s.isolate("vm-1", vms)
+				time.Sleep(silentTakeoverInterval / 2)
+				s.group.assign(0, "vm-2")
+				s.waitForRestart(findsItSilent)
+			})
+		})
+	}
+}
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -11,6 +11,9 @@
 // handOverInterval is the time between two extensions of the leases after an ownership.
 const handOverInterval = time.Second
 
+// handOverPollInterval is the time between two looks at what the witnesses hold.
+const handOverPollInterval = 10 * time.Millisecond
+
 // handOver extends the leases of the workers before the ownership ends, as far as they
 // answer within handOverTimeout, and goes on extending them in the background until they
 // last for the lease of a hand-over. No extension is longer than the usual lease: if the
@@ -21,7 +24,11 @@
 	// A successor that hears nothing from this owner expects no later leases.
 	lease := min(o.node.config.Dispatch.HandoverLease, o.joinedLeaseLimit())
 	heartbeats := o.machine.HandOver(began, lease)
+	o.endReports(parent)
 	withhold := func() time.Duration {
+		if o.witnesses.LimitsWorkers() {
+			return lease
+		}
 		grantable := min(o.node.config.Dispatch.Lease, o.witnesses.LeaseLimit(o.node.authorityNow(), o.node.config.Dispatch.Lease))
 		return max(0, lease-grantable-(o.node.monotonicNow()-began))
 	}
@@ -40,6 +47,18 @@
 	})
 }
 
+// endReports reports no leases any more, so that they can be extended, and waits briefly until a
+// majority of the witnesses holds that report.
+func (o *ownership) endReports(ctx context.Context) {
+	o.witnesses.EndReports()
+	signal(o.lastReportMade)
+	for began := o.node.monotonicNow(); o.witnesses.LimitsWorkers() && o.node.monotonicNow()-began < handOverTimeout; {
+		if !sleep(ctx, handOverPollInterval) {
+			return
+		}
+	}
+}
+
 // handOverTime returns how long an owner goes on extending leases after it gave the cell up.
 func (c *cell) handOverTime() time.Duration {
 	return max(0, c.node.config.Dispatch.HandoverLease-c.node.config.Dispatch.Lease)
--- /dev/null
+++ b/coordinator/leasereports.go
@@ -0,0 +1,93 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/cactusreel/cactusreel/coordinator/coordpb"
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/witness"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// reportTimeout is how long a round of calls to the witnesses waits for a new report of the
+// owner's leases. Without one the newest is sent again.
+const reportTimeout = 50 * time.Millisecond
+
+// reportMessage returns a report as it is sent.
+func reportMessage(r *witness.Report) *coordpb.LeaseReport {
+	m := &coordpb.LeaseReport{Number: r.Number, Numbering: r.Numbering, FirstWorker: int32(r.FirstWorker), Expiry: r.Expiry}
+	for _, worker := range r.Workers {
+		m.Workers = append(m.Workers, &coordpb.ReportedWorker{Worker: worker.Worker, Born: worker.StartMillis})
+	}
+	return m
+}
+
+// reportOf returns the report in a call, or nil if there is none.
+func reportOf(m *coordpb.LeaseReport) *witness.Report {
+	if m == nil {
+		return nil
+	}
+	r := &witness.Report{Number: m.Number, Numbering: m.Numbering, FirstWorker: int(m.FirstWorker), Expiry: m.Expiry}
+	for _, worker := range m.Workers {
+		r.Workers = append(r.Workers, workload.Incarnation{Worker: worker.Worker, StartMillis: worker.Born})
+	}
+	return r
+}
+
+func leaseMessages(leases map[workload.Incarnation]time.Duration) []*coordpb.WorkerLease {
+	out := make([]*coordpb.WorkerLease, 0, len(leases))
+	for worker, left := range leases {
+		out = append(out, &coordpb.WorkerLease{Worker: worker.Worker, Born: worker.StartMillis, ExpiryMs: ceilMillis(left)})
+	}
+	return out
+}
+
+func leasesIn(leases []*coordpb.WorkerLease) map[workload.Incarnation]time.Duration {
+	out := make(map[workload.Incarnation]time.Duration, len(leases))
+	for _, l := range leases {
+		out[workload.Incarnation{Worker: l.Worker, StartMillis: l.Born}] = time.Duration(l.ExpiryMs) * time.Millisecond
+	}
+	return out
+}
+
+// requestReport has the event loop report the leases. Without a report in time the newest one is
+// sent again.
+func (o *ownership) requestReport(ctx context.Context) {
+	if o.witnesses.ReportsEnded() {
+		return
+	}
+	timeout := time.NewTimer(reportTimeout)
+	defer timeout.Stop()
+	select {
+	case o.reportRequests <- struct{}{}:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
+// postReport asks a witness for the report of the previous owner that it holds, and passes on
+// when the leases of the workers in it have expired, those of earlier owners included.
+func (o *ownership) postReport(ctx context.Context, previous ledger.Owner, holder ledger.Witness) {
+	q := &coordpb.LastReportRequest{Cell: int32(o.number), Epoch: previous.Epoch, Process: holder.Process}
+	for attempt := 1; ctx.Err() == nil && o.node.monotonicNow()-o.openedAt < authorityDuration; attempt++ {
+		call, cancel := context.WithTimeout(ctx, resignTimeout)
+		answer, err := o.callReportHolder(call, holder, q)
+		cancel()
+		if err == nil {
+			if answer.Number > 0 {
+				o.post(ctx, dispatch.LeasesReported{Expiry: leasesIn(answer.Leases)})
+			}
+			return
+		}
+		sleep(ctx, retryDelay(attempt))
+	}
+}
+
+func (o *ownership) callReportHolder(ctx context.Context, one ledger.Witness, q *coordpb.LastReportRequest) (*coordpb.LastReportAnswer, error) {
+	if one.PeerAddress == o.node.config.PeerAddress {
+		return o.node.LastReport(ctx, q)
+	}
+	return o.node.peers.client(one.PeerAddress).LastReport(ctx, q)
+}
--- a/coordinator/lostowner.go
+++ b/coordinator/lostowner.go
@@ -36,11 +36,15 @@
 			if last, complete := inquiry.Answered(answer, o.node.monotonicNow()); complete {
 				o.postConfirmed(ctx, previous.Owner, last)
 			}
+			if holder, complete := inquiry.Held(one, answer.Report); complete {
+				o.postReport(ctx, previous.Owner, holder)
+			}
 		})
 	}
 }
 
-// lastConfirmed asks a witness when it last confirmed the owner of an epoch. answered is false
+// lastConfirmed asks a witness when it last confirmed the owner of an epoch, and which report of
+// its leases it holds. answered is false
 // if it can't be asked while that could shorten a wait.
 func (o *ownership) lastConfirmed(ctx context.Context, epoch int64, one ledger.Witness) (a witness.LastAnswer, answered bool) {
 	q := &coordpb.LastConfirmedRequest{Cell: int32(o.number), Epoch: epoch, Process: one.Process}
@@ -49,7 +53,7 @@
 		answer, err := o.callWitness(call, one, q)
 		cancel()
 		if err == nil {
-			return witness.LastAnswer{Never: answer.Never, Age: time.Duration(answer.AgeMs) * time.Millisecond}, true
+			return witness.LastAnswer{Never: answer.Never, Age: time.Duration(answer.AgeMs) * time.Millisecond, Report: answer.Report}, true
 		}
 		sleep(ctx, retryDelay(attempt))
 	}
--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -216,6 +216,10 @@
 	return call(ctx, p, p.Coordinator.LastConfirmed, q)
 }
 
+func (p remotePeer) LastReport(ctx context.Context, q *coordpb.LastReportRequest) (*coordpb.LastReportAnswer, error) {
+	return call(ctx, p, p.Coordinator.LastReport, q)
+}
+
 func (p remotePeer) FreeCapacity(ctx context.Context, q *coordpb.FreeCapacityRequest) (*coordpb.FreeCapacityAnswer, error) {
 	return call(ctx, p, p.Coordinator.FreeCapacity, q)
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -22,10 +22,14 @@
 	*cell
 	epoch int64
 	// previous is the owner of the epoch before.
-	previous           predecessor
-	witnesses          *witness.Owner
-	machine            *dispatch.Machine
-	events             chan queuedEvent
+	previous  predecessor
+	witnesses *witness.Owner
+	machine   *dispatch.Machine
+	events    chan queuedEvent
+	// reportRequests receives requests to report the leases to the witnesses, lastReportMade a
+	// signal when the last report is made.
+	reportRequests     chan struct{}
+	lastReportMade     chan struct{}
 	writer             *cellWriter
 	openedAt           time.Duration
 	cancel             context.CancelFunc
@@ -86,12 +90,13 @@
 	c.witnesses.Store(witness.NewOwner())
 	config.PredecessorExpiry = c.predecessorLeaseExpiry()
 	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
+	config.LeaseExpiryLimit = c.witnesses.Load().WorkerLimit
 	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
 		cell: c, epoch: epoch, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
-		events: make(chan queuedEvent, maxQueuedEvents),
+		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan struct{}), lastReportMade: make(chan struct{}, 1),
 	}
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
@@ -210,6 +215,8 @@
 			o.wg.Go(func() { o.verifyEpoch(ctx) })
 		case answer := <-o.refreshRequests:
 			answer <- refreshResult{intakeNext: o.intakeNext}
+		case <-o.reportRequests:
+			o.witnesses.Report(o.machine.ReportedLeases(o.node.monotonicNow()))
 		case answer := <-o.dumpRequests:
 			answer <- o.machine.Dump()
 		case q := <-o.capacityRequests:
--- a/coordinator/witnesses.go
+++ b/coordinator/witnesses.go
@@ -61,10 +61,11 @@
 // when they change.
 func (o *ownership) askWitnesses(ctx context.Context) {
 	for {
+		o.requestReport(ctx)
 		for _, c := range o.witnesses.Calls(o.node.authorityNow()) {
 			o.node.wg.Go(func() { o.askWitness(ctx, c) })
 		}
-		if !sleep(ctx, witness.CallInterval) {
+		if !o.sleepUntilRound(ctx) {
 			return
 		}
 		if chosen := o.witnesses.Choose(o.candidateList(), o.node.config.DataCentre, o.node.authorityNow()); chosen != nil {
@@ -73,15 +74,35 @@
 	}
 }
 
+// sleepUntilRound waits until the witnesses are to be called again. It returns false if ctx is done.
+func (o *ownership) sleepUntilRound(ctx context.Context) bool {
+	next := time.NewTimer(witness.CallInterval)
+	defer next.Stop()
+	select {
+	case <-next.C:
+	case <-o.lastReportMade:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 func (o *ownership) askWitness(ctx context.Context, c witness.Call) {
+	report := o.witnesses.ReportFor(c, o.node.monotonicNow())
+	if report == nil {
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, witness.CallTimeout)
 	defer cancel()
 	answer, err := o.node.peers.client(c.Witness.PeerAddress).ConfirmOwner(call, &coordpb.ConfirmOwnerRequest{
-		Cell: int32(o.number), Epoch: o.epoch, Process: c.Witness.Process,
+		Cell: int32(o.number), Epoch: o.epoch, Process: c.Witness.Process, Report: reportMessage(report),
 	})
 	switch {
 	case err == nil:
-		o.witnesses.Answered(c, witness.Answer{Confirmed: answer.Confirmed, Leaving: answer.Leaving})
+		o.witnesses.Answered(c, witness.Answer{
+			Confirmed: answer.Confirmed, Leaving: answer.Leaving,
+			Report: answer.Report, Known: witness.Known{Numbering: answer.Numbering, Workers: int(answer.KnownWorkers)},
+		})
 	case errors.Is(err, syscall.ECONNREFUSED):
 		o.witnesses.Answered(c, witness.Answer{Leaving: true})
 	}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -31,7 +31,8 @@
 		return "submission is not confirmed by its own cell"
 	case m.viewExpired():
 		return viewTooOld
-	case m.config.grantable() < minStartLease:
+	}
+	if lease, _ := m.grantableLease(r.worker); lease < minStartLease {
 		return leaseTooShort
 	}
 	return ""
@@ -84,7 +85,8 @@
 func (m *Machine) sendStart(r *run) {
 	w := r.worker
 	if r.leaseDeadline == 0 {
-		r.leaseDeadline = w.leaseForStart(m.now, m.config.grantableLease(w))
+		lease, _ := m.grantableLease(w)
+		r.leaseDeadline = w.leaseForStart(m.now, lease)
 	}
 	r.phase, r.commandInFlight = starting, true
 	m.starts.inFlight++
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/workload"
+)
 
 // Times and limits that do not depend on the deployment.
 const (
@@ -49,6 +53,11 @@
 	// minStartLease is the shortest lease with which runs are placed and started: one that ends
 	// before the next heartbeats would only lapse.
 	minStartLease = 2 * time.Second
+	// maxLeaseShortfall is by how much a lease may be shorter than the usual one because the
+	// worker's last answer has not been reported to the witnesses, without being renewed once it
+	// has: within reportTime as a rule.
+	maxLeaseShortfall = 300 * time.Millisecond
+	reportTime        = 350 * time.Millisecond
 	// maxPlacements limits the placements of one planning round, so that a round
 	// does not delay the events that are queued behind it.
 	maxPlacements = 200
@@ -76,6 +85,9 @@
 	// LeaseLimit returns the duration of the longest lease that may be granted now. If it
 	// is nil, there is no limit.
 	LeaseLimit func() time.Duration
+	// LeaseExpiryLimit returns the time, on the clock of the machine's steps, by which a lease
+	// that is granted to a worker now must have expired. If it is nil, there is no limit.
+	LeaseExpiryLimit func(workload.Incarnation) time.Duration
 	// EpochAge returns for how long, at least, an epoch has been open. If it is nil, or
 	// returns 0, nothing is known.
 	EpochAge func(epoch int64) time.Duration
@@ -107,8 +119,17 @@
 	return min(c.Lease, c.LeaseLimit())
 }
 
-// grantableLease returns the duration of the lease that a heartbeat or a start grants a worker now.
-func (c *Config) grantableLease(w *worker) time.Duration { return w.limitLease(c.grantable()) }
+// grantableLease returns the duration of the lease that a heartbeat or a start grants a worker
+// now. It is 0 or less if there can be none. shortfall is by how much it is shorter because the
+// worker's last answer has not been reported.
+func (m *Machine) grantableLease(w *worker) (lease, shortfall time.Duration) {
+	lease = w.limitLease(m.config.grantable())
+	if m.config.LeaseExpiryLimit == nil {
+		return lease, 0
+	}
+	reported := min(lease, w.leaseUntil(m.now, m.config.LeaseExpiryLimit(w.Incarnation)))
+	return reported, lease - reported
+}
 
 // limitLease returns the part of a lease that the worker may be granted.
 func (w *worker) limitLease(lease time.Duration) time.Duration {
--- a/dispatch/dispatchtest/fingerprint.go
+++ b/dispatch/dispatchtest/fingerprint.go
@@ -56,6 +56,9 @@
 		for _, leases := range leases {
 			text += fmt.Sprint("/", round(leases[w.Info.Incarnation].All), round(leases[w.Info.Incarnation].Own))
 		}
+		for o, n := c.owner, 0; o != nil && n < 3; o, n = o.previous, n+1 {
+			text += fmt.Sprint("r", round(min(o.witnesses.WorkerLimit(w.Info.Incarnation)-c.Now, 3*leaseDuration)), c.heldReports(o, w.Info.Incarnation, round))
+		}
 		for _, s := range l.Silences(w.Info.Incarnation) {
 			text += fmt.Sprint("s", round(s.Expiry), s.NextEpoch > 0, s.NextEpoch > 0 && round(c.owner.node.age(s.NextEpoch, c.Now)) > 0)
 		}
@@ -77,3 +80,13 @@
 	}
 	return out
 }
+
+// heldReports describes what the witnesses hold of the leases of a worker by an owner's reports.
+func (c *World) heldReports(o *owner, worker workload.Incarnation, round func(time.Duration) int64) string {
+	out := ""
+	for _, w := range c.witnesses {
+		at, reported := w.held[o.epoch][worker]
+		out += fmt.Sprint(reported, round(at-c.Now))
+	}
+	return out
+}
--- a/dispatch/dispatchtest/owner.go
+++ b/dispatch/dispatchtest/owner.go
@@ -42,6 +42,8 @@
 	called    [witnessCount]bool
 	// confirmedAt is when a process last confirmed the owner.
 	confirmedAt time.Duration
+	// reported are the leases in the newest report.
+	reported map[workload.Incarnation]time.Duration
 	// inquiry asks the witnesses of the previous owner, if it had recorded any.
 	inquiry *inquiry
 	// unheard are the workers whose last heartbeat before the end of the ownership failed. They
@@ -99,7 +101,8 @@
 			joined := max(0, o.joinedAt+leaseAuthority+leaseDuration-c.Now)
 			return min(joined, o.witnesses.LeaseLimit(c.Now, leaseDuration))
 		},
-		EpochAge: func(epoch int64) time.Duration { return n.age(epoch, c.Now) },
+		LeaseExpiryLimit: o.witnesses.WorkerLimit,
+		EpochAge:         func(epoch int64) time.Duration { return n.age(epoch, c.Now) },
 	}, o.ledger, c.Now, time.UnixMilli(c.Now.Milliseconds()))
 	c.note("epoch %d", o.epoch)
 	c.list(o)
@@ -183,6 +186,9 @@
 	o.waits = true
 	for _, w := range c.workers {
 		until := c.Now + expiry
+		if left, reported := o.reportedLeft(w.Info.Incarnation); reported {
+			until = min(until, c.Now+left)
+		}
 		if _, recorded := o.ledger.Silence(w.Info.Incarnation); recorded {
 			until = min(until, max(w.waitUntil, w.leaseEnd, c.ownedAt)+c.Now-c.ownedAt+time.Second)
 		}
@@ -190,6 +196,16 @@
 	}
 }
 
+// reportedLeft returns the time from the report of the previous owner's leases, if a majority of its
+// witnesses told of it just now, until those of a worker have expired.
+func (o *owner) reportedLeft(worker workload.Incarnation) (time.Duration, bool) {
+	if o.inquiry == nil {
+		return 0, false
+	}
+	left, reported := o.inquiry.reported[worker]
+	return left, reported
+}
+
 // handOver ends the newest ownership as its node gives the cell up: it goes on extending the
 // leases until they last for the lease of a hand-over.
 func (c *World) handOver() {
@@ -197,11 +213,17 @@
 	lease := min(handoverLease, leaseAuthority+leaseDuration-(c.Now-o.joinedAt))
 	heartbeats, began := o.machine.HandOver(c.Now, lease), c.Now
 	c.end(o)
+	o.reported = nil
+	o.witnesses.EndReports()
+	c.callRound(o)
 	o.handingOver = true
 	var extend func()
 	extend = func() {
 		grantable := min(leaseDuration, o.witnesses.LeaseLimit(c.Now, leaseDuration))
 		withheld := max(0, lease-grantable-(c.Now-began))
+		if o.witnesses.LimitsWorkers() {
+			withheld = lease
+		}
 		for _, h := range heartbeats {
 			h.Deadline -= max(0, withheld-h.Shorter)
 			c.heartbeat(o, h)
--- a/dispatch/dispatchtest/witness.go
+++ b/dispatch/dispatchtest/witness.go
@@ -6,6 +6,7 @@
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/witness"
+	"github.com/cactusreel/cactusreel/workload"
 )
 
 const (
@@ -38,6 +39,8 @@
 	*witness.Confirmations
 	process   int64
 	startedAt time.Duration
+	// held are the leases in the newest report that it holds of each epoch.
+	held map[int64]map[workload.Incarnation]time.Duration
 }
 
 // startWitness starts a process, in place of one that ends.
@@ -46,7 +49,10 @@
 	if w := c.witnesses[i]; w != nil {
 		process = w.process + witnessCount
 	}
-	c.witnesses[i] = &witnessProcess{Confirmations: witness.NewConfirmations(process, c.Now), process: process, startedAt: c.Now}
+	c.witnesses[i] = &witnessProcess{
+		Confirmations: witness.NewConfirmations(process, c.Now), process: process, startedAt: c.Now,
+		held: make(map[int64]map[workload.Incarnation]time.Duration),
+	}
 }
 
 // witnessIndex returns the number of the VM of a process.
@@ -58,11 +64,11 @@
 	if o.ended && !o.handingOver {
 		return
 	}
-	o.called = [witnessCount]bool{}
-	for _, call := range o.witnesses.Calls(c.Now) {
-		o.called[witnessIndex(call.Witness.Process)] = true
-		c.callWitness(o, call)
+	if !o.ended {
+		o.reported = o.machine.ReportedLeases(c.Now)
+		o.witnesses.Report(o.reported)
 	}
+	c.callRound(o)
 	c.after(witness.CallInterval, func() {
 		if chosen := o.witnesses.Choose(c.candidates(), "", c.Now); chosen != nil {
 			c.step(o, dispatch.WitnessesChosen{Witnesses: *chosen})
@@ -71,15 +77,28 @@
 	})
 }
 
+// callRound calls each witness of an owner once.
+func (c *World) callRound(o *owner) {
+	o.called = [witnessCount]bool{}
+	for _, call := range o.witnesses.Calls(c.Now) {
+		o.called[witnessIndex(call.Witness.Process)] = true
+		c.callWitness(o, call)
+	}
+}
+
 func (c *World) callWitness(o *owner, call witness.Call) {
 	i := witnessIndex(call.Witness.Process)
 	if o.node.witnessesCut[i] || !c.witnessLinks.reach(i) {
 		return
 	}
-	answer := c.witnesses[i].Confirm(call.Witness.Process, o.epoch, c.Now)
+	report := o.witnesses.ReportFor(call, c.Now)
+	answer := c.witnesses[i].Confirm(call.Witness.Process, o.epoch, report, c.Now)
 	if answer.Confirmed {
 		o.confirmedAt = c.Now
 	}
+	if answer.Report == report.Number {
+		c.witnesses[i].held[o.epoch] = o.reported
+	}
 	if !c.lateAnswers {
 		o.witnesses.Answered(call, answer)
 		return
@@ -101,6 +120,8 @@
 	*witness.Inquiry
 	named    ledger.Witnesses
 	answered [witnessCount]bool
+	// reported are the leases in the report that a majority of them tells of.
+	reported map[workload.Incarnation]time.Duration
 }
 
 // askWitnesses asks the witnesses of the previous owner that have not answered. It returns when
@@ -116,7 +137,13 @@
 			continue
 		}
 		q.answered[i] = true
-		if last, complete = q.Answered(c.witnesses[i].LastConfirmed(one.Process, o.previous.epoch, c.Now), c.Now); complete {
+		answer := c.witnesses[i].LastConfirmed(one.Process, o.previous.epoch, c.Now)
+		if holder, told := q.Held(one, answer.Report); told {
+			_, q.reported = c.witnesses[witnessIndex(holder.Process)].LastReport(holder.Process, o.previous.epoch, c.Now)
+			learned := q.reported
+			c.after(2*time.Millisecond, func() { c.step(o, dispatch.LeasesReported{Expiry: learned}) })
+		}
+		if last, complete = q.Answered(answer, c.Now); complete {
 			return last, true
 		}
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -75,6 +75,12 @@
 	Leases    map[workload.Incarnation]time.Duration
 }
 
+// LeasesReported tells when the leases of some workers have expired, those of the previous owner
+// and of owners before it, counted from now. The previous owner may go on sending commands.
+type LeasesReported struct {
+	Expiry map[workload.Incarnation]time.Duration
+}
+
 // WitnessesChosen requests that witnesses of this owner be recorded. It is answered by
 // WitnessesRecorded.
 type WitnessesChosen struct{ Witnesses ledger.Witnesses }
@@ -114,6 +120,7 @@
 func (PaceAnswered) isEvent()      {}
 func (Tick) isEvent()              {}
 
+func (LeasesReported) isEvent()      {}
 func (WitnessesChosen) isEvent()     {}
 func (PredecessorResigned) isEvent() {}
 func (CapacityFound) isEvent()       {}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -17,6 +17,11 @@
 		return
 	}
 	h := Heartbeat{Target: w.target(), Cursor: w.cursor}
+	lease, shortfall := m.grantableLease(w)
+	if shortfall > maxLeaseShortfall && m.now < w.clockAt+reportTime && w.heartbeatInterval() > urgentHeartbeatInterval && !w.silent {
+		// The lease will be longer when the witnesses know of the worker's answer.
+		return
+	}
 	switch {
 	case !w.reported || w.clock == 0:
 		// The first heartbeat reads the worker's clock, without which no lease can be
@@ -30,12 +35,16 @@
 	case w.silent:
 		// An unanswered heartbeat may have been carried out, so it must not renew the
 		// lease: the lease of a worker that has failed must expire.
+	case lease <= 0:
+		// Each lease must have expired when a successor expects it to have.
 	default:
-		lease := m.config.grantableLease(w)
 		h.Deadline = w.extendLease(m.now, lease)
 		if w.lastEnd == w.cursor && !w.awaitsReport() {
 			// The next heartbeat must be in time to extend a lease that is short.
 			h.Wait = min(m.heartbeatWait(w), (lease / 2).Truncate(time.Millisecond))
+			if shortfall > maxLeaseShortfall {
+				h.Wait = min(h.Wait, reportTime)
+			}
 		}
 	}
 	w.heartbeatInFlight = true
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -270,6 +270,8 @@
 		m.paceAnswered(ev)
 	case PredecessorResigned:
 		m.predecessorResigned(ev)
+	case LeasesReported:
+		m.leasesReported(ev)
 	case WitnessesChosen:
 		m.recordWitnesses(ev.Witnesses)
 	case EndsLearned:
--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -157,6 +157,15 @@
 	}
 }
 
+// leasesReported shortens the wait for the leases of some workers that previous owners granted.
+func (m *Machine) leasesReported(ev LeasesReported) {
+	for incarnation, expiry := range ev.Expiry {
+		if w := m.workers[incarnation.Worker]; w != nil && w.Incarnation == incarnation {
+			w.predecessorsExpireAt = min(w.predecessorsExpireAt, m.now+expiry)
+		}
+	}
+}
+
 // soleMargin is how much longer than a previous owner's hand-over this owner waits until it
 // records that no other can grant leases.
 const soleMargin = time.Second
@@ -232,3 +241,27 @@
 	}
 	return out
 }
+
+// reportedLeaseLag is by how much the lease that a report allows a worker is longer than the
+// usual one, counted from the worker's last answer: the next lease is granted when a heartbeat
+// has been held and answered, by a report that doesn't have that answer yet.
+const reportedLeaseLag = 700 * time.Millisecond
+
+// ReportedLeases returns, for each worker that may hold leases, the time by which all of them
+// have expired that were granted by now, or are granted within the usual lease and
+// reportedLeaseLag of the worker's last answer to this owner.
+func (m *Machine) ReportedLeases(now time.Duration) map[workload.Incarnation]time.Duration {
+	m.now = max(m.now, now)
+	out := make(map[workload.Incarnation]time.Duration)
+	for _, w := range m.sorted {
+		if len(w.runs) == 0 && w.leasesExpired(m.now) {
+			continue
+		}
+		expiry := w.leaseExpiry()
+		if w.reported && w.clock > 0 {
+			expiry = max(expiry, w.clockAt+LeaseExpiryBound(m.config.Lease+reportedLeaseLag))
+		}
+		out[w.Incarnation] = expiry
+	}
+	return out
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -275,6 +275,12 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + expiryMargin
 }
 
+// leaseUntil returns the duration of a lease that begins now and has expired for certain at a
+// time.
+func (w *worker) leaseUntil(now, expiry time.Duration) time.Duration {
+	return time.Duration(float64(expiry-expiryMargin-w.clockAt)*(1-clockDrift)) - (now - w.clockAt) - time.Millisecond
+}
+
 // leasesExpired reports whether every lease of this incarnation has expired, those
 // of previous owners included.
 func (w *worker) leasesExpired(now time.Duration) bool {
--- a/ledger/witnesses.go
+++ b/ledger/witnesses.go
@@ -19,6 +19,9 @@
 	// Number orders the records of an epoch.
 	Number int64
 	All    []Witness
+	// Reports: all of them keep the owner's reports of the workers' leases, and the owner
+	// grants leases only as far as a majority holds a report of them.
+	Reports bool
 }
 
 // Majority returns how many of the witnesses are a majority.
@@ -38,7 +41,7 @@
 }
 
 func (w *Witnesses) message() *ledgerpb.Witnesses {
-	r := &ledgerpb.Witnesses{Epoch: w.Epoch, Number: w.Number}
+	r := &ledgerpb.Witnesses{Epoch: w.Epoch, Number: w.Number, Reports: w.Reports}
 	for _, one := range w.All {
 		r.Witnesses = append(r.Witnesses, &ledgerpb.Witness{Vm: one.VM, PeerAddress: one.PeerAddress, Process: one.Process})
 	}
@@ -50,7 +53,7 @@
 	if r.Epoch < l.witnesses.Epoch || r.Epoch == l.witnesses.Epoch && r.Number <= l.witnesses.Number {
 		return
 	}
-	l.witnesses = Witnesses{Epoch: r.Epoch, Number: r.Number}
+	l.witnesses = Witnesses{Epoch: r.Epoch, Number: r.Number, Reports: r.Reports}
 	for _, one := range r.Witnesses {
 		l.witnesses.All = append(l.witnesses.All, Witness{VM: one.Vm, PeerAddress: one.PeerAddress, Process: one.Process})
 	}
--- a/witness/choice.go
+++ b/witness/choice.go
@@ -27,7 +27,7 @@
 	} else if o.trial == nil || slices.ContainsFunc(o.trial.All, func(one ledger.Witness) bool { return o.failing(one.Process, now) }) {
 		o.trial = o.replacement(&newest, all, ownDataCentre, now)
 	}
-	if o.trial == nil || !o.hasConfirmed(o.trial, now) {
+	if o.trial == nil || !o.hasConfirmed(o.trial, now) || !o.markReports(o.trial) {
 		return nil
 	}
 	chosen := o.trial
--- a/witness/owner.go
+++ b/witness/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -27,7 +28,7 @@
 
 // Owner is what an owner knows of its witnesses. Its successor asks them if the owner does
 // not answer: each lease was granted within ConfirmedDuration after a majority had confirmed
-// the owner.
+// the owner, and keeps to what has been reported of the worker's leases.
 type Owner struct {
 	mu sync.Mutex
 	// sets are those of which a record may be the newest in the log, in the order of their
@@ -42,6 +43,11 @@
 	// were last found to fail.
 	leaving  map[int64]bool
 	failedAt map[int64]time.Duration
+	// reports are those of the leases, held is the newest one that a process has said to hold,
+	// and known are the workers that it knew then.
+	reports ownReports
+	held    map[int64]int64
+	known   map[int64]Known
 }
 
 // NewOwner returns an owner without witnesses.
@@ -49,6 +55,7 @@
 	return &Owner{
 		confirmedAt: make(map[int64]time.Duration), askedAt: make(map[int64]time.Duration),
 		leaving: make(map[int64]bool), failedAt: make(map[int64]time.Duration),
+		reports: newOwnReports(), held: make(map[int64]int64), known: make(map[int64]Known),
 	}
 }
 
@@ -91,6 +98,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.sets = slices.DeleteFunc(o.sets, func(set ledger.Witnesses) bool { return set.Number < number })
+	o.releaseReports()
 }
 
 // Call is a call to a witness that asks it to confirm the owner.
@@ -127,6 +135,9 @@
 		}
 	}
 	o.askedAt, o.confirmedAt = askedAt, confirmedAt
+	notAsked := func(process int64) bool { _, asked := askedAt[process]; return !asked }
+	maps.DeleteFunc(o.held, func(process, _ int64) bool { return notAsked(process) })
+	maps.DeleteFunc(o.known, func(process int64, _ Known) bool { return notAsked(process) })
 	return out
 }
 
@@ -135,7 +146,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if a.Confirmed {
-		o.confirmedAt[c.Witness.Process] = max(o.confirmedAt[c.Witness.Process], c.sentAt)
+		process := c.Witness.Process
+		o.confirmedAt[process] = max(o.confirmedAt[process], c.sentAt)
+		o.held[process] = max(o.held[process], a.Report)
+		o.known[process] = a.Known.later(o.known[process])
+		o.releaseReports()
 	}
 	if a.Leaving {
 		o.leaving[c.Witness.Process] = true
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -68,10 +68,10 @@
 func TestAnotherProcessMayHaveConfirmed(t *testing.T) {
 	is := is.New(t)
 	c := witness.NewConfirmations(2, begin)
-	is.Equal(c.Confirm(1, epoch, begin), witness.Answer{Leaving: true})
+	is.Equal(c.Confirm(1, epoch, nil, begin), witness.Answer{Leaving: true})
 	is.Equal(c.LastConfirmed(1, epoch, begin+time.Second), witness.LastAnswer{Age: time.Second})
 	is.Equal(c.LastConfirmed(2, epoch, begin+time.Second).Never, true)
-	is.Equal(c.Confirm(2, epoch, begin+time.Second), witness.Answer{})
+	is.Equal(c.Confirm(2, epoch, nil, begin+time.Second), witness.Answer{})
 }
 
 // Guards against leases that a new set doesn't allow, granted while its record may be in the
