--- a/coordinator/leasereports.go
+++ b/coordinator/leasereports.go
@@ -60,8 +60,16 @@
 	}
 	timeout := time.NewTimer(reportTimeout)
 	defer timeout.Stop()
+	made := make(chan struct{})
 	select {
-	case o.reportRequests <- struct{}{}:
+	case o.reportRequests <- made:
+	case <-timeout.C:
+		return
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-made:
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -26,9 +26,9 @@
 	witnesses *witness.Owner
 	machine   *dispatch.Machine
 	events    chan queuedEvent
-	// reportRequests receives requests to report the leases to the witnesses, lastReportMade a
-	// signal when the last report is made.
-	reportRequests     chan struct{}
+	// reportRequests receives requests to report the leases to the witnesses, with a channel that
+	// is closed then. lastReportMade receives a signal when the last report is made.
+	reportRequests     chan chan<- struct{}
 	lastReportMade     chan struct{}
 	writer             *cellWriter
 	openedAt           time.Duration
@@ -96,7 +96,7 @@
 		cell: c, epoch: epoch, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
 		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
-		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan struct{}), lastReportMade: make(chan struct{}, 1),
+		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
 	}
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
@@ -215,8 +215,9 @@
 			o.wg.Go(func() { o.verifyEpoch(ctx) })
 		case answer := <-o.refreshRequests:
 			answer <- refreshResult{intakeNext: o.intakeNext}
-		case <-o.reportRequests:
+		case made := <-o.reportRequests:
 			o.witnesses.Report(o.machine.ReportedLeases(o.node.monotonicNow()))
+			close(made)
 		case answer := <-o.dumpRequests:
 			answer <- o.machine.Dump()
 		case q := <-o.capacityRequests:
