--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -78,6 +78,7 @@
 		n.checksWithoutOwner = 0
 		if n.reserveActive.Swap(false) {
 			n.releaseCells(ctx)
+			n.leaveGroup(ctx)
 		}
 		sleep(ctx, reserveCheckInterval)
 		return false
@@ -92,7 +93,7 @@
 	return true
 }
 
-// releaseCells ends all ownerships and leaves the group.
+// releaseCells ends all ownerships.
 func (n *Node) releaseCells(ctx context.Context) {
 	for _, c := range n.cells {
 		c.assign(0)
@@ -100,9 +101,17 @@
 	for _, c := range n.cells {
 		c.waitUntilReleased(ctx)
 	}
-	if err := n.platform.Group.Leave(ctx); err != nil {
+}
+
+// leaveGroup leaves the group. It returns false if there was no answer in time.
+func (n *Node) leaveGroup(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	err := n.platform.Group.Leave(call)
+	if err != nil {
 		n.logError(logevent.GroupCallFailed, err)
 	}
+	return err == nil
 }
 
 // assign applies the assignment of a join that was sent at a time of the authority clock.
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -77,12 +77,14 @@
 }
 
 // Stop releases the node's cells, so that other nodes can take them over at
-// once. The node continues to serve callers.
+// once, until ctx is done. The node continues to serve callers.
 func (n *Node) Stop(ctx context.Context) {
 	if n.stopping.Swap(true) {
 		return
 	}
 	n.releaseCells(ctx)
+	for attempt := 1; !n.leaveGroup(ctx) && sleep(ctx, retryDelay(attempt)); attempt++ {
+	}
 }
 
 // Ready reports whether the node can accept submissions.
