--- a/coordinator/leasereports.go
+++ b/coordinator/leasereports.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/witness"
 	"github.com/cactusreel/cactusreel/workload"
 )
@@ -75,6 +78,30 @@
 	}
 }
 
+// clockLead returns by how much the authority clock is ahead of the monotonic one, or a little more.
+// It grows when the VM is suspended.
+func (n *Node) clockLead() time.Duration {
+	monotonic := n.monotonicNow()
+	return n.authorityNow() - monotonic
+}
+
+// report reports the expiry of leases, which is on the monotonic clock, to the witnesses: on the
+// authority clock, as they go on counting while this VM is suspended.
+func (o *ownership) report(expiry map[workload.Incarnation]time.Duration) {
+	lead := o.node.clockLead()
+	for worker, at := range expiry {
+		expiry[worker] = at + lead
+	}
+	o.witnesses.Report(expiry)
+}
+
+// leaseExpiryLimit returns the time, on the monotonic clock, by which a lease that is granted to a
+// worker now must have expired. It returns false if no report limits it.
+func (c *cell) leaseExpiryLimit(worker workload.Incarnation) (time.Duration, bool) {
+	limit, limited := c.witnesses.Load().WorkerLimit(worker)
+	return limit - c.node.clockLead(), limited
+}
+
 // postReport asks a witness for the report of the previous owner that it holds, and passes on
 // when the leases of the workers in it have expired, those of earlier owners included.
 func (o *ownership) postReport(ctx context.Context, previous ledger.Owner, holder ledger.Witness) {
@@ -85,7 +112,7 @@
 		cancel()
 		if err == nil {
 			if answer.Number > 0 {
-				o.post(ctx, dispatch.LeasesReported{Expiry: leasesIn(answer.Leases)})
+				o.postLeases(ctx, previous, leasesIn(answer.Leases))
 			}
 			return
 		}
@@ -93,6 +120,16 @@
 	}
 }
 
+func (o *ownership) postLeases(ctx context.Context, previous ledger.Owner, expiry map[workload.Incarnation]time.Duration) {
+	last := time.Duration(0)
+	for _, left := range expiry {
+		last = max(last, left)
+	}
+	o.node.logger.Log(logevent.LeasesReported, zap.Int("cell", o.number), zap.String("vm", previous.VM),
+		zap.Int64("epoch", previous.Epoch), zap.Int("workers", len(expiry)), zap.Duration("duration", last))
+	o.post(ctx, dispatch.LeasesReported{Expiry: expiry})
+}
+
 func (o *ownership) callReportHolder(ctx context.Context, one ledger.Witness, q *coordpb.LastReportRequest) (*coordpb.LastReportAnswer, error) {
 	if one.PeerAddress == o.node.config.PeerAddress {
 		return o.node.LastReport(ctx, q)
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -90,7 +90,7 @@
 	c.witnesses.Store(witness.NewOwner())
 	config.PredecessorExpiry = c.predecessorLeaseExpiry()
 	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
-	config.LeaseExpiryLimit = c.witnesses.Load().WorkerLimit
+	config.LeaseExpiryLimit = c.leaseExpiryLimit
 	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
 		cell: c, epoch: epoch, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
@@ -216,7 +216,7 @@
 		case answer := <-o.refreshRequests:
 			answer <- refreshResult{intakeNext: o.intakeNext}
 		case made := <-o.reportRequests:
-			o.witnesses.Report(o.machine.ReportedLeases(o.node.monotonicNow()))
+			o.report(o.machine.ReportedLeases(o.node.monotonicNow()))
 			close(made)
 		case answer := <-o.dumpRequests:
 			answer <- o.machine.Dump()
--- a/coordinator/witnesses.go
+++ b/coordinator/witnesses.go
@@ -88,7 +88,7 @@
 }
 
 func (o *ownership) askWitness(ctx context.Context, c witness.Call) {
-	report := o.witnesses.ReportFor(c, o.node.monotonicNow())
+	report := o.witnesses.ReportFor(c, o.node.authorityNow())
 	if report == nil {
 		return
 	}
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -86,8 +86,9 @@
 	// is nil, there is no limit.
 	LeaseLimit func() time.Duration
 	// LeaseExpiryLimit returns the time, on the clock of the machine's steps, by which a lease
-	// that is granted to a worker now must have expired. If it is nil, there is no limit.
-	LeaseExpiryLimit func(workload.Incarnation) time.Duration
+	// that is granted to a worker now must have expired, or false if there is no limit. It may
+	// be nil.
+	LeaseExpiryLimit func(workload.Incarnation) (time.Duration, bool)
 	// EpochAge returns for how long, at least, an epoch has been open. If it is nil, or
 	// returns 0, nothing is known.
 	EpochAge func(epoch int64) time.Duration
@@ -127,7 +128,11 @@
 	if m.config.LeaseExpiryLimit == nil {
 		return lease, 0
 	}
-	reported := min(lease, w.leaseUntil(m.now, m.config.LeaseExpiryLimit(w.Incarnation)))
+	limit, limited := m.config.LeaseExpiryLimit(w.Incarnation)
+	if !limited {
+		return lease, 0
+	}
+	reported := min(lease, w.leaseUntil(m.now, limit))
 	return reported, lease - reported
 }
 
--- a/dispatch/courses_test.go
+++ b/dispatch/courses_test.go
@@ -123,8 +123,9 @@
 	}
 }
 
-// Guards against two runs of a task because witnesses are replaced, answer late, or are reached
-// in turn, beside owners that are cut off with a worker or lost.
+// Guards against two runs of a task, or a wait that is longer than its owner's report tells, because
+// witnesses are replaced, answer late, or are reached in turn, beside owners that are cut off with a
+// worker or lost.
 func TestCoursesOfWitnesses(t *testing.T) {
 	t.Parallel()
 	lasting := workload.Step{Tasks: 1, Request: dispatchtest.TaskRequest, Estimate: time.Hour, LongRunning: true}
@@ -148,6 +149,9 @@
 			dispatchtest.WitnessLinks, dispatchtest.Takeover, dispatchtest.WitnessesLate, dispatchtest.WitnessLinks,
 			dispatchtest.TimePasses, dispatchtest.OwnerIsland,
 		}},
+		{"owner lost soon after its worker", []string{dispatchtest.WorkerSilent, dispatchtest.PowerLoss}},
+		{"second owner lost as well", []string{dispatchtest.WorkerSilent, dispatchtest.PowerLoss, dispatchtest.TimePasses, dispatchtest.PowerLoss}},
+		{"reports of a hand-over are late", []string{dispatchtest.WitnessesLate, dispatchtest.WitnessLinks, dispatchtest.Takeover}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			// The first owner is recorded as the only one that can grant leases.
--- a/dispatch/dispatchtest/fingerprint.go
+++ b/dispatch/dispatchtest/fingerprint.go
@@ -57,7 +57,7 @@
 			text += fmt.Sprint("/", round(leases[w.Info.Incarnation].All), round(leases[w.Info.Incarnation].Own))
 		}
 		for o, n := c.owner, 0; o != nil && n < 3; o, n = o.previous, n+1 {
-			text += fmt.Sprint("r", round(min(o.witnesses.WorkerLimit(w.Info.Incarnation)-c.Now, 3*leaseDuration)), c.heldReports(o, w.Info.Incarnation, round))
+			text += fmt.Sprint("r", c.workerLimit(o, w, round), c.heldReports(o, w.Info.Incarnation, round))
 		}
 		for _, s := range l.Silences(w.Info.Incarnation) {
 			text += fmt.Sprint("s", round(s.Expiry), s.NextEpoch > 0, s.NextEpoch > 0 && round(c.owner.node.age(s.NextEpoch, c.Now)) > 0)
@@ -81,6 +81,12 @@
 	return out
 }
 
+// workerLimit describes the limit of the leases that an owner may grant a worker.
+func (c *World) workerLimit(o *owner, w *linkedWorker, round func(time.Duration) int64) string {
+	limit, limited := o.witnesses.WorkerLimit(w.Info.Incarnation)
+	return fmt.Sprint(limited, round(limit-c.Now))
+}
+
 // heldReports describes what the witnesses hold of the leases of a worker by an owner's reports.
 func (c *World) heldReports(o *owner, worker workload.Incarnation, round func(time.Duration) int64) string {
 	out := ""
--- a/dispatch/reportedlease_test.go
+++ b/dispatch/reportedlease_test.go
@@ -24,7 +24,7 @@
 	h := &reportedHarness{harness: newHarness(t), limit: 1 << 62}
 	h.machine = dispatch.New(dispatch.Config{
 		Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2,
-		LeaseExpiryLimit: func(workload.Incarnation) time.Duration { return h.limit },
+		LeaseExpiryLimit: func(workload.Incarnation) (time.Duration, bool) { return h.limit, true },
 	}, h.ledger, h.now, time.Now())
 	h.listWorker(workload.Worker{})
 	h.report()
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -50,6 +50,7 @@
 	InterruptionLong     Number = 857
 	InterruptionEnded    Number = 858
 	OwnerConfirmed       Number = 859
+	LeasesReported       Number = 870
 	RunDisplaced         Number = 864
 	RoomReported         Number = 865
 )
@@ -101,6 +102,7 @@
 	{InterruptionLong, "InterruptionLong", zapcore.WarnLevel, "long-running task has had no run for longer than it may", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "Run and worker are the last ones. The reason says how that run ended, what the task has waited for since, and what it waits for now."},
 	{InterruptionEnded, "InterruptionEnded", zapcore.WarnLevel, "long-running task runs again after a long time without a run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason says how the last run ended and for what the task has waited. For the lease of a worker: check the worker and the network."},
 	{OwnerConfirmed, "OwnerConfirmed", zapcore.InfoLevel, "a majority of the previous owner's witnesses said when they last confirmed it", []string{"cell", "vm", "epoch", "age"}, "None; check why the VM does not answer if it was not stopped."},
+	{LeasesReported, "LeasesReported", zapcore.InfoLevel, "a witness of the previous owner told when the workers' leases have expired", []string{"cell", "vm", "epoch", "workers", "duration"}, "None. The duration is the time until the last of them has expired. Without this event beside event 859, the leases are waited for from the owner's last confirmation on: check whether all nodes have a version that keeps reports of leases."},
 	{RunDisplaced, "RunDisplaced", zapcore.WarnLevel, "run is stopped to make room for a long-running task", []string{"task", "run", "worker", "age", "work", "reason", "epoch", "cell"}, "The reason names the task that needs the room, and the new worker if a long-running run is moved; work is what is lost, in seconds of a core. If it recurs, the workers are too few for the long-running tasks beside the finite ones: add capacity."},
 	{RoomReported, "RoomReported", zapcore.WarnLevel, "long-running tasks wait for room", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The task is the one that has waited longest. Add capacity if none of the tasks fits; report it if tasks that fit a worker, also after one run is moved, go on waiting. At most two lines a second."},
 }
--- a/witness/ownerreports.go
+++ b/witness/ownerreports.go
@@ -8,9 +8,8 @@
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// Report makes a report of the expiry of the leases of some workers, on a clock of the process
-// that isn't that of the confirmations. It must include the leases that have been granted, and
-// none may be granted until it returns.
+// Report makes a report of the expiry of the leases of some workers. It must include the leases
+// that have been granted, and none may be granted until it returns.
 func (o *Owner) Report(expiry map[workload.Incarnation]time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -41,16 +40,17 @@
 	return o.reports.limitsAny()
 }
 
-// WorkerLimit returns the time, on the clock of the reports, by which a lease that is granted to a
-// worker now must have expired.
-func (o *Owner) WorkerLimit(worker workload.Incarnation) time.Duration {
+// WorkerLimit returns the time by which a lease that is granted to a worker now must have expired.
+// It returns false if there is no limit.
+func (o *Owner) WorkerLimit(worker workload.Incarnation) (time.Duration, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.reports.limit(worker)
+	limit := o.reports.limit(worker)
+	return limit, limit < unlimited
 }
 
-// ReportFor returns the newest report for a call that is sent now, on the clock of the reports, or
-// nil if there is none: then the call is not made.
+// ReportFor returns the newest report for a call that is sent now, or nil if there is none: then
+// the call is not made.
 func (o *Owner) ReportFor(c Call, now time.Duration) *Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/witness/ownreports.go
+++ b/witness/ownreports.go
@@ -18,8 +18,8 @@
 type ownReport struct {
 	number  int64
 	workers *numbering
-	// expiry has the time by which all leases have expired for each worker by its number, on
-	// the owner's clock, or unlimited. Workers with higher numbers are not in it.
+	// expiry has the time by which all leases have expired for each worker by its number, or
+	// unlimited. Workers with higher numbers are not in it.
 	expiry []time.Duration
 }
 
--- a/witness/schedules_test.go
+++ b/witness/schedules_test.go
@@ -190,7 +190,11 @@
 	}
 	if s.answeredAt[worker] > 0 && s.rand.IntN(4) == 0 {
 		lease := min(scheduleLease, s.w.LeaseLimit(s.now, scheduleLease))
-		if expiry := min(s.now+dispatch.LeaseExpiryBound(lease), s.w.WorkerLimit(worker)); lease > 0 && expiry > s.now {
+		expiry := s.now + dispatch.LeaseExpiryBound(lease)
+		if limit, limited := s.w.WorkerLimit(worker); limited {
+			expiry = min(expiry, limit)
+		}
+		if lease > 0 && expiry > s.now {
 			s.granted[worker] = max(s.granted[worker], expiry)
 		}
 	}
@@ -279,7 +283,8 @@
 }
 
 // Guards against a report whose times are taken for those of other workers, after the workers were
-// numbered anew, and against one that arrives late and replaces a newer one, or follows the last.
+// numbered anew, and against one that arrives late and replaces a newer one, follows the last, or is
+// not taken over although nothing was lost.
 func TestReportIsReadWithItsOwnWorkers(t *testing.T) {
 	const now = time.Minute
 	random := rand.New(rand.NewPCG(1, 2))
@@ -323,6 +328,9 @@
 				}
 			}
 		}
+		if held.update(l.message(held.known(), now), now); held.number != l.newest.number {
+			t.Fatalf("report %d is not taken over in time, but %d", l.newest.number, held.number)
+		}
 		numberings += l.workers.number
 		l.end()
 		last := l.newest.number
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/witness"
+	"github.com/cactusreel/cactusreel/workload"
 )
 
 const (
@@ -116,3 +117,45 @@
 	o.Answered(calls[2], witness.Answer{Confirmed: true})
 	is.True(o.Choose(candidates(), "", begin) != nil)
 }
+
+// Guards against a successor that is told of another report than the one that a witness named, or
+// of one that may still be replaced, or by a process in place of the one that held it.
+func TestReportOfAWitnessThatWasAskedStays(t *testing.T) {
+	is := is.New(t)
+	worker := workload.Incarnation{Worker: "w", StartMillis: 1}
+	report := func(number int64) *witness.Report {
+		return &witness.Report{Number: number, Numbering: 1, Workers: []workload.Incarnation{worker}, Expiry: []byte{byte(20 * number)}}
+	}
+	c := witness.NewConfirmations(2, begin)
+	is.Equal(c.Confirm(2, epoch, report(1), begin), witness.Answer{Confirmed: true, Report: 1, Known: witness.Known{Numbering: 1, Workers: 1}})
+	number, _ := c.LastReport(2, epoch, begin)
+	is.Equal(number, int64(0))
+	is.Equal(c.LastConfirmed(2, epoch, begin).Report, int64(1))
+	is.Equal(c.Confirm(2, epoch, report(2), begin), witness.Answer{})
+	number, leases := c.LastReport(2, epoch, begin+300*time.Millisecond)
+	is.Equal(number, int64(1))
+	is.Equal(leases, map[workload.Incarnation]time.Duration{worker: 700 * time.Millisecond})
+	number, _ = c.LastReport(1, epoch, begin)
+	is.Equal(number, int64(0))
+}
+
+// Guards against a process that ends at a call with a report that isn't whole.
+func TestReportThatIsNotWholeIsNotKept(t *testing.T) {
+	is := is.New(t)
+	workers := []workload.Incarnation{{Worker: "w", StartMillis: 1}}
+	c := witness.NewConfirmations(2, begin)
+	for _, r := range []witness.Report{
+		{Number: 1, Numbering: 1, Workers: workers, Expiry: []byte{1, 2}},
+		{Number: 2, Numbering: 1, FirstWorker: 3, Workers: workers, Expiry: []byte{1}},
+		{Number: 3, Numbering: 1, FirstWorker: -1, Workers: workers, Expiry: []byte{1}},
+		{Number: 4, Numbering: 2, FirstWorker: 1, Workers: workers, Expiry: []byte{1}},
+	} {
+		answer := c.Confirm(2, epoch, &r, begin)
+		is.True(answer.Confirmed)
+		is.Equal(answer.Report, int64(0))
+	}
+	c.LastConfirmed(2, epoch, begin)
+	number, leases := c.LastReport(2, epoch, begin)
+	is.Equal(number, int64(0))
+	is.Equal(len(leases), 0)
+}
