dispatch: a run recorded ahead is not started on a worker that is paused

Callers: a worker that lists a run which the owner doesn't have (of a previous owner, or carried out late) is given no runs until that has been stopped, as the room it takes is not known. A run that had been recorded ahead there was started all the same: a start over the worker's capacity. Cause: only planning looks at the pause of a worker. What blocks a start is checked again when it is sent, but that didn't include the pause; without runs ahead, 50 ms lie between the two, now a stop and 0.5 s do. Change: a run recorded ahead is not started on a paused worker, but withdrawn.

--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -139,7 +139,7 @@
 		return
 	}
 	for _, r := range w.runList {
-		if r.phase == recorded && m.startBlocker(r) == "" && m.starts.room() > 0 {
+		if r.phase == recorded && m.now >= w.pausedUntil && m.startBlocker(r) == "" && m.starts.room() > 0 {
 			w.setAhead(r, false)
 			m.fillRoom(r, heldByRecord, heldByStart)
 			m.sendStart(r)
@@ -171,6 +171,9 @@
 func (m *Machine) aheadBlocker(r *run) string {
 	reason := m.startBlocker(r)
 	switch {
+	case m.now < r.worker.pausedUntil:
+		// It may have runs that this owner doesn't know.
+		return "worker is paused"
 	case reason == "", reason == viewTooOld, reason == leaseTooShort:
 	case reason != roomTaken:
 		return reason
