--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -31,8 +31,7 @@
 		return "submission is not confirmed by its own cell"
 	case m.viewExpired():
 		return viewTooOld
-	}
-	if lease, _ := m.grantableLease(r.worker); lease < minStartLease {
+	case m.leaseIsTooShort(r.worker):
 		return leaseTooShort
 	}
 	return ""
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -136,6 +136,19 @@
 	return reported, lease - reported
 }
 
+// leaseIsTooShort reports whether a start can't be granted a lease that is long enough.
+func (m *Machine) leaseIsTooShort(w *worker) bool {
+	lease, _ := m.grantableLease(w)
+	return lease < minStartLease
+}
+
+// needsAnswer reports whether a listed worker can be given no runs until a newer answer of it has
+// been reported to the witnesses.
+func (m *Machine) needsAnswer(w *worker) bool {
+	lease, shortfall := m.grantableLease(w)
+	return w.listed && shortfall > 0 && lease < minStartLease
+}
+
 // limitLease returns the part of a lease that the worker may be granted.
 func (w *worker) limitLease(lease time.Duration) time.Duration {
 	if w.Draining {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -13,7 +13,7 @@
 	if w.heartbeatInFlight || m.now < w.nextHeartbeatAt || w.Address == "" || m.awaitsList() {
 		return
 	}
-	if w.reported && !w.needsHeartbeat(m.now) && !w.isUnusableUntilHeard() {
+	if w.reported && !w.needsHeartbeat(m.now) && !w.isUnusableUntilHeard() && !m.needsAnswer(w) {
 		return
 	}
 	h := Heartbeat{Target: w.target(), Cursor: w.cursor}
