dispatch: a heartbeat without a lease waits only for the end of a stop

A run that started there meanwhile wasn't heard of, nor its lease extended, until the heartbeat was answered.

--- a/dispatch/endwait_test.go
+++ b/dispatch/endwait_test.go
@@ -58,3 +58,28 @@
 	l.run(startTimeout)
 	is.Equal(l.countRuns("small"), 0)
 }
+
+// Guards against a heartbeat without a lease that waits although no run is being stopped: a run that
+// starts meanwhile would not have its lease extended, nor be heard of, until it is answered.
+func TestHeartbeatWithoutALeaseWaitsOnlyForStops(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("finite", finiteStep(1, 4000))
+	h.advance(100 * time.Millisecond)
+	h.report()
+	h.end("finite", 0)
+	for range 5 {
+		h.advance(100 * time.Millisecond)
+	}
+	last, found := dispatch.Heartbeat{}, false
+	for _, a := range h.actions {
+		if sent, ok := a.(dispatch.Heartbeat); ok {
+			last, found = sent, true
+		}
+	}
+	is.True(found)
+	is.Equal(last.Cursor, int64(1))
+	is.Equal(last.Deadline, time.Duration(0))
+	is.Equal(last.Wait, time.Duration(0))
+}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cactusreel/cactusreel/ledger"
@@ -22,8 +23,11 @@
 		// The first heartbeat reads the worker's clock, without which no lease can be
 		// granted.
 	case !w.hasLiveRuns():
-		// The lease of runs that are to be stopped must expire if no stop is carried out.
-		h.Wait = m.endWait(w)
+		// The lease of runs that are to be stopped must expire if no stop is carried out. A run that
+		// starts meanwhile must not wait long for its first heartbeat.
+		if slices.ContainsFunc(w.runList, func(r *run) bool { return r.phase == stopping }) {
+			h.Wait = m.endWait(w)
+		}
 	case w.bar != leasesAllowed:
 		// A successor may rely on the record of the worker's silence.
 	case w.gone:
