dispatch: best-effort runs beside a task over its target are suspended within a bound

One report within the target set overTargetSince to 0, so the 800 ms began anew, the worker was open to placements again and reports came each 1.2 s again. - The runs beside were stopped in the order of their estimated interference until that covered the excess, then nothing for 0.7 s. Where the estimates are wrong, several rounds passed. - Recorded runs were started, and starts under way went on, beside a task over its target. - A takeover began the time over the target anew, after 0.7 s without observation, and gave suspended runs their full pace back. Not a cause: runs of another kind; only best-effort runs are placed beside.

Change (dispatch/suspension.go): a task counts as over its target until two reports 0.4 s apart or more are below 0.85 of it. Meanwhile nothing best-effort is placed or started there, and a start under way is suspended when it is confirmed. With the first report over the target after 0.8 s, or 1.2 s without one, all best-effort runs there are suspended at once; those at full pace get it back when the target is kept, or are stopped if they are known to interfere. Paced runs without a noticeable effect no longer hide the run that interferes. An inherited task over its target in the first report counts as over it for 0.8 s, and inherited runs keep their pace until then.

Each part is guarded by a test that fails without it (mutations of commands.go, machine.go, colocation.go, suspension.go); TestFailedLongRunningTasksRunAgainUnderOverload/0 fails before and after (known).

--- a/dispatch/colocation.go
+++ b/dispatch/colocation.go
@@ -18,9 +18,9 @@
 	// figures.
 	settlingTime = measurementWindow + 200*time.Millisecond
 	// maxTimeOverTarget is the time over its latency target after which the
-	// best-effort runs beside a task are stopped regardless of their estimated
-	// interference. Together with the delay of the report before and the stop after
-	// it, it stays below the 4 s that the deployments allow.
+	// best-effort runs beside a task are suspended regardless of their estimated
+	// interference. Together with the delay of the reports before and the suspension
+	// after it, it stays below the 4 s that the deployments allow.
 	maxTimeOverTarget = 800 * time.Millisecond
 	// sharedHeartbeatWait limits the time between reports of a worker that has both
 	// kinds of runs. overTargetHeartbeatWait applies while a task there is over its
@@ -54,7 +54,7 @@
 	}
 	shares := w.bestEffortShares(m.now)
 	for _, s := range w.latencyRuns {
-		if s.phase == running && s.tailLatency > 0 && m.now-s.startedAt > settlingTime {
+		if s.phase == running && s.tailLatency > 0 && m.now > s.settledAt {
 			m.observeRun(w, s, shares)
 		}
 	}
@@ -90,14 +90,13 @@
 	s.ownUtilisation += utilisationSmoothing * (own - s.ownUtilisation)
 	s.ownUtilisationAt = m.now
 	m.observeTargetMiss(w, s)
-	if s.tailLatency <= s.step.LatencyTarget {
-		s.overTargetSince = 0
-		return
-	}
-	if s.overTargetSince == 0 {
-		s.overTargetSince = m.now
+	s.noteTarget(m.now)
+	switch {
+	case s.mustSuspend(m.now, maxTimeOverTarget):
+		m.suspendAll(w)
+	case s.isOverTarget():
+		m.stopInterfering(w, s, u)
 	}
-	m.stopInterfering(w, s, u)
 }
 
 // stopInterfering stops best-effort runs beside a run that is over its target, those
@@ -107,41 +106,38 @@
 	if m.now-w.interferenceStoppedAt < settlingTime {
 		return
 	}
-	urgent := m.now-s.overTargetSince > maxTimeOverTarget
 	excess := u - m.model.targetUtilisation(s.image, s.step.LatencyTarget) + utilisationMargin
 	for excess > 0 {
 		worst := m.mostInterfering(w, s)
 		if worst == nil {
 			return
 		}
-		effect := worst.pressure() * m.model.interference(s.image, worst.image)
-		if effect < negligibleUtilisation && !urgent {
-			return
-		}
-		excess -= max(effect, negligibleUtilisation)
+		effect := m.effect(s, worst)
+		excess -= effect
 		w.interferenceStoppedAt = m.now
 		if worst.paced {
 			m.setPace(worst, 0)
 			continue
 		}
-		// A lost order needs no retry: the run is being stopped.
-		m.emit(Pace{Target: w.target(), Run: worst.id})
-		m.noteInterrupted(worst)
-		w.bestEffortChanges.stopped++
-		m.stopRun(worst, "interferes with a task that is over its latency target")
+		m.stopInterferingRun(worst)
 	}
 }
 
+// effect returns the utilisation that a best-effort run is estimated to add to a run.
+func (m *Machine) effect(s, bestEffort *run) float64 {
+	return bestEffort.pressure() * m.model.interference(s.image, bestEffort.image)
+}
+
 // mostInterfering returns the active best-effort run that interferes most with a
-// run, or nil if there is none. Paced runs come first, since no work is lost with them.
+// run, or nil if none does noticeably. Paced runs come first, since no work is lost with them.
 func (m *Machine) mostInterfering(w *worker, s *run) *run {
 	var worst *run
 	most := 0.0
 	for _, f := range w.bestEffortRuns {
-		if f.phase != running || f.stopRequested || f.paced && f.pace == 0 {
+		effect := m.effect(s, f)
+		if f.phase != running || f.stopRequested || effect < negligibleUtilisation {
 			continue
 		}
-		effect := f.pressure() * m.model.interference(s.image, f.image)
 		if worst == nil || f.paced && !worst.paced || f.paced == worst.paced && effect > most {
 			worst, most = f, effect
 		}
--- a/dispatch/colocation_test.go
+++ b/dispatch/colocation_test.go
@@ -26,6 +26,9 @@
 	logStalled bool
 	// startAnswer is the answer to each start.
 	startAnswer dispatch.Answer
+	// withholdsStarts leaves starts unanswered and not carried out; withheld are their runs.
+	withholdsStarts bool
+	withheld        []workload.RunID
 }
 
 func newHarness(t *testing.T) *harness {
@@ -61,6 +64,10 @@
 			}
 			queue = append(queue, h.machine.Step(h.now, dispatch.Appended{ID: a.ID})...)
 		case dispatch.Start:
+			if h.withholdsStarts {
+				h.withheld = append(h.withheld, a.Run)
+				continue
+			}
 			h.active[a.Run] = workload.ActiveRun{RunID: a.Run, ProgressPercent: 100}
 			queue = append(queue, h.machine.Step(h.now, dispatch.StartAnswered{Worker: a.Worker, Run: a.Run, Answer: h.startAnswer, Clock: h.now})...)
 		}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -27,6 +27,8 @@
 		return "worker is recorded as silent"
 	case !r.worker.reserved.Fits(r.worker.Capacity):
 		return "runs exceed the worker's capacity"
+	case r.step.BestEffort && r.worker.overTarget():
+		return "a task there is over its latency target"
 	case m.unconfirmed(r.entry):
 		return "submission is not confirmed by its own cell"
 	case m.viewExpired():
@@ -101,13 +103,20 @@
 	r.entry.NoteActive()
 	if r.startedAt == 0 {
 		r.startedAt, r.progressAt = m.now, m.now
+		r.overBefore = r.inherited
+		if !r.inherited {
+			r.settledAt = m.now + settlingTime
+		}
 		r.worker.beginInterval(r, m.now)
 		if r.step.BestEffort {
 			r.worker.bestEffortChanges.started++
 		}
-		if r.paced {
+		switch {
+		case r.step.BestEffort && r.worker.overTarget():
+			m.suspend(r)
+		case r.paced:
 			m.sendPace(r)
-		} else if r.step.BestEffort {
+		case r.step.BestEffort:
 			m.controlPaces(r.worker)
 		}
 		m.emitDecision(RunStarted, r.id, r.worker.ID(), "", 0)
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -329,8 +329,8 @@
 	if r.phase == starting {
 		m.confirmRun(r)
 	}
-	if r.inherited && 4*a.UsedMilliCPU < 3*r.step.Request.MilliCPU {
-		r.resumeFullPace()
+	if r.inherited {
+		m.adoptPace(r, a.UsedMilliCPU)
 	}
 	r.inherited = false
 	if a.Checkpoint != "" && a.Checkpoint != r.checkpoint {
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -178,7 +178,7 @@
 		id:    workload.RunID{Task: t.ID, Run: number},
 		order: m.config.Epoch<<placementBits + m.placements,
 		entry: e, task: t, step: &e.Steps[t.ID.Step], worker: w,
-		phase: recording, checkpoint: t.Checkpoint,
+		phase: recording, checkpoint: t.Checkpoint, pace: 100,
 		image:    m.model.idOf(e.Steps[t.ID.Step].Image),
 		isolated: e.CrashRecordOf(t).Suspect,
 	}
@@ -378,6 +378,7 @@
 			m.stopLeaving(w)
 		}
 		m.retryCommands(w)
+		m.suspendUnreported(w)
 		m.heartbeatIfDue(w)
 	}
 	m.reportExpiredViews()
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -87,6 +87,10 @@
 			}
 			continue
 		}
+		if r.held {
+			m.controlHeld(r)
+			continue
+		}
 		pace := m.paceOn(w, r.image, 0)
 		if over {
 			pace = min(pace, r.pace)
@@ -118,11 +122,6 @@
 	return n
 }
 
-// overTarget reports whether a run on the worker is over its latency target.
-func (w *worker) overTarget() bool {
-	return slices.ContainsFunc(w.latencyRuns, func(s *run) bool { return s.overTargetSince > 0 })
-}
-
 // setPace changes the pace of an active run.
 func (m *Machine) setPace(r *run, percent int) {
 	r.worker.endInterval(r, m.now)
@@ -156,14 +155,6 @@
 	return r.step.Request.MilliCPU
 }
 
-// resumeFullPace gives an inherited best-effort run, which a previous owner may have paced,
-// its full pace again: it then counts as any other until it interferes.
-func (r *run) resumeFullPace() {
-	if r.step.BestEffort {
-		r.pace, r.paceUnknown = 100, true
-	}
-}
-
 func (m *Machine) sendPace(r *run) {
 	r.pacedAt, r.paceUnknown = m.now, false
 	m.emit(Pace{Target: r.worker.target(), Run: r.id, Percent: r.pace})
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -67,6 +67,10 @@
 	confirmedAt time.Duration
 	// startedAt is when the start was first confirmed.
 	startedAt time.Duration
+	// settledAt is when the reported figures are those of the run at work. overBefore: whether it
+	// was over its latency target before the epoch is not known.
+	settledAt  time.Duration
+	overBefore bool
 	// activeFrom is a reading of the worker's clock at which the run was active, the first
 	// that is known, or 0.
 	activeFrom time.Duration
@@ -91,9 +95,11 @@
 	// interference of best-effort runs, as of ownUtilisationAt.
 	ownUtilisation   float64
 	ownUtilisationAt time.Duration
-	// overTargetSince is the time of the first report in a row with a tail latency
-	// over the target; 0 if the last report was not over it.
-	overTargetSince time.Duration
+	// overTargetSince is the time of the first report with a tail latency over the target; 0 if
+	// the reports have been clearly within it for targetKeptTime. withinTargetSince is the time of
+	// the first of the last reports in a row that were clearly within it, or 0.
+	overTargetSince   time.Duration
+	withinTargetSince time.Duration
 	// targetMiss is the time over the target beside best-effort runs that has not ended, or nil.
 	targetMiss *targetMiss
 	// place is the worker on which capacity is reserved for the run's replacement, or nil.
@@ -107,6 +113,9 @@
 	paceUnknown          bool
 	pace                 int
 	pacedAt, suspendedAt time.Duration
+	// held: the run was suspended at its full pace at heldSince and may get that back.
+	held      bool
+	heldSince time.Duration
 	// intervalFrom is the beginning of the run's last entry in bestEffortHistory.
 	intervalFrom time.Duration
 	// headroom is the cached result of Machine.runHeadroom for the worker's
--- a/dispatch/targetmiss.go
+++ b/dispatch/targetmiss.go
@@ -37,7 +37,7 @@
 
 // observeTargetMiss notes a report on a task with a latency target.
 func (m *Machine) observeTargetMiss(w *worker, s *run) {
-	over := s.tailLatency > s.step.LatencyTarget
+	over := s.isOverTarget()
 	miss := s.targetMiss
 	if miss == nil {
 		if !over || len(w.bestEffortRuns) == 0 {
