dispatch: a task counts as within its target after 0.8 s of reports clearly within it

Change: 0.8 s in place of 0.4 s. The bound does not change: the time over the target goes on, so the next report over it suspends at once.

--- a/dispatch/suspension.go
+++ b/dispatch/suspension.go
@@ -9,7 +9,7 @@
 const (
 	// targetKeptTime is how long the reports on a task must be below clearlyWithinTarget, a part
 	// of its target, until the task counts as within it again: the reported figures are rough.
-	targetKeptTime      = 400 * time.Millisecond
+	targetKeptTime      = 800 * time.Millisecond
 	clearlyWithinTarget = 0.85
 	// maxHeldTime is the time after which a run that was suspended at its full pace, and still
 	// is, is stopped, so that it is placed elsewhere.
