dispatch: a task just within its target closes its worker to best-effort runs for a limited time

Callers: a best-effort task that was placed nowhere for as long as a task on the worker stayed between 0.85 of its latency target and the target, after one single report over it: a wait without a bound. Cause: only reports below 0.85 of the target end the time over it. Change: reports that have not been over the target for 3 s end it as well. Evidence: TestTaskJustWithinItsTargetDoesNotCloseItsWorkerForGood (one report over the target, then 60 s at 0.9 of it) fails without the change and passes with it, and passes there without the one report over the target. TestHarmToTasksIsBounded and the tests of targets, paces and interference pass.

--- a/dispatch/suspension.go
+++ b/dispatch/suspension.go
@@ -11,6 +11,8 @@
 	// of its target, until the task counts as within it again: the reported figures are rough.
 	targetKeptTime      = 400 * time.Millisecond
 	clearlyWithinTarget = 0.85
+	// justKeptTime is the same for reports that are within the target, but not clearly.
+	justKeptTime = 3 * time.Second
 	// maxHeldTime is the time after which a run that was suspended at its full pace, and still
 	// is, is stopped, so that it is placed elsewhere.
 	maxHeldTime = 3 * time.Second
@@ -22,7 +24,7 @@
 func (s *run) noteTarget(now time.Duration) {
 	switch {
 	case s.isOverTarget():
-		s.withinTargetSince = 0
+		s.withinTargetSince, s.notOverSince = 0, 0
 		if s.overTargetSince == 0 {
 			s.overTargetSince = now
 			if s.overBefore {
@@ -30,12 +32,17 @@
 			}
 		}
 	case s.overTargetSince == 0:
+	case s.notOverSince > 0 && now-s.notOverSince >= justKeptTime:
+		s.overTargetSince, s.withinTargetSince, s.notOverSince = 0, 0, 0
 	case float64(s.tailLatency) > clearlyWithinTarget*float64(s.step.LatencyTarget):
 		s.withinTargetSince = 0
 	case s.withinTargetSince == 0:
 		s.withinTargetSince = now
 	case now-s.withinTargetSince >= targetKeptTime:
-		s.overTargetSince, s.withinTargetSince = 0, 0
+		s.overTargetSince, s.withinTargetSince, s.notOverSince = 0, 0, 0
+	}
+	if s.overTargetSince > 0 && s.notOverSince == 0 && !s.isOverTarget() {
+		s.notOverSince = now
 	}
 	s.overBefore = false
 }
