dispatch: run times learned from finished tasks in place of far-off estimates

Of best-effort steps the estimate stays: what runs beside them decides how long they run. Whether a submission was served in time is told by the longer of the two objectives. A submission is counted as overdue once, by a mark, since objectives change.

Until twelve steps have finished, the estimates hold.

--- a/dispatch/displacementcost.go
+++ b/dispatch/displacementcost.go
@@ -80,14 +80,14 @@
 // displacementWeight weighs what displacing a run means to its submission.
 func (m *Machine) displacementWeight(r *run) float64 {
 	task := r.id.Task
-	due, objective := r.entry.DueAt(task.Occurrence), r.entry.Objective()
+	due, objective := r.entry.DueAt(task.Occurrence), m.expected(r.entry).objective
 	elapsed := m.wall.Sub(due)
-	if timelinessOf(r.entry, task.Step, elapsed) == veryLate {
+	if timelinessOf(r.entry, m.expected(r.entry), task.Step, elapsed) == veryLate {
 		return uselessWeight
 	}
 	// A displaced task repeats its step at worst.
-	repeated := elapsed + r.entry.CriticalPathFrom(task.Step)
-	done := min(r.step.Estimate, m.now-r.startedAt)
+	repeated := elapsed + m.expected(r.entry).chain[task.Step]
+	done := min(m.expectedRunTime(r.entry.Queue, r.step), m.now-r.startedAt)
 	if repeated > objective && repeated-done <= objective {
 		return newlyLateWeight
 	}
--- a/dispatch/favoured.go
+++ b/dispatch/favoured.go
@@ -31,7 +31,7 @@
 func (m *Machine) favourLargest(waiting []*waitingStep) {
 	var largest []*waitingStep
 	for _, ws := range waiting {
-		if ws.timeliness != veryLate && !ws.entry.Steps[ws.stepIndex].LongRunning && m.sizes.favours(ws.entry.Queue, ws.entry.Work()) {
+		if ws.timeliness != veryLate && !ws.entry.Steps[ws.stepIndex].LongRunning && m.favours(ws.entry) {
 			largest = append(largest, ws)
 		}
 	}
@@ -70,7 +70,7 @@
 			}
 		}
 		all[class] += cpu
-		if m.sizes.favours(e.Queue, e.Work()) {
+		if m.favours(e) {
 			favoured[class] += cpu
 		}
 	}
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -90,8 +90,8 @@
 				due := r.entry.DueAt(task.Occurrence)
 				out = append(out, &waitingStep{
 					entry: r.entry, occurrence: task.Occurrence, stepIndex: task.Step, state: state, image: r.image,
-					priority: r.entry.Policy.Priority, timeliness: timelinessOf(r.entry, task.Step, m.wall.Sub(due)),
-					due: due.UnixNano() + int64(r.entry.Objective()),
+					priority: r.entry.Policy.Priority, timeliness: timelinessOf(r.entry, m.expected(r.entry), task.Step, m.wall.Sub(due)),
+					due: due.UnixNano() + int64(m.expected(r.entry).objective),
 				})
 			}
 			ws := out[index[state]]
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -107,10 +107,13 @@
 	interruptions map[workload.TaskID]*interruption
 	// withPlace are the runs for whose replacement capacity is reserved.
 	withPlace map[*run]bool
-	// overdueAt is the wall-clock time of the last search for submissions that are not served.
-	overdueAt time.Time
+	// overdueAt is when submissions that are not served were last searched for.
+	overdueAt time.Duration
 	times     timeAccounts
 	serving   servingReport
+	// runTimes are those of the queues by name.
+	runTimes     map[string]*runTimes
+	expectations map[*ledger.Entry]*expectation
 	// held are the workers that the last planning round held.
 	held []*worker
 }
@@ -146,9 +149,11 @@
 		excess:          newExcessRuns(),
 		starts:          newStartLimit(),
 		sizes:           make(sizeSamples),
-		overdueAt:       wall,
-		times:           timeAccounts{uses: make(map[*ledger.Entry]*TimeUses), at: now},
+		overdueAt:       now,
+		times:           newTimeAccounts(now),
 		serving:         newServingReport(now),
+		runTimes:        make(map[string]*runTimes),
+		expectations:    make(map[*ledger.Entry]*expectation),
 		interruptions:   make(map[workload.TaskID]*interruption),
 		withPlace:       make(map[*run]bool),
 		bestEffortWaits: make(map[*ledger.Step]*bestEffortWait),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -115,7 +115,7 @@
 func (m *Machine) waitingSteps() []*waitingStep {
 	var out []*waitingStep
 	live := m.ledger.Live()
-	index := newWorkIndex(live)
+	index := m.newWorkIndex(live)
 	for _, e := range live {
 		if e.State().Final() || m.unconfirmed(e) {
 			continue
@@ -149,8 +149,8 @@
 		}
 		out = append(out, &waitingStep{
 			entry: e, occurrence: number, stepIndex: s, state: state, image: m.model.idOf(e.Steps[s].Image),
-			priority: e.Policy.Priority, timeliness: timelinessOf(e, s, m.wall.Sub(due)),
-			remaining: index.remaining(e, o, s), due: due.UnixNano() + int64(e.Objective()),
+			priority: e.Policy.Priority, timeliness: timelinessOf(e, m.expected(e), s, m.wall.Sub(due)),
+			remaining: index.remaining(e, m.expected(e), o, s), due: due.UnixNano() + int64(m.expected(e).objective),
 		})
 	}
 	return out
--- a/dispatch/served.go
+++ b/dispatch/served.go
@@ -36,8 +36,8 @@
 func (m *Machine) emitSubmissionDecision(kind DecisionKind, e *ledger.Entry) {
 	d := Decision{
 		Kind: kind, Run: workload.RunID{Task: workload.TaskID{Submission: e.ID}}, Reason: e.State().String(),
-		Queue: e.Queue, Elapsed: m.wall.Sub(e.DueAt(e.OccurrenceCount() - 1)), Objective: e.Objective(),
-		Size: m.sizes.classOf(e.Queue, e.Work()), Work: e.Work(), Started: e.State() != workload.Queued,
+		Queue: e.Queue, Elapsed: m.wall.Sub(e.DueAt(e.OccurrenceCount() - 1)), Objective: m.servedObjective(e),
+		Size: m.sizeOf(e), Work: m.expected(e).work, Started: e.State() != workload.Queued,
 	}
 	switch kind {
 	case SubmissionEnded:
@@ -46,11 +46,12 @@
 		d.Served = NotServed
 	}
 	if kind != SubmissionBegan && d.Served != ServedBefore {
-		m.sizes.countOutcome(d.Queue, d.Size, d.Served != NotServed)
+		m.judge(e, d.Served != NotServed)
 		if uses := m.times.uses[e]; uses != nil {
 			d.Times = *uses
 			delete(m.times.uses, e)
 		}
+		m.times.counted[e] = true
 		m.serving.add(&d)
 	}
 	m.emit(d)
@@ -62,12 +63,13 @@
 func (m *Machine) restoreSizes() {
 	for _, e := range m.ledger.Known() {
 		if !e.Guest() {
-			m.sizes.add(e.Queue, e.Work())
+			m.sizes.add(e)
 		}
 	}
 	for _, e := range m.ledger.Live() {
-		if !e.Guest() && !hasLongRunningStep(e) && !uselessAt(e).After(m.overdueAt) {
-			m.serving.addInherited(e.Queue, m.sizes.classOf(e.Queue, e.Work()))
+		if !e.Guest() && !hasLongRunningStep(e) && !m.uselessAt(e).After(m.wall) {
+			m.times.counted[e] = true
+			m.serving.addInherited(e.Queue, m.sizeOf(e))
 		}
 	}
 }
@@ -75,28 +77,33 @@
 // recordSize adds a new submission to its queue's sample of sizes.
 func (m *Machine) recordSize(e *ledger.Entry) {
 	if !e.Guest() && e.State() == workload.Queued {
-		m.sizes.add(e.Queue, e.Work())
+		m.sizes.add(e)
 	}
 }
 
+// servedObjective returns the time within which an occurrence is served in time: by the estimates,
+// or by the run times of its queue if that is longer.
+func (m *Machine) servedObjective(e *ledger.Entry) time.Duration {
+	return max(e.Objective(), m.expected(e).objective)
+}
+
 // uselessAt returns the wall-clock time from which on the last occurrence of a submission is
 // of no more use.
-func uselessAt(e *ledger.Entry) time.Time {
-	return e.DueAt(e.OccurrenceCount() - 1).Add(lateFactor * e.Objective())
+func (m *Machine) uselessAt(e *ledger.Entry) time.Time {
+	return e.DueAt(e.OccurrenceCount() - 1).Add(lateFactor * m.servedObjective(e))
 }
 
 // servedAtEnd says how a submission that has ended now was served.
 func (m *Machine) servedAtEnd(e *ledger.Entry) Served {
-	useless := uselessAt(e)
 	elapsed := m.wall.Sub(e.DueAt(e.OccurrenceCount() - 1))
 	switch {
-	case !useless.After(m.overdueAt):
+	case m.times.counted[e]:
 		return ServedBefore
-	case m.wall.After(useless):
+	case m.wall.After(m.uselessAt(e)):
 		return NotServed
 	case e.State() == workload.Failed:
 		return ServedFailed
-	case elapsed <= e.Objective():
+	case elapsed <= m.servedObjective(e):
 		return ServedInTime
 	}
 	return ServedLate
@@ -106,20 +113,15 @@
 // last search. Submissions with a long-running step never complete, and guests are reported
 // by their own cell.
 func (m *Machine) reportOverdue() {
-	since := m.overdueAt
-	if m.wall.Before(since) {
-		// The clock was set back.
-		m.overdueAt = m.wall
-	}
-	if m.wall.Sub(m.overdueAt) < overdueInterval {
+	if m.now-m.overdueAt < overdueInterval {
 		return
 	}
-	m.overdueAt = m.wall
+	m.overdueAt = m.now
 	for _, e := range m.ledger.Live() {
 		if e.Guest() || e.State().Final() || hasLongRunningStep(e) {
 			continue
 		}
-		if at := uselessAt(e); at.After(since) && !at.After(m.wall) {
+		if !m.times.counted[e] && !m.uselessAt(e).After(m.wall) {
 			m.emitSubmissionDecision(SubmissionOverdue, e)
 		}
 	}
--- a/dispatch/sizebalance.go
+++ b/dispatch/sizebalance.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cactusreel/cactusreel/ledger"
+)
 
 const (
 	// balanceSampleSize is the number of a queue's submissions, and minLargestSample that of
@@ -61,3 +65,10 @@
 	return fmt.Sprintf("of the last submissions that ended or are overdue, %d of %d of the largest were served, and %d of %d of all sizes",
 		b.largest.served, len(b.largest.outcomes), b.all.served, len(b.all.outcomes))
 }
+
+// judge counts whether a submission was served in the balance of its queue.
+func (m *Machine) judge(e *ledger.Entry, served bool) {
+	if sample := m.sizes[e.Queue]; sample != nil {
+		sample.balance.add(m.sizeOf(e), served)
+	}
+}
--- a/dispatch/sizeclass.go
+++ b/dispatch/sizeclass.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cactusreel/cactusreel/ledger"
 )
 
 // SizeClass classifies a submission by its work among the recent submissions of its queue.
@@ -32,39 +34,39 @@
 	maxSizeSamples = 64
 )
 
-// sizeSample has the work of the most recent submissions of a queue.
+// sizeSample has the most recent submissions of a queue.
 type sizeSample struct {
-	works [sizeSampleSize]float64
+	submissions [sizeSampleSize]*ledger.Entry
 	// added is the number of submissions that were added.
 	added int
 	// bounds are the greatest amounts of work below the largest tenth, and below the fifth
-	// after that, of the first boundsAt submissions.
-	bounds   [2]float64
-	boundsAt int
-	balance  sizeBalance
+	// after that, of the first boundsAt submissions, by the run times of boundsVersion.
+	bounds        [2]float64
+	boundsAt      int
+	boundsVersion int
+	balance       sizeBalance
 	// reportedAt is when the queue was last reported to have favoured submissions, if it was.
 	reported   bool
 	reportedAt time.Duration
 }
 
-func (s *sizeSample) add(work float64) {
-	s.works[s.added%sizeSampleSize] = work
+func (s *sizeSample) add(e *ledger.Entry) {
+	s.submissions[s.added%sizeSampleSize] = e
 	s.added++
 }
 
-// classOf returns the class of an amount of work. A queue of equal submissions has no
-// largest ones.
-func (s *sizeSample) classOf(work float64) SizeClass {
-	n := min(s.added, sizeSampleSize)
-	if n < minSizeSample {
+// sizeOf returns the class of a submission by its expected work. A queue of equal submissions
+// has no largest ones.
+func (m *Machine) sizeOf(e *ledger.Entry) SizeClass {
+	s := m.sizes[e.Queue]
+	if s == nil || min(s.added, sizeSampleSize) < minSizeSample {
 		return OtherSize
 	}
-	if s.boundsAt != s.added {
-		sorted := slices.Clone(s.works[:n])
-		slices.SortFunc(sorted, func(a, b float64) int { return cmp.Compare(b, a) })
-		s.bounds, s.boundsAt = [2]float64{sorted[n/10], sorted[3*n/10]}, s.added
+	expected := m.expected(e)
+	if s.boundsAt != s.added || s.boundsVersion != expected.version {
+		s.bounds, s.boundsAt, s.boundsVersion = m.sizeBounds(s), s.added, expected.version
 	}
-	switch {
+	switch work := expected.work; {
 	case work > s.bounds[0]:
 		return LargestSize
 	case work > s.bounds[1]:
@@ -73,38 +75,34 @@
 	return OtherSize
 }
 
+func (m *Machine) sizeBounds(s *sizeSample) [2]float64 {
+	n := min(s.added, sizeSampleSize)
+	works := make([]float64, n)
+	for i, e := range s.submissions[:n] {
+		works[i] = m.expectedWork(&e.Submission)
+	}
+	slices.SortFunc(works, func(a, b float64) int { return cmp.Compare(b, a) })
+	return [2]float64{works[n/10], works[3*n/10]}
+}
+
 // sizeSamples has the samples of the queues by name.
 type sizeSamples map[string]*sizeSample
 
-func (s sizeSamples) add(queue string, work float64) {
-	sample := s[queue]
+func (s sizeSamples) add(e *ledger.Entry) {
+	sample := s[e.Queue]
 	if sample == nil {
 		if len(s) >= maxSizeSamples {
 			return
 		}
 		sample = new(sizeSample)
-		s[queue] = sample
-	}
-	sample.add(work)
-}
-
-func (s sizeSamples) classOf(queue string, work float64) SizeClass {
-	if sample := s[queue]; sample != nil {
-		return sample.classOf(work)
-	}
-	return OtherSize
-}
-
-// countOutcome records whether a submission was served.
-func (s sizeSamples) countOutcome(queue string, class SizeClass, served bool) {
-	if sample := s[queue]; sample != nil {
-		sample.balance.add(class, served)
+		s[e.Queue] = sample
 	}
+	sample.add(e)
 }
 
 // favours reports whether a submission is one of the largest of a queue in which these fall
 // behind.
-func (s sizeSamples) favours(queue string, work float64) bool {
-	sample := s[queue]
-	return sample != nil && sample.balance.largestFallBehind() && sample.classOf(work) == LargestSize
+func (m *Machine) favours(e *ledger.Entry) bool {
+	sample := m.sizes[e.Queue]
+	return sample != nil && sample.balance.largestFallBehind() && m.sizeOf(e) == LargestSize
 }
--- a/dispatch/timeliness.go
+++ b/dispatch/timeliness.go
@@ -39,12 +39,12 @@
 
 // timelinessOf classifies a waiting step of an occurrence that came due the elapsed
 // time ago.
-func timelinessOf(e *ledger.Entry, step int, elapsed time.Duration) timeliness {
+func timelinessOf(e *ledger.Entry, expected *expectation, step int, elapsed time.Duration) timeliness {
 	if e.Steps[step].LongRunning {
 		return onTime
 	}
-	remaining := time.Duration(minEstimateShare * float64(e.CriticalPathFrom(step)))
-	objective := e.Objective()
+	remaining := time.Duration(minEstimateShare * float64(expected.chain[step]))
+	objective := expected.objective
 	switch {
 	case elapsed+remaining <= objective:
 		return onTime
--- a/dispatch/timeuse.go
+++ b/dispatch/timeuse.go
@@ -77,10 +77,21 @@
 // timeUseInterval is the time between two observations of what submissions spend time on.
 const timeUseInterval = 100 * time.Millisecond
 
-// timeAccounts have the time uses of the submissions that haven't been counted as served or not.
+// timeAccounts have the time uses of the submissions that haven't been counted as served or not,
+// and those that have and are not final.
 type timeAccounts struct {
-	uses map[*ledger.Entry]*TimeUses
-	at   time.Duration
+	uses    map[*ledger.Entry]*TimeUses
+	counted map[*ledger.Entry]bool
+	at      time.Duration
+}
+
+func newTimeAccounts(now time.Duration) timeAccounts {
+	return timeAccounts{uses: make(map[*ledger.Entry]*TimeUses), counted: make(map[*ledger.Entry]bool), at: now}
+}
+
+func (a *timeAccounts) forgetFinal() {
+	maps.DeleteFunc(a.uses, func(e *ledger.Entry, _ *TimeUses) bool { return e.State().Final() })
+	maps.DeleteFunc(a.counted, func(e *ledger.Entry, _ bool) bool { return e.State().Final() })
 }
 
 // observeTimeUses adds the time since the last observation to what each submission spends it on
@@ -91,7 +102,8 @@
 		return
 	}
 	m.times.at = m.now
-	maps.DeleteFunc(m.times.uses, func(e *ledger.Entry, _ *TimeUses) bool { return e.State().Final() })
+	m.forgetExpectations()
+	m.times.forgetFinal()
 	rooms := newRoomIndex(m.usableWorkers(), m.held)
 	for _, e := range m.ledger.Live() {
 		if e.Guest() || e.State().Final() || hasLongRunningStep(e) {
@@ -99,7 +111,7 @@
 		}
 		last := e.OccurrenceCount() - 1
 		elapsed := m.wall.Sub(e.DueAt(last))
-		if elapsed <= 0 || elapsed > lateFactor*e.Objective()+overdueInterval {
+		if elapsed <= 0 || m.times.counted[e] {
 			continue
 		}
 		uses := m.times.uses[e]
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -54,10 +54,10 @@
 // workIndex has the mean work of the live submissions of each queue.
 type workIndex map[string]float64
 
-func newWorkIndex(live []*ledger.Entry) workIndex {
+func (m *Machine) newWorkIndex(live []*ledger.Entry) workIndex {
 	sums, counts := make(workIndex), make(map[string]int)
 	for _, e := range live {
-		sums[e.Queue] += e.Work()
+		sums[e.Queue] += m.expected(e).work
 		counts[e.Queue]++
 	}
 	for queue, n := range counts {
@@ -79,10 +79,10 @@
 // 0 if the step is long-running. The mean ranks small submissions before large ones, and
 // bounds their advantage: a large submission that is half done comes before any that has
 // not begun and is larger than the mean.
-func (x workIndex) remaining(e *ledger.Entry, o *ledger.Occurrence, step int) float64 {
-	whole := e.Work() + queueMeanWeight*x[e.Queue]
+func (x workIndex) remaining(e *ledger.Entry, expected *expectation, o *ledger.Occurrence, step int) float64 {
+	whole := expected.work + queueMeanWeight*x[e.Queue]
 	if whole == 0 || e.Steps[step].LongRunning {
 		return 0
 	}
-	return o.RemainingWork(e.Steps) / whole
+	return expected.remainingWork(o) / whole
 }
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -130,7 +130,10 @@
 }
 
 // Objective returns the duration after the due time within which an occurrence
-// should complete.
-func (s *Submission) Objective() time.Duration {
-	return time.Duration(s.Policy.SlackFactor*float64(s.CriticalPath())) + s.Policy.TargetCompletion
+// should complete, by the estimates of its steps.
+func (s *Submission) Objective() time.Duration { return s.ObjectiveOf(s.CriticalPath()) }
+
+// ObjectiveOf returns the same for a run time of the longest chain of dependent steps.
+func (s *Submission) ObjectiveOf(chain time.Duration) time.Duration {
+	return time.Duration(s.Policy.SlackFactor*float64(chain)) + s.Policy.TargetCompletion
 }
