--- a/dispatch/runhistory.go
+++ b/dispatch/runhistory.go
@@ -64,7 +64,7 @@
 	if r.step.LongRunning || r.step.Estimate <= 0 || r.startedAt == 0 || r.task.Checkpoint != "" {
 		return
 	}
-	ratio := float64(m.now-r.startedAt) / float64(m.expectedRunTime(r.entry.Queue, r.step))
+	ratio := float64(m.now-r.startedAt) / float64(r.step.Estimate)
 	const weight = 0.3
 	if w.history.slowdown == 0 {
 		w.history.slowdown = 1
