--- a/dispatch/runhistory.go
+++ b/dispatch/runhistory.go
@@ -41,6 +41,7 @@
 	case workload.Succeeded:
 		w.history.failedSubmissions = nil
 		w.history.refusals, w.history.stalledRuns = 0, 0
+		m.observeRunTime(r)
 		m.updateSlowdown(w, r)
 	}
 }
