dispatch: failures of long-running tasks that were at work don't quarantine their worker

Cause: runs of two submissions that fail on a worker one after the other put it in quarantine, without a limit of time between them. Only a finite run that succeeds clears that, so on a worker with long-running tasks alone any two failures count, also of tasks that had been at work for seconds. Such tasks may fail at any time. Change: a long-running run that was at work doesn't count against its worker; its task still avoids it. One that fails before it is at work counts as before.

--- a/dispatch/runhistory.go
+++ b/dispatch/runhistory.go
@@ -9,8 +9,9 @@
 // Limits for the quarantine of workers.
 const (
 	// faultyThreshold is the number of different submissions with consecutive
-	// failures on a worker from which the worker counts as faulty. A single
-	// submission is not enough, because it may fail on every worker.
+	// failures on a worker from which the worker counts as faulty, those of
+	// long-running tasks that were at work aside. A single submission is not
+	// enough, because it may fail on every worker.
 	faultyThreshold = 2
 	// quarantineTime is the time for which no runs are placed on a faulty worker.
 	// The runs placed after that probe the worker: a failure puts it in quarantine
@@ -48,6 +49,10 @@
 
 func (m *Machine) addFailure(w *worker, r *run) {
 	m.avoid[r.id.Task] = w.ID()
+	if r.step.LongRunning && r.progressPercent >= 100 {
+		// A task that was at work may fail at any time, on sound workers too.
+		return
+	}
 	if w.history.failedSubmissions == nil {
 		w.history.failedSubmissions = make(map[string]bool)
 	}
