--- a/coordinator/reportwitnesses_test.go
+++ b/coordinator/reportwitnesses_test.go
@@ -146,3 +146,20 @@
 		})
 	}
 }
+
+// Guards against leases that are not extended at a hand-over because a report limits them: they
+// would lapse before a successor that has no store for a while takes over.
+func TestHandOverExtendsReportedLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSilentWorkerTest(t, 6)
+		defer s.close()
+		s.silent.update(func() { s.silent.holds = true })
+		time.Sleep(ownerAuthority)
+		s.cutStore("vm-1", true)
+		s.group.assign(0, "vm-1")
+		time.Sleep(clusterLease + time.Second)
+		if left := s.leaseEnd(); left < clusterLease/2 {
+			t.Fatalf("the lease ends in %v", left)
+		}
+	})
+}
--- a/dispatch/reportedlease_test.go
+++ b/dispatch/reportedlease_test.go
@@ -147,3 +147,35 @@
 	h.reported()
 	is.Equal(h.limit, h.now+dispatch.LeaseExpiryBound(2*simLease))
 }
+
+// Guards against a lease that is taken from a worker, or that ends at once, because a report allows
+// it none any more.
+func TestNoLeaseIsGrantedAfterItsReportedExpiry(t *testing.T) {
+	is := is.New(t)
+	h := newReportedHarness(t)
+	h.submit("finite", plainStep)
+	h.report()
+	h.limit = h.now - time.Second
+	next, _ := h.heartbeat()
+	is.Equal(next.Deadline, time.Duration(0))
+}
+
+// Guards against a task that runs twice: the report of an earlier life of its worker is taken for
+// that of the one that has the lease.
+func TestReportedLeaseIsThatOfTheIncarnation(t *testing.T) {
+	const unknown, reported = 4 * simLease, simLease / 2
+	is := is.New(t)
+	h := newReportedHarness(t)
+	h.submit("finite", plainStep)
+	h.report()
+	h.machine = dispatch.New(dispatch.Config{
+		Epoch: 2, Lease: simLease, PredecessorExpiry: unknown, HeartbeatWait: 2 * time.Second, RemoteFactor: 2,
+	}, h.ledger, h.now, time.Now())
+	worker := workload.Incarnation{Worker: "w", StartMillis: 1}
+	h.handle(dispatch.LeasesReported{Expiry: map[workload.Incarnation]time.Duration{{Worker: "w", StartMillis: 2}: 0}})
+	is.Equal(h.machine.Leases(h.now)[worker].All, unknown)
+	h.handle(dispatch.LeasesReported{Expiry: map[workload.Incarnation]time.Duration{worker: reported}})
+	is.Equal(h.machine.Leases(h.now)[worker].All, reported)
+	h.handle(dispatch.LeasesReported{Expiry: map[workload.Incarnation]time.Duration{worker: unknown}})
+	is.Equal(h.machine.Leases(h.now)[worker].All, reported)
+}
--- a/witness/schedules_test.go
+++ b/witness/schedules_test.go
@@ -342,3 +342,20 @@
 		t.Errorf("only %d numberings, %d late calls", numberings, late)
 	}
 }
+
+// Guards against reports that pile up while no witness answers, and against none once one does.
+func TestReportsThatNobodyHoldsAreFew(t *testing.T) {
+	l := newOwnReports()
+	worker := workload.Incarnation{Worker: "w", StartMillis: 1}
+	for i := range 10 * maxPendingReports {
+		l.add(map[workload.Incarnation]time.Duration{worker: time.Duration(i) * time.Second})
+	}
+	if len(l.limiting) != maxPendingReports || l.newest.number != maxPendingReports {
+		t.Errorf("%d reports, the newest has number %d", len(l.limiting), l.newest.number)
+	}
+	l.release(maxPendingReports)
+	l.add(map[workload.Incarnation]time.Duration{worker: time.Hour})
+	if l.newest.number != maxPendingReports+1 || l.limit(worker) != (maxPendingReports-1)*time.Second {
+		t.Errorf("the newest report has number %d, the limit is %v", l.newest.number, l.limit(worker))
+	}
+}
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -159,3 +159,32 @@
 	is.Equal(number, int64(0))
 	is.Equal(len(leases), 0)
 }
+
+// Guards against leases that stay short because of the reports of witnesses that have been lost, once
+// the record that there are none is in the log.
+func TestReportsOfLostWitnessesLimitNothing(t *testing.T) {
+	is := is.New(t)
+	worker := workload.Incarnation{Worker: "w", StartMillis: 1}
+	o, calls := startTrial(is)
+	report := func() { o.Report(map[workload.Incarnation]time.Duration{worker: begin + lease}) }
+	report()
+	for _, c := range calls {
+		o.Answered(c, witness.Answer{Confirmed: true, Report: 1})
+	}
+	is.Equal(o.Choose(candidates(), "", begin), nil)
+	report()
+	for _, c := range calls {
+		o.Answered(c, witness.Answer{Confirmed: true, Report: 2})
+	}
+	is.True(o.Choose(candidates(), "", begin).Reports)
+	o.Recorded(1)
+	_, limited := o.WorkerLimit(worker)
+	is.True(limited)
+	none := o.Choose(nil, "", begin+10*time.Second)
+	is.Equal(len(none.All), 0)
+	_, limited = o.WorkerLimit(worker)
+	is.True(limited)
+	o.Recorded(none.Number)
+	_, limited = o.WorkerLimit(worker)
+	is.True(!limited)
+}
