dispatch: best-effort submissions are not judged early

Best-effort submissions that had no run within their objective counted as not served, so the largest of them came first. They wait for colocation, which no order changes, and their run times are not learned.

Only submissions without best-effort steps are judged early now.

--- a/dispatch/served.go
+++ b/dispatch/served.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cactusreel/cactusreel/ledger"
@@ -127,6 +128,12 @@
 	}
 }
 
+// hasBestEffortStep reports whether a submission waits for colocation, which its place in the order
+// doesn't decide.
+func hasBestEffortStep(e *ledger.Entry) bool {
+	return slices.ContainsFunc(e.Steps, func(s workload.Step) bool { return s.BestEffort })
+}
+
 func hasLongRunningStep(e *ledger.Entry) bool {
 	for i := range e.Steps {
 		if e.Steps[i].LongRunning {
--- a/dispatch/timeuse.go
+++ b/dispatch/timeuse.go
@@ -117,7 +117,7 @@
 		if elapsed <= 0 || m.times.counted[e] {
 			continue
 		}
-		if elapsed > m.expected(e).objective && e.State() == workload.Queued {
+		if elapsed > m.expected(e).objective && e.State() == workload.Queued && !hasBestEffortStep(e) {
 			m.judge(e, false)
 		}
 		uses := m.times.uses[e]
