dispatch: reports within the target for 0.8 s end the time over it, clearly within or not

Cause: a task counted as over its target until its reports were below 0.85 of it for 0.8 s, or not over it for 3 s. Tasks that stay between the two closed their workers to best-effort work, which then also took the room of urgent requests elsewhere (the latter is suspected).

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -108,12 +108,10 @@
 	ownUtilisation   float64
 	ownUtilisationAt time.Duration
 	// overTargetSince is the time of the first report with a tail latency over the target; 0 if
-	// the reports have been clearly within it for targetKeptTime. withinTargetSince is the time of
-	// the first of the last reports in a row that were clearly within it, or 0, notOverSince that of
-	// those that were not over it.
+	// the reports have been within it for targetKeptTime. withinTargetSince is the time of the
+	// first of the last reports in a row that were within it, or 0.
 	overTargetSince   time.Duration
 	withinTargetSince time.Duration
-	notOverSince      time.Duration
 	// targetMiss is the time over the target beside best-effort runs that has not ended, or nil.
 	targetMiss *targetMiss
 	// place is the worker on which capacity is reserved for the run's replacement, or nil.
--- a/dispatch/suspension.go
+++ b/dispatch/suspension.go
@@ -7,12 +7,9 @@
 
 // Parameters of the suspension of best-effort runs beside a task over its latency target.
 const (
-	// targetKeptTime is how long the reports on a task must be below clearlyWithinTarget, a part
-	// of its target, until the task counts as within it again: the reported figures are rough.
-	targetKeptTime      = 800 * time.Millisecond
-	clearlyWithinTarget = 0.85
-	// justKeptTime is the same for reports that are within the target, but not clearly.
-	justKeptTime = 3 * time.Second
+	// targetKeptTime is how long the reports on a task must be within its target until the task
+	// counts as within it again: the reported figures are rough.
+	targetKeptTime = 800 * time.Millisecond
 	// maxHeldTime is the time after which a run that was suspended at its full pace, and still
 	// is, is stopped, so that it is placed elsewhere.
 	maxHeldTime = 3 * time.Second
@@ -24,7 +21,7 @@
 func (s *run) noteTarget(now time.Duration) {
 	switch {
 	case s.isOverTarget():
-		s.withinTargetSince, s.notOverSince = 0, 0
+		s.withinTargetSince = 0
 		if s.overTargetSince == 0 {
 			s.overTargetSince = now
 			if s.overBefore {
@@ -32,17 +29,10 @@
 			}
 		}
 	case s.overTargetSince == 0:
-	case s.notOverSince > 0 && now-s.notOverSince >= justKeptTime:
-		s.overTargetSince, s.withinTargetSince, s.notOverSince = 0, 0, 0
-	case float64(s.tailLatency) > clearlyWithinTarget*float64(s.step.LatencyTarget):
-		s.withinTargetSince = 0
 	case s.withinTargetSince == 0:
 		s.withinTargetSince = now
 	case now-s.withinTargetSince >= targetKeptTime:
-		s.overTargetSince, s.withinTargetSince, s.notOverSince = 0, 0, 0
-	}
-	if s.overTargetSince > 0 && s.notOverSince == 0 && !s.isOverTarget() {
-		s.notOverSince = now
+		s.overTargetSince, s.withinTargetSince = 0, 0
 	}
 	s.overBefore = false
 }
