--- a/dispatch/heartbeatwait.go
+++ b/dispatch/heartbeatwait.go
@@ -14,12 +14,10 @@
 	if len(w.bestEffortRuns) == 0 {
 		return wait
 	}
-	for _, s := range w.latencyRuns {
-		if s.overTargetSince > 0 {
-			return min(wait, overTargetHeartbeatWait)
-		}
-	}
-	if len(w.latencyRuns) > 0 {
+	switch {
+	case w.overTarget():
+		return min(wait, overTargetHeartbeatWait)
+	case len(w.latencyRuns) > 0:
 		return min(wait, sharedHeartbeatWait)
 	}
 	return wait
@@ -58,10 +56,8 @@
 			return urgentHeartbeatInterval
 		}
 	}
-	for _, s := range w.latencyRuns {
-		if s.overTargetSince > 0 {
-			return urgentHeartbeatInterval
-		}
+	if w.overTarget() {
+		return urgentHeartbeatInterval
 	}
 	return relaxedHeartbeatInterval
 }
--- a/dispatch/suspension.go
+++ b/dispatch/suspension.go
@@ -96,11 +96,10 @@
 	m.setPace(r, 0)
 }
 
-// controlHeld gives a held run its full pace back when the tasks on its worker are within their
+// controlHeld gives a run that is held its full pace back when the tasks on its worker are within their
 // targets, unless it is known to interfere by then.
 func (m *Machine) controlHeld(r *run) {
 	switch over := r.worker.overTarget(); {
-	case !r.held:
 	case !over && !m.interferes(r):
 		m.setPace(r, 100)
 		r.held, r.paced = false, false
--- a/ledger/occurrence.go
+++ b/ledger/occurrence.go
@@ -12,16 +12,6 @@
 // Done reports whether all steps are done.
 func (o *Occurrence) Done() bool { return o.Unfinished == 0 }
 
-// RemainingWork returns the estimated work of the tasks that are not done, in seconds
-// of a core.
-func (o *Occurrence) RemainingWork(steps []workload.Step) float64 {
-	sum := 0.0
-	for i := range o.Steps {
-		sum += float64(o.Steps[i].Unfinished) * steps[i].Work()
-	}
-	return sum
-}
-
 // Ready reports whether all steps that a step depends on are done.
 func (o *Occurrence) Ready(steps []workload.Step, step int) bool {
 	for _, before := range steps[step].After {
