--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,9 +27,16 @@
 	logDir        = flag.String("soak.keep", "", "directory for the logs of failed seeds")
 )
 
-// regressionSeeds are the seeds that once failed, with the causes of the failures.
-var regressionSeeds = map[uint64]string{
-	508: "a start that was sent to one incarnation of a worker reached the next incarnation, which has the same id",
+// regression is how a seed that once failed is run, and the cause of the failure.
+type regression struct {
+	cause                   string
+	faultKinds, overlapping int
+}
+
+// regressionSeeds are the seeds that once failed.
+var regressionSeeds = map[uint64]regression{
+	508:  {"a start that was sent to one incarnation of a worker reached the next incarnation, which has the same id", firstFaultKinds, 1},
+	1010: {"a cursor of one incarnation of a worker dropped the ends of the next one, which no owner had seen", allFaultKinds, 2},
 }
 
 const (
@@ -69,10 +76,10 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for seed, cause := range regressionSeeds {
+	for seed, r := range regressionSeeds {
 		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
-			t.Log(cause)
-			runSeed(t, binary, seed, firstFaultKinds, 1)
+			t.Log(r.cause)
+			runSeed(t, binary, seed, r.faultKinds, r.overlapping)
 		})
 	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
@@ -136,7 +143,9 @@
 	for i := range workerCount {
 		id := fmt.Sprintf("i-%d", i)
 		w := platformtest.NewWorker(id, s.history, seed+uint64(i))
-		server := httptest.NewServer(w)
+		server := httptest.NewUnstartedServer(w)
+		server.Config.ConnContext = w.ConnContext
+		server.Start()
 		s.t.Cleanup(server.Close)
 		p, err := newProxy(strings.TrimPrefix(server.URL, "http://"))
 		s.must(err)
