dispatch, coordinator: why a move that would make room is not made

The line says it now, for the move that it names and for all tasks that a move would help, and the metric moves_not_made{for} counts these tasks. It also says how many of the waiting tasks have had a run, and which piece of room took longest to be filled, with what held it.

The search for a move is split from making it, so that the report uses the round's own rules. No move is decided otherwise.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -71,6 +71,10 @@
 	case dispatch.RoomFilled:
 		n.observeRoomFilled(d)
 		return
+	case dispatch.RoomReported:
+		for obstacle, tasks := range d.Obstacles {
+			n.metrics.add(tasks, "moves_not_made", "for", obstacle)
+		}
 	case dispatch.SubmissionCleared:
 		n.metrics.observeDuration(metrics.Name("submission_cleared_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
 		return
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -18,8 +18,11 @@
 // NewMetrics returns metrics with a new registry.
 func NewMetrics() *Metrics { return &Metrics{Registry: gometrics.NewRegistry()} }
 
-func (m *Metrics) count(name string, labels ...string) {
-	gometrics.GetOrRegisterCounter(metrics.Name(name, labels...), m.Registry).Inc(1)
+func (m *Metrics) count(name string, labels ...string) { m.add(1, name, labels...) }
+
+// add adds a number to a counter.
+func (m *Metrics) add(n int, name string, labels ...string) {
+	gometrics.GetOrRegisterCounter(metrics.Name(name, labels...), m.Registry).Inc(int64(n))
 }
 
 // sampleSize and sampleDecay are the usual parameters of an exponentially
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -34,6 +34,9 @@
 	// Waits is set for InterruptionEnded, the times for which the task waited, by what for, and
 	// for RoomFilled, the times for which the room was held, by what.
 	Waits map[string]time.Duration
+	// Obstacles is set for RoomReported: the tasks for which a move of one run would make room, by
+	// why it is not made yet.
+	Obstacles map[string]int
 }
 
 // DecisionKind is the kind of a decision.
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -93,10 +93,12 @@
 	claims        map[workload.TaskID]*claim
 	displacements map[workload.TaskID]displacements
 	displacedAt   time.Duration
-	// nextMoveAt is the earliest time of the next search for a run to move.
-	nextMoveAt time.Duration
-	excess     excessRuns
-	starts     startLimit
+	// nextMoveAt is the earliest time of the next search for a run to move. moveSearchFailed: the
+	// last one found none.
+	nextMoveAt       time.Duration
+	moveSearchFailed bool
+	excess           excessRuns
+	starts           startLimit
 	// modelRecordedAt is when the interference model was last recorded, after
 	// recordedObservations observations.
 	modelRecordedAt      time.Duration
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -44,13 +44,7 @@
 // newRepacking returns a search on workers, or nil if the last one was too recent, enough runs are
 // being moved or a stopped run could not be replaced.
 func (m *Machine) newRepacking(workers []*worker) *repacking {
-	moving := 0
-	for _, c := range m.claims {
-		if c.moved != nil {
-			moving++
-		}
-	}
-	if m.now < m.nextMoveAt || moving >= max(1, len(workers)/movingShare) || !m.listFresh() || m.appendUnanswered(moveAppendTimeout) {
+	if m.now < m.nextMoveAt || m.obstacleToMoves(len(workers)) != noObstacle {
 		return nil
 	}
 	return &repacking{workers: workers, rooms: make(map[repackKey]roomyWorker)}
@@ -65,7 +59,7 @@
 		return
 	}
 	for _, t := range m.unclaimedTasks(ws) {
-		if m.now-wait.waitingSince(t.ID, m.now) >= m.moveDelay(t) {
+		if m.isMoveDue(wait, t) {
 			// The step's other tasks request the same.
 			p.done = m.moveOneFor(p, ws, step, t)
 			return
@@ -73,6 +67,11 @@
 	}
 }
 
+// isMoveDue reports whether a task has waited for so long that a run may be moved for it.
+func (m *Machine) isMoveDue(wait *longWait, t *ledger.Task) bool {
+	return m.now-wait.waitingSince(t.ID, m.now) >= m.moveDelay(t)
+}
+
 // moveDelay returns how long a task waits before a run is moved for it.
 func (m *Machine) moveDelay(t *ledger.Task) time.Duration {
 	delay := m.displaceDelay(t)
@@ -88,18 +87,39 @@
 func (m *Machine) moveOneFor(p *repacking, ws *waitingStep, step *workload.Step, t *ledger.Task) bool {
 	if p.search == nil {
 		p.search = m.newMoveSearch(p.workers)
-		m.nextMoveAt = m.now + fruitlessInterval
+		m.nextMoveAt, m.moveSearchFailed = m.now+fruitlessInterval, true
 	}
-	var best runMove
-	var victims []*run
-	bestCost, possible := 0.0, 0
 	moves := p.search.find(ws)
 	if len(moves) == 0 || m.fitsAfterDisplacing(p, ws, step) {
 		return false
 	}
+	best, victims := m.bestMove(p, ws, t, moves)
+	if best.run == nil {
+		return false
+	}
+	r := best.run
+	m.nextMoveAt, m.moveSearchFailed = m.now+moveInterval, false
+	m.claim(ws, t, r.worker, reservation(step))
+	m.claimForMoved(r, best.to)
+	m.countDisplacement(r.entry, r.id.Task)
+	for _, victim := range victims {
+		m.displace(victim, t.ID)
+	}
+	r.displaced = true
+	m.stopRun(r, fmt.Sprintf("moves to %s and makes room for long-running task %s", best.to.ID(), t.ID.Name()))
+	return true
+}
+
+// bestMove returns the move that costs the least for a task, with the finite runs that have to be
+// displaced for it, or one without a run if each needs room of finite runs that stay.
+func (m *Machine) bestMove(p *repacking, ws *waitingStep, t *ledger.Task, moves []runMove) (runMove, []*run) {
+	request := reservation(&ws.entry.Steps[ws.stepIndex])
+	var best runMove
+	var victims []*run
+	bestCost, possible := 0.0, 0
 	for _, move := range moves {
 		moved := reservation(move.run.step)
-		here, cost, ok := m.victimsOf(p, move.run.worker, ws.priority+1, moved, reservation(step))
+		here, cost, ok := m.victimsOf(p, move.run.worker, ws.priority+1, moved, request)
 		if !ok {
 			continue
 		}
@@ -115,20 +135,7 @@
 			break
 		}
 	}
-	if best.run == nil {
-		return false
-	}
-	r := best.run
-	m.nextMoveAt = m.now + moveInterval
-	m.claim(ws, t, r.worker, reservation(step))
-	m.claimForMoved(r, best.to)
-	m.countDisplacement(r.entry, r.id.Task)
-	for _, victim := range victims {
-		m.displace(victim, t.ID)
-	}
-	r.displaced = true
-	m.stopRun(r, fmt.Sprintf("moves to %s and makes room for long-running task %s", best.to.ID(), t.ID.Name()))
-	return true
+	return best, victims
 }
 
 // fitsAfterDisplacing reports whether a worker could take a task of a step if finite runs there were
--- a/dispatch/roomreport.go
+++ b/dispatch/roomreport.go
@@ -22,12 +22,16 @@
 	// filledIn is the longest time that this took, held for how long they were held in all.
 	filled   int
 	filledIn time.Duration
-	held     [holderCount]time.Duration
+	held     holdTimes
+	// longest describes the piece that took filledIn.
+	longest string
 }
 
 // roomReport says how much room the long-running tasks that wait would need and have.
 type roomReport struct {
 	tasks, usable int
+	// interrupted are the tasks that have had a run.
+	interrupted int
 	// requested, smallest, free and mostFree are CPU, in thousandths of a core: of all the
 	// tasks, of the one with the smallest request, free on all usable workers, and on the one
 	// with the most.
@@ -37,7 +41,11 @@
 	// is an example of fitByMove.
 	fit, fitByMove, fitByMoveInTime int
 	move                            string
-	changes                         roomChanges
+	// obstacles counts the tasks of fitByMoveInTime by what keeps a run from being moved for them
+	// now, moveObstacle is that of move.
+	obstacles    moveObstacles
+	moveObstacle moveObstacle
+	changes      roomChanges
 }
 
 // reportRoom emits a decision with the room for the long-running tasks, if one has waited for
@@ -59,7 +67,7 @@
 	}
 	report := m.findRoom()
 	report.changes = changes
-	m.emitDecision(RoomReported, oldest, "", report.String(), longest)
+	m.emit(Decision{Kind: RoomReported, Run: oldest, Reason: report.String(), Age: longest, Obstacles: report.obstacles.counts()})
 }
 
 func (m *Machine) findRoom() roomReport {
@@ -71,7 +79,7 @@
 		r.free += free.MilliCPU
 		r.mostFree = max(r.mostFree, free.MilliCPU)
 	}
-	search := m.newMoveSearch(workers)
+	p := &repacking{workers: workers, rooms: make(map[repackKey]roomyWorker), search: m.newMoveSearch(workers)}
 	for _, wait := range m.longRunningWaits {
 		ws, tasks := &wait.waiting, m.waitingTasks(wait.waiting.state.Tasks)
 		if len(tasks) == 0 {
@@ -83,17 +91,25 @@
 			r.smallest = request.MilliCPU
 		}
 		r.tasks += len(tasks)
+		for _, t := range tasks {
+			if t.Run > 0 {
+				r.interrupted++
+			}
+		}
 		if slices.ContainsFunc(workers, func(w *worker) bool { return m.fits(ws, wait.step, w) }) {
 			r.fit += len(tasks)
 			continue
 		}
-		moves := search.find(ws)
+		moves := p.search.find(ws)
 		if len(moves) == 0 {
 			continue
 		}
 		r.fitByMoveInTime += len(tasks)
+		obstacle := m.obstacleFor(p, wait, moves)
+		r.obstacles[obstacle] += len(tasks)
 		if move := moves[0]; move.free {
 			r.fitByMove += len(tasks)
+			r.moveObstacle = obstacle
 			r.move = fmt.Sprintf("%dm from %s to %s for %dm", reservation(move.run.step).MilliCPU, move.run.worker.ID(), move.to.ID(), request.MilliCPU)
 		}
 	}
@@ -101,12 +117,16 @@
 }
 
 func (r roomReport) String() string {
-	text := fmt.Sprintf("%d long-running tasks wait for %dm CPU, the smallest for %dm; %d usable workers have %dm free, one at most %dm; %d of the tasks fit a worker, %d after one run is moved",
-		r.tasks, r.requested, r.smallest, r.usable, r.free, r.mostFree, r.fit, r.fitByMove)
+	text := fmt.Sprintf("%d long-running tasks (%d have had a run) wait for %dm CPU, the smallest for %dm; %d usable workers have %dm free, one at most %dm; %d of the tasks fit a worker, %d after one run is moved",
+		r.tasks, r.interrupted, r.requested, r.smallest, r.usable, r.free, r.mostFree, r.fit, r.fitByMove)
 	if r.move != "" {
-		text += " (" + r.move + ")"
+		text += fmt.Sprintf(" (%s, not yet: %v)", r.move, r.moveObstacle)
 	}
 	c := r.changes
-	return text + fmt.Sprintf(", %d if finite runs are stopped as well; since the last report %d long-running runs ended (%dm) and %d were placed, %d submissions that are final were cleared in up to %v; %s",
-		r.fitByMoveInTime, c.ended, c.freed, c.started, c.cleared, c.clearedIn.Round(time.Millisecond), c.describeFilled())
+	text += fmt.Sprintf(", %d if finite runs are stopped as well", r.fitByMoveInTime)
+	if r.fitByMoveInTime > 0 {
+		text += fmt.Sprintf(" (not yet: %v)", r.obstacles)
+	}
+	return text + fmt.Sprintf("; since the last report %d long-running runs ended (%dm) and %d were placed, %d submissions that are final were cleared in up to %v; %s",
+		c.ended, c.freed, c.started, c.cleared, c.clearedIn.Round(time.Millisecond), c.describeFilled())
 }
--- a/dispatch/roomreport_test.go
+++ b/dispatch/roomreport_test.go
@@ -41,6 +41,6 @@
 	l.run(4 * time.Second)
 	is.True(l.decisions[dispatch.RoomReported] >= 3)
 	is.True(l.decisions[dispatch.RoomReported] <= 8)
-	is.True(strings.HasPrefix(l.reasons[dispatch.RoomReported], "3 long-running tasks wait for 75000m CPU, the smallest for 25000m; 2 usable workers have 28000m free, one at most 14000m; 0 of the tasks fit a worker, 0 after one run is moved, 0 if finite runs are stopped as well; since"))
+	is.True(strings.HasPrefix(l.reasons[dispatch.RoomReported], "3 long-running tasks (0 have had a run) wait for 75000m CPU, the smallest for 25000m; 2 usable workers have 28000m free, one at most 14000m; 0 of the tasks fit a worker, 0 after one run is moved, 0 if finite runs are stopped as well; since"))
 	is.Equal(dispatch.RoomReported.String(), "room reported")
 }
--- a/dispatch/roomwait.go
+++ b/dispatch/roomwait.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -51,12 +49,26 @@
 type filling struct {
 	// since is when the room began to be on its way from the last run to this one.
 	since time.Duration
-	waits [holderCount]time.Duration
+	waits holdTimes
 	// holder has held the room from changedAt on.
 	holder    holder
 	changedAt time.Duration
 }
 
+// holdTimes are the times for which room was held, by the holder.
+type holdTimes [holderCount]time.Duration
+
+// String lists the times of a millisecond or more.
+func (t holdTimes) String() string {
+	var parts []string
+	for h, d := range t {
+		if d = d.Round(time.Millisecond); d > 0 {
+			parts = append(parts, fmt.Sprintf("%v %v", holder(h), d))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
 // hold notes that another holder holds the room from now on.
 func (f *filling) hold(now time.Duration, next holder) {
 	f.waits[f.holder] += now - f.changedAt
@@ -114,7 +126,10 @@
 	f.hold(m.now, heldByStart)
 	waits := make(map[string]time.Duration)
 	m.roomChanges.filled++
-	m.roomChanges.filledIn = max(m.roomChanges.filledIn, m.now-f.since)
+	if took := m.now - f.since; took > m.roomChanges.filledIn {
+		m.roomChanges.filledIn = took
+		m.roomChanges.longest = fmt.Sprintf("%s on %s, %s", r.id.Task.Name(), r.worker.ID(), f.waits)
+	}
 	for h, d := range f.waits {
 		if d > 0 {
 			waits[holder(h).String()] = d
@@ -201,16 +216,10 @@
 	if c.filled == 0 {
 		return "no room was filled that had been awaited"
 	}
-	means := make(map[holder]time.Duration)
+	var means holdTimes
 	for h, d := range c.held {
-		if mean := (d / time.Duration(c.filled)).Round(time.Millisecond); mean > 0 {
-			means[holder(h)] = mean
-		}
-	}
-	var parts []string
-	for _, h := range slices.Sorted(maps.Keys(means)) {
-		parts = append(parts, fmt.Sprintf("%s %v", h, means[h]))
+		means[h] = d / time.Duration(c.filled)
 	}
-	return fmt.Sprintf("%d pieces of room that were awaited were filled in up to %v (on average %s)",
-		c.filled, c.filledIn.Round(time.Millisecond), strings.Join(parts, ", "))
+	return fmt.Sprintf("%d pieces of room that were awaited were filled in up to %v (%s; on average %s)",
+		c.filled, c.filledIn.Round(time.Millisecond), c.longest, means)
 }
