dispatch: two failures in a row don't keep long-running tasks from room

Cause: two failures in a row, of runs of two submissions, close a worker for 4 s. One such worker has room twice over for each of them, for longer than the rule looks at.

Change: such a worker is closed to finite runs as before. Long-running tasks that no other worker has room for are placed there until one more run fails; then it is closed to all, as before.

--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -66,7 +66,7 @@
 	count(&d.Workers.Listed, w.listed)
 	count(&d.Workers.Silent, w.silent)
 	count(&d.Workers.Draining, w.Draining)
-	count(&d.Workers.Paused, m.now < w.pausedUntil)
+	count(&d.Workers.Paused, m.now < max(w.pausedUntil, w.suspectedUntil))
 	for _, r := range w.runList {
 		d.Runs[r.phase.String()]++
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -38,11 +38,12 @@
 	displacement, repacking := m.newDisplacement(workers), m.newRepacking(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	paced, clearing := newCandidates(workers), newCandidates(m.clearingWorkers(workers))
+	suspected := newCandidates(m.suspectedWorkers())
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for _, ws := range waiting {
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
-			placed += m.placeLongRunning(longRunning, ws, limit-placed)
+			placed += m.placeLongRunning(longRunning, suspected, ws, limit-placed)
 			placed += m.placeAhead(clearing, ws, limit-placed)
 			m.displaceFor(displacement, ws)
 			m.repackFor(repacking, ws)
@@ -67,12 +68,16 @@
 
 // placeLongRunning places tasks of a long-running step, or moves its runs from draining workers.
 // It returns the number of both.
-func (m *Machine) placeLongRunning(c *candidates, ws *waitingStep, limit int) int {
+func (m *Machine) placeLongRunning(c, suspected *candidates, ws *waitingStep, limit int) int {
 	if len(ws.leaving) > 0 {
 		return m.moveLeaving(c, ws)
 	}
 	placed := m.placeClaimed(ws)
-	return placed + m.placeOn(c, ws, limit-placed)
+	placed += m.placeOn(c, ws, limit-placed)
+	if len(suspected.workers) > 0 && placed < limit {
+		placed += m.placeOn(suspected, ws, limit-placed)
+	}
+	return placed
 }
 
 // candidates are the workers that a planning round may use for steps of one kind, with
@@ -170,6 +175,18 @@
 	return out
 }
 
+// suspectedWorkers returns the workers that may be given long-running runs alone, in ascending order
+// of id.
+func (m *Machine) suspectedWorkers() []*worker {
+	var out []*worker
+	for _, w := range m.sorted {
+		if m.now < w.suspectedUntil && m.isOpen(w) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // usableWorkers returns the workers that may be given new runs, in ascending order
 // of id.
 func (m *Machine) usableWorkers() []*worker {
@@ -182,7 +199,12 @@
 	return out
 }
 
-func (m *Machine) usable(w *worker) bool {
+// usable reports whether a worker may be given new runs of any kind.
+func (m *Machine) usable(w *worker) bool { return m.isOpen(w) && m.now >= w.suspectedUntil }
+
+// isOpen reports whether a worker may be given new runs of long-running tasks that no other worker has
+// room for.
+func (m *Machine) isOpen(w *worker) bool {
 	return !m.viewExpired() && w.listed && w.reported && !w.silent && w.bar == leasesAllowed && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil && w.isolated == 0
 }
 
--- a/dispatch/runhistory.go
+++ b/dispatch/runhistory.go
@@ -13,9 +13,10 @@
 	// long-running tasks that were at work aside. A single submission is not
 	// enough, because it may fail on every worker.
 	faultyThreshold = 2
-	// quarantineTime is the time for which no runs are placed on a faulty worker.
-	// The runs placed after that probe the worker: a failure puts it in quarantine
-	// again, a success clears its failures.
+	// quarantineTime is the time for which no finite runs are placed on a faulty worker. Sound
+	// workers reach the threshold by chance, so that long-running tasks that no other worker has
+	// room for are placed there until one more run fails. The runs placed after that time probe
+	// the worker: a failure puts it in quarantine again, a success clears its failures.
 	quarantineTime = 4 * time.Second
 )
 
@@ -57,8 +58,11 @@
 		w.history.failedSubmissions = make(map[string]bool)
 	}
 	w.history.failedSubmissions[r.entry.ID] = true
-	if len(w.history.failedSubmissions) >= faultyThreshold {
-		w.pausedUntil = max(w.pausedUntil, m.now+quarantineTime)
+	if failed := len(w.history.failedSubmissions); failed >= faultyThreshold {
+		if failed > faultyThreshold || m.now < w.suspectedUntil {
+			w.pausedUntil = max(w.pausedUntil, m.now+quarantineTime)
+		}
+		w.suspectedUntil = max(w.suspectedUntil, m.now+quarantineTime)
 		m.emitDecision(WorkerSuspected, r.id, w.ID(), "runs of several submissions failed in a row", 0)
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -54,8 +54,9 @@
 	cursor         int64
 	// ackedCursor is the highest cursor that the worker has confirmed.
 	ackedCursor int64
-	// pausedUntil is the time until which no runs are placed on the worker.
-	pausedUntil time.Duration
+	// pausedUntil is the time until which no runs are placed on the worker, suspectedUntil that
+	// until which none are but long-running ones that no other worker has room for.
+	pausedUntil, suspectedUntil time.Duration
 	// runs are the runs that may exist on the worker; runList has the same runs in
 	// order of placement.
 	runs    map[workload.RunID]*run
