dispatch: the delay of a new task before a move goes on over takeovers

A long-running task that has had no run waits 4 s more for a move than one that was interrupted.

The 4 s count from the task's due time now, which is in the log; the 0.5 s for room that becomes free by itself still begin with an owner.

--- a/dispatch/moveobstacle.go
+++ b/dispatch/moveobstacle.go
@@ -74,7 +74,7 @@
 	if len(tasks) == 0 {
 		return taskClaims
 	}
-	due := slices.IndexFunc(tasks, func(t *ledger.Task) bool { return m.isMoveDue(wait, t) })
+	due := slices.IndexFunc(tasks, func(t *ledger.Task) bool { return m.isMoveDue(ws, wait, t) })
 	if due < 0 {
 		if slices.ContainsFunc(tasks, func(t *ledger.Task) bool { return t.Run > 0 }) {
 			return taskIsInterrupted
--- a/dispatch/moveobstacle_test.go
+++ b/dispatch/moveobstacle_test.go
@@ -39,8 +39,11 @@
 		return workload.Step{Tasks: tasks, LongRunning: true, Request: hostapi.Resources{MilliCPU: milliCPU}}
 	}
 	for want, change := range map[string]func(f *moveFixture){
-		"in turn":             func(*moveFixture) {},
-		"delay of a new task": func(f *moveFixture) { since(f, f.now-newTaskDelay) },
+		"in turn": func(*moveFixture) {},
+		"delay of a new task": func(f *moveFixture) {
+			since(f, f.now-newTaskDelay)
+			f.wall = f.ledger.Find("waits").DueAt(0)
+		},
 		"delay of an interrupted task": func(f *moveFixture) {
 			f.ledger.Find("waits").Task(waits).Run = 1
 			since(f, f.now)
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -59,7 +59,7 @@
 		return
 	}
 	for _, t := range m.unclaimedTasks(ws) {
-		if m.isMoveDue(wait, t) {
+		if m.isMoveDue(ws, wait, t) {
 			// The step's other tasks request the same.
 			p.done = m.moveOneFor(p, ws, step, t)
 			return
@@ -67,18 +67,17 @@
 	}
 }
 
-// isMoveDue reports whether a task has waited for so long that a run may be moved for it.
-func (m *Machine) isMoveDue(wait *longWait, t *ledger.Task) bool {
-	return m.now-wait.waitingSince(t.ID, m.now) >= m.moveDelay(t)
-}
-
-// moveDelay returns how long a task waits before a run is moved for it.
-func (m *Machine) moveDelay(t *ledger.Task) time.Duration {
-	delay := m.displaceDelay(t)
-	if t.Run == 0 {
-		delay += newTaskDelay
+// isMoveDue reports whether a task has waited for so long that a run may be moved for it. A new task's
+// longer delay goes on over takeovers: an owner that has just seen the task first knows when it was due.
+func (m *Machine) isMoveDue(ws *waitingStep, wait *longWait, t *ledger.Task) bool {
+	waited, delay := m.now-wait.waitingSince(t.ID, m.now), m.displaceDelay(t)
+	if waited < delay || t.Run > 0 {
+		return waited >= delay
+	}
+	if len(wait.step.After) == 0 {
+		waited = max(waited, m.wall.Sub(ws.entry.DueAt(ws.occurrence)))
 	}
-	return delay
+	return waited >= delay+newTaskDelay
 }
 
 // moveOneFor moves the run that makes room for a task at the least cost, and displaces finite runs of a
