--- a/coordinator/cellpanic.go
+++ b/coordinator/cellpanic.go
@@ -22,5 +22,6 @@
 func (c *cell) resetState() {
 	c.state.Store(ledger.New())
 	c.intakeNext, c.cellNext, c.unapplied, c.caughtUpAt, c.snapshotReadAt = 0, 0, nil, 0, 0
+	c.unreadable = nil
 	c.generation.Store(0)
 }
--- a/coordinator/export_test.go
+++ b/coordinator/export_test.go
@@ -10,3 +10,6 @@
 
 // Process returns the number that tells the node's process from others on its VM.
 func (n *Node) Process() int64 { return n.process }
+
+// SetFormat sets the newest format that the node reads, before it runs.
+func (n *Node) SetFormat(format int32) { n.reader.Format = format }
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -30,6 +30,8 @@
 	intakeTurn chan struct{}
 	// snapshots holds the parts of each cell's newest snapshot.
 	snapshots map[int][][]byte
+	// loadErr, if not nil, is the error of loading snapshots.
+	loadErr error
 	// logStart is the offset of the oldest record that is kept of each stream.
 	logStart int64
 	// recordTime is the time that each record of a read takes.
@@ -125,6 +127,9 @@
 func (l *fakeLog) Load(_ context.Context, cell int) ([][][]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.loadErr != nil {
+		return nil, l.loadErr
+	}
 	if l.snapshots[cell] == nil {
 		return nil, nil
 	}
@@ -187,8 +192,10 @@
 	nonReserveOwner bool
 	// cells is the number of cells that the owner is assigned; 0 counts as 1.
 	cells int
-	// joins counts the joins of each member.
-	joins map[string]int
+	// joins counts the joins of each member, leaves how often it left.
+	joins, leaves map[string]int
+	// heir, if set, is the owner after the present one has left.
+	heir string
 }
 
 func (g *fakeGroup) assignTo(vm string) {
@@ -198,6 +205,18 @@
 	g.owner = vm
 }
 
+func (g *fakeGroup) leavesOf(vm string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaves[vm]
+}
+
+func (g *fakeGroup) joinsOf(vm string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.joins[vm]
+}
+
 func (g *fakeGroup) update(change func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -237,7 +256,19 @@
 	return m.nonReserveOwner, nil
 }
 
-func (m member) Leave(context.Context) error { return nil }
+func (m member) Leave(context.Context) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaves == nil {
+		m.leaves = make(map[string]int)
+	}
+	m.leaves[m.vm]++
+	if m.owner == m.vm && m.heir != "" {
+		m.owner = m.heir
+		m.generation++
+	}
+	return nil
+}
 
 // fakeDeclarations never change.
 type fakeDeclarations struct{}
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -108,6 +108,8 @@
 	// snapshotTimeout is the timeout of saving or loading a snapshot: 1 MB takes
 	// 0.9 s at 10 Mbit/s.
 	snapshotTimeout = 2 * time.Second
+	// refusedReadTime is the time for reading the streams of a cell that was refused.
+	refusedReadTime = 10 * time.Second
 	// cellPageRecords and intakePageRecords are the maximum numbers of records of
 	// one read. A record of the cell stream takes about 100 bytes, a submission up
 	// to 5 kB, and a page must arrive within logTimeout at 10 Mbit/s.
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -15,6 +15,11 @@
 	var generation int64
 	failing := false
 	for ctx.Err() == nil && !n.stopping.Load() {
+		if n.refused.Load() {
+			n.standBack(ctx)
+			generation = 0
+			continue
+		}
 		if n.config.Reserve && !n.reserveNeeded(ctx) {
 			generation = 0
 			continue
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -35,6 +35,10 @@
 	// authorityNow.
 	lastJoin atomic.Int64
 	stopping atomic.Bool
+	// reader decodes records and snapshots.
+	reader ledger.Reader
+	// refused: the node is to leave the group, because it can't read a cell.
+	refused atomic.Bool
 	// reserveActive reports whether a node in reserve currently takes cells.
 	reserveActive atomic.Bool
 	// checksWithoutOwner is the number of consecutive checks of a node in reserve
@@ -49,6 +53,7 @@
 // NewNode returns a node that has not started.
 func NewNode(config Config, platform Platform, logger *logevent.Logger, metrics *Metrics) *Node {
 	n := &Node{config: config, platform: platform, logger: logger, metrics: metrics, startedAt: time.Now(), process: 1 + rand.Int64N(math.MaxInt64)}
+	n.reader = ledger.Reader{Format: ledger.Format}
 	n.peers = newPeerClients()
 	n.owners = &ownerCache{node: n, owners: make(map[int]ledger.Owner), sightings: make(map[int]epochSightings)}
 	n.workers = newWorkerList(n)
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/cactusreel/cactusreel/coordinator"
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -26,6 +27,10 @@
 	// workers, if not nil, are used instead of worker.
 	workers fakeWorkers
 	stops   []func()
+	// formats are the formats that VMs read, if not that of this version.
+	formats map[string]int32
+	// logger, if not nil, is that of all nodes.
+	logger *logevent.Logger
 	// suspended is the time for which the nodes' VMs have been suspended.
 	suspended atomic.Int64
 }
@@ -45,7 +50,10 @@
 	n := coordinator.NewNode(coordinator.Config{
 		SuspendClock: func() time.Duration { return time.Since(startedAt) + time.Duration(h.suspended.Load()) },
 		VM:           vm, Cells: max(1, h.group.cells), Reserve: reserve, Dispatch: dispatch.Config{Lease: 5 * time.Second, HandoverLease: 10 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2},
-	}, h.platform(member{h.group, vm, unreachable}), nil, coordinator.NewMetrics())
+	}, h.platform(member{h.group, vm, unreachable}), h.logger, coordinator.NewMetrics())
+	if format := h.formats[vm]; format != 0 {
+		n.SetFormat(format)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/coordinator/ownercache.go
+++ b/coordinator/ownercache.go
@@ -75,7 +75,7 @@
 			o.node.logError(logevent.BadLedgerRecord, err, zap.String("key", key))
 			continue
 		}
-		record, err := ledger.Decode(value)
+		record, err := o.node.reader.Decode(value)
 		if err == nil && record.Opened == nil {
 			err = errors.New("record does not name an owner")
 		}
@@ -125,6 +125,10 @@
 	if bytes.Equal(value, data) {
 		return false
 	}
-	record, err := ledger.Decode(value)
+	record, err := o.node.reader.Decode(value)
+	if errors.Is(err, ledger.ErrUnknownFormat) {
+		// A node of a later version has published itself.
+		return false
+	}
 	return err != nil || record.Opened == nil || record.Opened.Epoch < o.epoch
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -67,18 +67,16 @@
 // runEpoch opens an epoch and runs it until the assignment ends or the epoch is
 // fenced or resigned.
 func (c *cell) runEpoch(parent context.Context) {
-	if !c.node.assignmentValid() {
+	if !c.node.assignmentValid() || c.isRefused() {
 		sleep(parent, logRetryDelay)
 		return
 	}
 	epoch, previous, err := c.openEpoch(parent)
 	if err != nil {
-		if parent.Err() == nil {
-			c.node.logError(logevent.EpochNotOpened, err, zap.Int("cell", c.number))
-			sleep(parent, logRetryDelay)
-		}
+		c.epochNotOpened(parent, err)
 		return
 	}
+	c.refusal.Store(nil)
 	began := c.node.monotonicNow()
 	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch), zap.Int("live", len(c.ledger().Live())))
 	ctx, cancel := context.WithCancel(parent)
@@ -131,6 +129,16 @@
 		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began))
 }
 
+func (c *cell) epochNotOpened(ctx context.Context, err error) {
+	switch {
+	case isRefusal(err):
+		c.refuse(err)
+	case ctx.Err() == nil:
+		c.node.logError(logevent.EpochNotOpened, err, zap.Int("cell", c.number))
+		sleep(ctx, logRetryDelay)
+	}
+}
+
 // openEpoch reads the streams and fences previous owners with an Opened record.
 // The record is appended only at the end that was read, so no unread record of a
 // previous owner can precede it.
@@ -229,7 +237,10 @@
 			o.applyEvacuations(ctx)
 		case ev := <-o.events:
 			o.observeWait("events", ev.postedAt)
-			o.handleEvent(ctx, ev.event)
+			if err := o.handleEvent(ctx, ev.event); err != nil {
+				o.refuse(err)
+				return assignmentEnded
+			}
 		case now := <-tick.C:
 			// A tick may find leases expired, so the machine must know of the ends before.
 			o.applyKnownEnds(ctx)
@@ -262,10 +273,13 @@
 	}
 }
 
-func (o *ownership) handleEvent(ctx context.Context, ev any) {
+// handleEvent returns an error if the intake has a record that this version doesn't read.
+func (o *ownership) handleEvent(ctx context.Context, ev any) error {
 	switch ev := ev.(type) {
 	case intakePageRead:
-		o.applyIntakePage(ctx, ev.page)
+		if err := o.applyIntakePage(ctx, ev.page); err != nil {
+			return err
+		}
 		if ev.page.AtEnd() {
 			o.intakeKnown(ctx, ev.sentAt)
 		}
@@ -277,23 +291,30 @@
 	case dispatch.Event:
 		o.step(ctx, ev)
 	}
+	return nil
 }
 
 // applyIntakePage applies the records of a page that are not yet applied.
-func (o *ownership) applyIntakePage(ctx context.Context, page Page) {
+func (o *ownership) applyIntakePage(ctx context.Context, page Page) error {
 	for i, data := range page.Records {
 		if page.From+int64(i) < o.intakeNext {
 			continue
 		}
-		o.applyIntakeRecord(ctx, data)
+		if err := o.applyIntakeRecord(ctx, data); err != nil {
+			o.unreadable = err
+			return err
+		}
 		o.intakeNext = page.From + int64(i) + 1
 	}
+	return nil
 }
 
-func (o *ownership) applyIntakeRecord(ctx context.Context, data []byte) {
-	if e := o.apply(data); e != nil {
+func (o *ownership) applyIntakeRecord(ctx context.Context, data []byte) error {
+	e, err := o.apply(data)
+	if e != nil {
 		o.step(ctx, dispatch.EntryChanged{Entry: e})
 	}
+	return err
 }
 
 // applyNotification applies the record of a notification. A record that is not
@@ -304,8 +325,8 @@
 	if n.offset < o.intakeNext {
 		return
 	}
-	o.applyIntakeRecord(ctx, n.record)
-	if n.offset == o.intakeNext {
+	// A record that this version doesn't read is met again in the intake.
+	if o.applyIntakeRecord(ctx, n.record) == nil && n.offset == o.intakeNext {
 		o.intakeNext++
 	}
 }
@@ -327,6 +348,7 @@
 		limit.observe(o.node.monotonicNow()-sent, err)
 		switch {
 		case errors.Is(err, ErrExpired):
+			o.cell.reportExpired(o.intakeStream(), from, page.LogStart)
 			from = page.LogStart
 		case err != nil:
 			// Starts may wait for the next answer.
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
@@ -42,17 +41,14 @@
 // writeSnapshot writes the parts of a snapshot. A failure is not retried: the next
 // snapshot covers more records.
 func (o *ownership) writeSnapshot(ctx context.Context, parts []*ledgerpb.Snapshot) {
-	data := make([][]byte, len(parts))
-	for i, p := range parts {
-		var err error
-		if data[i], err = proto.Marshal(p); err != nil {
-			o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
-			return
-		}
+	data, err := ledger.EncodeSnapshot(parts)
+	if err != nil {
+		o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
+		return
 	}
 	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	err := o.node.platform.Snapshots.Save(call, o.number, data)
+	err = o.node.platform.Snapshots.Save(call, o.number, data)
 	o.node.metrics.countLogCall(err)
 	if err != nil && ctx.Err() == nil {
 		o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
@@ -60,27 +56,36 @@
 }
 
 // loadSnapshot applies the newest complete snapshot if it covers more records of the cell
-// stream than were read. Without a snapshot, all records that the log still has are read.
-func (c *cell) loadSnapshot(ctx context.Context) {
+// stream than were read. Without a snapshot, all records that the log still has are read. It
+// returns an error if only a later version reads the newest one.
+func (c *cell) loadSnapshot(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	parts, err := c.readSnapshot(call)
-	if errors.Is(err, ledger.ErrIncompleteSnapshot) {
+	if parts == nil && errors.Is(err, ledger.ErrIncompleteSnapshot) {
 		// It may have been replaced between two pages of the read.
 		parts, err = c.readSnapshot(call)
 	}
-	if err == nil || errors.Is(err, ledger.ErrIncompleteSnapshot) {
+	c.snapshotErr = err
+	if parts != nil || err == nil || errors.Is(err, ledger.ErrIncompleteSnapshot) {
 		c.snapshotReadAt = c.node.monotonicNow()
 	}
-	if err != nil {
+	if errors.Is(err, ledger.ErrUnknownFormat) {
+		return err
+	}
+	if err != nil && parts == nil {
 		c.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", c.number))
 	}
 	if parts == nil || parts[0].CellNext <= c.cellNext+int64(len(c.unapplied)) {
-		return
+		return nil
 	}
 	at := c.ledger().ApplySnapshot(parts)
+	if at.Intake > c.intakeNext {
+		c.unreadable = nil
+	}
 	c.cellNext, c.unapplied = at.Cell, nil
 	c.intakeNext = max(c.intakeNext, at.Intake)
+	return nil
 }
 
 func (c *cell) readSnapshot(ctx context.Context) ([]*ledgerpb.Snapshot, error) {
@@ -89,23 +94,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return newestSnapshot(data)
+	return newestSnapshot(c.node.reader, data)
 }
 
 // newestSnapshot returns the complete snapshot that covers the most records of the cell
-// stream. If none is complete, it returns nil, and an error if there are incomplete ones.
-func newestSnapshot(snapshots [][][]byte) (newest []*ledgerpb.Snapshot, err error) {
+// stream, or nil, and an error if there are others that can't be read. It returns only the
+// error if the newest one is in a format that the reader doesn't know.
+func newestSnapshot(reader ledger.Reader, snapshots [][][]byte) (newest []*ledgerpb.Snapshot, err error) {
+	var unknown error
+	unknownNext := int64(0)
 	for _, data := range snapshots {
-		parts, decodeErr := ledger.DecodeSnapshot(data)
+		parts, decodeErr := reader.DecodeSnapshot(data)
 		switch {
+		case errors.Is(decodeErr, ledger.ErrUnknownFormat):
+			if next := parts[0].CellNext; unknown == nil || next > unknownNext {
+				unknown, unknownNext = decodeErr, next
+			}
 		case decodeErr != nil:
 			err = decodeErr
 		case newest == nil || parts[0].CellNext > newest[0].CellNext:
 			newest = parts
 		}
 	}
-	if newest != nil {
-		return newest, nil
+	if unknown != nil && (newest == nil || unknownNext > newest[0].CellNext) {
+		return nil, unknown
 	}
-	return nil, err
+	return newest, err
 }
--- a/ledger/kept_test.go
+++ b/ledger/kept_test.go
@@ -13,7 +13,6 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/encoding/prototext"
 	"google.golang.org/protobuf/encoding/protowire"
-	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/cactusreel/cactusreel/formats"
@@ -196,17 +195,17 @@
 	whole := l.SnapshotWith(ledger.Offsets{Cell: 35, Intake: 12}, []workload.RunID{run("cancelled", 0), run("failed", 1)})
 	is.Equal(len(whole), 1)
 	p := whole[0]
-	var parts [][]byte
-	for i, part := range []*ledgerpb.Snapshot{
+	split := []*ledgerpb.Snapshot{
 		{Owner: p.Owner, Learned: p.Learned, Witnesses: p.Witnesses, Silent: p.Silent, Live: p.Live[:2]},
 		{Live: p.Live[2:], Settled: p.Settled[:1]},
 		{Settled: p.Settled[1:]},
-	} {
+	}
+	for i, part := range split {
+		part.Format = p.Format
 		part.CellNext, part.IntakeNext, part.Part, part.Parts = p.CellNext, p.IntakeNext, int32(i), 3
-		data, err := proto.Marshal(part)
-		is.NoErr(err)
-		parts = append(parts, data)
 	}
+	parts, err := ledger.EncodeSnapshot(split)
+	is.NoErr(err)
 	restored := ledger.New()
 	decoded, err := ledger.DecodeSnapshot(parts)
 	is.NoErr(err)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -41,6 +41,8 @@
 	silences map[workload.Incarnation][]Silence
 	// witnesses are those of the owner.
 	witnesses Witnesses
+	// format is the highest format of what was applied.
+	format int32
 }
 
 // New returns the ledger of two empty streams.
@@ -71,12 +73,15 @@
 	return kept
 }
 
-// Decode parses a record of either stream. Its errors wrap ErrBadRecord.
-func Decode(data []byte) (*ledgerpb.Record, error) {
+// Decode parses a record of either stream. Its errors wrap ErrBadRecord or ErrUnknownFormat.
+func (x Reader) Decode(data []byte) (*ledgerpb.Record, error) {
 	r := new(ledgerpb.Record)
 	if err := proto.Unmarshal(data, r); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadRecord, err)
 	}
+	if err := x.checkRecord(r); err != nil {
+		return nil, err
+	}
 	if err := validate(r.Submitted); err != nil {
 		return nil, err
 	}
@@ -111,6 +116,7 @@
 // Apply applies a record of either stream and returns the entry that it refers
 // to, or nil. Applying a record again has no effect.
 func (l *Ledger) Apply(r *ledgerpb.Record) *Entry {
+	l.format = max(l.format, r.Format)
 	switch {
 	case r.Submitted != nil:
 		return l.applySubmitted(submissionOf(r.Submitted))
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -1,19 +1,12 @@
 package ledger
 
 import (
-	"errors"
-	"fmt"
-
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
-// ErrIncompleteSnapshot means that parts of a snapshot are missing or belong to
-// different snapshots, which can be seen while a new snapshot is being written.
-var ErrIncompleteSnapshot = errors.New("snapshot is incomplete")
-
 // Offsets are the offsets of the next records to apply in the two streams of a
 // cell.
 type Offsets struct {
@@ -79,7 +72,7 @@
 	l.earlyCancels.appendTo(w)
 	for i, p := range w.parts {
 		p.Part, p.Parts = int32(i), int32(len(w.parts))
-		p.CellNext, p.IntakeNext = at.Cell, at.Intake
+		p.CellNext, p.IntakeNext, p.Format = at.Cell, at.Intake, l.format
 	}
 	return w.parts
 }
@@ -108,43 +101,11 @@
 	return retained
 }
 
-// DecodeSnapshot parses the parts of a snapshot. Surplus parts of an older, longer
-// snapshot may follow. It returns ErrIncompleteSnapshot if the parts do not belong
-// together.
-func DecodeSnapshot(data [][]byte) ([]*ledgerpb.Snapshot, error) {
-	var parts []*ledgerpb.Snapshot
-	for i, d := range data {
-		p := new(ledgerpb.Snapshot)
-		if err := proto.Unmarshal(d, p); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBadRecord, err)
-		}
-		for _, r := range p.Live {
-			if err := validate(r.Submitted); err != nil {
-				return nil, err
-			}
-		}
-		first := p
-		if i > 0 {
-			first = parts[0]
-		}
-		if i >= int(first.Parts) {
-			break
-		}
-		if int(p.Part) != i || p.Parts != first.Parts || p.CellNext != first.CellNext || p.IntakeNext != first.IntakeNext {
-			return nil, ErrIncompleteSnapshot
-		}
-		parts = append(parts, p)
-	}
-	if len(parts) == 0 || len(parts) < int(parts[0].Parts) {
-		return nil, ErrIncompleteSnapshot
-	}
-	return parts, nil
-}
-
 // ApplySnapshot merges a snapshot into the ledger and returns the offsets up to
 // which it covers the streams. Newer state in the ledger is kept.
 func (l *Ledger) ApplySnapshot(parts []*ledgerpb.Snapshot) Offsets {
 	for _, p := range parts {
+		l.format = max(l.format, p.Format)
 		if p.Owner != nil {
 			l.applyOpened(p.Owner)
 			clear(l.silences)
--- a/workload/run.go
+++ b/workload/run.go
@@ -26,6 +26,8 @@
 	MemberEnded
 	// MembersMissing: not all members of the gang started in time.
 	MembersMissing
+	// LastOutcome is the highest outcome.
+	LastOutcome = MembersMissing
 )
 
 // String returns the outcome's name.
--- a/workload/state.go
+++ b/workload/state.go
@@ -12,6 +12,8 @@
 	Completed
 	Failed
 	Cancelled
+	// LastState is the highest state.
+	LastState = Cancelled
 )
 
 // Final reports whether the state can no longer change.
