--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -90,6 +90,8 @@
 	// candidates can be witnesses of this node's ownership, witnesses are those that are.
 	candidates candidates
 	witnesses  atomic.Pointer[witness.Owner]
+	// members are the nodes that may succeed this one.
+	members members
 	// confirmations are those of this process as a witness of other owners.
 	confirmations *witness.Confirmations
 	// recentlyAccepted maps the ids of submissions that this node accepted, but
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -30,6 +30,10 @@
 	intakeTurn chan struct{}
 	// snapshots holds the parts of each cell's newest snapshot.
 	snapshots map[int][][]byte
+	// snapshotAppends is the number of appends of a snapshot, or 0 for 1; forms are those in
+	// which snapshots were saved.
+	snapshotAppends int
+	forms           []coordinator.SnapshotForm
 	// loadErr, if not nil, is the error of loading snapshots.
 	loadErr error
 	// logStart is the offset of the oldest record that is kept of each stream.
@@ -119,9 +123,12 @@
 }
 
 // Save and Load implement coordinator.SnapshotStore.
-func (l *fakeLog) Save(_ context.Context, cell int, parts [][]byte) error {
-	l.update(func() { l.snapshots[cell] = parts })
-	return nil
+func (l *fakeLog) Save(_ context.Context, cell int, parts [][]byte, form coordinator.SnapshotForm) (int, error) {
+	l.update(func() {
+		l.snapshots[cell] = parts
+		l.forms = append(l.forms, form)
+	})
+	return max(1, l.snapshotAppends), nil
 }
 
 func (l *fakeLog) Load(_ context.Context, cell int) ([][][]byte, error) {
--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -65,11 +65,26 @@
 	Read(ctx context.Context, s Stream, from int64, limit int, wait time.Duration) (Page, error)
 }
 
+// SnapshotForm says in which forms a snapshot of several appends is kept.
+type SnapshotForm int
+
+const (
+	// NewestForm is the form that this version writes, alone.
+	NewestForm SnapshotForm = iota
+	// KeepOlderForm keeps the last one in the form of earlier versions beside it.
+	KeepOlderForm
+	// WriteOlderForm writes the form of earlier versions too, which is not complete while it is
+	// being written.
+	WriteOlderForm
+)
+
 // SnapshotStore keeps the newest snapshot of each cell without expiry. A complete snapshot
 // stays until a newer one is complete, also if its writer ends while it saves.
 type SnapshotStore interface {
-	// Save replaces the snapshot of a cell. After an error the outcome is unknown.
-	Save(ctx context.Context, cell int, parts [][]byte) error
+	// Save replaces the snapshot of a cell. After an error the outcome is unknown. The form
+	// matters only for a snapshot that is too large for one append. It returns how many appends
+	// the snapshot takes in its newest form.
+	Save(ctx context.Context, cell int, parts [][]byte, form SnapshotForm) (appends int, err error)
 	// Load returns the snapshots of a cell, each with its parts in order. Beside the
 	// newest complete one there may be incomplete and older ones, and parts of an older,
 	// longer one may follow those of a snapshot.
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -28,12 +28,17 @@
 	events    chan queuedEvent
 	// reportRequests receives requests to report the leases to the witnesses, with a channel that
 	// is closed then. lastReportMade receives a signal when the last report is made.
-	reportRequests     chan chan<- struct{}
-	lastReportMade     chan struct{}
-	writer             *cellWriter
-	openedAt           time.Duration
-	cancel             context.CancelFunc
-	lastSnapshot       snapshotMark
+	reportRequests chan chan<- struct{}
+	lastReportMade chan struct{}
+	writer         *cellWriter
+	openedAt       time.Duration
+	cancel         context.CancelFunc
+	lastSnapshot   snapshotMark
+	// olderFormAt is when a snapshot was last written in the form of earlier versions, or 0, and
+	// olderFormFor for which VMs. The goroutine that writes a snapshot, of which there is one at
+	// a time, uses them.
+	olderFormAt        time.Duration
+	olderFormFor       string
 	snapshotInProgress atomic.Bool
 	// endsVersion is the version of the known ends that the machine was told.
 	endsVersion int64
--- a/coordinator/ownershipend.go
+++ b/coordinator/ownershipend.go
@@ -101,7 +101,7 @@
 // knows of an end if passOn is set, and returns whether the next call has to.
 func (c *cell) awaitEnd(ctx context.Context, owner ledger.Owner, passOn bool) bool {
 	q := &coordpb.AwaitEndRequest{Cell: int32(c.number), WaitMs: endWait.Milliseconds(), KnownEpoch: c.newestEnd(),
-		Vm: c.node.config.VM, DataCentre: c.node.config.DataCentre, PeerAddress: c.node.config.PeerAddress, Process: c.node.process}
+		Vm: c.node.config.VM, DataCentre: c.node.config.DataCentre, PeerAddress: c.node.config.PeerAddress, Process: c.node.process, Reads: c.node.reader.Format}
 	if passOn {
 		q.Ended = c.resignAnswer(q.KnownEpoch)
 	}
@@ -138,6 +138,7 @@
 		return &coordpb.AwaitEndAnswer{}, nil
 	}
 	c.noteCaller(q)
+	c.members.note(q, n.monotonicNow())
 	c.learnEnds(q.Ends)
 	c.learnEnd(q.KnownEpoch, q.Ended)
 	if c.newestEnd() >= q.KnownEpoch {
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -48,8 +48,12 @@
 	}
 	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	err = o.node.platform.Snapshots.Save(call, o.number, data)
+	now := o.node.monotonicNow()
+	form, older := o.snapshotForm(now)
+	appends, err := o.node.platform.Snapshots.Save(call, o.number, data, form)
 	o.node.metrics.countLogCall(err)
+	// After an error the older form is not tried again at once either: it may take too long.
+	o.noteSaved(form, appends, older, now)
 	if err != nil && ctx.Err() == nil {
 		o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
 	}
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -28,6 +28,7 @@
 	DeclarationsRegained Number = 827
 	SnapshotFailed       Number = 828
 	CellRefused          Number = 829
+	OlderSnapshotForm    Number = 830
 	ManifestAdopted      Number = 831
 	EvacuationChanged    Number = 832
 	BadPlatformEntry     Number = 833
@@ -84,6 +85,7 @@
 	{DeclarationsRegained, "DeclarationsRegained", zapcore.InfoLevel, "declarations can be read again", nil, "None."},
 	{SnapshotFailed, "SnapshotFailed", zapcore.WarnLevel, "snapshot of a cell could not be written or read", []string{"cell", "error"}, "Check the connection to the platform's store. A takeover without a snapshot reads all records."},
 	{CellRefused, "CellRefused", zapcore.ErrorLevel, "cell has a record or snapshot that this version doesn't read, or lacks records that only an unreadable snapshot has; the VM leaves the cell to others", []string{"cell", "error", "duration"}, "The VM tries again after duration. If a VM of a later version is to own the cell, none. Otherwise start one of the version that wrote the record or snapshot."},
+	{OlderSnapshotForm, "OlderSnapshotForm", zapcore.InfoLevel, "snapshots of more than one append are also written in the form of earlier versions, for VMs that don't state which formats they read", []string{"cell", "epoch", "vm"}, "None while an upgrade is under way. It takes more of the store, and of each takeover, until no such VM has called the owner for a minute. The VM unnamed is of a version that doesn't name itself."},
 	{ManifestAdopted, "ManifestAdopted", zapcore.InfoLevel, "manifest took effect on this VM", []string{"version", "queues"}, "None."},
 	{EvacuationChanged, "EvacuationChanged", zapcore.InfoLevel, "set of evacuated data centres changed", []string{"dataCentres"}, "None."},
 	{BadPlatformEntry, "BadPlatformEntry", zapcore.WarnLevel, "malformed entry of the platform's store was ignored", []string{"key", "error"}, "Find out who wrote the entry."},
