dispatch: tests for the time and the pause of runs recorded ahead

Two rules of ahead.go could be removed without a red test.

loadSim gets stops that are answered and have no effect.

--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -53,9 +53,10 @@
 	filled, interrupted []dispatch.Decision
 	// lastPlaced is the worker of the last placement.
 	lastPlaced string
-	// rejected counts the starts that found no room. lostStops: stops have no effect and no answer.
-	rejected  int
-	lostStops bool
+	// rejected counts the starts that found no room. lostStops: stops have no effect and no answer;
+	// idleStops: they are answered and have no effect.
+	rejected             int
+	lostStops, idleStops bool
 	// estimateSpread is the standard deviation of the logarithm of a batch's estimate over its run
 	// time, and runTimes has the run times of the batches with such an estimate.
 	estimateSpread float64
@@ -253,7 +254,9 @@
 		return
 	}
 	w := l.workers[a.Worker]
-	l.after(100*time.Millisecond, func() { l.end(w, a.Run, workload.Stopped) })
+	if !l.idleStops {
+		l.after(100*time.Millisecond, func() { l.end(w, a.Run, workload.Stopped) })
+	}
 	l.after(loadNetworkDelay, func() { l.step(dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.Done}) })
 }
 
