--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -41,7 +41,7 @@
 
 // logDecision logs a decision of a cell's owner and updates the metrics.
 func (n *Node) logDecision(cell int, epoch int64, d dispatch.Decision) {
-	n.metrics.count("decisions", "kind", d.Kind.String())
+	n.countDecision(d)
 	switch d.Kind {
 	case dispatch.SubmissionBegan:
 		n.metrics.observeDuration(metrics.Name("submission_first_start_microseconds", "queue", d.Queue, "size", d.Size.String()), d.Elapsed)
@@ -71,10 +71,6 @@
 	case dispatch.RoomFilled:
 		n.observeRoomFilled(d)
 		return
-	case dispatch.RoomReported:
-		for obstacle, tasks := range d.Obstacles {
-			n.metrics.add(tasks, "moves_not_made", "for", obstacle)
-		}
 	case dispatch.SubmissionCleared:
 		n.metrics.observeDuration(metrics.Name("submission_cleared_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
 		return
@@ -111,6 +107,14 @@
 	n.logger.Log(logevent.DispatchDecision, fields...)
 }
 
+// countDecision counts a decision by its kind, and what it counts itself.
+func (n *Node) countDecision(d dispatch.Decision) {
+	n.metrics.count("decisions", "kind", d.Kind.String())
+	for obstacle, tasks := range d.Obstacles {
+		n.metrics.add(tasks, "moves_not_made", "for", obstacle)
+	}
+}
+
 // observeInterruption updates the histograms of the times for which long-running tasks had no
 // run, and of what they waited for.
 func (n *Node) observeInterruption(d dispatch.Decision) {
