--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -40,7 +40,7 @@
 	// snapshotReadAt is when a snapshot was last read, or found incomplete.
 	snapshotReadAt time.Duration
 	// snapshotErr is the error of the last attempt to read the snapshots, snapshotFailures the
-	// number of attempts in a row without which records were missing.
+	// number of attempts in a row that loaded none.
 	snapshotErr      error
 	snapshotFailures int
 	// unreadable is the error of a record that this version doesn't read, until it is applied
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -108,6 +108,9 @@
 	// snapshotTimeout is the timeout of saving or loading a snapshot: 1 MB takes
 	// 0.9 s at 10 Mbit/s.
 	snapshotTimeout = 2 * time.Second
+	// maxSnapshotDoublings is how often the timeout of loading a snapshot doubles after attempts
+	// that failed: a slow store or path is not faster at the next one.
+	maxSnapshotDoublings = 1
 	// refusedReadTime is the time for reading the streams of a cell that was refused.
 	refusedReadTime = 10 * time.Second
 	// cellPageRecords and intakePageRecords are the maximum numbers of records of
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -17,9 +17,6 @@
 	// doubles with each further refusal, up to maxRefusalDelay.
 	firstRefusalDelay = 15 * time.Second
 	maxRefusalDelay   = 2 * time.Minute
-	// snapshotAttempts is the number of attempts in a row to load a snapshot without which
-	// records are missing, after which the cell is refused: another node may reach it.
-	snapshotAttempts = 3
 )
 
 // errStateMissing is wrapped by errors about records that have expired while the snapshot that
@@ -115,18 +112,14 @@
 }
 
 // missingState returns an error if records that have expired may be in a snapshot that was not
-// read. Records that no snapshot has are lost to every node.
+// read. Records that no snapshot has are lost to every node. A snapshot that could not be loaded
+// is no reason to refuse the cell: the store returns it later, to this node as to any other.
 func (c *cell) missingState() error {
 	switch {
 	case c.unreadable != nil:
 		return c.unreadable
-	case c.snapshotErr == nil:
-		return nil
 	case errors.Is(c.snapshotErr, ledger.ErrIncompleteSnapshot), errors.Is(c.snapshotErr, ledger.ErrBadRecord):
 		return errors.Join(errStateMissing, c.snapshotErr)
 	}
-	if c.snapshotFailures++; c.snapshotFailures >= snapshotAttempts {
-		return errors.Join(errStateMissing, c.snapshotErr)
-	}
 	return c.snapshotErr
 }
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -63,7 +63,7 @@
 // stream than were read. Without a snapshot, all records that the log still has are read. It
 // returns an error if only a later version reads the newest one.
 func (c *cell) loadSnapshot(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	call, cancel := context.WithTimeout(ctx, snapshotTimeout<<min(c.snapshotFailures, maxSnapshotDoublings))
 	defer cancel()
 	parts, err := c.readSnapshot(call)
 	if parts == nil && errors.Is(err, ledger.ErrIncompleteSnapshot) {
@@ -96,13 +96,16 @@
 	data, err := c.node.platform.Snapshots.Load(ctx, c.number)
 	c.node.metrics.countLogCall(err)
 	if err != nil {
+		c.snapshotFailures++
 		return nil, err
 	}
+	c.snapshotFailures = 0
 	return newestSnapshot(c.node.reader, data)
 }
 
 // newestSnapshot returns the complete snapshot that covers the most records of the cell
-// stream, or nil, and an error if there are others that can't be read. It returns only the
+// stream. Others that can't be read are left-overs of saves that were not finished, and lost to
+// every node. If none is complete, it returns an error if there are any. It returns only the
 // error if the newest one is in a format that the reader doesn't know.
 func newestSnapshot(reader ledger.Reader, snapshots [][][]byte) (newest []*ledgerpb.Snapshot, err error) {
 	var unknown error
@@ -123,5 +126,8 @@
 	if unknown != nil && (newest == nil || unknownNext > newest[0].CellNext) {
 		return nil, unknown
 	}
-	return newest, err
+	if newest != nil {
+		return newest, nil
+	}
+	return nil, err
 }
--- a/coordinator/streams.go
+++ b/coordinator/streams.go
@@ -35,7 +35,7 @@
 	if err := c.applyUnapplied(); err != nil {
 		return err
 	}
-	c.unreadable, c.snapshotFailures = nil, 0
+	c.unreadable = nil
 	c.caughtUpAt, c.intakeKnownAt = c.node.monotonicNow(), endRequestedAt
 	c.node.owners.update(c.number, c.ledger().Owner())
 	return nil
