dispatch: suspicion of a worker ends with its evidence

Callers would see: a worker closed to all for 4 s by one failed run a minute after two others, since long-running runs never clear failures; room on suspected workers that stands empty because no other worker is usable; 24 tasks of a step started at once on a faulty worker; a worker that restarts and stays closed for what its incarnation before did; a closure that an answer for want of room makes shorter. Change: failures count for 10 s; one long-running run at a time that has not been at work yet on a suspected worker; a planning round goes on with suspected workers alone; a restart ends both closures; pauses are only made longer.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -62,7 +62,7 @@
 	for id, c := range maps.Clone(m.claims) {
 		active := m.active[id]
 		waits := (active == nil || active == c.moved) && !c.task.Done && !c.task.Away && !c.entry.State().Final()
-		if !waits || m.now >= c.until || m.workers[c.worker.ID()] != c.worker || !m.isOpen(c.worker) {
+		if !waits || m.now >= c.until || m.workers[c.worker.ID()] != c.worker || !m.acceptsLongRunning(c.worker) {
 			m.endClaim(id)
 		}
 	}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -199,10 +199,10 @@
 			return
 		}
 	case Unhealthy:
-		w.pausedUntil = m.now + unhealthyPause
+		w.pausedUntil = max(w.pausedUntil, m.now+unhealthyPause)
 	case NoRoom:
 		w.history.refusals++
-		w.pausedUntil = m.now + m.noRoomPause(w)
+		w.pausedUntil = max(w.pausedUntil, m.now+m.noRoomPause(w))
 	}
 	m.emitDecision(RunRefused, r.id, w.ID(), answer.String(), m.now-w.clockAt)
 	m.stopGang(r)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -26,8 +26,8 @@
 	if len(waiting)+len(leaving) == 0 {
 		return
 	}
-	workers := m.usableWorkers()
-	if len(workers) == 0 {
+	workers, suspected := m.usableWorkers(), newCandidates(m.suspectedWorkers())
+	if len(workers)+len(suspected.workers) == 0 {
 		return
 	}
 	m.favourLargest(waiting)
@@ -38,7 +38,6 @@
 	displacement, repacking := m.newDisplacement(workers), m.newRepacking(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	paced, clearing := newCandidates(workers), newCandidates(m.clearingWorkers(workers))
-	suspected := newCandidates(m.suspectedWorkers())
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
 	for _, ws := range waiting {
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
@@ -75,7 +74,25 @@
 	placed := m.placeClaimed(ws)
 	placed += m.placeOn(c, ws, limit-placed)
 	if len(suspected.workers) > 0 && placed < limit {
-		placed += m.placeOn(suspected, ws, limit-placed)
+		placed += m.placeOnSuspected(suspected, ws)
+	}
+	return placed
+}
+
+// placeOnSuspected places tasks of a long-running step on suspected workers, one on each in a
+// round, and returns the number of tasks.
+func (m *Machine) placeOnSuspected(c *candidates, ws *waitingStep) int {
+	step := &ws.entry.Steps[ws.stepIndex]
+	if step.Gang {
+		return 0
+	}
+	placed := 0
+	for range m.missing(ws) {
+		if m.placeOn(c, ws, 1) == 0 {
+			break
+		}
+		placed++
+		c.workers = slices.DeleteFunc(c.workers, (*worker).hasUnprovenRun)
 	}
 	return placed
 }
@@ -180,7 +197,7 @@
 func (m *Machine) suspectedWorkers() []*worker {
 	var out []*worker
 	for _, w := range m.sorted {
-		if m.now < w.suspectedUntil && m.isOpen(w) {
+		if m.now < w.suspectedUntil && m.acceptsLongRunning(w) && !w.hasUnprovenRun() {
 			out = append(out, w)
 		}
 	}
@@ -200,11 +217,17 @@
 }
 
 // usable reports whether a worker may be given new runs of any kind.
-func (m *Machine) usable(w *worker) bool { return m.isOpen(w) && m.now >= w.suspectedUntil }
+func (m *Machine) usable(w *worker) bool {
+	return m.acceptsLongRunning(w) && m.now >= w.suspectedUntil
+}
+
+// hasUnprovenRun reports whether a long-running run on a worker has not been at work yet.
+func (w *worker) hasUnprovenRun() bool {
+	return slices.ContainsFunc(w.runList, func(r *run) bool { return r.step.LongRunning && r.progressPercent < 100 })
+}
 
-// isOpen reports whether a worker may be given new runs of long-running tasks that no other worker has
-// room for.
-func (m *Machine) isOpen(w *worker) bool {
+// acceptsLongRunning reports whether a worker may be given new runs of long-running tasks.
+func (m *Machine) acceptsLongRunning(w *worker) bool {
 	return !m.viewExpired() && w.listed && w.reported && !w.silent && w.bar == leasesAllowed && !w.Draining && !m.evacuated[w.DataCentre] && m.now >= w.pausedUntil && w.isolated == 0
 }
 
--- a/dispatch/runhistory.go
+++ b/dispatch/runhistory.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cactusreel/cactusreel/workload"
@@ -13,17 +14,21 @@
 	// long-running tasks that were at work aside. A single submission is not
 	// enough, because it may fail on every worker.
 	faultyThreshold = 2
-	// quarantineTime is the time for which no finite runs are placed on a faulty worker. Sound
-	// workers reach the threshold by chance, so that long-running tasks that no other worker has
-	// room for are placed there until one more run fails. The runs placed after that time probe
-	// the worker: a failure puts it in quarantine again, a success clears its failures.
+	// quarantineTime is the time for which no finite runs are placed on a faulty worker, and after
+	// one more failure none at all. Sound workers reach the threshold by chance, so that until then
+	// long-running tasks for which no other worker has room are placed there, one at a time. The
+	// runs placed after that time probe the worker: a success clears its failures.
 	quarantineTime = 4 * time.Second
+	// failureMemory is the time after which a failure on a worker no longer counts. Long-running
+	// runs have no success that would clear it.
+	failureMemory = 10 * time.Second
 )
 
 // runHistory summarises how the runs of a worker incarnation ended.
 type runHistory struct {
-	// failedSubmissions are the submissions with failures since the last success.
-	failedSubmissions map[string]bool
+	// failedSubmissions are the submissions with failures since the last success, with the time of
+	// the last failure of each.
+	failedSubmissions map[string]time.Duration
 	// refusals is the number of starts since the last success that the worker
 	// refused for lack of capacity.
 	refusals int
@@ -55,9 +60,10 @@
 		return
 	}
 	if w.history.failedSubmissions == nil {
-		w.history.failedSubmissions = make(map[string]bool)
+		w.history.failedSubmissions = make(map[string]time.Duration)
 	}
-	w.history.failedSubmissions[r.entry.ID] = true
+	maps.DeleteFunc(w.history.failedSubmissions, func(_ string, at time.Duration) bool { return m.now-at >= failureMemory })
+	w.history.failedSubmissions[r.entry.ID] = m.now
 	if failed := len(w.history.failedSubmissions); failed >= faultyThreshold {
 		if failed > faultyThreshold || m.now < w.suspectedUntil {
 			w.pausedUntil = max(w.pausedUntil, m.now+quarantineTime)
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -177,7 +177,7 @@
 			r.otherKind++
 			continue
 		}
-		if !m.usable(w) && (!step.LongRunning || !m.isOpen(w)) {
+		if !m.usable(w) && (!step.LongRunning || !m.acceptsLongRunning(w)) {
 			r.unusable++
 			continue
 		}
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -79,6 +79,7 @@
 	w.lastEnd, w.cursor, w.ackedCursor, w.unrecordedEnds = 0, 0, 0, nil
 	w.clock, w.clockAt, w.leasesExpireAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0, 0
 	w.history, w.leavesAt = runHistory{}, 0
+	w.pausedUntil, w.suspectedUntil = 0, 0
 	w.nextHeartbeatAt = m.now
 }
 
