dispatch: in a shortage, finite steps of all sizes get a share of the room first

Cause: long-running steps come first among steps of a priority, and hold and displace for themselves. Each piece of room that one fits goes to one and doesn't come back.

Change: while waiting long-running tasks have requested a quarter of the CPU of the service's usable workers for 0.5 s, and until they request less than an eighth, finite steps that may still be of use come before them, up to 1/24 of that CPU for each class of sizes, and long-running tasks don't displace finite runs within that share. The rest, and what the finite side leaves, goes to long-running tasks in the same round; nothing is held. The state follows from the ledger and the reports. Below such a shortage the order is unchanged.

The simulation answers no commands for workers that are gone.

--- a/dispatch/displacementcost.go
+++ b/dispatch/displacementcost.go
@@ -22,6 +22,9 @@
 	if r.step.LongRunning || r.phase != running || r.stopRequested || r.entry.Policy.Priority < priority {
 		return false
 	}
+	if r.entry.Policy.Priority == priority && m.shares.protects(r) {
+		return false
+	}
 	for _, member := range m.gangOf(r) {
 		if m.displacements[member.id.Task].count >= maxDisplacements {
 			return false
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -210,10 +210,13 @@
 	l.starts++
 	answer := dispatch.Done
 	step := &l.ledger.Find(a.Run.Task.Submission).Steps[a.Run.Task.Step]
-	if !l.fits(w, step) {
+	switch {
+	case w.gone:
+		answer = dispatch.NoAnswer
+	case !l.fits(w, step):
 		answer = dispatch.NoRoom
 		l.rejected++
-	} else {
+	default:
 		w.runs[a.Run] = &loadRun{step: step, started: l.now}
 		if !step.LongRunning {
 			spread := 0.8 + 0.4*l.random.Float64()
@@ -248,11 +251,11 @@
 }
 
 func (l *loadSim) stop(a dispatch.Stop) {
-	if l.lostStops {
+	w := l.workers[a.Worker]
+	if l.lostStops || w.gone {
 		l.after(startTimeout, func() { l.step(dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.NoAnswer}) })
 		return
 	}
-	w := l.workers[a.Worker]
 	l.after(100*time.Millisecond, func() { l.end(w, a.Run, workload.Stopped) })
 	l.after(loadNetworkDelay, func() { l.step(dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.Done}) })
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -114,6 +114,10 @@
 	// runTimes are those of the queues by name.
 	runTimes     map[string]*runTimes
 	expectations map[*ledger.Entry]*expectation
+	// shortages are the classes whose waiting long-running tasks request much of the CPU, shares has
+	// the shares of the last planning round.
+	shortages map[runClass]*shortage
+	shares    *roomShares
 	// held are the workers that the last planning round held.
 	held []*worker
 }
@@ -133,6 +137,8 @@
 		byEntry:         make(map[string][]*run),
 		checkpoints:     make(map[workload.TaskID]string),
 		avoid:           make(map[workload.TaskID]string),
+		shortages:       make(map[runClass]*shortage),
+		shares:          new(roomShares),
 		stalls:          make(map[workload.TaskID]stalls),
 		evacuated:       make(map[string]bool),
 		recordingEnds:   make(map[workload.TaskID]bool),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -24,6 +24,7 @@
 	m.forgetHolds(slices.Concat(waiting, leaving))
 	m.endClaims()
 	if len(waiting)+len(leaving) == 0 {
+		clear(m.shortages)
 		return
 	}
 	workers := m.usableWorkers()
@@ -35,11 +36,12 @@
 	defer func() { m.held = round.held }()
 	workers, placed := m.placeSuspects(round, waiting, workers)
 	waiting = withLeaving(waiting, leaving)
+	m.shares = m.newRoomShares(waiting, workers)
 	displacement, repacking := m.newDisplacement(workers), m.newRepacking(workers)
 	longRunning, finite, bestEffort := newCandidates(workers), newCandidates(workers), newCandidates(workers)
 	paced, clearing := newCandidates(workers), newCandidates(m.clearingWorkers(workers))
 	failedHolds, failedFavoured := make(unplaceable), make(unplaceable)
-	for _, ws := range waiting {
+	for ws := range m.shares.inTurn(waiting) {
 		switch step := &ws.entry.Steps[ws.stepIndex]; {
 		case step.LongRunning:
 			placed += m.placeLongRunning(longRunning, ws, limit-placed)
@@ -51,7 +53,7 @@
 		case step.BestEffort:
 			placed += m.placeBestEffort(bestEffort, paced, ws, limit-placed)
 		default:
-			placed += m.placeOn(finite, ws, limit-placed)
+			placed += m.placeOn(finite, ws, min(limit-placed, m.shares.limit(ws)))
 			m.leaveRoom(clearing, ws)
 			if ws.favoured {
 				// Best-effort tasks reserve no CPU, and go on there.
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -26,6 +26,9 @@
 	// favoured: the submission is one of the largest of its queue, and its turn has come
 	// (favourLargest).
 	favoured bool
+	// shared: it is placed before long-running steps, because its submission's size is below its share
+	// of the room (roomShares).
+	shared bool
 	// leaving are the runs on draining workers whose tasks need a place. If it isn't nil, the
 	// tasks that wait for a placement are those of another waitingStep.
 	leaving []*run
