ownership: a surplus cell waits for a copy at its receiver, a join for no renewal

Cause: no second claim. The first VM of the data centre sees only itself and claims both cells; event 202 of the other one (term 7, 31 ms later) is the release of the surplus cell, which is logged as a claim too. The release waited for copies of the request table only at peers whose summary said that they are ready. That summary is up to 0.3 s old and says nothing of a VM that has just become ready, so there was nobody to wait for, and the receiver had no copy (dedup.TakeOver).

Change: the ownership machine releases a surplus cell only to a member that this VM's last renewal of the cell, read back, names as synced, with its incarnation. The wait ends 20 s after the cell was claimed, the member joined or last had a copy, so that cells are balanced also if a member can't be sent copies. A VM that stops prefers receivers with a copy, takes any other, and waits 4 s as before. Cells stay with one VM 1.5 to 3 s longer after a start, and take tasks meanwhile (a cell that is being released places none).

That showed a second fault: an owner that was killed before its next renewal could be replaced by nobody that had joined after its claim, until the VM list had missed it for 60 s. An owner now renews at once when it has read a join that its last renewal doesn't cover.

--- a/entry/member.go
+++ b/entry/member.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/cactusreel/cactusreel/record"
 )
 
 // member identifies one process of an entry VM. Copies of request tables are
@@ -15,7 +17,7 @@
 
 // String returns "<vm>#<incarnation, 16 hex digits>".
 func (m member) String() string {
-	return fmt.Sprintf("%s#%016x", m.vm, m.incarnation)
+	return record.MemberName(m.vm, m.incarnation)
 }
 
 func parseMember(text string) (member, error) {
--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -36,7 +36,10 @@
 	if current != nil && current.incarnation == r.Incarnation {
 		return
 	}
-	m.setMember(r.Vm, &member{incarnation: r.Incarnation, joinOffset: m.lastOffset, lastReadAt: m.now})
+	m.setMember(r.Vm, &member{incarnation: r.Incarnation, joinOffset: m.lastOffset, firstReadAt: m.now, lastReadAt: m.now})
+	if r.Vm != m.config.VM {
+		m.lastJoin = m.lastOffset
+	}
 	if m.config.Rescuer || r.Vm != m.config.VM {
 		return
 	}
@@ -54,7 +57,7 @@
 func (m *Machine) updateMember(vm string, incarnation uint64, joined int64) {
 	current := m.members[vm]
 	if current == nil || current.joinOffset < joined {
-		current = &member{incarnation: incarnation, joinOffset: joined}
+		current = &member{incarnation: incarnation, joinOffset: joined, firstReadAt: m.now}
 		m.setMember(vm, current)
 	}
 	if current.incarnation == incarnation {
@@ -80,7 +83,9 @@
 		}
 		c.setLastAccepted(m.lastOffset, m.now)
 		c.ownerReadOffset = max(c.ownerReadOffset, r.Read)
-		if !own {
+		if own {
+			m.noteSynced(c, r)
+		} else {
 			c.predecessors = renewed.Predecessors
 		}
 		if awaited {
--- a/ownership/balance.go
+++ b/ownership/balance.go
@@ -114,12 +114,16 @@
 	return chosen, owned > m.targetCells(len(m.liveVMs())) || owned >= fewest+2
 }
 
-// receiver returns the other live VM with the fewest cells and its number of
-// cells. Ties go to the higher rendezvous score for the cell. ok is false if there
-// is no other live VM.
+// receiver returns the other live VM with the fewest cells, of those that may receive the cell,
+// and its number of cells. Ties go to the higher rendezvous score for the cell. A VM that stops
+// releases to any live VM if none may receive the cell. ok is false if there is no receiver.
 func (m *Machine) receiver(number int) (vm string, cells int, ok bool) {
 	counts := m.cellCounts()
 	others := slices.DeleteFunc(m.liveVMs(), func(vm string) bool { return vm == m.config.VM })
+	allowed := slices.DeleteFunc(slices.Clone(others), func(vm string) bool { return !m.mayReceive(&m.cells[number], vm) })
+	if len(allowed) > 0 || !m.stopping {
+		others = allowed
+	}
 	if len(others) == 0 {
 		return "", 0, false
 	}
--- a/ownership/cell.go
+++ b/ownership/cell.go
@@ -42,6 +42,11 @@
 	leaseEnd time.Duration
 	// waitUntil is the end of StateWaiting.
 	waitUntil time.Duration
+	// ownedAt is when this VM's ownership began.
+	ownedAt time.Duration
+	// synced names the members that hold copies of the cell's request table by this VM's
+	// last renewal that was read back.
+	synced []string
 	// newerTerm is the newest term known to supersede ownTerm, 0 if none.
 	newerTerm int64
 	// ownTerm is the term of this VM's ownership, current or superseded; 0 if
@@ -116,6 +121,8 @@
 // beginOwnership resets the per-ownership state for a new term of this VM.
 func (c *cell) beginOwnership() {
 	c.ownTerm = c.term
+	c.ownedAt = c.lastReadAt
+	c.synced = nil
 	c.newerTerm = 0
 	c.leaseEnd = 0
 	c.waitUntil = 0
@@ -133,6 +140,7 @@
 // endOwnership clears the state of this VM's ownership.
 func (c *cell) endOwnership() {
 	c.ownTerm = 0
+	c.synced = nil
 	c.newerTerm = 0
 	c.leaseEnd = 0
 	c.waitUntil = 0
--- a/ownership/config.go
+++ b/ownership/config.go
@@ -46,6 +46,9 @@
 	// ClaimStep is the extra claim delay per rank of the VM in the cell's claim
 	// order; it keeps VMs from claiming at the same time.
 	ClaimStep time.Duration
+	// SyncWait is how long a cell that balances the cells waits for a copy of its request
+	// table at the receiver.
+	SyncWait time.Duration
 	// OfflineLimit and TaskLease determine when a rescuer may claim.
 	OfflineLimit time.Duration
 	TaskLease    time.Duration
@@ -86,6 +89,7 @@
 		PromiseLife:  3 * time.Second,
 		AskEvery:     time.Second,
 		ClaimStep:    300 * time.Millisecond,
+		SyncWait:     20 * time.Second,
 		OfflineLimit: 15 * time.Minute,
 		TaskLease:    10 * time.Second,
 	}
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -31,8 +31,11 @@
 	pendingRenewal *pendingRecord
 	renewalSentAt  time.Duration
 	renewalCount   uint64
-	claimCount     uint64
-	syncedVMs      []string
+	// renewalRead is the read offset of the last renewal sent, lastJoin the offset of the last
+	// join record of another VM.
+	renewalRead, lastJoin int64
+	claimCount            uint64
+	syncedVMs             []string
 
 	// missingSince holds the time at which each VM was first missing from the
 	// VM list.
--- a/ownership/member.go
+++ b/ownership/member.go
@@ -12,6 +12,9 @@
 	stopping bool
 	// left is set by the leave record.
 	left bool
+	// firstReadAt is the local time at which its first record was read, and syncedAt that of
+	// this VM's last renewal that names it as a holder of copies.
+	firstReadAt, syncedAt time.Duration
 	// lastReadAt is the local time at which its last record was read.
 	lastReadAt time.Duration
 }
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -28,7 +28,7 @@
 	}
 	m.renewalCount++
 	m.stoppingSent = m.stopping
-	m.renewalSentAt = m.now
+	m.renewalSentAt, m.renewalRead = m.now, m.lastOffset
 	m.pendingRenewal = &pendingRecord{number: m.renewalCount, sentAt: m.now}
 	m.emit(Append{Record: &recordpb.Record{Renew: &recordpb.Renew{
 		Vm:          m.config.VM,
@@ -51,7 +51,11 @@
 	}
 	for i := range m.cells {
 		c := &m.cells[i]
-		if m.activeOwner(c) && !c.releaseSent && c.leaseEnd == 0 {
+		if !m.activeOwner(c) || c.releaseSent {
+			continue
+		}
+		// A VM that joins can claim the cell by expiry only after a renewal that covers its join.
+		if c.leaseEnd == 0 || m.lastJoin > max(c.ownerReadOffset, m.renewalRead) {
 			return true
 		}
 	}
--- a/ownership/sim_test.go
+++ b/ownership/sim_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
@@ -18,6 +19,9 @@
 
 const simCells = 2
 
+// simCopyTime is the time from a VM's start until it holds copies of the request tables.
+const simCopyTime = 800 * time.Millisecond
+
 // simFault is one fault of a schedule.
 type simFault struct {
 	At, For time.Duration
@@ -290,6 +294,9 @@
 	for _, action := range vm.machine.Step(vm.clock(s.now), ev) {
 		switch a := action.(type) {
 		case Append:
+			if r := a.Record.GetRenew(); r != nil {
+				r.Synced = s.membersWithCopies(vm)
+			}
 			vm.appendQueue = append(vm.appendQueue, a.Record)
 		case AskPromises:
 			s.sendPromiseRequests(i, vm, a)
@@ -303,6 +310,17 @@
 	}
 }
 
+// membersWithCopies returns the other members that have run for long enough to hold copies.
+func (s *sim) membersWithCopies(of *simVM) []string {
+	var names []string
+	for _, vm := range s.vms {
+		if vm != of && vm.alive && s.now-vm.startedAt >= simCopyTime {
+			names = append(names, record.MemberName(vm.name, vm.machine.config.Incarnation))
+		}
+	}
+	return names
+}
+
 func (s *sim) vmIndex(name string) int {
 	return slices.IndexFunc(s.vms, func(vm *simVM) bool { return vm.name == name })
 }
--- a/ownership/stopping_test.go
+++ b/ownership/stopping_test.go
@@ -6,11 +6,12 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cactusreel/cactusreel/record"
 	"github.com/cactusreel/cactusreel/record/recordpb"
 )
 
 // runWithOwnRecords steps a machine and feeds its own records back to it, with
-// one record of another VM among them. It returns the number of Drain actions.
+// one record of another VM, which its renewals name, among them. It returns the number of Drain actions.
 func runWithOwnRecords(m *Machine, other *recordpb.Renew) int {
 	offset, drains := int64(0), 0
 	var log []*recordpb.Record
@@ -18,6 +19,9 @@
 		for _, action := range actions {
 			switch a := action.(type) {
 			case Append:
+				if renew := a.Record.GetRenew(); renew != nil {
+					renew.Synced = []string{record.MemberName(other.Vm, other.Incarnation)}
+				}
 				log = append(log, a.Record)
 			case Drain:
 				drains++
@@ -31,9 +35,9 @@
 		}
 		for len(log) > 0 {
 			offset++
-			record := log[0]
+			next := log[0]
 			log = log[1:]
-			collect(m.Step(now, Applied{Offset: offset, Record: record}))
+			collect(m.Step(now, Applied{Offset: offset, Record: next}))
 		}
 	}
 	return drains
