admission, dispatch: what submissions can expect in a shortage

Nothing measured what a new submission could expect, so nobody could be told.

The pure package admission measures, by queue and size, what was accepted, started while of use or became too late over 4 s, and what waits; decides what to reject, with a share as large as the starts, a trickle and hysteresis; and decides an attempt by an outlook with an age. The owner feeds it and emits OutlookChanged once a second while something is rejected, if Config.Outlook is set. Run times, order and placement are unchanged.

Switched off, each turns a test red: age, free room, schedules, doubling chance, 2 s of possible starts, share of the large sizes, trickle, admitting again, stalled log.

--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cactusreel/cactusreel/admission"
 	"github.com/cactusreel/cactusreel/ledger/ledgerpb"
 	"github.com/cactusreel/cactusreel/workload"
 )
@@ -86,6 +87,9 @@
 // GuestsConfirmed; those that are final are cancelled in the intake.
 type CheckGuests struct{ IDs []string }
 
+// OutlookChanged tells what submissions can expect. It is repeated while some are rejected.
+type OutlookChanged struct{ Outlook *admission.Outlook }
+
 func (Append) isAction()       {}
 func (Heartbeat) isAction()    {}
 func (Start) isAction()        {}
@@ -97,4 +101,6 @@
 func (Transfer) isAction()     {}
 func (CheckGuests) isAction()  {}
 
+func (OutlookChanged) isAction() {}
+
 func (WitnessesRecorded) isAction() {}
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -104,6 +104,8 @@
 	// MaxViewAge is the age of each view beyond which no run is placed or started, counted
 	// from when its read was sent; 0 stands for no limit.
 	MaxViewAge ViewAges
+	// Outlook: what submissions can expect is measured, and OutlookChanged emitted.
+	Outlook bool
 	// CellOf returns the cell of the submission with an id. It is nil if there is only
 	// one cell.
 	CellOf func(id string) int
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -111,6 +111,9 @@
 	// RoomFilled: a long-running run has started in room that became free while its task waited.
 	// Age is the time from the stop of the last run there, or from when its end was learned.
 	RoomFilled
+	// AdmissionChanged: the submissions of Queue and Size are rejected, or admitted again, as Reason
+	// says with the inputs. Age is the time over which these were counted.
+	AdmissionChanged
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -120,5 +123,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported", "room filled"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported", "room filled", "admission changed"}[k]
 }
--- a/dispatch/expectation.go
+++ b/dispatch/expectation.go
@@ -17,6 +17,8 @@
 	work     float64
 	// chain is, for each step, the run time of the longest chain of steps that begins with it.
 	chain []time.Duration
+	// longest is the run time of the longest chain.
+	longest time.Duration
 	// objective is the time within which an occurrence should complete.
 	objective time.Duration
 }
@@ -49,7 +51,7 @@
 			x.chain[dependency] = max(x.chain[dependency], x.chain[i])
 		}
 	}
-	x.objective = s.ObjectiveOf(longest)
+	x.longest, x.objective = longest, s.ObjectiveOf(longest)
 	return x
 }
 
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/cactusreel/cactusreel/admission"
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
 	"github.com/cactusreel/cactusreel/hostapi"
@@ -44,6 +45,10 @@
 	lateness map[string][]float64
 	// ended is called when a submission has become final, if it is set.
 	ended func(id string, took time.Duration)
+	// onOutlook is called with each outlook, if it is set. startedInTime and startedLate are the ids of
+	// submissions by whether their first start was of use.
+	onOutlook                  func(*admission.Outlook)
+	startedInTime, startedLate map[string]bool
 	// decisions counts the machine's decisions by kind.
 	decisions map[dispatch.DecisionKind]int
 	// reasons has the reason of the last decision of each kind.
@@ -56,6 +61,8 @@
 	// rejected counts the starts that found no room. lostStops: stops have no effect and no answer.
 	rejected  int
 	lostStops bool
+	// logStalled: appends get no answer.
+	logStalled bool
 	// estimateSpread is the standard deviation of the logarithm of a batch's estimate over its run
 	// time, and runTimes has the run times of the batches with such an estimate.
 	estimateSpread float64
@@ -95,10 +102,11 @@
 	l := &loadSim{
 		random: rand.New(rand.NewPCG(seed, 7)), noise: rand.New(rand.NewPCG(seed, 8)), now: time.Minute, ledger: ledger.New(),
 		workers: make(map[string]*loadWorker), submittedAt: make(map[string]time.Duration), lateness: make(map[string][]float64), decisions: make(map[dispatch.DecisionKind]int),
+		startedInTime: make(map[string]bool), startedLate: make(map[string]bool),
 		reasons: make(map[dispatch.DecisionKind]string), runTimes: make(map[string]time.Duration),
 	}
 	l.machine = dispatch.New(dispatch.Config{
-		Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2, StopTime: 200 * time.Millisecond,
+		Epoch: 1, Lease: simLease, HeartbeatWait: 2 * time.Second, RemoteFactor: 2, StopTime: 200 * time.Millisecond, Outlook: true,
 	}, l.ledger, l.now, l.wall())
 	var list []workload.Worker
 	for i := range workers {
@@ -161,6 +169,9 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case dispatch.Append:
+			if l.logStalled {
+				continue
+			}
 			l.after(loadAppendDelay, func() { l.appended(a) })
 		case dispatch.Start:
 			l.after(loadNetworkDelay, func() { l.start(a) })
@@ -168,12 +179,20 @@
 			l.after(loadNetworkDelay, func() { l.stop(a) })
 		case dispatch.Heartbeat:
 			l.after(loadNetworkDelay, func() { l.heartbeat(a) })
+		case dispatch.OutlookChanged:
+			if l.onOutlook != nil {
+				l.onOutlook(a.Outlook)
+			}
 		case dispatch.Decision:
 			l.decisions[a.Kind]++
 			l.reasons[a.Kind] = a.Reason
 			switch a.Kind {
 			case dispatch.RunPlaced:
 				l.lastPlaced = a.Worker
+			case dispatch.SubmissionBegan:
+				// A submission with 0.7 times its chain to go is of use up to three objectives.
+				l.startedInTime[a.Run.Task.Submission] = a.Elapsed <= 3*a.Objective*2/3
+				l.startedLate[a.Run.Task.Submission] = a.Elapsed > 3*a.Objective*2/3
 			case dispatch.RoomFilled:
 				l.filled = append(l.filled, a)
 			case dispatch.InterruptionEnded:
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -116,6 +116,8 @@
 	expectations map[*ledger.Entry]*expectation
 	// held are the workers that the last planning round held.
 	held []*worker
+	// outlook is what submissions can expect.
+	outlook outlook
 }
 
 type appendInFlight struct {
@@ -152,6 +154,7 @@
 		overdueAt:       now,
 		times:           newTimeAccounts(now),
 		serving:         newServingReport(now),
+		outlook:         newOutlook(now),
 		runTimes:        make(map[string]*runTimes),
 		expectations:    make(map[*ledger.Entry]*expectation),
 		interruptions:   make(map[workload.TaskID]*interruption),
@@ -359,6 +362,7 @@
 	m.planNeeded = true
 	if !e.State().Final() {
 		m.recordSize(e)
+		m.countAccepted(e)
 		m.checkNewGuest(e)
 		return
 	}
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -47,13 +47,20 @@
 	if r == nil || r.version == 0 || estimate <= 0 {
 		return estimate
 	}
-	meanX, meanY := r.x/r.weight, r.y/r.weight
-	slope := 1.0
+	meanX, meanY, slope := r.regression()
+	seconds := math.Exp(meanY + slope*(math.Log(estimate.Seconds())-meanX))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// regression returns the means of the logarithms of estimates and run times, and the slope of the line
+// through them.
+func (r *runTimes) regression() (meanX, meanY, slope float64) {
+	meanX, meanY = r.x/r.weight, r.y/r.weight
+	slope = 1
 	if spread := r.xx/r.weight - meanX*meanX; spread > 1e-6 {
 		slope = min(1, max(0, (r.xy/r.weight-meanX*meanY)/spread))
 	}
-	seconds := math.Exp(meanY + slope*(math.Log(estimate.Seconds())-meanX))
-	return time.Duration(seconds * float64(time.Second))
+	return meanX, meanY, slope
 }
 
 // observeRunTime learns from a run that has succeeded. Runs that began in an earlier epoch, from a
--- a/dispatch/served.go
+++ b/dispatch/served.go
@@ -46,6 +46,9 @@
 	case SubmissionOverdue:
 		d.Served = NotServed
 	}
+	if kind == SubmissionBegan {
+		m.countStarted(e)
+	}
 	if kind != SubmissionBegan && d.Served != ServedBefore {
 		m.judge(e, d.Served != NotServed)
 		if uses := m.times.uses[e]; uses != nil {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -36,6 +36,7 @@
 	m.stopStalledRuns()
 	m.reportWaiting()
 	m.observeTimeUses()
+	m.observeOutlook()
 	m.reportOverdue()
 	m.reportServing()
 	m.reportLeaseWaits()
