coordinator, platform: reject what can't be started, with reject_unstartable

A submission that no worker can start while it is of use was accepted and kept its caller waiting past every use. With [limits] reject_unstartable = true a node rejects it before the append: 503, with a Retry-After of whole seconds from the expected drain. Off by default.

- The owner's outlook travels in an unknown field (15) of the answers to Notify and States, which each node that accepts submissions gets.
- Nothing is rejected by an outlook older than 3 s or of another epoch than the known owner's, 1 s after the store's last answer, nor unless the owner says, with its intake read to the end, that it doesn't have the id.
An id whose append the node has begun is admitted.
- Event 871 for each change, 872 for each rejection, metric admissions, the dump, OPERATIONS, design 10.13, invariants.

Switched off, these turn a test red: silence of the store, begun appends, the owner's confirmation, the setting. The check of the epoch alone does not: the owner's confirmation covers it.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -65,6 +65,8 @@
 		o.reportRenewed(a)
 	case dispatch.WitnessesRecorded:
 		o.witnesses.Recorded(a.Number)
+	case dispatch.OutlookChanged:
+		o.outlooks.publish(a.Outlook, o.epoch, o.node.monotonicNow())
 	case dispatch.FindCapacity:
 		o.wg.Go(func() { o.findCapacity(ctx, a) })
 	case dispatch.Transfer:
--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -17,6 +17,9 @@
 	ErrUnavailable = errors.New("not accepted: the log is unavailable")
 	// ErrOutcomeUnknown means that the request may have taken effect.
 	ErrOutcomeUnknown = errors.New("outcome unknown: no response from the log")
+	// ErrRejected means that the request had no effect, because the workers can't start the
+	// submission while it is of use. The error is a *RejectedError.
+	ErrRejected = errors.New("not accepted: the workers can't start it in time")
 	// ErrNoSubmission means that no submission has the id.
 	ErrNoSubmission = errors.New("no submission has this id")
 )
@@ -30,12 +33,19 @@
 		n.logger.Log(logevent.SubmissionRepeated, zap.String("id", s.ID), zap.String("queue", s.Queue))
 		return nil
 	}
-	err := c.intakeWriter.append(ctx, encodeSubmitted(s))
+	err := c.admit(ctx, s)
+	if err == nil {
+		c.attempts.sent(s.ID, began)
+		err = c.intakeWriter.append(ctx, encodeSubmitted(s))
+	}
 	if err == nil {
 		c.recentlyAccepted.Store(s.ID, n.monotonicNow())
 	}
 	n.metrics.observeSubmission(err, n.monotonicNow()-began)
 	fields := []zap.Field{zap.String("id", s.ID), zap.String("queue", s.Queue), zap.Duration("duration", n.monotonicNow()-began)}
+	if errors.Is(err, ErrRejected) {
+		return err
+	}
 	if err != nil {
 		n.logError(logevent.SubmissionRejected, err, fields...)
 		return err
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -93,6 +93,9 @@
 	// notifications holds intake records that other nodes or this one appended.
 	notifications chan notification
 	intakeWriter  *intakeWriter
+	// outlooks are what submissions can expect, attempts those that this node remembers.
+	outlooks outlooks
+	attempts attempts
 	// evacuation receives a signal when the set of evacuated data centres changes.
 	evacuation chan struct{}
 }
@@ -169,6 +172,7 @@
 	}
 	c.lastSweep = now
 	c.ledger().Sweep(now, finalRetention)
+	c.attempts.sweep(now)
 	c.recentlyAccepted.Range(func(id, at any) bool {
 		if now-at.(time.Duration) > finalRetention {
 			c.recentlyAccepted.Delete(id)
--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -19,6 +19,8 @@
 	// Reserve puts the node in reserve: it owns cells only while no node that is
 	// not in reserve owns one.
 	Reserve bool
+	// RejectsUnstartable: submissions that the workers can't start while they are of use are rejected.
+	RejectsUnstartable bool
 	// SuspendClock is a steady clock that counts the time for which the VM is
 	// suspended; nil stands for the monotonic clock.
 	SuspendClock func() time.Duration
--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -46,11 +46,8 @@
 	case dispatch.SubmissionBegan:
 		n.metrics.observeDuration(metrics.Name("submission_first_start_microseconds", "queue", d.Queue, "size", d.Size.String()), d.Elapsed)
 		return
-	case dispatch.LargestFavoured:
-		n.logger.Log(logevent.LargestFavoured, zap.String("queue", d.Queue), zap.String("reason", d.Reason), zap.Int64("epoch", epoch), zap.Int("cell", cell))
-		return
-	case dispatch.ServingReported:
-		n.logger.Log(logevent.ServingReported, zap.Int("cell", cell), zap.Int64("epoch", epoch), zap.String("reason", d.Reason))
+	case dispatch.LargestFavoured, dispatch.ServingReported, dispatch.AdmissionChanged:
+		n.logQueueDecision(cell, epoch, d)
 		return
 	case dispatch.SubmissionOverdue:
 		n.countServed(d)
@@ -107,6 +104,19 @@
 	n.logger.Log(logevent.DispatchDecision, fields...)
 }
 
+// logQueueDecision logs a decision about queues.
+func (n *Node) logQueueDecision(cell int, epoch int64, d dispatch.Decision) {
+	switch d.Kind {
+	case dispatch.LargestFavoured:
+		n.logger.Log(logevent.LargestFavoured, zap.String("queue", d.Queue), zap.String("reason", d.Reason), zap.Int64("epoch", epoch), zap.Int("cell", cell))
+	case dispatch.ServingReported:
+		n.logger.Log(logevent.ServingReported, zap.Int("cell", cell), zap.Int64("epoch", epoch), zap.String("reason", d.Reason))
+	case dispatch.AdmissionChanged:
+		n.logger.Log(logevent.AdmissionChanged, zap.String("queue", d.Queue), zap.String("size", d.Size.String()),
+			zap.String("reason", d.Reason), zap.Duration("age", d.Age), zap.Int64("epoch", epoch), zap.Int("cell", cell))
+	}
+}
+
 // observeInterruption updates the histograms of the times for which long-running tasks had no
 // run, and of what they waited for.
 func (n *Node) observeInterruption(d dispatch.Decision) {
--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cactusreel/cactusreel/admission"
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/ledger"
 )
@@ -36,6 +37,9 @@
 	Owned    bool `json:"owned"`
 	// Owner is the owner that opened the newest epoch known to this node.
 	Owner ledger.Owner `json:"owner"`
+	// Rejecting are the queues and sizes of which this node rejects submissions, with what these can
+	// expect.
+	Rejecting map[string]admission.SizeOutlook `json:"rejecting,omitempty"`
 	// Machine is set only for a cell that this node owns.
 	Machine *dispatch.Dump `json:"machine,omitempty"`
 }
@@ -66,6 +70,7 @@
 func (c *cell) dump(ctx context.Context) CellDump {
 	d := CellDump{
 		Number: c.number, Assigned: c.generation.Load() != 0, Owned: c.owning.Load(), Owner: c.node.owners.owner(c.number),
+		Rejecting: c.rejectedSizes(),
 	}
 	if !d.Owned {
 		return d
--- a/coordinator/guests.go
+++ b/coordinator/guests.go
@@ -122,5 +122,6 @@
 	for _, state := range states {
 		answer.States = append(answer.States, int32(state))
 	}
+	c.tellOutlook(q, answer)
 	return answer, nil
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -43,6 +43,8 @@
 		return "done"
 	case errors.Is(err, ErrNoEffect), errors.Is(err, ErrUnavailable):
 		return "not_done"
+	case errors.Is(err, ErrRejected):
+		return "rejected"
 	case errors.Is(err, ErrFenced):
 		return "fenced"
 	case errors.Is(err, ErrExpired):
--- a/coordinator/notification.go
+++ b/coordinator/notification.go
@@ -31,10 +31,13 @@
 		if owner.PeerAddress == "" || owner.PeerAddress == c.node.config.PeerAddress {
 			return
 		}
-		_, err := c.node.peers.client(owner.PeerAddress).Notify(ctx, &coordpb.NotifyRequest{
-			Cell: int32(c.number), Offset: n.offset, Record: n.record,
-		})
+		q := &coordpb.NotifyRequest{Cell: int32(c.number), Offset: n.offset, Record: n.record}
+		c.requestOutlook(q, owner.Epoch)
+		answer, err := c.node.peers.client(owner.PeerAddress).Notify(ctx, q)
 		c.node.metrics.countNotification(err)
+		if err == nil {
+			c.learnOutlook(owner.Epoch, answer)
+		}
 	}()
 }
 
@@ -52,8 +55,10 @@
 
 // Notify handles a notification of another node.
 func (n *Node) Notify(_ context.Context, q *coordpb.NotifyRequest) (*coordpb.NotifyAnswer, error) {
+	answer := &coordpb.NotifyAnswer{}
 	if c := n.cell(q.Cell); c != nil && c.owning.Load() {
 		c.queueNotification(notification{offset: q.Offset, record: q.Record})
+		c.tellOutlook(q, answer)
 	}
-	return &coordpb.NotifyAnswer{}, nil
+	return answer, nil
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -100,6 +100,7 @@
 	}
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
+	c.outlooks.begin(epoch, began)
 	c.intakeReadAt.Store(int64(c.intakeKnownAt))
 	ended := make(chan struct{})
 	c.ended.Store(&ended)
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -56,6 +56,8 @@
 	ServingReported      Number = 866
 	TargetMissed         Number = 868
 	TargetMissEnded      Number = 869
+	AdmissionChanged     Number = 871
+	SubmissionTurnedAway Number = 872
 )
 
 var coordinatorEvents = []Info{
@@ -111,4 +113,6 @@
 	{ServingReported, "ServingReported", zapcore.WarnLevel, "submissions of this epoch by queue, size and how they were served", []string{"cell", "epoch", "reason"}, "None. Of those not served it says how many never started and what most of their time went into (docs/OPERATIONS.md): with `no room` or `little room`, workers with more CPU for the largest tasks are missing; with `occupied` or `order`, more workers."},
 	{TargetMissed, "TargetMissed", zapcore.WarnLevel, "task has been over its latency target beside best-effort runs for 2 s", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "One line for each time that it is so; event 869 ends it, when the reports have been within the target for 1 s. The reason has the last tail latency, the reports, and what was placed, paced and stopped beside the task meanwhile. If the reports are far apart, check the CPU of the owner's VM and the network to the worker."},
 	{TargetMissEnded, "TargetMissEnded", zapcore.WarnLevel, "task that was over its latency target beside best-effort runs for 2 s or more is within it again, or has ended", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "As for event 868; the age is the time between the first and the last report over the target."},
+	{AdmissionChanged, "AdmissionChanged", zapcore.WarnLevel, "new submissions of a queue and size are rejected, or admitted again", []string{"queue", "size", "reason", "age", "epoch", "cell"}, "The reason has the inputs, counted over the time in age. Add workers with room for the tasks of the queue, or take long-running work away (docs/OPERATIONS.md, reading a shortage)."},
+	{SubmissionTurnedAway, "SubmissionTurnedAway", zapcore.WarnLevel, "submission was rejected, because the workers can't start it while it is of use; it has not run", []string{"id", "queue", "size", "duration", "age", "share", "waiting", "started", "late", "fit", "rejections", "retryAfter"}, "As for event 871. The age is that of the owner's outlook; fit is the number of tasks like its first ones that fit the free room."},
 }
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -83,6 +83,9 @@
 	RemoteFactor float64 `ini:"remote_factor"`
 	// StorePartitions is the number of partitions of a topic.
 	StorePartitions int `ini:"store_partitions"`
+	// RejectUnstartable has submissions rejected that the workers can't start while they
+	// are of use.
+	RejectUnstartable bool `ini:"reject_unstartable"`
 }
 
 // CoordinatorLog holds the settings of the event log.
