--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -122,6 +122,8 @@
 	shares    *roomShares
 	// held are the workers that the last planning round held.
 	held []*worker
+	// outlook is what submissions can expect.
+	outlook outlook
 }
 
 type appendInFlight struct {
@@ -160,6 +162,7 @@
 		overdueAt:       now,
 		times:           newTimeAccounts(now),
 		serving:         newServingReport(now),
+		outlook:         newOutlook(now),
 		runTimes:        make(map[string]*runTimes),
 		expectations:    make(map[*ledger.Entry]*expectation),
 		interruptions:   make(map[workload.TaskID]*interruption),
@@ -367,6 +370,7 @@
 	m.planNeeded = true
 	if !e.State().Final() {
 		m.recordSize(e)
+		m.countAccepted(e)
 		m.checkNewGuest(e)
 		return
 	}
