coordinator: the nodes that an owner remembers are bounded

A call that waits for the end of an ownership noted its caller also at nodes that own nothing, where nothing forgot it: calls under ever new addresses took memory without bound.

--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -21,6 +21,8 @@
 	// membersKnownAfter is the age of an epoch from which its owner knows all nodes that reach
 	// it: each calls again within that time.
 	membersKnownAfter = witnessMemory
+	// maxMembers limits the nodes that are remembered.
+	maxMembers = 1024
 	// olderFormInterval is how often a snapshot is also written in the form of earlier versions.
 	olderFormInterval = 30 * time.Second
 )
@@ -46,15 +48,24 @@
 	if m.all == nil {
 		m.all = make(map[string]member)
 	}
+	m.forget(now)
+	if _, known := m.all[q.PeerAddress]; !known && len(m.all) >= maxMembers {
+		return
+	}
 	m.all[q.PeerAddress] = member{vm: cmp.Or(q.Vm, "unnamed"), reads: q.Reads, calledAt: now}
 }
 
+// forget removes the nodes that have not called lately. The caller holds the lock.
+func (m *members) forget(now time.Duration) {
+	maps.DeleteFunc(m.all, func(_ string, one member) bool { return now-one.calledAt > memberMemory })
+}
+
 // withoutFormat returns the VMs that may succeed the owner and don't state that they read a
 // format.
 func (m *members) withoutFormat(format int32, now time.Duration) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	maps.DeleteFunc(m.all, func(_ string, one member) bool { return now-one.calledAt > memberMemory })
+	m.forget(now)
 	var out []string
 	for _, one := range m.all {
 		if one.reads < format {
--- a/coordinator/members_internal_test.go
+++ b/coordinator/members_internal_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,6 +10,21 @@
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
 )
 
+// Guards against calls under many addresses that take memory without bound at a node that owns
+// nothing.
+func TestMembersAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := &members{}
+	for i := range 2 * maxMembers {
+		m.note(&coordpb.AwaitEndRequest{PeerAddress: strconv.Itoa(i)}, time.Second)
+	}
+	is.Equal(len(m.all), maxMembers)
+	m.note(&coordpb.AwaitEndRequest{PeerAddress: "0", Reads: 1}, time.Second)
+	is.Equal(m.all["0"].reads, int32(1))
+	m.note(&coordpb.AwaitEndRequest{PeerAddress: "new"}, 2*time.Second+memberMemory)
+	is.Equal(len(m.all), 1)
+}
+
 // Guards against an owner that removes what an older node would find before it knows all nodes,
 // and against one that writes the older form with each snapshot.
 func TestOlderFormIsKeptAndWrittenAtIntervals(t *testing.T) {
