--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -72,6 +72,11 @@
 		f.Add(data)
 	}
 	add()
+	withChecksum, err := ledger.EncodeSnapshot([]*ledgerpb.Snapshot{part})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(withChecksum[0])
 	part.Live[0].Submitted.Steps[0].Tasks = -1
 	add()
 	f.Fuzz(func(_ *testing.T, data []byte) {
