--- a/ownership/synced_test.go
+++ b/ownership/synced_test.go
@@ -36,7 +36,7 @@
 				}
 				log = append(log, a.Record)
 			case Drain:
-				step(now, i, CellDrained{Cell: a.Cell})
+				step(now, i, CellDrained(a))
 			}
 		}
 	}
