coordinator: the owner's outlook in declared, typed fields of the messages

What a reader of the formats could not see: since number 15 of NotifyRequest, NotifyAnswer, StatesRequest and StatesAnswer was in use, as an undeclared field read with GetUnknown, and in the answers it held JSON. coordinator.proto and docs/formats.md did not have it, and package formats would not have found an incompatible change of it, or another field under the same number.

Now the requests have `outlook_version`, the answers `outlook`, with the messages Outlook, QueueOutlook, SizeOutlook and Room. The limit of 32 KiB stays and counts version and age; the drain is sent in milliseconds. JSON excluded non-finite numbers; that is checked now, as are shares, drains, counts, names and the number of sizes. An outlook whose version, age or size can't be used is left out as before, one with other contents that are not valid rejects nothing, as before; both are counted with their reason (outlooks_ignored{reason}). An owner publishes an empty outlook in place of one that callers would ignore, so that a value that can't be encoded doesn't cost the whole answer. A negative version in a request now counts as none.

No test was changed but the seeds of the fuzz test; the encoding had no tests of its own.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -165,12 +165,11 @@
 	if owner.PeerAddress == "" || owner.PeerAddress == c.node.config.PeerAddress {
 		return false
 	}
-	q := &coordpb.StatesRequest{Cell: int32(c.number), Ids: []string{id}}
-	c.requestOutlook(q, owner.Epoch)
+	q := &coordpb.StatesRequest{Cell: int32(c.number), Ids: []string{id}, OutlookVersion: c.requestedOutlook(owner.Epoch)}
 	answer, err := c.node.peers.client(owner.PeerAddress).States(call, q)
 	c.node.metrics.countLookup(err)
 	if err == nil {
-		c.learnOutlook(owner.Epoch, answer)
+		c.learnOutlook(owner.Epoch, answer.Outlook)
 	}
 	return err == nil && answer.Owner && len(answer.States) == 1 && workload.State(answer.States[0]) == workload.Unknown
 }
--- a/coordinator/guests.go
+++ b/coordinator/guests.go
@@ -122,6 +122,6 @@
 	for _, state := range states {
 		answer.States = append(answer.States, int32(state))
 	}
-	c.tellOutlook(q, answer)
+	answer.Outlook = c.outlookFor(q.OutlookVersion)
 	return answer, nil
 }
--- a/coordinator/messages_fuzz_internal_test.go
+++ b/coordinator/messages_fuzz_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -27,8 +28,8 @@
 	ends := []*coordpb.KnownEnd{{Worker: "w", Submission: "s", Occurrence: -1, Step: 9, Run: -3, Outcome: 99, AgeMs: -1 << 62}}
 	ended := &coordpb.ResignAnswer{Resigned: true, LeasesKnown: true, Leases: []*coordpb.WorkerLease{{Worker: "w", ExpiryMs: 1 << 62}}, Ends: ends}
 	for kind, seed := range []proto.Message{
-		&coordpb.LookupRequest{Cell: -1, Id: "s"}, &coordpb.StatesRequest{Cell: -1, Ids: []string{"s", ""}},
-		&coordpb.PendingRequest{Cell: 1 << 30, Queue: "q"}, &coordpb.NotifyRequest{Offset: -1, Record: []byte{0xff}},
+		&coordpb.LookupRequest{Cell: -1, Id: "s"}, &coordpb.StatesRequest{Cell: -1, Ids: []string{"s", ""}, OutlookVersion: -1},
+		&coordpb.PendingRequest{Cell: 1 << 30, Queue: "q"}, &coordpb.NotifyRequest{Offset: -1, Record: []byte{0xff}, OutlookVersion: math.MaxInt64},
 		&coordpb.ResignRequest{Epoch: 1 << 62},
 		&coordpb.AwaitEndRequest{WaitMs: -1, KnownEpoch: 3, Ended: ended, Ends: ends, PeerAddress: "a", Process: 1},
 		&coordpb.ConfirmOwnerRequest{Epoch: 2, Process: 1, Report: &coordpb.LeaseReport{Number: -1, FirstWorker: 1 << 30, Expiry: []byte{1, 2}, Numbering: 3}},
--- a/coordinator/notification.go
+++ b/coordinator/notification.go
@@ -31,12 +31,11 @@
 		if owner.PeerAddress == "" || owner.PeerAddress == c.node.config.PeerAddress {
 			return
 		}
-		q := &coordpb.NotifyRequest{Cell: int32(c.number), Offset: n.offset, Record: n.record}
-		c.requestOutlook(q, owner.Epoch)
+		q := &coordpb.NotifyRequest{Cell: int32(c.number), Offset: n.offset, Record: n.record, OutlookVersion: c.requestedOutlook(owner.Epoch)}
 		answer, err := c.node.peers.client(owner.PeerAddress).Notify(ctx, q)
 		c.node.metrics.countNotification(err)
 		if err == nil {
-			c.learnOutlook(owner.Epoch, answer)
+			c.learnOutlook(owner.Epoch, answer.Outlook)
 		}
 	}()
 }
@@ -58,7 +57,7 @@
 	answer := &coordpb.NotifyAnswer{}
 	if c := n.cell(q.Cell); c != nil && c.owning.Load() {
 		c.queueNotification(notification{offset: q.Offset, record: q.Record})
-		c.tellOutlook(q, answer)
+		answer.Outlook = c.outlookFor(q.OutlookVersion)
 	}
 	return answer, nil
 }
