tasks: the simulation names members with copies, and searches 200 schedules for a rule that is left out

Renewals of the simulation now name members that have run for 0.8 s, as in that of ownership, and the search ends after 200 schedules in place of 100: a rule without a schedule that fails without it is still an error.

--- a/tasks/schedule_test.go
+++ b/tasks/schedule_test.go
@@ -66,7 +66,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			plans := genPlan(rule.fault.Kind)
-			for seed := range 100 {
+			for seed := range 200 {
 				plan := plans.Example(seed)
 				fault := rule.fault
 				fault.Target = seed % 4
--- a/tasks/simvm_test.go
+++ b/tasks/simvm_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// simCopyTime is the time from a VM's start until it holds copies of the request tables.
+const simCopyTime = 800 * time.Millisecond
+
+// membersWithCopies returns the other members that have run for long enough to hold copies.
+func (s *sim) membersWithCopies(of *simVM) []string {
+	var names []string
+	for _, vm := range s.vms {
+		if vm != of && vm.alive && s.now-vm.startedAt >= simCopyTime {
+			names = append(names, record.MemberName(vm.name, vm.incarnation))
+		}
+	}
+	return names
+}
+
 func (vm *simVM) clock(now time.Duration) time.Duration {
 	return time.Duration(float64(now-vm.startedAt) * vm.rate)
 }
@@ -187,6 +201,9 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case ownership.Append:
+			if r := a.Record.GetRenew(); r != nil {
+				r.Synced = s.membersWithCopies(vm)
+			}
 			vm.enqueue("claims", a.Record)
 		case ownership.CellChanged:
 			s.cellChanged(vm, a.View)
