--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -16,7 +16,7 @@
 	failing := false
 	for ctx.Err() == nil && !n.stopping.Load() {
 		if n.refused.Load() {
-			n.standBack(ctx)
+			n.leaveUntilReadable(ctx)
 			generation = 0
 			continue
 		}
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -53,10 +53,10 @@
 	return r != nil && c.node.monotonicNow() < r.retryAt
 }
 
-// standBack keeps the node out of the group, so that other nodes get its cells, until it has
+// leaveUntilReadable keeps the node out of the group, so that other nodes get its cells, until it has
 // read all cells that it refused. The group can't be told to give away a single cell. If no
 // other node owns any cell, the node returns for those that it can read.
-func (n *Node) standBack(ctx context.Context) {
+func (n *Node) leaveUntilReadable(ctx context.Context) {
 	n.refused.Store(false)
 	n.releaseCells(ctx)
 	n.leaveGroup(ctx)
--- a/dispatch/moveobstacle.go
+++ b/dispatch/moveobstacle.go
@@ -13,7 +13,7 @@
 
 // Obstacles to moves, in the order in which they are checked.
 const (
-	// noObstacle: a next planning round makes the move, if no other comes first.
+	// noObstacle: the next planning round makes the move, if no other comes first.
 	noObstacle moveObstacle = iota
 	// taskClaims: the tasks claim room already, or are suspected of a crash.
 	taskClaims
