--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -65,13 +65,22 @@
 	}
 }
 
-// reserveNeeded reports whether a node in reserve has to own cells because no
-// other node does. If it has not, reserveNeeded also waits until the next check.
-func (n *Node) reserveNeeded(ctx context.Context) bool {
+// hasNonReserveOwner reports whether a node that is not in reserve owns a cell.
+func (n *Node) hasNonReserveOwner(ctx context.Context) (bool, error) {
 	call, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	otherOwner, err := n.platform.Group.HasNonReserveOwner(call)
+	owner, err := n.platform.Group.HasNonReserveOwner(call)
 	n.metrics.countLogCall(err)
+	if err == nil {
+		n.recordStoreResponse()
+	}
+	return owner, err
+}
+
+// reserveNeeded reports whether a node in reserve has to own cells because no
+// other node does. If it has not, reserveNeeded also waits until the next check.
+func (n *Node) reserveNeeded(ctx context.Context) bool {
+	otherOwner, err := n.hasNonReserveOwner(ctx)
 	switch {
 	case err != nil:
 		// Without the store no cell can be taken over, and owned cells are kept
@@ -79,7 +88,6 @@
 		sleep(ctx, retryDelay(1))
 		return n.reserveActive.Load()
 	case otherOwner:
-		n.recordStoreResponse()
 		n.checksWithoutOwner = 0
 		if n.reserveActive.Swap(false) {
 			n.releaseCells(ctx)
@@ -88,7 +96,6 @@
 		sleep(ctx, reserveCheckInterval)
 		return false
 	}
-	n.recordStoreResponse()
 	n.checksWithoutOwner++
 	if n.checksWithoutOwner < reserveChecks && !n.reserveActive.Load() {
 		sleep(ctx, reserveCheckInterval)
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -65,14 +65,10 @@
 		if n.readRefusedCells(ctx) {
 			return
 		}
-		call, cancel := context.WithTimeout(ctx, logTimeout)
-		otherOwner, err := n.platform.Group.HasNonReserveOwner(call)
-		cancel()
-		n.metrics.countLogCall(err)
+		otherOwner, err := n.hasNonReserveOwner(ctx)
 		if err != nil {
 			continue
 		}
-		n.recordStoreResponse()
 		checksWithoutOwner++
 		if otherOwner {
 			checksWithoutOwner = 0
