dispatch, platform: failing tests of calls that a restarted worker carries out for its former incarnation

The simulated workers told incarnations of one id apart, which the platform's header can't: in the schedules calls now may reach the next incarnation, which takes the longest lease.

--- a/dispatch/dispatchtest/worker.go
+++ b/dispatch/dispatchtest/worker.go
@@ -44,6 +44,8 @@
 	// Unguarded workers start what exceeds their capacity, which last shrank at ShrunkAt.
 	Unguarded bool
 	ShrunkAt  time.Duration
+	// LeaseLimit is the longest lease; a longer one is shortened. 0 stands for no limit.
+	LeaseLimit time.Duration
 	// StopTime is how long a stop takes, during which a run is neither active nor ended.
 	StopTime time.Duration
 	// now is the time of the last call of Advance.
@@ -147,6 +149,13 @@
 	return false
 }
 
+func (w *Worker) extendLease(now, deadline time.Duration) {
+	if w.LeaseLimit > 0 {
+		deadline = min(deadline, w.Clock(now)+w.LeaseLimit)
+	}
+	w.deadline = max(w.deadline, deadline)
+}
+
 // Free returns the capacity that the runs leave.
 func (w *Worker) Free() hostapi.Resources {
 	left := w.Info.Capacity
@@ -170,7 +179,7 @@
 	case !w.Unguarded && !r.Request.Fits(w.Free()):
 		return dispatch.NoRoom
 	}
-	w.deadline = max(w.deadline, s.Deadline)
+	w.extendLease(now, s.Deadline)
 	w.Runs[s.Run] = r
 	w.earliestEnd = min(w.earliestEnd, r.EndsAt)
 	return dispatch.Done
@@ -199,7 +208,7 @@
 	if w.fenced(epoch) {
 		return workload.Report{}, dispatch.Fenced
 	}
-	w.deadline = max(w.deadline, h.Deadline)
+	w.extendLease(now, h.Deadline)
 	w.cursor = max(w.cursor, h.Cursor)
 	w.Ends = slices.DeleteFunc(w.Ends, func(e workload.EndedRun) bool { return e.Sequence <= w.cursor })
 	listed := w.Ends[:min(len(w.Ends), listedEnds)]
--- /dev/null
+++ b/dispatch/formercalls_test.go
@@ -0,0 +1,100 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/dispatch"
+	"github.com/cactusreel/cactusreel/dispatch/dispatchtest"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// listRestarted lists the second incarnation of worker w, and another worker.
+func (h *harness) listRestarted() {
+	var list []workload.Worker
+	for _, incarnation := range []workload.Incarnation{{Worker: "w", StartMillis: 2}, {Worker: "v", StartMillis: 1}} {
+		list = append(list, workload.Worker{
+			Incarnation: incarnation, Service: "register", Address: incarnation.Worker, DataCentre: "giza", Rack: "r1-1",
+			Capacity: hostapi.Resources{MilliCPU: 64000, MemoryMiB: 1 << 20},
+		})
+	}
+	h.handle(dispatch.WorkersListed{Workers: list})
+}
+
+// passWithoutRestarted lets time pass in which the restarted worker answers no heartbeat and the
+// other one does.
+func (h *harness) passWithoutRestarted() {
+	h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.NoAnswer})
+	h.handle(dispatch.HeartbeatAnswered{Worker: "v", SentAt: h.now, Report: workload.Report{
+		Incarnation: workload.Incarnation{Worker: "v", StartMillis: 1}, Clock: h.now,
+	}})
+	h.advance(100 * time.Millisecond)
+}
+
+// Guards against a second run of a task whose first one a restarted worker has: a start that was
+// meant for its former incarnation, and has no answer, may be carried out by the next one, where its
+// deadline, by the former clock, grants the longest lease. A heartbeat that fails says nothing of it.
+func TestRunOfARestartedWorkerIsNotLostBeforeItsLease(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	run := h.submitUnanswered("s", plainStep)
+	h.advance(400 * time.Millisecond)
+	h.listRestarted()
+	restarted := h.now
+	h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.NoAnswer})
+	for h.now < restarted+simLease {
+		h.passWithoutRestarted()
+		is.Equal(h.count(startOf("s")), 1)
+	}
+	for h.now < restarted+dispatch.LeaseExpiryBound(simLease)+time.Second {
+		h.passWithoutRestarted()
+	}
+	is.Equal(h.count(startOf("s")), 2)
+}
+
+// Guards against two runs of a task at a time because a restarted worker carries out starts and
+// heartbeats that were meant for its former incarnation, and is then silent for a while.
+func TestSchedulesOfWorkersThatTakeCallsOfTheirFormerIncarnation(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, seed, 6)
+			s.crashes.takesFormerCalls = true
+			for _, w := range s.workers {
+				w.LeaseLimit = simLease
+			}
+			for i := range 30 {
+				s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() {
+					s.appendIntake(ledger.SubmittedRecord(simSubmission(fmt.Sprintf("s%d", i), 1+s.random.IntN(6))))
+				})
+			}
+			for range 15 {
+				w := s.workers[fmt.Sprintf("w%d", s.random.IntN(len(s.workers)))]
+				s.after(time.Duration(s.random.IntN(20000))*time.Millisecond, func() { s.restartThenCut(w) })
+			}
+			s.after(26*time.Second, s.endFaults)
+			s.run(s.now + 60*time.Second)
+			for i := range 30 {
+				if e := s.owner().ledger.Find(fmt.Sprintf("s%d", i)); e == nil || e.State() != workload.Completed {
+					t.Fatalf("s%d has not completed", i)
+				}
+			}
+		})
+	}
+}
+
+// restartThenCut restarts a worker under its id, and cuts it off soon after.
+func (s *sim) restartThenCut(w *dispatchtest.Worker) {
+	w.Up = false
+	down := time.Duration(100+s.random.IntN(800)) * time.Millisecond
+	s.after(down, func() { s.reboot(w) })
+	s.after(down+time.Duration(s.random.IntN(1000))*time.Millisecond, func() { w.Partitioned = true })
+	s.after(down+time.Duration(1000+s.random.IntN(8000))*time.Millisecond, func() { w.Partitioned = false })
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -237,6 +237,10 @@
 		if !answers || w == nil {
 			return heartbeatResult{answer: dispatch.WrongWorker}, answers
 		}
+		if w.Info.Incarnation != a.Incarnation {
+			// Only the incarnation that answers on a connection is sent a cursor on it.
+			a.Cursor = 0
+		}
 		s.recordAcknowledged(w, a.Cursor, o.epoch)
 		report, answer := w.Heartbeat(s.now, o.epoch, a)
 		return heartbeatResult{report, answer}, true
@@ -274,6 +278,7 @@
 // and a lost command may be carried out seconds later.
 func (s *sim) sendCommand(do func() (any, bool), answered func(answer any, lost bool)) {
 	const timeout = 700 * time.Millisecond
+	sent := s.now
 	late := s.faulty && s.random.IntN(10) == 0
 	lost := s.faulty && s.random.IntN(10) == 0
 	if late {
@@ -281,18 +286,24 @@
 		s.after(timeout, func() { answered(nil, true) })
 		return
 	}
-	s.after(s.delay(5), func() {
+	var attempt func()
+	attempt = func() {
 		answer, ok := do()
+		if wait := s.delay(200); !ok && s.crashes.takesFormerCalls && s.now+wait < sent+timeout {
+			s.after(wait, attempt)
+			return
+		}
 		if !ok && s.crashes.reset {
 			s.after(s.delay(5), func() { answered(nil, true) })
 			return
 		}
 		if !ok || lost {
-			s.after(timeout, func() { answered(nil, true) })
+			s.after(sent+timeout-s.now, func() { answered(nil, true) })
 			return
 		}
 		s.after(s.delay(5), func() { answered(answer, false) })
-	})
+	}
+	s.after(s.delay(5), attempt)
 }
 
 func (s *sim) append(o *simOwner, a dispatch.Append) {
--- a/dispatch/simcrashes_test.go
+++ b/dispatch/simcrashes_test.go
@@ -28,6 +28,10 @@
 	// newIDs: a worker that starts again has another id, and says so if a command is meant
 	// for the one before.
 	newIDs bool
+	// takesFormerCalls: a worker that starts again carries out the commands that were meant for
+	// its former incarnation, and a call whose connection is being set up reaches it once it is
+	// back.
+	takesFormerCalls bool
 	// crashDelay is the time from the start of such a task to the crash.
 	crashDelay time.Duration
 	// downTime is the time after which a crashed worker is back.
--- a/dispatch/simfaults_test.go
+++ b/dispatch/simfaults_test.go
@@ -61,13 +61,13 @@
 }
 
 // at returns the worker that a command reaches, or nil if another incarnation answers at
-// the address, and whether there is an answer.
+// the address and tells the two apart, and whether there is an answer.
 func (s *sim) at(target dispatch.Target) (w *dispatchtest.Worker, answers bool) {
 	w = s.workers[target.Address]
 	switch {
 	case !w.Up || w.Partitioned:
 		return nil, false
-	case w.Info.Incarnation == target.Incarnation:
+	case w.Info.Incarnation == target.Incarnation, s.crashes.takesFormerCalls:
 		return w, true
 	}
 	return nil, s.crashes.newIDs
