dispatch: a restarted worker may hold leases from calls to its former incarnation

Cause: the owner took a new incarnation of a worker for one without any lease. But a call whose connection is set up while the worker is down is carried out by the next incarnation of the same id. Its deadline, on the former clock, is far ahead on the new one, so the worker takes the longest lease. One failed heartbeat, even one that had been sent to the former incarnation, then made the owner give up the runs there ("lease has expired", 0.3 s after the restart became known) and place their tasks again beside them.

Change: after a restart the owner counts the longest lease that a worker takes (lease_limit of the settings) from the latest arrival of the last call with a deadline; a failed heartbeat to the former incarnation says nothing of the new one. CommandTimeout moves to dispatch, which now counts with it.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -78,7 +78,7 @@
 
 func (o *ownership) heartbeat(ctx context.Context, h dispatch.Heartbeat) {
 	sent := o.node.monotonicNow()
-	call, cancel := context.WithTimeout(ctx, h.Wait+commandTimeout)
+	call, cancel := context.WithTimeout(ctx, h.Wait+dispatch.CommandTimeout)
 	report, answer := o.node.platform.WorkerClient.Heartbeat(call, o.epoch, h)
 	cancel()
 	if answer != dispatch.Done {
@@ -90,7 +90,7 @@
 
 func (o *ownership) startRun(ctx context.Context, s dispatch.Start) {
 	sent := o.node.monotonicNow()
-	call, cancel := context.WithTimeout(ctx, commandTimeout)
+	call, cancel := context.WithTimeout(ctx, dispatch.CommandTimeout)
 	answer, clock := o.node.platform.WorkerClient.Start(call, o.epoch, s)
 	cancel()
 	took := o.node.monotonicNow() - sent
@@ -99,14 +99,14 @@
 }
 
 func (o *ownership) stopRun(ctx context.Context, s dispatch.Stop) {
-	call, cancel := context.WithTimeout(ctx, commandTimeout)
+	call, cancel := context.WithTimeout(ctx, dispatch.CommandTimeout)
 	answer := o.node.platform.WorkerClient.Stop(call, o.epoch, s)
 	cancel()
 	o.post(ctx, dispatch.StopAnswered{Worker: s.Worker, Run: s.Run, Answer: answer})
 }
 
 func (o *ownership) paceRun(ctx context.Context, p dispatch.Pace) {
-	call, cancel := context.WithTimeout(ctx, commandTimeout)
+	call, cancel := context.WithTimeout(ctx, dispatch.CommandTimeout)
 	answer := o.node.platform.WorkerClient.Pace(call, o.epoch, p)
 	cancel()
 	o.post(ctx, dispatch.PaceAnswered{Worker: p.Worker, Run: p.Run, Percent: p.Percent, Answer: answer})
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -49,9 +49,6 @@
 	logTimeout = 900 * time.Millisecond
 	// logRetryDelay is the delay before the first retry of a log call.
 	logRetryDelay = 100 * time.Millisecond
-	// commandTimeout is the timeout of a command to a worker, besides the wait of a
-	// heartbeat. A usual answer takes one round trip of 10 ms.
-	commandTimeout = 700 * time.Millisecond
 	// lookupTimeout is the timeout of a query to a cell's owner.
 	lookupTimeout = 300 * time.Millisecond
 	// capacityTimeout is the timeout of a search for cells with free capacity.
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -26,13 +26,13 @@
 // until now, or is granted at the end of an ownership, has expired.
 func (c *cell) grantedLeaseExpiry() time.Duration {
 	config := c.node.config.Dispatch
-	return dispatch.LeaseExpiryBound(max(config.Lease, config.HandoverLease)) + commandTimeout
+	return dispatch.LeaseExpiryBound(max(config.Lease, config.HandoverLease)) + dispatch.CommandTimeout
 }
 
 // endedProcessLeaseExpiry returns the same for a process that has ended: it granted no lease
 // that lasts longer than the usual one.
 func (c *cell) endedProcessLeaseExpiry() time.Duration {
-	return dispatch.LeaseExpiryBound(c.node.config.Dispatch.Lease) + commandTimeout
+	return dispatch.LeaseExpiryBound(c.node.config.Dispatch.Lease) + dispatch.CommandTimeout
 }
 
 // requestResignation requests the previous owner to end its ownership, unless this node
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -104,6 +104,7 @@
 		r.filling.hold(m.now, heldByStart)
 	}
 	r.phase, r.commandInFlight = starting, true
+	w.noteGrant(m.now)
 	m.starts.inFlight++
 	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.checkpoint, Deadline: r.leaseDeadline})
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -63,6 +63,11 @@
 	maxPlacements = 200
 )
 
+// CommandTimeout is the time after which the caller of a command to a worker gives up, besides
+// the wait of a heartbeat. A usual answer takes one round trip of 10 ms. A call whose connection
+// is not established by then is not sent.
+const CommandTimeout = 700 * time.Millisecond
+
 // Config holds the settings of a machine that depend on the deployment.
 type Config struct {
 	// Epoch is the fencing token of every command.
@@ -73,6 +78,9 @@
 	// HandoverLease is the duration of the leases that an owner grants when it gives the
 	// cell up, at least Lease: its successor may need the store for the takeover.
 	HandoverLease time.Duration
+	// WorkerLeaseLimit is the duration to which workers shorten longer leases; 0 stands for
+	// the longest one that an owner grants.
+	WorkerLeaseLimit time.Duration
 	// HeartbeatWait is the maximum time for which a worker may delay its answer to
 	// a heartbeat until a run ends.
 	HeartbeatWait time.Duration
@@ -114,6 +122,15 @@
 // longestLease returns the duration of the longest lease that an owner grants.
 func (c *Config) longestLease() time.Duration { return max(c.Lease, c.HandoverLease) }
 
+// longestWorkerLease returns the duration of the longest lease that a worker takes, whatever
+// deadline a call has.
+func (c *Config) longestWorkerLease() time.Duration {
+	if c.WorkerLeaseLimit > 0 {
+		return c.WorkerLeaseLimit
+	}
+	return c.longestLease()
+}
+
 // grantable returns the duration of the lease that may be granted now.
 func (c *Config) grantable() time.Duration {
 	if c.LeaseLimit == nil {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -50,6 +50,9 @@
 			h.Wait = min(h.Wait, reportTime)
 		}
 	}
+	if h.Deadline > 0 {
+		w.noteGrant(m.now)
+	}
 	w.heartbeatInFlight = true
 	m.emit(h)
 }
@@ -63,7 +66,12 @@
 	if w == nil {
 		return
 	}
-	w.heartbeatInFlight = false
+	toFormer := w.heartbeatToFormer
+	w.heartbeatInFlight, w.heartbeatToFormer = false, false
+	if toFormer && ev.Answer == NoAnswer {
+		// The silence of the former incarnation says nothing of this one.
+		return
+	}
 	w.nextHeartbeatAt = m.now + heartbeatRetryDelay
 	switch ev.Answer {
 	case Fenced:
@@ -89,7 +97,7 @@
 	if w == nil {
 		return
 	}
-	w.heartbeatInFlight = false
+	w.heartbeatInFlight, w.heartbeatToFormer = false, false
 	report := &ev.Report
 	switch {
 	case report.Incarnation.StartMillis > w.StartMillis:
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -23,6 +23,9 @@
 	// leasesExpireAt is when every lease that this owner has granted to this
 	// incarnation has expired for certain.
 	leasesExpireAt time.Duration
+	// grantArrivesAt is when the last call with a deadline has arrived at the latest, if at all,
+	// at any incarnation with this id; 0 if there was none.
+	grantArrivesAt time.Duration
 	// leaseDeadline is the latest end of these leases on the worker's clock.
 	leaseDeadline time.Duration
 	// predecessorsExpireAt is the equivalent of leasesExpireAt for the leases that
@@ -42,8 +45,10 @@
 	leavesAt time.Duration
 	// silentAt is when it became silent.
 	silentAt time.Duration
-	// heartbeatInFlight: a heartbeat has been sent and has no answer yet.
+	// heartbeatInFlight: a heartbeat has been sent and has no answer yet. heartbeatToFormer: it
+	// was sent to the incarnation before.
 	heartbeatInFlight bool
+	heartbeatToFormer bool
 	nextHeartbeatAt   time.Duration
 	// lastEnd is the highest sequence number of an end that was listed.
 	// unrecordedEnds are the listed ends whose record is not in the log yet, in
@@ -283,6 +288,19 @@
 	w.leasesExpireAt = max(w.leasesExpireAt, w.clockAt+LeaseExpiryBound(end-w.clock))
 }
 
+// noteGrant notes a call with a deadline that is sent now.
+func (w *worker) noteGrant(now time.Duration) { w.grantArrivesAt = now + CommandTimeout }
+
+// formerGrantsExpireAt returns when the leases have expired that a new incarnation has from calls
+// that were meant for the one before. Their deadlines, on the former clock, say nothing: each may
+// be the longest lease.
+func (w *worker) formerGrantsExpireAt(longest time.Duration) time.Duration {
+	if w.grantArrivesAt == 0 {
+		return 0
+	}
+	return w.grantArrivesAt + LeaseExpiryBound(longest)
+}
+
 // LeaseExpiryBound returns the time after which a lease has expired for certain,
 // even on a worker whose clock runs as slowly as clockDrift allows.
 func LeaseExpiryBound(lease time.Duration) time.Duration {
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -55,7 +55,8 @@
 // workerRestarted switches to a new incarnation of a worker: no run of the old one
 // is active any more. A start that the old incarnation never reported may have
 // reached the new one, which has the same id; such a run is stopped there before
-// its task is placed again. The properties of the new incarnation, which may differ, are
+// its task is placed again, and is given up only when the leases have expired that the new
+// one may have from calls to the old one. The properties of the new incarnation, which may differ, are
 // not known before it is listed.
 func (m *Machine) workerRestarted(w *worker, incarnation workload.Incarnation) {
 	m.emitDecision(WorkerRestarted, workload.RunID{}, incarnation.Worker, "start time differs", 0)
@@ -75,9 +76,11 @@
 		m.sendStop(r)
 	}
 	w.reported, w.silent, w.gone, w.restarted = false, false, false, true
+	w.heartbeatToFormer = w.heartbeatInFlight
 	w.unknownRuns = nil
 	w.lastEnd, w.cursor, w.ackedCursor, w.unrecordedEnds = 0, 0, 0, nil
-	w.clock, w.clockAt, w.leasesExpireAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0, 0
+	w.clock, w.clockAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0
+	w.leasesExpireAt = w.formerGrantsExpireAt(m.config.longestWorkerLease())
 	w.history, w.leavesAt = runHistory{}, 0
 	w.pausedUntil, w.suspectedUntil = 0, 0
 	w.nextHeartbeatAt = m.now
