--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -21,7 +21,8 @@
 	NoRoom
 	// Unhealthy: the worker is not healthy; nothing was done.
 	Unhealthy
-	// WrongWorker: another worker answers at the address.
+	// WrongWorker: another worker, or another incarnation of the one that is meant, answers at
+	// the address; nothing was done.
 	WrongWorker
 	// Rejected: the command was malformed or not allowed; nothing was done.
 	Rejected
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -192,6 +192,8 @@
 		m.stopRun(r, "run is superseded")
 		return
 	case WrongWorker:
+		// Others would be refused as well until a heartbeat or the list shows the new worker.
+		w.pausedUntil = max(w.pausedUntil, m.now+unhealthyPause)
 		w.nextHeartbeatAt = m.now
 		if r.unanswered {
 			// An earlier copy may have crashed the worker: the run stays a suspect until a
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -33,7 +33,7 @@
 	// the network delay of the command and rounding.
 	stopMargin = 100 * time.Millisecond
 	// unhealthyPause is the time for which no runs are placed on a worker that
-	// refused one because it is unhealthy.
+	// refused one because it is unhealthy, or is not the one that is meant.
 	unhealthyPause = 2 * time.Second
 	// appendStallTimeout is the age of an unanswered append from which planning is
 	// suspended: new placements would be stale by the time they are recorded.
--- a/dispatch/formercalls_test.go
+++ b/dispatch/formercalls_test.go
@@ -119,3 +119,22 @@
 	h.handle(dispatch.HeartbeatFailed{Worker: "w", Answer: dispatch.NoAnswer})
 	is.Equal(h.count(suspected), 1)
 }
+
+// Guards against placements on a worker whose next incarnation answers, each of them refused, until
+// the owner knows that one.
+func TestWorkerWhoseNextIncarnationAnswersGetsNoRuns(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.startAnswer = dispatch.WrongWorker
+	h.submit("s", plainStep)
+	for range 10 {
+		h.advance(20 * time.Millisecond)
+	}
+	is.Equal(h.count(startOf("s")), 1)
+	h.startAnswer = dispatch.Done
+	h.listRestarted()
+	h.handle(dispatch.HeartbeatAnswered{Worker: "w", SentAt: h.now, Report: workload.Report{Incarnation: workload.Incarnation{Worker: "w", StartMillis: 2}, Clock: h.now}})
+	h.advance(20 * time.Millisecond)
+	is.Equal(h.count(startOf("s")), 2)
+}
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -60,6 +60,7 @@
 	TargetMissEnded      Number = 869
 	AdmissionChanged     Number = 871
 	SubmissionTurnedAway Number = 872
+	OrderWithheld        Number = 873
 )
 
 var coordinatorEvents = []Info{
@@ -119,4 +120,5 @@
 	{TargetMissEnded, "TargetMissEnded", zapcore.WarnLevel, "task that was over its latency target beside best-effort runs for 2 s or more is within it again, or has ended", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "As for event 868; the age is the time between the first and the last report over the target."},
 	{AdmissionChanged, "AdmissionChanged", zapcore.WarnLevel, "new submissions of a queue and size are rejected, or admitted again", []string{"queue", "size", "reason", "age", "epoch", "cell"}, "The reason has the inputs, counted over the time in age. Add workers with room for the tasks of the queue, or take long-running work away (docs/OPERATIONS.md, reading a shortage)."},
 	{SubmissionTurnedAway, "SubmissionTurnedAway", zapcore.WarnLevel, "submission was rejected, because the workers can't start it while it is of use; it has not run", []string{"id", "queue", "size", "duration", "age", "share", "waiting", "started", "late", "fit", "rejections", "retryAfter"}, "As for event 871. The age is that of the owner's outlook; fit is the number of tasks like its first ones that fit the free room."},
+	{OrderWithheld, "OrderWithheld", zapcore.InfoLevel, "order was not sent, because another incarnation of the worker answers", []string{"worker", "order", "expected", "found"}, "None: the worker has restarted, and the owner learns of it by its list or its next heartbeat. expected and found are start times in Unix milliseconds."},
 }
