dispatch: a run that is being stopped on a restarted worker outlasts the next restart

What callers would see: two runs of a task at a time.

Cause: of the runs that no report has listed, only those being started went over to a worker's next incarnation. One whose stop was under way was given up with the restart, though a start that is still on its way may be carried out by the next incarnation, or the one after it.

TestRunThatIsBeingStoppedOutlastsASecondRestart failed before.

--- a/dispatch/formercalls_test.go
+++ b/dispatch/formercalls_test.go
@@ -138,3 +138,22 @@
 	h.advance(20 * time.Millisecond)
 	is.Equal(h.count(startOf("s")), 2)
 }
+
+// Guards against a second run of a task whose start may be carried out by the incarnation after the
+// next one: the run was being stopped on the next one when that one ended.
+func TestRunThatIsBeingStoppedOutlastsASecondRestart(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	run := h.submitUnanswered("s", plainStep)
+	h.advance(100 * time.Millisecond)
+	h.listRestarted()
+	h.passWithoutRestarted()
+	third := workload.Incarnation{Worker: "w", StartMillis: 3}
+	h.handle(dispatch.HeartbeatAnswered{Worker: "w", SentAt: h.now, Report: workload.Report{
+		Incarnation: third, Clock: h.now, Active: []workload.ActiveRun{{RunID: run}},
+	}})
+	h.passWithoutRestarted()
+	is.Equal(h.count(startOf("s")), 1)
+	is.True(h.count(stopOf("s")) >= 2) // at the second and at the third incarnation
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -325,12 +325,12 @@
 	w.predecessorsExpireAt = min(w.predecessorsExpireAt, now+LeaseExpiryBound(lease))
 }
 
-// unreportedRuns returns the runs that were started by this owner and that no report
-// of the incarnation has listed.
+// unreportedRuns returns the runs that were started by this owner and that no report has
+// listed, also those that are being stopped.
 func (w *worker) unreportedRuns() []*run {
 	var out []*run
 	for _, r := range w.runList {
-		if !r.inherited && r.reportedAt == 0 && (r.phase == starting || r.phase == running) {
+		if !r.inherited && r.reportedAt == 0 && (r.phase == starting || r.phase == running || r.phase == stopping) {
 			out = append(out, r)
 		}
 	}
