dispatch: only a worker that ends its connections may take calls of a former incarnation

The leases that counts after a restart can't exist where the worker keeps its connections: there, sends a lease on a connection of its incarnation only. Counted all the same, they put off the next run of a task by up to 0.7 s and the difference between the longest and the usual lease (3.7 s where that is 10 s and 7 s) when a worker is lost soon after a restart.

Now a report says whether the worker ended its connection, and the leases are counted only then.

The simulated worlds of the courses restart workers under their ids, too: a call whose connection is set up meanwhile reaches the next incarnation, as the adapter lets it.

--- a/dispatch/dispatchtest/call.go
+++ b/dispatch/dispatchtest/call.go
@@ -35,7 +35,8 @@
 }
 
 // send carries a call, which may grant a lease, to a worker and its answer back: what do
-// returns, WrongWorker if another worker is at the address, or NoAnswer.
+// returns, WrongWorker if a worker with another id is at the address, or NoAnswer. A call whose
+// connection is set up while the worker is down reaches the next incarnation.
 func (c *World) send(o *owner, target dispatch.Target, deadline time.Duration, do func(w *linkedWorker) any, answered func(w *linkedWorker, answer any)) {
 	w := c.workers[0]
 	if target.Address == c.workers[1].Info.Address {
@@ -50,15 +51,19 @@
 	}
 	sent := c.Now
 	carryOut := func() any {
-		if w.Info.Incarnation != target.Incarnation {
+		if w.Info.Worker != target.Worker {
 			return dispatch.WrongWorker
 		}
 		return do(w)
 	}
 	link := w.link
-	if !w.Up || o.node.cutFrom[w.index] {
+	if o.node.cutFrom[w.index] {
 		link = linkCut
 	}
+	if !w.Up && link == linkOK {
+		c.connect(w, sent+callTimeout, carryOut, answered)
+		return
+	}
 	switch link {
 	case linkOK:
 		c.after(time.Millisecond, func() {
@@ -78,9 +83,28 @@
 	c.after(callTimeout, func() { answered(w, dispatch.NoAnswer) })
 }
 
+// connect carries out a call to a worker that is down once it is up, before a time.
+func (c *World) connect(w *linkedWorker, until time.Duration, carryOut func() any, answered func(w *linkedWorker, answer any)) {
+	c.after(Tick, func() {
+		switch {
+		case w.Up && w.link == linkOK:
+			answer := carryOut()
+			c.after(time.Millisecond, func() { answered(w, answer) })
+		case c.Now >= until:
+			answered(w, dispatch.NoAnswer)
+		default:
+			c.connect(w, until, carryOut, answered)
+		}
+	})
+}
+
 func (c *World) heartbeat(o *owner, a dispatch.Heartbeat) {
 	sent := c.Now
 	c.send(o, a.Target, a.Deadline, func(w *linkedWorker) any {
+		if w.Info.Incarnation != a.Incarnation {
+			// Leases and cursors are sent on connections of their incarnation only.
+			a.Cursor, a.Deadline = 0, 0
+		}
 		c.acknowledge(w, o.epoch, a.Cursor)
 		report, answer := w.Heartbeat(c.Now, o.epoch, a)
 		if answer != dispatch.Done {
@@ -112,6 +136,9 @@
 
 func (c *World) start(o *owner, a dispatch.Start) {
 	c.send(o, a.Target, a.Deadline, func(w *linkedWorker) any {
+		if w.Info.Incarnation != a.Incarnation {
+			return dispatch.WrongWorker
+		}
 		had := w.Runs[a.Run] != nil
 		answer := w.Start(c.Now, o.epoch, a, &Run{ID: a.Run, Request: c.requests[a.Run.Task.Submission], StartedAt: c.Now, EndsAt: c.Now + endless})
 		if answer == dispatch.NoRoom {
--- a/dispatch/dispatchtest/event.go
+++ b/dispatch/dispatchtest/event.go
@@ -16,6 +16,8 @@
 	// any other effect.
 	stepTime = 400 * time.Millisecond
 	waitTime = 2400 * time.Millisecond
+	// restartTime is the time for which a worker that restarts is down.
+	restartTime = 250 * time.Millisecond
 	// drainTime is the time from the announcement of a worker to its end.
 	drainTime = 2 * time.Second
 )
@@ -83,6 +85,7 @@
 			add(fmt.Sprintf("w%d %s, or not any more", i, name), func(c *World) bool { return c.changeLink(c.workers[i], link) })
 		}
 		add(fmt.Sprintf("w%d crashes, or begins a new life", i), func(c *World) bool { return c.crash(c.workers[i]) })
+		add(fmt.Sprintf("w%d restarts under its id", i), func(c *World) bool { return c.restart(c.workers[i]) })
 		add(fmt.Sprintf("w%d drains, or leaves", i), func(c *World) bool { return c.leave(c.workers[i]) })
 		add(fmt.Sprintf("the owner and w%d are cut off from all others", i), func(c *World) bool { return c.isolate(c.owner.node, i) })
 		add(fmt.Sprintf("run of s%d ends", i), func(c *World) bool { return c.endRun(i) })
@@ -122,6 +125,16 @@
 	return true
 }
 
+// restart begins a new incarnation of a worker with the same id after a while in which it is down.
+func (c *World) restart(w *linkedWorker) bool {
+	if !w.Up || w.Info.Draining {
+		return false
+	}
+	w.Up, w.listedUntil = false, c.Now+1500*time.Millisecond
+	c.after(restartTime, func() { w.Reboot(c.Now) })
+	return true
+}
+
 func (c *World) leave(w *linkedWorker) bool {
 	switch {
 	case !w.Up || w.Info.Draining && c.Now < w.leavesAt:
--- a/dispatch/dispatchtest/world.go
+++ b/dispatch/dispatchtest/world.go
@@ -88,7 +88,7 @@
 	for i := range c.nodes {
 		c.nodes[i] = &node{index: i, seen: make(map[int64]time.Duration)}
 		c.workers[i] = &linkedWorker{Worker: NewWorker(fmt.Sprintf("w%d", i), 16000), index: i}
-		c.workers[i].slow, c.workers[i].StopTime = 0.02, stopTime
+		c.workers[i].slow, c.workers[i].StopTime, c.workers[i].LeaseLimit = 0.02, stopTime, handoverLease
 	}
 	for i := range c.witnesses {
 		c.startWitness(i)
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -116,6 +116,7 @@
 	}
 	w.silent, w.gone = false, false
 	m.endSilence(w)
+	w.endsConnections = report.ConnectionEnded
 	w.updateClock(m.now, report.Clock)
 	w.ackedCursor = max(w.ackedCursor, min(w.cursor, m.acknowledgedCursor(ev, w)))
 	first := !w.reported
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -243,6 +243,7 @@
 		}
 		s.recordAcknowledged(w, a.Cursor, o.epoch)
 		report, answer := w.Heartbeat(s.now, o.epoch, a)
+		report.ConnectionEnded = s.crashes.takesFormerCalls
 		return heartbeatResult{report, answer}, true
 	}, func(answer any, lost bool) {
 		if lost {
--- a/dispatch/simcrashes_test.go
+++ b/dispatch/simcrashes_test.go
@@ -28,9 +28,9 @@
 	// newIDs: a worker that starts again has another id, and says so if a command is meant
 	// for the one before.
 	newIDs bool
-	// takesFormerCalls: a worker that starts again carries out the commands that were meant for
-	// its former incarnation, and a call whose connection is being set up reaches it once it is
-	// back.
+	// takesFormerCalls: workers end their connections. One that starts again carries out the
+	// commands that were meant for its former incarnation, and a call whose connection is being
+	// set up reaches it once it is back.
 	takesFormerCalls bool
 	// crashDelay is the time from the start of such a task to the crash.
 	crashDelay time.Duration
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -23,9 +23,11 @@
 	// leasesExpireAt is when every lease that this owner has granted to this
 	// incarnation has expired for certain.
 	leasesExpireAt time.Duration
-	// grantArrivesAt is when the last call with a deadline has arrived at the latest, if at all,
-	// at any incarnation with this id; 0 if there was none.
-	grantArrivesAt time.Duration
+	// endsConnections: the worker ended the connection of its last report, so a call may reach
+	// its next incarnation. grantArrivesAt is when the last call with a deadline that may has
+	// arrived at the latest, or 0.
+	endsConnections bool
+	grantArrivesAt  time.Duration
 	// leaseDeadline is the latest end of these leases on the worker's clock.
 	leaseDeadline time.Duration
 	// predecessorsExpireAt is the equivalent of leasesExpireAt for the leases that
@@ -289,7 +291,11 @@
 }
 
 // noteGrant notes a call with a deadline that is sent now.
-func (w *worker) noteGrant(now time.Duration) { w.grantArrivesAt = now + CommandTimeout }
+func (w *worker) noteGrant(now time.Duration) {
+	if w.endsConnections {
+		w.grantArrivesAt = now + CommandTimeout
+	}
+}
 
 // formerGrantsExpireAt returns when the leases have expired that a new incarnation has from calls
 // that were meant for the one before. Their deadlines, on the former clock, say nothing: each may
--- a/workload/run.go
+++ b/workload/run.go
@@ -70,4 +70,7 @@
 	// EndsIncomplete: the worker may have ends after the last of Ended, so a run in neither
 	// list may have ended.
 	EndsIncomplete bool
+	// ConnectionEnded: the worker ended the connection with its response. A command on a new
+	// connection may reach its next incarnation, which has the same id.
+	ConnectionEnded bool
 }
