dispatch, platform: an owner learns of a restart from a withheld start

A start that was withheld, since the worker's next incarnation answers, told the owner only that nothing was done. Until the next heartbeat or list it placed no new runs there, but repeated starts without an answer at each step, each of them an inquiry to the worker: at most 2.7 s, while a heartbeat to the former incarnation waits.

The result of a start names the incarnation that answered, and the owner goes on with that one. TestIncarnationThatAnswersAStartIsKnown failed before.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -91,11 +91,11 @@
 func (o *ownership) startRun(ctx context.Context, s dispatch.Start) {
 	sent := o.node.monotonicNow()
 	call, cancel := context.WithTimeout(ctx, dispatch.CommandTimeout)
-	answer, clock := o.node.platform.WorkerClient.Start(call, o.epoch, s)
+	result := o.node.platform.WorkerClient.Start(call, o.epoch, s)
 	cancel()
 	took := o.node.monotonicNow() - sent
-	o.node.metrics.observeStart(answer, took)
-	o.post(ctx, dispatch.StartAnswered{Worker: s.Worker, Run: s.Run, Answer: answer, Clock: clock, Took: took})
+	o.node.metrics.observeStart(result.Answer, took)
+	o.post(ctx, dispatch.StartAnswered{Worker: s.Worker, Run: s.Run, Answer: result.Answer, Clock: result.Clock, Found: result.Found, Took: took})
 }
 
 func (o *ownership) stopRun(ctx context.Context, s dispatch.Stop) {
--- a/coordinator/fakeworker_test.go
+++ b/coordinator/fakeworker_test.go
@@ -121,20 +121,20 @@
 	return r, dispatch.Done
 }
 
-func (f *fakeWorker) Start(_ context.Context, epoch int64, s dispatch.Start) (dispatch.Answer, time.Duration) {
+func (f *fakeWorker) Start(_ context.Context, epoch int64, s dispatch.Start) dispatch.StartResult {
 	if f.isSilent() {
-		return dispatch.NoAnswer, 0
+		return dispatch.StartResult{Answer: dispatch.NoAnswer}
 	}
 	defer f.mu.Unlock()
 	if !f.lockForEpoch(epoch) {
-		return dispatch.Fenced, f.clock()
+		return dispatch.StartResult{Answer: dispatch.Fenced, Clock: f.clock()}
 	}
 	f.leaseEnd = max(f.leaseEnd, s.Deadline)
 	if _, ok := f.runs[s.Run]; !ok {
 		f.runs[s.Run] = time.Now()
 		f.starts[s.Run.Task]++
 	}
-	return dispatch.Done, f.clock()
+	return dispatch.StartResult{Answer: dispatch.Done, Clock: f.clock()}
 }
 
 func (f *fakeWorker) Stop(_ context.Context, epoch int64, s dispatch.Stop) dispatch.Answer {
--- a/coordinator/linkedworkers_test.go
+++ b/coordinator/linkedworkers_test.go
@@ -32,9 +32,9 @@
 	return l.fakeWorkers.Heartbeat(ctx, epoch, h)
 }
 
-func (l linkedWorkers) Start(ctx context.Context, epoch int64, s dispatch.Start) (dispatch.Answer, time.Duration) {
+func (l linkedWorkers) Start(ctx context.Context, epoch int64, s dispatch.Start) dispatch.StartResult {
 	if !l.reaches(s.Worker) {
-		return dispatch.NoAnswer, 0
+		return dispatch.StartResult{Answer: dispatch.NoAnswer}
 	}
 	return l.fakeWorkers.Start(ctx, epoch, s)
 }
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/workload"
@@ -12,11 +11,12 @@
 // command.
 type WorkerClient interface {
 	// Heartbeat renews the worker's lease, acknowledges ended runs and returns the
-	// worker's report.
+	// worker's report. The lease and the acknowledgement hold for the incarnation that it
+	// names, as in Start; another one only reports.
 	Heartbeat(ctx context.Context, epoch int64, h dispatch.Heartbeat) (workload.Report, dispatch.Answer)
-	// Start starts a run. It also returns the reading of the worker's clock, or 0
-	// if the answer had none.
-	Start(ctx context.Context, epoch int64, s dispatch.Start) (dispatch.Answer, time.Duration)
+	// Start starts a run on the incarnation that it names, and on no other one of the same id
+	// unless the worker ends its connections.
+	Start(ctx context.Context, epoch int64, s dispatch.Start) dispatch.StartResult
 	// Stop stops a run.
 	Stop(ctx context.Context, epoch int64, s dispatch.Stop) dispatch.Answer
 	// Pace gives a run a part of its CPU time.
--- a/coordinator/transfer_test.go
+++ b/coordinator/transfer_test.go
@@ -37,7 +37,7 @@
 	return f[h.Worker].Heartbeat(ctx, epoch, h)
 }
 
-func (f fakeWorkers) Start(ctx context.Context, epoch int64, s dispatch.Start) (dispatch.Answer, time.Duration) {
+func (f fakeWorkers) Start(ctx context.Context, epoch int64, s dispatch.Start) dispatch.StartResult {
 	return f[s.Worker].Start(ctx, epoch, s)
 }
 
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -1,5 +1,21 @@
 package dispatch
 
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// StartResult is a worker's response to a start.
+type StartResult struct {
+	Answer Answer
+	// Clock is the reading of the worker's clock, or 0 if the response had none.
+	Clock time.Duration
+	// Found is the incarnation that answered in place of the one that was meant (WrongWorker),
+	// if it is known.
+	Found workload.Incarnation
+}
+
 // Answer is a worker's response to a command.
 type Answer int
 
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -149,6 +149,14 @@
 	if w == nil {
 		return
 	}
+	m.applyStartAnswer(w, ev)
+	if ev.Answer == WrongWorker && ev.Found.StartMillis > w.StartMillis {
+		m.workerRestarted(w, ev.Found)
+	}
+}
+
+// applyStartAnswer applies the answer to a start to its run.
+func (m *Machine) applyStartAnswer(w *worker, ev StartAnswered) {
 	if ev.Answer == NoAnswer {
 		w.unansweredStartAt = m.now
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -44,6 +44,9 @@
 	Answer Answer
 	// Clock is the reading of the worker's clock, or 0 if the answer had none.
 	Clock time.Duration
+	// Found is the incarnation that answered in place of the one that was meant (WrongWorker),
+	// if it is known.
+	Found workload.Incarnation
 	// Took is the time from the command to its answer, or 0 if it is not known.
 	Took time.Duration
 }
--- a/dispatch/formercalls_test.go
+++ b/dispatch/formercalls_test.go
@@ -166,3 +166,27 @@
 	is.Equal(h.count(startOf("s")), 1)
 	is.True(h.count(stopOf("s")) >= 2) // at the second and at the third incarnation
 }
+
+// Guards against an owner that goes on placing and repeating starts on a worker whose next incarnation
+// has answered one.
+func TestIncarnationThatAnswersAStartIsKnown(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	run := h.submitUnanswered("s", plainStep)
+	h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.NoAnswer})
+	restarted := func(a dispatch.Action) bool {
+		d, ok := a.(dispatch.Decision)
+		return ok && d.Kind == dispatch.WorkerRestarted
+	}
+	h.withholdsStarts = true
+	h.advance(20 * time.Millisecond)
+	is.Equal(h.count(startOf("s")), 2)
+	h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.WrongWorker, Found: workload.Incarnation{Worker: "w", StartMillis: 2}})
+	is.Equal(h.count(restarted), 1)
+	for range 10 {
+		h.advance(20 * time.Millisecond)
+	}
+	is.Equal(h.count(startOf("s")), 2)
+	is.True(h.count(stopOf("s")) > 0) // the first copy may have reached the new incarnation
+}
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -56,8 +56,8 @@
 // is active any more. A start that the old incarnation never reported may have
 // reached the new one, which has the same id; such a run is stopped there before
 // its task is placed again. If the worker ends its connections, the run is given up only when
-// the leases have expired that the new incarnation may have from calls to the old one. The properties of the new incarnation, which may differ, are
-// not known before it is listed.
+// the leases have expired that the new incarnation may have from calls to the old one. The
+// properties of the new incarnation, which may differ, are not known before it is listed.
 func (m *Machine) workerRestarted(w *worker, incarnation workload.Incarnation) {
 	m.emitDecision(WorkerRestarted, workload.RunID{}, incarnation.Worker, "start time differs", 0)
 	m.workerCrashed(w, "worker restarted")
