--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -23,9 +23,9 @@
 	// leasesExpireAt is when every lease that this owner has granted to this
 	// incarnation has expired for certain.
 	leasesExpireAt time.Duration
-	// endsConnections: the worker ended the connection of its last report, so a call may reach
-	// its next incarnation. grantArrivesAt is when the last call with a deadline that may has
-	// arrived at the latest, or 0.
+	// endsConnections: the worker ended the connection of its last report, so calls may reach
+	// its next incarnation. grantArrivesAt is when the last of these that has a deadline has
+	// arrived at the latest; 0 if there was none.
 	endsConnections bool
 	grantArrivesAt  time.Duration
 	// leaseDeadline is the latest end of these leases on the worker's clock.
@@ -290,7 +290,7 @@
 	w.leasesExpireAt = max(w.leasesExpireAt, w.clockAt+LeaseExpiryBound(end-w.clock))
 }
 
-// noteGrant notes a call with a deadline that is sent now.
+// noteGrant notes a call with a deadline that is sent now, if it may reach the next incarnation.
 func (w *worker) noteGrant(now time.Duration) {
 	if w.endsConnections {
 		w.grantArrivesAt = now + CommandTimeout
