dispatch: a simulated worker that is down carries out no call that would have no answer

Since a call to a worker that was down, over a link that loses answers or delays calls, was carried out by the simulated world.

--- a/dispatch/dispatchtest/call.go
+++ b/dispatch/dispatchtest/call.go
@@ -57,7 +57,7 @@
 		return do(w)
 	}
 	link := w.link
-	if o.node.cutFrom[w.index] {
+	if o.node.cutFrom[w.index] || !w.Up && link != linkOK {
 		link = linkCut
 	}
 	if !w.Up && link == linkOK {
--- a/dispatch/formercalls_test.go
+++ b/dispatch/formercalls_test.go
@@ -92,7 +92,7 @@
 			s.run(s.now + 60*time.Second)
 			for i := range 30 {
 				if e := s.owner().ledger.Find(fmt.Sprintf("s%d", i)); e == nil || e.State() != workload.Completed {
-					t.Fatalf("s%d has not completed: %v", i, e.State())
+					t.Fatalf("s%d has not completed", i)
 				}
 			}
 		})
