--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -52,7 +53,7 @@
 		if placed >= limit {
 			return placed
 		}
-		w := m.bestClearing(clearing.workers, ws, step, m.avoid[t.ID])
+		w := m.bestClearing(clearing.workers, ws, step, t)
 		if w == nil {
 			clearing.failed.add(ws)
 			return placed
@@ -66,15 +67,15 @@
 
 // bestClearing returns the worker with the highest score among those that can take a task of a step
 // once the runs that are being stopped have ended, or nil.
-func (m *Machine) bestClearing(workers []*worker, ws *waitingStep, step *workload.Step, avoid string) *worker {
+func (m *Machine) bestClearing(workers []*worker, ws *waitingStep, step *workload.Step, t *ledger.Task) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range workers {
-		if !suits(ws, step, w) || !reservation(step).Fits(w.free().Add(m.roomSoon(w))) {
+		if !suits(ws, step, w) || !reservation(step).Fits(w.free().Add(m.roomSoon(w))) || !m.leavesRoom(ws, step, t, w) {
 			continue
 		}
 		score := m.score(ws, step, w, "")
-		if w.ID() == avoid {
+		if w.ID() == m.avoid[t.ID] {
 			score -= avoidPenalty
 		}
 		if best == nil || score > bestScore {
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -48,11 +48,13 @@
 	c.until = m.now + m.config.StopTime + claimMargin
 	m.claims[c.task.ID] = c
 	c.worker.claimed = c.worker.claimed.Add(c.room)
+	m.finiteRoom.changed(c.worker)
 }
 
 func (m *Machine) endClaim(id workload.TaskID) {
 	c := m.claims[id]
 	c.worker.claimed = c.worker.claimed.Sub(c.room)
+	m.finiteRoom.changed(c.worker)
 	delete(m.claims, id)
 }
 
--- a/dispatch/displace.go
+++ b/dispatch/displace.go
@@ -114,7 +114,7 @@
 	var selected []int
 	for i, room := range d.rooms[ws.priority] {
 		w := room.worker
-		if d.soonFree[w] || w.claimed != (hostapi.Resources{}) || !suits(ws, step, w) || !request.Add(w.longRunning).Fits(w.Capacity) {
+		if d.soonFree[w] || w.claimed != (hostapi.Resources{}) || !suits(ws, step, w) || !request.Add(w.longRunning).Fits(w.Capacity) || !m.leavesRoom(ws, step, t, w) {
 			continue
 		}
 		free := w.Capacity.Sub(w.reserved).Add(w.stoppingReserved())
--- a/dispatch/holds.go
+++ b/dispatch/holds.go
@@ -77,7 +77,7 @@
 	if missing <= 0 || failed.covers(ws) {
 		return nil
 	}
-	held := m.hold(round, ws, workers, missing)
+	held := m.hold(round, ws, m.workersThatLeaveRoom(ws, workers), missing)
 	if len(held) == 0 {
 		failed.add(ws)
 	}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -122,6 +122,10 @@
 	// the shares of the last planning round.
 	shortages map[runClass]*shortage
 	shares    *roomShares
+	// finiteRoom is the room that is kept for finite steps in the planning round that runs, and nil
+	// outside of one.
+	finiteRoom    *finiteRoom
+	finiteDemands finiteDemands
 	// held are the workers that the last planning round held.
 	held []*worker
 	// outlook is what submissions can expect.
@@ -215,6 +219,7 @@
 	m.byEntry[e.ID] = append(m.byEntry[e.ID], r)
 	if r.step.LongRunning {
 		m.roomChanges.started++
+		m.finiteRoom.changed(w)
 	}
 	return r
 }
@@ -224,6 +229,7 @@
 	m.releasePlace(r)
 	m.endTargetMiss(r)
 	r.worker.removeRun(r, m.now)
+	m.finiteRoom.changed(r.worker)
 	if m.active[r.id.Task] != r {
 		return
 	}
--- a/dispatch/offers.go
+++ b/dispatch/offers.go
@@ -14,6 +14,7 @@
 	o := &offers{machine: m, workers: m.usableWorkers(), failed: make(unplaceable)}
 	o.taken = make([]hostapi.Resources, len(o.workers))
 	defer o.release()
+	defer m.keepFiniteRoom(o.workers)()
 	for _, ws := range m.waitingSteps() {
 		o.take(ws, &ws.entry.Steps[ws.stepIndex], ws.state.Local()-m.occupied[ws.state])
 	}
@@ -23,6 +24,7 @@
 		entry.Steps = make([]workload.Step, d.StepIndex+1)
 		entry.Steps[d.StepIndex] = *d.Step
 		ws := &waitingStep{entry: entry, occurrence: d.Occurrence, stepIndex: d.StepIndex, priority: d.Priority, image: m.model.idOf(d.Step.Image)}
+		o.foreign = true
 		tasks[i] = o.take(ws, d.Step, d.Tasks)
 	}
 	return tasks
@@ -35,6 +37,9 @@
 	// taken is what has been reserved on each worker.
 	taken  []hostapi.Resources
 	failed unplaceable
+	// foreign: the tasks are those of other cells. Long-running ones get no room that finite steps of
+	// this cell need.
+	foreign bool
 }
 
 // take reserves capacity for up to a number of tasks of a step and returns for how many. A
@@ -84,7 +89,7 @@
 		wanted = min(wanted, 1)
 	}
 	n := 0
-	for n < wanted && o.machine.fits(ws, step, w) {
+	for n < wanted && o.machine.fits(ws, step, w) && o.mayTake(ws, step, w, int64(n+1)) {
 		w.reserved = w.reserved.Add(request)
 		o.taken[i] = o.taken[i].Add(request)
 		n++
@@ -92,6 +97,11 @@
 	return n
 }
 
+// mayTake reports whether a number of tasks of a step leave enough room on a worker to finite steps.
+func (o *offers) mayTake(ws *waitingStep, step *workload.Step, w *worker, tasks int64) bool {
+	return !o.foreign || !step.LongRunning || o.machine.finiteRoom.admits(classOfStep(ws), w, tasks*reservation(step).MilliCPU)
+}
+
 // release ends the reservations.
 func (o *offers) release() {
 	for i, w := range o.workers {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -32,6 +32,7 @@
 		return
 	}
 	m.favourLargest(waiting)
+	defer m.keepFiniteRoom(workers)()
 	round := newHeldWorkers(workers)
 	defer func() { m.held = round.held }()
 	workers, placed := m.placeSuspects(round, waiting, workers)
@@ -176,7 +177,7 @@
 		x := m.expected(e)
 		out = append(out, &waitingStep{
 			entry: e, occurrence: number, stepIndex: s, state: state, image: m.model.idOf(e.Steps[s].Image),
-			priority: e.Policy.Priority, timeliness: timelinessOf(e, x, s, m.wall.Sub(due)),
+			priority: e.Policy.Priority, yields: m.yieldsRoom(e, number, &e.Steps[s], state), timeliness: timelinessOf(e, x, s, m.wall.Sub(due)),
 			remaining: index.remaining(e, x, o, s), due: due.UnixNano() + int64(x.objective),
 		})
 	}
@@ -245,8 +246,11 @@
 	}
 	var placed []*run
 	ranking := m.rankWorkers(ws, step, workers)
-	for _, t := range tasks {
+	for _, t := range interruptedFirst(step, tasks) {
 		w := ranking.take(m.avoid[t.ID])
+		for w != nil && !m.leavesRoom(ws, step, t, w) {
+			w = ranking.take(m.avoid[t.ID])
+		}
 		if w == nil {
 			break
 		}
--- a/dispatch/repack.go
+++ b/dispatch/repack.go
@@ -90,6 +90,9 @@
 		m.nextMoveAt, m.moveSearchFailed = m.now+fruitlessInterval, true
 	}
 	moves := p.search.find(ws)
+	if ws.yields {
+		moves = m.movesThatLeaveRoom(ws, step, moves)
+	}
 	if len(moves) == 0 || m.fitsAfterDisplacing(p, ws, step) {
 		return false
 	}
--- a/dispatch/roomreport.go
+++ b/dispatch/roomreport.go
@@ -41,6 +41,8 @@
 	// is an example of fitByMove.
 	fit, fitByMove, fitByMoveInTime int
 	move                            string
+	// kept are the tasks that fit only workers whose room is kept for finite steps.
+	kept int
 	// obstacles counts the tasks of fitByMoveInTime by what keeps a run from being moved for them
 	// now, moveObstacle is that of move.
 	obstacles    moveObstacles
@@ -79,6 +81,7 @@
 		r.free += free.MilliCPU
 		r.mostFree = max(r.mostFree, free.MilliCPU)
 	}
+	defer m.keepFiniteRoom(workers)()
 	p := &repacking{workers: workers, rooms: make(map[repackKey]roomyWorker), search: m.newMoveSearch(workers)}
 	for _, wait := range m.longRunningWaits {
 		ws, tasks := &wait.waiting, m.waitingTasks(wait.waiting.state.Tasks)
@@ -96,8 +99,13 @@
 				r.interrupted++
 			}
 		}
-		if slices.ContainsFunc(workers, func(w *worker) bool { return m.fits(ws, wait.step, w) }) {
-			r.fit += len(tasks)
+		fitting := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !m.fits(ws, wait.step, w) })
+		if len(fitting) > 0 {
+			if m.yieldsRoom(ws.entry, ws.occurrence, wait.step, ws.state) && !slices.ContainsFunc(fitting, func(w *worker) bool { return m.admits(ws, wait.step, w) }) {
+				r.kept += len(tasks)
+			} else {
+				r.fit += len(tasks)
+			}
 			continue
 		}
 		moves := p.search.find(ws)
@@ -122,6 +130,9 @@
 	if r.move != "" {
 		text += fmt.Sprintf(" (%s, not yet: %v)", r.move, r.moveObstacle)
 	}
+	if r.kept > 0 {
+		text += fmt.Sprintf(", %d fit only room that is kept for finite steps", r.kept)
+	}
 	c := r.changes
 	text += fmt.Sprintf(", %d if finite runs are stopped as well", r.fitByMoveInTime)
 	if r.fitByMoveInTime > 0 {
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -21,6 +21,11 @@
 	// slowPenalty is the penalty for a slow worker, multiplied by the relative
 	// increase of its run times over the estimates.
 	slowPenalty = 0.5
+	// neededRoomPenalty is the penalty of a worker whose room finite steps need.
+	neededRoomPenalty = 4.0
+	// largePieceWeight is the penalty of a worker for each size of larger finite tasks that its piece
+	// of room fits.
+	largePieceWeight = 1.0
 	// minUnusedShare is the minimum fraction of its CPU request that a best-effort
 	// task must find unused on a worker.
 	minUnusedShare = 0.5
@@ -83,7 +88,7 @@
 // score returns the placement score of a worker for a task of a step. Higher is
 // better.
 func (m *Machine) score(ws *waitingStep, step *workload.Step, w *worker, rack string) float64 {
-	score := (w.unusedCPU() - float64(step.Request.MilliCPU)) / max(float64(w.Capacity.MilliCPU), 1)
+	score := m.roomScore(ws, step, w)
 	if step.DataRack != "" && step.DataRack != w.Rack {
 		score -= remotePenalty * (m.config.RemoteFactor - 1)
 	}
@@ -107,6 +112,21 @@
 	return score
 }
 
+// roomScore returns the part of the score that depends on the room: tasks prefer workers with much unused
+// CPU, long-running ones where enough room is left to finite steps, and finite ones where the piece of
+// room is of less use to larger tasks.
+func (m *Machine) roomScore(ws *waitingStep, step *workload.Step, w *worker) float64 {
+	score := (w.unusedCPU() - float64(step.Request.MilliCPU)) / max(float64(w.Capacity.MilliCPU), 1)
+	switch {
+	case step.BestEffort:
+	case !step.LongRunning:
+		score -= largePieceWeight * float64(m.finiteRoom.largerSizes(classOfStep(ws), step.Request.MilliCPU, w))
+	case !m.admits(ws, step, w):
+		score -= neededRoomPenalty
+	}
+	return score
+}
+
 // colocationScore returns the part of the score that depends on the other runs on
 // the worker. It prefers workers whose runs with a latency target have the same
 // image: best-effort images that interfere with it can then use the workers of the
--- a/dispatch/unplaceable.go
+++ b/dispatch/unplaceable.go
@@ -11,6 +11,8 @@
 	service    string
 	label      string
 	bestEffort bool
+	// yields is set for long-running steps that leave room to finite ones.
+	yields bool
 	// image is set for best-effort steps only: the interference that they cause
 	// depends on it.
 	image imageID
@@ -22,7 +24,7 @@
 type unplaceable map[constraints]hostapi.Resources
 
 func constraintsOf(ws *waitingStep, step *workload.Step) constraints {
-	key := constraints{service: ws.entry.Policy.Service, label: step.Label, bestEffort: step.BestEffort}
+	key := constraints{service: ws.entry.Policy.Service, label: step.Label, bestEffort: step.BestEffort, yields: ws.yields}
 	if step.BestEffort {
 		key.image = ws.image
 	}
--- a/dispatch/waitingstep.go
+++ b/dispatch/waitingstep.go
@@ -32,6 +32,8 @@
 	// leaving are the runs on draining workers whose tasks need a place. If it isn't nil, the
 	// tasks that wait for a placement are those of another waitingStep.
 	leaving []*run
+	// yields: all of its waiting tasks leave room to finite steps (finiteRoom).
+	yields bool
 	// suspect: the tasks to place are suspected of a crash.
 	suspect bool
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -101,6 +101,8 @@
 	claimed hostapi.Resources
 	// limitedRuns counts the runs of each step with a limit per worker.
 	limitedRuns map[stepKey]int
+	// roundIndex is the worker's index among the usable ones of the planning round that runs, or -1.
+	roundIndex int
 	// held: a planning round holds the worker for a task.
 	held bool
 	// unknownRuns are the runs in the last report that this owner does not have. Their
