dispatch, logevent: event 874 says in which pieces free CPU lies and what fits none of them

Event 865 begins only with long-running tasks and counts those that fit a worker. It doesn't tell free CPU that is too little from free CPU that is divided into pieces too small for what waits, and says nothing while finite steps alone wait. Event 874 has, at most once a second, the free CPU by the size of the pieces on the workers, and for each class of waiting tasks (long-running that had a run, new long-running, finite by size) how many fit no worker, how many of these would if finite runs ended, and how many if the free CPU were in one piece. Metric: tasks_in_no_piece.

--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -27,6 +27,7 @@
 	dispatch.InterruptionEnded: logevent.InterruptionEnded,
 	dispatch.RunDisplaced:      logevent.RunDisplaced,
 	dispatch.RoomReported:      logevent.RoomReported,
+	dispatch.PiecesReported:    logevent.PiecesReported,
 	dispatch.TargetMissed:      logevent.TargetMissed,
 	dispatch.TargetMissEnded:   logevent.TargetMissEnded,
 }
@@ -110,6 +111,10 @@
 	for obstacle, tasks := range d.Obstacles {
 		n.metrics.add(tasks, "moves_not_made", "for", obstacle)
 	}
+	for _, u := range d.Unplaced {
+		n.metrics.add(u.Whole, "tasks_in_no_piece", "class", u.Class.String(), "whole", "true")
+		n.metrics.add(u.Tasks-u.Whole, "tasks_in_no_piece", "class", u.Class.String(), "whole", "false")
+	}
 }
 
 // logQueueDecision logs a decision about queues.
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -37,6 +37,8 @@
 	// Obstacles is set for RoomReported: the tasks for which a move of one run would make room, by
 	// why it is not made yet.
 	Obstacles map[string]int
+	// Unplaced is set for PiecesReported.
+	Unplaced []UnplacedTasks
 }
 
 // DecisionKind is the kind of a decision.
@@ -117,6 +119,9 @@
 	// AdmissionChanged: the submissions of Queue and Size are rejected, or admitted again, as Reason
 	// says with the inputs. Age is the time over which these were counted.
 	AdmissionChanged
+	// PiecesReported: tasks that have waited fit no worker. Unplaced has them by class, Reason the
+	// pieces of free CPU as well.
+	PiecesReported
 )
 
 // String returns the kind's name in metrics and logs, where "worker reborn" stands
@@ -126,5 +131,5 @@
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
 		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
-		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported", "room filled", "admission changed"}[k]
+		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported", "room filled", "admission changed", "pieces reported"}[k]
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -75,8 +75,10 @@
 	longRunningWaits []*longWait
 	longWaitsAt      time.Duration
 	roomChanges      roomChanges
-	bestEffortWaits  map[*ledger.Step]*bestEffortWait
-	transfers        transfers
+	// piecesCheckedAt is when tasks that fit no piece of free CPU were last searched.
+	piecesCheckedAt time.Duration
+	bestEffortWaits map[*ledger.Step]*bestEffortWait
+	transfers       transfers
 	// leaseWaitsReportedAt is when runs that wait for leases were last reported.
 	leaseWaitsReportedAt time.Duration
 	// silencesForgottenAt is when recorded silences were last looked through.
--- a/dispatch/waitreport.go
+++ b/dispatch/waitreport.go
@@ -75,7 +75,8 @@
 	waits := make(map[*ledger.Step]*longWait)
 	m.longRunningWaits = m.longRunningWaits[:0]
 	var reports [finiteTask + 1]int
-	for _, ws := range m.waitingSteps() {
+	waiting := m.waitingSteps()
+	for _, ws := range waiting {
 		step := &ws.entry.Steps[ws.stepIndex]
 		wait := &longWait{waiting: *ws, service: ws.entry.Policy.Service, step: step, seenAt: m.now, idleSince: m.now, reportedAt: m.now}
 		if known := m.longWaits[ws.state]; known != nil {
@@ -101,6 +102,7 @@
 	}
 	m.longWaits = waits
 	m.reportRoom()
+	m.reportPieces(waiting)
 	maps.DeleteFunc(m.bestEffortWaits, func(_ *ledger.Step, w *bestEffortWait) bool {
 		return w.entry.State().Final() || m.ledger.Find(w.entry.ID) != w.entry
 	})
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -61,6 +61,7 @@
 	AdmissionChanged     Number = 871
 	SubmissionTurnedAway Number = 872
 	OrderWithheld        Number = 873
+	PiecesReported       Number = 874
 )
 
 var coordinatorEvents = []Info{
@@ -121,4 +122,5 @@
 	{AdmissionChanged, "AdmissionChanged", zapcore.WarnLevel, "new submissions of a queue and size are rejected, or admitted again", []string{"queue", "size", "reason", "age", "epoch", "cell"}, "The reason has the inputs, counted over the time in age. Add workers with room for the tasks of the queue, or take long-running work away (docs/OPERATIONS.md, reading a shortage)."},
 	{SubmissionTurnedAway, "SubmissionTurnedAway", zapcore.WarnLevel, "submission was rejected, because the workers can't start it while it is of use; it has not run", []string{"id", "queue", "size", "duration", "age", "share", "waiting", "started", "late", "fit", "rejections", "retryAfter"}, "As for event 871. The age is that of the owner's outlook; fit is the number of tasks like its first ones that fit the free room."},
 	{OrderWithheld, "OrderWithheld", zapcore.InfoLevel, "order was not sent, because another incarnation of the worker answers", []string{"worker", "order", "expected", "found"}, "None: the worker has restarted, and the owner learns of it by this order. expected and found are start times in Unix milliseconds."},
+	{PiecesReported, "PiecesReported", zapcore.WarnLevel, "tasks wait, and no worker's free CPU is enough for one of them", []string{"worker", "reason", "epoch", "cell"}, "The reason has the free CPU by the size of the pieces in which it lies on the workers, and for each class of tasks that have waited for 0.5 s and fit no worker what they request and how many would fit if finite runs ended, or if the free CPU were in one piece (docs/OPERATIONS.md, `tasks_in_no_piece`). If next to none would in one piece, add capacity; otherwise the room is there and divided. At most one line a second."},
 }
