dispatch: reports on room name the tasks that are suspected of a crash

Event 865 gave "claims room" as the reason why no run is moved for a task, also where the task is suspected of a crash and claims none, and event 874 left such tasks out. The obstacle is now "suspected of a crash", and event 874 counts the suspects of each class.

--- a/dispatch/moveobstacle.go
+++ b/dispatch/moveobstacle.go
@@ -15,8 +15,10 @@
 const (
 	// noObstacle: the next planning round makes the move, if no other comes first.
 	noObstacle moveObstacle = iota
-	// taskClaims: the tasks claim room already, or are suspected of a crash.
+	// taskClaims: the tasks claim room already.
 	taskClaims
+	// taskIsSuspect: the tasks that claim none are suspected of a crash.
+	taskIsSuspect
 	// taskIsNew and taskIsInterrupted: the task has not waited for its delay.
 	taskIsNew
 	taskIsInterrupted
@@ -38,7 +40,7 @@
 
 // String returns the obstacle's name in logs and metrics.
 func (o moveObstacle) String() string {
-	return [...]string{"in turn", "claims room", "delay of a new task", "delay of an interrupted task", "old list of workers",
+	return [...]string{"in turn", "claims room", "suspected of a crash", "delay of a new task", "delay of an interrupted task", "old list of workers",
 		"unanswered append", "enough moves", "displacement fits", "finite runs in the way", "search that failed"}[o]
 }
 
@@ -72,6 +74,9 @@
 	ws := &wait.waiting
 	tasks := m.unclaimedTasks(ws)
 	if len(tasks) == 0 {
+		if len(m.waitingTasks(ws.state.Tasks)) > m.claimsOf(ws.state) {
+			return taskIsSuspect
+		}
 		return taskClaims
 	}
 	due := slices.IndexFunc(tasks, func(t *ledger.Task) bool { return m.isMoveDue(ws, wait, t) })
--- a/dispatch/moveobstacle_test.go
+++ b/dispatch/moveobstacle_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -62,6 +63,10 @@
 		"claims room": func(f *moveFixture) {
 			f.claim(f.waitingSteps()[0], f.ledger.Find("waits").Task(waits), f.workers["c"], hostapi.Resources{MilliCPU: 1})
 		},
+		"suspected of a crash": func(f *moveFixture) {
+			f.ledger.Find("waits").Task(waits).Run = 1
+			f.ledger.Apply(ledger.CrashedRecord(workload.Incarnation{Worker: "gone"}, []workload.RunID{{Task: waits, Run: 1}}, 1))
+		},
 	} {
 		t.Run(want, func(t *testing.T) {
 			is := is.New(t)
--- a/dispatch/piecereport.go
+++ b/dispatch/piecereport.go
@@ -43,6 +43,8 @@
 type UnplacedTasks struct {
 	Class WaitingClass
 	Tasks int
+	// Suspects are those that are suspected of a crash, which start on a worker alone.
+	Suspects int
 	// InTime are those that would fit a worker if its finite runs had ended, Whole those that would
 	// fit if the free CPU of their service's workers were one piece, with the most urgent first.
 	InTime, Whole int
@@ -53,8 +55,8 @@
 }
 
 func (u UnplacedTasks) String() string {
-	return fmt.Sprintf("%d %v tasks for %dm (the smallest for %dm, below which %dm are free), %d fit if finite runs end, %d in one piece",
-		u.Tasks, u.Class, u.Requested, u.Smallest, u.Scattered, u.InTime, u.Whole)
+	return fmt.Sprintf("%d %v tasks for %dm (the smallest for %dm, below which %dm are free), %d fit if finite runs end, %d in one piece, %d suspected of a crash",
+		u.Tasks, u.Class, u.Requested, u.Smallest, u.Scattered, u.InTime, u.Whole, u.Suspects)
 }
 
 // pieceReport says how the free CPU of the usable workers is divided, and which tasks fit none of
@@ -108,7 +110,9 @@
 	if step.BestEffort || ws.timeliness == veryLate || wait == nil {
 		return
 	}
-	tasks := slices.DeleteFunc(m.unclaimedTasks(ws), func(t *ledger.Task) bool { return m.now-wait.waitingSince(t.ID, m.now) < pieceReportDelay })
+	tasks := slices.DeleteFunc(m.waitingTasks(ws.state.Tasks), func(t *ledger.Task) bool {
+		return m.claims[t.ID] != nil || m.now-wait.waitingSince(t.ID, m.now) < pieceReportDelay
+	})
 	if len(tasks) == 0 {
 		return
 	}
@@ -120,8 +124,13 @@
 		if whole {
 			r.left[service] -= request
 		}
-		if !fits {
-			r.unplaced[m.waitingClassOf(ws, t)].add(request, inTime, whole)
+		if fits {
+			continue
+		}
+		u := &r.unplaced[m.waitingClassOf(ws, t)]
+		u.add(request, inTime, whole)
+		if ws.entry.EverSuspected() && ws.entry.CrashRecordOf(t).Suspect {
+			u.Suspects++
 		}
 	}
 }
--- a/dispatch/piecereport_test.go
+++ b/dispatch/piecereport_test.go
@@ -26,9 +26,9 @@
 	is.True(l.decisions[dispatch.PiecesReported] >= 3)
 	is.True(l.decisions[dispatch.PiecesReported] <= 4)
 	is.True(strings.HasSuffix(l.reasons[dispatch.PiecesReported], "0m below 12000m, 28000m below 16000m, 0m below 24000m, 0m above; "+
-		"no worker has room for: 3 other finite tasks for 45000m (the smallest for 15000m, below which 28000m are free), 0 fit if finite runs end, 1 in one piece"))
+		"no worker has room for: 3 other finite tasks for 45000m (the smallest for 15000m, below which 28000m are free), 0 fit if finite runs end, 1 in one piece, 0 suspected of a crash"))
 	l.submitLasting("missing", 1, 25000, 1)
 	l.run(2 * time.Second)
-	is.True(strings.Contains(l.reasons[dispatch.PiecesReported], "1 new long-running tasks for 25000m (the smallest for 25000m, below which 28000m are free), 0 fit if finite runs end, 1 in one piece"))
+	is.True(strings.Contains(l.reasons[dispatch.PiecesReported], "1 new long-running tasks for 25000m (the smallest for 25000m, below which 28000m are free), 0 fit if finite runs end, 1 in one piece, 0 suspected of a crash"))
 	is.Equal(dispatch.PiecesReported.String(), "pieces reported")
 }
