--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -55,7 +55,10 @@
 		}
 		w := m.bestClearing(clearing.workers, ws, step, t)
 		if w == nil {
-			clearing.failed.add(ws)
+			clearing.failed.addTask(ws, m.yields(ws, t))
+			if !ws.yields && m.yields(ws, t) {
+				continue
+			}
 			return placed
 		}
 		m.countOvertaking(ws.state, step, w)
--- a/dispatch/displace.go
+++ b/dispatch/displace.go
@@ -86,7 +86,10 @@
 		}
 		m.displacedAt = m.now
 		if d.left <= 0 || !m.displaceOne(d, ws, step, t) {
-			d.failed.add(ws)
+			d.failed.addTask(ws, m.yields(ws, t))
+			if d.left > 0 && !ws.yields && m.yields(ws, t) {
+				continue
+			}
 			return
 		}
 		d.left--
--- a/dispatch/finiteroom.go
+++ b/dispatch/finiteroom.go
@@ -17,11 +17,15 @@
 // the pieces that are left suffice for the finite work of the service, for each size of request. One that
 // has had a run is not held back: its callers are waiting for it.
 const (
-	// maxFiniteRoom is the fraction of the CPU of a service's usable workers that is kept at most.
+	// maxFiniteRoom is the fraction of the CPU of a service's usable workers that is kept at most, rounded
+	// to whole pieces.
 	maxFiniteRoom = 1.0 / 8
 	// demandInterval is the time between two computations of the demand.
 	demandInterval = 500 * time.Millisecond
-	// minDemandWindow is the shortest time over which arrivals are averaged. An owner that has not seen
+	// maxDemandWindow is the longest time over which arrivals are averaged: finite work that no longer
+	// arrives needs no room.
+	maxDemandWindow = 30 * time.Second
+	// minDemandWindow is the shortest one. An owner that has not seen
 	// so many yet keeps as much room as it may: of the submissions before, it knows those that wait
 	// still.
 	minDemandWindow = 3 * time.Second
@@ -121,18 +125,18 @@
 // the epoch has lasted for minDemandWindow, they are those of the epoch.
 func (m *Machine) arrivals(sample *sizeSample) ([]*ledger.Entry, time.Duration) {
 	entries := slices.Clone(sample.submissions[:min(sample.added, sizeSampleSize)])
-	window := m.now - m.createdAt
+	window := min(m.now-m.createdAt, maxDemandWindow)
 	if window < minDemandWindow {
-		return entries, minDemandWindow
+		window = maxDemandWindow
 	}
-	began := m.wall.Add(-window)
+	from := m.wall.Add(-window)
 	if len(entries) == sizeSampleSize {
 		first := slices.MinFunc(entries, func(a, b *ledger.Entry) int { return a.AcceptedAt.Compare(b.AcceptedAt) })
-		if first.AcceptedAt.After(began) {
+		if first.AcceptedAt.After(from) {
 			return entries, max(minDemandWindow, m.wall.Sub(first.AcceptedAt))
 		}
 	}
-	return slices.DeleteFunc(entries, func(e *ledger.Entry) bool { return e.AcceptedAt.Before(began) }), window
+	return slices.DeleteFunc(entries, func(e *ledger.Entry) bool { return e.AcceptedAt.Before(from) }), window
 }
 
 // newFiniteDemand returns the demand of steps that arrive at random: for each size the mean of the CPU
@@ -168,7 +172,7 @@
 	// rooms are the rooms that long-running tasks of a service and priority have to leave, sizes the
 	// sizes of the pieces that finite tasks of a service and priority need.
 	rooms map[runClass][]*pieceRoom
-	sizes map[runClass][]int64
+	sizes map[runClass]map[string][]int64
 }
 
 // pieceRoom is the room on the workers that some finite steps can use.
@@ -183,12 +187,12 @@
 
 func (m *Machine) newFiniteRoom(workers []*worker) *finiteRoom {
 	for _, w := range m.sorted {
-		w.roundIndex = -1
+		w.roundIndex, w.roundPiece = -1, -1
 	}
 	for i, w := range workers {
 		w.roundIndex = i
 	}
-	return &finiteRoom{machine: m, workers: workers, rooms: make(map[runClass][]*pieceRoom), sizes: make(map[runClass][]int64)}
+	return &finiteRoom{machine: m, workers: workers, rooms: make(map[runClass][]*pieceRoom), sizes: make(map[runClass]map[string][]int64)}
 }
 
 // keepFiniteRoom determines the room that is kept for finite steps on workers until end is called.
@@ -228,14 +232,30 @@
 			p.needs[i] = int64(float64(p.needs[i]) * float64(most) / float64(max(all, 1)))
 		}
 	}
-	for i := range p.needs {
-		p.needs[i] = min(p.needs[i], most)
+	for i, size := range demand.sizes {
+		p.needs[i] = wholePieces(min(p.needs[i], most), size)
 	}
 	return p
 }
 
-// piece returns the CPU that long-running runs leave on a worker.
-func (w *worker) piece() int64 { return max(0, w.freeInTime().MilliCPU) }
+// wholePieces rounds what is needed to whole pieces of a size.
+func wholePieces(need, size int64) int64 { return (need + size/2) / size * size }
+
+// piece returns the CPU that long-running runs leave on a worker, when those that are being stopped have
+// ended.
+func (w *worker) piece() int64 {
+	if w.roundPiece >= 0 {
+		return w.roundPiece
+	}
+	piece := w.freeInTime().MilliCPU
+	for _, r := range w.runList {
+		if r.phase == stopping && r.step.LongRunning {
+			piece += reservation(r.step).MilliCPU
+		}
+	}
+	w.roundPiece = max(0, piece)
+	return w.roundPiece
+}
 
 // add adds a piece to the room, or takes it away with a sign of -1.
 func (p *pieceRoom) add(piece, sign int64) {
@@ -249,6 +269,7 @@
 
 // changed updates the room after a long-running task was placed on a worker or has claimed room there.
 func (f *finiteRoom) changed(w *worker) {
+	w.roundPiece = -1
 	if f == nil || w.roundIndex < 0 {
 		return
 	}
@@ -263,15 +284,23 @@
 	}
 }
 
-// suffices reports whether what is left to finite steps suffices if long-running tasks take more CPU on a
-// worker. Where it doesn't suffice in any case, no more of it may be taken.
-func (p *pieceRoom) suffices(w *worker, more int64) bool {
-	if w.roundIndex < 0 || p.counted[w.roundIndex] < 0 {
-		return true
-	}
-	before := p.counted[w.roundIndex]
+// taking is CPU that long-running tasks would take on a worker, in thousandths of a core.
+type taking struct {
+	worker *worker
+	cpu    int64
+}
+
+// suffices reports whether what is left to finite steps suffices if long-running tasks take more. Where it
+// doesn't suffice in any case, no more of it may be taken.
+func (p *pieceRoom) suffices(takings []taking) bool {
 	for i, size := range p.demand.sizes {
-		taken := usablePart(before, size) - usablePart(before-more, size)
+		taken := int64(0)
+		for _, t := range takings {
+			if t.worker.roundIndex >= 0 && p.counted[t.worker.roundIndex] >= 0 {
+				before := p.counted[t.worker.roundIndex]
+				taken += usablePart(before, size) - usablePart(before-t.cpu, size)
+			}
+		}
 		if taken > 0 && p.room[i]-taken < p.needs[i] {
 			return false
 		}
@@ -279,10 +308,18 @@
 	return true
 }
 
-// admits reports whether a long-running task of a service and priority that has not had a run may take more
-// CPU on a worker.
-func (f *finiteRoom) admits(class runClass, w *worker, more int64) bool {
-	return f == nil || !slices.ContainsFunc(f.roomsOf(class), func(p *pieceRoom) bool { return !p.suffices(w, more) })
+// admits reports whether long-running tasks of a service and priority that have not had a run may take more
+// CPU on workers.
+func (f *finiteRoom) admits(class runClass, takings ...taking) bool {
+	if f == nil {
+		return true
+	}
+	for _, p := range f.roomsOf(class) {
+		if !p.suffices(takings) {
+			return false
+		}
+	}
+	return true
 }
 
 // largerSizes returns for how many of the sizes above a request a worker's piece of room is large enough.
@@ -291,23 +328,30 @@
 		return 0
 	}
 	n, piece := 0, w.piece()
-	for _, size := range f.sizesOf(class) {
-		if size > request && piece >= size {
-			n++
+	for label, sizes := range f.sizesOf(class) {
+		if !w.HasLabel(label) {
+			continue
+		}
+		for _, size := range sizes {
+			if size > request && piece >= size {
+				n++
+			}
 		}
 	}
-	return n
+	return min(n, len(pieceShares))
 }
 
-func (f *finiteRoom) sizesOf(class runClass) []int64 {
+// sizesOf returns the sizes of the pieces that finite tasks of a service and priority need, by the label that
+// they require.
+func (f *finiteRoom) sizesOf(class runClass) map[string][]int64 {
 	sizes, known := f.sizes[class]
-	if known {
-		return sizes
-	}
-	for _, demand := range f.machine.demandsOf(class) {
-		sizes = append(sizes, demand.sizes[:]...)
+	if !known {
+		sizes = make(map[string][]int64)
+		for label, demand := range f.machine.demandsOf(class) {
+			sizes[label] = slices.Compact(slices.Clone(demand.sizes[:]))
+		}
+		f.sizes[class] = sizes
 	}
-	f.sizes[class] = sizes
 	return sizes
 }
 
@@ -338,19 +382,25 @@
 // isNew reports whether a long-running task has not had a run.
 func isNew(t *ledger.Task) bool { return t.Run == 0 }
 
-// yieldsRoom reports whether a step is long-running and all its waiting tasks leave room to finite steps.
-func (m *Machine) yieldsRoom(e *ledger.Entry, occurrence int, step *workload.Step, state *ledger.Step) bool {
-	if !step.LongRunning || step.Gang || m.lacksFirstRun(e, occurrence) {
+// yieldsRoom reports whether all tasks of a step that a planning round can place leave room to finite steps.
+func (m *Machine) yieldsRoom(ws *waitingStep) bool {
+	step := &ws.entry.Steps[ws.stepIndex]
+	if !m.mayYield(ws.entry, ws.occurrence, step, ws.state) {
 		return false
 	}
-	for i := range state.Tasks {
-		if t := &state.Tasks[i]; !isNew(t) && m.isWaiting(t) {
+	for i := range ws.state.Tasks {
+		if t := &ws.state.Tasks[i]; !isNew(t) && m.isUnclaimed(ws, t) {
 			return false
 		}
 	}
 	return true
 }
 
+// yields reports whether a task of a step leaves room to finite steps.
+func (m *Machine) yields(ws *waitingStep, t *ledger.Task) bool {
+	return isNew(t) && m.mayYield(ws.entry, ws.occurrence, &ws.entry.Steps[ws.stepIndex], ws.state)
+}
+
 // interruptedFirst returns the tasks of a step, for a long-running one first those that have had a run.
 func interruptedFirst(step *workload.Step, tasks []*ledger.Task) []*ledger.Task {
 	if step.LongRunning {
@@ -361,18 +411,31 @@
 
 // leavesRoom reports whether a task may be placed on a worker as far as the room for finite steps goes.
 func (m *Machine) leavesRoom(ws *waitingStep, step *workload.Step, t *ledger.Task, w *worker) bool {
-	return !step.LongRunning || step.Gang || !isNew(t) || m.lacksFirstRun(ws.entry, ws.occurrence) || m.admits(ws, step, w)
+	return !m.yields(ws, t) || m.admits(ws, step, w)
+}
+
+// mayYield reports whether the new tasks of a step leave room to finite steps: those of a long-running one
+// that is neither a gang nor a guest, which has been offered its room, unless it lacks its first run.
+func (m *Machine) mayYield(e *ledger.Entry, occurrence int, step *workload.Step, state *ledger.Step) bool {
+	return step.LongRunning && !step.Gang && !e.Guest() && !m.lacksFirstRun(e, occurrence, state)
 }
 
 // lacksFirstRun reports whether a long-running submission has waited for firstTaskDelay and has no run. The
-// wait goes on over takeovers.
-func (m *Machine) lacksFirstRun(e *ledger.Entry, occurrence int) bool {
-	return len(m.byEntry[e.ID]) == 0 && m.wall.Sub(e.DueAt(occurrence)) >= firstTaskDelay
+// wait goes on over takeovers, and also if the clock of the node that accepted it is ahead.
+func (m *Machine) lacksFirstRun(e *ledger.Entry, occurrence int, state *ledger.Step) bool {
+	if len(m.byEntry[e.ID]) > 0 {
+		return false
+	}
+	waited := m.wall.Sub(e.DueAt(occurrence))
+	if wait := m.longWaits[state]; wait != nil {
+		waited = max(waited, m.now-wait.first)
+	}
+	return waited >= firstTaskDelay
 }
 
 // admits reports whether a new task of a long-running step may be placed on a worker.
 func (m *Machine) admits(ws *waitingStep, step *workload.Step, w *worker) bool {
-	return m.finiteRoom.admits(classOfStep(ws), w, reservation(step).MilliCPU)
+	return m.finiteRoom.admits(classOfStep(ws), taking{w, reservation(step).MilliCPU})
 }
 
 // movesThatLeaveRoom returns the moves of runs to make room for a new task that leave enough room to finite
@@ -380,8 +443,7 @@
 func (m *Machine) movesThatLeaveRoom(ws *waitingStep, step *workload.Step, moves []runMove) []runMove {
 	return slices.DeleteFunc(moves, func(move runMove) bool {
 		moved := reservation(move.run.step).MilliCPU
-		return !m.finiteRoom.admits(classOfStep(ws), move.run.worker, reservation(step).MilliCPU-moved) ||
-			!m.finiteRoom.admits(classOfStep(ws), move.to, moved)
+		return !m.finiteRoom.admits(classOfStep(ws), taking{move.run.worker, reservation(step).MilliCPU - moved}, taking{move.to, moved})
 	})
 }
 
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -195,6 +195,7 @@
 // may be iterating over it.
 func (m *Machine) removeWorker(w *worker) {
 	delete(m.workers, w.ID())
+	w.roundIndex = -1
 	m.sorted = slices.DeleteFunc(slices.Clone(m.sorted), func(other *worker) bool { return other == w })
 }
 
--- a/dispatch/offers.go
+++ b/dispatch/offers.go
@@ -24,7 +24,6 @@
 		entry.Steps = make([]workload.Step, d.StepIndex+1)
 		entry.Steps[d.StepIndex] = *d.Step
 		ws := &waitingStep{entry: entry, occurrence: d.Occurrence, stepIndex: d.StepIndex, priority: d.Priority, image: m.model.idOf(d.Step.Image)}
-		o.foreign = true
 		tasks[i] = o.take(ws, d.Step, d.Tasks)
 	}
 	return tasks
@@ -37,9 +36,6 @@
 	// taken is what has been reserved on each worker.
 	taken  []hostapi.Resources
 	failed unplaceable
-	// foreign: the tasks are those of other cells. Long-running ones get no room that finite steps of
-	// this cell need.
-	foreign bool
 }
 
 // take reserves capacity for up to a number of tasks of a step and returns for how many. A
@@ -97,9 +93,10 @@
 	return n
 }
 
-// mayTake reports whether a number of tasks of a step leave enough room on a worker to finite steps.
+// mayTake reports whether a number of tasks of a step would be placed on a worker with room for them. The
+// tasks of other cells would: those that are interrupted can't be told from the others.
 func (o *offers) mayTake(ws *waitingStep, step *workload.Step, w *worker, tasks int64) bool {
-	return !o.foreign || !step.LongRunning || o.machine.finiteRoom.admits(classOfStep(ws), w, tasks*reservation(step).MilliCPU)
+	return !ws.yields || o.machine.finiteRoom.admits(classOfStep(ws), taking{w, tasks * reservation(step).MilliCPU})
 }
 
 // release ends the reservations.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -175,11 +175,13 @@
 			continue
 		}
 		x := m.expected(e)
-		out = append(out, &waitingStep{
+		ws := &waitingStep{
 			entry: e, occurrence: number, stepIndex: s, state: state, image: m.model.idOf(e.Steps[s].Image),
-			priority: e.Policy.Priority, yields: m.yieldsRoom(e, number, &e.Steps[s], state), timeliness: timelinessOf(e, x, s, m.wall.Sub(due)),
+			priority: e.Policy.Priority, timeliness: timelinessOf(e, x, s, m.wall.Sub(due)),
 			remaining: index.remaining(e, x, o, s), due: due.UnixNano() + int64(x.objective),
-		})
+		}
+		ws.yields = m.yieldsRoom(ws)
+		out = append(out, ws)
 	}
 	return out
 }
--- a/dispatch/roomreport.go
+++ b/dispatch/roomreport.go
@@ -101,7 +101,7 @@
 		}
 		fitting := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !m.fits(ws, wait.step, w) })
 		if len(fitting) > 0 {
-			if m.yieldsRoom(ws.entry, ws.occurrence, wait.step, ws.state) && !slices.ContainsFunc(fitting, func(w *worker) bool { return m.admits(ws, wait.step, w) }) {
+			if m.yieldsRoom(ws) && !slices.ContainsFunc(fitting, func(w *worker) bool { return m.admits(ws, wait.step, w) }) {
 				r.kept += len(tasks)
 			} else {
 				r.fit += len(tasks)
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -25,7 +25,7 @@
 	neededRoomPenalty = 4.0
 	// largePieceWeight is the penalty of a worker for each size of larger finite tasks that its piece
 	// of room fits.
-	largePieceWeight = 1.0
+	largePieceWeight = 0.9
 	// minUnusedShare is the minimum fraction of its CPU request that a best-effort
 	// task must find unused on a worker.
 	minUnusedShare = 0.5
@@ -114,11 +114,11 @@
 
 // roomScore returns the part of the score that depends on the room: tasks prefer workers with much unused
 // CPU, long-running ones where enough room is left to finite steps, and finite ones where the piece of
-// room is of less use to larger tasks.
+// room is of less use to larger tasks. Tasks that are tied to a rack or to others have no such choice.
 func (m *Machine) roomScore(ws *waitingStep, step *workload.Step, w *worker) float64 {
 	score := (w.unusedCPU() - float64(step.Request.MilliCPU)) / max(float64(w.Capacity.MilliCPU), 1)
 	switch {
-	case step.BestEffort:
+	case step.BestEffort, step.Gang, step.SameRack, step.DataRack != "":
 	case !step.LongRunning:
 		score -= largePieceWeight * float64(m.finiteRoom.largerSizes(classOfStep(ws), step.Request.MilliCPU, w))
 	case !m.admits(ws, step, w):
--- a/dispatch/unplaceable.go
+++ b/dispatch/unplaceable.go
@@ -49,6 +49,13 @@
 	u.addRequest(ws)
 }
 
+// addTask records the request of one of a step's tasks, which yields to finite steps or not.
+func (u unplaceable) addTask(ws *waitingStep, yields bool) {
+	tried := *ws
+	tried.yields = yields
+	u.add(&tried)
+}
+
 // addRequest records a step for one task of which no worker has room.
 func (u unplaceable) addRequest(ws *waitingStep) {
 	step := &ws.entry.Steps[ws.stepIndex]
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -103,6 +103,8 @@
 	limitedRuns map[stepKey]int
 	// roundIndex is the worker's index among the usable ones of the planning round that runs, or -1.
 	roundIndex int
+	// roundPiece is the result of piece in that round, or -1.
+	roundPiece int64
 	// held: a planning round holds the worker for a task.
 	held bool
 	// unknownRuns are the runs in the last report that this owner does not have. Their
@@ -123,7 +125,7 @@
 }
 
 func newWorker(info workload.Worker) *worker {
-	return &worker{Worker: info, runs: make(map[workload.RunID]*run), limitedRuns: make(map[stepKey]int)}
+	return &worker{Worker: info, roundIndex: -1, roundPiece: -1, runs: make(map[workload.RunID]*run), limitedRuns: make(map[stepKey]int)}
 }
 
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Address: w.Address} }
