--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -95,7 +95,7 @@
 	case answered:
 		return state, nil
 	}
-	if !n.config.Reserve {
+	if !n.isInReserve() {
 		verified, err := c.verifiedState(ctx, id)
 		if err == nil || errors.Is(err, ErrNoSubmission) {
 			return verified, err
--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -16,9 +16,9 @@
 	PeerAddress string
 	// Cells is the number of cells; all nodes use the same number.
 	Cells int
-	// Reserve puts the node in reserve: it owns cells only while no node that is
-	// not in reserve owns one.
-	Reserve bool
+	// ReserveLevel is 0 for a node that owns cells regularly. Others are in reserve: they own
+	// cells only while no node of a lower level owns one.
+	ReserveLevel int
 	// RejectsUnstartable: submissions that the workers can't start while they are of use are rejected.
 	RejectsUnstartable bool
 	// SuspendClock is a steady clock that counts the time for which the VM is
--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -48,7 +48,7 @@
 // goroutine does not answer within dumpTimeout.
 func (n *Node) Dump(ctx context.Context) Dump {
 	d := Dump{
-		VM: n.config.VM, DataCentre: n.config.DataCentre, Ready: n.Ready(), Reserve: n.config.Reserve,
+		VM: n.config.VM, DataCentre: n.config.DataCentre, Ready: n.Ready(), Reserve: n.isInReserve(),
 		StoreAgeMillis: n.storeSilence().Milliseconds(),
 		JoinAgeMillis:  n.joinAge().Milliseconds(),
 	}
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -280,7 +280,7 @@
 	return a, nil
 }
 
-func (m member) HasNonReserveOwner(context.Context) (bool, error) {
+func (m member) HasOwnerBelow(context.Context, int) (bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.nonReserveOwner, nil
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -8,8 +8,8 @@
 	// when four consecutive joins are lost.
 	joinInterval = 300 * time.Millisecond
 	// reserveCheckInterval is how often a node in reserve checks for other owners,
-	// reserveChecks the number of consecutive checks that must find none before it
-	// takes cells. A simultaneous restart of all other nodes takes about 2 s.
+	// reserveChecks the number of consecutive checks that must find none before one of
+	// level 1 takes cells. A simultaneous restart of all other nodes takes about 2 s.
 	reserveCheckInterval = 1200 * time.Millisecond
 	reserveChecks        = 2
 	// authorityDuration is how long an owner continues to send commands without a
--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -112,9 +112,8 @@
 	// Join joins the group or renews the membership. The generation is that of the
 	// last assignment received, or 0.
 	Join(ctx context.Context, generation int64) (Assignment, error)
-	// HasNonReserveOwner reports whether a member that is not in reserve holds a
-	// cell.
-	HasNonReserveOwner(ctx context.Context) (bool, error)
+	// HasOwnerBelow reports whether a member whose reserve level is lower holds a cell.
+	HasOwnerBelow(ctx context.Context, reserveLevel int) (bool, error)
 	// Leave leaves the group and releases all cells.
 	Leave(ctx context.Context) error
 }
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -20,7 +20,7 @@
 			generation = 0
 			continue
 		}
-		if n.config.Reserve && !n.reserveNeeded(ctx) {
+		if n.isInReserve() && !n.reserveNeeded(ctx) {
 			generation = 0
 			continue
 		}
@@ -65,11 +65,14 @@
 	}
 }
 
-// hasNonReserveOwner reports whether a node that is not in reserve owns a cell.
-func (n *Node) hasNonReserveOwner(ctx context.Context) (bool, error) {
+// isInReserve reports whether the node owns cells only while no larger node does.
+func (n *Node) isInReserve() bool { return n.config.ReserveLevel > 0 }
+
+// hasOwnerBelow reports whether a node whose reserve level is lower owns a cell.
+func (n *Node) hasOwnerBelow(ctx context.Context, reserveLevel int) (bool, error) {
 	call, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	owner, err := n.platform.Group.HasNonReserveOwner(call)
+	owner, err := n.platform.Group.HasOwnerBelow(call, reserveLevel)
 	n.metrics.countLogCall(err)
 	if err == nil {
 		n.recordStoreResponse()
@@ -77,10 +80,12 @@
 	return owner, err
 }
 
-// reserveNeeded reports whether a node in reserve has to own cells because no
-// other node does. If it has not, reserveNeeded also waits until the next check.
+// reserveNeeded reports whether a node in reserve has to own cells because no node of a lower
+// level does. If it has not, reserveNeeded also waits until the next check. Each level has one
+// check more, ownersLearnDelay later, so that nodes of the level below that start at the same
+// time come first.
 func (n *Node) reserveNeeded(ctx context.Context) bool {
-	otherOwner, err := n.hasNonReserveOwner(ctx)
+	otherOwner, err := n.hasOwnerBelow(ctx, n.config.ReserveLevel)
 	switch {
 	case err != nil:
 		// Without the store no cell can be taken over, and owned cells are kept
@@ -97,8 +102,12 @@
 		return false
 	}
 	n.checksWithoutOwner++
-	if n.checksWithoutOwner < reserveChecks && !n.reserveActive.Load() {
-		sleep(ctx, reserveCheckInterval)
+	if n.checksWithoutOwner < reserveChecks+n.config.ReserveLevel-1 && !n.reserveActive.Load() {
+		delay := reserveCheckInterval
+		if n.checksWithoutOwner >= reserveChecks {
+			delay = ownersLearnDelay
+		}
+		sleep(ctx, delay)
 		return false
 	}
 	n.reserveActive.Store(true)
--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -124,7 +124,7 @@
 	return a, nil
 }
 
-func (m cellMember) HasNonReserveOwner(context.Context) (bool, error) { return true, nil }
+func (m cellMember) HasOwnerBelow(context.Context, int) (bool, error) { return true, nil }
 
 func (m cellMember) Leave(context.Context) error { return nil }
 
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -74,7 +74,7 @@
 	n.wg.Go(func() { n.workers.follow(ctx) })
 	for _, c := range n.cells {
 		n.wg.Go(func() { c.run(ctx) })
-		if !n.config.Reserve {
+		if !n.isInReserve() {
 			n.wg.Go(func() { c.watchOwner(ctx) })
 		}
 	}
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -40,16 +40,16 @@
 }
 
 func (h *harness) startNode(vm string, unreachable *bool) *coordinator.Node {
-	return h.start(vm, unreachable, false)
+	return h.start(vm, unreachable, 0)
 }
 
-func (h *harness) startReserveNode(vm string) *coordinator.Node { return h.start(vm, nil, true) }
+func (h *harness) startReserveNode(vm string) *coordinator.Node { return h.start(vm, nil, 1) }
 
-func (h *harness) start(vm string, unreachable *bool, reserve bool) *coordinator.Node {
+func (h *harness) start(vm string, unreachable *bool, reserveLevel int) *coordinator.Node {
 	startedAt := time.Now()
 	n := coordinator.NewNode(coordinator.Config{
 		SuspendClock: func() time.Duration { return time.Since(startedAt) + time.Duration(h.suspended.Load()) },
-		VM:           vm, Cells: max(1, h.group.cells), Reserve: reserve, Dispatch: dispatch.Config{Lease: 5 * time.Second, HandoverLease: 10 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2},
+		VM:           vm, Cells: max(1, h.group.cells), ReserveLevel: reserveLevel, Dispatch: dispatch.Config{Lease: 5 * time.Second, HandoverLease: 10 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2},
 	}, h.platform(member{h.group, vm, unreachable}), h.logger, coordinator.NewMetrics())
 	if format := h.formats[vm]; format != 0 {
 		n.SetFormat(format)
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -65,7 +65,7 @@
 		if n.readRefusedCells(ctx) {
 			return
 		}
-		otherOwner, err := n.hasNonReserveOwner(ctx)
+		otherOwner, err := n.hasOwnerBelow(ctx, 1)
 		if err != nil {
 			continue
 		}
