coordinator, logevent: a takeover logs how long each of its steps took

Logs couldn't tell how long placements stand still at a takeover, or in which step: the limit of lines drops nearly all decisions (event 841), and with them the first and last placements and often events 811 and 813. The figures from 841 are off by up to a second at each end.

Event 876 comes with the first placement of an epoch and has the time of each step since the assignment; event 813 has the time since the last placement and that of the hand-over. The limit of lines doesn't apply to 811, 813 and 876.

--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -58,6 +58,9 @@
 		o.node.logger.Log(logevent.EpochFenced, zap.Int64("epoch", o.epoch), zap.String("worker", a.Worker))
 		o.cancel()
 	case dispatch.Decision:
+		if a.Kind == dispatch.RunPlaced {
+			o.notePlacement()
+		}
 		o.node.logDecision(o.number, o.epoch, a)
 	case dispatch.ViewExpired:
 		o.reportExpired(a)
--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -53,6 +53,9 @@
 	// generation is the generation of the group in which the cell is assigned to
 	// this node, or 0 if it is not.
 	generation atomic.Int64
+	// assignedAt is when the cell was last assigned to this node after it had not been, in
+	// nanoseconds of the node's monotonic clock.
+	assignedAt atomic.Int64
 	// wake wakes the cell's goroutine after a change of generation or
 	// resignedEpoch.
 	wake chan struct{}
@@ -133,7 +136,10 @@
 // assign sets the generation in which the cell is assigned to this node; 0 ends
 // the assignment.
 func (c *cell) assign(generation int64) {
-	if c.generation.Swap(generation) != generation {
+	if previous := c.generation.Swap(generation); previous != generation {
+		if previous == 0 {
+			c.assignedAt.Store(int64(c.node.monotonicNow()))
+		}
 		signal(c.wake)
 	}
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -52,6 +52,7 @@
 	saturationReportedAt time.Duration
 	// behindReportedAt is when a long wait of an event was last reported.
 	behindReportedAt time.Duration
+	times            takeoverTimes
 	wg               sync.WaitGroup
 }
 
@@ -76,7 +77,8 @@
 		sleep(parent, logRetryDelay)
 		return
 	}
-	epoch, previous, err := c.openEpoch(parent)
+	times := takeoverTimes{assignedAt: time.Duration(c.assignedAt.Load()), began: c.node.monotonicNow()}
+	epoch, previous, err := c.openEpoch(parent, &times)
 	if err != nil {
 		c.epochNotOpened(parent, err)
 		return
@@ -101,6 +103,8 @@
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
 	}
+	o.times = times
+	o.times.readyAt = c.node.monotonicNow()
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
 	c.outlooks.begin(epoch, began)
@@ -120,6 +124,8 @@
 	o.node.wg.Go(func() { o.askWitnesses(confirmed) })
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
+	left := c.node.monotonicNow()
+	sincePlaced := o.times.timeWithoutPlacement(left)
 	if reason == assignmentEnded && o.hasAuthority() {
 		o.handOver(parent, endConfirmation)
 	} else {
@@ -132,7 +138,8 @@
 	c.owning.Store(false)
 	close(ended)
 	c.node.logger.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
-		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began))
+		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began), zap.Int("placements", o.times.placements),
+		zap.Duration("sincePlaced", sincePlaced), zap.Duration("handOver", c.node.monotonicNow()-left))
 }
 
 func (c *cell) epochNotOpened(ctx context.Context, err error) {
@@ -148,11 +155,12 @@
 // openEpoch reads the streams and fences previous owners with an Opened record.
 // The record is appended only at the end that was read, so no unread record of a
 // previous owner can precede it.
-func (c *cell) openEpoch(ctx context.Context) (epoch int64, previous predecessor, err error) {
+func (c *cell) openEpoch(ctx context.Context, times *takeoverTimes) (epoch int64, previous predecessor, err error) {
 	for attempt := 1; c.generation.Load() != 0; attempt++ {
 		if err := c.catchUp(ctx); err != nil {
 			return 0, previous, fmt.Errorf("read the streams: %w", err)
 		}
+		times.readAt = c.node.monotonicNow()
 		previous = predecessor{c.ledger().Owner(), c.ledger().Witnesses()}
 		epoch = max(c.generation.Load(), previous.Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
@@ -176,6 +184,7 @@
 			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
 		}
 		c.authority.proven(sent)
+		times.openedAt = c.node.monotonicNow()
 		c.ledger().Apply(record)
 		c.cellNext = end
 		c.node.owners.update(c.number, owner)
@@ -295,6 +304,7 @@
 		}
 		o.cellNext = ev.end
 	case dispatch.Event:
+		o.times.noteEvent(ev, o.node.monotonicNow())
 		o.step(ctx, ev)
 	}
 	return nil
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -61,6 +61,7 @@
 	AdmissionChanged     Number = 871
 	SubmissionTurnedAway Number = 872
 	OrderWithheld        Number = 873
+	TakeoverTimed        Number = 876
 )
 
 var coordinatorEvents = []Info{
@@ -73,7 +74,7 @@
 	{LargestFavoured, "LargestFavoured", zapcore.WarnLevel, "largest submissions of a queue are placed first, because they are served less often than the others", []string{"queue", "reason", "epoch", "cell"}, "None; if it recurs, add workers with enough free CPU and memory for the largest tasks. Event 806 names the submissions."},
 	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM became the owner of the cell", []string{"cell", "epoch", "live"}, "None."},
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "cell is assigned to this VM but its epoch could not be opened", []string{"cell", "error"}, "If it recurs, check the health of the log."},
-	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration"}, "None."},
+	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration", "placements", "sincePlaced", "handOver"}, "None. sincePlaced is the time from the last placement to the end of the decisions, handOver the time from then on until a successor is told."},
 	{EpochFenced, "EpochFenced", zapcore.WarnLevel, "another VM has opened a higher epoch", []string{"epoch", "worker"}, "None; if it recurs, look for an unstable network link or a slow VM."},
 	{GroupCallFailed, "GroupCallFailed", zapcore.WarnLevel, "call to the membership group failed", []string{"error"}, "Check the connection to the platform's store."},
 	{GroupRegained, "GroupRegained", zapcore.InfoLevel, "call to the membership group succeeds again", nil, "None."},
@@ -121,4 +122,5 @@
 	{AdmissionChanged, "AdmissionChanged", zapcore.WarnLevel, "new submissions of a queue and size are rejected, or admitted again", []string{"queue", "size", "reason", "age", "epoch", "cell"}, "The reason has the inputs, counted over the time in age. Add workers with room for the tasks of the queue, or take long-running work away (docs/OPERATIONS.md, reading a shortage)."},
 	{SubmissionTurnedAway, "SubmissionTurnedAway", zapcore.WarnLevel, "submission was rejected, because the workers can't start it while it is of use; it has not run", []string{"id", "queue", "size", "duration", "age", "share", "waiting", "started", "late", "fit", "rejections", "retryAfter"}, "As for event 871. The age is that of the owner's outlook; fit is the number of tasks like its first ones that fit the free room."},
 	{OrderWithheld, "OrderWithheld", zapcore.InfoLevel, "order was not sent, because another incarnation of the worker answers", []string{"worker", "order", "expected", "found"}, "None: the worker has restarted, and the owner learns of it by this order. expected and found are start times in Unix milliseconds."},
+	{TakeoverTimed, "TakeoverTimed", zapcore.InfoLevel, "first placement of an ownership, with the time of each step before it", []string{"cell", "epoch", "waited", "read", "opened", "ready", "listed", "heard", "reports", "placed"}, "None. waited is the time from the assignment to the attempt that opened the epoch, read that for reading the cell, opened that for the record of the epoch; the others count from there on. If read is long, check the connection to the platform's store."},
 }
--- a/logevent/info.go
+++ b/logevent/info.go
@@ -20,8 +20,8 @@
 	Action string
 }
 
-// summaries are the events that sum up others. The rate limit of lines doesn't apply to them.
-var summaries = map[Number]bool{ServingReported: true}
+// summaries are the events that sum up others, and those few that date them.
+var summaries = map[Number]bool{EpochOpened: true, EpochEnded: true, ServingReported: true, TakeoverTimed: true}
 
 // areas lists the events of each area.
 var areas = [][]Info{
