--- a/coordinator/multinode_test.go
+++ b/coordinator/multinode_test.go
@@ -82,13 +82,35 @@
 	owners     []string
 	// cut are the VMs whose joins fail.
 	cut map[string]bool
+	// confirmed: a cell is given to its new owner when the former one has joined with the new
+	// generation or has left. former are the owners that have not.
+	confirmed bool
+	former    map[int]string
+	// heir, if set, gets the cells of a VM that leaves.
+	heir string
+}
+
+func (g *cellGroup) update(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
 }
 
 func (g *cellGroup) assign(cell int, vm string) {
+	g.update(func() {
+		g.generation++
+		if g.confirmed {
+			g.former = map[int]string{cell: g.owners[cell]}
+		}
+		g.owners[cell] = vm
+	})
+}
+
+// owner returns the VM to which a cell is assigned.
+func (g *cellGroup) owner(cell int) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.generation++
-	g.owners[cell] = vm
+	return g.owners[cell]
 }
 
 // reassignIfCut gives the cells of a VM that is still cut off to another one.
@@ -109,7 +131,7 @@
 	vm string
 }
 
-func (m cellMember) Join(context.Context, int64) (coordinator.Assignment, error) {
+func (m cellMember) Join(_ context.Context, generation int64) (coordinator.Assignment, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.cut[m.vm] {
@@ -117,7 +139,10 @@
 	}
 	a := coordinator.Assignment{Generation: m.generation}
 	for number, owner := range m.owners {
-		if owner == m.vm {
+		if m.former[number] == m.vm && generation >= m.generation {
+			delete(m.former, number)
+		}
+		if owner == m.vm && m.former[number] == "" {
 			a.Cells = append(a.Cells, number)
 		}
 	}
@@ -126,7 +151,20 @@
 
 func (m cellMember) HasNonReserveOwner(context.Context) (bool, error) { return true, nil }
 
-func (m cellMember) Leave(context.Context) error { return nil }
+func (m cellMember) Leave(context.Context) error {
+	m.update(func() {
+		for number, owner := range m.owners {
+			if owner == m.vm && m.heir != "" {
+				m.owners[number] = m.heir
+				m.generation++
+			}
+			if m.former[number] == m.vm {
+				delete(m.former, number)
+			}
+		}
+	})
+	return nil
+}
 
 // drainingDirectory lists the workers, some of them as draining.
 type drainingDirectory struct {
