coordinator: an owner goes on until its successor has read the cell

Most changes come from another node that joins or leaves the group: the owner is well.

Cause: the owner stopped with the join that no longer listed the cell. Extensions of leases and reports to witnesses (70 to 540 ms) came before the end was told.

Change: the owner confirms the assignment, or leaves the group, at once and goes on placing. The successor reads meanwhile. If its Opened record comes too late because the owner has appended, it requests the owner to resign, which appends what it has decided, answers, and extends leases in the background. The owner ends after 3 s at most, or when fenced. Safety rests on what holds for an owner that is cut off: epochs at the log and the workers, and an authority of 10 s from the last join that assigned the cell. A later join renews it only with a proof by append. A node doesn't join while it leaves, so a join on its way can't make it a member again. Nodes of other versions: no field is new. An older successor retries its Opened record until the owner ends, an older owner ends at once.

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -134,14 +134,17 @@
 func (c *cell) cellStream() Stream   { return Stream{Topic: CellTopic, Partition: c.number} }
 
 // assign sets the generation in which the cell is assigned to this node; 0 ends
-// the assignment.
-func (c *cell) assign(generation int64) {
-	if previous := c.generation.Swap(generation); previous != generation {
-		if previous == 0 {
-			c.assignedAt.Store(int64(c.node.monotonicNow()))
-		}
-		signal(c.wake)
+// the assignment. It reports whether that changes it.
+func (c *cell) assign(generation int64) bool {
+	previous := c.generation.Swap(generation)
+	if previous == generation {
+		return false
+	}
+	if previous == 0 {
+		c.assignedAt.Store(int64(c.node.monotonicNow()))
 	}
+	signal(c.wake)
+	return true
 }
 
 func (c *cell) signalEvacuation() { signal(c.evacuation) }
--- a/coordinator/cellauthority.go
+++ b/coordinator/cellauthority.go
@@ -19,6 +19,8 @@
 	// unproven: since unprovenSince another node may have opened a newer epoch.
 	unproven      bool
 	unprovenSince time.Duration
+	// released: since the last join that assigned the cell another one did not.
+	released bool
 }
 
 // assigned records that a join assigned the cell to the node. It was sent at sent and
@@ -26,16 +28,24 @@
 func (a *cellAuthority) assigned(sent, now time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if now-a.assignedAt >= assignmentValidity && !a.unproven {
+	if a.released || now-a.assignedAt >= assignmentValidity && !a.unproven {
 		a.unproven, a.unprovenSince = true, now
 	}
-	a.assignedAt = sent
+	a.assignedAt, a.released = sent, false
 	if !a.unproven {
 		a.from = sent
 	}
 	return !a.unproven
 }
 
+// release records that a join did not assign the cell to the node, so that another one may open a
+// newer epoch at any time.
+func (a *cellAuthority) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.released = true
+}
+
 // proven records that an append of the epoch, sent at sent and not repeated, took effect:
 // no newer epoch had been opened by then.
 func (a *cellAuthority) proven(sent time.Duration) {
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -14,9 +14,33 @@
 // handOverPollInterval is the time between two looks at what the witnesses hold.
 const handOverPollInterval = 10 * time.Millisecond
 
-// handOver extends the leases of the workers before the ownership ends, as far as they
-// answer within handOverTimeout, and goes on extending them in the background until they
-// last for the lease of a hand-over. No extension is longer than the usual lease: if the
+// assignmentChanged handles a change of the assignment or a request to resign. It returns the
+// reason for which the ownership ends, or "". An owner that loses its assignment goes on until its
+// successor, which reads the cell meanwhile, requests it to resign or has opened its epoch, and for
+// leavingTime at most. Its authority is that of the last join that assigned the cell.
+func (o *ownership) assignmentChanged(ctx context.Context) (reason string) {
+	switch {
+	case o.resignedEpoch.Load() >= o.epoch:
+		return resigned
+	case o.generation.Load() != 0:
+		o.leavingSince = 0
+		o.proveEpoch()
+		o.wg.Go(func() { o.verifyEpoch(ctx) })
+	case !o.hasAuthority():
+		return assignmentEnded
+	case o.leavingSince == 0:
+		o.leavingSince = o.node.monotonicNow()
+	}
+	return ""
+}
+
+// isHandedOver reports whether the owner gives the cell up, rather than losing it.
+func (o *ownership) isHandedOver(reason string) bool {
+	return o.hasAuthority() && (reason == assignmentEnded || reason == resigned && o.leavingSince > 0)
+}
+
+// handOver extends the leases of the workers at the end of the ownership, in the background, until
+// they last for the lease of a hand-over. No extension is longer than the usual lease: if the
 // process ends, a successor that knows of it waits for no longer one, and none is longer than
 // the witnesses allow. done is called at the end.
 func (o *ownership) handOver(parent context.Context, done func()) {
@@ -24,7 +48,6 @@
 	// A successor that hears nothing from this owner expects no later leases.
 	lease := min(o.node.config.Dispatch.HandoverLease, o.joinedLeaseLimit())
 	heartbeats := o.machine.HandOver(began, lease)
-	o.endReports(parent)
 	withhold := func() time.Duration {
 		if o.witnesses.LimitsWorkers() {
 			return lease
@@ -32,14 +55,11 @@
 		grantable := min(o.node.config.Dispatch.Lease, o.witnesses.LeaseLimit(o.node.authorityNow(), o.node.config.Dispatch.Lease))
 		return max(0, lease-grantable-(o.node.monotonicNow()-began))
 	}
-	withheld := withhold()
-	heartbeats = o.extendLeases(parent, heartbeats, withheld)
-	if withheld == 0 {
-		done()
-		return
-	}
 	o.node.wg.Go(func() {
 		defer done()
+		o.endReports(parent)
+		withheld := withhold()
+		heartbeats = o.extendLeases(parent, heartbeats, withheld)
 		for withheld > 0 && len(heartbeats) > 0 && sleep(parent, handOverInterval) && o.newestEpoch.Load() == o.epoch && o.node.monotonicNow()-began < lease {
 			withheld = withhold()
 			heartbeats = o.extendLeases(parent, heartbeats, withheld)
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -63,6 +63,11 @@
 	// handOverTimeout is the time for which an owner that gives a cell up waits for the
 	// workers whose leases it extends.
 	handOverTimeout = 300 * time.Millisecond
+	// leavingTime is how long an owner to which the cell is no longer assigned goes on, so that
+	// its successor can read the cell before. It covers the group's joins and a read of two seconds.
+	leavingTime = 3 * time.Second
+	// flushTime is how long the end of an ownership waits for its records to be appended.
+	flushTime = 150 * time.Millisecond
 	// endWait is how long a call that waits for the end of an ownership stays open,
 	// endWatchInterval the least time between two such calls of a node.
 	endWait          = 5 * time.Second
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -25,11 +25,9 @@
 			continue
 		}
 		sent, sentAuthority := n.monotonicNow(), n.authorityNow()
-		call, cancel := context.WithTimeout(ctx, logTimeout)
-		a, err := n.platform.Group.Join(call, generation)
-		cancel()
+		a, err := n.join(ctx, generation)
 		switch {
-		case err == nil && n.stopping.Load():
+		case n.stopping.Load():
 			return
 		case err == nil:
 			if failing {
@@ -42,7 +40,10 @@
 				n.wg.Go(func() { n.learnOwners(ctx) })
 			}
 			generation = a.Generation
-			n.assign(a, sentAuthority)
+			if n.assign(a, sentAuthority) {
+				// The group gives the cells away when it knows that the node knows it.
+				continue
+			}
 		default:
 			if !failing && ctx.Err() == nil {
 				n.logError(logevent.GroupCallFailed, err)
@@ -90,8 +91,9 @@
 	case otherOwner:
 		n.checksWithoutOwner = 0
 		if n.reserveActive.Swap(false) {
-			n.releaseCells(ctx)
+			n.releaseCells()
 			n.leaveGroup(ctx)
+			n.waitUntilReleased(ctx)
 		}
 		sleep(ctx, reserveCheckInterval)
 		return false
@@ -105,11 +107,27 @@
 	return true
 }
 
-// releaseCells ends all ownerships.
-func (n *Node) releaseCells(ctx context.Context) {
+// join joins the group, unless the node is stopping: it has left the group then, or is about to.
+func (n *Node) join(ctx context.Context, generation int64) (Assignment, error) {
+	n.joining.Lock()
+	defer n.joining.Unlock()
+	if n.stopping.Load() {
+		return Assignment{}, nil
+	}
+	call, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	return n.platform.Group.Join(call, generation)
+}
+
+// releaseCells makes all ownerships end when their successors are ready, or after leavingTime.
+func (n *Node) releaseCells() {
 	for _, c := range n.cells {
 		c.assign(0)
 	}
+}
+
+// waitUntilReleased waits until all ownerships have ended, or ctx is done.
+func (n *Node) waitUntilReleased(ctx context.Context) {
 	for _, c := range n.cells {
 		c.waitUntilReleased(ctx)
 	}
@@ -117,6 +135,8 @@
 
 // leaveGroup leaves the group. It returns false if there was no answer in time.
 func (n *Node) leaveGroup(ctx context.Context) bool {
+	n.joining.Lock()
+	defer n.joining.Unlock()
 	call, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	err := n.platform.Group.Leave(call)
@@ -126,8 +146,9 @@
 	return err == nil
 }
 
-// assign applies the assignment of a join that was sent at a time of the authority clock.
-func (n *Node) assign(a Assignment, sent time.Duration) {
+// assign applies the assignment of a join that was sent at a time of the authority clock. It reports
+// whether a cell is no longer assigned.
+func (n *Node) assign(a Assignment, sent time.Duration) (lost bool) {
 	assigned := make(map[int]bool, len(a.Cells))
 	for _, number := range a.Cells {
 		assigned[number] = true
@@ -139,9 +160,11 @@
 			}
 			c.assign(a.Generation)
 		} else {
-			c.assign(0)
+			c.authority.release()
+			lost = c.assign(0) || lost
 		}
 	}
+	return lost
 }
 
 func (n *Node) logError(number logevent.Number, err error, fields ...zap.Field) {
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -35,6 +35,9 @@
 	// authorityNow.
 	lastJoin atomic.Int64
 	stopping atomic.Bool
+	// joining is held during calls that join or leave the group: a join that arrives after the
+	// node has left would make it a member again.
+	joining sync.Mutex
 	// reader decodes records and snapshots.
 	reader ledger.Reader
 	// refused: the node is to leave the group, because it can't read a cell.
@@ -81,15 +84,16 @@
 	n.wg.Wait()
 }
 
-// Stop releases the node's cells, so that other nodes can take them over at
-// once, until ctx is done. The node continues to serve callers.
+// Stop leaves the group and releases the node's cells, each as soon as another node is ready to
+// take it over, until ctx is done. The node continues to serve callers.
 func (n *Node) Stop(ctx context.Context) {
 	if n.stopping.Swap(true) {
 		return
 	}
-	n.releaseCells(ctx)
+	n.releaseCells()
 	for attempt := 1; !n.leaveGroup(ctx) && sleep(ctx, retryDelay(attempt)); attempt++ {
 	}
+	n.waitUntilReleased(ctx)
 }
 
 // Ready reports whether the node can accept submissions.
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -53,7 +53,9 @@
 	// behindReportedAt is when a long wait of an event was last reported.
 	behindReportedAt time.Duration
 	times            takeoverTimes
-	wg               sync.WaitGroup
+	// leavingSince is when the cell was found to be assigned to this node no more, or 0.
+	leavingSince time.Duration
+	wg           sync.WaitGroup
 }
 
 // intakePageRead reports a page of the intake that tailIntake read, possibly without
@@ -126,12 +128,13 @@
 	reason := o.guardedEventLoop(ctx)
 	left := c.node.monotonicNow()
 	sincePlaced := o.times.timeWithoutPlacement(left)
-	if reason == assignmentEnded && o.hasAuthority() {
+	o.writer.finish(ctx, flushTime)
+	cancel()
+	if o.isHandedOver(reason) {
 		o.handOver(parent, endConfirmation)
 	} else {
 		endConfirmation()
 	}
-	cancel()
 	c.node.workers.unsubscribe(o)
 	o.wg.Wait()
 	o.keepLeases(reason)
@@ -176,8 +179,10 @@
 		cancel()
 		c.node.metrics.countLogCall(err)
 		if errors.Is(err, ErrOffsetMismatch) {
-			// The read lagged behind the stream's end.
-			sleep(ctx, retryDelay(attempt))
+			// The previous owner goes on, or the read lagged behind the stream's end.
+			if attempt > 1 || !c.askToResign(ctx, previous.Owner) {
+				sleep(ctx, retryDelay(attempt))
+			}
 			continue
 		}
 		if err != nil {
@@ -196,6 +201,9 @@
 // assignmentEnded is the reason for the end of an ownership that the node gives up.
 const assignmentEnded = "assignment ended"
 
+// resigned is the reason for the end of an ownership that another node requested.
+const resigned = "resigned"
+
 // panicked is the reason for the end of an ownership whose state may be inconsistent.
 const panicked = "panic"
 
@@ -223,19 +231,14 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if o.generation.Load() == 0 {
+			if o.generation.Load() == 0 && o.leavingSince == 0 {
 				return assignmentEnded
 			}
 			return "fenced or stopped"
 		case <-o.wake:
-			if o.generation.Load() == 0 {
-				return assignmentEnded
+			if reason := o.assignmentChanged(ctx); reason != "" {
+				return reason
 			}
-			if o.resignedEpoch.Load() >= o.epoch {
-				return "resigned"
-			}
-			o.proveEpoch()
-			o.wg.Go(func() { o.verifyEpoch(ctx) })
 		case answer := <-o.refreshRequests:
 			answer <- refreshResult{intakeNext: o.intakeNext}
 		case made := <-o.reportRequests:
@@ -263,6 +266,9 @@
 			o.proveEpoch()
 			o.sweep()
 			o.saveSnapshot(ctx)
+			if o.leavingSince > 0 && o.node.monotonicNow()-o.leavingSince >= leavingTime {
+				return assignmentEnded
+			}
 		}
 	}
 }
--- a/coordinator/plannedhandover_test.go
+++ b/coordinator/plannedhandover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -111,3 +112,66 @@
 	}
 	return n
 }
+
+// Guards against an owner that a successor which never gets ready keeps from leaving, and against one
+// that stops work although nobody is ready to go on with it.
+func TestOwnerLeavesThoughNobodySucceeds(t *testing.T) {
+	for name, leave := range map[string]func(c *cluster){
+		"reassigned": func(c *cluster) { c.group.assign(0, "vm-1") },
+		"stopped":    func(c *cluster) { c.nodes["vm-0"].Stop(timeoutContext(4500 * time.Millisecond)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := startPlannedHandOver()
+				defer c.close()
+				defer c.submitSteadily(is, "vm-2")()
+				time.Sleep(2 * time.Second)
+				c.cutStore("vm-1", true)
+				began := time.Now()
+				go leave(c)
+				is.True(c.longestStandstill(2500*time.Millisecond) < maxStandstill)
+				time.Sleep(4*time.Second - time.Since(began))
+				started := c.workers.startedTasks()
+				time.Sleep(time.Second)
+				is.Equal(c.workers.startedTasks(), started)
+				is.Equal(c.nodes["vm-0"].Dump(t.Context()).Cells[0].Owned, false)
+			})
+		})
+	}
+}
+
+// Guards against a task that two owners start, or neither, when the cell changes its owner while work
+// arrives.
+func TestPlannedHandOversStartEachTaskOnce(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(seed, 0))
+				c := startPlannedHandOver()
+				defer c.close()
+				stop := c.submitSteadily(is, "vm-2")
+				for range 12 {
+					c.group.assign(0, fmt.Sprint("vm-", random.IntN(3)))
+					time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
+				}
+				stop()
+				time.Sleep(15 * time.Second)
+				active, ended, starts := 0, 0, make(map[workload.TaskID]int)
+				for _, w := range c.workers {
+					active += len(w.runs)
+					ended += len(w.endedRuns)
+					for task, n := range w.starts {
+						starts[task] += n
+					}
+				}
+				is.Equal(active, 0)
+				is.Equal(ended, len(starts))
+				for _, n := range starts {
+					is.Equal(n, 1)
+				}
+			})
+		})
+	}
+}
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -58,8 +58,9 @@
 // other node owns any cell, the node returns for those that it can read.
 func (n *Node) leaveUntilReadable(ctx context.Context) {
 	n.refused.Store(false)
-	n.releaseCells(ctx)
+	n.releaseCells()
 	n.leaveGroup(ctx)
+	n.waitUntilReleased(ctx)
 	checksWithoutOwner := 0
 	for sleep(ctx, reserveCheckInterval) && !n.stopping.Load() {
 		if n.readRefusedCells(ctx) {
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// askToResign requests the owner of a cell to end its ownership before this node opens the next
+// epoch, and reports whether it has.
+func (c *cell) askToResign(ctx context.Context, owner ledger.Owner) bool {
+	if owner.PeerAddress == "" || owner.PeerAddress == c.node.config.PeerAddress {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	answer, err := c.node.peers.client(owner.PeerAddress).Resign(call, &coordpb.ResignRequest{Cell: int32(c.number), Epoch: owner.Epoch})
+	if err != nil || !answer.Resigned {
+		return false
+	}
+	c.learnEnd(owner.Epoch, answer)
+	return true
+}
+
 // postProcessEnd passes on that the process of the previous owner has ended, and reports
 // whether that is known.
 func (o *ownership) postProcessEnd(ctx context.Context, previous ledger.Owner) bool {
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,6 +13,9 @@
 	"github.com/cactusreel/cactusreel/logevent"
 )
 
+// flushPollInterval is the time between two looks at whether all records are in the log.
+const flushPollInterval = 2 * time.Millisecond
+
 // cellWriter appends an owner's records with group commit: records that arrive
 // while an append is in flight form the next batch. An append is retried with the
 // same sequence number until its outcome is known.
@@ -20,6 +24,8 @@
 	mu        sync.Mutex
 	queue     []dispatch.Append
 	wake      chan struct{}
+	// appending: a batch has been taken from the queue and is not known to be in the log.
+	appending bool
 	// sequence is the sequence number of the last append; 1 was the Opened record.
 	sequence int64
 }
@@ -49,6 +55,29 @@
 				break
 			}
 			w.appendBatch(ctx, records, appendIDs)
+			w.noteAppended()
+		}
+	}
+}
+
+func (w *cellWriter) noteAppended() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.appending = false
+}
+
+func (w *cellWriter) isIdle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue) == 0 && !w.appending
+}
+
+// finish waits until the queue is empty and its records are in the log, for a limited time. An
+// append whose outcome is unknown could let the successor read too little.
+func (w *cellWriter) finish(ctx context.Context, limit time.Duration) {
+	for began := w.ownership.node.monotonicNow(); !w.isIdle() && w.ownership.node.monotonicNow()-began < limit; {
+		if !sleep(ctx, flushPollInterval) {
+			return
 		}
 	}
 }
@@ -78,6 +107,7 @@
 		taken++
 	}
 	w.queue = append([]dispatch.Append(nil), w.queue[taken:]...)
+	w.appending = taken > 0
 	return records, appendIDs
 }
 
