coordinator: the list of workers is read while a cell is being taken over

It is read beside the streams now, and an ownership begins with a list that is at most a second old. Its age counts as for any other list.

--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -36,6 +36,8 @@
 	proofInterval = 500 * time.Millisecond
 	// directoryReadInterval is the longest pause between reads of the list of workers.
 	directoryReadInterval = 400 * time.Millisecond
+	// preparedListAge is the age up to which an ownership begins with a list that was read before.
+	preparedListAge = time.Second
 	// tickInterval is the interval of the dispatch machine's Tick events.
 	tickInterval = 20 * time.Millisecond
 	// intakeReadWait is the maximum time for which the log may delay its answer to
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -79,6 +79,8 @@
 		sleep(parent, logRetryDelay)
 		return
 	}
+	endPreparation := c.node.workers.prepare()
+	defer endPreparation()
 	times := takeoverTimes{assignedAt: time.Duration(c.assignedAt.Load()), began: c.node.monotonicNow()}
 	epoch, previous, err := c.openEpoch(parent, &times)
 	if err != nil {
--- a/coordinator/workerlist.go
+++ b/coordinator/workerlist.go
@@ -12,11 +12,16 @@
 )
 
 // workerList reads the list of workers once for all cells that this node owns,
-// and not at all while it owns none.
+// and not at all while it owns none and takes none over.
 type workerList struct {
 	node        *Node
 	mu          sync.Mutex
 	subscribers map[*ownership]subscription
+	// preparing is the number of cells that are being taken over.
+	preparing int
+	// list is the last one that was read, by a call that was sent at sent.
+	list []workload.Worker
+	sent time.Duration
 	// wake wakes the reading goroutine when an ownership subscribes.
 	wake chan struct{}
 }
@@ -32,31 +37,56 @@
 	return &workerList{node: n, subscribers: make(map[*ownership]subscription), wake: make(chan struct{}, 1)}
 }
 
-// subscribe sends the list and its changes to an ownership until ctx is done.
+// prepare has the list read until the returned function is called, so that an ownership that
+// begins before has it at once.
+func (l *workerList) prepare() (end func()) {
+	l.mu.Lock()
+	l.preparing++
+	l.mu.Unlock()
+	signal(l.wake)
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.preparing--
+	}
+}
+
+// subscribe sends the list and its changes to an ownership until ctx is done. The ownership has
+// not begun to read its events, so the first ones don't wait.
 func (l *workerList) subscribe(ctx context.Context, o *ownership) {
 	l.mu.Lock()
-	l.subscribers[o] = subscription{ctx: ctx}
+	recent := l.list != nil && l.node.monotonicNow()-l.sent < preparedListAge
+	if recent {
+		l.send(ctx, o, l.list, l.sent)
+	}
+	l.subscribers[o] = subscription{ctx: ctx, delivered: recent}
 	l.mu.Unlock()
 	signal(l.wake)
 }
 
+// send passes a list on to an ownership.
+func (l *workerList) send(ctx context.Context, o *ownership, list []workload.Worker, sent time.Duration) {
+	o.post(ctx, dispatch.WorkersListed{Workers: l.node.workersOf(o.cell, list), All: list})
+	o.post(ctx, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: sent})
+}
+
 func (l *workerList) unsubscribe(o *ownership) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.subscribers, o)
 }
 
-func (l *workerList) hasSubscribers() bool {
+func (l *workerList) isNeeded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.subscribers) > 0
+	return len(l.subscribers)+l.preparing > 0
 }
 
 // follow reads the list until ctx is done.
 func (l *workerList) follow(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
-		if !l.hasSubscribers() {
+		if !l.isNeeded() {
 			select {
 			case <-ctx.Done():
 			case <-l.wake:
@@ -92,6 +122,7 @@
 // it was read. The read was sent at sent.
 func (l *workerList) publish(list []workload.Worker, changed bool, sent time.Duration) {
 	l.mu.Lock()
+	l.list, l.sent = list, sent
 	subscribers := maps.Clone(l.subscribers)
 	for o, s := range l.subscribers {
 		l.subscribers[o] = subscription{ctx: s.ctx, delivered: true}
@@ -99,7 +130,8 @@
 	l.mu.Unlock()
 	for o, s := range subscribers {
 		if changed || !s.delivered {
-			o.post(s.ctx, dispatch.WorkersListed{Workers: l.node.workersOf(o.cell, list), All: list})
+			l.send(s.ctx, o, list, sent)
+			continue
 		}
 		o.post(s.ctx, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: sent})
 	}
--- a/coordinator/workerlist_test.go
+++ b/coordinator/workerlist_test.go
@@ -37,3 +37,18 @@
 	}
 	is.Equal(own, len(list))
 }
+
+// Guards against an owner that waits for the list of workers although this node has just read it.
+func TestOwnershipBeginsWithTheListThatWasReadBefore(t *testing.T) {
+	for age, events := range map[time.Duration]int{preparedListAge / 2: 2, 2 * preparedListAge: 0} {
+		is := is.New(t)
+		n := &Node{startedAt: time.Now().Add(-time.Hour)}
+		n.cells = []*cell{{node: n}}
+		n.workers = newWorkerList(n)
+		n.workers.publish([]workload.Worker{{}}, true, n.monotonicNow()-age)
+		o := &ownership{cell: n.cells[0], events: make(chan queuedEvent, 2)}
+		n.workers.subscribe(t.Context(), o)
+		is.Equal(len(o.events), events)
+		is.Equal(n.workers.subscribers[o].delivered, events > 0)
+	}
+}
