--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -91,24 +91,15 @@
 	began := c.node.monotonicNow()
 	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch), zap.Int("live", len(c.ledger().Live())))
 	ctx, cancel := context.WithCancel(parent)
-	config := c.node.config.Dispatch
-	config.Epoch = epoch
-	if len(c.node.cells) > 1 {
-		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
-	}
 	c.witnesses.Store(witness.NewOwner())
-	config.PredecessorExpiry = c.predecessorLeaseExpiry()
-	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
-	config.LeaseExpiryLimit = c.leaseExpiryLimit
-	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
 		cell: c, epoch: epoch, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
-		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
+		machine:  dispatch.New(c.dispatchConfig(epoch), c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
 	}
+	times.readyAt = c.node.monotonicNow()
 	o.times = times
-	o.times.readyAt = c.node.monotonicNow()
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
 	c.outlooks.begin(epoch, began)
@@ -128,8 +119,7 @@
 	o.node.wg.Go(func() { o.askWitnesses(confirmed) })
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
-	left := c.node.monotonicNow()
-	sincePlaced := o.times.timeWithoutPlacement(left)
+	o.times.leftAt = c.node.monotonicNow()
 	o.writer.finish(ctx, flushTime)
 	cancel()
 	if o.isHandedOver(reason) {
@@ -142,9 +132,21 @@
 	o.keepLeases(reason)
 	c.owning.Store(false)
 	close(ended)
-	c.node.logger.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
-		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began), zap.Int("placements", o.times.placements),
-		zap.Duration("sincePlaced", sincePlaced), zap.Duration("handOver", c.node.monotonicNow()-left))
+	o.reportEnd(reason)
+}
+
+// dispatchConfig returns the configuration of the machine of an epoch.
+func (c *cell) dispatchConfig(epoch int64) dispatch.Config {
+	config := c.node.config.Dispatch
+	config.Epoch = epoch
+	if len(c.node.cells) > 1 {
+		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
+	}
+	config.PredecessorExpiry = c.predecessorLeaseExpiry()
+	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
+	config.LeaseExpiryLimit = c.leaseExpiryLimit
+	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
+	return config
 }
 
 func (c *cell) epochNotOpened(ctx context.Context, err error) {
--- a/coordinator/takeovertimes.go
+++ b/coordinator/takeovertimes.go
@@ -25,6 +25,8 @@
 	// firstPlacedAt and lastPlacedAt are the times of the first and the last placement.
 	firstPlacedAt, lastPlacedAt time.Duration
 	placements                  int
+	// leftAt is when the decisions ended.
+	leftAt time.Duration
 }
 
 // noteEvent notes an event that is passed to the machine.
@@ -78,10 +80,14 @@
 	}
 }
 
-// timeWithoutPlacement returns the time since the last placement, or 0 if there was none.
-func (t *takeoverTimes) timeWithoutPlacement(now time.Duration) time.Duration {
-	if t.lastPlacedAt == 0 {
-		return 0
+// reportEnd logs the end of the ownership.
+func (o *ownership) reportEnd(reason string) {
+	t, now := &o.times, o.node.monotonicNow()
+	sincePlaced := time.Duration(0)
+	if t.placements > 0 {
+		sincePlaced = t.leftAt - t.lastPlacedAt
 	}
-	return now - t.lastPlacedAt
+	o.node.logger.Log(logevent.EpochEnded, zap.Int("cell", o.number), zap.Int64("epoch", o.epoch),
+		zap.String("reason", reason), zap.Duration("duration", now-o.openedAt), zap.Int("placements", t.placements),
+		zap.Duration("sincePlaced", sincePlaced), zap.Duration("handOver", now-t.leftAt))
 }
