--- a/coordinator/plannedhandover_test.go
+++ b/coordinator/plannedhandover_test.go
@@ -175,3 +175,26 @@
 		})
 	}
 }
+
+// Guards against a cell that nobody gets, or a long standstill, if the successor can't ask the owner to
+// resign, as one of an earlier version doesn't: the owner's appends come before the successor's.
+func TestHandOverWithoutAWordToTheOwner(t *testing.T) {
+	for after := time.Duration(0); after < 300*time.Millisecond; after += 70 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := startPlannedHandOver()
+				defer c.close()
+				defer c.submitSteadily(is, "vm-2")()
+				time.Sleep(2*time.Second + after)
+				c.cutLink("vm-1", "vm-0", true)
+				c.group.assign(0, "vm-1")
+				still := c.longestStandstill(6 * time.Second)
+				is.Equal(c.nodes["vm-1"].Dump(t.Context()).Cells[0].Owned, true)
+				if still > time.Second {
+					t.Errorf("no start for %v", still)
+				}
+			})
+		})
+	}
+}
