--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -120,7 +120,9 @@
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
 	o.times.leftAt = c.node.monotonicNow()
-	o.writer.finish(ctx, flushTime)
+	if o.leavingSince > 0 {
+		o.writer.finish(ctx, flushTime)
+	}
 	cancel()
 	if o.isHandedOver(reason) {
 		o.handOver(parent, endConfirmation)
