--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -36,6 +36,8 @@
 	proofInterval = 500 * time.Millisecond
 	// directoryReadInterval is the longest pause between reads of the list of workers.
 	directoryReadInterval = 400 * time.Millisecond
+	// preparedListAge is the age up to which an ownership begins with a list that was read before.
+	preparedListAge = time.Second
 	// tickInterval is the interval of the dispatch machine's Tick events.
 	tickInterval = 20 * time.Millisecond
 	// intakeReadWait is the maximum time for which the log may delay its answer to
@@ -63,6 +65,11 @@
 	// handOverTimeout is the time for which an owner that gives a cell up waits for the
 	// workers whose leases it extends.
 	handOverTimeout = 300 * time.Millisecond
+	// leavingTime is how long an owner to which the cell is no longer assigned goes on, so that
+	// its successor can read the cell before. It covers the group's joins and a read of two seconds.
+	leavingTime = 3 * time.Second
+	// flushTime is how long the end of an ownership waits for its records to be appended.
+	flushTime = 150 * time.Millisecond
 	// endWait is how long a call that waits for the end of an ownership stays open,
 	// endWatchInterval the least time between two such calls of a node.
 	endWait          = 5 * time.Second
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -52,7 +52,10 @@
 	saturationReportedAt time.Duration
 	// behindReportedAt is when a long wait of an event was last reported.
 	behindReportedAt time.Duration
-	wg               sync.WaitGroup
+	times            takeoverTimes
+	// leavingSince is when the cell was found to be assigned to this node no more, or 0.
+	leavingSince time.Duration
+	wg           sync.WaitGroup
 }
 
 // intakePageRead reports a page of the intake that tailIntake read, possibly without
@@ -76,7 +79,10 @@
 		sleep(parent, logRetryDelay)
 		return
 	}
-	epoch, previous, err := c.openEpoch(parent)
+	endPreparation := c.node.workers.prepare()
+	defer endPreparation()
+	times := takeoverTimes{assignedAt: time.Duration(c.assignedAt.Load()), began: c.node.monotonicNow()}
+	epoch, previous, err := c.openEpoch(parent, &times)
 	if err != nil {
 		c.epochNotOpened(parent, err)
 		return
@@ -85,22 +91,15 @@
 	began := c.node.monotonicNow()
 	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch), zap.Int("live", len(c.ledger().Live())))
 	ctx, cancel := context.WithCancel(parent)
-	config := c.node.config.Dispatch
-	config.Epoch = epoch
-	if len(c.node.cells) > 1 {
-		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
-	}
 	c.witnesses.Store(witness.NewOwner())
-	config.PredecessorExpiry = c.predecessorLeaseExpiry()
-	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
-	config.LeaseExpiryLimit = c.leaseExpiryLimit
-	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
 	o := &ownership{
 		cell: c, epoch: epoch, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
-		machine:  dispatch.New(config, c.ledger(), c.node.monotonicNow(), time.Now()),
+		machine:  dispatch.New(c.dispatchConfig(epoch), c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
 	}
+	times.readyAt = c.node.monotonicNow()
+	o.times = times
 	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
 	c.outlooks.begin(epoch, began)
@@ -120,19 +119,36 @@
 	o.node.wg.Go(func() { o.askWitnesses(confirmed) })
 	o.wg.Go(func() { o.publishOwner(ctx, c.ledger().Owner()) })
 	reason := o.guardedEventLoop(ctx)
-	if reason == assignmentEnded && o.hasAuthority() {
+	o.times.leftAt = c.node.monotonicNow()
+	if o.leavingSince > 0 {
+		o.writer.finish(ctx, flushTime)
+	}
+	cancel()
+	if o.isHandedOver(reason) {
 		o.handOver(parent, endConfirmation)
 	} else {
 		endConfirmation()
 	}
-	cancel()
 	c.node.workers.unsubscribe(o)
 	o.wg.Wait()
 	o.keepLeases(reason)
 	c.owning.Store(false)
 	close(ended)
-	c.node.logger.Log(logevent.EpochEnded, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
-		zap.String("reason", reason), zap.Duration("duration", c.node.monotonicNow()-began))
+	o.reportEnd(reason)
+}
+
+// dispatchConfig returns the configuration of the machine of an epoch.
+func (c *cell) dispatchConfig(epoch int64) dispatch.Config {
+	config := c.node.config.Dispatch
+	config.Epoch = epoch
+	if len(c.node.cells) > 1 {
+		config.CellOf = func(id string) int { return c.node.cellOf(id).number }
+	}
+	config.PredecessorExpiry = c.predecessorLeaseExpiry()
+	config.AuthorityDuration, config.LeaseLimit = authorityDuration, c.leaseLimit
+	config.LeaseExpiryLimit = c.leaseExpiryLimit
+	config.EpochAge = func(epoch int64) time.Duration { return c.node.owners.epochAge(c.number, epoch) }
+	return config
 }
 
 func (c *cell) epochNotOpened(ctx context.Context, err error) {
@@ -148,11 +164,12 @@
 // openEpoch reads the streams and fences previous owners with an Opened record.
 // The record is appended only at the end that was read, so no unread record of a
 // previous owner can precede it.
-func (c *cell) openEpoch(ctx context.Context) (epoch int64, previous predecessor, err error) {
+func (c *cell) openEpoch(ctx context.Context, times *takeoverTimes) (epoch int64, previous predecessor, err error) {
 	for attempt := 1; c.generation.Load() != 0; attempt++ {
 		if err := c.catchUp(ctx); err != nil {
 			return 0, previous, fmt.Errorf("read the streams: %w", err)
 		}
+		times.readAt = c.node.monotonicNow()
 		previous = predecessor{c.ledger().Owner(), c.ledger().Witnesses()}
 		epoch = max(c.generation.Load(), previous.Epoch+1)
 		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
@@ -168,14 +185,17 @@
 		cancel()
 		c.node.metrics.countLogCall(err)
 		if errors.Is(err, ErrOffsetMismatch) {
-			// The read lagged behind the stream's end.
-			sleep(ctx, retryDelay(attempt))
+			// The previous owner goes on, or the read lagged behind the stream's end.
+			if attempt > 1 || !c.askToResign(ctx, previous.Owner) {
+				sleep(ctx, retryDelay(attempt))
+			}
 			continue
 		}
 		if err != nil {
 			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
 		}
 		c.authority.proven(sent)
+		times.openedAt = c.node.monotonicNow()
 		c.ledger().Apply(record)
 		c.cellNext = end
 		c.node.owners.update(c.number, owner)
@@ -187,6 +207,9 @@
 // assignmentEnded is the reason for the end of an ownership that the node gives up.
 const assignmentEnded = "assignment ended"
 
+// resigned is the reason for the end of an ownership that another node requested.
+const resigned = "resigned"
+
 // panicked is the reason for the end of an ownership whose state may be inconsistent.
 const panicked = "panic"
 
@@ -214,19 +237,14 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if o.generation.Load() == 0 {
+			if o.generation.Load() == 0 && o.leavingSince == 0 {
 				return assignmentEnded
 			}
 			return "fenced or stopped"
 		case <-o.wake:
-			if o.generation.Load() == 0 {
-				return assignmentEnded
-			}
-			if o.resignedEpoch.Load() >= o.epoch {
-				return "resigned"
+			if reason := o.assignmentChanged(ctx); reason != "" {
+				return reason
 			}
-			o.proveEpoch()
-			o.wg.Go(func() { o.verifyEpoch(ctx) })
 		case answer := <-o.refreshRequests:
 			answer <- refreshResult{intakeNext: o.intakeNext}
 		case made := <-o.reportRequests:
@@ -254,6 +272,9 @@
 			o.proveEpoch()
 			o.sweep()
 			o.saveSnapshot(ctx)
+			if o.leavingSince > 0 && o.node.monotonicNow()-o.leavingSince >= leavingTime {
+				return assignmentEnded
+			}
 		}
 	}
 }
@@ -295,6 +316,7 @@
 		}
 		o.cellNext = ev.end
 	case dispatch.Event:
+		o.times.noteEvent(ev, o.node.monotonicNow())
 		o.step(ctx, ev)
 	}
 	return nil
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -62,6 +62,7 @@
 	SubmissionTurnedAway Number = 872
 	OrderWithheld        Number = 873
 	PiecesReported       Number = 874
+	TakeoverTimed        Number = 876
 )
 
 var coordinatorEvents = []Info{
@@ -74,7 +75,7 @@
 	{LargestFavoured, "LargestFavoured", zapcore.WarnLevel, "largest submissions of a queue are placed first, because they are served less often than the others", []string{"queue", "reason", "epoch", "cell"}, "None; if it recurs, add workers with enough free CPU and memory for the largest tasks. Event 806 names the submissions."},
 	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM became the owner of the cell", []string{"cell", "epoch", "live"}, "None."},
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "cell is assigned to this VM but its epoch could not be opened", []string{"cell", "error"}, "If it recurs, check the health of the log."},
-	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration"}, "None."},
+	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration", "placements", "sincePlaced", "handOver"}, "None. sincePlaced is the time from the last placement to the end of the decisions, handOver the time from then on until a successor is told."},
 	{EpochFenced, "EpochFenced", zapcore.WarnLevel, "another VM has opened a higher epoch", []string{"epoch", "worker"}, "None; if it recurs, look for an unstable network link or a slow VM."},
 	{GroupCallFailed, "GroupCallFailed", zapcore.WarnLevel, "call to the membership group failed", []string{"error"}, "Check the connection to the platform's store."},
 	{GroupRegained, "GroupRegained", zapcore.InfoLevel, "call to the membership group succeeds again", nil, "None."},
@@ -123,4 +124,5 @@
 	{SubmissionTurnedAway, "SubmissionTurnedAway", zapcore.WarnLevel, "submission was rejected, because the workers can't start it while it is of use; it has not run", []string{"id", "queue", "size", "duration", "age", "share", "waiting", "started", "late", "fit", "rejections", "retryAfter"}, "As for event 871. The age is that of the owner's outlook; fit is the number of tasks like its first ones that fit the free room."},
 	{OrderWithheld, "OrderWithheld", zapcore.InfoLevel, "order was not sent, because another incarnation of the worker answers", []string{"worker", "order", "expected", "found"}, "None: the worker has restarted, and the owner learns of it by this order. expected and found are start times in Unix milliseconds."},
 	{PiecesReported, "PiecesReported", zapcore.WarnLevel, "tasks wait, and no worker's free CPU is enough for one of them", []string{"worker", "reason", "epoch", "cell"}, "The reason has the free CPU by the size of the pieces in which it lies on the workers, and for each class of tasks that have waited for 0.5 s and fit no worker what they request and how many would fit if finite runs ended, or if the free CPU were in one piece (docs/OPERATIONS.md, `tasks_in_no_piece`). If next to none would in one piece, add capacity; otherwise the room is there and divided. At most one line a second."},
+	{TakeoverTimed, "TakeoverTimed", zapcore.InfoLevel, "first placement of an ownership, with the time of each step before it", []string{"cell", "epoch", "waited", "read", "opened", "ready", "listed", "heard", "reports", "placed"}, "None. waited is the time from the assignment to the attempt that opened the epoch, read that for reading the cell, opened that for the record of the epoch; the others count from there on. If read is long, check the connection to the platform's store."},
 }
