--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -52,6 +52,7 @@
 	m.emitDecision(RunPlaced, r.id, r.worker.ID(), r.step.Image, m.now-r.worker.clockAt)
 	record := ledger.PlacedRecord(r.id, r.worker.Incarnation, r.worker.Address)
 	record.Placed.Order, record.Placed.FreshFrom = r.order, r.worker.firstFresh()
+	record.Placed.EndsConnections = r.worker.endsConnections
 	incarnation := r.worker.Incarnation
 	m.starts.inFlight++
 	m.appendRecord(record, func() {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -122,6 +122,7 @@
 	first := !w.reported
 	if first {
 		w.fencePredecessors(m.now, m.config.longestLease())
+		w.countFormerGrants(m.now, report.Clock, m.config.longestWorkerLease())
 	}
 	w.reported = true
 	m.processEnds(w, report.Ended)
--- a/dispatch/inherit.go
+++ b/dispatch/inherit.go
@@ -25,12 +25,19 @@
 			return
 		}
 		w := m.inheritWorker(t.PlacedOn, t.PlacedAt)
-		if w == nil {
+		if w.Incarnation != t.PlacedOn && !t.EndsConnections {
 			return
 		}
 		r := m.newRun(e, t, t.Run, w)
 		r.phase, r.inherited, r.stopRequested = starting, true, final
 		r.order = t.Order
+		if w.Incarnation != t.PlacedOn {
+			w.removeRun(r, m.now)
+			m.stopOnNext(w, r)
+			r.unanswered = true // the next tick sends the stop
+			w.leasesExpireAt = max(w.leasesExpireAt, m.formerGrantsExpireAt(w))
+			return
+		}
 		w.freshFrom = max(w.freshFrom, t.FreshFrom)
 		if final {
 			// The next tick sends the stop, as one that had no answer.
@@ -70,8 +77,8 @@
 	}
 }
 
-// inheritWorker returns the worker of an inherited run, or nil if a run on a newer
-// incarnation of the worker shows that this incarnation has ended. The recorded address
+// inheritWorker returns the worker of an inherited run. Its incarnation is a newer one if a run on
+// that one shows that the given incarnation has ended. The recorded address
 // reaches a worker that is not listed any more: its runs must be stopped, and a crash of it
 // must be seen to count.
 func (m *Machine) inheritWorker(incarnation workload.Incarnation, address string) *worker {
@@ -80,10 +87,10 @@
 	case w == nil:
 		w = m.addWorker(workload.Worker{Incarnation: incarnation})
 	case incarnation.StartMillis < w.StartMillis:
-		return nil
+		return w
 	case incarnation.StartMillis > w.StartMillis:
-		m.workerRestarted(w, incarnation)
 		w.Address = ""
+		m.workerRestarted(w, incarnation)
 	}
 	if address != "" {
 		w.Address = address
@@ -99,7 +106,7 @@
 func (m *Machine) inheritSurvival() {
 	for _, w := range m.sorted {
 		for _, r := range w.runList {
-			r.survived = !r.isolated && (w.isolated > 0 || r.order < w.freshFrom)
+			r.survived = r.survived || !r.isolated && (w.isolated > 0 || r.order < w.freshFrom)
 		}
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -307,6 +307,15 @@
 	return w.grantArrivesAt + LeaseExpiryBound(longest)
 }
 
+// countFormerGrants counts the lease that the worker may have, at its first report, from calls of
+// previous owners to its former incarnation. It refuses further ones of those owners. An incarnation
+// whose clock is past the lease has outlived it; the clock need not begin at zero.
+func (w *worker) countFormerGrants(now, clock, longest time.Duration) {
+	if w.endsConnections && clock < 2*longest+CommandTimeout {
+		w.leasesExpireAt = max(w.leasesExpireAt, now+LeaseExpiryBound(longest))
+	}
+}
+
 // LeaseExpiryBound returns the time after which a lease has expired for certain,
 // even on a worker whose clock runs as slowly as clockDrift allows.
 func LeaseExpiryBound(lease time.Duration) time.Duration {
@@ -331,12 +340,12 @@
 	w.predecessorsExpireAt = min(w.predecessorsExpireAt, now+LeaseExpiryBound(lease))
 }
 
-// unreportedRuns returns the runs that were started by this owner and that no report has
-// listed, also those that are being stopped.
+// unreportedRuns returns the runs that no report has listed, also those that are being stopped:
+// those that this owner started, and inherited ones of a worker that ends its connections.
 func (w *worker) unreportedRuns() []*run {
 	var out []*run
 	for _, r := range w.runList {
-		if !r.inherited && r.reportedAt == 0 && (r.phase == starting || r.phase == running || r.phase == stopping) {
+		if (!r.inherited || r.task.EndsConnections) && r.reportedAt == 0 && (r.phase == starting || r.phase == running || r.phase == stopping) {
 			out = append(out, r)
 		}
 	}
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/cactusreel/cactusreel/workload"
+import (
+	"time"
+
+	"github.com/cactusreel/cactusreel/workload"
+)
 
 // workersListed applies the platform's current list of workers.
 func (m *Machine) workersListed(ev WorkersListed) {
@@ -69,23 +73,43 @@
 	w.Incarnation, w.listed = incarnation, false
 	m.inheritSilence(w)
 	for _, r := range unreported {
-		// The crash of the old incarnation has been attributed.
-		r.isolated, r.survived = false, true
-		w.addRun(r)
-		r.stopRequested = true
-		m.sendStop(r)
+		m.stopOnNext(w, r)
 	}
 	w.reported, w.silent, w.gone, w.restarted = false, false, false, true
 	w.heartbeatToFormer = w.heartbeatInFlight
 	w.unknownRuns = nil
 	w.lastEnd, w.cursor, w.ackedCursor, w.unrecordedEnds = 0, 0, 0, nil
 	w.clock, w.clockAt, w.predecessorsExpireAt, w.leaseDeadline = 0, 0, 0, 0
-	w.leasesExpireAt = w.formerGrantsExpireAt(m.config.longestWorkerLease())
+	w.leasesExpireAt = m.formerGrantsExpireAt(w)
 	w.history, w.leavesAt = runHistory{}, 0
 	w.pausedUntil, w.suspectedUntil = 0, 0
 	w.nextHeartbeatAt = m.now
 }
 
+// stopOnNext stops a run that a worker's new incarnation may have, or may be about to start,
+// because of a call to a former one. Its previous owner may have sent such calls until now.
+func (m *Machine) stopOnNext(w *worker, r *run) {
+	if r.inherited {
+		w.grantArrivesAt = m.now + CommandTimeout
+	}
+	// The crash of the old incarnation has been attributed.
+	r.isolated, r.survived, r.inherited = false, true, false
+	w.addRun(r)
+	r.stopRequested = true
+	m.sendStop(r)
+}
+
+// formerGrantsExpireAt returns when the leases have expired that a worker's new incarnation has from
+// calls that were meant for the one before. A record of its silence was made after the last of them,
+// and later owners may rely on it.
+func (m *Machine) formerGrantsExpireAt(w *worker) time.Duration {
+	at := w.formerGrantsExpireAt(m.config.longestWorkerLease())
+	for _, silence := range m.ledger.Silences(w.Incarnation) {
+		at = min(at, m.now+m.remaining(silence))
+	}
+	return at
+}
+
 // abandonRuns removes the runs of a worker on which they can no longer be active.
 func (m *Machine) abandonRuns(w *worker, reason string) {
 	for _, r := range w.runList {
--- a/ledger/crash_test.go
+++ b/ledger/crash_test.go
@@ -103,6 +103,21 @@
 	is.Equal(restored.Find("s1").Task(task).PlacedAt, "")
 }
 
+// Guards against a second run of a task whose first one the next incarnation of its worker may have,
+// because a snapshot loses that the worker ends its connections.
+func TestEndedConnectionsOfAnOpenRunOutlastASnapshot(t *testing.T) {
+	is := is.New(t)
+	task := workload.TaskID{Submission: "s1"}
+	l := ledger.New()
+	l.Apply(ledger.SubmittedRecord(&workload.Submission{ID: "s1", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}))
+	placed := ledger.PlacedRecord(workload.RunID{Task: task, Run: 1}, workload.Incarnation{Worker: "w", StartMillis: 1}, "")
+	placed.Placed.EndsConnections = true
+	l.Apply(placed)
+	restored := ledger.New()
+	restored.ApplySnapshot(l.Snapshot(ledger.Offsets{}))
+	is.True(restored.Find("s1").Task(task).EndsConnections)
+}
+
 // Guards against evidence of a lost run that does not count, or counts twice, because it is
 // known only after a later run, another owner or a snapshot.
 func TestLateEvidenceOfALostRunCountsOnce(t *testing.T) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -194,7 +194,7 @@
 		if !t.Done {
 			t.Open, t.PlacedAt = true, p.Address
 			t.PlacedOn = workload.Incarnation{Worker: p.Worker, StartMillis: p.Born}
-			t.Order, t.FreshFrom = p.Order, p.FreshFrom
+			t.Order, t.FreshFrom, t.EndsConnections = p.Order, p.FreshFrom, p.EndsConnections
 		}
 		if e.Steps[t.ID.Step].Gang {
 			noteGangPlaced(t, e.stepOf(t).Tasks)
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -56,7 +56,7 @@
 	}
 	if t.Open {
 		state.Worker, state.Born, state.Address = t.PlacedOn.Worker, t.PlacedOn.StartMillis, t.PlacedAt
-		state.Order, state.FreshFrom = t.Order, t.FreshFrom
+		state.Order, state.FreshFrom, state.EndsConnections = t.Order, t.FreshFrom, t.EndsConnections
 	}
 	return state
 }
@@ -97,7 +97,7 @@
 		t.Run, t.Failures, t.Checkpoint = state.Run, int(state.Failures), state.Checkpoint
 		t.Open = state.Worker != ""
 		t.PlacedOn, t.PlacedAt = workload.Incarnation{Worker: state.Worker, StartMillis: state.Born}, state.Address
-		t.Order, t.FreshFrom = state.Order, state.FreshFrom
+		t.Order, t.FreshFrom, t.EndsConnections = state.Order, state.FreshFrom, state.EndsConnections
 	}
 	e.mergeCrashes(t, state.Suspect, state.Evidence, state.CrashRun, state.Undecided)
 	if state.Done && e.guest {
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -19,6 +19,9 @@
 	// Order numbers the placements of the cell. When Run was placed, its worker had outlasted
 	// the starts of all runs there that were placed before FreshFrom.
 	Order, FreshFrom int64
+	// EndsConnections: that worker ends its connections, so its next incarnation may carry out
+	// the start of Run.
+	EndsConnections bool
 	// Failures is the number of runs that ended with Errored. The first member of a gang has
 	// that of the gang; the others have what it was when their newest run was placed.
 	Failures int
@@ -46,5 +49,5 @@
 // closeRun marks the end of the task's run as recorded.
 func (t *Task) closeRun() {
 	t.Open, t.PlacedOn, t.PlacedAt = false, workload.Incarnation{}, ""
-	t.Order, t.FreshFrom = 0, 0
+	t.Order, t.FreshFrom, t.EndsConnections = 0, 0, false
 }
