--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -357,6 +357,7 @@
 	r.entry.NoteRunNotFound()
 	if r.stopRequested || reason != "" || r.step.Gang || r.isolated || r.exceedsMaxPerWorker() {
 		m.stopRun(r, "start of a previous owner is not retried")
+		m.stopGang(r)
 		return
 	}
 	m.sendStart(r)
