--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -218,13 +218,19 @@
 	}
 	m.emitDecision(RunRefused, r.id, w.ID(), answer.String(), m.now-w.clockAt)
 	m.stopGang(r)
-	if r.unanswered {
+	switch {
+	case r.unanswered:
 		m.stopRun(r, "an earlier copy of the start may still be carried out")
-		return
+	case answer != WrongWorker && m.isFromBefore(r):
+		m.stopRun(r, "a stop of a previous owner may still be under way")
+	default:
+		m.removeRun(r)
 	}
-	m.removeRun(r)
 }
 
+// isFromBefore reports whether a previous owner placed a run.
+func (m *Machine) isFromBefore(r *run) bool { return r.order>>placementBits < m.config.Epoch }
+
 // noRoomPause returns the time for which no runs are placed on a worker that has
 // less free capacity than the machine has accounted for.
 func (m *Machine) noRoomPause(w *worker) time.Duration {
--- a/dispatch/formercalls_test.go
+++ b/dispatch/formercalls_test.go
@@ -16,8 +16,12 @@
 
 // listRestarted lists the second incarnation of worker w, and another worker.
 func (h *harness) listRestarted() {
+	h.listIncarnations(workload.Incarnation{Worker: "w", StartMillis: 2}, workload.Incarnation{Worker: "v", StartMillis: 1})
+}
+
+func (h *harness) listIncarnations(incarnations ...workload.Incarnation) {
 	var list []workload.Worker
-	for _, incarnation := range []workload.Incarnation{{Worker: "w", StartMillis: 2}, {Worker: "v", StartMillis: 1}} {
+	for _, incarnation := range incarnations {
 		list = append(list, workload.Worker{
 			Incarnation: incarnation, Service: "register", Address: incarnation.Worker, DataCentre: "giza", Rack: "r1-1",
 			Capacity: hostapi.Resources{MilliCPU: 64000, MemoryMiB: 1 << 20},
