--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -162,7 +162,7 @@
 		w.unansweredStartAt = m.now
 	}
 	r := w.runs[ev.Run]
-	if r == nil {
+	if r == nil || r.startedBefore {
 		return
 	}
 	if ev.Answer != NoAnswer && ev.Answer != WrongWorker {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -49,6 +49,8 @@
 	phase  phase
 	// inherited: a previous owner placed the run and no report has listed it yet.
 	inherited bool
+	// startedBefore: its start was sent to a former incarnation of the worker.
+	startedBefore bool
 	// stopRequested: the run must be stopped, or not started.
 	stopRequested bool
 	// ahead: the run's placement is recorded ahead, and it is not started before runs that are
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -95,7 +95,7 @@
 	// The crash of the old incarnation has been attributed.
 	r.isolated, r.survived, r.inherited = false, true, false
 	w.addRun(r)
-	r.stopRequested = true
+	r.startedBefore, r.stopRequested = true, true
 	m.sendStop(r)
 }
 
