--- a/coordinator/actions.go
+++ b/coordinator/actions.go
@@ -102,7 +102,7 @@
 	call, cancel := context.WithTimeout(ctx, dispatch.CommandTimeout)
 	answer := o.node.platform.WorkerClient.Stop(call, o.epoch, s)
 	cancel()
-	o.post(ctx, dispatch.StopAnswered{Worker: s.Worker, Run: s.Run, Answer: answer})
+	o.post(ctx, dispatch.StopAnswered{Worker: s.Worker, Incarnation: s.Incarnation, Run: s.Run, Answer: answer})
 }
 
 func (o *ownership) paceRun(ctx context.Context, p dispatch.Pace) {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -277,7 +277,7 @@
 
 func (m *Machine) stopAnswered(ev StopAnswered) {
 	w := m.workers[ev.Worker]
-	if w == nil {
+	if w == nil || ev.Incarnation != (workload.Incarnation{}) && ev.Incarnation != w.Incarnation {
 		return
 	}
 	r := w.runs[ev.Run]
--- a/dispatch/dispatchtest/owner.go
+++ b/dispatch/dispatchtest/owner.go
@@ -250,7 +250,7 @@
 			c.start(o, a)
 		case dispatch.Stop:
 			c.send(o, a.Target, 0, func(w *linkedWorker) any { return w.Stop(o.epoch, a) }, func(_ *linkedWorker, answer any) {
-				c.step(o, dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: answer.(dispatch.Answer)})
+				c.step(o, dispatch.StopAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Run: a.Run, Answer: answer.(dispatch.Answer)})
 			})
 		case dispatch.WitnessesRecorded:
 			o.witnesses.Recorded(a.Number)
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -54,8 +54,10 @@
 // StopAnswered is the answer to a Stop action.
 type StopAnswered struct {
 	Worker string
-	Run    workload.RunID
-	Answer Answer
+	// Incarnation is the one that the stop was sent to; empty stands for the present one.
+	Incarnation workload.Incarnation
+	Run         workload.RunID
+	Answer      Answer
 }
 
 // PaceAnswered is the answer to a Pace action.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -208,7 +208,7 @@
 			}
 			return w.Stop(o.epoch, a), true
 		}, func(answer any, lost bool) {
-			ev := dispatch.StopAnswered{Worker: a.Worker, Run: a.Run, Answer: dispatch.NoAnswer}
+			ev := dispatch.StopAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Run: a.Run, Answer: dispatch.NoAnswer}
 			if !lost {
 				ev.Answer = answer.(dispatch.Answer)
 			}
