--- a/dispatch/formercallstakeover_test.go
+++ b/dispatch/formercallstakeover_test.go
@@ -79,6 +79,21 @@
 	is.Equal(h.count(startOf("s")), 2)
 }
 
+// Guards against a task that is run again although a previous owner saw its run succeed, because the
+// worker has restarted since.
+func TestKnownEndOfARunOnAFormerIncarnationCounts(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.reportOnEndedConnection()
+	run := h.submitUnanswered("s", plainStep)
+	h.succeedOwner(simLease)
+	h.listRestarted()
+	h.handle(dispatch.EndsLearned{Ends: []dispatch.KnownEnd{{
+		Worker: workload.Incarnation{Worker: "w", StartMillis: 1}, Run: run, Outcome: workload.Succeeded,
+	}}})
+	is.Equal(h.ledger.Find("s").State(), workload.Completed)
+}
+
 // Guards against a wait that begins anew with each owner, for the lease that a silent incarnation may
 // have from calls to its former one.
 func TestTakeoversDoNotProlongTheWaitForCallsToAFormerIncarnation(t *testing.T) {
--- a/dispatch/knownends.go
+++ b/dispatch/knownends.go
@@ -84,7 +84,7 @@
 	}
 	ended := &workload.EndedRun{RunID: end.Run, Outcome: end.Outcome, Checkpoint: end.Checkpoint}
 	switch r := m.active[t.ID]; {
-	case r != nil && r.id == end.Run && r.inherited:
+	case r != nil && r.id == end.Run && (r.inherited || r.startedBefore):
 		m.beginInterruption(r, r.reportedAt, "a previous owner saw it end: "+end.Outcome.String(), waitDetection)
 		m.runEnded(r, ended, "a previous owner saw it: ", func() {})
 	case r == nil && !e.State().Final() && !m.recordingEnds[t.ID] && !m.releasing[t.ID]:
