--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -52,6 +52,7 @@
 	m.emitDecision(RunPlaced, r.id, r.worker.ID(), r.step.Image, m.now-r.worker.clockAt)
 	record := ledger.PlacedRecord(r.id, r.worker.Incarnation, r.worker.Address)
 	record.Placed.Order, record.Placed.FreshFrom = r.order, r.worker.firstFresh()
+	record.Placed.EndsConnections = r.worker.endsConnections
 	incarnation := r.worker.Incarnation
 	m.starts.inFlight++
 	m.appendRecord(record, func() {
@@ -161,7 +162,7 @@
 		w.unansweredStartAt = m.now
 	}
 	r := w.runs[ev.Run]
-	if r == nil {
+	if r == nil || r.startedBefore {
 		return
 	}
 	if ev.Answer != NoAnswer && ev.Answer != WrongWorker {
@@ -217,13 +218,19 @@
 	}
 	m.emitDecision(RunRefused, r.id, w.ID(), answer.String(), m.now-w.clockAt)
 	m.stopGang(r)
-	if r.unanswered {
+	switch {
+	case r.unanswered:
 		m.stopRun(r, "an earlier copy of the start may still be carried out")
-		return
+	case answer != WrongWorker && m.isFromBefore(r):
+		m.stopRun(r, "a stop of a previous owner may still be under way")
+	default:
+		m.removeRun(r)
 	}
-	m.removeRun(r)
 }
 
+// isFromBefore reports whether a previous owner placed a run.
+func (m *Machine) isFromBefore(r *run) bool { return r.order>>placementBits < m.config.Epoch }
+
 // noRoomPause returns the time for which no runs are placed on a worker that has
 // less free capacity than the machine has accounted for.
 func (m *Machine) noRoomPause(w *worker) time.Duration {
@@ -270,7 +277,7 @@
 
 func (m *Machine) stopAnswered(ev StopAnswered) {
 	w := m.workers[ev.Worker]
-	if w == nil {
+	if w == nil || ev.Incarnation != (workload.Incarnation{}) && ev.Incarnation != w.Incarnation {
 		return
 	}
 	r := w.runs[ev.Run]
--- a/dispatch/formercalls_test.go
+++ b/dispatch/formercalls_test.go
@@ -16,8 +16,12 @@
 
 // listRestarted lists the second incarnation of worker w, and another worker.
 func (h *harness) listRestarted() {
+	h.listIncarnations(workload.Incarnation{Worker: "w", StartMillis: 2}, workload.Incarnation{Worker: "v", StartMillis: 1})
+}
+
+func (h *harness) listIncarnations(incarnations ...workload.Incarnation) {
 	var list []workload.Worker
-	for _, incarnation := range []workload.Incarnation{{Worker: "w", StartMillis: 2}, {Worker: "v", StartMillis: 1}} {
+	for _, incarnation := range incarnations {
 		list = append(list, workload.Worker{
 			Incarnation: incarnation, Service: "register", Address: incarnation.Worker, DataCentre: "giza", Rack: "r1-1",
 			Capacity: hostapi.Resources{MilliCPU: 64000, MemoryMiB: 1 << 20},
@@ -102,6 +106,9 @@
 // restartThenCut restarts a worker under its id, and cuts it off soon after.
 func (s *sim) restartThenCut(w *dispatchtest.Worker) {
 	w.Up = false
+	for run := range w.Runs {
+		s.crashes.workers[run.Task]++
+	}
 	down := time.Duration(100+s.random.IntN(800)) * time.Millisecond
 	s.after(down, func() { s.reboot(w) })
 	s.after(down+time.Duration(s.random.IntN(1000))*time.Millisecond, func() { w.Partitioned = true })
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -122,6 +122,7 @@
 	first := !w.reported
 	if first {
 		w.fencePredecessors(m.now, m.config.longestLease())
+		w.countFormerGrants(m.now, report.Clock, m.config.longestWorkerLease())
 	}
 	w.reported = true
 	m.processEnds(w, report.Ended)
@@ -356,6 +357,7 @@
 	r.entry.NoteRunNotFound()
 	if r.stopRequested || reason != "" || r.step.Gang || r.isolated || r.exceedsMaxPerWorker() {
 		m.stopRun(r, "start of a previous owner is not retried")
+		m.stopGang(r)
 		return
 	}
 	m.sendStart(r)
