--- a/dispatch/inheritrefused_test.go
+++ b/dispatch/inheritrefused_test.go
@@ -45,3 +45,28 @@
 		})
 	}
 }
+
+// Guards against a task that waits for as long as a worker refuses orders, although no stop of the previous
+// owner can still be under way there.
+func TestRefusedStopOfAnInheritedRunEndsInTime(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.report()
+	h.submit("s", longRunningStep())
+	h.succeedOwner(simLease)
+	h.listIncarnations(workload.Incarnation{Worker: "w", StartMillis: 1}, workload.Incarnation{Worker: "v", StartMillis: 1})
+	h.reportOf("v")
+	h.withholdsStarts = true
+	h.reportOf("w")
+	h.advance(20 * time.Millisecond)
+	run := workload.RunID{Task: workload.TaskID{Submission: "s"}, Run: 1}
+	is.Equal(h.withheld, []workload.RunID{run})
+	h.handle(dispatch.StartAnswered{Worker: "w", Run: run, Answer: dispatch.Unhealthy, Clock: h.now})
+	for range 60 {
+		h.handle(dispatch.StopAnswered{Worker: "w", Run: run, Answer: dispatch.Unhealthy})
+		h.advance(100 * time.Millisecond)
+		h.reportOf("w")
+		h.reportOf("v")
+	}
+	is.Equal(len(h.withheld), 2)
+}
