--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -222,6 +222,7 @@
 	case r.unanswered:
 		m.stopRun(r, "an earlier copy of the start may still be carried out")
 	case answer != WrongWorker && m.isFromBefore(r):
+		r.startRefusedAt = m.now
 		m.stopRun(r, "a stop of a previous owner may still be under way")
 	default:
 		m.removeRun(r)
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -335,7 +335,7 @@
 			m.stopRun(r, "worker does not list the run")
 		}
 	case stopping:
-		if r.stopShouldHaveEnded(sentAt, m.config.StopTime) {
+		if r.stopShouldHaveEnded(sentAt, m.config.StopTime) || r.formerStopShouldHaveEnded(sentAt, m.config.StopTime) {
 			m.emitDecision(RunStopped, r.id, r.worker.ID(), "worker no longer lists the run", m.now-r.confirmedAt)
 			m.keepCheckpoint(r)
 			m.beginInterruption(r, r.reportedAt, "stopped, its end was not listed", waitStop)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -37,6 +37,12 @@
 	return !r.commandInFlight && sentAt > r.confirmedAt+stopTime+stopMargin
 }
 
+// formerStopShouldHaveEnded reports the same of a stop of the previous owner, which may have been under way
+// when the worker refused the start of an inherited run. The worker carries out no later order of that owner.
+func (r *run) formerStopShouldHaveEnded(sentAt, stopTime time.Duration) bool {
+	return r.startRefusedAt > 0 && sentAt > r.startRefusedAt+stopTime+stopMargin
+}
+
 // run is one run of a task that may exist on a worker.
 type run struct {
 	id workload.RunID
@@ -49,6 +55,8 @@
 	phase  phase
 	// inherited: a previous owner placed the run and no report has listed it yet.
 	inherited bool
+	// startRefusedAt is when the worker refused the start of this inherited run, or 0.
+	startRefusedAt time.Duration
 	// startedBefore: its start was sent to a former incarnation of the worker.
 	startedBefore bool
 	// stopRequested: the run must be stopped, or not started.
