--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -165,6 +165,8 @@
 // The record is appended only at the end that was read, so no unread record of a
 // previous owner can precede it.
 func (c *cell) openEpoch(ctx context.Context, times *takeoverTimes) (epoch int64, previous predecessor, err error) {
+	// asked is the newest epoch whose owner has been requested to resign, and has.
+	asked := int64(0)
 	for attempt := 1; c.generation.Load() != 0; attempt++ {
 		if err := c.catchUp(ctx); err != nil {
 			return 0, previous, fmt.Errorf("read the streams: %w", err)
@@ -186,7 +188,9 @@
 		c.node.metrics.countLogCall(err)
 		if errors.Is(err, ErrOffsetMismatch) {
 			// The previous owner goes on, or the read lagged behind the stream's end.
-			if attempt > 1 || !c.askToResign(ctx, previous.Owner) {
+			if previous.Epoch > asked && c.askToResign(ctx, previous.Owner) {
+				asked = previous.Epoch
+			} else {
 				sleep(ctx, retryDelay(attempt))
 			}
 			continue
--- a/coordinator/plannedhandover_test.go
+++ b/coordinator/plannedhandover_test.go
@@ -198,3 +198,31 @@
 		})
 	}
 }
+
+// Guards against a node that is no longer assigned a cell, and does not learn of it because its joins fail,
+// that takes the cell from the owner again and again.
+func TestFormerSuccessorLeavesTheOwnerAlone(t *testing.T) {
+	for after := time.Duration(0); after < 700*time.Millisecond; after += 70 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := startPlannedHandOver()
+				defer c.close()
+				defer c.submitSteadily(is, "vm-2")()
+				time.Sleep(4 * time.Second)
+				c.group.assign(0, "vm-1")
+				time.Sleep(after)
+				c.group.update(func() { c.group.cut = map[string]bool{"vm-1": true} })
+				c.group.assign(0, "vm-0")
+				// The group removes the node, which confirms nothing.
+				time.AfterFunc(1500*time.Millisecond, func() { c.group.update(func() { c.group.former = nil }) })
+				still := c.longestStandstill(6 * time.Second)
+				t.Logf("no start for %v", still)
+				is.Equal(c.nodes["vm-0"].Dump(t.Context()).Cells[0].Owned, true)
+				if still > maxStandstill {
+					t.Errorf("no start for %v", still)
+				}
+			})
+		})
+	}
+}
