--- a/dispatch/finiteroom.go
+++ b/dispatch/finiteroom.go
@@ -1,13 +1,8 @@
 package dispatch
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
-
-	"github.com/cactusreel/cactusreel/ledger"
-	"github.com/cactusreel/cactusreel/workload"
 )
 
 // Room for finite steps is kept in pieces that fit their tasks. On a worker, long-running runs leave one
@@ -20,150 +15,11 @@
 	// maxFiniteRoom is the fraction of the CPU of a service's usable workers that is kept at most, rounded
 	// to whole pieces.
 	maxFiniteRoom = 1.0 / 8
-	// demandInterval is the time between two computations of the demand.
-	demandInterval = 500 * time.Millisecond
-	// maxDemandWindow is the longest time over which arrivals are averaged: finite work that no longer
-	// arrives needs no room.
-	maxDemandWindow = 30 * time.Second
-	// minDemandWindow is the shortest one. An owner that has not seen
-	// so many yet keeps as much room as it may: of the submissions before, it knows those that wait
-	// still.
-	minDemandWindow = 3 * time.Second
 	// firstTaskDelay is how long after its due time a long-running submission without a run gets the
 	// first one also in room that finite steps need: a submission without any serves nobody.
 	firstTaskDelay = 4 * time.Second
-	// demandSpread is the number of standard deviations of the CPU that finite runs have at a time
-	// which is kept beside its mean.
-	demandSpread = 2.0
 )
 
-// pieceShares are the shares of the demand, from the largest request on, whose smallest requests are
-// the sizes of pieces that are looked at.
-var pieceShares = [...]float64{0.1, 0.25, 0.5, 1}
-
-// demandKey says which finite steps share room: those that the same workers can take, as far as they are
-// at least as urgent as a priority.
-type demandKey struct {
-	service, label string
-	priority       int
-}
-
-// finiteDemand is the CPU, in thousandths of a core, that finite steps need at a time in pieces of
-// different sizes.
-type finiteDemand struct {
-	// sizes are requests in descending order, needs what tasks that request at least as much have at a
-	// time.
-	sizes, needs [len(pieceShares)]int64
-}
-
-// finiteDemands has the demands by key. They follow from the submissions that the ledger knows, so that
-// another owner finds the same.
-type finiteDemands struct {
-	at    time.Duration
-	known bool
-	// settled: arrivals have been observed for minDemandWindow.
-	settled bool
-	steps   map[demandKey][]steadyStep
-	byKey   map[demandKey]*finiteDemand
-}
-
-// steadyStep is a finite step as it arrives on average.
-type steadyStep struct {
-	// request is the CPU of a task, cpu that of all its tasks, in thousandths of a core.
-	request, cpu int64
-	// load is the mean number of such steps that run at a time.
-	load float64
-}
-
-// demandFor returns the demand of finite steps that are at least as urgent as a priority, or nil if there
-// is none.
-func (m *Machine) demandFor(key demandKey) *finiteDemand {
-	d := &m.finiteDemands
-	if !d.known || m.now-d.at >= demandInterval {
-		*d = finiteDemands{at: m.now, known: true, settled: m.now-m.createdAt >= minDemandWindow, steps: m.steadySteps(), byKey: make(map[demandKey]*finiteDemand)}
-	}
-	demand, known := d.byKey[key]
-	if !known {
-		var steps []steadyStep
-		for k, s := range d.steps {
-			if k.service == key.service && k.label == key.label && k.priority <= key.priority {
-				steps = append(steps, s...)
-			}
-		}
-		demand = newFiniteDemand(steps)
-		d.byKey[key] = demand
-	}
-	return demand
-}
-
-// steadySteps returns the finite steps of the recent submissions of all queues.
-func (m *Machine) steadySteps() map[demandKey][]steadyStep {
-	out := make(map[demandKey][]steadyStep)
-	for _, sample := range m.sizes {
-		if sample.added < minSizeSample {
-			continue
-		}
-		entries, window := m.arrivals(sample)
-		for _, e := range entries {
-			for i := range e.Steps {
-				step := &e.Steps[i]
-				if step.LongRunning || step.BestEffort || step.Request.MilliCPU <= 0 {
-					continue
-				}
-				key := demandKey{service: e.Policy.Service, label: step.Label, priority: e.Policy.Priority}
-				out[key] = append(out[key], steadyStep{
-					request: step.Request.MilliCPU, cpu: step.Request.MilliCPU * int64(step.Tasks),
-					load: m.expectedRunTime(e.Queue, step).Seconds() / window.Seconds(),
-				})
-			}
-		}
-	}
-	return out
-}
-
-// arrivals returns the recent submissions of a queue, with the time in which they were accepted. Once
-// the epoch has lasted for minDemandWindow, they are those of the epoch.
-func (m *Machine) arrivals(sample *sizeSample) ([]*ledger.Entry, time.Duration) {
-	entries := slices.Clone(sample.submissions[:min(sample.added, sizeSampleSize)])
-	window := min(m.now-m.createdAt, maxDemandWindow)
-	if window < minDemandWindow {
-		window = maxDemandWindow
-	}
-	from := m.wall.Add(-window)
-	if len(entries) == sizeSampleSize {
-		first := slices.MinFunc(entries, func(a, b *ledger.Entry) int { return a.AcceptedAt.Compare(b.AcceptedAt) })
-		if first.AcceptedAt.After(from) {
-			return entries, max(minDemandWindow, m.wall.Sub(first.AcceptedAt))
-		}
-	}
-	return slices.DeleteFunc(entries, func(e *ledger.Entry) bool { return e.AcceptedAt.Before(from) }), window
-}
-
-// newFiniteDemand returns the demand of steps that arrive at random: for each size the mean of the CPU
-// of those that run at a time, and its standard deviation.
-func newFiniteDemand(steps []steadyStep) *finiteDemand {
-	slices.SortFunc(steps, func(a, b steadyStep) int {
-		return cmp.Or(cmp.Compare(b.request, a.request), cmp.Compare(b.cpu, a.cpu), cmp.Compare(b.load, a.load))
-	})
-	total := 0.0
-	for _, s := range steps {
-		total += s.load * float64(s.cpu)
-	}
-	if total <= 0 {
-		return nil
-	}
-	d, mean, variance, next := new(finiteDemand), 0.0, 0.0, 0
-	for i, s := range steps {
-		cpu := float64(s.cpu)
-		mean, variance = mean+s.load*cpu, variance+s.load*cpu*cpu
-		for next < len(pieceShares) && (mean >= pieceShares[next]*total*(1-1e-9) || i == len(steps)-1) {
-			d.sizes[next], d.needs[next] = s.request, int64(mean+demandSpread*math.Sqrt(variance))
-			next++
-		}
-	}
-	return d
-}
-
 // finiteRoom is the room that long-running tasks leave to finite steps, in a planning round. The CPU is
 // in thousandths of a core.
 type finiteRoom struct {
@@ -175,7 +31,7 @@
 	sizes map[runClass]map[string][]int64
 }
 
-// pieceRoom is the room on the workers that some finite steps can use.
+// pieceRoom is the room on the workers that the finite steps of a demand can use.
 type pieceRoom struct {
 	demand *finiteDemand
 	// room is the CPU in pieces of each size of the demand, needs what is needed of it.
@@ -241,22 +97,6 @@
 // wholePieces rounds what is needed to whole pieces of a size.
 func wholePieces(need, size int64) int64 { return (need + size/2) / size * size }
 
-// piece returns the CPU that long-running runs leave on a worker, when those that are being stopped have
-// ended.
-func (w *worker) piece() int64 {
-	if w.roundPiece >= 0 {
-		return w.roundPiece
-	}
-	piece := w.freeInTime().MilliCPU
-	for _, r := range w.runList {
-		if r.phase == stopping && r.step.LongRunning {
-			piece += reservation(r.step).MilliCPU
-		}
-	}
-	w.roundPiece = max(0, piece)
-	return w.roundPiece
-}
-
 // add adds a piece to the room, or takes it away with a sign of -1.
 func (p *pieceRoom) add(piece, sign int64) {
 	for i, size := range p.demand.sizes {
@@ -354,111 +194,3 @@
 	}
 	return sizes
 }
-
-// demandsOf returns the demands of finite steps of a service that are at least as urgent as a priority, one
-// for each label that they require.
-func (m *Machine) demandsOf(class runClass) map[string]*finiteDemand {
-	out := make(map[string]*finiteDemand)
-	for _, label := range m.demandLabels(class.service) {
-		if demand := m.demandFor(demandKey{class.service, label, class.priority}); demand != nil {
-			out[label] = demand
-		}
-	}
-	return out
-}
-
-// demandLabels returns the labels that finite steps of a service require, "" for none.
-func (m *Machine) demandLabels(service string) []string {
-	m.demandFor(demandKey{service: service})
-	var out []string
-	for key := range m.finiteDemands.steps {
-		if key.service == service && !slices.Contains(out, key.label) {
-			out = append(out, key.label)
-		}
-	}
-	return out
-}
-
-// isNew reports whether a long-running task has not had a run.
-func isNew(t *ledger.Task) bool { return t.Run == 0 }
-
-// yieldsRoom reports whether all tasks of a step that a planning round can place leave room to finite steps.
-func (m *Machine) yieldsRoom(ws *waitingStep) bool {
-	step := &ws.entry.Steps[ws.stepIndex]
-	if !m.mayYield(ws.entry, ws.occurrence, step, ws.state) {
-		return false
-	}
-	for i := range ws.state.Tasks {
-		if t := &ws.state.Tasks[i]; !isNew(t) && m.isUnclaimed(ws, t) {
-			return false
-		}
-	}
-	return true
-}
-
-// yields reports whether a task of a step leaves room to finite steps.
-func (m *Machine) yields(ws *waitingStep, t *ledger.Task) bool {
-	return isNew(t) && m.mayYield(ws.entry, ws.occurrence, &ws.entry.Steps[ws.stepIndex], ws.state)
-}
-
-// interruptedFirst returns the tasks of a step, for a long-running one first those that have had a run.
-func interruptedFirst(step *workload.Step, tasks []*ledger.Task) []*ledger.Task {
-	if step.LongRunning {
-		slices.SortStableFunc(tasks, func(a, b *ledger.Task) int { return cmp.Compare(min(b.Run, 1), min(a.Run, 1)) })
-	}
-	return tasks
-}
-
-// leavesRoom reports whether a task may be placed on a worker as far as the room for finite steps goes.
-func (m *Machine) leavesRoom(ws *waitingStep, step *workload.Step, t *ledger.Task, w *worker) bool {
-	return !m.yields(ws, t) || m.admits(ws, step, w)
-}
-
-// mayYield reports whether the new tasks of a step leave room to finite steps: those of a long-running one
-// that is neither a gang nor a guest, which has been offered its room, unless it lacks its first run.
-func (m *Machine) mayYield(e *ledger.Entry, occurrence int, step *workload.Step, state *ledger.Step) bool {
-	return step.LongRunning && !step.Gang && !e.Guest() && !m.lacksFirstRun(e, occurrence, state)
-}
-
-// lacksFirstRun reports whether a long-running submission has waited for firstTaskDelay and has no run. The
-// wait goes on over takeovers, and also if the clock of the node that accepted it is ahead.
-func (m *Machine) lacksFirstRun(e *ledger.Entry, occurrence int, state *ledger.Step) bool {
-	if len(m.byEntry[e.ID]) > 0 {
-		return false
-	}
-	waited := m.wall.Sub(e.DueAt(occurrence))
-	if wait := m.longWaits[state]; wait != nil {
-		waited = max(waited, m.now-wait.first)
-	}
-	return waited >= firstTaskDelay
-}
-
-// admits reports whether a new task of a long-running step may be placed on a worker.
-func (m *Machine) admits(ws *waitingStep, step *workload.Step, w *worker) bool {
-	return m.finiteRoom.admits(classOfStep(ws), taking{w, reservation(step).MilliCPU})
-}
-
-// movesThatLeaveRoom returns the moves of runs to make room for a new task that leave enough room to finite
-// steps.
-func (m *Machine) movesThatLeaveRoom(ws *waitingStep, step *workload.Step, moves []runMove) []runMove {
-	return slices.DeleteFunc(moves, func(move runMove) bool {
-		moved := reservation(move.run.step).MilliCPU
-		return !m.finiteRoom.admits(classOfStep(ws), taking{move.run.worker, reservation(step).MilliCPU - moved}, taking{move.to, moved})
-	})
-}
-
-// workersThatLeaveRoom returns the workers that may be held for a long-running step: if it yields to finite
-// steps, those that have room once their finite runs have ended, and room that finite steps don't need.
-func (m *Machine) workersThatLeaveRoom(ws *waitingStep, workers []*worker) []*worker {
-	step := &ws.entry.Steps[ws.stepIndex]
-	if !ws.yields {
-		return workers
-	}
-	var out []*worker
-	for _, w := range workers {
-		if w.hasRoomInTime(step) && m.admits(ws, step, w) {
-			out = append(out, w)
-		}
-	}
-	return out
-}
