--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Plays this case; see claim.txt. Needs the build of the deploy file and review/build-2.sh.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -x target/cactusreel ] && [ -x target/review-stand-2 ] || exit 2
+exec target/review-stand-2 dealt "$here/record.txt"
--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 )
@@ -61,6 +62,59 @@
 	return strings.Join(found, "; "), nil
 }
 
+// playDealt: submissions arrive all the time, and the store deals all partitions of the group anew,
+// again each 0.4 to 1 s.
+func playDealt(s *stand) (broken string, err error) {
+	if err := s.setUp(300*time.Second, 16); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	ends := time.Now().Add(100 * time.Second)
+	if s.trouble {
+		go func() {
+			for time.Now().Before(ends) {
+				time.Sleep(400*time.Millisecond + rand.N(600*time.Millisecond))
+				s.record("the store deals all partitions anew")
+				s.store.dealAnew()
+			}
+		}()
+	}
+	const body = `{"spec":"run=400ms","phases":[{"count":6,"cpu":5000,"mem_mb":256,"est_runtime_ms":400},{"count":4,"cpu":5000,"mem_mb":256,"est_runtime_ms":400,"after":[0]}]}`
+	for i := 0; time.Now().Before(ends) && broken == ""; i++ {
+		go s.call(s.nodes[i%len(s.nodes)], "POST", fmt.Sprintf("5c0e7a21%08x", i), body)
+		time.Sleep(100 * time.Millisecond)
+		broken = s.twice()
+	}
+	time.Sleep(time.Second)
+	return broken, nil
+}
+
+// twice returns a pair of runs of one task that were active at the same time, or "".
+func (s *stand) twice() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	type key struct {
+		task, worker string
+		run          int64
+	}
+	endOf := make(map[key]endSeen)
+	for _, e := range s.ends {
+		endOf[key{e.task, e.worker, e.run}] = e
+	}
+	byTask := make(map[string][]startSeen)
+	for _, one := range s.starts {
+		for _, other := range byTask[one.task] {
+			e, ended := endOf[key{other.task, other.worker, other.run}]
+			if !ended || e.at.After(one.at) {
+				return fmt.Sprintf("%s: run %d starts on %s at %.3f, run %d on %s began at %.3f and is active still", one.task,
+					one.run, one.worker, one.at.Sub(s.began).Seconds(), other.run, other.worker, other.at.Sub(s.began).Seconds())
+			}
+		}
+		byTask[one.task] = append(byTask[one.task], one)
+	}
+	return ""
+}
+
 // playCrashes: three workers crash one after the other, each just after it has begun a task of a
 // submission. Its queue has max_attempts 4, and no run ends failed.
 func playCrashes(s *stand) (broken string, err error) {
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -33,6 +33,7 @@
 
 // cases are the cases by name. Each returns what broke the rule, or "".
 var cases = map[string]func(*stand) (broken string, err error){
+	"dealt":   playDealt,
 	"history": playHistory,
 	"crashes": playCrashes,
 	"gang":    playGang,
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -336,6 +337,27 @@
 	}
 }
 
+// dealAnew deals all partitions anew at once, without waiting for the members that hold them.
+func (s *store) dealAnew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.groups {
+		g.expire()
+		g.generation++
+		var members []string
+		for member := range g.seen {
+			members = append(members, member)
+		}
+		rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
+		g.holder = [parts]string{}
+		for p := range g.assigned {
+			if len(members) > 0 {
+				g.assigned[p] = members[p%len(members)]
+			}
+		}
+	}
+}
+
 func (s *store) handleOwners(w http.ResponseWriter, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of cases 8 to 10. The deploy file's build makes target/cactusreel.
+# Builds the stand-ins of cases 6, 8, 9 and 10. The deploy file's build makes target/cactusreel.
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-stand-2 ./review/_stand2
