--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -207,3 +207,40 @@
 	}
 	return "", nil
 }
+
+// playQueues: two requesters, one of each queue, choose the same id.
+func playQueues(s *stand) (broken string, err error) {
+	if err := s.setUp(300*time.Second, 8); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	first, second := "5c0e7a21d94b36f6", "5c0e7a21d94b36f6"
+	if !s.trouble {
+		second = "5c0e7a21d94b36f7"
+	}
+	const body = `{"spec":"%s run=800ms","phases":[{"count":2,"cpu":2000,"mem_mb":256,"est_runtime_ms":800}]}`
+	if status, _ := s.callTo(s.nodes[0], "POST", "/lohu930/"+first, fmt.Sprintf(body, "claim of one firm")); status != 200 {
+		return "", fmt.Errorf("the first submission is answered %d", status)
+	}
+	time.Sleep(time.Second)
+	accepted, _ := s.callTo(s.nodes[3], "POST", "/dika417/"+second, fmt.Sprintf(body, "sign-in of another"))
+	state := ""
+	for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(time.Second) {
+		_, state = s.callTo(s.nodes[4], "GET", "/dika417/"+second, "")
+	}
+	if accepted != 200 {
+		return "", nil
+	}
+	ran := 0
+	s.mu.Lock()
+	for _, one := range s.starts {
+		if strings.HasPrefix(one.spec, "sign-in") {
+			ran++
+		}
+	}
+	s.mu.Unlock()
+	if ran == 0 {
+		return fmt.Sprintf("the submission to the second queue was accepted, none of its tasks was started in 20 s, and GET says %s", state), nil
+	}
+	return "", nil
+}
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -37,6 +37,7 @@
 	"history": playHistory,
 	"crashes": playCrashes,
 	"gang":    playGang,
+	"queues":  playQueues,
 }
 
 var zones = []string{"giza", "giza", "giza", "heliopolis", "heliopolis", "maadi", "maadi"}
@@ -58,9 +59,10 @@
 }
 
 type startSeen struct {
-	task, worker, checkpoint string
-	run                      int64
-	at                       time.Time
+	task, worker, checkpoint, spec string
+
+	run int64
+	at  time.Time
 }
 
 type endSeen struct {
@@ -152,7 +154,7 @@
 
 func (s *stand) noteStart(w *worker, r *run) {
 	s.mu.Lock()
-	s.starts = append(s.starts, startSeen{r.task, w.id, r.checkpoint, r.number, time.Now()})
+	s.starts = append(s.starts, startSeen{r.task, w.id, r.checkpoint, r.spec, r.number, time.Now()})
 	s.mu.Unlock()
 	s.record("worker %s starts %s run %d, spec %q, checkpoint %q, epoch number %d", w.id, r.task, r.number, r.spec, r.checkpoint, w.fence)
 }
@@ -196,6 +198,9 @@
 		"routes": []map[string]any{{
 			"name": "meal-claim", "host": "nony24.example", "path_prefix": "/lohu930/", "timeout_ms": 3000, "service": "register",
 			"priority": 2, "max_attempts": 4, "slack_factor": 1.5, "target_completion_ms": 1000,
+		}, {
+			"name": "sign-in", "host": "nony24.example", "path_prefix": "/dika417/", "timeout_ms": 3000, "service": "register",
+			"priority": 0, "max_attempts": 4, "slack_factor": 1.5, "target_completion_ms": 300,
 		}},
 	})
 	group := &gangs{members: make(map[string]map[*run]*worker)}
@@ -326,11 +331,16 @@
 	return nil
 }
 
-// call makes one call of a requester. The status is 0 without an answer.
+// call makes one call of a requester to the first queue. The status is 0 without an answer.
 func (s *stand) call(n *node, method, id, body string) (status int, text string) {
+	return s.callTo(n, method, "/lohu930/"+id, body)
+}
+
+// callTo does the same for any path.
+func (s *stand) callTo(n *node, method, path, body string) (status int, text string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+"/lohu930/"+id, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -341,13 +351,13 @@
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		s.record("requester: %s %s at %s: no answer (%v)", method, id, n.name, err)
+		s.record("requester: %s %s at %s: no answer (%v)", method, path, n.name, err)
 		return 0, ""
 	}
 	defer resp.Body.Close()
 	data, _ := io.ReadAll(resp.Body)
 	text = string(bytes.TrimSpace(data))
-	s.record("requester: %s %s at %s: %d %s", method, id, n.name, resp.StatusCode, text)
+	s.record("requester: %s %s at %s: %d %s", method, path, n.name, resp.StatusCode, text)
 	return resp.StatusCode, text
 }
 
