--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -44,7 +45,9 @@
 
 // stand is a small deployment.
 type stand struct {
-	dir     string
+	dir string
+	// host is the loopback address of the coordinators.
+	host    string
 	began   time.Time
 	trouble bool
 	store   *store
@@ -102,7 +105,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	s := &stand{dir: dir, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", out: out, taken: make(map[string]string)}
+	host := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+	s := &stand{dir: dir, host: host, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", out: out, taken: make(map[string]string)}
 	defer s.cleanUp()
 	type result struct {
 		broken string
@@ -173,9 +177,10 @@
 	s.taken[task] = how
 }
 
-// holdAddress returns an address that is free until the node's first start.
+// holdAddress returns an address that is free until the node's first start. Connections to other
+// addresses begin at 127.0.0.1, so none of them takes its port.
 func (n *node) holdAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", n.stand.host+":0")
 	if err != nil {
 		return "", err
 	}
