--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -89,7 +89,8 @@
 	}
 	c.refusal.Store(nil)
 	began := c.node.monotonicNow()
-	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch), zap.Int("live", len(c.ledger().Live())))
+	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
+		zap.Int64("generation", c.generation.Load()), zap.Int64("offset", c.cellNext-1), zap.Int("live", len(c.ledger().Live())))
 	ctx, cancel := context.WithCancel(parent)
 	c.witnesses.Store(witness.NewOwner())
 	o := &ownership{
