coordinator: one owner of an epoch, opened only by a node to which the cell is assigned

Cause: two nodes opened one epoch. (1) openEpoch read the generation twice. A node whose reads outlasted its assignment went on with generation 0 and took the epoch after the previous owner's, which is also the newly assigned node's. (2) An owner that resigned on request or was fenced opened the next epoch at once, by an assignment from before. (3) Each opens an epoch with the append number 1. The store answers an append of the same epoch and number as a repeat, without comparing records or the expected end, so the second node took the offset of the first one's record for its own. Their later appends collided in the same way, and no worker refused either.

Change: the first append number of an epoch is random and kept for repeats of that attempt, so the store accepts one opening of an epoch; the adapter tells the refusal (ErrOutOfSequence). The generation is read once, after the reads; without one no epoch is opened. A node that resigned, was fenced, or finds that another node opened an epoch since it last read (event 877) opens none until a join that was sent later has assigned the cell to it again; it asks for that join at once. A process never opens an epoch twice.

Why it works: of appends of one epoch with different numbers the store executes one, by its own rules, whatever nodes believe of the group. A random number repeats with a probability of 2^-52 for each pair of openings of one epoch.

The tests' log answers repeats and numbers as the store does.

Cost: one join (a tenth of a call) where an epoch was contested; nothing else.

--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -59,6 +59,8 @@
 	// wake wakes the cell's goroutine after a change of generation or
 	// resignedEpoch.
 	wake chan struct{}
+	// lastOpening is this process's last attempt to open an epoch, or nil.
+	lastOpening *opening
 	// refreshRequests receives requests to read the streams.
 	refreshRequests chan chan refreshResult
 	// dumpRequests receives requests for the state of the owner's machine.
@@ -166,7 +168,7 @@
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for ctx.Err() == nil {
-		if c.generation.Load() != 0 {
+		if c.mayOpen() {
 			c.runEpoch(ctx)
 			continue
 		}
--- a/coordinator/cellauthority.go
+++ b/coordinator/cellauthority.go
@@ -21,6 +21,10 @@
 	unprovenSince time.Duration
 	// released: since the last join that assigned the cell another one did not.
 	released bool
+	// contested: another node has acted as the owner at contestedAt, and the cell has not been
+	// assigned to this node since.
+	contested   bool
+	contestedAt time.Duration
 }
 
 // assigned records that a join assigned the cell to the node. It was sent at sent and
@@ -38,6 +42,31 @@
 	return !a.unproven
 }
 
+// contest records that another node may have been assigned the cell.
+func (a *cellAuthority) contest(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.contested, a.contestedAt = true, now
+}
+
+// settle ends a contest if the join that assigned the cell was sent after it began, and reports
+// whether it did.
+func (a *cellAuthority) settle(sent time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.contested || sent < a.contestedAt {
+		return false
+	}
+	a.contested = false
+	return true
+}
+
+func (a *cellAuthority) isContested() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.contested
+}
+
 // release records that a join did not assign the cell to the node, so that another one may open a
 // newer epoch at any time.
 func (a *cellAuthority) release() {
--- /dev/null
+++ b/coordinator/epochowner_test.go
@@ -0,0 +1,155 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cactusreel/cactusreel/coordinator"
+	"github.com/cactusreel/cactusreel/hostapi"
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/workload"
+)
+
+// maxTimeWithoutOwner is the longest time without a start while the cell is dealt anew again and
+// again, each dealing at least dealInterval after the last.
+const (
+	maxTimeWithoutOwner = 2 * time.Second
+	dealInterval        = 400 * time.Millisecond
+)
+
+// appendOpened appends the record of an owner that nothing else is known of.
+func (l *fakeLog) appendOpened(owner ledger.Owner) {
+	data, err := ledger.Encode(ledger.OpenedRecord(owner))
+	if err != nil {
+		panic(err)
+	}
+	l.update(func() {
+		l.streams[cellStream] = append(l.streams[cellStream], data)
+		l.appendsTo(cellStream).note(&coordinator.Fence{Epoch: owner.Epoch, Sequence: 1}, int64(len(l.streams[cellStream])))
+	})
+}
+
+// opened returns the owners of the epochs that were opened.
+func (l *fakeLog) opened() map[int64]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	owners := make(map[int64]string)
+	for _, data := range l.streams[cellStream] {
+		if r, err := ledger.Decode(data); err == nil && r.Opened != nil {
+			owners[r.Opened.Epoch] = r.Opened.Vm
+		}
+	}
+	return owners
+}
+
+// checkStartedOnce checks that all tasks have ended and each was started once.
+func (c *cluster) checkStartedOnce(is *is.I) {
+	is.Helper()
+	active, ended, starts := 0, 0, make(map[workload.TaskID]int)
+	for _, w := range c.workers {
+		active += len(w.runs)
+		ended += len(w.endedRuns)
+		for task, n := range w.starts {
+			starts[task] += n
+		}
+	}
+	is.True(len(starts) > 0)
+	is.Equal(active, 0)
+	is.Equal(ended, len(starts))
+	for _, n := range starts {
+		is.Equal(n, 1)
+	}
+}
+
+// Guards against two owners of one epoch: the append with which the second node opens it is answered
+// like a repeat of the first node's.
+func TestTwoNodesOpenOneEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startCluster(1, newFakeWorkers("", "w1", "w2", "w3", "w4"), "vm-0", "vm-1", "vm-2")
+		defer c.close()
+		c.kill("vm-0", c.stops[0])
+		// Each node reaches workers of its own, so that two owners start a task on two workers.
+		cutWorkers := func(cut bool) {
+			for i, vm := range []string{"vm-1", "vm-1", "vm-2", "vm-2"} {
+				c.cutLink(vm, fmt.Sprint("w", i+1), cut)
+			}
+		}
+		cutWorkers(true)
+		// Both nodes count from this epoch, which is ahead of the group's generations.
+		c.log.appendOpened(ledger.Owner{Epoch: 100, VM: "vm-9"})
+		time.Sleep(time.Second)
+		for i := range 8 {
+			s := submission(fmt.Sprint("s", i))
+			s.Steps = []workload.Step{{Tasks: 4, Request: hostapi.Resources{MilliCPU: 500, MemoryMiB: 1}, Estimate: time.Second}}
+			is.NoErr(c.nodes["vm-2"].Submit(timeoutContext(3*time.Second), s))
+		}
+		c.log.update(func() { c.log.openings = newBarrier(2) })
+		c.group.assign(0, "vm-1")
+		time.Sleep(400 * time.Millisecond)
+		c.group.assign(0, "vm-2")
+		time.Sleep(3 * time.Second)
+		cutWorkers(false)
+		time.Sleep(20 * time.Second)
+		c.checkStartedOnce(is)
+		is.Equal(c.nodes["vm-1"].Dump(t.Context()).Cells[0].Owned, false)
+		is.Equal(c.nodes["vm-2"].Dump(t.Context()).Cells[0].Owned, true)
+	})
+}
+
+// Guards against a node that opens an epoch for a cell that is no longer assigned to it: its reads took
+// longer than the assignment lasted.
+func TestUnassignedNodeOpensNoEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(1, newFakeWorkers("", "w1"), "vm-0", "vm-1")
+		defer c.close()
+		c.log.update(func() { c.logs["vm-1"].readDelay = 500 * time.Millisecond })
+		c.group.assign(0, "vm-1")
+		time.Sleep(310 * time.Millisecond)
+		c.group.assign(0, "vm-9")
+		time.Sleep(5 * time.Second)
+		for epoch, vm := range c.log.opened() {
+			if vm == "vm-1" {
+				t.Errorf("vm-1 opened epoch %d", epoch)
+			}
+		}
+	})
+}
+
+// Guards against tasks that two owners start, and against a cell that stands still, while the group deals
+// the cells anew again and again before the nodes have confirmed the last dealing.
+func TestCellIsDealtAnewAgainAndAgain(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(seed, 0))
+				c := startPlannedHandOver()
+				defer c.close()
+				c.group.update(func() { c.group.confirmed = false })
+				stop := c.submitSteadily(is, "vm-2")
+				dealt := make(chan struct{})
+				go func() {
+					defer close(dealt)
+					for range 30 {
+						c.group.assign(0, fmt.Sprint("vm-", random.IntN(3)))
+						time.Sleep(dealInterval + time.Duration(random.IntN(600))*time.Millisecond)
+					}
+				}()
+				still := c.longestStandstill(20 * time.Second)
+				<-dealt
+				stop()
+				time.Sleep(15 * time.Second)
+				c.checkStartedOnce(is)
+				if still > maxTimeWithoutOwner {
+					t.Errorf("no start for %v", still)
+				}
+			})
+		})
+	}
+}
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -17,8 +18,10 @@
 type fakeLog struct {
 	mu      sync.Mutex
 	streams map[coordinator.Stream][][]byte
-	epochs  map[coordinator.Stream]int64
+	fenced  map[coordinator.Stream]*fencedAppends
 	changed chan struct{}
+	// openings, if set, holds the appends that open an epoch.
+	openings *barrier
 	// values holds the values of the key-value store.
 	values map[string][]byte
 	// appendErr, if not nil, is the error of all appends. With appliesBeforeErr
@@ -60,7 +63,7 @@
 
 func newFakeLog() *fakeLog {
 	return &fakeLog{
-		streams: make(map[coordinator.Stream][][]byte), epochs: make(map[coordinator.Stream]int64),
+		streams: make(map[coordinator.Stream][][]byte), fenced: make(map[coordinator.Stream]*fencedAppends),
 		intakeTurn: make(chan struct{}, 1),
 		changed:    make(chan struct{}), values: make(map[string][]byte), snapshots: make(map[int][][]byte),
 	}
@@ -74,7 +77,18 @@
 	l.changed = make(chan struct{})
 }
 
+// appendsTo returns the fenced appends to a stream. The caller holds the lock.
+func (l *fakeLog) appendsTo(s coordinator.Stream) *fencedAppends {
+	if l.fenced[s] == nil {
+		l.fenced[s] = &fencedAppends{}
+	}
+	return l.fenced[s]
+}
+
 func (l *fakeLog) Append(ctx context.Context, s coordinator.Stream, records [][]byte, f *coordinator.Fence) (int64, error) {
+	if f != nil && f.ExpectedEnd >= 0 {
+		l.openings.await(ctx)
+	}
 	time.Sleep(5 * time.Millisecond)
 	if s.Topic == "intake" && l.intakeTime > 0 && len(records) > 0 {
 		l.intakeTurn <- struct{}{}
@@ -93,13 +107,11 @@
 		return 0, coordinator.ErrNoEffect
 	}
 	if f != nil {
-		if f.Epoch < l.epochs[s] {
-			return 0, coordinator.ErrFenced
-		}
-		if f.ExpectedEnd >= 0 && f.ExpectedEnd != int64(len(l.streams[s])) {
-			return 0, coordinator.ErrOffsetMismatch
+		end := int64(len(l.streams[s]))
+		if answer, executes, err := l.appendsTo(s).check(f, end); !executes {
+			return answer, cmp.Or(err, l.appendErr)
 		}
-		l.epochs[s] = f.Epoch
+		l.appendsTo(s).note(f, end+int64(len(records)))
 	}
 	l.streams[s] = append(l.streams[s], records...)
 	close(l.changed)
--- a/coordinator/log.go
+++ b/coordinator/log.go
@@ -14,6 +14,9 @@
 	ErrFenced = errors.New("log append is fenced by a higher epoch")
 	// ErrOffsetMismatch means that the stream does not end at the expected offset.
 	ErrOffsetMismatch = errors.New("log stream does not end at the expected offset")
+	// ErrOutOfSequence means that the append's number doesn't follow the last one of its epoch: an
+	// earlier append is missing, or another node has opened the epoch.
+	ErrOutOfSequence = errors.New("log append is out of sequence in its epoch")
 	// ErrExpired means that the log no longer has the requested records.
 	ErrExpired = errors.New("log records have expired")
 )
@@ -44,8 +47,9 @@
 type Fence struct {
 	// Epoch is the fencing token.
 	Epoch int64
-	// Sequence is the number of the append within the epoch, from 1. A retry has the
-	// same number.
+	// Sequence is the number of the append within the epoch, which begins at any number. A retry
+	// has the same number: the log answers an append of the same epoch and number, of whichever
+	// node, as a repeat of the first one, and does not compare the records.
 	Sequence int64
 	// ExpectedEnd, if not negative, is the offset at which the stream must end.
 	ExpectedEnd int64
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -53,7 +53,18 @@
 				n.assign(Assignment{}, 0)
 			}
 		}
-		sleep(ctx, max(0, joinInterval-(n.monotonicNow()-sent)))
+		n.awaitNextJoin(ctx, joinInterval-(n.monotonicNow()-sent))
+	}
+}
+
+// awaitNextJoin waits for a time, or until a join is requested.
+func (n *Node) awaitNextJoin(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-n.joinRequests:
+	case <-timer.C:
 	}
 }
 
@@ -169,7 +180,8 @@
 	}
 	for _, c := range n.cells {
 		if assigned[c.number] {
-			if !c.authority.assigned(sent, n.authorityNow()) {
+			proven := c.authority.assigned(sent, n.authorityNow())
+			if c.authority.settle(sent) || !proven {
 				signal(c.wake)
 			}
 			c.assign(a.Generation)
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -50,6 +50,8 @@
 		return "rejected"
 	case errors.Is(err, ErrFenced):
 		return "fenced"
+	case errors.Is(err, ErrOutOfSequence):
+		return "out_of_sequence"
 	case errors.Is(err, ErrExpired):
 		return "expired"
 	}
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -43,6 +43,8 @@
 	// joining is held during calls that join or leave the group: a join that arrives after the
 	// node has left would make it a member again.
 	joining sync.Mutex
+	// joinRequests receives a signal when an assignment must be confirmed by a join.
+	joinRequests chan struct{}
 	// reader decodes records and snapshots.
 	reader ledger.Reader
 	// refused: the node is to leave the group, because it can't read a cell.
@@ -63,6 +65,7 @@
 	n := &Node{config: config, platform: platform, logger: logger, metrics: metrics, startedAt: time.Now(), process: 1 + rand.Int64N(math.MaxInt64)}
 	n.reader = ledger.Reader{Format: ledger.Format}
 	n.peers = newPeerClients()
+	n.joinRequests = make(chan struct{}, 1)
 	n.manifest.init()
 	n.owners = &ownerCache{node: n, owners: make(map[int]ledger.Owner), sightings: make(map[int]epochSightings)}
 	n.storeLatency = &storeLatency{node: n}
--- /dev/null
+++ b/coordinator/openepoch.go
@@ -0,0 +1,153 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/cactusreel/cactusreel/ledger"
+	"github.com/cactusreel/cactusreel/logevent"
+
+	"go.uber.org/zap"
+)
+
+// maxFirstSequence limits the first sequence number of an epoch, so that all later ones can be
+// represented in a float64 too.
+const maxFirstSequence = 1 << 52
+
+var (
+	errUnassigned = errors.New("cell is no longer assigned")
+	// errContested means that another node has opened an epoch of the cell meanwhile.
+	errContested = errors.New("another node has opened an epoch of the cell")
+)
+
+// opening is an attempt to open an epoch.
+type opening struct {
+	epoch int64
+	// generation is that of the group in which the cell was assigned to this node.
+	generation int64
+	// sequence is the sequence number of the Opened record. It is random, because two nodes can
+	// attempt to open one epoch, and the log must not answer the second one as a repeat of the first.
+	sequence int64
+	// previous is the owner of the epoch before.
+	previous predecessor
+	// mayBeStored: the outcome of an append of the record is unknown.
+	mayBeStored bool
+}
+
+// openEpoch reads the streams and fences previous owners with an Opened record. The record is
+// appended only at the end that was read, so no unread record of a previous owner can precede
+// it. Of several nodes that attempt to open one epoch the log accepts one.
+func (c *cell) openEpoch(ctx context.Context, times *takeoverTimes) (*opening, error) {
+	// asked is the newest epoch whose owner has been requested to resign, and has.
+	asked := int64(0)
+	// known is the newest epoch when the last attempt was made, or 0.
+	known := int64(0)
+	for attempt := 1; c.generation.Load() != 0; attempt++ {
+		if err := c.catchUp(ctx); err != nil {
+			return nil, fmt.Errorf("read the streams: %w", err)
+		}
+		times.readAt = c.node.monotonicNow()
+		previous := predecessor{c.ledger().Owner(), c.ledger().Witnesses()}
+		if known != 0 && previous.Epoch != known {
+			return nil, errContested
+		}
+		known = previous.Epoch
+		generation := c.generation.Load()
+		if generation == 0 {
+			// The reads may have taken longer than the assignment lasted.
+			break
+		}
+		o := c.newOpening(generation, previous)
+		err := c.appendOpened(ctx, o)
+		switch {
+		case errors.Is(err, ErrOffsetMismatch):
+			// The previous owner goes on, or the read lagged behind the stream's end.
+			if previous.Epoch > asked && c.askToResign(ctx, previous.Owner) {
+				asked = previous.Epoch
+			} else {
+				sleep(ctx, retryDelay(attempt))
+			}
+		case errors.Is(err, ErrFenced), errors.Is(err, ErrOutOfSequence):
+			return nil, errContested
+		case err != nil:
+			return nil, fmt.Errorf("append the Opened record: %w", err)
+		default:
+			times.openedAt = c.node.monotonicNow()
+			return o, nil
+		}
+	}
+	return nil, errUnassigned
+}
+
+// newOpening returns the attempt to open the epoch after a previous owner's. An attempt for the
+// same epoch as the last one repeats it.
+func (c *cell) newOpening(generation int64, previous predecessor) *opening {
+	// A lagging read could show an epoch that this process has opened as not yet opened.
+	epoch := max(generation, previous.Epoch+1, c.newestEpoch.Load()+1)
+	o := &opening{epoch: epoch, generation: generation, sequence: 1 + rand.Int64N(maxFirstSequence), previous: previous}
+	if last := c.lastOpening; last != nil && last.epoch == epoch {
+		o.sequence, o.mayBeStored = last.sequence, last.mayBeStored
+	}
+	c.lastOpening = o
+	c.firstEpoch.CompareAndSwap(0, epoch)
+	return o
+}
+
+// appendOpened appends the Opened record of an attempt at the end that was read, and applies it.
+func (c *cell) appendOpened(ctx context.Context, o *opening) error {
+	owner := ledger.Owner{Epoch: o.epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
+	record := ledger.OpenedRecord(owner)
+	data, err := ledger.Encode(record)
+	if err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	sent := c.node.authorityNow()
+	end, err := c.node.platform.Log.Append(call, c.cellStream(), [][]byte{data}, &Fence{Epoch: o.epoch, Sequence: o.sequence, ExpectedEnd: c.cellNext})
+	c.node.metrics.countLogCall(err)
+	if err != nil {
+		o.mayBeStored = o.mayBeStored || !hadNoEffect(err)
+		return err
+	}
+	if !o.mayBeStored {
+		c.authority.proven(sent)
+	}
+	c.ledger().Apply(record)
+	c.cellNext = end
+	c.node.owners.update(c.number, owner)
+	return nil
+}
+
+// hadNoEffect reports whether an error of an append means that it had no effect.
+func hadNoEffect(err error) bool {
+	return errors.Is(err, ErrNoEffect) || errors.Is(err, ErrFenced) || errors.Is(err, ErrOffsetMismatch) || errors.Is(err, ErrOutOfSequence)
+}
+
+// epochNotOpened handles an error of openEpoch.
+func (c *cell) epochNotOpened(ctx context.Context, err error) {
+	switch {
+	case isRefusal(err):
+		c.refuse(err)
+	case ctx.Err() != nil:
+	case errors.Is(err, errContested):
+		c.node.logger.Log(logevent.EpochContested, zap.Int("cell", c.number), zap.Int64("epoch", c.lastOpening.epoch))
+		c.contest()
+	default:
+		c.node.logError(logevent.EpochNotOpened, err, zap.Int("cell", c.number))
+		sleep(ctx, logRetryDelay)
+	}
+}
+
+// contest makes the node open no epoch of the cell until a join that is sent from now on has
+// assigned the cell to it again, and asks for that join: the other node may have been assigned
+// the cell since the last one.
+func (c *cell) contest() {
+	c.authority.contest(c.node.authorityNow())
+	signal(c.node.joinRequests)
+}
+
+// mayOpen reports whether the cell is assigned to this node, as far as it can know.
+func (c *cell) mayOpen() bool { return c.generation.Load() != 0 && !c.authority.isContested() }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,8 @@
 type ownership struct {
 	*cell
 	epoch int64
+	// firstSequence is the sequence number of the Opened record.
+	firstSequence int64
 	// previous is the owner of the epoch before.
 	previous  predecessor
 	witnesses *witness.Owner
@@ -82,19 +83,20 @@
 	endPreparation := c.node.workers.prepare()
 	defer endPreparation()
 	times := takeoverTimes{assignedAt: time.Duration(c.assignedAt.Load()), began: c.node.monotonicNow()}
-	epoch, previous, err := c.openEpoch(parent, &times)
+	opened, err := c.openEpoch(parent, &times)
 	if err != nil {
 		c.epochNotOpened(parent, err)
 		return
 	}
+	epoch, previous := opened.epoch, opened.previous
 	c.refusal.Store(nil)
 	began := c.node.monotonicNow()
 	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
-		zap.Int64("generation", c.generation.Load()), zap.Int64("offset", c.cellNext-1), zap.Int("live", len(c.ledger().Live())))
+		zap.Int64("generation", opened.generation), zap.Int64("offset", c.cellNext-1), zap.Int("live", len(c.ledger().Live())))
 	ctx, cancel := context.WithCancel(parent)
 	c.witnesses.Store(witness.NewOwner())
 	o := &ownership{
-		cell: c, epoch: epoch, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
+		cell: c, epoch: epoch, firstSequence: opened.sequence, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
 		machine:  dispatch.New(c.dispatchConfig(epoch), c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
 		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
@@ -134,6 +136,9 @@
 	c.node.workers.unsubscribe(o)
 	o.wg.Wait()
 	o.keepLeases(reason)
+	if reason == resigned || reason == fenced {
+		c.contest()
+	}
 	c.owning.Store(false)
 	c.node.metrics.reportTenants(c.number, nil)
 	close(ended)
@@ -154,66 +159,13 @@
 	return config
 }
 
-func (c *cell) epochNotOpened(ctx context.Context, err error) {
-	switch {
-	case isRefusal(err):
-		c.refuse(err)
-	case ctx.Err() == nil:
-		c.node.logError(logevent.EpochNotOpened, err, zap.Int("cell", c.number))
-		sleep(ctx, logRetryDelay)
-	}
-}
-
-// openEpoch reads the streams and fences previous owners with an Opened record.
-// The record is appended only at the end that was read, so no unread record of a
-// previous owner can precede it.
-func (c *cell) openEpoch(ctx context.Context, times *takeoverTimes) (epoch int64, previous predecessor, err error) {
-	// asked is the newest epoch whose owner has been requested to resign, and has.
-	asked := int64(0)
-	for attempt := 1; c.generation.Load() != 0; attempt++ {
-		if err := c.catchUp(ctx); err != nil {
-			return 0, previous, fmt.Errorf("read the streams: %w", err)
-		}
-		times.readAt = c.node.monotonicNow()
-		previous = predecessor{c.ledger().Owner(), c.ledger().Witnesses()}
-		epoch = max(c.generation.Load(), previous.Epoch+1)
-		owner := ledger.Owner{Epoch: epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
-		record := ledger.OpenedRecord(owner)
-		c.firstEpoch.CompareAndSwap(0, epoch)
-		data, err := ledger.Encode(record)
-		if err != nil {
-			return 0, previous, err
-		}
-		call, cancel := context.WithTimeout(ctx, logTimeout)
-		sent := c.node.authorityNow()
-		end, err := c.node.platform.Log.Append(call, c.cellStream(), [][]byte{data}, &Fence{Epoch: epoch, Sequence: 1, ExpectedEnd: c.cellNext})
-		cancel()
-		c.node.metrics.countLogCall(err)
-		if errors.Is(err, ErrOffsetMismatch) {
-			// The previous owner goes on, or the read lagged behind the stream's end.
-			if previous.Epoch > asked && c.askToResign(ctx, previous.Owner) {
-				asked = previous.Epoch
-			} else {
-				sleep(ctx, retryDelay(attempt))
-			}
-			continue
-		}
-		if err != nil {
-			return 0, previous, fmt.Errorf("append the Opened record: %w", err)
-		}
-		c.authority.proven(sent)
-		times.openedAt = c.node.monotonicNow()
-		c.ledger().Apply(record)
-		c.cellNext = end
-		c.node.owners.update(c.number, owner)
-		return epoch, previous, nil
-	}
-	return 0, previous, errors.New("cell is no longer assigned")
-}
-
 // assignmentEnded is the reason for the end of an ownership that the node gives up.
 const assignmentEnded = "assignment ended"
 
+// fenced is the reason for the end of an ownership after which another node has opened an epoch, or
+// whose node stops.
+const fenced = "fenced or stopped"
+
 // resigned is the reason for the end of an ownership that another node requested.
 const resigned = "resigned"
 
@@ -247,7 +199,7 @@
 			if o.generation.Load() == 0 && o.leavingSince == 0 {
 				return assignmentEnded
 			}
-			return "fenced or stopped"
+			return fenced
 		case <-o.wake:
 			if reason := o.assignmentChanged(ctx); reason != "" {
 				return reason
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -113,7 +113,7 @@
 		a := h.startNode("a", &unreachable)
 		time.Sleep(2 * time.Second)
 		h.group.update(func() { unreachable = true })
-		h.log.update(func() { h.log.epochs[coordinator.Stream{Topic: coordinator.CellTopic}] = 1000 })
+		h.log.update(func() { h.log.appendsTo(cellStream).epoch = 1000 })
 		is.NoErr(a.Submit(timeoutContext(3*time.Second), submission("s")))
 		time.Sleep(3 * time.Second)
 		h.log.update(func() { h.log.cellReads = 0 })
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -38,7 +38,7 @@
 type cellBatch struct {
 	records   [][]byte
 	appendIDs []int64
-	// sequence is the sequence number; 1 was the Opened record.
+	// sequence is the sequence number; the first one is that of the Opened record.
 	sequence int64
 	// before is the batch before this one, or nil. posted is closed when the owner has been
 	// told that this one is in the log.
@@ -47,7 +47,7 @@
 }
 
 func newCellWriter(o *ownership) *cellWriter {
-	return &cellWriter{ownership: o, wake: make(chan struct{}, 1), last: newCellBatch(1, nil)}
+	return &cellWriter{ownership: o, wake: make(chan struct{}, 1), last: newCellBatch(o.firstSequence, nil)}
 }
 
 func newCellBatch(sequence int64, before *cellBatch) *cellBatch {
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -63,6 +63,7 @@
 	OrderWithheld        Number = 873
 	PiecesReported       Number = 874
 	TakeoverTimed        Number = 876
+	EpochContested       Number = 877
 	TenantKeysChanged    Number = 880
 	TenantCapsChanged    Number = 881
 	CallsRefused         Number = 882
@@ -89,6 +90,7 @@
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "cell is assigned to this VM but its epoch could not be opened", []string{"cell", "error"}, "If it recurs, check the health of the log."},
 	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration", "placements", "sincePlaced", "handOver"}, "None. sincePlaced is the time from the last placement to the end of the decisions, handOver the time from then on until a successor is told."},
 	{EpochFenced, "EpochFenced", zapcore.WarnLevel, "another VM has opened a higher epoch", []string{"epoch", "worker"}, "None; if it recurs, look for an unstable network link or a slow VM."},
+	{EpochContested, "EpochContested", zapcore.InfoLevel, "another VM has opened an epoch of the cell, or the one that this VM attempted to open; this VM asks the group whether the cell is still assigned to it", []string{"cell", "epoch"}, "Expected when cells are dealt anew; if it recurs without that, look for an unstable network link or a slow VM."},
 	{GroupCallFailed, "GroupCallFailed", zapcore.WarnLevel, "call to the membership group failed", []string{"error"}, "Check the connection to the platform's store."},
 	{GroupRegained, "GroupRegained", zapcore.InfoLevel, "call to the membership group succeeds again", nil, "None."},
 	{FormerOwnerResigned, "FormerOwnerResigned", zapcore.InfoLevel, "former owner of the cell stopped sending orders", []string{"vm", "epoch"}, "None."},
