soak: cells are dealt anew in series

The group of the tests' store deals all partitions anew at once, at intervals of 0.3 to 1 s, beside the other faults. The regression seeds keep their kinds of faults.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -81,10 +81,20 @@
 		s.runFault(func() { s.stayAway(worker, away, removed) }, workerName)
 	case 13:
 		s.runFault(func() { s.drainAndLeave(worker, time.Second+duration/2, duration) }, workerName)
+	case 14:
+		interval := 300*time.Millisecond + duration/5
+		s.runFault(func() { s.dealCellsAnew(interval, 2*duration) }, "group")
 	}
 }
 
-// runFault runs a lasting fault of some targets: processes, workers and the store. It skips
+// dealCellsAnew deals the cells anew at intervals for a time.
+func (s *seedRun) dealCellsAnew(interval, duration time.Duration) {
+	for began := time.Now(); time.Since(began) < duration; time.Sleep(interval) {
+		s.store.DealAnew()
+	}
+}
+
+// runFault runs a lasting fault of some targets: processes, workers, the store and its group. It skips
 // the fault while one of the targets has another one, because concurrent faults of one target
 // could undo each other, or while as many faults as the seed allows are in progress.
 func (s *seedRun) runFault(fault func(), targets ...string) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,7 +36,7 @@
 // regressionSeeds are the seeds that once failed.
 var regressionSeeds = map[uint64]regression{
 	508:  {"a start that was sent to one incarnation of a worker reached the next incarnation, which has the same id", firstFaultKinds, 1},
-	1010: {"a cursor of one incarnation of a worker dropped the ends of the next one, which no owner had seen", allFaultKinds, 2},
+	1010: {"a cursor of one incarnation of a worker dropped the ends of the next one, which no owner had seen", workerFaultKinds, 2},
 }
 
 const (
@@ -88,11 +88,12 @@
 }
 
 // firstFaultKinds is the number of kinds of faults when the regression seeds were recorded:
-// with another number a seed has other faults. allFaultKinds adds delays, and workers that stay
-// away, or drain and leave.
+// with another number a seed has other faults. workerFaultKinds adds delays, and workers that stay
+// away, or drain and leave, allFaultKinds cells that are dealt anew.
 const (
-	firstFaultKinds = 11
-	allFaultKinds   = 14
+	firstFaultKinds  = 11
+	workerFaultKinds = 14
+	allFaultKinds    = 15
 )
 
 // runSeed runs a seed with up to overlapping lasting faults at a time.
