coordinator: a cell that is dealt anew faster than it is read has an owner

What callers would have seen: with the commit before, a node gave its attempt up when it found itself unassigned after its reads. Where reading takes longer than an assignment lasts, every node did, and the former owner ends after 3 s: the cell stood still.

Change: an attempt that began while the cell was assigned goes on without the assignment, unless the previous owner goes on too. So a node that made the owner resign puts an owner in its place, and of several attempts one succeeds, however often the cells are dealt. It is safe, since the store accepts one opening of an epoch.

--- a/coordinator/openepoch.go
+++ b/coordinator/openepoch.go
@@ -25,7 +25,8 @@
 // opening is an attempt to open an epoch.
 type opening struct {
 	epoch int64
-	// generation is that of the group in which the cell was assigned to this node.
+	// generation is that of the group in which the cell was assigned to this node when the
+	// attempt began.
 	generation int64
 	// sequence is the sequence number of the Opened record. It is random, because two nodes can
 	// attempt to open one epoch, and the log must not answer the second one as a repeat of the first.
@@ -39,12 +40,18 @@
 // openEpoch reads the streams and fences previous owners with an Opened record. The record is
 // appended only at the end that was read, so no unread record of a previous owner can precede
 // it. Of several nodes that attempt to open one epoch the log accepts one.
+//
+// An attempt that began while the cell was assigned to this node goes on without the assignment,
+// unless another node acts as the owner: a cell that is dealt anew faster than it can be read
+// would have no owner otherwise.
 func (c *cell) openEpoch(ctx context.Context, times *takeoverTimes) (*opening, error) {
 	// asked is the newest epoch whose owner has been requested to resign, and has.
 	asked := int64(0)
 	// known is the newest epoch when the last attempt was made, or 0.
 	known := int64(0)
-	for attempt := 1; c.generation.Load() != 0; attempt++ {
+	// generation is read once an attempt: it may become 0 at any time.
+	generation := c.generation.Load()
+	for attempt := 1; generation != 0; attempt++ {
 		if err := c.catchUp(ctx); err != nil {
 			return nil, fmt.Errorf("read the streams: %w", err)
 		}
@@ -54,16 +61,14 @@
 			return nil, errContested
 		}
 		known = previous.Epoch
-		generation := c.generation.Load()
-		if generation == 0 {
-			// The reads may have taken longer than the assignment lasted.
-			break
-		}
 		o := c.newOpening(generation, previous)
 		err := c.appendOpened(ctx, o)
 		switch {
 		case errors.Is(err, ErrOffsetMismatch):
 			// The previous owner goes on, or the read lagged behind the stream's end.
+			if generation = c.generation.Load(); generation == 0 {
+				return nil, errUnassigned
+			}
 			if previous.Epoch > asked && c.askToResign(ctx, previous.Owner) {
 				asked = previous.Epoch
 			} else {
