--- a/coordinator/epochowner_test.go
+++ b/coordinator/epochowner_test.go
@@ -102,6 +102,22 @@
 	})
 }
 
+// Guards against a node that takes its own record, whose append had no answer, for that of another owner, and
+// waits for leases that nobody has granted.
+func TestOpeningWithoutAnAnswerIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startPlannedHandOver()
+		defer c.close()
+		defer c.submitSteadily(is, "vm-2")()
+		time.Sleep(2 * time.Second)
+		c.log.update(func() { c.log.lostOpenings = 2 })
+		c.group.assign(0, "vm-1")
+		is.True(c.longestStandstill(5*time.Second) < maxTimeWithoutOwner)
+		is.Equal(c.log.opened(), map[int64]string{1: "vm-0", 2: "vm-1"})
+	})
+}
+
 // Guards against a node that takes the cell from its owner although it has been assigned to that one
 // again: its reads took longer than its assignment lasted.
 func TestUnassignedNodeLeavesTheOwnerAlone(t *testing.T) {
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -22,6 +22,8 @@
 	changed chan struct{}
 	// openings, if set, holds the appends that open an epoch.
 	openings *barrier
+	// lostOpenings is the number of such appends that take effect and get no answer.
+	lostOpenings int
 	// values holds the values of the key-value store.
 	values map[string][]byte
 	// appendErr, if not nil, is the error of all appends. With appliesBeforeErr
@@ -116,6 +118,10 @@
 	l.streams[s] = append(l.streams[s], records...)
 	close(l.changed)
 	l.changed = make(chan struct{})
+	if f != nil && f.ExpectedEnd >= 0 && l.lostOpenings > 0 {
+		l.lostOpenings--
+		return 0, errors.New("no answer")
+	}
 	return int64(len(l.streams[s])), l.appendErr
 }
 
--- a/coordinator/openepoch.go
+++ b/coordinator/openepoch.go
@@ -16,6 +16,10 @@
 // represented in a float64 too.
 const maxFirstSequence = 1 << 52
 
+// maxOpeningAppends is how often the record of an attempt to open an epoch is appended while its
+// outcome is unknown.
+const maxOpeningAppends = 3
+
 var (
 	errUnassigned = errors.New("cell is no longer assigned")
 	// errContested means that another node has opened an epoch of the cell meanwhile.
@@ -62,7 +66,7 @@
 		}
 		known = previous.Epoch
 		o := c.newOpening(generation, previous)
-		err := c.appendOpened(ctx, o)
+		err := c.appendUntilKnown(ctx, o)
 		switch {
 		case errors.Is(err, ErrOffsetMismatch):
 			// The previous owner goes on, or the read lagged behind the stream's end.
@@ -100,6 +104,18 @@
 	return o
 }
 
+// appendUntilKnown appends the Opened record of an attempt, and repeats that while its outcome is
+// unknown: the log answers the repeat of an append that took effect like the append itself. A node
+// that reads its own record instead takes it for that of an owner which nobody can ask.
+func (c *cell) appendUntilKnown(ctx context.Context, o *opening) error {
+	for attempt := 1; ; attempt++ {
+		err := c.appendOpened(ctx, o)
+		if err == nil || hadNoEffect(err) || attempt == maxOpeningAppends || !sleep(ctx, retryDelay(attempt)) {
+			return err
+		}
+	}
+}
+
 // appendOpened appends the Opened record of an attempt at the end that was read, and applies it.
 func (c *cell) appendOpened(ctx context.Context, o *opening) error {
 	owner := ledger.Owner{Epoch: o.epoch, VM: c.node.config.VM, PeerAddress: c.node.config.PeerAddress}
