--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -90,8 +90,6 @@
 	knownEnd atomic.Pointer[ownershipEnd]
 	// knownEnds are ends of runs that may not be in the log.
 	knownEnds knownEnds
-	// processEnds are the ends of other nodes' processes that owned the cell.
-	processEnds processEnds
 	// candidates can be witnesses of this node's ownership, witnesses are those that are.
 	candidates candidates
 	witnesses  atomic.Pointer[witness.Owner]
--- a/coordinator/ownershipend.go
+++ b/coordinator/ownershipend.go
@@ -112,7 +112,6 @@
 	c.node.wg.Go(func() { c.cancelIfReplaced(call, cancel, owner) })
 	answer, err := c.node.peers.client(owner.PeerAddress).AwaitEnd(call, q)
 	if err != nil {
-		c.noteCallFailed(owner, err)
 		return false
 	}
 	c.knownEnds.told(owner.Epoch, version)
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 
@@ -17,29 +16,10 @@
 type peerClients struct {
 	httpClient *http.Client
 	clients    sync.Map
-	// reached holds the addresses to which a connection has been opened.
-	reached sync.Map
 }
 
 func newPeerClients() *peerClients {
-	p := &peerClients{}
-	transport := NewTransport(peerConnections)
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := dial(ctx, network, address)
-		if err == nil {
-			p.reached.Store(address, true)
-		}
-		return connection, err
-	}
-	p.httpClient = &http.Client{Transport: transport}
-	return p
-}
-
-// hasReached reports whether a connection to an address has been opened.
-func (p *peerClients) hasReached(address string) bool {
-	_, reached := p.reached.Load(address)
-	return reached
+	return &peerClients{httpClient: &http.Client{Transport: NewTransport(peerConnections)}}
 }
 
 func (p *peerClients) client(address string) coordpb.Coordinator {
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -36,8 +36,9 @@
 }
 
 // requestResignation requests the previous owner to end its ownership, unless this node
-// knows that it has ended and which leases remained, or that its process has ended. An answer
-// of a new process at its address counts too: the previous process has then ended.
+// knows that it has ended and which leases remained. An answer of a new process at its address
+// counts too: the previous process has then ended. A refused connection doesn't show that: a cut
+// between two VMs may refuse connections as well, while the owner goes on.
 func (o *ownership) requestResignation(ctx context.Context, previous ledger.Owner) {
 	if answer := o.knownEndOf(previous.Epoch); answer != nil {
 		o.postResigned(ctx, previous, answer)
@@ -47,19 +48,13 @@
 		o.postEnd(ctx, previous, o.resignAnswer(previous.Epoch))
 		return
 	}
-	if previous.PeerAddress == "" || o.postProcessEnd(ctx, previous) {
+	if previous.PeerAddress == "" {
 		return
 	}
 	for attempt := 1; ctx.Err() == nil && o.node.monotonicNow()-o.openedAt < authorityDuration; attempt++ {
 		call, cancel := context.WithTimeout(ctx, resignTimeout)
 		answer, err := o.node.peers.client(previous.PeerAddress).Resign(call, &coordpb.ResignRequest{Cell: int32(o.number), Epoch: previous.Epoch})
 		cancel()
-		if err != nil {
-			o.noteCallFailed(previous, err)
-			if o.postProcessEnd(ctx, previous) {
-				return
-			}
-		}
 		if err == nil && answer.Resigned {
 			o.node.logger.Log(logevent.FormerOwnerResigned, zap.String("vm", previous.VM), zap.Int64("epoch", previous.Epoch))
 			o.postEnd(ctx, previous, answer)
@@ -85,17 +80,6 @@
 	return true
 }
 
-// postProcessEnd passes on that the process of the previous owner has ended, and reports
-// whether that is known.
-func (o *ownership) postProcessEnd(ctx context.Context, previous ledger.Owner) bool {
-	answer := o.processEnds.answer(previous.Epoch, o.node.monotonicNow())
-	if answer == nil {
-		return false
-	}
-	o.postEnd(ctx, previous, answer)
-	return true
-}
-
 // postEnd passes on what is known of the end of the previous ownership. If the answer
 // doesn't say which leases remained, another node may.
 func (o *ownership) postEnd(ctx context.Context, previous ledger.Owner, answer *coordpb.ResignAnswer) {
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -48,7 +48,6 @@
 	FinalRunLeft         Number = 853
 	UnknownRunListed     Number = 854
 	OwnerBehind          Number = 855
-	OwnerProcessEnded    Number = 856
 	InterruptionLong     Number = 857
 	InterruptionEnded    Number = 858
 	OwnerConfirmed       Number = 859
@@ -124,7 +123,6 @@
 	{FinalRunLeft, "FinalRunLeft", zapcore.WarnLevel, "a run is left although its submission is cancelled or otherwise final", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "The reason says why the run has not been stopped. Check the worker and the network to it; if no stop was requested, report it."},
 	{UnknownRunListed, "UnknownRunListed", zapcore.WarnLevel, "a worker lists a run that the owner does not have; the run is stopped", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "Expected after a takeover and after orders that arrive late. If it recurs for a run, check that worker."},
 	{OwnerBehind, "OwnerBehind", zapcore.WarnLevel, "events waited long in the owner's queue", []string{"cell", "epoch", "source", "duration"}, "If it recurs, use VMs with more CPU or more cells."},
-	{OwnerProcessEnded, "OwnerProcessEnded", zapcore.InfoLevel, "the process of the cell's owner has ended: its address refuses connections", []string{"cell", "vm", "epoch"}, "None; check why the process ended if it was not stopped."},
 	{InterruptionLong, "InterruptionLong", zapcore.WarnLevel, "long-running task has had no run for longer than it may", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "Run and worker are the last ones. The reason says how that run ended, what the task has waited for since, and what it waits for now."},
 	{InterruptionEnded, "InterruptionEnded", zapcore.WarnLevel, "long-running task runs again after a long time without a run", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason says how the last run ended and for what the task has waited. For the lease of a worker: check the worker and the network."},
 	{OwnerConfirmed, "OwnerConfirmed", zapcore.InfoLevel, "a majority of the previous owner's witnesses said when they last confirmed it", []string{"cell", "vm", "epoch", "age"}, "None; check why the VM does not answer if it was not stopped."},
