--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -84,6 +84,16 @@
 	case 14:
 		interval := 300*time.Millisecond + duration/5
 		s.runFault(func() { s.dealCellsAnew(interval, 2*duration) }, "group")
+	case 15:
+		refusing, target := p.storeProxy, p.name
+		if s.random.IntN(2) == 0 {
+			refusing, target = workerProxy, workerName
+		}
+		s.runFault(func() {
+			if err := refusing.refuse(duration); err != nil {
+				s.t.Error(err)
+			}
+		}, target)
 	}
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -8,9 +8,12 @@
 
 // proxy is a TCP proxy on loopback that injects connection faults.
 type proxy struct {
+	// listenAddress is the address of listener.
+	listenAddress string
+	target        string
+	mu            sync.Mutex
+	// listener is closed while connections are refused.
 	listener net.Listener
-	target   string
-	mu       sync.Mutex
 	// blockRequests delays bytes to the target until the block is lifted,
 	// blockResponses those from it, as a network partition does.
 	blockRequests, blockResponses bool
@@ -24,16 +27,34 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool), changed: make(chan struct{})}
-	go p.accept()
+	p := &proxy{listener: l, listenAddress: l.Addr().String(), target: target, conns: make(map[net.Conn]bool), changed: make(chan struct{})}
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
 
-func (p *proxy) accept() {
+// refuse closes all connections and refuses new ones for a time.
+func (p *proxy) refuse(duration time.Duration) error {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.reset()
+	time.Sleep(duration)
+	l, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.accept(l)
+	return nil
+}
+
+func (p *proxy) accept(l net.Listener) {
 	for {
-		in, err := p.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -117,7 +138,9 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.clearFaults()
 	p.reset()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,11 +89,12 @@
 
 // firstFaultKinds is the number of kinds of faults when the regression seeds were recorded:
 // with another number a seed has other faults. workerFaultKinds adds delays, and workers that stay
-// away, or drain and leave, allFaultKinds cells that are dealt anew.
+// away, or drain and leave, allFaultKinds cells that are dealt anew
+// and connections that are refused.
 const (
 	firstFaultKinds  = 11
 	workerFaultKinds = 14
-	allFaultKinds    = 15
+	allFaultKinds    = 16
 )
 
 // runSeed runs a seed with up to overlapping lasting faults at a time.
