coordinator: an epoch that the store knows and no read shows is skipped

Cause: a node whose opening was out of sequence or fenced attempted the same epoch again if its next read showed no newer owner. If the store had counted an append that it did not execute, the cell would have had no owner for ever.

Change: a process takes an epoch above one that it found taken.

--- a/coordinator/cellauthority.go
+++ b/coordinator/cellauthority.go
@@ -42,7 +42,7 @@
 	return !a.unproven
 }
 
-// contest records that another node may have been assigned the cell.
+// contest records that another node has acted as the owner, so that it may have been assigned the cell.
 func (a *cellAuthority) contest(now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/coordinator/epochowner_test.go
+++ b/coordinator/epochowner_test.go
@@ -118,6 +118,20 @@
 	})
 }
 
+// Guards against a cell without an owner: the store knows an epoch whose record no read shows, and the
+// assigned node attempts to open that one again and again.
+func TestEpochThatNoReadShowsIsSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startCluster(1, newFakeWorkers("", "w1"), "vm-0", "vm-1")
+		defer c.close()
+		c.log.update(func() { c.log.appendsTo(cellStream).note(&coordinator.Fence{Epoch: 2, Sequence: 7}, 0) })
+		c.group.assign(0, "vm-1")
+		time.Sleep(5 * time.Second)
+		is.Equal(c.log.opened(), map[int64]string{1: "vm-0", 3: "vm-1"})
+	})
+}
+
 // Guards against a node that takes the cell from its owner although it has been assigned to that one
 // again: its reads took longer than its assignment lasted.
 func TestUnassignedNodeLeavesTheOwnerAlone(t *testing.T) {
--- a/coordinator/openepoch.go
+++ b/coordinator/openepoch.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"math/rand/v2"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/logevent"
-
-	"go.uber.org/zap"
 )
 
 // maxFirstSequence limits the first sequence number of an epoch, so that all later ones can be
@@ -39,6 +39,8 @@
 	previous predecessor
 	// mayBeStored: the outcome of an append of the record is unknown.
 	mayBeStored bool
+	// taken: another node has opened the epoch, or a later one.
+	taken bool
 }
 
 // openEpoch reads the streams and fences previous owners with an Opened record. The record is
@@ -78,7 +80,7 @@
 			} else {
 				sleep(ctx, retryDelay(attempt))
 			}
-		case errors.Is(err, ErrFenced), errors.Is(err, ErrOutOfSequence):
+		case o.taken:
 			return nil, errContested
 		case err != nil:
 			return nil, fmt.Errorf("append the Opened record: %w", err)
@@ -93,10 +95,14 @@
 // newOpening returns the attempt to open the epoch after a previous owner's. An attempt for the
 // same epoch as the last one repeats it.
 func (c *cell) newOpening(generation int64, previous predecessor) *opening {
-	// A lagging read could show an epoch that this process has opened as not yet opened.
+	last := c.lastOpening
+	// A lagging read doesn't show an epoch that this process has opened, or found taken.
 	epoch := max(generation, previous.Epoch+1, c.newestEpoch.Load()+1)
+	if last != nil && last.taken {
+		epoch = max(epoch, last.epoch+1)
+	}
 	o := &opening{epoch: epoch, generation: generation, sequence: 1 + rand.Int64N(maxFirstSequence), previous: previous}
-	if last := c.lastOpening; last != nil && last.epoch == epoch {
+	if last != nil && last.epoch == epoch {
 		o.sequence, o.mayBeStored = last.sequence, last.mayBeStored
 	}
 	c.lastOpening = o
@@ -131,6 +137,7 @@
 	c.node.metrics.countLogCall(err)
 	if err != nil {
 		o.mayBeStored = o.mayBeStored || !hadNoEffect(err)
+		o.taken = errors.Is(err, ErrFenced) || errors.Is(err, ErrOutOfSequence)
 		return err
 	}
 	if !o.mayBeStored {
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -88,22 +88,15 @@
 		c.epochNotOpened(parent, err)
 		return
 	}
-	epoch, previous := opened.epoch, opened.previous
 	c.refusal.Store(nil)
 	began := c.node.monotonicNow()
+	epoch, previous := opened.epoch, opened.previous
 	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
 		zap.Int64("generation", opened.generation), zap.Int64("offset", c.cellNext-1), zap.Int("live", len(c.ledger().Live())))
 	ctx, cancel := context.WithCancel(parent)
-	c.witnesses.Store(witness.NewOwner())
-	o := &ownership{
-		cell: c, epoch: epoch, firstSequence: opened.sequence, previous: previous, witnesses: c.witnesses.Load(), cancel: cancel,
-		machine:  dispatch.New(c.dispatchConfig(epoch), c.ledger(), c.node.monotonicNow(), time.Now()),
-		openedAt: began, suspended: c.node.authorityNow() - c.node.monotonicNow(),
-		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
-	}
+	o := c.newOwnership(opened, began, cancel)
 	times.readyAt = c.node.monotonicNow()
 	o.times = times
-	o.writer = newCellWriter(o)
 	c.newestEpoch.Store(epoch)
 	c.outlooks.begin(epoch, began)
 	c.intakeReadAt.Store(int64(c.intakeKnownAt))
@@ -145,6 +138,19 @@
 	o.reportEnd(reason)
 }
 
+// newOwnership returns the ownership of an epoch that was opened at a time.
+func (c *cell) newOwnership(opened *opening, openedAt time.Duration, cancel context.CancelFunc) *ownership {
+	c.witnesses.Store(witness.NewOwner())
+	o := &ownership{
+		cell: c, epoch: opened.epoch, firstSequence: opened.sequence, previous: opened.previous, witnesses: c.witnesses.Load(), cancel: cancel,
+		machine:  dispatch.New(c.dispatchConfig(opened.epoch), c.ledger(), c.node.monotonicNow(), time.Now()),
+		openedAt: openedAt, suspended: c.node.authorityNow() - c.node.monotonicNow(),
+		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
+	}
+	o.writer = newCellWriter(o)
+	return o
+}
+
 // dispatchConfig returns the configuration of the machine of an epoch.
 func (c *cell) dispatchConfig(epoch int64) dispatch.Config {
 	config := c.node.config.Dispatch
