--- a/coordinator/plannedhandover_test.go
+++ b/coordinator/plannedhandover_test.go
@@ -158,19 +158,7 @@
 				}
 				stop()
 				time.Sleep(15 * time.Second)
-				active, ended, starts := 0, 0, make(map[workload.TaskID]int)
-				for _, w := range c.workers {
-					active += len(w.runs)
-					ended += len(w.endedRuns)
-					for task, n := range w.starts {
-						starts[task] += n
-					}
-				}
-				is.Equal(active, 0)
-				is.Equal(ended, len(starts))
-				for _, n := range starts {
-					is.Equal(n, 1)
-				}
+				c.checkStartedOnce(is)
 			})
 		})
 	}
