--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -43,6 +43,10 @@
 	// number of attempts in a row that loaded none.
 	snapshotErr      error
 	snapshotFailures int
+	// snapshotNext is the offset in the cell stream up to which the last applied snapshot covers it,
+	// expiredRecords the number of records of that stream that had expired before they were read.
+	snapshotNext   int64
+	expiredRecords int64
 	// unreadable is the error of a record that this version doesn't read, until it is applied
 	// or a snapshot has it.
 	unreadable error
--- a/coordinator/cellpanic.go
+++ b/coordinator/cellpanic.go
@@ -21,7 +21,7 @@
 // another epoch.
 func (c *cell) resetState() {
 	c.state.Store(ledger.New())
-	c.intakeNext, c.cellNext, c.unapplied, c.caughtUpAt, c.snapshotReadAt = 0, 0, nil, 0, 0
+	c.intakeNext, c.cellNext, c.snapshotNext, c.unapplied, c.caughtUpAt, c.snapshotReadAt = 0, 0, 0, nil, 0, 0
 	c.unreadable = nil
 	c.generation.Store(0)
 }
--- a/coordinator/epochowner_test.go
+++ b/coordinator/epochowner_test.go
@@ -118,6 +118,24 @@
 	})
 }
 
+// Guards against an owner that goes on although the log has taken its append for another one: what it takes
+// for stored may not be.
+func TestOwnerStopsWhenAnAppendIsMisplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startPlannedHandOver()
+		defer c.close()
+		stop := c.submitSteadily(is, "vm-2")
+		time.Sleep(2 * time.Second)
+		c.log.update(func() { c.log.misplaced = 1 })
+		is.True(c.longestStandstill(5*time.Second) < maxTimeWithoutOwner)
+		stop()
+		time.Sleep(10 * time.Second)
+		is.Equal(c.log.opened(), map[int64]string{1: "vm-0", 2: "vm-0"})
+		c.checkStartedOnce(is)
+	})
+}
+
 // Guards against a cell without an owner: the store knows an epoch whose record no read shows, and the
 // assigned node attempts to open that one again and again.
 func TestEpochThatNoReadShowsIsSkipped(t *testing.T) {
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -24,6 +24,8 @@
 	openings *barrier
 	// lostOpenings is the number of such appends that take effect and get no answer.
 	lostOpenings int
+	// misplaced is the number of appends within an epoch whose answers name a later offset.
+	misplaced int
 	// values holds the values of the key-value store.
 	values map[string][]byte
 	// appendErr, if not nil, is the error of all appends. With appliesBeforeErr
@@ -122,7 +124,12 @@
 		l.lostOpenings--
 		return 0, errors.New("no answer")
 	}
-	return int64(len(l.streams[s])), l.appendErr
+	end := int64(len(l.streams[s]))
+	if f != nil && f.ExpectedEnd < 0 && l.misplaced > 0 {
+		l.misplaced--
+		end++
+	}
+	return end, l.appendErr
 }
 
 func isTransfer(data []byte) bool {
--- a/coordinator/openepoch.go
+++ b/coordinator/openepoch.go
@@ -140,6 +140,11 @@
 		o.taken = errors.Is(err, ErrFenced) || errors.Is(err, ErrOutOfSequence)
 		return err
 	}
+	if end != c.cellNext+1 {
+		c.reportMisplaced(o.epoch, c.cellNext+1, end)
+		o.taken = true
+		return errContested
+	}
 	if !o.mayBeStored {
 		c.authority.proven(sent)
 	}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -92,7 +92,8 @@
 	began := c.node.monotonicNow()
 	epoch, previous := opened.epoch, opened.previous
 	c.node.logger.Log(logevent.EpochOpened, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
-		zap.Int64("generation", opened.generation), zap.Int64("offset", c.cellNext-1), zap.Int("live", len(c.ledger().Live())))
+		zap.Int64("generation", opened.generation), zap.Int64("offset", c.cellNext-1), zap.Int("live", len(c.ledger().Live())),
+		zap.Int64("snapshot", c.snapshotNext), zap.Int64("expired", c.expiredRecords))
 	ctx, cancel := context.WithCancel(parent)
 	o := c.newOwnership(opened, began, cancel)
 	times.readyAt = c.node.monotonicNow()
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -87,7 +87,7 @@
 	if at.Intake > c.intakeNext {
 		c.unreadable = nil
 	}
-	c.cellNext, c.unapplied = at.Cell, nil
+	c.cellNext, c.snapshotNext, c.unapplied = at.Cell, at.Cell, nil
 	c.intakeNext = max(c.intakeNext, at.Intake)
 	return nil
 }
--- a/coordinator/streams.go
+++ b/coordinator/streams.go
@@ -80,6 +80,7 @@
 				return err
 			}
 			c.reportExpired(c.cellStream(), c.cellNext, page.LogStart)
+			c.expiredRecords += page.LogStart - c.cellNext
 			c.cellNext, c.unapplied = page.LogStart, nil
 			continue
 		}
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -40,6 +40,8 @@
 	appendIDs []int64
 	// sequence is the sequence number; the first one is that of the Opened record.
 	sequence int64
+	// end is the offset after its records: no other node appends to the stream in this epoch.
+	end int64
 	// before is the batch before this one, or nil. posted is closed when the owner has been
 	// told that this one is in the log.
 	before *cellBatch
@@ -47,11 +49,11 @@
 }
 
 func newCellWriter(o *ownership) *cellWriter {
-	return &cellWriter{ownership: o, wake: make(chan struct{}, 1), last: newCellBatch(o.firstSequence, nil)}
+	return &cellWriter{ownership: o, wake: make(chan struct{}, 1), last: newCellBatch(o.firstSequence, o.cellNext, nil)}
 }
 
-func newCellBatch(sequence int64, before *cellBatch) *cellBatch {
-	return &cellBatch{sequence: sequence, before: before, posted: make(chan struct{})}
+func newCellBatch(sequence, end int64, before *cellBatch) *cellBatch {
+	return &cellBatch{sequence: sequence, end: end, before: before, posted: make(chan struct{})}
 }
 
 // enqueue adds an append to the end of the queue.
@@ -123,7 +125,7 @@
 		}
 		return nil
 	}
-	batch := newCellBatch(w.last.sequence+1, w.last)
+	batch := newCellBatch(w.last.sequence+1, w.last.end, w.last)
 	size, taken := 0, 0
 	for _, a := range w.queue {
 		if size > maxAppendBytes {
@@ -138,6 +140,7 @@
 			}
 			size += len(data) + 4
 			batch.records = append(batch.records, data)
+			batch.end++
 		}
 		batch.appendIDs = append(batch.appendIDs, a.ID)
 		taken++
@@ -162,6 +165,11 @@
 		o.node.metrics.countLogCall(err)
 		if err == nil {
 			o.node.recordStoreResponse()
+			if end != b.end {
+				o.reportMisplaced(o.epoch, b.end, end)
+				o.cancel()
+				return
+			}
 			if attempt == 1 {
 				// A repeated append may have taken effect at the first attempt.
 				o.authority.proven(sentAuthority)
@@ -214,3 +222,9 @@
 	w.ownership.post(ctx, batchAppended{appendIDs: b.appendIDs, end: end})
 	close(b.posted)
 }
+
+// reportMisplaced reports an answer of the log by which an append ended at another offset than it must.
+func (c *cell) reportMisplaced(epoch, expected, end int64) {
+	c.node.logger.Log(logevent.AppendMisplaced, zap.Int("cell", c.number), zap.Int64("epoch", epoch),
+		zap.Int64("expected", expected), zap.Int64("end", end))
+}
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -63,6 +63,7 @@
 	PiecesReported       Number = 874
 	TakeoverTimed        Number = 876
 	EpochContested       Number = 877
+	AppendMisplaced      Number = 878
 	TenantKeysChanged    Number = 880
 	TenantCapsChanged    Number = 881
 	CallsRefused         Number = 882
@@ -85,11 +86,12 @@
 	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission completed or failed", []string{"id", "queue", "tenant", "state", "epoch", "took", "objective", "size", "work", "served", "times"}, "None."},
 	{SubmissionOverdue, "SubmissionOverdue", zapcore.InfoLevel, "submission has not ended within three times its objective", []string{"id", "queue", "tenant", "size", "work", "started", "epoch", "age", "objective", "times"}, "None. If it is more frequent among the largest submissions of a queue, look at the workers' free CPU and memory against the tasks of these."},
 	{LargestFavoured, "LargestFavoured", zapcore.WarnLevel, "largest submissions of a queue are placed first, because they are served less often than the others", []string{"queue", "reason", "epoch", "cell"}, "None; if it recurs, add workers with enough free CPU and memory for the largest tasks. Event 806 names the submissions."},
-	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM became the owner of the cell", []string{"cell", "epoch", "generation", "offset", "live"}, "None. The offset is that of the record which the log confirmed: two VMs with one epoch or one offset are two owners, which must not be."},
+	{EpochOpened, "EpochOpened", zapcore.InfoLevel, "this VM became the owner of the cell", []string{"cell", "epoch", "generation", "offset", "live", "snapshot", "expired"}, "None. The offset is that of the record which the log confirmed: two VMs with one epoch or one offset are two owners, which must not be. The state was read from the snapshot that covers the records before the offset in snapshot, and from the log's records since; expired counts records that this process found in neither."},
 	{EpochNotOpened, "EpochNotOpened", zapcore.WarnLevel, "cell is assigned to this VM but its epoch could not be opened", []string{"cell", "error"}, "If it recurs, check the health of the log."},
 	{EpochEnded, "EpochEnded", zapcore.InfoLevel, "this VM no longer owns the cell", []string{"cell", "epoch", "reason", "duration", "placements", "sincePlaced", "handOver"}, "None. sincePlaced is the time from the last placement to the end of the decisions, handOver the time from then on until a successor is told."},
 	{EpochFenced, "EpochFenced", zapcore.WarnLevel, "another VM has opened a higher epoch", []string{"epoch", "worker"}, "None; if it recurs, look for an unstable network link or a slow VM."},
 	{EpochContested, "EpochContested", zapcore.InfoLevel, "another VM has opened an epoch of the cell, or the one that this VM attempted to open; this VM asks the group whether the cell is still assigned to it", []string{"cell", "epoch"}, "Expected when cells are dealt anew; if it recurs without that, look for an unstable network link or a slow VM."},
+	{AppendMisplaced, "AppendMisplaced", zapcore.ErrorLevel, "the log's answer to an append of the owner names another offset than the next one of the cell; the ownership ends", []string{"cell", "epoch", "expected", "end"}, "Look for another VM with the same epoch in events 811, and for VMs of an earlier version."},
 	{GroupCallFailed, "GroupCallFailed", zapcore.WarnLevel, "call to the membership group failed", []string{"error"}, "Check the connection to the platform's store."},
 	{GroupRegained, "GroupRegained", zapcore.InfoLevel, "call to the membership group succeeds again", nil, "None."},
 	{FormerOwnerResigned, "FormerOwnerResigned", zapcore.InfoLevel, "former owner of the cell stopped sending orders", []string{"vm", "epoch"}, "None."},
