--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -155,7 +155,7 @@
 
 // QueueLength returns the number of submissions of a queue that are in state
 // Queued, that is, of those without a placed run. It returns ErrUnavailable if the
-// owner of a cell does not answer.
+// owner of a cell does not answer, or has not read the submissions of the last seconds.
 func (n *Node) QueueLength(ctx context.Context, queue string) (int, error) {
 	pending := 0
 	for _, c := range n.cells {
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -5,10 +5,12 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
+	"github.com/cactusreel/cactusreel/dispatch"
 	"github.com/cactusreel/cactusreel/workload"
 )
 
@@ -76,7 +78,7 @@
 // Queued, from the cell's owner. It returns false if no owner answered.
 func (n *Node) pendingCount(ctx context.Context, c *cell, queue string) (int, bool) {
 	if c.owning.Load() {
-		return c.ledger().Pending(queue), true
+		return c.ownPendingCount(queue)
 	}
 	pending := 0
 	ok := n.queryOwner(ctx, c, func(ctx context.Context, owner coordpb.Coordinator) (bool, error) {
@@ -90,13 +92,24 @@
 	return pending, ok
 }
 
+// ownPendingCount returns the number from this node's copy, as the owner. It returns false if the copy is
+// too old: the submissions that other nodes have accepted since would be missing.
+func (c *cell) ownPendingCount(queue string) (int, bool) {
+	age := c.node.monotonicNow() - time.Duration(c.intakeReadAt.Load())
+	if limit := c.node.config.Dispatch.MaxViewAge[dispatch.Intake]; limit > 0 && age > limit {
+		return 0, false
+	}
+	return c.ledger().Pending(queue), true
+}
+
 // Pending handles a query of another node for the number of pending submissions.
 func (n *Node) Pending(_ context.Context, q *coordpb.PendingRequest) (*coordpb.PendingAnswer, error) {
 	c := n.cell(q.Cell)
 	if c == nil || !c.owning.Load() {
 		return &coordpb.PendingAnswer{}, nil
 	}
-	return &coordpb.PendingAnswer{Owner: true, Pending: int32(c.ledger().Pending(q.Queue))}, nil
+	pending, ok := c.ownPendingCount(q.Queue)
+	return &coordpb.PendingAnswer{Owner: ok, Pending: int32(pending)}, nil
 }
 
 // Lookup handles a query of another node for the state of a submission. An owner
