--- a/cmd/cactusreel/main.go
+++ b/cmd/cactusreel/main.go
@@ -52,5 +52,5 @@
 	if err != nil {
 		return err
 	}
-	return platform.Run(ctx, s, platform.Options{SettingsPath: settingsPath, Events: events, LogDropped: budget.Dropped})
+	return platform.Run(ctx, s, platform.Options{Version: version, SettingsPath: settingsPath, Events: events, LogDropped: budget.Dropped})
 }
