--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -55,12 +55,14 @@
 	record := ledger.PlacedRecord(r.id, r.worker.Incarnation, r.worker.Address)
 	record.Placed.Order, record.Placed.FreshFrom = r.order, r.worker.firstFresh()
 	record.Placed.EndsConnections = r.worker.endsConnections
+	record.Placed.Checkpoint = r.resumesFrom
 	incarnation := r.worker.Incarnation
 	m.starts.inFlight++
 	m.appendRecord(record, func() {
 		m.starts.inFlight--
 		first := r.entry.State() == workload.Queued
 		m.ledger.Apply(record)
+		m.forgetCheckpoint(r.entry, r.id.Task, r.id.Run)
 		if first {
 			r.entry.NoteNotActive()
 			m.emitSubmissionDecision(SubmissionBegan, r.entry)
@@ -109,7 +111,7 @@
 	r.phase, r.commandInFlight = starting, true
 	w.noteGrant(m.now)
 	m.starts.inFlight++
-	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.checkpoint, Deadline: r.leaseDeadline})
+	m.emit(Start{Target: w.target(), Run: r.id, Spec: r.entry.Spec, Checkpoint: r.resumesFrom, Deadline: r.leaseDeadline})
 }
 
 // confirmRun records that a run is active on its worker.
--- a/dispatch/dispatchtest/worker.go
+++ b/dispatch/dispatchtest/worker.go
@@ -64,6 +64,8 @@
 	// StartedAt is when the worker started the run.
 	StartedAt time.Duration
 	Outcome   workload.Outcome
+	// Checkpoint is the newest one, at first that of the start, or "".
+	Checkpoint string
 	// stopping: a stop of the run is under way.
 	stopping bool
 }
@@ -130,9 +132,12 @@
 	delete(w.Runs, r.ID)
 	w.highestRefused[r.ID.Task] = max(w.highestRefused[r.ID.Task], r.ID.Run)
 	w.sequence++
-	w.Ends = append(w.Ends, workload.EndedRun{RunID: r.ID, Sequence: w.sequence, Outcome: outcome})
+	w.Ends = append(w.Ends, workload.EndedRun{RunID: r.ID, Sequence: w.sequence, Outcome: outcome, Checkpoint: r.Checkpoint})
 }
 
+// End ends a run with an outcome.
+func (w *Worker) End(r *Run, outcome workload.Outcome) { w.end(r, outcome) }
+
 // Reboot begins a new incarnation without any state of the previous one.
 func (w *Worker) Reboot(now time.Duration) {
 	w.Info.StartMillis++
@@ -219,7 +224,7 @@
 		if r.stopping {
 			continue
 		}
-		report.Active = append(report.Active, workload.ActiveRun{RunID: r.ID, ProgressPercent: 50})
+		report.Active = append(report.Active, workload.ActiveRun{RunID: r.ID, Checkpoint: r.Checkpoint, ProgressPercent: 50})
 	}
 	return report, dispatch.Done
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -200,7 +200,6 @@
 	}
 	m.recordEnd(r.entry, w.Incarnation, end, func() {
 		recorded()
-		delete(m.checkpoints, end.Task)
 		m.removeRun(r)
 	})
 	m.planNeeded = true
@@ -363,9 +362,3 @@
 	}
 	m.sendStart(r)
 }
-
-func (m *Machine) keepCheckpoint(r *run) {
-	if r.checkpoint != "" {
-		m.checkpoints[r.id.Task] = r.checkpoint
-	}
-}
--- a/dispatch/knownends.go
+++ b/dispatch/knownends.go
@@ -107,6 +107,9 @@
 		delete(m.unrecorded, end.RunID)
 		live := !e.State().Final()
 		m.ledger.Apply(record)
+		if end.Checkpoint != "" {
+			m.forgetCheckpoint(e, end.Task, end.Run)
+		}
 		for _, f := range u.callbacks {
 			f()
 		}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -35,9 +35,9 @@
 	active     map[workload.TaskID]*run
 	// byEntry are the active runs of each submission.
 	byEntry map[string][]*run
-	// checkpoints are newer than those in the ledger. They come from runs whose end
-	// was not reported.
-	checkpoints map[workload.TaskID]string
+	// checkpoints are newer than those in the ledger; see checkpointKey. They come from runs whose
+	// end was not reported.
+	checkpoints map[workload.TaskID]unrecordedCheckpoint
 	// avoid is the worker on which a task last failed or stalled.
 	avoid map[workload.TaskID]string
 	// stalls are the tasks with runs that have stalled.
@@ -147,7 +147,7 @@
 		workers:         make(map[string]*worker),
 		active:          make(map[workload.TaskID]*run),
 		byEntry:         make(map[string][]*run),
-		checkpoints:     make(map[workload.TaskID]string),
+		checkpoints:     make(map[workload.TaskID]unrecordedCheckpoint),
 		avoid:           make(map[workload.TaskID]string),
 		shortages:       make(map[runClass]*shortage),
 		shares:          new(roomShares),
@@ -210,13 +210,11 @@
 		id:    workload.RunID{Task: t.ID, Run: number},
 		order: m.config.Epoch<<placementBits + m.placements,
 		entry: e, task: t, step: &e.Steps[t.ID.Step], worker: w,
-		phase: recording, checkpoint: t.Checkpoint, pace: 100,
+		phase: recording, resumesFrom: m.checkpointOf(e, t), pace: 100,
 		image:    m.model.idOf(e.Steps[t.ID.Step].Image),
 		isolated: e.CrashRecordOf(t).Suspect,
 	}
-	if newer := m.checkpoints[t.ID]; newer != "" {
-		r.checkpoint = newer
-	}
+	r.checkpoint = r.resumesFrom
 	m.noteWait(t.ID)
 	m.fillRoom(r, heldByPlan, heldByRecord)
 	w.addRun(r)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -101,7 +101,10 @@
 	// isolated: no other run is started on the worker until this one has survived,
 	// because its task is suspected of a crash.
 	isolated bool
-	// checkpoint is the newest reported checkpoint.
+	// resumesFrom is the checkpoint that each start of the run carries, or "". It is recorded with
+	// the run.
+	resumesFrom string
+	// checkpoint is the newest reported checkpoint, at first resumesFrom.
 	checkpoint string
 	// progressAt is when a report last showed progress, reportedAt when a report
 	// last listed the run.
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -147,11 +147,11 @@
 func (m *Machine) release(e *ledger.Entry, t *ledger.Task, cell int) {
 	m.releasing[t.ID] = true
 	m.addOccupied(e, t.ID, 1)
-	record := ledger.ReleasedRecord(t, cell, m.checkpoints[t.ID])
+	record := ledger.ReleasedRecord(t, cell, m.checkpoints[checkpointKey(e, t.ID)].name)
 	m.appendRecord(record, func() {
 		m.ledger.Apply(record)
 		delete(m.releasing, t.ID)
-		delete(m.checkpoints, t.ID)
+		delete(m.checkpoints, checkpointKey(e, t.ID))
 		delete(m.avoid, t.ID)
 		m.addOccupied(e, t.ID, -1)
 	})
--- a/dispatch/workerlist.go
+++ b/dispatch/workerlist.go
@@ -118,9 +118,7 @@
 			continue
 		}
 		m.emitDecision(RunLost, r.id, w.ID(), reason, m.now-w.clockAt)
-		if r.checkpoint != "" {
-			m.checkpoints[r.id.Task] = r.checkpoint
-		}
+		m.keepCheckpoint(r)
 		if r.phase == recording {
 			r.stopRequested = true
 			continue
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -199,6 +199,7 @@
 		if e.Steps[t.ID.Step].Gang {
 			noteGangPlaced(t, e.stepOf(t).Tasks)
 		}
+		e.setCheckpoint(t, p.Checkpoint)
 	}
 	e.started = true
 	l.updateState(e)
@@ -210,13 +211,16 @@
 	if t == nil {
 		return nil
 	}
-	if r.Checkpoint != "" && r.Run >= t.Run {
+	isNewest := r.Run >= e.newestRun(t)
+	if r.Checkpoint != "" && isNewest {
 		t.Checkpoint = r.Checkpoint
 	}
 	e.NoteActive()
 	outcome := workload.Outcome(r.Outcome)
 	if e.Steps[t.ID.Step].Gang {
-		l.applyGangEnd(e, t, r.Run, outcome)
+		if l.applyGangEnd(e, t, r.Run, outcome) && isNewest {
+			e.setCheckpoint(t, r.Checkpoint)
+		}
 	} else {
 		l.applyTaskEnd(e, t, r.Run, outcome)
 	}
@@ -278,10 +282,10 @@
 
 // applyGangEnd applies the end of a gang member's run. The success of one member
 // completes all members, unless they are to last. A failed run counts as one failure of the gang, which is
-// kept on the first member.
-func (l *Ledger) applyGangEnd(e *Entry, t *Task, run int64, outcome workload.Outcome) {
+// kept on the first member. It reports whether the gang has to run again.
+func (l *Ledger) applyGangEnd(e *Entry, t *Task, run int64, outcome workload.Outcome) bool {
 	if t.Away {
-		return
+		return false
 	}
 	members := e.stepOf(t).Tasks
 	if outcome == workload.Succeeded && !e.Steps[t.ID.Step].LongRunning {
@@ -289,21 +293,17 @@
 			members[i].closeRun()
 			e.finish(&members[i], true)
 		}
-		return
+		return false
 	}
 	if run != t.Run || !t.Open {
-		return
+		return false
 	}
 	t.closeRun()
-	if t.Checkpoint != "" {
-		for i := range members {
-			members[i].Checkpoint = t.Checkpoint
-		}
-	}
 	if outcome == workload.Errored {
 		gangFailed(members)
 		e.finishFailedGang(members)
 	}
+	return true
 }
 
 // finishFailedGang ends a gang that has used up its attempts. A guest returns all of its
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -25,7 +25,9 @@
 	// Failures is the number of runs that ended with Errored. The first member of a gang has
 	// that of the gang; the others have what it was when their newest run was placed.
 	Failures int
-	// Checkpoint is the newest recorded checkpoint, or "" if there is none.
+	// Checkpoint is the newest recorded checkpoint, or "" if there is none; see
+	// Entry.CheckpointOf. While Run has not ended, its starts carry it, unless another member
+	// of its gang has ended since.
 	Checkpoint string
 	// Transfer is the number of the task's last transfer from or to this cell, or 0 if
 	// there was none.
--- a/ledger/transfer.go
+++ b/ledger/transfer.go
@@ -54,9 +54,7 @@
 		return e
 	}
 	t.closeRun()
-	if r.Checkpoint != "" {
-		t.Checkpoint = r.Checkpoint
-	}
+	e.setCheckpoint(t, r.Checkpoint)
 	t.Transfer, t.ReleasedTo = r.Transfer, int(r.Cell)
 	e.stepOf(t).setAway(t, true)
 	l.updateState(e)
