--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -306,9 +306,7 @@
 			s.t.Errorf("request %s was refused but ran", id)
 		}
 	}
-	for _, failure := range s.history.Violations() {
-		s.t.Error(failure)
-	}
+	s.reportViolations()
 	s.t.Logf("%d accepted, %d refused, %d cancelled", len(s.accepted), len(s.refused), len(s.cancelled))
 	if len(s.accepted) == 0 {
 		s.t.Error("no request was accepted")
