--- a/soak/address_test.go
+++ b/soak/address_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	var addresses []string
 	for range 34 {
-		p := newProcess(t, "", "c", "127.0.0.1:1")
+		p := newProcess(t, "", "c", "127.0.0.1:1", 2)
 		t.Cleanup(p.storeProxy.close)
 		addresses = append(addresses, p.callerAddress, p.readinessAddress, p.peerAddress)
 	}
@@ -38,7 +38,7 @@
 	is := is.New(t)
 	binary := filepath.Join(t.TempDir(), "coordinator")
 	is.NoErr(os.WriteFile(binary, []byte("#!/bin/sh\necho address already in use >&2\nexit 3\n"), 0o700))
-	p := newProcess(t, binary, "c0", "127.0.0.1:1")
+	p := newProcess(t, binary, "c0", "127.0.0.1:1", 2)
 	t.Cleanup(p.storeProxy.close)
 	is.True(strings.Contains(p.report(), "c0 was not started"))
 	p.start()
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,6 +8,9 @@
 // crash, stay away for longer than their leases, or drain and leave. The
 // test signals only processes that it has started, by their ids.
 //
-// `go test ./soak` runs the regression seeds and one short seed;
-// `go test ./soak -soak.seeds=50 -soak.first=1000` runs more.
+// `go test ./soak` runs the regression seeds and one short seed each of two profiles: "faults",
+// and "dealings", in which the group gives the only cell to any of seven coordinators again and
+// again. `go test ./soak -soak.seeds=50 -soak.first=1000 -soak.profile=dealings` runs more seeds.
+// A failed seed prints the violations of each kind with the epochs, and the coordinators that
+// commanded the starts.
 package soak
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -14,7 +14,7 @@
 	worker := s.random.IntN(len(s.workers))
 	workerProxy, workerName := s.workerProxies[worker], s.workers[worker].ID
 	duration := time.Duration(200+s.random.IntN(3500)) * time.Millisecond
-	switch s.random.IntN(s.faultKinds) {
+	switch s.random.IntN(s.profile.faultKinds) {
 	case 0:
 		s.runFault(func() { p.kill(); time.Sleep(duration / 4); p.start() }, p.name)
 	case 1:
--- a/soak/longrunning_test.go
+++ b/soak/longrunning_test.go
@@ -11,10 +11,12 @@
 // their tasks, three belong to the cell of the wide one, so that two of its tasks need
 // a worker of the other cell.
 const (
-	wideSubmission  = "0000000900000000"
-	wideTasks       = 8
-	shortSubmission = "0000000900000001"
-	shortTasks      = 2
+	// longRunningCaller is the first half of their ids.
+	longRunningCaller = 9
+	wideSubmission    = "0000000900000000"
+	wideTasks         = 8
+	shortSubmission   = "0000000900000001"
+	shortTasks        = 2
 	// maxCancelTime is the time after which a cancelled task must not run any more, as
 	// stated by the platform's users, and the time that a stop takes.
 	maxCancelTime = 4*time.Second + time.Second
@@ -23,7 +25,7 @@
 // submitLongRunning submits the long-running submissions.
 func (s *seedRun) submitLongRunning(client *http.Client, random *rand.Rand) {
 	for id, tasks := range map[string]int{wideSubmission: wideTasks, shortSubmission: shortTasks} {
-		body := fmt.Sprintf(`{"spec":"1h","phases":[{"count":%d,"cpu":3000,"mem_mb":64,"est_runtime_ms":300,"long_running":true}]}`, tasks)
+		body := fmt.Sprintf(`{"spec":"1h","phases":[{"count":%d,"cpu":%d,"mem_mb":64,"est_runtime_ms":300,"long_running":true}]}`, tasks, s.profile.workerCPU*3/8)
 		for attempt := 0; ; attempt++ {
 			status, _ := s.send(client, random, http.MethodPost, id, body)
 			if status == http.StatusOK {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -29,7 +29,7 @@
 	starts           int
 }
 
-func newProcess(t *testing.T, binary, name, storeAddress string) *process {
+func newProcess(t *testing.T, binary, name, storeAddress string, cells int) *process {
 	p := &process{t: t, name: name, binary: binary, dir: t.TempDir()}
 	var err error
 	if p.storeProxy, err = newProxy(storeAddress); err != nil {
@@ -45,8 +45,8 @@
 			t.Fatal(err)
 		}
 	}
-	settings := fmt.Sprintf("[vm]\nname = %s\ndata_centre = giza\n[listen]\ncallers = %s\nreadiness = %s\npeers = %s\n[store]\naddress = %s\n[times]\nlease_limit = 5s\ngrace = 3s\n[limits]\ncells = 2\n",
-		name, p.callerAddress, p.readinessAddress, p.peerAddress, p.storeProxy.address())
+	settings := fmt.Sprintf("[vm]\nname = %s\ndata_centre = giza\n[listen]\ncallers = %s\nreadiness = %s\npeers = %s\n[store]\naddress = %s\n[times]\nlease_limit = 5s\ngrace = 3s\n[limits]\ncells = %d\n[logging]\nlines_per_second = 4000\n",
+		name, p.callerAddress, p.readinessAddress, p.peerAddress, p.storeProxy.address(), cells)
 	if err := os.WriteFile(p.settingsPath(), []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,8 @@
 	seeds         = flag.Int("soak.seeds", 1, "number of seeds to run")
 	first         = flag.Uint64("soak.first", 1, "first seed")
 	faultDuration = flag.Duration("soak.length", 8*time.Second, "duration of fault injection for each seed")
+	profileNames  = flag.String("soak.profile", "faults,dealings", "profiles of the seeds")
+	programPath   = flag.String("soak.binary", "", "program to run instead of the one built from the source tree")
 	logDir        = flag.String("soak.keep", "", "directory for the logs of failed seeds")
 )
 
@@ -40,9 +42,8 @@
 }
 
 const (
-	coordinators = 3
-	workerCount  = 6
-	settleTime   = 40 * time.Second
+	workerCount = 6
+	settleTime  = 40 * time.Second
 )
 
 // seedRun is the run of one seed.
@@ -59,11 +60,10 @@
 	accepted      map[string]bool
 	refused       map[string]bool
 	cancelled     map[string]bool
-	// faultKinds is the number of kinds of faults that injectFault chooses from.
-	faultKinds int
-	faults     *faultLimit
-	stop       chan struct{}
-	goroutines sync.WaitGroup
+	profile       profile
+	faults        *faultLimit
+	stop          chan struct{}
+	goroutines    sync.WaitGroup
 }
 
 // Checks the guarantees of coordinators under process, network and store faults:
@@ -71,19 +71,28 @@
 // requests complete or, if they are long-running, run until they are cancelled, and
 // refused requests never run.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "cactusreel")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/cactusreel")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+	binary := *programPath
+	if binary == "" {
+		binary = filepath.Join(t.TempDir(), "cactusreel")
+		build := exec.Command("go", "build", "-o", binary, "../cmd/cactusreel")
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("%v: %s", err, out)
+		}
 	}
 	for seed, r := range regressionSeeds {
 		t.Run(fmt.Sprintf("regression-%d", seed), func(t *testing.T) {
 			t.Log(r.cause)
-			runSeed(t, binary, seed, r.faultKinds, r.overlapping)
+			runSeed(t, binary, seed, smallProfile(r.faultKinds, r.overlapping))
 		})
 	}
-	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, seed, allFaultKinds, 2) })
+	for name := range strings.SplitSeq(*profileNames, ",") {
+		p, ok := profiles[name]
+		if !ok {
+			t.Fatalf("no profile %q", name)
+		}
+		for seed := *first; seed < *first+uint64(*seeds); seed++ {
+			t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) { runSeed(t, binary, seed, p) })
+		}
 	}
 }
 
@@ -97,13 +106,13 @@
 	allFaultKinds    = 16
 )
 
-// runSeed runs a seed with up to overlapping lasting faults at a time.
-func runSeed(t *testing.T, binary string, seed uint64, faultKinds, overlapping int) {
+// runSeed runs a seed of a profile.
+func runSeed(t *testing.T, binary string, seed uint64, p profile) {
 	s := &seedRun{
 		t: t, random: rand.New(rand.NewPCG(seed, 4)),
 		store: platformtest.NewStore(seed), history: platformtest.NewHistory(),
 		accepted: make(map[string]bool), refused: make(map[string]bool), cancelled: make(map[string]bool),
-		stop: make(chan struct{}), faultKinds: faultKinds, faults: newFaultLimit(overlapping),
+		stop: make(chan struct{}), profile: p, faults: newFaultLimit(p.overlapping),
 	}
 	defer s.cleanUp()
 	s.setUp(binary, seed)
@@ -112,14 +121,19 @@
 	// The faults of a seed do not depend on how often these calls are repeated.
 	random := rand.New(rand.NewPCG(seed, 200))
 	s.submitLongRunning(client, random)
-	for i := range 4 {
+	for i := range p.callers {
 		s.goroutines.Go(func() { s.runCaller(rand.New(rand.NewPCG(seed, uint64(100+i))), i) })
 	}
 	s.goroutines.Go(s.repeatAnnouncements)
+	if p.dealInterval > 0 {
+		s.goroutines.Go(func() { s.dealCellsAnew(p.dealInterval, *faultDuration) })
+	}
 	began := time.Now()
 	cancelled := false
 	for time.Since(began) < *faultDuration {
-		s.injectFault()
+		if time.Since(began) >= p.faultDelay {
+			s.injectFault()
+		}
 		time.Sleep(time.Duration(s.random.IntN(900)) * time.Millisecond)
 		if !cancelled && time.Since(began) > *faultDuration/2 {
 			// Not acknowledged if no node reaches the store; checkLongRunning repeats it.
@@ -155,10 +169,11 @@
 		s.workers, s.workerProxies, s.workerStates = append(s.workers, w), append(s.workerProxies, p), append(s.workerStates, new(workerState))
 		s.announceWorker(i)
 	}
+	s.store.SetLatency(s.profile.storeLatency)
 	server := httptest.NewServer(s.store)
 	s.t.Cleanup(server.Close)
-	for i := range coordinators {
-		p := newProcess(s.t, binary, fmt.Sprintf("c%d", i), strings.TrimPrefix(server.URL, "http://"))
+	for i := range s.profile.coordinators {
+		p := newProcess(s.t, binary, fmt.Sprintf("c%d", i), strings.TrimPrefix(server.URL, "http://"), s.profile.cells)
 		s.processes = append(s.processes, p)
 		s.t.Cleanup(p.storeProxy.close)
 		p.start()
@@ -183,7 +198,7 @@
 	}
 	entry := map[string]any{
 		"service": "svc", "address": s.workerProxies[i].address(), "zone": "giza", "state": "ready", "born": s.workers[i].StartMillis(),
-		"capacity": map[string]any{"cpu": 8000, "mem_mb": 8000}, "labels": []string{"a", "r1-1"},
+		"capacity": map[string]any{"cpu": s.profile.workerCPU, "mem_mb": s.profile.workerMemory}, "labels": []string{"a", "r1-1"},
 	}
 	if !state.leavesAt.IsZero() {
 		entry["state"], entry["remaining_ms"] = "draining", max(0, time.Until(state.leavesAt).Milliseconds())
@@ -222,6 +237,14 @@
 	}
 }
 
+// callerNumber returns the first half of the ids of a caller's submissions.
+func callerNumber(caller int) int {
+	if caller+1 >= longRunningCaller {
+		return caller + 2
+	}
+	return caller + 1
+}
+
 // runCaller submits and cancels requests on persistent connections.
 func (s *seedRun) runCaller(random *rand.Rand, caller int) {
 	client := &http.Client{Timeout: 4 * time.Second}
@@ -229,9 +252,9 @@
 		select {
 		case <-s.stop:
 			return
-		case <-time.After(time.Duration(random.IntN(150)) * time.Millisecond):
+		case <-time.After(time.Duration(random.IntN(int(s.profile.maxPause.Milliseconds()))) * time.Millisecond):
 		}
-		id := fmt.Sprintf("%08x%08x", caller+1, n)
+		id := fmt.Sprintf("%08x%08x", callerNumber(caller), n)
 		s.submit(client, random, id)
 		if random.IntN(12) == 0 {
 			s.cancel(client, random, id)
