coordinator: a test reads its workers under their locks

TestCellIsDealtAnewAgainAndAgain failed under -race in one of two full runs of the package (a read in checkStartedOnce beside a heartbeat's write). What is checked is the same.

--- a/coordinator/epochowner_test.go
+++ b/coordinator/epochowner_test.go
@@ -52,11 +52,13 @@
 	is.Helper()
 	active, ended, starts := 0, 0, make(map[workload.TaskID]int)
 	for _, w := range c.workers {
+		w.mu.Lock()
 		active += len(w.runs)
 		ended += len(w.endedRuns)
 		for task, n := range w.starts {
 			starts[task] += n
 		}
+		w.mu.Unlock()
 	}
 	is.True(len(starts) > 0)
 	is.Equal(active, 0)
