--- a/coordinator/caller_test.go
+++ b/coordinator/caller_test.go
@@ -32,14 +32,14 @@
 			c.cutLink("c", "a", cut)
 			for _, n := range c.nodes {
 				_, err := n.StateFor(timeoutContext(2*time.Second), south, "s")
-				is.True(errors.Is(err, coordinator.ErrOtherTenant) && errors.Is(err, coordinator.ErrNoSubmission))
-				is.True(errors.Is(n.CancelFor(timeoutContext(2*time.Second), south, "s"), coordinator.ErrOtherTenant))
+				is.True(errors.Is(err, coordinator.ErrHidden) && errors.Is(err, coordinator.ErrNoSubmission))
+				is.True(errors.Is(n.CancelFor(timeoutContext(2*time.Second), south, "s"), coordinator.ErrHidden))
 				_, err = n.StateFor(timeoutContext(2*time.Second), coordinator.Caller{Queue: "public"}, "s")
-				is.True(errors.Is(err, coordinator.ErrOtherTenant))
+				is.True(errors.Is(err, coordinator.ErrHidden))
 			}
 			other := submission("s")
 			other.Tenant = "south"
-			is.True(errors.Is(c.nodes["c"].Submit(timeoutContext(3*time.Second), other), coordinator.ErrOtherTenant))
+			is.True(errors.Is(c.nodes["c"].Submit(timeoutContext(3*time.Second), other), coordinator.ErrIDInUse))
 			time.Sleep(5 * time.Second)
 			for _, n := range c.nodes {
 				for _, caller := range []coordinator.Caller{north, {}, {Queue: "q"}} {
@@ -52,8 +52,9 @@
 	}
 }
 
-// Guards against a submission that its own tenant, or everybody in the case of a public queue
-// or of one from before tenants were declared, can't see.
+// Guards against a submission that its own tenant, or every caller of its queue in the case of a
+// public queue or of one from before tenants were declared, can't see, and against one that callers
+// of another queue see or cancel.
 func TestSubmissionsWithoutATenantAreShown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -61,10 +62,15 @@
 		defer c.close()
 		is.NoErr(c.nodes["b"].Submit(timeoutContext(3*time.Second), submission("s")))
 		for _, n := range c.nodes {
-			for _, caller := range []coordinator.Caller{north, south, {Queue: "public"}} {
+			for _, caller := range []coordinator.Caller{north, south, {Queue: "q"}, {}} {
 				_, err := n.StateFor(timeoutContext(2*time.Second), caller, "s")
 				is.NoErr(err)
 			}
+			for _, caller := range []coordinator.Caller{{Queue: "public"}, {Tenant: "north", Queue: "other"}} {
+				_, err := n.StateFor(timeoutContext(2*time.Second), caller, "s")
+				is.True(errors.Is(err, coordinator.ErrHidden))
+				is.True(errors.Is(n.CancelFor(timeoutContext(2*time.Second), caller, "s"), coordinator.ErrHidden))
+			}
 		}
 		is.NoErr(c.nodes["b"].CancelFor(timeoutContext(3*time.Second), south, "s"))
 	})
--- a/coordinator/callers.go
+++ b/coordinator/callers.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusreel/cactusreel/ledger"
 	"github.com/cactusreel/cactusreel/logevent"
 	"github.com/cactusreel/cactusreel/workload"
 )
@@ -20,34 +21,40 @@
 	// ErrRejected means that the request had no effect, because the workers can't start the
 	// submission while it is of use. The error is a *RejectedError.
 	ErrRejected = errors.New("not accepted: the workers can't start it in time")
+	// ErrIDInUse means that the request had no effect and never has one, because another submission
+	// has the id: one of another queue or tenant, or with other content.
+	ErrIDInUse = errors.New("not accepted: another submission has this id")
 	// ErrNoSubmission means that no submission has the id.
 	ErrNoSubmission = errors.New("no submission has this id")
 )
 
 // Submit makes a submission durable. It is idempotent: it returns nil also if
-// the submission was already stored. The deadline of ctx is the caller's.
+// the submission was already stored. If another submission has the id it returns
+// ErrIDInUse. The deadline of ctx is the caller's.
 func (n *Node) Submit(ctx context.Context, s *workload.Submission) error {
 	began := n.monotonicNow()
 	c := n.cellOf(s.ID)
-	if c.isHidden(CallerOf(s), s.ID) {
-		n.ReportRefusedCall(s.Queue, OtherTenant)
-		return ErrOtherTenant
-	}
-	if c.hasSubmission(s.ID) {
+	identity := ledger.IdentityOf(s)
+	use := c.useOf(s.ID, identity)
+	if use == usedByRepeat {
 		n.logger.Log(logevent.SubmissionRepeated, zap.String("id", s.ID), zap.String("queue", s.Queue))
 		return nil
 	}
-	err := c.admit(ctx, s)
-	if err == nil {
-		c.attempts.sent(s.ID, began)
-		err = c.intakeWriter.append(ctx, encodeSubmitted(s))
+	err := ErrIDInUse
+	if use != usedByOther {
+		err = c.admit(ctx, s)
 	}
 	if err == nil {
-		c.recentlyAccepted.Store(s.ID, acceptance{at: n.monotonicNow(), tenant: s.Tenant, queue: s.Queue})
+		c.attempts.sent(s.ID, began)
+		err = c.accept(s.ID, identity, c.intakeWriter.append(ctx, encodeSubmitted(s)))
 	}
 	n.metrics.observeSubmission(err, n.monotonicNow()-began)
 	fields := []zap.Field{zap.String("id", s.ID), zap.String("queue", s.Queue), zap.Duration("duration", n.monotonicNow()-began)}
-	if errors.Is(err, ErrRejected) {
+	switch {
+	case errors.Is(err, ErrRejected):
+		return err
+	case errors.Is(err, ErrIDInUse):
+		n.logger.Log(logevent.IDInUse, fields...)
 		return err
 	}
 	if err != nil {
@@ -65,16 +72,17 @@
 func (n *Node) Cancel(ctx context.Context, id string) error { return n.CancelFor(ctx, Caller{}, id) }
 
 // CancelFor does the same for a caller that may not see all submissions. For one that it may
-// not see it returns ErrOtherTenant, which is an ErrNoSubmission, and stores nothing.
+// not see it returns ErrHidden, which is an ErrNoSubmission, and stores nothing. A cancellation of
+// an id that has no submission holds for the caller's queue alone.
 func (n *Node) CancelFor(ctx context.Context, caller Caller, id string) error {
 	state, err := n.StateFor(ctx, caller, id)
-	if err != nil && !errors.Is(err, ErrNoSubmission) || errors.Is(err, ErrOtherTenant) {
+	if err != nil && !errors.Is(err, ErrNoSubmission) || errors.Is(err, ErrHidden) {
 		return err
 	}
 	if state.Final() {
 		return nil
 	}
-	appendErr := n.cellOf(id).intakeWriter.append(ctx, encodeCancelled(id))
+	appendErr := n.cellOf(id).intakeWriter.append(ctx, encodeCancelled(id, caller.Queue))
 	n.logger.Log(logevent.SubmissionCancelled, zap.String("id", id), zap.Error(appendErr))
 	if appendErr != nil {
 		return appendErr
@@ -90,14 +98,11 @@
 }
 
 // StateFor does the same for a caller that may not see all submissions. For one that it may
-// not see it returns ErrOtherTenant, which is an ErrNoSubmission.
+// not see it returns ErrHidden, which is an ErrNoSubmission.
 func (n *Node) StateFor(ctx context.Context, caller Caller, id string) (workload.State, error) {
 	state, err := n.findState(ctx, caller, id)
-	if err == nil && n.cellOf(id).isHidden(caller, id) {
-		err = ErrOtherTenant
-	}
-	if errors.Is(err, ErrOtherTenant) {
-		n.ReportRefusedCall(caller.Queue, OtherTenant)
+	if errors.Is(err, ErrHidden) {
+		n.ReportRefusedCall(caller.Queue, Hidden)
 		return workload.Unknown, err
 	}
 	return state, err
@@ -107,36 +112,49 @@
 // if the caller may see the submission.
 func (n *Node) findState(ctx context.Context, caller Caller, id string) (workload.State, error) {
 	c := n.cellOf(id)
+	if e := c.ledger().Find(id); e != nil && !caller.maySee(e.Tenant, e.Queue) {
+		return workload.Unknown, ErrHidden
+	}
 	state := c.localState(id)
 	if state.Final() {
 		return state, nil
 	}
 	if c.owning.Load() {
-		return c.verifiedState(ctx, id)
+		return c.shownState(ctx, caller, id)
 	}
 	ownerState, answered, hidden := n.lookUpState(ctx, c, caller, id)
 	switch {
 	case hidden:
-		return workload.Unknown, ErrOtherTenant
+		return workload.Unknown, ErrHidden
 	case answered && ownerState != workload.Unknown:
 		return ownerState, nil
 	case answered && state == workload.Unknown:
 		return state, ErrNoSubmission
-	case answered:
-		return state, nil
 	}
-	if !n.isInReserve() {
-		verified, err := c.verifiedState(ctx, id)
+	if !answered && !n.isInReserve() {
+		shown, err := c.shownState(ctx, caller, id)
 		if err == nil || errors.Is(err, ErrNoSubmission) {
-			return verified, err
+			return shown, err
 		}
 	}
-	if state == workload.Unknown {
+	switch {
+	case c.isHidden(caller, id):
+		return workload.Unknown, ErrHidden
+	case state == workload.Unknown:
 		return state, ErrUnavailable
 	}
 	return state, nil
 }
 
+// shownState returns the verified state, or ErrHidden if the caller may not see the submission.
+func (c *cell) shownState(ctx context.Context, caller Caller, id string) (workload.State, error) {
+	state, err := c.verifiedState(ctx, id)
+	if err == nil && c.isHidden(caller, id) {
+		return workload.Unknown, ErrHidden
+	}
+	return state, err
+}
+
 // verifiedState returns the state from the local copy. It reads the intake to its
 // end before it returns ErrNoSubmission.
 func (c *cell) verifiedState(ctx context.Context, id string) (workload.State, error) {
@@ -168,9 +186,6 @@
 	return pending, nil
 }
 
-// hasSubmission reports whether the local copy contains the submission.
-func (c *cell) hasSubmission(id string) bool { return c.localState(id) != workload.Unknown }
-
 // localState returns the state of a submission from the local copy, or Unknown.
 func (c *cell) localState(id string) workload.State {
 	if e := c.ledger().Find(id); e != nil {
--- a/coordinator/gathering.go
+++ b/coordinator/gathering.go
@@ -115,8 +115,10 @@
 
 func appendOutcome(err error) coordpb.AppendOutcome {
 	switch {
-	case err == nil:
+	case err == nil || errors.Is(err, errUndecided):
 		return coordpb.AppendOutcome_APPEND_OUTCOME_STORED
+	case errors.Is(err, ErrIDInUse):
+		return coordpb.AppendOutcome_APPEND_OUTCOME_ID_IN_USE
 	case errors.Is(err, ErrUnavailable):
 		return coordpb.AppendOutcome_APPEND_OUTCOME_NOT_STORED
 	}
--- a/coordinator/guests.go
+++ b/coordinator/guests.go
@@ -51,7 +51,7 @@
 	}
 	o.wg.Go(func() {
 		defer o.cancelling.Delete(id)
-		err := o.intakeWriter.append(ctx, encodeCancelled(id))
+		err := o.intakeWriter.append(ctx, encodeCancelled(id, ""))
 		o.node.logger.Log(logevent.SubmissionCancelled, zap.String("id", id), zap.Int("cell", o.number), zap.Error(err))
 	})
 }
--- a/coordinator/intakewriter.go
+++ b/coordinator/intakewriter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactusreel/cactusreel/gather"
+	"github.com/cactusreel/cactusreel/ledger"
 )
 
 const (
@@ -54,7 +55,8 @@
 	rejected bool
 	// mayBeStored: the outcome of an append of the record is unknown.
 	mayBeStored bool
-	// result receives nil, ErrUnavailable or ErrOutcomeUnknown.
+	// result receives nil, ErrUnavailable or ErrOutcomeUnknown, and for a submission that is in the
+	// log also ErrIDInUse or errUndecided.
 	result chan error
 }
 
@@ -62,7 +64,7 @@
 
 // append appends a record and retries until the caller's time runs out: applying a
 // record again has no effect. It returns ErrUnavailable only if the record can't be
-// in the log.
+// in the log. A submission that is in the log may have ErrIDInUse or errUndecided.
 func (w *intakeWriter) append(ctx context.Context, data []byte) error {
 	r := w.enqueue([][]byte{data}, appendTimeLimit(ctx), false)[0]
 	select {
@@ -198,12 +200,23 @@
 	n.recordStoreResponse()
 	first := end - int64(len(batch))
 	for i, r := range batch {
-		r.result <- nil
-		w.cell.notifyOwner(notification{offset: first + int64(i), record: r.data})
+		w.stored(r, first+int64(i))
 	}
 	return nil
 }
 
+// stored tells the cell's owner of a record that is in the intake, and answers its caller. That of
+// a submission is answered when the owner has decided whether it has its id, or takes too long.
+func (w *intakeWriter) stored(r *intakeRecord, offset int64) {
+	n := notification{offset: offset, record: r.data}
+	if !ledger.HasSubmission(r.data) {
+		r.result <- nil
+		w.cell.notifyOwner(n)
+		return
+	}
+	go func() { r.result <- w.cell.decide(n, min(decisionTimeout, (r.expiresAt-r.queuedAt)/decisionTimeShare)) }()
+}
+
 // appendContext returns the context of an append that is tried for a time at most. It ends after
 // the timeout if the store is not slow then. Otherwise the append may still wait in the stream's
 // queue, and a repetition would only make that longer.
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -62,6 +62,11 @@
 	// the look-up of the owner. A lost notification does no harm: the owner reads
 	// the record from the intake.
 	notifyTimeout = 500 * time.Millisecond
+	// decisionTimeout is how long the answer to a submission that is stored waits for the owner to
+	// say whether the submission has its id, decisionTimeShare the part of the time for the append
+	// that this may take: callers' time for the append is appendTimeShare of what they have.
+	decisionTimeout   = 200 * time.Millisecond
+	decisionTimeShare = 4
 	// handOverTimeout is the time for which an owner that gives a cell up waits for the
 	// workers whose leases it extends.
 	handOverTimeout = 300 * time.Millisecond
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -48,6 +48,8 @@
 		return "not_done"
 	case errors.Is(err, ErrRejected):
 		return "rejected"
+	case errors.Is(err, ErrIDInUse):
+		return "id_in_use"
 	case errors.Is(err, ErrFenced):
 		return "fenced"
 	case errors.Is(err, ErrOutOfSequence):
--- a/coordinator/notification.go
+++ b/coordinator/notification.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cactusreel/cactusreel/coordinator/coordpb"
@@ -13,6 +14,15 @@
 	record []byte
 	// receivedAt is when the owner queued the notification.
 	receivedAt time.Duration
+	// applied, if not nil, is closed when the owner has applied the record and all before it.
+	applied chan struct{}
+}
+
+// reportApplied tells whoever waits for it that the record is applied.
+func (n *notification) reportApplied() {
+	if n.applied != nil {
+		close(n.applied)
+	}
 }
 
 // notifyOwner notifies the cell's owner of a record, asynchronously.
@@ -21,23 +31,30 @@
 		c.queueNotification(n)
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-		defer cancel()
-		if c.node.owners.owner(c.number).PeerAddress == "" {
-			c.node.owners.refresh(ctx)
-		}
-		owner := c.node.owners.owner(c.number)
-		if owner.PeerAddress == "" || owner.PeerAddress == c.node.config.PeerAddress {
-			return
-		}
-		q := &coordpb.NotifyRequest{Cell: int32(c.number), Offset: n.offset, Record: n.record, PeerAddress: c.node.config.PeerAddress, OutlookVersion: c.requestedOutlook(owner.Epoch)}
-		answer, err := c.node.peers.client(owner.PeerAddress).Notify(ctx, q)
-		c.node.metrics.countNotification(err)
-		if err == nil {
-			c.learnOutlook(owner.Epoch, answer.Outlook)
-		}
-	}()
+	go func() { _, _ = c.sendNotification(n) }()
+}
+
+// errNoOtherOwner means that no other node is known to own the cell.
+var errNoOtherOwner = errors.New("no other owner of the cell is known")
+
+// sendNotification notifies another node, the cell's owner, of a record.
+func (c *cell) sendNotification(n notification) (*coordpb.NotifyAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+	defer cancel()
+	if c.node.owners.owner(c.number).PeerAddress == "" {
+		c.node.owners.refresh(ctx)
+	}
+	owner := c.node.owners.owner(c.number)
+	if owner.PeerAddress == "" || owner.PeerAddress == c.node.config.PeerAddress {
+		return nil, errNoOtherOwner
+	}
+	q := &coordpb.NotifyRequest{Cell: int32(c.number), Offset: n.offset, Record: n.record, PeerAddress: c.node.config.PeerAddress, OutlookVersion: c.requestedOutlook(owner.Epoch)}
+	answer, err := c.node.peers.client(owner.PeerAddress).Notify(ctx, q)
+	c.node.metrics.countNotification(err)
+	if err == nil {
+		c.learnOutlook(owner.Epoch, answer.Outlook)
+	}
+	return answer, err
 }
 
 // queueNotification queues a notification for the cell's goroutine. If the queue
@@ -52,12 +69,16 @@
 	}
 }
 
-// Notify handles a notification of another node.
-func (n *Node) Notify(_ context.Context, q *coordpb.NotifyRequest) (*coordpb.NotifyAnswer, error) {
+// Notify handles a notification of another node. Of a submission it answers when the submission is
+// applied, or after decisionTimeout.
+func (n *Node) Notify(ctx context.Context, q *coordpb.NotifyRequest) (*coordpb.NotifyAnswer, error) {
 	answer := &coordpb.NotifyAnswer{}
 	if c := n.cell(q.Cell); c != nil && c.owning.Load() {
 		c.senders.note(q.PeerAddress, n.monotonicNow())
-		c.queueNotification(notification{offset: q.Offset, record: q.Record})
+		ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
+		defer cancel()
+		use := c.applyAndCompare(ctx, notification{offset: q.Offset, record: q.Record})
+		answer.Applied, answer.IdInUse = use != undecided, use == usedByOther
 		answer.Outlook = c.outlookFor(q.OutlookVersion)
 	}
 	return answer, nil
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -35,6 +35,8 @@
 	openedAt       time.Duration
 	cancel         context.CancelFunc
 	lastSnapshot   snapshotMark
+	// held are notifications of submissions that follow records which have not been applied, by offset.
+	held map[int64]notification
 	// olderFormAt is when a snapshot was last written in the form of earlier versions, or 0, and
 	// olderFormFor for which VMs. The goroutine that writes a snapshot, of which there is one at
 	// a time, uses them.
@@ -145,6 +147,7 @@
 		cell: c, epoch: opened.epoch, firstSequence: opened.sequence, previous: opened.previous, witnesses: c.witnesses.Load(), cancel: cancel,
 		machine:  dispatch.New(c.dispatchConfig(opened.epoch), c.ledger(), c.node.monotonicNow(), time.Now()),
 		openedAt: openedAt, suspended: c.node.authorityNow() - c.node.monotonicNow(),
+		held:   make(map[int64]notification),
 		events: make(chan queuedEvent, maxQueuedEvents), reportRequests: make(chan chan<- struct{}), lastReportMade: make(chan struct{}, 1),
 	}
 	o.writer = newCellWriter(o)
@@ -299,6 +302,7 @@
 		}
 		o.intakeNext = page.From + int64(i) + 1
 	}
+	o.applyHeld(ctx)
 	return nil
 }
 
@@ -310,18 +314,42 @@
 	return err
 }
 
-// applyNotification applies the record of a notification. A record that is not
-// the next one of the intake is also applied at once: records of different
-// submissions are independent of each other, and the record is applied again in
-// order when it is read from the intake.
+// applyNotification applies the record of a notification. A submission waits until all records
+// before it are applied: one of them may be another submission with its id, and every reader of the
+// intake takes the first one. Another record that is not the next one of the intake is applied at
+// once, and again in order when it is read from the intake.
 func (o *ownership) applyNotification(ctx context.Context, n notification) {
-	if n.offset < o.intakeNext {
+	switch {
+	case n.offset > o.intakeNext && ledger.HasSubmission(n.record):
+		if len(o.held) < maxQueuedNotifications {
+			o.held[n.offset] = n
+		}
 		return
+	case n.offset >= o.intakeNext:
+		// A record that this version doesn't read is met again in the intake.
+		if o.applyIntakeRecord(ctx, n.record) == nil && n.offset == o.intakeNext {
+			o.intakeNext++
+		}
 	}
-	// A record that this version doesn't read is met again in the intake.
-	if o.applyIntakeRecord(ctx, n.record) == nil && n.offset == o.intakeNext {
+	n.reportApplied()
+	o.applyHeld(ctx)
+}
+
+// applyHeld applies the held notifications that are next in the intake, and removes those whose
+// records were read from it.
+func (o *ownership) applyHeld(ctx context.Context) {
+	for n, ok := o.held[o.intakeNext]; ok; n, ok = o.held[o.intakeNext] {
+		if o.applyIntakeRecord(ctx, n.record) != nil {
+			break
+		}
 		o.intakeNext++
 	}
+	for offset, n := range o.held {
+		if offset < o.intakeNext {
+			n.reportApplied()
+			delete(o.held, offset)
+		}
+	}
 }
 
 // post queues an event for eventLoop.
--- a/coordinator/passing.go
+++ b/coordinator/passing.go
@@ -128,6 +128,8 @@
 		switch {
 		case outcomes[i] == coordpb.AppendOutcome_APPEND_OUTCOME_STORED:
 			r.result <- nil
+		case outcomes[i] == coordpb.AppendOutcome_APPEND_OUTCOME_ID_IN_USE:
+			r.result <- ErrIDInUse
 		case outcomes[i] == coordpb.AppendOutcome_APPEND_OUTCOME_NOT_STORED && !r.mayBeStored:
 			r.result <- ErrUnavailable
 		default:
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -59,7 +59,7 @@
 }
 
 // lookUpState queries the cell's owner for the state of a submission. It returns
-// false if no owner answered. The submission is hidden if it is that of another tenant.
+// false if no owner answered. The submission is hidden if the caller may not see it.
 func (n *Node) lookUpState(ctx context.Context, c *cell, caller Caller, id string) (state workload.State, ok, hidden bool) {
 	ok = n.queryOwner(ctx, c, func(ctx context.Context, owner coordpb.Coordinator) (bool, error) {
 		answer, err := owner.Lookup(ctx, &coordpb.LookupRequest{Cell: int32(c.number), Id: id, Tenant: caller.Tenant, Queue: caller.Queue})
--- a/coordinator/records.go
+++ b/coordinator/records.go
@@ -10,7 +10,10 @@
 
 func encodeSubmitted(s *workload.Submission) []byte { return mustEncode(ledger.SubmittedRecord(s)) }
 
-func encodeCancelled(id string) []byte { return mustEncode(ledger.CancelledRecord(id)) }
+// encodeCancelled encodes the cancellation of a submission to a queue, or to any queue if the name is "".
+func encodeCancelled(id, queue string) []byte {
+	return mustEncode(ledger.QueueCancelledRecord(id, queue))
+}
 
 // mustEncode encodes a record. Encoding fails only for strings that are not valid
 // UTF-8, which the adapter rejects.
--- a/coordinator/refusedcalls.go
+++ b/coordinator/refusedcalls.go
@@ -15,8 +15,8 @@
 	NoKey = "no key"
 	// UnknownKey means that no tenant of the manifest has its key.
 	UnknownKey = "unknown key"
-	// OtherTenant means that the submission is that of another tenant.
-	OtherTenant = "submission of another tenant"
+	// Hidden means that the submission is that of another tenant or to another queue.
+	Hidden = "submission of another tenant or queue"
 )
 
 // refusalLogInterval is the least time between two lines about refused calls: callers without
--- a/ledger/convert.go
+++ b/ledger/convert.go
@@ -10,12 +10,17 @@
 
 // SubmittedRecord returns the record that makes a submission durable.
 func SubmittedRecord(s *workload.Submission) *ledgerpb.Record {
-	return &ledgerpb.Record{Submitted: submittedMessage(s)}
+	r := submittedMessage(s)
+	r.Fingerprint = uint64(s.Fingerprint())
+	return &ledgerpb.Record{Submitted: r}
 }
 
-// CancelledRecord returns the record that cancels a submission.
-func CancelledRecord(id string) *ledgerpb.Record {
-	return &ledgerpb.Record{Cancelled: &ledgerpb.Cancelled{Id: id}}
+// CancelledRecord returns the record that cancels a submission, to whichever queue it is.
+func CancelledRecord(id string) *ledgerpb.Record { return QueueCancelledRecord(id, "") }
+
+// QueueCancelledRecord returns the record that cancels a submission if it is to a queue.
+func QueueCancelledRecord(id, queue string) *ledgerpb.Record {
+	return &ledgerpb.Record{Cancelled: &ledgerpb.Cancelled{Id: id, Queue: queue}}
 }
 
 // PlacedRecord returns the record of a run's placement on a worker at an address. It must
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -10,6 +10,9 @@
 // Entry is the durable state of one submission in a cell.
 type Entry struct {
 	workload.Submission
+	// fingerprint is that of what the caller sent, or 0 if the submission's record has none.
+	// rounded is that of such a record, of which only the end is known.
+	fingerprint, rounded workload.Fingerprint
 	// guest: the submission belongs to another cell, which transferred tasks to this
 	// one. The entry is cancelled when that cell says that the submission is final.
 	guest bool
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -119,9 +119,9 @@
 	l.format = max(l.format, r.Format)
 	switch {
 	case r.Submitted != nil:
-		return l.applySubmitted(submissionOf(r.Submitted))
+		return l.applySubmitted(r.Submitted)
 	case r.Cancelled != nil:
-		return l.applyCancelled(r.Cancelled.Id)
+		return l.applyCancelled(r.Cancelled.Id, r.Cancelled.Queue)
 	case r.Opened != nil:
 		l.applyOpened(r.Opened)
 	case r.Placed != nil:
@@ -148,19 +148,23 @@
 	return nil
 }
 
-func (l *Ledger) applySubmitted(s workload.Submission) *Entry {
-	if e := l.Find(s.ID); e != nil {
+// applySubmitted adds a submission. The first one with an id has it, until it has been final for the
+// retention of Sweep; what Identity.IsRepeat tells from it has no effect.
+func (l *Ledger) applySubmitted(r *ledgerpb.Submitted) *Entry {
+	if e := l.Find(r.Id); e != nil {
 		return e
 	}
-	return l.addEntry(s)
+	return l.addEntry(r)
 }
 
 // addEntry adds an entry. It is final at once if the cancellation came first.
-func (l *Ledger) addEntry(s workload.Submission) *Entry {
+func (l *Ledger) addEntry(r *ledgerpb.Submitted) *Entry {
+	s := submissionOf(r)
 	e := newEntry(s)
+	e.fingerprint = workload.Fingerprint(r.Fingerprint)
 	l.live[s.ID] = e
 	l.liveOrder = append(l.liveOrder, e)
-	if l.earlyCancels.take(s.ID) {
+	if l.earlyCancels.take(s.ID, s.Queue) {
 		e.cancelled = true
 		l.updateState(e)
 	}
@@ -168,15 +172,15 @@
 	return e
 }
 
-// applyCancelled cancels a submission. A cancellation of an unknown id holds for a
-// submission that arrives later.
-func (l *Ledger) applyCancelled(id string) *Entry {
+// applyCancelled cancels a submission to a queue, or to any queue if the name is "". A
+// cancellation of an unknown id holds for a submission to the queue that arrives later.
+func (l *Ledger) applyCancelled(id, queue string) *Entry {
 	e := l.Find(id)
 	if e == nil {
-		l.earlyCancels.add(id)
+		l.earlyCancels.add(id, queue)
 		return nil
 	}
-	if e.State().Final() {
+	if e.State().Final() || queue != "" && e.Queue != queue {
 		return e
 	}
 	e.cancelled = true
--- a/ledger/retained.go
+++ b/ledger/retained.go
@@ -27,6 +27,7 @@
 // messagesWith returns the entry with the states of some of its tasks.
 func (e *Entry) messagesWith(tasks []*ledgerpb.TaskState) []*ledgerpb.Retained {
 	submitted := submittedMessage(&e.Submission)
+	submitted.Fingerprint = uint64(e.fingerprint)
 	var out []*ledgerpb.Retained
 	for len(tasks) > 0 || out == nil {
 		n := min(len(tasks), maxRetainedTasks)
@@ -69,7 +70,7 @@
 	}
 	e := l.Find(r.Submitted.Id)
 	if e == nil {
-		e = l.addEntry(submissionOf(r.Submitted))
+		e = l.addEntry(r.Submitted)
 		e.guest = r.Guest
 	}
 	e.started = e.started || r.Started
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -18,10 +18,6 @@
 // record may have up to 256 KiB.
 const targetPartBytes = 128 << 10
 
-// settledBytes is the encoded size of a Settled message: an id of 16 characters,
-// a state and their field tags.
-const settledBytes = 24
-
 // snapshotWriter splits a snapshot into parts.
 type snapshotWriter struct {
 	parts []*ledgerpb.Snapshot
@@ -39,6 +35,11 @@
 	return w.parts[len(w.parts)-1]
 }
 
+func (w *snapshotWriter) addSettled(s *ledgerpb.Settled) {
+	p := w.partFor(proto.Size(s))
+	p.Settled = append(p.Settled, s)
+}
+
 // Snapshot returns the state as a list of parts, each of which fits into a log
 // record. The messages share with the ledger only messages that are never changed: the
 // interference model, which a newer record replaces, and those of submissions.
@@ -64,8 +65,7 @@
 	retained := l.retainStopping(w, stopping)
 	l.entries.Range(func(_, value any) bool {
 		if e := value.(*Entry); e.State().Final() && !retained[e.ID] {
-			p := w.partFor(settledBytes)
-			p.Settled = append(p.Settled, &ledgerpb.Settled{Id: e.ID, State: int32(e.State())})
+			w.addSettled(e.settledMessage())
 		}
 		return true
 	})
@@ -77,6 +77,15 @@
 	return w.parts
 }
 
+// settledMessage returns the identity and the state of a final entry.
+func (e *Entry) settledMessage() *ledgerpb.Settled {
+	id := e.Identity()
+	return &ledgerpb.Settled{
+		Id: e.ID, State: int32(e.State()), Queue: id.Queue, Tenant: id.Tenant,
+		Fingerprint: uint64(id.Fingerprint), RoundedFingerprint: uint64(id.Rounded),
+	}
+}
+
 // retainStopping adds the final entries with open runs that are being stopped, and returns
 // their ids. The runs of an entry follow each other.
 func (l *Ledger) retainStopping(w *snapshotWriter, stopping []workload.RunID) map[string]bool {
@@ -128,11 +137,11 @@
 }
 
 // applySettled makes an entry final. If the records of the entry have not been
-// read, it is added with only its id and state.
+// read, it is added with only its identity and state.
 func (l *Ledger) applySettled(s *ledgerpb.Settled) {
 	state := workload.State(s.State)
 	if state == workload.Unknown {
-		l.applyCancelled(s.Id)
+		l.applyCancelled(s.Id, s.Queue)
 		return
 	}
 	if !state.Final() {
@@ -140,7 +149,8 @@
 	}
 	e := l.Find(s.Id)
 	if e == nil {
-		e = newEntry(workload.Submission{ID: s.Id})
+		e = newEntry(workload.Submission{ID: s.Id, Queue: s.Queue, Tenant: s.Tenant})
+		e.fingerprint, e.rounded = workload.Fingerprint(s.Fingerprint), workload.Fingerprint(s.RoundedFingerprint)
 		l.entries.Store(s.Id, e)
 		l.live[s.Id] = e
 	}
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -7,5 +7,5 @@
 // counts from the first sweep after an entry became final.
 func (l *Ledger) Sweep(now, retention time.Duration) {
 	l.finalEntries.removeOld(now, retention, func(id string) { l.entries.Delete(id) })
-	l.earlyCancels.order.removeOld(now, retention, func(id string) { delete(l.earlyCancels.ids, id) })
+	l.earlyCancels.order.removeOld(now, retention, l.earlyCancels.remove)
 }
--- a/ledger/transfer.go
+++ b/ledger/transfer.go
@@ -71,7 +71,7 @@
 		if r.Submitted == nil || r.Submitted.Id != r.Id {
 			return nil
 		}
-		e = l.addEntry(submissionOf(r.Submitted))
+		e = l.addEntry(r.Submitted)
 		e.guest = true
 	}
 	if e.State().Final() {
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -75,12 +75,14 @@
 	PassFailed           Number = 892
 	GatheringBegan       Number = 893
 	GatheringEnded       Number = 894
+	IDInUse              Number = 899
 )
 
 var coordinatorEvents = []Info{
 	{SubmissionAccepted, "SubmissionAccepted", zapcore.InfoLevel, "submission is stored", []string{"id", "queue", "duration"}, "None."},
 	{SubmissionRejected, "SubmissionRejected", zapcore.WarnLevel, "submission was not confirmed as stored", []string{"id", "queue", "duration", "error"}, "Check events 815 and 824 around the same time: the log did not answer."},
 	{SubmissionRepeated, "SubmissionRepeated", zapcore.InfoLevel, "submission was already stored", []string{"id", "queue"}, "None."},
+	{IDInUse, "IDInUse", zapcore.WarnLevel, "submission was refused, because another one has its id; it has not run", []string{"id", "queue", "duration"}, "Find the other submission by its id in events 801 and 805. The caller has to choose another id."},
 	{SubmissionCancelled, "SubmissionCancelled", zapcore.InfoLevel, "submission was cancelled", []string{"id", "cell", "error"}, "With an error: as for event 802."},
 	{SubmissionEnded, "SubmissionEnded", zapcore.InfoLevel, "submission completed or failed", []string{"id", "queue", "tenant", "state", "epoch", "took", "objective", "size", "work", "served", "times"}, "None."},
 	{SubmissionOverdue, "SubmissionOverdue", zapcore.InfoLevel, "submission has not ended within three times its objective", []string{"id", "queue", "tenant", "size", "work", "started", "epoch", "age", "objective", "times"}, "None. If it is more frequent among the largest submissions of a queue, look at the workers' free CPU and memory against the tasks of these."},
--- a/result/code.go
+++ b/result/code.go
@@ -20,6 +20,7 @@
 	NotRunNoService        Code = 1008
 	NotRunRepeatProtection Code = 1009
 	BackendTimeout         Code = 1010
+	NotRunIDInUse          Code = 1011
 
 	BadResource          Code = 2001
 	NotFound             Code = 2002
@@ -76,6 +77,7 @@
 	{NotRunNoService, "NotRunNoService", http.StatusNotFound, "no", "No service has this name.", "Check the name in the list of services."},
 	{NotRunRepeatProtection, "NotRunRepeatProtection", http.StatusServiceUnavailable, "no", "The request is not idempotent and its id could not be recorded at all synchronised peers.", "Retry with the same request id."},
 	{BackendTimeout, "BackendTimeout", http.StatusGatewayTimeout, "unknown", "An idempotent request got no answer within its time limit and retry budget.", "Retry."},
+	{NotRunIDInUse, "NotRunIDInUse", http.StatusTooManyRequests, "no", "Another submission has this id: one to another queue, of another tenant or with other content. It is not changed.", "Submit with a new id."},
 	{BadResource, "BadResource", http.StatusBadRequest, "no", "The resource is malformed or fails validation.", "Correct the fields that the message names."},
 	{NotFound, "NotFound", http.StatusNotFound, "no", "No resource has this kind and name.", "Check the kind and the name."},
 	{Conflict, "Conflict", http.StatusConflict, "no", "The precondition does not hold: another write precedes this one in the log.", "Read the resource again and retry with its new version."},
