--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,10 +70,10 @@
 }
 
 // batchAppended reports that a batch of records is in the log. appendIDs are the
-// IDs of its Append actions, end is the offset after the last record.
+// IDs of its Append actions, first is the offset of the first record, end that after the last one.
 type batchAppended struct {
-	appendIDs []int64
-	end       int64
+	appendIDs  []int64
+	first, end int64
 }
 
 // runEpoch opens an epoch and runs it until the assignment ends or the epoch is
@@ -280,6 +281,10 @@
 			o.intakeKnown(ctx, ev.sentAt)
 		}
 	case batchAppended:
+		if ev.first != o.cellNext {
+			// The node's copy of the cell would lack records for good: reads go on from cellNext.
+			panic(fmt.Sprintf("records from offset %d on are in the log, and those from %d on are not applied", ev.first, o.cellNext))
+		}
 		for _, id := range ev.appendIDs {
 			o.step(ctx, dispatch.Appended{ID: id})
 		}
@@ -353,11 +358,14 @@
 	}
 }
 
-// post queues an event for eventLoop.
-func (o *ownership) post(ctx context.Context, ev any) {
+// post queues an event for eventLoop and reports whether it did. When ctx is done it may not, although
+// the queue has room.
+func (o *ownership) post(ctx context.Context, ev any) bool {
 	select {
 	case o.events <- queuedEvent{event: ev, postedAt: o.node.monotonicNow()}:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -211,7 +211,8 @@
 	}
 }
 
-// post tells the owner that a batch is in the log, after the batch before it.
+// post tells the owner that a batch is in the log, unless it has not been told of the batch before it:
+// at the end of an ownership the owner may be told of no more batches, but skips none.
 func (w *cellWriter) post(ctx context.Context, b *cellBatch, end int64) {
 	select {
 	case <-b.before.posted:
@@ -219,8 +220,9 @@
 		return
 	}
 	b.before = nil
-	w.ownership.post(ctx, batchAppended{appendIDs: b.appendIDs, end: end})
-	close(b.posted)
+	if w.ownership.post(ctx, batchAppended{appendIDs: b.appendIDs, first: end - int64(len(b.records)), end: end}) {
+		close(b.posted)
+	}
 }
 
 // reportMisplaced reports an answer of the log by which an append ended at another offset than it must.
