--- a/coordinator/cell.go
+++ b/coordinator/cell.go
@@ -63,8 +63,10 @@
 	// wake wakes the cell's goroutine after a change of generation or
 	// resignedEpoch.
 	wake chan struct{}
-	// lastOpening is this process's last attempt to open an epoch, or nil.
-	lastOpening *opening
+	// lastOpening is this process's last attempt to open an epoch, or nil. openingEpoch is its epoch
+	// until the attempt has failed or the ownership has begun, and 0 otherwise.
+	lastOpening  *opening
+	openingEpoch atomic.Int64
 	// refreshRequests receives requests to read the streams.
 	refreshRequests chan chan refreshResult
 	// dumpRequests receives requests for the state of the owner's machine.
--- a/coordinator/openepoch.go
+++ b/coordinator/openepoch.go
@@ -106,6 +106,7 @@
 		o.sequence, o.mayBeStored = last.sequence, last.mayBeStored
 	}
 	c.lastOpening = o
+	c.openingEpoch.Store(epoch)
 	c.firstEpoch.CompareAndSwap(0, epoch)
 	return o
 }
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -86,8 +86,10 @@
 	endPreparation := c.node.workers.prepare()
 	defer endPreparation()
 	times := takeoverTimes{assignedAt: time.Duration(c.assignedAt.Load()), began: c.node.monotonicNow()}
+	defer c.openingEpoch.Store(0)
 	opened, err := c.openEpoch(parent, &times)
 	if err != nil {
+		c.openingEpoch.Store(0)
 		c.epochNotOpened(parent, err)
 		return
 	}
@@ -107,6 +109,7 @@
 	ended := make(chan struct{})
 	c.ended.Store(&ended)
 	c.owning.Store(true)
+	c.openingEpoch.Store(0)
 	// The event loop changes intakeNext, so it is read before the goroutine starts.
 	intakeFrom := c.intakeNext
 	o.wg.Go(func() { o.tailIntake(ctx, intakeFrom) })
@@ -200,6 +203,10 @@
 // eventLoop passes events to the machine until the ownership ends, and returns
 // the reason for its end.
 func (o *ownership) eventLoop(ctx context.Context) string {
+	if o.resignedEpoch.Load() >= o.epoch {
+		// The request was waiting for the end of the attempt to open the epoch.
+		return resigned
+	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	o.intakeKnown(ctx, o.intakeKnownAt)
--- a/coordinator/resign.go
+++ b/coordinator/resign.go
@@ -102,7 +102,7 @@
 	}
 	raise(&c.resignedEpoch, q.Epoch)
 	signal(c.wake)
-	for c.owning.Load() && c.newestEpoch.Load() <= q.Epoch {
+	for c.actsIn(q.Epoch) {
 		if !sleep(ctx, 5*time.Millisecond) {
 			return &coordpb.ResignAnswer{}, nil
 		}
@@ -110,6 +110,15 @@
 	return c.resignAnswer(q.Epoch), nil
 }
 
+// actsIn reports whether this node owns the cell in an epoch up to the given one, or is opening one: the
+// log may have the record of an ownership that has not begun.
+func (c *cell) actsIn(epoch int64) bool {
+	if opening := c.openingEpoch.Load(); opening != 0 && opening <= epoch {
+		return true
+	}
+	return c.owning.Load() && c.newestEpoch.Load() <= epoch
+}
+
 // raise sets a value to at least the given one.
 func raise(value *atomic.Int64, least int64) {
 	for {
