--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -97,15 +97,12 @@
 	// notifications are dropped, because the owner reads the same records from the
 	// intake.
 	maxQueuedNotifications = 256
-	// snapshotInterval is how often an owner writes a snapshot if at least
-	// snapshotMinRecords records were added. A successor reads the records since the
-	// snapshot: at 3,500 records a second these are about 1 MB, less than the
-	// snapshot itself.
-	snapshotInterval   = 3 * time.Second
-	snapshotMinRecords = 500
-	// snapshotMaxInterval is how often a snapshot is written if fewer records were
-	// added. It is far below the 5 minutes for which the log keeps records.
-	snapshotMaxInterval = 30 * time.Second
+	// snapshotInterval is how often an owner writes a snapshot while records are added. Records
+	// that the log drops before a snapshot has them are lost, and with them the ends of runs, so
+	// it is far below the 20 s for which the log keeps records. A successor reads the records
+	// since the snapshot: at 3,500 records a second these are about 1 MB, less than the snapshot
+	// itself.
+	snapshotInterval = 3 * time.Second
 	// snapshotReadAge is the age of the local copy above which a node loads the
 	// snapshot before it reads the streams.
 	snapshotReadAge = 2 * time.Second
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -26,8 +26,7 @@
 	now := o.node.monotonicNow()
 	offsets := ledger.Offsets{Cell: o.cellNext, Intake: o.intakeNext}
 	newRecords := offsets.Cell - o.lastSnapshot.offsets.Cell + offsets.Intake - o.lastSnapshot.offsets.Intake
-	due := now-o.lastSnapshot.at >= snapshotInterval && newRecords >= snapshotMinRecords || now-o.lastSnapshot.at >= snapshotMaxInterval && newRecords > 0
-	if !due || o.snapshotInProgress.Swap(true) {
+	if now-o.lastSnapshot.at < snapshotInterval || newRecords == 0 || o.snapshotInProgress.Swap(true) {
 		return
 	}
 	o.lastSnapshot = snapshotMark{at: now, offsets: offsets}
