--- a/coordinator/config.go
+++ b/coordinator/config.go
@@ -27,6 +27,8 @@
 	// MaxManifestAge is the age beyond which a manifest with tenants decides no call; 0 means
 	// no limit.
 	MaxManifestAge time.Duration
+	// LogRetention is how long the log keeps records; 0 means that it is not known.
+	LogRetention time.Duration
 	// Dispatch holds the settings of the dispatch machine. Epoch and
 	// PredecessorExpiry are set for each epoch.
 	Dispatch dispatch.Config
--- a/coordinator/fakes_test.go
+++ b/coordinator/fakes_test.go
@@ -35,6 +35,8 @@
 	intakeTurn chan struct{}
 	// snapshots holds the parts of each cell's newest snapshot.
 	snapshots map[int][][]byte
+	// saveErr, if not nil, is the error of saving snapshots, which then have no effect.
+	saveErr error
 	// snapshotAppends is the number of appends of a snapshot, or 0 for 1; forms are those in
 	// which snapshots were saved.
 	snapshotAppends int
@@ -149,11 +151,15 @@
 
 // Save and Load implement coordinator.SnapshotStore.
 func (l *fakeLog) Save(_ context.Context, cell int, parts [][]byte, form coordinator.SnapshotForm) (int, error) {
+	var err error
 	l.update(func() {
+		if err = l.saveErr; err != nil {
+			return
+		}
 		l.snapshots[cell] = parts
 		l.forms = append(l.forms, form)
 	})
-	return max(1, l.snapshotAppends), nil
+	return max(1, l.snapshotAppends), err
 }
 
 func (l *fakeLog) Load(ctx context.Context, cell int) ([][][]byte, error) {
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -108,9 +108,14 @@
 	// snapshot itself.
 	snapshotInterval   = 3 * time.Second
 	snapshotMinRecords = 500
-	// snapshotMaxInterval is how often a snapshot is written if fewer records were
-	// added. It is far below the 5 minutes for which the log keeps records.
-	snapshotMaxInterval = 30 * time.Second
+	// snapshotMaxInterval is the longest pause before a snapshot if fewer records were
+	// added. Where the log keeps records for a short time, there are snapshotsPerRetention
+	// snapshots in it.
+	snapshotMaxInterval   = 30 * time.Second
+	snapshotsPerRetention = 10
+	// maxSnapshotRetryDoublings is how often the pause after a snapshot that could not be saved
+	// doubles: a snapshot may be too large for a slow path.
+	maxSnapshotRetryDoublings = 3
 	// snapshotReadAge is the age of the local copy above which a node loads the
 	// snapshot before it reads the streams.
 	snapshotReadAge = 2 * time.Second
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -31,6 +31,8 @@
 	formats map[string]int32
 	// logger, if not nil, is that of all nodes.
 	logger *logevent.Logger
+	// logRetention is how long the log keeps records, as the nodes are told.
+	logRetention time.Duration
 	// suspended is the time for which the nodes' VMs have been suspended.
 	suspended atomic.Int64
 }
@@ -49,7 +51,7 @@
 	startedAt := time.Now()
 	n := coordinator.NewNode(coordinator.Config{
 		SuspendClock: func() time.Duration { return time.Since(startedAt) + time.Duration(h.suspended.Load()) },
-		VM:           vm, Cells: max(1, h.group.cells), ReserveLevel: reserveLevel, Dispatch: dispatch.Config{Lease: 5 * time.Second, HandoverLease: 10 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2},
+		VM:           vm, LogRetention: h.logRetention, Cells: max(1, h.group.cells), ReserveLevel: reserveLevel, Dispatch: dispatch.Config{Lease: 5 * time.Second, HandoverLease: 10 * time.Second, HeartbeatWait: time.Second, RemoteFactor: 2},
 	}, h.platform(member{h.group, vm, unreachable}), h.logger, coordinator.NewMetrics())
 	if format := h.formats[vm]; format != 0 {
 		n.SetFormat(format)
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -43,6 +43,8 @@
 	olderFormAt        time.Duration
 	olderFormFor       string
 	snapshotInProgress atomic.Bool
+	// snapshotsFailed is the number of snapshots in a row that could not be saved.
+	snapshotsFailed atomic.Int32
 	// endsVersion is the version of the known ends that the machine was told.
 	endsVersion int64
 	// proofSentAt is when a proof of the epoch was last appended.
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -26,7 +26,11 @@
 	now := o.node.monotonicNow()
 	offsets := ledger.Offsets{Cell: o.cellNext, Intake: o.intakeNext}
 	newRecords := offsets.Cell - o.lastSnapshot.offsets.Cell + offsets.Intake - o.lastSnapshot.offsets.Intake
-	due := now-o.lastSnapshot.at >= snapshotInterval && newRecords >= snapshotMinRecords || now-o.lastSnapshot.at >= snapshotMaxInterval && newRecords > 0
+	age := now - o.lastSnapshot.at
+	due := age >= snapshotInterval && newRecords >= snapshotMinRecords || age >= o.node.maxSnapshotInterval() && newRecords > 0
+	if failures := int(o.snapshotsFailed.Load()); failures > 0 {
+		due = due || age >= min(o.node.maxSnapshotInterval(), snapshotInterval<<min(failures-1, maxSnapshotRetryDoublings))
+	}
 	if !due || o.snapshotInProgress.Swap(true) {
 		return
 	}
@@ -34,17 +38,30 @@
 	parts := o.ledger().SnapshotWith(offsets, o.machine.StoppingRuns())
 	o.wg.Go(func() {
 		defer o.snapshotInProgress.Store(false)
-		o.writeSnapshot(ctx, parts)
+		if o.writeSnapshot(ctx, parts) {
+			o.snapshotsFailed.Store(0)
+		} else {
+			o.snapshotsFailed.Add(1)
+		}
 	})
 }
 
-// writeSnapshot writes the parts of a snapshot. A failure is not retried: the next
-// snapshot covers more records.
-func (o *ownership) writeSnapshot(ctx context.Context, parts []*ledgerpb.Snapshot) {
+// maxSnapshotInterval returns how often a snapshot is written if there are few new records: often
+// enough that several attempts may fail before the log drops a record that no snapshot has.
+func (n *Node) maxSnapshotInterval() time.Duration {
+	if n.config.LogRetention <= 0 {
+		return snapshotMaxInterval
+	}
+	return min(snapshotMaxInterval, n.config.LogRetention/snapshotsPerRetention)
+}
+
+// writeSnapshot writes the parts of a snapshot and reports whether it is saved. The next attempt
+// has a new snapshot, which covers more records.
+func (o *ownership) writeSnapshot(ctx context.Context, parts []*ledgerpb.Snapshot) bool {
 	data, err := ledger.EncodeSnapshot(parts)
 	if err != nil {
 		o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
-		return
+		return false
 	}
 	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
@@ -57,6 +74,7 @@
 	if err != nil && ctx.Err() == nil {
 		o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
 	}
+	return err == nil
 }
 
 // loadSnapshot applies the newest complete snapshot if it covers more records of the cell
--- a/settings/coordinator.go
+++ b/settings/coordinator.go
@@ -67,6 +67,8 @@
 	// ManifestNotice is how long after a new version of the manifest, where it declares
 	// tenants, calls may still be answered by an older one; 0 means no limit.
 	ManifestNotice time.Duration `ini:"manifest_notice"`
+	// LogRetention is how long the platform's log keeps records.
+	LogRetention time.Duration `ini:"log_retention"`
 	// PlaceWait is the longest time for which a task waits for room on the rack of its data although
 	// it could run elsewhere. Shorter waits are weighed; 0 means that none waits.
 	PlaceWait time.Duration `ini:"place_wait"`
@@ -117,6 +119,7 @@
 			LeaseLimit: 6 * time.Second, StartEarly: 0, Stop: time.Second, Grace: 6 * time.Second,
 			GroupTTLLeast: time.Second,
 			DrainNotice:   2 * time.Second, EvacuationNotice: 5 * time.Second, CancelNotice: 3 * time.Second,
+			LogRetention: 5 * time.Minute,
 		},
 		Limits: CoordinatorLimits{
 			StoreWrites: 600, CPUShare: 1, MemoryMiB: 256, RemoteFactor: 2, StorePartitions: 24,
@@ -199,6 +202,10 @@
 // start arrives.
 const minNotice = time.Second
 
+// minLogRetention is the shortest retention of the log within which snapshots can be written often
+// enough.
+const minLogRetention = 10 * time.Second
+
 func (s *Coordinator) check(name string) Mistakes {
 	var mistakes Mistakes
 	addMistake := func(section, key, problem, accepted string) {
@@ -224,6 +231,9 @@
 	if s.Times.LeaseLimit < time.Second {
 		addMistake("times", "lease_limit", "has the value "+s.Times.LeaseLimit.String(), "1s or more")
 	}
+	if s.Times.LogRetention < minLogRetention {
+		addMistake("times", "log_retention", "has the value "+s.Times.LogRetention.String(), minLogRetention.String()+" or more")
+	}
 	for key, value := range map[string]time.Duration{
 		"drain_notice": s.Times.DrainNotice, "evacuation_notice": s.Times.EvacuationNotice, "cancel_notice": s.Times.CancelNotice,
 		"manifest_notice": s.Times.ManifestNotice,
@@ -267,7 +277,7 @@
 	var mistakes Mistakes
 	for _, key := range []string{
 		"lease_limit", "start_early", "stop", "grace", "group_ttl_least", "drain_notice", "evacuation_notice", "cancel_notice", "manifest_notice",
-		"place_wait",
+		"place_wait", "log_retention",
 	} {
 		if value := file.Section("times").Key(key).Value(); strings.HasPrefix(value, "-") {
 			mistakes = append(mistakes, Mistake{
@@ -287,7 +297,7 @@
 		"group_ttl_least": s.Times.GroupTTLLeast, "drain_notice": s.Times.DrainNotice,
 		"evacuation_notice": s.Times.EvacuationNotice, "cancel_notice": s.Times.CancelNotice,
 		"manifest_notice": s.Times.ManifestNotice,
-		"place_wait":      s.Times.PlaceWait,
+		"place_wait":      s.Times.PlaceWait, "log_retention": s.Times.LogRetention,
 	} {
 		if value > maxCoordinatorTime {
 			mistakes = append(mistakes, Mistake{
--- a/settings/coordinator_test.go
+++ b/settings/coordinator_test.go
@@ -72,7 +72,7 @@
 		"times/grace": {"-1s", "2000000h"}, "times/stop": {"-1s", "2000000h"}, "times/start_early": {"-1s", "2000000h"},
 		"times/lease_limit": {"2000000h"}, "times/group_ttl_least": {"-1s", "2000000h"},
 		"times/drain_notice": {"-1s", "999ms", "2000000h"}, "times/evacuation_notice": {"-1s", "999ms", "2000000h"},
-		"times/cancel_notice": {"-1s", "999ms", "2000000h"}, "times/manifest_notice": {"-1s", "999ms", "2000000h"},
+		"times/cancel_notice": {"-1s", "999ms", "2000000h"}, "times/manifest_notice": {"-1s", "999ms", "2000000h"}, "times/log_retention": {"-1s", "9s", "2000000h"},
 	} {
 		section, name, _ := strings.Cut(key, "/")
 		for _, value := range values {
