--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -108,6 +108,14 @@
 	// since the snapshot: at 3,500 records a second these are about 1 MB, less than the snapshot
 	// itself.
 	snapshotInterval = 3 * time.Second
+	// snapshotMaxInterval is the longest pause before a snapshot that could not be saved is tried
+	// again. Where the log keeps records for a short time, there are snapshotsPerRetention
+	// snapshots in it.
+	snapshotMaxInterval   = 30 * time.Second
+	snapshotsPerRetention = 10
+	// maxSnapshotRetryDoublings is how often the pause after a snapshot that could not be saved
+	// doubles: a snapshot may be too large for a slow path.
+	maxSnapshotRetryDoublings = 3
 	// snapshotReadAge is the age of the local copy above which a node loads the
 	// snapshot before it reads the streams.
 	snapshotReadAge = 2 * time.Second
--- a/coordinator/snapshot.go
+++ b/coordinator/snapshot.go
@@ -26,24 +26,42 @@
 	now := o.node.monotonicNow()
 	offsets := ledger.Offsets{Cell: o.cellNext, Intake: o.intakeNext}
 	newRecords := offsets.Cell - o.lastSnapshot.offsets.Cell + offsets.Intake - o.lastSnapshot.offsets.Intake
-	if now-o.lastSnapshot.at < snapshotInterval || newRecords == 0 || o.snapshotInProgress.Swap(true) {
+	age, most := now-o.lastSnapshot.at, o.node.maxSnapshotInterval()
+	due := age >= min(snapshotInterval, most) && newRecords > 0
+	if failures := int(o.snapshotsFailed.Load()); failures > 0 {
+		due = due || age >= min(most, snapshotInterval<<min(failures-1, maxSnapshotRetryDoublings))
+	}
+	if !due || o.snapshotInProgress.Swap(true) {
 		return
 	}
 	o.lastSnapshot = snapshotMark{at: now, offsets: offsets}
 	parts := o.ledger().SnapshotWith(offsets, o.machine.StoppingRuns())
 	o.wg.Go(func() {
 		defer o.snapshotInProgress.Store(false)
-		o.writeSnapshot(ctx, parts)
+		if o.writeSnapshot(ctx, parts) {
+			o.snapshotsFailed.Store(0)
+		} else {
+			o.snapshotsFailed.Add(1)
+		}
 	})
 }
 
-// writeSnapshot writes the parts of a snapshot. A failure is not retried: the next
-// snapshot covers more records.
-func (o *ownership) writeSnapshot(ctx context.Context, parts []*ledgerpb.Snapshot) {
+// maxSnapshotInterval returns the longest pause between snapshots: a fraction of the time for which the
+// log keeps records, so that a few may fail.
+func (n *Node) maxSnapshotInterval() time.Duration {
+	if n.config.LogRetention <= 0 {
+		return snapshotMaxInterval
+	}
+	return min(snapshotMaxInterval, n.config.LogRetention/snapshotsPerRetention)
+}
+
+// writeSnapshot writes the parts of a snapshot and reports whether it is saved. The next attempt
+// has a new snapshot, which covers more records.
+func (o *ownership) writeSnapshot(ctx context.Context, parts []*ledgerpb.Snapshot) bool {
 	data, err := ledger.EncodeSnapshot(parts)
 	if err != nil {
 		o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
-		return
+		return false
 	}
 	call, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
@@ -56,6 +74,7 @@
 	if err != nil && ctx.Err() == nil {
 		o.node.logError(logevent.SnapshotFailed, err, zap.Int("cell", o.number))
 	}
+	return err == nil
 }
 
 // loadSnapshot applies the newest complete snapshot if it covers more records of the cell
