soak: restarts of all coordinators in series, and runs of two programs

Two profiles for runs by hand. In "upgrade" half of eight coordinators run the program -soak.other and are replaced one after the other during the faults, the rest of them at the end. Callers keep a transport of their own, so that each uses its open connections until the process closes them.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -11,6 +11,8 @@
 // `go test ./soak` runs the regression seeds and one short seed each of two profiles: "faults",
 // and "dealings", in which the group gives the only cell to any of seven coordinators again and
 // again. `go test ./soak -soak.seeds=50 -soak.first=1000 -soak.profile=dealings` runs more seeds.
-// A failed seed prints the violations of each kind with the epochs, and the coordinators that
+// In the profile "crowd" all of 24 coordinators are restarted three times at the beginning, without
+// a wait until they are ready; in "upgrade" half of them run the program -soak.other at first. A
+// failed seed prints the violations of each kind with the epochs, and the coordinators that
 // commanded the starts.
 package soak
--- a/soak/profile_test.go
+++ b/soak/profile_test.go
@@ -20,6 +20,10 @@
 	faultKinds, overlapping int
 	// faultDelay is the time from the beginning in which there are no such faults.
 	faultDelay time.Duration
+	// restarts is how often all coordinators are restarted at the beginning.
+	restarts int
+	// upgrade: every second coordinator runs another program at first.
+	upgrade bool
 }
 
 // smallProfile has few coordinators, and a store that answers at once.
@@ -34,6 +38,8 @@
 var profiles = map[string]profile{
 	"faults":   smallProfile(allFaultKinds, 2),
 	"dealings": dealingsProfile(7),
+	"crowd":    dealingsProfile(24).withRestarts(3),
+	"upgrade":  dealingsProfile(8).withUpgrade(),
 }
 
 // dealingsProfile has one cell, which the group gives to any coordinator again and again while
@@ -45,3 +51,13 @@
 		faultKinds: allFaultKinds, overlapping: 2, faultDelay: 5 * time.Second,
 	}
 }
+
+func (p profile) withRestarts(restarts int) profile {
+	p.restarts = restarts
+	return p
+}
+
+func (p profile) withUpgrade() profile {
+	p.upgrade = true
+	return p
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 	faultDuration = flag.Duration("soak.length", 8*time.Second, "duration of fault injection for each seed")
 	profileNames  = flag.String("soak.profile", "faults,dealings", "profiles of the seeds")
 	programPath   = flag.String("soak.binary", "", "program to run instead of the one built from the source tree")
+	otherProgram  = flag.String("soak.other", "", "program that half of the coordinators run at first in the profile upgrade")
 	logDir        = flag.String("soak.keep", "", "directory for the logs of failed seeds")
 )
 
@@ -90,6 +91,9 @@
 		if !ok {
 			t.Fatalf("no profile %q", name)
 		}
+		if p.upgrade && *otherProgram == "" {
+			t.Fatalf("the profile %s needs -soak.other", name)
+		}
 		for seed := *first; seed < *first+uint64(*seeds); seed++ {
 			t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) { runSeed(t, binary, seed, p) })
 		}
@@ -128,6 +132,12 @@
 	if p.dealInterval > 0 {
 		s.goroutines.Go(func() { s.dealCellsAnew(p.dealInterval, *faultDuration) })
 	}
+	if p.upgrade {
+		s.goroutines.Go(func() { s.upgrade(binary, *faultDuration) })
+	}
+	for range p.restarts {
+		s.restartAll()
+	}
 	began := time.Now()
 	cancelled := false
 	for time.Since(began) < *faultDuration {
@@ -144,6 +154,7 @@
 	s.clearFaults()
 	close(s.stop)
 	s.goroutines.Wait()
+	s.finishUpgrade(binary)
 	s.checkLongRunning()
 	s.checkOutcomes()
 }
@@ -174,6 +185,9 @@
 	s.t.Cleanup(server.Close)
 	for i := range s.profile.coordinators {
 		p := newProcess(s.t, binary, fmt.Sprintf("c%d", i), strings.TrimPrefix(server.URL, "http://"), s.profile.cells)
+		if s.profile.upgrade && i%2 == 1 {
+			p.binary = *otherProgram
+		}
 		s.processes = append(s.processes, p)
 		s.t.Cleanup(p.storeProxy.close)
 		p.start()
@@ -247,7 +261,10 @@
 
 // runCaller submits and cancels requests on persistent connections.
 func (s *seedRun) runCaller(random *rand.Rand, caller int) {
-	client := &http.Client{Timeout: 4 * time.Second}
+	// A transport of its own keeps the caller's connections open until the process closes them.
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Timeout: 4 * time.Second, Transport: transport}
 	for n := 0; ; n++ {
 		select {
 		case <-s.stop:
