--- a/coordinator/openepoch.go
+++ b/coordinator/openepoch.go
@@ -162,6 +162,7 @@
 
 // epochNotOpened handles an error of openEpoch.
 func (c *cell) epochNotOpened(ctx context.Context, err error) {
+	c.openingEpoch.Store(0)
 	switch {
 	case isRefusal(err):
 		c.refuse(err)
@@ -175,6 +176,12 @@
 	}
 }
 
+// beginOwning ends an attempt that has opened an epoch. Whoever asks sees one of the two at any time.
+func (c *cell) beginOwning() {
+	c.owning.Store(true)
+	c.openingEpoch.Store(0)
+}
+
 // contest makes the node open no epoch of the cell until a join that is sent from now on has
 // assigned the cell to it again, and asks for that join: the other node may have been assigned
 // the cell since the last one.
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -88,10 +88,8 @@
 	endPreparation := c.node.workers.prepare()
 	defer endPreparation()
 	times := takeoverTimes{assignedAt: time.Duration(c.assignedAt.Load()), began: c.node.monotonicNow()}
-	defer c.openingEpoch.Store(0)
 	opened, err := c.openEpoch(parent, &times)
 	if err != nil {
-		c.openingEpoch.Store(0)
 		c.epochNotOpened(parent, err)
 		return
 	}
@@ -110,8 +108,7 @@
 	c.intakeReadAt.Store(int64(c.intakeKnownAt))
 	ended := make(chan struct{})
 	c.ended.Store(&ended)
-	c.owning.Store(true)
-	c.openingEpoch.Store(0)
+	c.beginOwning()
 	// The event loop changes intakeNext, so it is read before the goroutine starts.
 	intakeFrom := c.intakeNext
 	o.wg.Go(func() { o.tailIntake(ctx, intakeFrom) })
