--- a/coordinator/decisions.go
+++ b/coordinator/decisions.go
@@ -17,7 +17,7 @@
 	dispatch.TaskWaiting:   logevent.TaskWaiting,
 	dispatch.TaskReleased:  logevent.TaskReleased,
 	dispatch.LeasesAwaited: logevent.LeasesAwaited,
-	dispatch.TaskDelayed:   logevent.TaskDelayed,
+	dispatch.TaskGivenUp:   logevent.TaskGivenUp,
 	dispatch.WorkerCrashed: logevent.WorkerCrashed,
 
 	dispatch.FinalRunLeft:     logevent.FinalRunLeft,
@@ -70,8 +70,6 @@
 	case dispatch.RoomFilled:
 		n.observeRoomFilled(d)
 		return
-	case dispatch.TaskDelayed:
-		n.metrics.observeDuration("crash_delay_microseconds", d.Age)
 	case dispatch.SubmissionCleared:
 		n.metrics.observeDuration(metrics.Name("submission_cleared_microseconds", "queue", d.Queue, "state", d.Reason), d.Elapsed)
 		return
--- a/dispatch/checkpoints.go
+++ b/dispatch/checkpoints.go
@@ -16,9 +16,9 @@
 	reportedAt time.Duration
 }
 
-// unitOf returns the task under which something is kept that all members of a gang share: the first
-// member, or the task itself if it is alone.
-func unitOf(e *ledger.Entry, id workload.TaskID) workload.TaskID {
+// checkpointKey returns the task under which unrecorded checkpoints are kept: the first member of a
+// gang, whose members share them.
+func checkpointKey(e *ledger.Entry, id workload.TaskID) workload.TaskID {
 	if e.Steps[id.Step].Gang {
 		id.Index = 0
 	}
@@ -28,7 +28,7 @@
 // checkpointOf returns the checkpoint from which the next run of a task resumes, or "". It is the same
 // for all members of a gang.
 func (m *Machine) checkpointOf(e *ledger.Entry, t *ledger.Task) string {
-	if kept, ok := m.checkpoints[unitOf(e, t.ID)]; ok {
+	if kept, ok := m.checkpoints[checkpointKey(e, t.ID)]; ok {
 		return kept.name
 	}
 	return e.CheckpointOf(t)
@@ -40,7 +40,7 @@
 	if r.checkpoint == r.resumesFrom || r.entry.CheckpointOf(r.task) != r.resumesFrom {
 		return
 	}
-	key := unitOf(r.entry, r.id.Task)
+	key := checkpointKey(r.entry, r.id.Task)
 	if kept, ok := m.checkpoints[key]; ok && (kept.run > r.id.Run || kept.run == r.id.Run && kept.reportedAt > r.reportedAt) {
 		return
 	}
@@ -50,7 +50,7 @@
 // forgetCheckpoint drops the unrecorded checkpoint of a task, or of its gang, because the log has one
 // that holds for the run with a number, or for a later one.
 func (m *Machine) forgetCheckpoint(e *ledger.Entry, id workload.TaskID, run int64) {
-	if key := unitOf(e, id); m.checkpoints[key].run <= run {
+	if key := checkpointKey(e, id); m.checkpoints[key].run <= run {
 		delete(m.checkpoints, key)
 	}
 }
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -36,14 +36,9 @@
 	lost map[string]outage
 	// listed are the workers of all cells.
 	listed []workload.Worker
-	// delayedUntil is the time until which suspects of repeated crashes are not started; see
-	// unitOf.
-	delayedUntil map[workload.TaskID]time.Duration
 }
 
-func newCrashes() crashes {
-	return crashes{lost: make(map[string]outage), delayedUntil: make(map[workload.TaskID]time.Duration)}
-}
+func newCrashes() crashes { return crashes{lost: make(map[string]outage)} }
 
 // workerCrashed handles the end of an incarnation that didn't announce it. It is called
 // before the runs are abandoned. The list of workers may still contain an incarnation
@@ -83,7 +78,7 @@
 		m.recordCrash(&o, 0)
 		return
 	}
-	m.recordSuspects(&o, ledger.LostRecord(o.incarnation, o.address, o.suspects))
+	m.recordSuspects(&o, ledger.LostRecord(o.incarnation, o.address, o.suspects), 0)
 }
 
 // hasSuccessor reports whether a newer worker is listed at the address of an outage.
@@ -125,10 +120,10 @@
 }
 
 // awaitsDecision reports whether a task must not be started until it is known whether its
-// lost runs crashed their workers: all of them together would suffice to delay it. After
+// lost runs crashed their workers: all of them together would suffice to give it up. After
 // outageMemory the wait ends, because a worker that is gone for good leaves it open.
 func (m *Machine) awaitsDecision(e *ledger.Entry, t *ledger.Task) bool {
-	if e.Suspicion(t) < ledger.DelayingSuspicion {
+	if !e.CrashLimitPending(t) {
 		return false
 	}
 	return slices.ContainsFunc(e.CrashRecordOf(t).Undecided, func(u ledger.LostRun) bool {
@@ -242,12 +237,12 @@
 
 // recordCrash records the suspects of a crash.
 func (m *Machine) recordCrash(o *outage, evidence int) {
-	m.recordSuspects(o, ledger.CrashedRecord(o.incarnation, o.suspects, evidence))
+	m.recordSuspects(o, ledger.CrashedRecord(o.incarnation, o.suspects, evidence), evidence)
 }
 
 // recordSuspects appends a record of suspects, whose tasks are not placed before it is in
 // the log.
-func (m *Machine) recordSuspects(o *outage, record *ledgerpb.Record) {
+func (m *Machine) recordSuspects(o *outage, record *ledgerpb.Record, evidence int) {
 	var blocked []workload.TaskID
 	for _, s := range o.suspects {
 		if e := m.ledger.Find(s.Task.Submission); e != nil && !e.State().Final() && !m.recordingEnds[s.Task] {
@@ -257,7 +252,6 @@
 		}
 	}
 	m.appendRecord(record, func() {
-		before := m.suspicionOf(o.suspects[0].Task)
 		m.ledger.Apply(record)
 		for _, id := range blocked {
 			delete(m.recordingEnds, id)
@@ -266,12 +260,32 @@
 			}
 		}
 		m.planNeeded = true
-		if m.suspicionOf(o.suspects[0].Task) > before {
-			m.delayAfterCrash(o)
+		if evidence > 0 {
+			m.checkGivenUp(o)
 		}
 	})
 }
 
+// checkGivenUp ends a task, or a gang, against which the evidence has become conclusive.
+func (m *Machine) checkGivenUp(o *outage) {
+	s := o.suspects[0]
+	e := m.ledger.Find(s.Task.Submission)
+	if e == nil || e.State().Final() && e.State() != workload.Failed {
+		return
+	}
+	t := e.Task(s.Task)
+	if t == nil || !e.CrashLimitReached(t) {
+		return
+	}
+	m.emitDecision(TaskGivenUp, s, o.incarnation.Worker, "workers crashed under its isolated starts", 0)
+	m.returnFinished(e, s.Task)
+	if e.State().Final() {
+		m.emitSubmissionDecision(SubmissionEnded, e)
+		delete(m.transfers.released, e.ID)
+		m.entryChanged(e)
+	}
+}
+
 // observeSurvival clears the runs on a worker that has outlasted their starts, at a
 // reading of its clock.
 func (m *Machine) observeSurvival(w *worker, clock time.Duration) {
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -77,9 +77,8 @@
 	LeasesAwaited
 	// WorkerCrashed: a worker's incarnation ended in a crash. Reason names the suspects.
 	WorkerCrashed
-	// TaskDelayed: so many workers have crashed under a task, or a gang, that its next start is
-	// delayed, for the time in Age.
-	TaskDelayed
+	// TaskGivenUp: so many workers have crashed under a task that it is not run again.
+	TaskGivenUp
 	// SubmissionCleared: none of the runs that a cancelled or otherwise final submission had
 	// is left. Elapsed is the time since this owner learnt that it is final.
 	SubmissionCleared
@@ -140,7 +139,7 @@
 func (k DecisionKind) String() string {
 	return [...]string{"none", "placed", "started", "refused", "ended", "lost", "stopped",
 		"worker suspected", "worker trusted", "worker reborn", "submission began", "submission ended", "task waiting",
-		"task released", "leases awaited", "worker crashed", "task delayed",
+		"task released", "leases awaited", "worker crashed", "task given up",
 		"submission cleared", "final run left", "unknown run listed", "submission overdue", "largest favoured",
 		"interruption long", "interruption ended", "entry ignored", "displaced", "room reported", "target missed", "target miss ended", "serving reported", "room filled", "admission changed", "pieces reported", "caps changed", "place awaited"}[k]
 }
--- a/dispatch/dispatchtest/fingerprint.go
+++ b/dispatch/dispatchtest/fingerprint.go
@@ -37,9 +37,6 @@
 		}
 		d := o.machine.Dump()
 		d.Epoch, d.LongestSilenceMillis, d.StartLimit = 0, d.LongestSilenceMillis/500, 0
-		for i := range d.Delayed {
-			d.Delayed[i].LeftMillis /= 500
-		}
 		text, _ := json.Marshal(d)
 		owners += string(text) + fmt.Sprint(round(longest))
 	}
--- a/dispatch/dispatchtest/world.go
+++ b/dispatch/dispatchtest/world.go
@@ -214,11 +214,9 @@
 	c.step(o, dispatch.ViewRead{View: dispatch.WorkerList, SentAt: c.Now})
 }
 
-// CrashDelay returns for how long the newest owner may delay the start of a task because workers have
-// crashed under it.
-func (c *World) CrashDelay(id workload.TaskID) time.Duration {
-	e := c.owner.ledger.Find(id.Submission)
-	return dispatch.CrashDelay(e.Suspicion(e.Task(id)))
+// IsGivenUp reports whether the newest owner has given a task's submission up.
+func (c *World) IsGivenUp(id workload.TaskID) bool {
+	return c.owner.ledger.Find(id.Submission).State() == workload.Failed
 }
 
 // Task returns a task as the newest owner knows it.
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -8,9 +8,6 @@
 	Queues  map[string]QueueDump `json:"queues"`
 	// Tenants are those that are declared, and those with work.
 	Tenants map[string]TenantDump `json:"tenants,omitempty"`
-	// Delayed are the tasks, of a gang the first member, whose starts are delayed because workers
-	// crashed under them.
-	Delayed []DelayedTask `json:"delayed,omitempty"`
 	// AppendsInFlight is the number of unanswered appends.
 	AppendsInFlight int `json:"appendsInFlight"`
 	// StartsInFlight is the number of runs that are being recorded or whose start is
@@ -31,15 +28,6 @@
 	Paused   int `json:"paused"`
 }
 
-// DelayedTask is a task whose starts are delayed.
-type DelayedTask struct {
-	Submission string `json:"submission"`
-	Task       string `json:"task"`
-	// Suspicion is that the task crashes its workers. LeftMillis is the time until it may be started.
-	Suspicion  int   `json:"suspicion"`
-	LeftMillis int64 `json:"leftMillis"`
-}
-
 // QueueDump counts the steps of a queue that wait for free capacity.
 type QueueDump struct {
 	WaitingSteps int `json:"waitingSteps"`
@@ -56,7 +44,6 @@
 		AppendsInFlight: len(m.pending), StartsInFlight: m.starts.inFlight, StartLimit: m.starts.limit,
 	}
 	d.Workers.Usable = len(m.usableWorkers())
-	d.Delayed = m.dumpDelayed()
 	for _, w := range m.sorted {
 		m.dumpWorker(&d, w)
 	}
--- a/dispatch/formercalls_test.go
+++ b/dispatch/formercalls_test.go
@@ -106,6 +106,9 @@
 // restartThenCut restarts a worker under its id, and cuts it off soon after.
 func (s *sim) restartThenCut(w *dispatchtest.Worker) {
 	w.Up = false
+	for run := range w.Runs {
+		s.crashes.workers[run.Task]++
+	}
 	down := time.Duration(100+s.random.IntN(800)) * time.Millisecond
 	s.after(down, func() { s.reboot(w) })
 	s.after(down+time.Duration(s.random.IntN(1000))*time.Millisecond, func() { w.Partitioned = true })
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -25,7 +25,7 @@
 // started now: all members of a gang if it is.
 func (m *Machine) suspectTasks(ws *waitingStep) []*ledger.Task {
 	tasks := m.filterTasks(ws, true)
-	return slices.DeleteFunc(tasks, func(t *ledger.Task) bool { return m.mustWait(ws.entry, t) })
+	return slices.DeleteFunc(tasks, func(t *ledger.Task) bool { return m.awaitsDecision(ws.entry, t) })
 }
 
 // unsuspectedTasks returns the other tasks of a step that wait.
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -35,7 +35,7 @@
 	active     map[workload.TaskID]*run
 	// byEntry are the active runs of each submission.
 	byEntry map[string][]*run
-	// checkpoints are newer than those in the ledger; see unitOf. They come from runs whose
+	// checkpoints are newer than those in the ledger; see checkpointKey. They come from runs whose
 	// end was not reported.
 	checkpoints map[workload.TaskID]unrecordedCheckpoint
 	// avoid is the worker on which a task last failed or stalled.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -33,7 +33,6 @@
 	m.recordSilences()
 	m.recordSole()
 	m.forgetSilences()
-	m.forgetDelays()
 	m.stopStalledRuns()
 	m.reportWaiting()
 	m.observeTimeUses()
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -69,15 +69,14 @@
 }
 
 // transferableTasks returns the tasks of a step that have waited for transferDelay. A
-// gang is transferred as a whole. Transferred has neither the undecided runs for which a
-// task may wait nor the time until which its starts are delayed, so the other cell would start it
-// too soon.
+// gang is transferred as a whole. Transferred doesn't have the undecided runs for which a
+// task may wait, so the other cell would start it at once.
 func (m *Machine) transferableTasks(wait *longWait) []*ledger.Task {
 	if wait.waiting.entry.State().Final() {
 		return nil
 	}
 	tasks := slices.DeleteFunc(m.waitingTasks(wait.waiting.state.Tasks), func(t *ledger.Task) bool {
-		return m.claims[t.ID] != nil || wait.waiting.entry.EverSuspected() && m.mustWait(wait.waiting.entry, t)
+		return m.claims[t.ID] != nil || wait.waiting.entry.EverSuspected() && m.awaitsDecision(wait.waiting.entry, t)
 	})
 	if wait.step.Gang {
 		if len(tasks) < wait.step.Tasks {
@@ -148,11 +147,11 @@
 func (m *Machine) release(e *ledger.Entry, t *ledger.Task, cell int) {
 	m.releasing[t.ID] = true
 	m.addOccupied(e, t.ID, 1)
-	record := ledger.ReleasedRecord(t, cell, m.checkpoints[unitOf(e, t.ID)].name)
+	record := ledger.ReleasedRecord(t, cell, m.checkpoints[checkpointKey(e, t.ID)].name)
 	m.appendRecord(record, func() {
 		m.ledger.Apply(record)
 		delete(m.releasing, t.ID)
-		delete(m.checkpoints, unitOf(e, t.ID))
+		delete(m.checkpoints, checkpointKey(e, t.ID))
 		delete(m.avoid, t.ID)
 		m.addOccupied(e, t.ID, -1)
 	})
--- a/ledger/crash.go
+++ b/ledger/crash.go
@@ -13,9 +13,8 @@
 	// cause, WeakEvidence that of one with such a sign.
 	StrongEvidence = 2
 	WeakEvidence   = 1
-	// DelayingSuspicion is the suspicion from which the starts of the task are delayed: two
-	// crashes at least. A task never ends by suspicion; only its failed runs count as attempts.
-	DelayingSuspicion = 4
+	// conclusiveEvidence is the sum from which the task is given up: two crashes at least.
+	conclusiveEvidence = 4
 )
 
 // CrashRecord is what is known of the crashes of workers under a task.
@@ -130,6 +129,20 @@
 	}
 	c.Evidence += evidence
 	c.CrashRun = max(c.CrashRun, run)
+	if !e.CrashLimitReached(t) {
+		return
+	}
+	if !e.Steps[t.ID.Step].Gang {
+		t.closeRun()
+		e.finish(t, false)
+		return
+	}
+	members := e.stepOf(t).Tasks
+	for i := range members {
+		members[i].closeRun()
+		members[i].CrashRecord = *c
+		e.finish(&members[i], false)
+	}
 }
 
 func (l *Ledger) applySurvived(r *ledgerpb.Survived) *Entry {
@@ -138,26 +151,36 @@
 		return nil
 	}
 	c := e.CrashRecordOf(t)
-	if r.Run >= c.CrashRun {
+	switch {
+	case e.CrashLimitReached(t):
+	case r.Run >= c.CrashRun:
 		c.forget(func(u LostRun) bool { return u.Run <= r.Run })
 		*c = CrashRecord{Suspect: len(c.Undecided) > 0, CrashRun: r.Run, Undecided: c.Undecided}
-	} else {
+	default:
 		c.forget(func(u LostRun) bool { return u.Run == r.Run })
 	}
 	return e
 }
 
-// Suspicion returns the evidence that a task, or its gang, crashes its workers, with that which
-// its undecided runs would be if all of them had.
-func (e *Entry) Suspicion(t *Task) int {
+// CrashLimitPending reports whether a task would be given up if all its undecided runs had
+// crashed their workers.
+func (e *Entry) CrashLimitPending(t *Task) bool {
 	c := e.CrashRecordOf(t)
 	runs := make(map[int64]bool, len(c.Undecided))
 	for _, u := range c.Undecided {
 		runs[u.Run] = true
 	}
-	return c.Evidence + len(runs)*WeakEvidence
+	return c.Evidence+len(runs)*WeakEvidence >= conclusiveEvidence
+}
+
+// CrashLimitReached reports whether a task is given up because workers crashed under it.
+func (e *Entry) CrashLimitReached(t *Task) bool {
+	return e.CrashRecordOf(t).Evidence >= conclusiveEvidence
 }
 
+// hopeless reports whether a task must not be run again although it is not done.
+func (e *Entry) hopeless(t *Task) bool { return e.attemptsExhausted(t) || e.CrashLimitReached(t) }
+
 // mergeCrashes takes over a crash record that is at least as new as the present one.
 func (e *Entry) mergeCrashes(t *Task, suspect bool, evidence int32, run int64, undecided []*ledgerpb.LostRun) {
 	if run < t.CrashRun {
--- a/ledger/task.go
+++ b/ledger/task.go
@@ -45,7 +45,7 @@
 // Returned reports whether a guest has finished the task and returned it to the cell of
 // the submission.
 func (e *Entry) Returned(t *Task) bool {
-	return e.guest && t.Away && t.Transfer > 0 && (t.Done || e.attemptsExhausted(t))
+	return e.guest && t.Away && t.Transfer > 0 && (t.Done || e.hopeless(t))
 }
 
 // closeRun marks the end of the task's run as recorded.
--- a/ledger/transfer.go
+++ b/ledger/transfer.go
@@ -101,7 +101,7 @@
 	switch {
 	case state.Done:
 		e.markDone(t)
-	case e.attemptsExhausted(t):
+	case e.hopeless(t):
 		e.finish(t, false)
 	}
 }
--- a/logevent/coordinator.go
+++ b/logevent/coordinator.go
@@ -38,6 +38,7 @@
 	TaskWaiting          Number = 843
 	TaskReleased         Number = 844
 	LeasesAwaited        Number = 845
+	TaskGivenUp          Number = 846
 	WorkerCrashed        Number = 847
 	OwnershipEndLearned  Number = 848
 	OwnerSaturated       Number = 849
@@ -70,7 +71,6 @@
 	ManifestRenewed      Number = 884
 	CapsChanged          Number = 885
 	ClientsClosed        Number = 895
-	TaskDelayed          Number = 897
 	PassingBegan         Number = 890
 	PassingEnded         Number = 891
 	PassFailed           Number = 892
@@ -117,7 +117,8 @@
 	{TaskWaiting, "TaskWaiting", zapcore.WarnLevel, "a task has waited for a run for longer than its kind should", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "The reason counts the workers by why they do not take the task, and says how many are full because of room that no active run uses, and what holds it, and how many would have room without their finite runs: these are displaced. Add capacity if they are full; report it if the task fits or is overtaken."},
 	{TaskReleased, "TaskReleased", zapcore.WarnLevel, "tasks are given to another cell, because the workers of their own are full", []string{"task", "run", "worker", "age", "reason", "epoch", "cell"}, "None; the owner of the other cell logs the placement. If it recurs, use fewer cells or add capacity."},
 	{LeasesAwaited, "LeasesAwaited", zapcore.WarnLevel, "tasks of silent workers are not started elsewhere until their leases have expired", []string{"worker", "age", "reason", "epoch", "cell"}, "Check the workers and the network. The reason says how long the wait goes on and whether a previous owner granted the lease."},
-	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash is evidence against a task, see event 897. If crashes recur that are not, check the worker."},
+	{TaskGivenUp, "TaskGivenUp", zapcore.WarnLevel, "a task is not run again, because workers crashed under it", []string{"task", "run", "worker", "reason", "epoch", "cell"}, "Correct the task and submit it again. Event 847 names the crashes."},
+	{WorkerCrashed, "WorkerCrashed", zapcore.WarnLevel, "a worker crashed", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "If the crash is evidence against a task, see event 846. If crashes recur that are not, check the worker."},
 	{OwnershipEndLearned, "OwnershipEndLearned", zapcore.InfoLevel, "told which leases remained at the end of an ownership", []string{"cell", "epoch", "leases"}, "None."},
 	{OwnerSaturated, "OwnerSaturated", zapcore.WarnLevel, "planning takes longer than the owner has time for; work is placed less often", []string{"cell", "epoch", "duration"}, "If it recurs, use VMs with more CPU or more cells."},
 	{ViewExpired, "ViewExpired", zapcore.WarnLevel, "a view is too old to decide about starts; the owner starts nothing until it is read again", []string{"cell", "epoch", "view", "age"}, "Check the connection to the platform's store. Without events 825 or 826 at the same time, check the CPU of the VM."},
@@ -147,7 +148,6 @@
 	{ManifestRenewed, "ManifestRenewed", zapcore.InfoLevel, "the manifest has been read again, and calls are answered", []string{"age"}, "None."},
 	{CapsChanged, "CapsChanged", zapcore.WarnLevel, "a manifest changes what tenants may have running", []string{"reason", "epoch", "cell"}, "None. Runs above a lowered cap go on; their tenant starts nothing until it is below. One line of each owner."},
 	{ClientsClosed, "ClientsClosed", zapcore.WarnLevel, "connections of clients were closed or not taken, because the limits of their listener were reached", []string{"listener", "address", "connections", "memory", "progress"}, "The numbers are by reason, since the last such line; the address is that of the last client. If these are callers that behave well, raise client_memory or the VM's memory; else look for the client."},
-	{TaskDelayed, "TaskDelayed", zapcore.WarnLevel, "the next start of a task is delayed, because workers crashed under its isolated starts", []string{"task", "run", "worker", "reason", "age", "epoch", "cell"}, "The age is the delay; it doubles with each unit of suspicion, up to 10 min, and ends when a run survives. Event 847 names the crashes. If the task crashes its workers, cancel its submission; it never ends for that by itself."},
 	{PassingBegan, "PassingBegan", zapcore.InfoLevel, "store is slow; this VM passes its submissions on to another one, which appends those of all", []string{"cell", "to"}, "None. Event 893 of the owner says since when."},
 	{PassingEnded, "PassingEnded", zapcore.InfoLevel, "this VM appends its submissions itself again", []string{"cell", "to"}, "None."},
 	{PassFailed, "PassFailed", zapcore.WarnLevel, "submissions that were passed on got no answer; this VM appends them itself", []string{"cell", "records", "to", "error"}, "Check the VM at the address, and the network to it."},
