--- a/coordinator/guests.go
+++ b/coordinator/guests.go
@@ -89,7 +89,7 @@
 // how long the owner has not read its intake. Only an intake that is read to its end
 // tells that the cell does not have a submission.
 func (c *cell) ownerStates(ctx context.Context, ids []string) ([]workload.State, time.Duration) {
-	age := c.node.monotonicNow() - time.Duration(c.intakeReadAt.Load())
+	age := c.intakeAge()
 	states := make([]workload.State, len(ids))
 	missing := false
 	for i, id := range ids {
--- a/coordinator/iduse.go
+++ b/coordinator/iduse.go
@@ -27,8 +27,8 @@
 // useOf returns what the local copy, or the owner's decision about a submission that this node
 // accepted, says of an id.
 func (c *cell) useOf(id string, identity ledger.Identity) idUse {
-	if e := c.ledger().Find(id); e != nil {
-		return compareIdentities(e.Identity(), identity)
+	if use := c.entryUse(id, identity); use != undecided {
+		return use
 	}
 	if a, ok := c.recentlyAccepted.Load(id); ok && a.(acceptance).decided {
 		return compareIdentities(a.(acceptance).identity, identity)
@@ -36,6 +36,14 @@
 	return undecided
 }
 
+// entryUse returns what the local copy alone says of an id.
+func (c *cell) entryUse(id string, identity ledger.Identity) idUse {
+	if e := c.ledger().Find(id); e != nil {
+		return compareIdentities(e.Identity(), identity)
+	}
+	return undecided
+}
+
 // compareIdentities tells a repeat of a submission from another one with its id.
 func compareIdentities(first, second ledger.Identity) idUse {
 	caller := Caller{Tenant: second.Tenant, Queue: second.Queue}
@@ -77,18 +85,18 @@
 // submission has its id, ErrIDInUse if another one has, and errUndecided if the owner doesn't say so
 // within the limit.
 func (c *cell) decide(n notification, limit time.Duration) error {
-	decision := make(chan idUse, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
 	if c.owning.Load() {
-		ctx, cancel := context.WithTimeout(context.Background(), limit)
-		defer cancel()
-		decision <- c.applyAndCompare(ctx, n)
-	} else {
-		go func() { decision <- c.askOwner(n) }()
+		return c.applyAndCompare(ctx, n).err()
 	}
+	decision := make(chan idUse, 1)
+	// The call goes on after the limit: the owner is to learn of the submission.
+	go func() { decision <- c.askOwner(n) }()
 	select {
 	case use := <-decision:
 		return use.err()
-	case <-time.After(limit):
+	case <-ctx.Done():
 		return errUndecided
 	}
 }
@@ -134,15 +142,12 @@
 	// Submissions are applied in order, so an entry is that of the first one also if this one is
 	// not applied yet.
 	identity := ledger.RecordIdentity(r.Submitted)
-	if e := c.ledger().Find(r.Submitted.Id); e != nil {
-		return compareIdentities(e.Identity(), identity)
+	if use := c.entryUse(r.Submitted.Id, identity); use != undecided {
+		return use
 	}
 	select {
 	case <-n.applied:
 	case <-ctx.Done():
 	}
-	if e := c.ledger().Find(r.Submitted.Id); e != nil {
-		return compareIdentities(e.Identity(), identity)
-	}
-	return undecided
+	return c.entryUse(r.Submitted.Id, identity)
 }
--- a/coordinator/limits.go
+++ b/coordinator/limits.go
@@ -104,9 +104,8 @@
 	maxQueuedNotifications = 256
 	// snapshotInterval is how often an owner writes a snapshot while records are added. Records
 	// that the log drops before a snapshot has them are lost, and with them the ends of runs, so
-	// it is far below the 20 s for which the log keeps records. A successor reads the records
-	// since the snapshot: at 3,500 records a second these are about 1 MB, less than the snapshot
-	// itself.
+	// it is far below the time for which logs keep records. A successor reads the records since
+	// the snapshot: at 3,500 records a second these are about 1 MB, less than the snapshot itself.
 	snapshotInterval = 3 * time.Second
 	// snapshotMaxInterval is the longest pause before a snapshot that could not be saved is tried
 	// again. Where the log keeps records for a short time, there are snapshotsPerRetention
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -95,8 +94,7 @@
 // ownPendingCount returns the number from this node's copy, as the owner. It returns false if the copy is
 // too old: the submissions that other nodes have accepted since would be missing.
 func (c *cell) ownPendingCount(queue string) (int, bool) {
-	age := c.node.monotonicNow() - time.Duration(c.intakeReadAt.Load())
-	if limit := c.node.config.Dispatch.MaxViewAge[dispatch.Intake]; limit > 0 && age > limit {
+	if limit := c.node.config.Dispatch.MaxViewAge[dispatch.Intake]; limit > 0 && c.intakeAge() > limit {
 		return 0, false
 	}
 	return c.ledger().Pending(queue), true
--- a/coordinator/skippedbatch_internal_test.go
+++ b/coordinator/skippedbatch_internal_test.go
@@ -27,7 +27,7 @@
 		// Both batches are in the log and answered; a worker, the log or the owners' topic then names a newer epoch.
 		cancel()
 		for _, b := range batches {
-			o.writer.post(ctx, b, b.end)
+			o.writer.post(ctx, b)
 		}
 		withoutFirst := len(o.events) == 1 && firstEnd(o) == 3
 		o.eventLoop(ctx)
--- a/coordinator/views.go
+++ b/coordinator/views.go
@@ -51,6 +51,11 @@
 	}
 }
 
+// intakeAge returns for how long the owner has not read its intake to the end.
+func (c *cell) intakeAge() time.Duration {
+	return c.node.monotonicNow() - time.Duration(c.intakeReadAt.Load())
+}
+
 // intakeKnown records that all intake records of a time have been applied.
 func (o *ownership) intakeKnown(ctx context.Context, at time.Duration) {
 	o.intakeReadAt.Store(int64(at))
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -177,7 +177,7 @@
 			latency := o.node.monotonicNow() - sent
 			o.node.metrics.observeAppend(latency)
 			w.noteAnswered(latency, attempt > 1)
-			w.post(ctx, b, end)
+			w.post(ctx, b)
 			return
 		}
 		if errors.Is(err, ErrFenced) {
@@ -213,14 +213,15 @@
 
 // post tells the owner that a batch is in the log, unless it has not been told of the batch before it:
 // at the end of an ownership the owner may be told of no more batches, but skips none.
-func (w *cellWriter) post(ctx context.Context, b *cellBatch, end int64) {
+func (w *cellWriter) post(ctx context.Context, b *cellBatch) {
 	select {
 	case <-b.before.posted:
 	case <-ctx.Done():
 		return
 	}
+	first := b.before.end
 	b.before = nil
-	if w.ownership.post(ctx, batchAppended{appendIDs: b.appendIDs, first: end - int64(len(b.records)), end: end}) {
+	if w.ownership.post(ctx, batchAppended{appendIDs: b.appendIDs, first: first, end: b.end}) {
 		close(b.posted)
 	}
 }
--- a/ledger/identity.go
+++ b/ledger/identity.go
@@ -19,10 +19,7 @@
 }
 
 // IdentityOf returns the identity of what a caller sent.
-func IdentityOf(s *workload.Submission) Identity {
-	rounded := submissionOf(submittedMessage(s))
-	return Identity{Tenant: s.Tenant, Queue: s.Queue, Fingerprint: s.Fingerprint(), Rounded: rounded.Fingerprint()}
-}
+func IdentityOf(s *workload.Submission) Identity { return RecordIdentity(SubmittedRecord(s).Submitted) }
 
 // RecordIdentity returns the identity of a submission's record.
 func RecordIdentity(r *ledgerpb.Submitted) Identity {
