dispatchtest: Timers numbers its timers and tells which is due

The simulation of a gang pushed timers on the heap, numbered and popped them as three others did. Timers does that now, in Add and Next, and its heap is private.

--- a/dispatch/dispatchtest/timer.go
+++ b/dispatch/dispatchtest/timer.go
@@ -1,34 +1,52 @@
 package dispatchtest
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
 
-// Timer is an action at a virtual time. Of two timers at the same time, the one with
-// the lower serial comes first.
+// Timer is an action at a virtual time.
 type Timer struct {
 	At     time.Duration
-	Serial int
 	Action func()
+	// serial orders timers of the same time as they were added.
+	serial int
 }
 
-// Timers is a heap of timers for package heap, the next one first.
-type Timers []Timer
+// Timers are the timers that are to come.
+type Timers struct {
+	heap   timerHeap
+	serial int
+}
+
+// Add adds an action at a time.
+func (t *Timers) Add(at time.Duration, action func()) {
+	t.serial++
+	heap.Push(&t.heap, Timer{At: at, Action: action, serial: t.serial})
+}
+
+// Next removes the next timer, if it is due by a time, and reports whether it is.
+func (t *Timers) Next(until time.Duration) (Timer, bool) {
+	if len(t.heap) == 0 || t.heap[0].At > until {
+		return Timer{}, false
+	}
+	return heap.Pop(&t.heap).(Timer), true
+}
+
+// timerHeap is a heap of timers for package heap, the next one first.
+type timerHeap []Timer
 
-// Len implements heap.Interface.
-func (e Timers) Len() int { return len(e) }
+func (e timerHeap) Len() int { return len(e) }
 
-// Less implements heap.Interface.
-func (e Timers) Less(a, b int) bool {
-	return e[a].At < e[b].At || e[a].At == e[b].At && e[a].Serial < e[b].Serial
+func (e timerHeap) Less(a, b int) bool {
+	return e[a].At < e[b].At || e[a].At == e[b].At && e[a].serial < e[b].serial
 }
 
-// Swap implements heap.Interface.
-func (e Timers) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e timerHeap) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
 
-// Push implements heap.Interface.
-func (e *Timers) Push(x any) { *e = append(*e, x.(Timer)) }
+func (e *timerHeap) Push(x any) { *e = append(*e, x.(Timer)) }
 
-// Pop implements heap.Interface.
-func (e *Timers) Pop() any {
+func (e *timerHeap) Pop() any {
 	old := *e
 	last := old[len(old)-1]
 	*e = old[:len(old)-1]
--- a/dispatch/dispatchtest/world.go
+++ b/dispatch/dispatchtest/world.go
@@ -1,7 +1,6 @@
 package dispatchtest
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
 
@@ -61,7 +60,6 @@
 	Crashes int
 
 	queue   Timers
-	serial  int
 	checks  Checks
 	steps   []workload.Step
 	log     []*ledgerpb.Record
@@ -111,15 +109,17 @@
 }
 
 func (c *World) after(d time.Duration, do func()) {
-	c.serial++
-	heap.Push(&c.queue, Timer{At: c.Now + d, Serial: c.serial, Action: do})
+	c.queue.Add(c.Now+d, do)
 }
 
 // Run lets time pass.
 func (c *World) Run(d time.Duration) {
 	until := c.Now + d
-	for c.Problem == "" && len(c.queue) > 0 && c.queue[0].At <= until {
-		ev := heap.Pop(&c.queue).(Timer)
+	for c.Problem == "" {
+		ev, ok := c.queue.Next(until)
+		if !ok {
+			break
+		}
 		c.Now = ev.At
 		c.advance()
 		ev.Action()
--- a/dispatch/gangworld_test.go
+++ b/dispatch/gangworld_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"slices"
@@ -39,7 +38,6 @@
 type gangWorld struct {
 	now     time.Duration
 	queue   dispatchtest.Timers
-	serial  int
 	log     []*ledgerpb.Record
 	epoch   int64
 	ledger  *ledger.Ledger
@@ -83,15 +81,13 @@
 }
 
 func (c *gangWorld) after(d time.Duration, do func()) {
-	c.serial++
-	heap.Push(&c.queue, dispatchtest.Timer{At: c.now + d, Serial: c.serial, Action: do})
+	c.queue.Add(c.now+d, do)
 }
 
 // run lets time pass.
 func (c *gangWorld) run(d time.Duration) {
 	until := c.now + d
-	for len(c.queue) > 0 && c.queue[0].At <= until {
-		timer := heap.Pop(&c.queue).(dispatchtest.Timer)
+	for timer, ok := c.queue.Next(until); ok; timer, ok = c.queue.Next(until) {
 		c.now = timer.At
 		for _, w := range c.workers {
 			w.Advance(c.now)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -30,10 +29,11 @@
 // tests queueing and placement.
 type loadSim struct {
 	// noise draws the errors of estimates, so that the load is the same without them.
-	noise       *rand.Rand
-	random      *rand.Rand
-	now         time.Duration
-	queue       dispatchtest.Timers
+	noise  *rand.Rand
+	random *rand.Rand
+	now    time.Duration
+	queue  dispatchtest.Timers
+	// serial counts timers and submissions; ids and images of submissions have its number.
 	serial      int
 	ledger      *ledger.Ledger
 	machine     *dispatch.Machine
@@ -133,13 +133,12 @@
 
 func (l *loadSim) after(d time.Duration, do func()) {
 	l.serial++
-	heap.Push(&l.queue, dispatchtest.Timer{At: l.now + d, Serial: l.serial, Action: do})
+	l.queue.Add(l.now+d, do)
 }
 
 func (l *loadSim) run(d time.Duration) {
 	until := l.now + d
-	for len(l.queue) > 0 && l.queue[0].At <= until {
-		ev := heap.Pop(&l.queue).(dispatchtest.Timer)
+	for ev, ok := l.queue.Next(until); ok; ev, ok = l.queue.Next(until) {
 		l.now = ev.At
 		ev.Action()
 	}
--- a/dispatch/simworld_test.go
+++ b/dispatch/simworld_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -21,7 +20,6 @@
 	random *rand.Rand
 	now    time.Duration
 	queue  dispatchtest.Timers
-	serial int
 	starts int
 	// checkedStarts is the number of starts at the last check of the active runs.
 	checkedStarts int
@@ -45,14 +43,12 @@
 }
 
 func (s *simWorld) after(d time.Duration, do func()) {
-	s.serial++
-	heap.Push(&s.queue, dispatchtest.Timer{At: s.now + d, Serial: s.serial, Action: do})
+	s.queue.Add(s.now+d, do)
 }
 
 // runCells carries out the events of cells. check is called after each event.
 func (s *simWorld) runCells(until time.Duration, cells []*sim, check func()) {
-	for len(s.queue) > 0 && s.queue[0].At <= until {
-		ev := heap.Pop(&s.queue).(dispatchtest.Timer)
+	for ev, ok := s.queue.Next(until); ok; ev, ok = s.queue.Next(until) {
 		s.now = ev.At
 		for _, c := range cells {
 			for _, w := range c.workers {
